--- a/src/bin/pulleyhall-adapter/main.rs
+++ b/src/bin/fennelpin-adapter/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use pulleyhall::{Action, Event, Router};
+use fennelpin::{Action, Event, Router};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
@@ -116,7 +116,7 @@
     match Adapter::default().run(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("pulleyhall-adapter: {message}");
+            eprintln!("fennelpin-adapter: {message}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/pulleyhall-adapter/wire.rs
+++ b/src/bin/fennelpin-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! The wire: lines of text to events, actions to lines, the settings from JSON. Decides nothing.
 
-use pulleyhall::*;
+use fennelpin::*;
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::fmt::Write;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! types, [`choice`] every decision.
 //!
 //! ```
-//! use pulleyhall::*;
+//! use fennelpin::*;
 //! use std::time::Duration;
 //!
 //! let ms = Duration::from_millis;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -10,7 +10,7 @@
 
 /// Runs the adapter on an input: its standard output, its standard error, and whether it ended well.
 fn run(input: &str) -> (String, String, bool) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pulleyhall-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_fennelpin-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
