Pass Retry-After on wherever the settings name a longest wait

Ruled out: holding answers back instead, which is not accepted. Lines at fault: core/settings.rs, retry_after_max.

--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -247,7 +247,9 @@
         second_copies: caps.second_copies,
         may_cancel: caps.may_cancel,
         probes: caps.probes,
-        retry_after_max: caps.retry_after.then(|| from_ms(caps.max_retry_after)),
+        // A hint is worked out wherever there is a longest one: a front can always pass it on.
+        retry_after_max: (caps.retry_after || caps.max_retry_after > 0.0)
+            .then(|| from_ms(caps.max_retry_after)),
         budget,
         cold,
         must_ask_in,
