Add the OpenSearch-style front, its dialect to hosts, and stories over loopback

Ruled out: the partial answer's wait came from the front; choice.rs complete() waited for the goal although no listed host held the missing parts. It now answers at once in that case.

--- a/src/bin/fennelpin/main.rs
+++ b/src/bin/fennelpin/main.rs
@@ -24,19 +24,25 @@
         /// The platform's configuration; else PROXY_CONFIG names it.
         #[arg(long)]
         config: Option<PathBuf>,
+        /// An operator's file for what the platform does not configure.
+        #[arg(long)]
+        operator: Option<PathBuf>,
     },
     /// Reads the configuration, says what it comes to, and exits 2 if it is bad.
     CheckConfig {
         /// The platform's configuration; else PROXY_CONFIG names it.
         #[arg(long)]
         config: Option<PathBuf>,
+        /// An operator's file for what the platform does not configure.
+        #[arg(long)]
+        operator: Option<PathBuf>,
     },
     /// Prints the version.
     Version,
 }
 
-fn load(file: Option<PathBuf>) -> Result<Config, ExitCode> {
-    Config::load(file.as_deref(), |name| std::env::var(name).ok()).map_err(|e| {
+fn load(file: Option<PathBuf>, operator: Option<PathBuf>) -> Result<Config, ExitCode> {
+    Config::load(file.as_deref(), operator.as_deref(), |name| std::env::var(name).ok()).map_err(|e| {
         log::error!("configuration: {e}");
         ExitCode::from(2)
     })
@@ -45,9 +51,9 @@
 fn run(command: Command) -> Result<(), ExitCode> {
     match command {
         Command::Version => println!("fennelpin {}", env!("CARGO_PKG_VERSION")),
-        Command::CheckConfig { config } => println!("{}", load(config)?.summary()),
-        Command::Serve { config } => {
-            let config = load(config)?;
+        Command::CheckConfig { config, operator } => println!("{}", load(config, operator)?.summary()),
+        Command::Serve { config, operator } => {
+            let config = load(config, operator)?;
             serve::run(config).map_err(|e| {
                 log::error!("{e}");
                 ExitCode::FAILURE
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -845,7 +845,10 @@
         }
         // A part answer at the goal, if the floor is met and waiting would earn less.
         let floor = self.floor(q);
-        let due = self.now >= goal_at - self.kept_for_second(q) - self.margin() || open == 0;
+        // So too, at once, when no host in service holds any part that is missing: waiting can't bring it.
+        let held = |p: &Part| self.holders(p.shard).any(|h| h.1.state == ServerState::Ready);
+        let hope = q.parts.iter().map(|p| &self.parts[p]).any(|p| !p.done && !p.closed && held(p));
+        let due = self.now >= goal_at - self.kept_for_second(q) - self.margin() || open == 0 || !hope;
         let worth = c.partial_earns * got / need;
         if due && c.floor < c.need && got + ROUNDING >= floor && worth > c.late_worth {
             return self.answer(id, false, c.second_step > 0, out);
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,8 +1,10 @@
 //! Configuration: read, checked and given its defaults here and nowhere else.
 
 use crate::core::settings::{self, Site};
+use crate::interface::Repeat;
 use crate::net::list::{news, News};
 use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 
 /// Descriptors kept for hosts, the list and files; clients get the rest.
@@ -49,6 +51,135 @@
     sockets: Option<usize>,
 }
 
+/// An operator's file: what the platform does not configure.
+#[derive(Deserialize, Default, Debug)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// How hosts are spoken to.
+    pub hosts: HostDialect,
+    /// The OpenSearch-style front, if it is to be on.
+    pub opensearch: Option<OpenSearchConfig>,
+    /// DNS-SD as the source of the host list, in place of discovery.
+    pub dns_sd: Option<DnsSdConfig>,
+}
+
+/// How hosts are spoken to.
+#[derive(Deserialize, Default, Debug, Clone, Copy, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum HostDialect {
+    /// In frames, as on the platform.
+    #[default]
+    Frames,
+    /// In OpenSearch's API.
+    OpenSearch,
+}
+
+/// The OpenSearch-style front.
+#[derive(Deserialize, Debug, Clone)]
+#[serde(deny_unknown_fields)]
+pub struct OpenSearchConfig {
+    /// Scroll contexts at once.
+    #[serde(default = "scroll_contexts")]
+    pub scroll_contexts: usize,
+    /// The indices.
+    pub index: Vec<IndexConfig>,
+}
+
+fn scroll_contexts() -> usize {
+    32
+}
+
+/// One index.
+#[derive(Deserialize, Debug, Clone)]
+#[serde(deny_unknown_fields)]
+pub struct IndexConfig {
+    /// Its name in paths.
+    pub name: String,
+    /// The class of its queries, by its name in the settings.
+    pub class: String,
+    /// Whose queries these are where no header says so.
+    #[serde(default)]
+    pub tenant: Option<String>,
+    /// A header that names the tenant.
+    #[serde(default)]
+    pub tenant_header: Option<String>,
+    /// The header with the key by which hosts drop repeats; needed in a class that has one.
+    #[serde(default)]
+    pub key_header: Option<String>,
+    /// The field that names a document's district.
+    #[serde(default = "district_field")]
+    pub district_field: String,
+    /// The field with its place.
+    #[serde(default = "location_field")]
+    pub location_field: String,
+    /// The districts' names and shards.
+    pub districts: BTreeMap<String, u32>,
+}
+
+fn district_field() -> String {
+    "district".into()
+}
+
+fn location_field() -> String {
+    "location".into()
+}
+
+/// DNS-SD as a source of the host list.
+#[derive(Deserialize, Debug, Clone)]
+#[serde(deny_unknown_fields)]
+pub struct DnsSdConfig {
+    /// Who is asked, by UDP.
+    pub responder: String,
+    /// The service that hosts are instances of, such as `_district._tcp.taxi.local`.
+    pub service: String,
+}
+
+impl Operator {
+    /// Reads an operator's file.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path).map_err(|e| ConfigError::File(path.to_owned(), e))?;
+        Self::parse(&text).map_err(|e| ConfigError::Text(path.to_owned(), e.to_string()))
+    }
+
+    /// Reads an operator's file from its text.
+    pub fn parse(text: &str) -> Result<Self, toml::de::Error> {
+        toml::from_str(text)
+    }
+
+    /// Checks it against the settings that it goes with.
+    pub fn check(&self, site: &Site) -> Result<(), ConfigError> {
+        let mut names = BTreeSet::new();
+        let indices = self.opensearch.iter().flat_map(|o| &o.index);
+        for i in indices {
+            let Some(class) = site.classes.iter().position(|c| *c == i.class) else {
+                return Err(ConfigError::Value("opensearch.index.class", i.class.clone()));
+            };
+            if let Some(t) = i.tenant.as_ref().filter(|t| !site.tenants.contains(t)) {
+                return Err(ConfigError::Value("opensearch.index.tenant", t.clone()));
+            }
+            if i.name.is_empty() || i.name.starts_with('_') || i.name.contains('/') || !names.insert(&i.name)
+            {
+                return Err(ConfigError::Value("opensearch.index.name", i.name.clone()));
+            }
+            let shards: BTreeSet<&u32> = i.districts.values().collect();
+            if shards.is_empty() || shards.len() < i.districts.len() || shards.len() >= site.caps.open {
+                return Err(ConfigError::Value("opensearch.index.districts", format!("{:?}", i.districts)));
+            }
+            // Without a key a repeat in such a class could take effect twice.
+            if site.settings.classes[class].repeat != Repeat::Safe && i.key_header.is_none() {
+                return Err(ConfigError::Missing("opensearch.index.key_header"));
+            }
+        }
+        if let Some(d) = &self.dns_sd {
+            address("dns_sd.responder", d.responder.clone())?;
+            if d.service.is_empty() || !d.service.starts_with('_') {
+                return Err(ConfigError::Value("dns_sd.service", d.service.clone()));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// The whole configuration.
 pub struct Config {
     /// This coordinator's name.
@@ -65,6 +196,8 @@
     pub known: News,
     /// The settings.
     pub site: Site,
+    /// The operator's file; empty on the platform.
+    pub operator: Operator,
 }
 
 fn number(key: &'static str, text: &str, radix: u32) -> Result<u64, ConfigError> {
@@ -81,16 +214,36 @@
 impl Config {
     /// Reads the platform's configuration: the file that `PROXY_CONFIG` or the caller names, and the
     /// environment over it.
-    pub fn load(file: Option<&Path>, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+    pub fn load(
+        file: Option<&Path>,
+        operator: Option<&Path>,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
         let path = file.map(Path::to_owned).or_else(|| env("PROXY_CONFIG").map(PathBuf::from));
         let path = path.ok_or(ConfigError::Missing("PROXY_CONFIG"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::File(path.clone(), e))?;
-        let raw: RawConfig =
-            serde_json::from_str(&text).map_err(|e| ConfigError::Text(path, e.to_string()))?;
-        Self::from_raw(raw, env)
+        let operator = operator.map(Operator::load).transpose()?.unwrap_or_default();
+        Self::parse(&text, operator, env).map_err(|e| match e {
+            ConfigError::Text(_, why) => ConfigError::Text(path, why),
+            other => other,
+        })
+    }
+
+    /// Reads a configuration from its text.
+    pub fn parse(
+        text: &str,
+        operator: Operator,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
+        let json = |e: serde_json::Error| ConfigError::Text(PathBuf::new(), e.to_string());
+        Self::from_raw(serde_json::from_str(text).map_err(json)?, operator, env)
     }
 
-    fn from_raw(raw: RawConfig, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+    fn from_raw(
+        raw: RawConfig,
+        operator: Operator,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
         let listen = env("PROXY_LISTEN").or(raw.listen).ok_or(ConfigError::Missing("listen"))?;
         let discovery = env("PROXY_DISCOVERY").or(raw.discovery);
         let known = match raw.known {
@@ -108,6 +261,8 @@
         if memory_mb < 64 {
             return Err(ConfigError::Value("limits.memory_mb", memory_mb.to_string()));
         }
+        let site = settings::read(&raw.settings.to_string())?;
+        operator.check(&site)?;
         Ok(Self {
             name: env("PROXY_NAME").or(raw.name).unwrap_or_else(|| "coordinator".into()),
             listen: address("listen", listen)?,
@@ -115,7 +270,8 @@
             seed: raw.seed.map_or(Ok(0), |s| number("seed", &s, 16))?,
             clients: (sockets - KEPT_SOCKETS).min((memory_mb - 48) * 1024 / CLIENT_KB),
             known,
-            site: settings::read(&raw.settings.to_string())?,
+            site,
+            operator,
         })
     }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,3 +2,29 @@
 
 pub mod opensearch;
 pub mod platform;
+
+use crate::net::http::{Answering, Request, Response, Service};
+use opensearch::OpenSearch;
+use platform::Platform;
+
+/// All fronts on the one address where clients connect.
+pub struct Fronts {
+    /// The platform's own.
+    pub platform: Platform,
+    /// The OpenSearch-style one, where an operator's file sets it up.
+    pub opensearch: Option<OpenSearch>,
+}
+
+impl Service for Fronts {
+    fn answer(&self, request: Request) -> Answering {
+        let other = self.opensearch.as_ref().and_then(|o| o.answer(&request));
+        other.unwrap_or_else(|| self.platform.answer(request))
+    }
+
+    fn error(&self, status: u16, reason: &str) -> Response {
+        match &self.opensearch {
+            Some(_) => OpenSearch::error(status, reason),
+            None => self.platform.error(status, reason),
+        }
+    }
+}
--- /dev/null
+++ b/src/front/opensearch/hosts.rs
@@ -0,0 +1,268 @@
+//! The OpenSearch dialect towards district hosts: `_search` for one part, `_msearch` for a call of
+//! several, each naming its shard by `preference`.
+
+use crate::core::{CallPart, Ended};
+use crate::interface::{Outcome, RequestId};
+use crate::net::conn::Conn;
+use crate::net::http::{response_head, Body, HttpError};
+use crate::net::link::{Dialect, LinkMail, LinkSetup, LinkTask};
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::{json, Map, Value};
+use std::collections::VecDeque;
+use std::time::Instant;
+
+const INPUT: usize = 32 * 1024;
+const OUTPUT: usize = 32 * 1024;
+/// Largest answer taken from a host.
+const MOST_ANSWER: usize = 4 * 1024 * 1024;
+
+/// What a part carries for any dialect: the index on one line, the search on the next.
+pub fn payload(index: &str, search: &Map<String, Value>) -> Bytes {
+    let body = serde_json::to_string(search).unwrap_or_default();
+    Bytes::from(format!("{index}\n{body}"))
+}
+
+/// Reads a payload back, adding the time left as the host's own `timeout`.
+fn search_of(part: &CallPart, now: Instant) -> Option<(String, String)> {
+    let (index, body) = std::str::from_utf8(&part.payload).ok()?.split_once('\n')?;
+    let mut body: Map<String, Value> = serde_json::from_str(body).ok()?;
+    let left = part.give_up.saturating_duration_since(now).as_millis().max(1);
+    body.insert("timeout".into(), format!("{left}ms").into());
+    Some((index.to_owned(), Value::Object(body).to_string()))
+}
+
+/// The request for a call. All its parts have the same key, if any.
+fn request(parts: &[CallPart], host: &str, now: Instant) -> Option<Vec<u8>> {
+    let (target, kind, body) = match parts {
+        [part] => {
+            let (index, body) = search_of(part, now)?;
+            (format!("/{index}/_search?preference=_shards:{}", part.shard), "json", body)
+        }
+        parts => {
+            let mut lines = String::new();
+            for p in parts {
+                let (index, body) = search_of(p, now)?;
+                let head = json!({"index": index, "preference": format!("_shards:{}", p.shard)});
+                lines.push_str(&format!("{head}\n{body}\n"));
+            }
+            ("/_msearch".to_owned(), "x-ndjson", lines)
+        }
+    };
+    let first = parts.first()?;
+    let key = first.key.as_ref().map_or(String::new(), |k| format!("Idempotency-Key: {k}\r\n"));
+    let head = format!(
+        "POST {target} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/{kind}\r\n\
+         X-Opaque-Id: {}\r\n{key}Content-Length: {}\r\n\r\n",
+        first.name,
+        body.len()
+    );
+    Some([head.into_bytes(), body.into_bytes()].concat())
+}
+
+#[derive(Deserialize)]
+struct Many<'a> {
+    #[serde(borrow)]
+    responses: Vec<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Status {
+    status: Option<u16>,
+}
+
+/// How a host's status ends a part: only a refusal at its door proves that the part never ran.
+fn outcome(status: u16) -> Outcome {
+    match status {
+        200 => Outcome::Ok,
+        429 => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// The outcome and value of each part of a call.
+fn read(parts: usize, status: u16, body: &Bytes) -> Vec<(Outcome, Option<Bytes>)> {
+    if parts == 1 || status != 200 {
+        let outcome = outcome(status);
+        return vec![(outcome, (outcome == Outcome::Ok).then(|| body.clone())); parts];
+    }
+    let many = serde_json::from_slice::<Many>(body).ok().filter(|m| m.responses.len() == parts);
+    let Some(many) = many else { return vec![(Outcome::Error, None); parts] };
+    let one = |raw: &&RawValue| {
+        let status = serde_json::from_str::<Status>(raw.get()).ok().and_then(|s| s.status);
+        let outcome = outcome(status.unwrap_or(500));
+        (outcome, (outcome == Outcome::Ok).then(|| Bytes::copy_from_slice(raw.get().as_bytes())))
+    };
+    many.responses.iter().map(one).collect()
+}
+
+/// The dialect of OpenSearch.
+pub struct OpenSearchHosts;
+
+impl Dialect for OpenSearchHosts {
+    fn open(&self, setup: LinkSetup) -> LinkTask {
+        Box::pin(run(setup))
+    }
+
+    /// One call at a time: an answer in HTTP/1.1 waits for the one before it.
+    fn room(&self, out: usize, _parts: usize, _streams: usize) -> bool {
+        out == 0
+    }
+
+    fn most_links(&self) -> usize {
+        10
+    }
+}
+
+struct Http {
+    setup: LinkSetup,
+    queue: VecDeque<Vec<CallPart>>,
+    /// Parts whose request has begun and which are not given up.
+    out: Vec<CallPart>,
+    /// Whether the request's last byte is written.
+    written: bool,
+    /// Attempts given up, told to the core once the connection is closed.
+    leaving: Vec<(RequestId, u32, Outcome)>,
+}
+
+async fn run(setup: LinkSetup) {
+    let (addr, within) = (setup.addr.clone(), setup.connect_timeout);
+    let mut link =
+        Http { setup, queue: VecDeque::new(), out: Vec::new(), written: false, leaving: Vec::new() };
+    let (code, detail) = match Conn::connect(&addr, within, INPUT, OUTPUT).await {
+        Ok(conn) => {
+            link.setup.counters.inc("links.opened");
+            link.serve(conn).await
+        }
+        Err(e) => ("connect_failed", e.to_string()),
+    };
+    link.setup.log_end(code, &detail);
+    link.setup.mail.close();
+    for (part, attempt, outcome) in std::mem::take(&mut link.leaving) {
+        link.setup.ended(part, attempt, outcome);
+    }
+    // A break before the last byte was written: never ran. After it: it may have.
+    let outcome = if link.written { Outcome::Reset } else { Outcome::ConnectFailed };
+    for p in std::mem::take(&mut link.out) {
+        link.setup.ended(p.part, p.attempt, outcome);
+    }
+    while let Ok(mail) = link.setup.mail.try_recv() {
+        link.take(mail);
+    }
+    for p in link.queue.drain(..).flatten() {
+        link.setup.ended(p.part, p.attempt, Outcome::ConnectFailed);
+    }
+}
+
+impl Http {
+    /// Takes one message; false if the connection has to be closed for it.
+    fn take(&mut self, mail: LinkMail) -> bool {
+        match mail {
+            LinkMail::Call(mut parts) => {
+                // A request has one header for the key, so parts with different keys go apart.
+                while let Some(first) = parts.first() {
+                    let key = first.key.clone();
+                    let (same, rest) = parts.into_iter().partition(|p| p.key == key);
+                    self.queue.push_back(same);
+                    parts = rest;
+                }
+            }
+            LinkMail::Cancel(part, attempt, outcome) => {
+                let this = |p: &CallPart| (p.part, p.attempt) == (part, attempt);
+                if self.queue.iter().flatten().any(this) {
+                    self.queue.iter_mut().for_each(|c| c.retain(|p| !this(p)));
+                    self.queue.retain(|c| !c.is_empty());
+                    let never = if outcome == Outcome::Timeout { Outcome::Moot } else { outcome };
+                    self.setup.ended(part, attempt, never);
+                }
+                if self.out.iter().any(this) {
+                    self.out.retain(|p| !this(p));
+                    // HTTP has no withdrawal but the connection's end; the core hears of it after that.
+                    self.leaving.push((part, attempt, outcome));
+                    return false;
+                }
+            }
+            LinkMail::Probe => {
+                // Nothing cheaper than a connection that came up: a search would be work.
+                let probed = crate::core::Mail::Probed(self.setup.server, Outcome::Ok, None);
+                let _ = self.setup.core.send(probed);
+            }
+            LinkMail::StopAt(at) => self.setup.stop_at = at,
+            LinkMail::Release => return !(self.out.is_empty() && self.queue.is_empty()),
+        }
+        true
+    }
+
+    async fn serve(&mut self, mut conn: Conn) -> (&'static str, String) {
+        loop {
+            let idle = self.setup.idle_limit();
+            while self.queue.is_empty() {
+                tokio::select! {
+                    biased;
+                    mail = self.setup.mail.recv() => match mail {
+                        Some(mail) => if !self.take(mail) { return ("released", String::new()) },
+                        None => return ("peer_gone", String::new()),
+                    },
+                    _ = conn.fill() => return ("host_closed", String::new()),
+                    _ = tokio::time::sleep(idle) => return ("idle", String::new()),
+                }
+            }
+            let Some(call) = self.queue.pop_front() else { continue };
+            let now = Instant::now();
+            self.out = self.setup.sendable(call, now);
+            if self.out.is_empty() {
+                continue;
+            }
+            let asked = self.out.clone();
+            let Some(bytes) = request(&asked, &self.setup.addr, now) else {
+                return ("bad_payload", String::new());
+            };
+            self.written = false;
+            let end = match self.exchange(&mut conn, &bytes).await {
+                Ok(Some((status, body))) => {
+                    self.out.clear();
+                    self.written = false;
+                    for (p, (outcome, value)) in asked.iter().zip(read(asked.len(), status, &body)) {
+                        let (part, attempt) = (p.part, p.attempt);
+                        self.setup.report(Ended { part, attempt, outcome, value, report: None });
+                    }
+                    continue;
+                }
+                Ok(None) => ("withdrawn", String::new()),
+                Err(e) => (e.code(), e.to_string()),
+            };
+            return end;
+        }
+    }
+
+    /// One request and its answer; `None` if a part of it was given up.
+    async fn exchange(&mut self, conn: &mut Conn, bytes: &[u8]) -> Result<Option<(u16, Bytes)>, HttpError> {
+        let mut at = 0;
+        while at < bytes.len() || !conn.output.is_empty() {
+            at += conn.output.put(&bytes[at..]);
+            conn.push()?;
+            if conn.output.is_empty() {
+                continue;
+            }
+            tokio::select! {
+                ready = conn.stream.writable() => ready?,
+                mail = self.setup.mail.recv() => if !mail.is_some_and(|m| self.take(m)) { return Ok(None) },
+            }
+        }
+        self.written = true;
+        let answer = async {
+            let (status, headers) = response_head(conn).await?;
+            let body = Body::of_response(&headers)?.whole(conn, MOST_ANSWER).await?;
+            Ok((status, body))
+        };
+        tokio::pin!(answer);
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut answer => return done.map(Some),
+                mail = self.setup.mail.recv() => if !mail.is_some_and(|m| self.take(m)) { return Ok(None) },
+            }
+        }
+    }
+}
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -78,6 +78,16 @@
 pub trait Dialect: Send + Sync + 'static {
     /// Opens a link; it lives until its connection ends.
     fn open(&self, setup: LinkSetup) -> LinkTask;
+
+    /// Whether a link with `out` parts on it has room for `parts` more.
+    fn room(&self, out: usize, parts: usize, streams: usize) -> bool {
+        out + parts <= streams
+    }
+
+    /// Connections to one host at once. Descriptors are few.
+    fn most_links(&self) -> usize {
+        6
+    }
 }
 
 /// The dialect of frames.
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -11,9 +11,6 @@
 use std::time::Instant;
 use tokio::sync::mpsc;
 
-/// Connections to one host at once. Descriptors are few; one connection carries many parts.
-const MOST_LINKS: usize = 6;
-
 enum PeerMail {
     Listed(String, Option<Instant>),
     Call(Vec<CallPart>),
@@ -146,7 +143,11 @@
         let room = |l: &&LinkRef| {
             !l.old
                 && !l.gauge.silent.load(Ordering::Relaxed)
-                && l.gauge.parts.load(Ordering::Relaxed) + parts <= self.shared.caps.streams
+                && self.shared.dialect.room(
+                    l.gauge.parts.load(Ordering::Relaxed),
+                    parts,
+                    self.shared.caps.streams,
+                )
         };
         let fullest = self.links.iter().filter(room).max_by_key(|l| l.gauge.parts.load(Ordering::Relaxed));
         fullest.map(|l| l.mail.clone())
@@ -176,7 +177,9 @@
         loop {
             let link = match self.sound_link(parts.len()) {
                 Some(link) => link,
-                None if self.links.iter().filter(|l| !l.old).count() < MOST_LINKS => self.open(),
+                None if self.links.iter().filter(|l| !l.old).count() < self.shared.dialect.most_links() => {
+                    self.open()
+                }
                 // All full: the call waits on the emptiest one, within its parts' time.
                 None => match self
                     .links
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,15 +1,19 @@
 //! The coordinator as a process: all actors put together, from start to SIGTERM.
 
-use crate::config::Config;
+use crate::config::{Config, HostDialect};
 use crate::core::{self, Clock, Core, Mail, Table};
 use crate::counters::Counters;
+use crate::front::opensearch::hosts::OpenSearchHosts;
+use crate::front::opensearch::OpenSearch;
 use crate::front::platform::Platform;
+use crate::front::Fronts;
 use crate::interface::ListKind;
 use crate::net::http::{self, Limits};
-use crate::net::link::Frames;
+use crate::net::link::{Dialect, Frames};
 use crate::net::list::Watch;
 use crate::net::peer::Peers;
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
@@ -30,6 +34,7 @@
             let _ = stop.send(true);
         });
         let listener = TcpListener::bind(&config.listen).await?;
+        log::info!("listening on {}", listener.local_addr()?);
         let counters = Counters::default();
         serve(config, listener, counters.clone(), stopping).await;
         log::info!("stopped: {}", counters.line());
@@ -42,9 +47,20 @@
     log::info!("{}", config.summary());
     let (mail, inbox) = mpsc::unbounded_channel();
     let core = Core::new(mail.clone());
-    let front = Platform::new(core, counters.clone(), &config.site);
+    // New with each start: ids that clients hold from an earlier one must not be taken for this one's.
+    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
+    let incarnation = started ^ config.seed;
+    let opensearch = config.operator.opensearch.as_ref();
+    let opensearch =
+        opensearch.map(|o| OpenSearch::new(o, &config.site, core.clone(), counters.clone(), incarnation));
+    let platform = Platform::new(core, counters.clone(), &config.site);
+    let fronts = Fronts { platform, opensearch };
+    let dialect: Arc<dyn Dialect> = match config.operator.hosts {
+        HostDialect::Frames => Arc::new(Frames),
+        HostDialect::OpenSearch => Arc::new(OpenSearchHosts),
+    };
     let caps = config.site.caps.clone();
-    let peers = Peers::new(Arc::new(Frames), caps, mail.clone(), counters.clone());
+    let peers = Peers::new(dialect, caps, mail.clone(), counters.clone());
     let table = Table::new(config.site, config.seed, Clock::new(), peers, counters.clone());
     let revision = (!config.known.members.is_empty()).then_some(config.known.revision);
     // The list as last known comes first, so that the first query finds hosts.
@@ -55,5 +71,5 @@
         tokio::spawn(watch.run());
     }
     let limits = Limits { clients: config.clients, most: config.clients + TURNED_AWAY };
-    http::serve(listener, Arc::new(front), limits, counters, stop).await;
+    http::serve(listener, Arc::new(fronts), limits, counters, stop).await;
 }
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,251 @@
+//! Stories on the platform's protocol: the coordinator between scripted hosts, discovery and clients.
+
+mod support;
+
+use serde_json::Value;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+use support::*;
+
+fn value(seen: &Seen) -> Act {
+    Act::Serve(format!("v{}", seen.shard))
+}
+
+/// Two hosts for the one cell 0, the first with its own script.
+fn pair(ledger: &Ledger, first: impl Fn(&Seen) -> Act + Send + Sync + 'static) -> (Vec<Host>, Vec<Value>) {
+    let hosts = vec![host(0, false, ledger, first), host(1, false, ledger, value)];
+    let members = (0..2).map(|n| member(n, &hosts[n].addr, 0, "Ready")).collect();
+    (hosts, members)
+}
+
+fn start(members: &[Value]) -> Coordinator {
+    Coordinator::start(&config("127.0.0.1:1", members, &settings(), None), "")
+}
+
+#[test]
+fn a_query_is_split_asked_and_answered_whole() {
+    let ledger = Ledger::default();
+    let (a, b) = (host(0, false, &ledger, value), host(1, false, &ledger, value));
+    let c = start(&[member(0, &a.addr, 0, "Ready"), member(1, &b.addr, 1, "Ready")]);
+    let mut client = Client::new(&c.addr);
+    assert_eq!(client.ask("GET", "/_health", "", "").0, 200);
+    client.query("book", "q1", 2000, &[0, 2, 1]);
+    let (status, _, body) = client.read();
+    let body: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!((status, &body["full"]), (200, &Value::Bool(true)));
+    let mut pieces: Vec<String> = body["pieces"].as_array().unwrap().iter().map(|p| p.to_string()).collect();
+    pieces.sort();
+    assert_eq!(pieces, [0, 1, 2].map(|s| format!(r#"{{"cell":"v{s}","tablet":{s}}}"#)));
+    let seen = ledger.all();
+    assert!(seen.iter().all(|s| s.key.as_deref() == Some("k-q1") && s.text == "what"));
+    assert!(seen.iter().all(|s| s.host as u32 == s.shard % 2), "a part went to a host without its shard");
+    // The two parts of one turn to one host are one call.
+    assert_eq!((seen.len(), c.counters.get("sent.calls")), (3, 2));
+}
+
+/// A part that times out is withdrawn before it is sent again, so that its attempts never overlap.
+#[test]
+fn a_silent_host_is_told_before_another_is_asked() {
+    let ledger = Ledger::default();
+    let (_hosts, members) = pair(&ledger, |_| Act::Silent);
+    let c = start(&members);
+    let mut client = Client::new(&c.addr);
+    for n in 0..6 {
+        client.query("near", &format!("q{n}"), 3000, &[0]);
+        assert_eq!(client.read().0, 200);
+    }
+    let attempts = ledger.attempts(3, PATIENCE);
+    assert!(attempts.values().any(|n| *n > 1), "the silent host was never asked");
+    assert_eq!(c.counters.get("ended.timeout"), c.counters.get("sent.resends"));
+}
+
+/// A break after the frame's last byte, an error and a frame that can't be read may all have run;
+/// none of them costs more than that connection.
+#[test]
+fn broken_hosts_cost_their_parts_and_no_more() {
+    for act in [Act::Break, Act::Broke, Act::Garbage, Act::Skip] {
+        let ledger = Ledger::default();
+        let bad = act.clone();
+        let (_hosts, members) = pair(&ledger, move |_| bad.clone());
+        let c = start(&members);
+        let mut client = Client::new(&c.addr);
+        for n in 0..6 {
+            client.query("book", &format!("q{n}"), 3000, &[0]);
+            let (status, _, body) = client.read();
+            assert!(status == 200 && body.contains("\"full\":true"), "{status} {body}");
+        }
+        let attempts = ledger.attempts(3, ms(1000));
+        assert!(attempts.values().any(|n| *n > 1), "the bad host was never asked");
+        let name = match act {
+            Act::Broke => "ended.error",
+            Act::Skip => "ended.full",
+            _ => "ended.reset",
+        };
+        assert_eq!(c.counters.get(name), c.counters.get("sent.resends"), "{name}");
+    }
+}
+
+/// A keyed part that may have run is not repeated once its window is over, and what can't be served is
+/// answered at once with the time to come back.
+#[test]
+fn a_keyed_part_out_past_its_window_is_not_repeated() {
+    let ledger = Ledger::default();
+    let silent = host(0, false, &ledger, |_| Act::Silent);
+    let c = start(&[member(0, &silent.addr, 0, "Ready")]);
+    let mut client = Client::new(&c.addr);
+    client.query("book", "q", 3000, &[0]);
+    let (status, headers, _) = client.read();
+    assert!(status != 200 && headers.contains_key("retry-after"), "{status}");
+    ledger.attempts(3, ms(1000));
+}
+
+#[test]
+fn a_client_that_closes_withdraws_its_parts() {
+    let ledger = Ledger::default();
+    let silent = host(0, false, &ledger, |_| Act::Silent);
+    let c = start(&[member(0, &silent.addr, 0, "Ready")]);
+    let mut client = Client::new(&c.addr);
+    client.query("near", "q", 3000, &[0]);
+    until("the part is out", || ledger.all().len() == 1);
+    drop(client);
+    until("the host is told", || ledger.all()[0].over.is_some());
+    assert_eq!(c.counters.get("answered.none.client_gone"), 1);
+}
+
+/// Nothing listens: every send proves that it never ran, and the query is answered in its time.
+#[test]
+fn refused_connections_are_answered_in_time() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let c = start(&[member(0, &gone, 0, "Ready")]);
+    let mut client = Client::new(&c.addr);
+    let asked = Instant::now();
+    client.query("book", "q", 2000, &[0]);
+    let (status, headers, _) = client.read();
+    assert!(status == 429 && headers.contains_key("retry-after"), "{status}");
+    assert!(asked.elapsed() < ms(2000) && c.counters.get("ended.connect_failed") > 0);
+}
+
+/// The list of a restart may be stale; a drain told by discovery stops new work, a line that can't be
+/// read costs the watch and nothing else.
+#[test]
+fn drains_are_kept_and_a_bad_line_costs_only_the_watch() {
+    let ledger = Ledger::default();
+    let (_hosts, members) = pair(&ledger, value);
+    let (addr, lines) = discovery();
+    let c = Coordinator::start(&config("127.0.0.1:1", &members, &settings(), Some(&addr)), "");
+    let change = |revision: u64, m: Value| {
+        lines
+            .send(serde_json::json!({"revision": revision, "complete": false, "members": [m]}).to_string())
+            .unwrap();
+    };
+    lines.send("{nonsense".into()).unwrap();
+    until("the watch ends", || c.counters.get("list.ended") == 1);
+    let mut draining = members[0].clone();
+    draining["phase"] = "Terminating".into();
+    change(2, draining);
+    until("the drain is told", || c.counters.get("list.news") == 2);
+    let mut client = Client::new(&c.addr);
+    for n in 0..20 {
+        client.query("near", &format!("q{n}"), 3000, &[0]);
+        assert_eq!(client.read().0, 200);
+    }
+    assert!(ledger.all().iter().all(|s| s.host == 1));
+    change(3, members[0].clone());
+    until("the host is back", || c.counters.get("list.news") == 3);
+    // With the one idle host taken, others go to the one that is back.
+    let mut clients: Vec<Client> = (0..4).map(|_| Client::new(&c.addr)).collect();
+    let mut round = 0;
+    until("it gets work again", || {
+        round += 1;
+        clients
+            .iter_mut()
+            .enumerate()
+            .for_each(|(n, c)| c.query("near", &format!("r{round}-{n}"), 3000, &[0]));
+        assert!(clients.iter_mut().all(|c| c.read().0 == 200));
+        ledger.all().iter().any(|s| s.host == 0)
+    });
+}
+
+#[test]
+fn what_is_no_query_gets_its_status() {
+    let c = start(&[]);
+    let ask = |bytes: &[u8]| {
+        let mut client = Client::new(&c.addr);
+        client.write(bytes);
+        client.read().0
+    };
+    let post =
+        |path: &str, length: usize| format!("POST {path} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+    assert_eq!(ask(b"nonsense\r\n\r\n"), 400);
+    assert_eq!(ask(format!("{}{{}}", post("/near", 2)).as_bytes()), 400);
+    assert_eq!(ask(format!("{}{{}}", post("/far", 2)).as_bytes()), 404);
+    assert_eq!(ask(b"GET /near HTTP/1.1\r\n\r\n"), 405);
+    assert_eq!(ask(post("/near", 64 * 1024 + 1).as_bytes()), 413);
+    assert_eq!(ask(b"POST /near HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{}"), 400);
+    let chunked = "POST /near HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(ask(format!("{chunked}zz\r\n").as_bytes()), 400);
+    assert_eq!(ask(format!("{chunked}2\r\n{{}}\r\n0\r\n\r\n").as_bytes()), 400);
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    assert_eq!(ask(format!("{chunked}{chunk}{chunk}1\r\nx\r\n0\r\n\r\n").as_bytes()), 413);
+    assert_eq!(ask(format!("GET / HTTP/1.1\r\nA: {}\r\n\r\n", "x".repeat(20_000)).as_bytes()), 431);
+    let mut client = Client::new(&c.addr);
+    client.query("near", "q", 3000, &[0]);
+    assert_eq!(client.read().0, 429, "no host holds the shard");
+}
+
+/// At the cap on open queries and parts new ones are refused, with the time to come back.
+#[test]
+fn a_full_coordinator_refuses() {
+    let ledger = Ledger::default();
+    let silent = host(0, false, &ledger, |_| Act::Silent);
+    let mut small = settings();
+    small["caps"]["open_cap"] = 3.into();
+    let members = [member(0, &silent.addr, 0, "Ready")];
+    let c = Coordinator::start(&config("127.0.0.1:1", &members, &small, None), "");
+    let mut first = Client::new(&c.addr);
+    first.query("near", "q1", 3000, &[0]);
+    until("the first is out", || ledger.all().len() == 1);
+    let mut second = Client::new(&c.addr);
+    second.query("near", "q2", 3000, &[0]);
+    let (status, headers, _) = second.read();
+    assert_eq!((status, c.counters.get("answered.refused.open_cap")), (429, 1));
+    assert!(headers.contains_key("retry-after"));
+}
+
+/// A host closes what stands idle; a call written just then would be lost, so links close first.
+#[test]
+fn unused_links_close_before_the_host_does() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, value);
+    let mut quick = settings();
+    quick["caps"]["conn_idle"] = 300.0.into();
+    let members = [member(0, &h.addr, 0, "Ready")];
+    let c = Coordinator::start(&config("127.0.0.1:1", &members, &quick, None), "");
+    let mut client = Client::new(&c.addr);
+    client.query("near", "q1", 3000, &[0]);
+    assert_eq!(client.read().0, 200);
+    until("the link is closed", || c.counters.get("links.ended") == 1);
+    client.query("near", "q2", 3000, &[0]);
+    assert_eq!((client.read().0, c.counters.get("links.opened")), (200, 2));
+}
+
+/// What was taken before the stop, and what comes on open connections just after, is answered.
+#[test]
+fn a_stop_answers_all_that_was_taken() {
+    let ledger = Ledger::default();
+    let slow = AtomicUsize::new(0);
+    let h = host(0, false, &ledger, move |s| {
+        if slow.fetch_add(1, Ordering::Relaxed) == 0 {
+            std::thread::sleep(ms(900));
+        }
+        value(s)
+    });
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")]);
+    let (mut first, mut second) = (Client::new(&c.addr), Client::new(&c.addr));
+    first.query("near", "q1", 3000, &[0]);
+    until("the first is out", || ledger.all().len() == 1);
+    c.stop();
+    second.query("near", "q2", 3000, &[0]);
+    assert_eq!((first.read().0, second.read().0), (200, 200));
+    c.join();
+}
