--- a/src/config.rs
+++ b/src/config.rs
@@ -3,6 +3,7 @@
 use crate::core::settings::{self, Site};
 use crate::interface::Repeat;
 use crate::net::list::{news, News};
+use hickory_proto::rr::Name;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
@@ -131,7 +132,15 @@
     /// Who is asked, by UDP.
     pub responder: String,
     /// The service that hosts are instances of, such as `_district._tcp.taxi.local`.
-    pub service: String,
+    #[serde(deserialize_with = "dns_name")]
+    pub service: Name,
+}
+
+fn dns_name<'de, D: serde::Deserializer<'de>>(d: D) -> Result<Name, D::Error> {
+    let text = String::deserialize(d)?;
+    let mut name = Name::from_utf8(&text).map_err(serde::de::Error::custom)?;
+    name.set_fqdn(true);
+    Ok(name)
 }
 
 impl Operator {
@@ -172,8 +181,9 @@
         }
         if let Some(d) = &self.dns_sd {
             address("dns_sd.responder", d.responder.clone())?;
-            if d.service.is_empty() || !d.service.starts_with('_') {
-                return Err(ConfigError::Value("dns_sd.service", d.service.clone()));
+            let first = d.service.iter().next().unwrap_or_default();
+            if first.first() != Some(&b'_') || d.service.num_labels() < 3 {
+                return Err(ConfigError::Value("dns_sd.service", d.service.to_ascii()));
             }
         }
         Ok(())
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -118,9 +118,12 @@
                     }
                 }
                 PeerMail::Release => {
-                    self.links.iter().for_each(|l| {
+                    // Old from now on, not only once it is closed: a call of the same turn must not land
+                    // on a connection that is about to close, and count as refused by the host.
+                    for l in self.links.iter_mut().filter(|l| l.gauge.parts.load(Ordering::Relaxed) == 0) {
+                        l.old = true;
                         let _ = l.mail.send(LinkMail::Release);
-                    });
+                    }
                 }
             }
         }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::front::platform::Platform;
 use crate::front::Fronts;
 use crate::interface::ListKind;
+use crate::net::dns_sd::Browser;
 use crate::net::http::{self, Limits};
 use crate::net::link::{Dialect, Frames};
 use crate::net::list::Watch;
@@ -66,7 +67,10 @@
     // The list as last known comes first, so that the first query finds hosts.
     let _ = mail.send(Mail::List(ListKind::Cached, config.known.members));
     tokio::spawn(core::start(table, inbox));
-    if let Some(addr) = config.discovery {
+    if let Some(d) = config.operator.dns_sd {
+        let (responder, service, core) = (d.responder, d.service, mail);
+        tokio::spawn(Browser { responder, service, core, counters: counters.clone() }.run());
+    } else if let Some(addr) = config.discovery {
         let watch = Watch { addr, revision, core: mail, counters: counters.clone() };
         tokio::spawn(watch.run());
     }
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,120 @@
+//! The coordinator as a process: its command line, its exit codes, its end.
+
+mod support;
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use support::*;
+
+fn binary() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fennelpin"));
+    for name in ["PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG"] {
+        command.env_remove(name);
+    }
+    command
+}
+
+/// A file of this test process, by its name.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// Checks a configuration: the exit code and what was said.
+fn check(name: &str, config: &str, operator: Option<&str>) -> (Option<i32>, String) {
+    let mut command = binary();
+    command.args(["check-config", "--config"]).arg(file(name, config));
+    if let Some(text) = operator {
+        command.arg("--operator").arg(file(&format!("{name}.toml"), text));
+    }
+    let out = command.output().unwrap();
+    (out.status.code(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+}
+
+#[test]
+fn a_bad_configuration_ends_with_2_and_the_name_of_the_key() {
+    let good = || -> Value { serde_json::from_str(&config("127.0.0.1:1", &[], &settings(), None)).unwrap() };
+    assert_eq!(check("good", &good().to_string(), None).0, Some(0));
+    let cases: [(&str, Value); 7] = [
+        ("listen", json!("nowhere")),
+        ("discovery", json!("127.0.0.1:port")),
+        ("seed", json!("xyz")),
+        ("limits", json!({"sockets": 8})),
+        ("limits", json!({"memory_mb": 1})),
+        ("known", json!({"members": []})),
+        ("settings", json!({"step": 5})),
+    ];
+    for (n, (key, value)) in cases.into_iter().enumerate() {
+        let mut bad = good();
+        bad[key] = value;
+        let (code, said) = check(&format!("bad{n}"), &bad.to_string(), None);
+        assert!(code == Some(2) && said.contains(key), "{key}: {code:?} {said}");
+    }
+    let index = "[opensearch]\n[[opensearch.index]]\nname = 'a'\n";
+    let districts = "districts = {x = 0}";
+    for (n, (text, key)) in [
+        (format!("{index}class = 'far'\n{districts}"), "opensearch.index.class"),
+        (format!("{index}class = 'book'\n{districts}"), "key_header"),
+        (format!("{index}class = 'near'\ntenant = 'x'\n{districts}"), "opensearch.index.tenant"),
+        (format!("{index}class = 'near'"), "districts"),
+        ("hosts = 'telnet'".to_owned(), "hosts"),
+        ("colour = 1".to_owned(), "colour"),
+        ("[dns_sd]\nresponder = '127.0.0.1:53'\nservice = 'x'".to_owned(), "dns_sd.service"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let (code, said) = check(&format!("op{n}"), &good().to_string(), Some(&text));
+        assert!(code == Some(2) && said.contains(key), "{key}: {code:?} {said}");
+    }
+    assert_eq!(binary().arg("serve").output().unwrap().status.code(), Some(2), "no PROXY_CONFIG");
+}
+
+/// The file that operators start from must fit the settings of this deployment's classes.
+#[test]
+fn the_operators_example_is_sound() {
+    let mut ours = settings();
+    for (n, name) in ["nearby-search", "fleet-report", "ride-booking"].into_iter().enumerate() {
+        ours["classes"][n]["name"] = name.into();
+    }
+    ours["tenants"][0]["name"] = "coop-anfa".into();
+    let text = config("127.0.0.1:1", &[], &ours, None);
+    let (code, said) = check("example", &text, Some(include_str!("../deploy/opensearch.toml")));
+    assert_eq!(code, Some(0), "{said}");
+}
+
+#[test]
+fn sigterm_ends_it_with_0_after_all_answers() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| {
+        std::thread::sleep(ms(300));
+        Act::Serve(format!("v{}", s.shard))
+    });
+    let members = [member(0, &h.addr, 0, "Ready")];
+    let path = file("serve", &config("127.0.0.1:0", &members, &settings(), None));
+    let mut child = binary().arg("serve").env("PROXY_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let addr = loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ended before it listened");
+        if let Some((_, addr)) = line.trim_end().split_once("listening on ") {
+            break addr.to_owned();
+        }
+    };
+    let mut client = Client::new(&addr);
+    client.query("near", "q1", 3000, &[0]);
+    until("the part is out", || ledger.all().len() == 1);
+    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+    assert_eq!(client.read().0, 200);
+    // New connections are still taken for a moment.
+    let mut late = Client::new(&addr);
+    late.query("near", "q2", 3000, &[0]);
+    assert_eq!(late.read().0, 200);
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    let mut rest = String::new();
+    log.read_to_string(&mut rest).unwrap();
+    assert!(rest.contains("answered.served.full=2") && rest.contains("end=stopping"), "{rest}");
+}
