Guard the core's memory, repeated names, releases and HTTP probes; end if the core ends

Seen: reading through what a hostile or broken peer can do: two queries by one Req-Id at once left one attempt open for ever; a probe over HTTP was called good although nothing had been asked; hosts' values and scroll contexts had no bound in bytes; a dead core would have left a process that answers 500. Lines at fault: net/link.rs begin_call, front/opensearch/hosts.rs Probe, core/table.rs on_ended, front/opensearch/scroll.rs room, serve.rs. Conclusion: the bounds hold by construction now.

--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -12,6 +12,10 @@
 /// Sends to a draining host stop this long before the rule says, as the frame still has to be written.
 const DRAIN_MARGIN: Duration = Duration::from_millis(50);
 
+/// Values held for open queries, in bytes. Hosts' answers must not take the memory: a value beyond that
+/// counts as an error of its host.
+const MOST_HELD: usize = 32 * 1024 * 1024;
+
 struct Query {
     ticket: u64,
     reply: oneshot::Sender<Answer>,
@@ -60,6 +64,8 @@
     deadlines: BTreeSet<(Instant, RequestId)>,
     wakes: BTreeSet<Instant>,
     next_id: u32,
+    /// Bytes of the values held.
+    held: usize,
     actions: Vec<Action>,
 }
 
@@ -88,6 +94,7 @@
             deadlines: BTreeSet::new(),
             wakes: BTreeSet::new(),
             next_id: 0,
+            held: 0,
             actions: Vec::new(),
         }
     }
@@ -160,8 +167,13 @@
         self.queries.insert(id, Query { ticket, reply, name, key, payload, deadline, parts });
     }
 
-    fn on_ended(&mut self, e: Ended, now: Instant) {
+    fn on_ended(&mut self, mut e: Ended, now: Instant) {
         let Some(attempt) = self.attempts.remove(&(e.part, e.attempt)) else { return };
+        let size = e.value.as_ref().map_or(0, Bytes::len);
+        if size > MOST_HELD - self.held {
+            self.counters.inc("ended.no_room");
+            (e.outcome, e.value) = (Outcome::Error, None);
+        }
         self.timeouts.retain(|t| (t.1, t.2) != (e.part, e.attempt));
         self.counters.inc(match e.outcome {
             Outcome::Ok => "ended.served",
@@ -177,7 +189,10 @@
         let closed = e.outcome == Outcome::Ok || part.is_none();
         if let Some(part) = part {
             part.last = Some(e.outcome);
-            part.value = if e.outcome == Outcome::Ok { e.value } else { part.value.take() };
+            if e.outcome == Outcome::Ok && part.value.is_none() {
+                self.held += size;
+                part.value = e.value;
+            }
         }
         let latency = now.saturating_duration_since(attempt.sent);
         let (part, attempt, outcome, report) = (e.part, e.attempt, e.outcome, e.report);
@@ -254,8 +269,8 @@
     }
 
     fn drop_parts(&mut self, parts: &[RequestId]) {
-        for p in parts {
-            self.parts.remove(p);
+        for part in parts.iter().filter_map(|p| self.parts.remove(p)) {
+            self.held -= part.value.map_or(0, |v| v.len());
         }
     }
 
@@ -345,8 +360,8 @@
         let Some(q) = self.close(id) else { return };
         let missing = self.missing(&q.parts);
         let piece = |p: &RequestId| {
-            let part = self.parts.get_mut(p)?;
-            part.value.take().map(|value| Piece { shard: part.shard, value })
+            let part = self.parts.get(p)?;
+            part.value.clone().map(|value| Piece { shard: part.shard, value })
         };
         let pieces: Vec<Piece> = q.parts.iter().filter_map(piece).collect();
         // Never marked whole before all that makes it whole is in.
--- a/src/front/opensearch/answer.rs
+++ b/src/front/opensearch/answer.rs
@@ -68,6 +68,8 @@
 pub struct Merged {
     total: u64,
     at_least: bool,
+    /// Bytes that the hosts' answers took.
+    pub bytes: usize,
     /// All hits, best first.
     pub hits: Vec<Value>,
     /// Districts that are not in it.
@@ -109,6 +111,7 @@
     let mut m =
         Merged { failures: missing.into_iter().map(ShardFailure::from).collect(), ..Merged::default() };
     for p in pieces {
+        m.bytes += p.value.len();
         let failed = |kind, reason, late| ShardFailure { shard: p.shard, kind, reason, late };
         match serde_json::from_slice::<HostAnswer>(&p.value) {
             Ok(a) if a.timed_out => {
@@ -219,6 +222,11 @@
 
     /// The whole response.
     pub fn response(&self, index: &str) -> Response {
-        Response::json(self.status, self.body(index).to_string()).retry_after(self.retry_after)
+        let response = Response::json(self.status, self.body(index).to_string());
+        // OpenSearch's clients take whole seconds only (RFC 9110, 10.2.3).
+        match self.retry_after {
+            Some(d) => response.with("Retry-After", d.as_secs_f64().ceil().max(1.0).to_string()),
+            None => response,
+        }
     }
 }
--- a/src/front/opensearch/dsl.rs
+++ b/src/front/opensearch/dsl.rs
@@ -5,8 +5,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Largest `from` plus `size`, as in OpenSearch's own default for an index.
-pub const WINDOW: usize = 10_000;
+/// Largest `from` plus `size`. Every district may have to give so many hits, which must fit into the
+/// memory of a coordinator; OpenSearch's own default is 10,000.
+pub const WINDOW: usize = 1_000;
 
 /// A request that can't be understood: OpenSearch's error type and a reason that names the clause.
 #[derive(Debug, PartialEq, thiserror::Error)]
@@ -316,7 +317,7 @@
             (json!({"sort": [{"a": {"nested": {}}}]}), "[nested]"),
             (json!({"timeout": "soon"}), "[timeout]"),
             (json!({"size": -1}), "[size]"),
-            (json!({"size": 10_001}), "[10000]"),
+            (json!({"size": 1_001}), "[1000]"),
             (json!([]), "[request]"),
         ] {
             let Bad(_, reason) = READER.search(&body).unwrap_err();
--- a/src/front/opensearch/hosts.rs
+++ b/src/front/opensearch/hosts.rs
@@ -1,7 +1,7 @@
 //! The OpenSearch dialect towards district hosts: `_search` for one part, `_msearch` for a call of
 //! several, each naming its shard by `preference`.
 
-use crate::core::{CallPart, Ended};
+use crate::core::{CallPart, Ended, Mail};
 use crate::interface::{Outcome, RequestId};
 use crate::net::conn::Conn;
 use crate::net::http::{response_head, Body, HttpError};
@@ -16,7 +16,7 @@
 const INPUT: usize = 32 * 1024;
 const OUTPUT: usize = 32 * 1024;
 /// Largest answer taken from a host.
-const MOST_ANSWER: usize = 4 * 1024 * 1024;
+const MOST_ANSWER: usize = 512 * 1024;
 
 /// What a part carries for any dialect: the index on one line, the search on the next.
 pub fn payload(index: &str, search: &Map<String, Value>) -> Bytes {
@@ -122,14 +122,22 @@
     out: Vec<CallPart>,
     /// Whether the request's last byte is written.
     written: bool,
+    /// Probes that wait for their turn, or for their answer.
+    probes: usize,
     /// Attempts given up, told to the core once the connection is closed.
     leaving: Vec<(RequestId, u32, Outcome)>,
 }
 
 async fn run(setup: LinkSetup) {
     let (addr, within) = (setup.addr.clone(), setup.connect_timeout);
-    let mut link =
-        Http { setup, queue: VecDeque::new(), out: Vec::new(), written: false, leaving: Vec::new() };
+    let mut link = Http {
+        setup,
+        queue: VecDeque::new(),
+        out: Vec::new(),
+        written: false,
+        probes: 0,
+        leaving: Vec::new(),
+    };
     let (code, detail) = match Conn::connect(&addr, within, INPUT, OUTPUT).await {
         Ok(conn) => {
             link.setup.counters.inc("links.opened");
@@ -153,6 +161,10 @@
     for p in link.queue.drain(..).flatten() {
         link.setup.ended(p.part, p.attempt, Outcome::ConnectFailed);
     }
+    // A probe that got no answer must not pass for one that did: the module would send parts again.
+    if link.probes > 0 {
+        link.probed(if code == "probe_timeout" { Outcome::Timeout } else { Outcome::ConnectFailed });
+    }
 }
 
 impl Http {
@@ -183,21 +195,38 @@
                     return false;
                 }
             }
-            LinkMail::Probe => {
-                // Nothing cheaper than a connection that came up: a search would be work.
-                let probed = crate::core::Mail::Probed(self.setup.server, Outcome::Ok, None);
-                let _ = self.setup.core.send(probed);
-            }
+            LinkMail::Probe => self.probes += 1,
             LinkMail::StopAt(at) => self.setup.stop_at = at,
             LinkMail::Release => return !(self.out.is_empty() && self.queue.is_empty()),
         }
         true
     }
 
+    fn probed(&mut self, outcome: Outcome) {
+        self.probes = 0;
+        let _ = self.setup.core.send(Mail::Probed(self.setup.server, outcome, None));
+    }
+
+    /// Asks for the host's root, the cheapest request there is; any answer will do.
+    async fn probe(&mut self, conn: &mut Conn) -> Result<(), (&'static str, String)> {
+        let ask = format!("GET / HTTP/1.1\r\nHost: {}\r\n\r\n", self.setup.addr);
+        let within = self.setup.connect_timeout;
+        match tokio::time::timeout(within, self.exchange(conn, ask.as_bytes())).await {
+            Ok(Ok(Some(_))) => {
+                self.written = false;
+                self.probed(Outcome::Ok);
+                Ok(())
+            }
+            Ok(Ok(None)) => Err(("withdrawn", String::new())),
+            Ok(Err(e)) => Err((e.code(), e.to_string())),
+            Err(_) => Err(("probe_timeout", String::new())),
+        }
+    }
+
     async fn serve(&mut self, mut conn: Conn) -> (&'static str, String) {
         loop {
             let idle = self.setup.idle_limit();
-            while self.queue.is_empty() {
+            while self.queue.is_empty() && self.probes == 0 {
                 tokio::select! {
                     biased;
                     mail = self.setup.mail.recv() => match mail {
@@ -208,6 +237,12 @@
                     _ = tokio::time::sleep(idle) => return ("idle", String::new()),
                 }
             }
+            if self.probes > 0 {
+                if let Err(end) = self.probe(&mut conn).await {
+                    return end;
+                }
+                continue;
+            }
             let Some(call) = self.queue.pop_front() else { continue };
             let now = Instant::now();
             self.out = self.setup.sendable(call, now);
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -284,10 +284,10 @@
             let merged = front.run(name.clone(), search.clone(), terms).await?;
             let hits = merged.hits.len();
             // A context holds all its hits: one that silently held fewer would end too soon.
-            if hits > scroll::MOST_HITS || merged.total() > hits as u64 {
+            if merged.total() > hits as u64 {
                 let most = scroll::MOST_HITS;
                 return Err(illegal(format!(
-                    "a scroll context holds at most [{most}] hits: narrow the query"
+                    "a scroll context holds at most [{most}] hits of a district: narrow the query"
                 )));
             }
             let mut body = merged.search(&name, &search, arrived.elapsed().as_millis());
--- a/src/front/opensearch/scroll.rs
+++ b/src/front/opensearch/scroll.rs
@@ -9,8 +9,11 @@
 
 /// Longest time that a context is kept without use.
 pub const LONGEST: Duration = Duration::from_secs(300);
-/// Hits that one context may hold in all.
-pub const MOST_HITS: usize = 2_000;
+/// Hits of one district that a context may hold.
+pub const MOST_HITS: usize = 1_000;
+
+/// Bytes of hosts' answers behind all contexts; in memory they take several times as much.
+const MOST_BYTES: usize = 4 * 1024 * 1024;
 
 /// One context.
 pub struct Context {
@@ -49,7 +52,8 @@
     /// Whether there is room for one more.
     pub fn room(&mut self, now: Instant) -> Result<(), Failure> {
         self.expire(now);
-        if self.open.len() < self.most {
+        let bytes: usize = self.open.values().map(|c| c.merged.bytes).sum();
+        if self.open.len() < self.most && bytes < MOST_BYTES {
             return Ok(());
         }
         let reason = format!(
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 /// Largest frame taken from a host.
-pub const MOST_FRAME: usize = 1024 * 1024;
+pub const MOST_FRAME: usize = 512 * 1024;
 
 /// What a host says.
 #[derive(Debug, PartialEq)]
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -425,8 +425,6 @@
     counters: Counters,
     limits: Limits,
     clients: AtomicUsize,
-    /// Requests taken and not answered.
-    busy: AtomicUsize,
     stopping: AtomicBool,
 }
 
@@ -438,9 +436,8 @@
     counters: Counters,
     mut stop: watch::Receiver<bool>,
 ) {
-    let (clients, busy) = (AtomicUsize::new(0), AtomicUsize::new(0));
-    let stopping = AtomicBool::new(false);
-    let shared = Arc::new(Shared { service, counters, limits, clients, busy, stopping });
+    let (clients, stopping) = (AtomicUsize::new(0), AtomicBool::new(false));
+    let shared = Arc::new(Shared { service, counters, limits, clients, stopping });
     let (close, closing) = watch::channel(false);
     let mut until = None;
     loop {
@@ -515,7 +512,6 @@
         };
         served += 1;
         let over = shared.clients.load(Ordering::Relaxed) > shared.limits.clients;
-        shared.busy.fetch_add(1, Ordering::Relaxed);
         let answer = if over {
             shared.counters.inc("answered.refused.client_cap");
             let answer = shared.service.error(503, "too many clients");
@@ -523,7 +519,6 @@
         } else {
             answer_or_gone(&mut conn, shared.service.answer(request)).await
         };
-        shared.busy.fetch_sub(1, Ordering::Relaxed);
         let Some(answer) = answer else { return (served, "client_gone") };
         let last = !keep || over || shared.stopping.load(Ordering::Relaxed);
         match tokio::time::timeout(SLOW_CLIENT, write(&mut conn, &answer, last)).await {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -7,7 +7,7 @@
 use crate::counters::Counters;
 use crate::interface::{Outcome, RequestId, ServerId};
 use bytes::{Buf, Bytes, BytesMut};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -415,7 +415,18 @@
             return false;
         };
         let now = Instant::now();
-        let parts = self.setup.sendable(call, now);
+        let mut parts = self.setup.sendable(call, now);
+        // Two queries by one name would share their parts' names: the answers could not be told apart, and
+        // one of the two would wait for ever.
+        let mut names: HashSet<String> = HashSet::new();
+        parts.retain(|p| {
+            let id = frames::part_id(p);
+            let fresh = !self.out.contains_key(&id) && names.insert(id);
+            if !fresh {
+                self.setup.ended(p.part, p.attempt, Outcome::Moot);
+            }
+            fresh
+        });
         if !parts.is_empty() {
             let pieces = frames::call(&parts, now).into();
             self.sending = Some(Sending { parts, pieces, given_up: Vec::new() });
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -37,14 +37,20 @@
         let listener = TcpListener::bind(&config.listen).await?;
         log::info!("listening on {}", listener.local_addr()?);
         let counters = Counters::default();
-        serve(config, listener, counters.clone(), stopping).await;
+        serve(config, listener, counters.clone(), stopping).await?;
         log::info!("stopped: {}", counters.line());
         Ok(())
     })
 }
 
-/// Serves on a listener until told to stop.
-pub async fn serve(config: Config, listener: TcpListener, counters: Counters, stop: watch::Receiver<bool>) {
+/// Serves on a listener until told to stop. An error means that the core itself has ended: without it
+/// every query would be lost, so the process must end and be started again.
+pub async fn serve(
+    config: Config,
+    listener: TcpListener,
+    counters: Counters,
+    stop: watch::Receiver<bool>,
+) -> std::io::Result<()> {
     log::info!("{}", config.summary());
     let (mail, inbox) = mpsc::unbounded_channel();
     let core = Core::new(mail.clone());
@@ -66,7 +72,7 @@
     let revision = (!config.known.members.is_empty()).then_some(config.known.revision);
     // The list as last known comes first, so that the first query finds hosts.
     let _ = mail.send(Mail::List(ListKind::Cached, config.known.members));
-    tokio::spawn(core::start(table, inbox));
+    let core_task = tokio::spawn(core::start(table, inbox));
     if let Some(d) = config.operator.dns_sd {
         let (responder, service, core) = (d.responder, d.service, mail);
         tokio::spawn(Browser { responder, service, core, counters: counters.clone() }.run());
@@ -75,5 +81,8 @@
         tokio::spawn(watch.run());
     }
     let limits = Limits { clients: config.clients, most: config.clients + TURNED_AWAY };
-    http::serve(listener, Arc::new(fronts), limits, counters, stop).await;
+    tokio::select! {
+        _ = http::serve(listener, Arc::new(fronts), limits, counters, stop) => Ok(()),
+        _ = core_task => Err(std::io::Error::other("the core has ended")),
+    }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -85,6 +85,26 @@
     }
 }
 
+/// Two queries by one name at once: each still gets its one answer, in its time.
+#[test]
+fn a_name_used_twice_at_once_costs_no_answer() {
+    let ledger = Ledger::default();
+    let slow = host(0, false, &ledger, |s| {
+        std::thread::sleep(ms(150));
+        value(s)
+    });
+    let c = start(&[member(0, &slow.addr, 0, "Ready")]);
+    let mut clients: Vec<Client> = (0..3).map(|_| Client::new(&c.addr)).collect();
+    clients.iter_mut().for_each(|c| c.query("near", "same", 3000, &[0, 2]));
+    assert!(clients.iter_mut().all(|c| c.read().0 > 0));
+    until("all attempts end", || {
+        let text = c.counters.text();
+        let ended = text.lines().filter_map(|l| l.strip_prefix("ended.")?.split_once(' '));
+        let ended: u64 = ended.map(|(_, n)| n.parse::<u64>().unwrap()).sum();
+        c.counters.get("sent.first") + c.counters.get("sent.resends") == ended
+    });
+}
+
 /// A keyed part that may have run is not repeated once its window is over, and what can't be served is
 /// answered at once with the time to come back.
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -231,6 +231,10 @@
     loop {
         let (first, headers, body) = message(&mut input)?;
         let target = first.split(' ').nth(1).unwrap().to_owned();
+        if target == "/" {
+            write!(output, "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{{}}")?;
+            continue;
+        }
         let shard_of =
             |p: &str| p.rsplit_once("_shards:").unwrap().1.trim_matches('"').parse::<u32>().unwrap();
         let many = target == "/_msearch";
@@ -377,7 +381,7 @@
             runtime.block_on(async {
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
                 tx.send(listener.local_addr().unwrap().to_string()).unwrap();
-                fennelpin::serve::serve(config, listener, ours, stopping).await;
+                fennelpin::serve::serve(config, listener, ours, stopping).await.unwrap();
             });
         });
         Self { addr: rx.recv().unwrap(), counters, stop, thread: Some(thread) }
