--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -95,7 +95,7 @@
 pub struct Missing {
     /// The shard.
     pub shard: u32,
-    /// How its last attempt ended; `None` where none has.
+    /// How its last attempt ended, a time-out where that is still out; `None` where nothing was sent.
     pub last: Option<Outcome>,
 }
 
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -30,6 +30,7 @@
     query: RequestId,
     shard: u32,
     attempts: u32,
+    out: bool,
     value: Option<Bytes>,
     last: Option<Outcome>,
 }
@@ -156,7 +157,7 @@
         for p in &new.parts {
             let part = self.fresh();
             parts.push(part);
-            let fresh = Part { query: id, shard: p.shard, attempts: 0, value: None, last: None };
+            let fresh = Part { query: id, shard: p.shard, attempts: 0, out: false, value: None, last: None };
             self.parts.insert(part, fresh);
             self.tell(now, Event::Part { id: part, query: id, shard: p.shard, weight: p.weight });
         }
@@ -189,6 +190,7 @@
         let closed = e.outcome == Outcome::Ok || part.is_none();
         if let Some(part) = part {
             part.last = Some(e.outcome);
+            part.out = false;
             if e.outcome == Outcome::Ok && part.value.is_none() {
                 self.held += size;
                 part.value = e.value;
@@ -265,7 +267,8 @@
 
     fn missing(&self, parts: &[RequestId]) -> Vec<Missing> {
         let parts = parts.iter().filter_map(|p| self.parts.get(p));
-        parts.filter(|p| p.value.is_none()).map(|p| Missing { shard: p.shard, last: p.last }).collect()
+        let last = |p: &Part| if p.out { Some(Outcome::Timeout) } else { p.last };
+        parts.filter(|p| p.value.is_none()).map(|p| Missing { shard: p.shard, last: last(p) }).collect()
     }
 
     fn drop_parts(&mut self, parts: &[RequestId]) {
@@ -348,6 +351,7 @@
         let q = self.queries.get(&part.query)?;
         let attempt = part.attempts;
         part.attempts += 1;
+        part.out = true;
         self.counters.inc(if attempt == 0 { "sent.first" } else { "sent.resends" });
         let give_up = (now + timeout).min(q.deadline);
         self.attempts.insert((id, attempt), Attempt { server, sent: now, given_up: false });
--- a/src/front/opensearch/hosts.rs
+++ b/src/front/opensearch/hosts.rs
@@ -7,6 +7,7 @@
 use crate::net::http::{response_head, Body, HttpError};
 use crate::net::link::{Dialect, LinkMail, LinkSetup, LinkTask};
 use bytes::Bytes;
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use serde_json::{json, Map, Value};
@@ -67,9 +68,21 @@
     responses: Vec<&'a RawValue>,
 }
 
+/// What a host's answer says of its own worth.
 #[derive(Deserialize)]
-struct Status {
+struct Checked {
     status: Option<u16>,
+    #[serde(default)]
+    timed_out: bool,
+    #[serde(default, rename = "_shards")]
+    shards: Shards,
+    hits: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize, Default)]
+struct Shards {
+    #[serde(default)]
+    failed: u64,
 }
 
 /// How a host's status ends a part: only a refusal at its door proves that the part never ran.
@@ -81,20 +94,32 @@
     }
 }
 
+/// One part's outcome and value. An answer without hits, or one that the host itself marks as cut short,
+/// must not pass for the whole of its district: it counts as an error, and another host may be asked.
+fn part(status: u16, body: &[u8]) -> (Outcome, Option<Bytes>) {
+    let checked = serde_json::from_slice::<Checked>(body).ok();
+    let status = checked.as_ref().and_then(|c| c.status).unwrap_or(status);
+    let whole = |c: &Checked| c.hits.is_some() && !c.timed_out && c.shards.failed == 0;
+    match outcome(status) {
+        Outcome::Ok if checked.as_ref().is_some_and(whole) => {
+            (Outcome::Ok, Some(Bytes::copy_from_slice(body)))
+        }
+        Outcome::Ok => (Outcome::Error, None),
+        other => (other, None),
+    }
+}
+
 /// The outcome and value of each part of a call.
 fn read(parts: usize, status: u16, body: &Bytes) -> Vec<(Outcome, Option<Bytes>)> {
-    if parts == 1 || status != 200 {
-        let outcome = outcome(status);
-        return vec![(outcome, (outcome == Outcome::Ok).then(|| body.clone())); parts];
+    if parts == 1 {
+        return vec![part(status, body)];
     }
     let many = serde_json::from_slice::<Many>(body).ok().filter(|m| m.responses.len() == parts);
-    let Some(many) = many else { return vec![(Outcome::Error, None); parts] };
-    let one = |raw: &&RawValue| {
-        let status = serde_json::from_str::<Status>(raw.get()).ok().and_then(|s| s.status);
-        let outcome = outcome(status.unwrap_or(500));
-        (outcome, (outcome == Outcome::Ok).then(|| Bytes::copy_from_slice(raw.get().as_bytes())))
-    };
-    many.responses.iter().map(one).collect()
+    match many {
+        Some(many) if status == 200 => many.responses.iter().map(|r| part(500, r.get().as_bytes())).collect(),
+        _ if status == 200 => vec![(Outcome::Error, None); parts],
+        _ => vec![(outcome(status), None); parts],
+    }
 }
 
 /// The dialect of OpenSearch.
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -10,7 +10,7 @@
 use crate::core::settings::Site;
 use crate::core::{Answer, Core, NewPart, NewQuery};
 use crate::counters::Counters;
-use crate::interface::{Cause, Class, ClassId, Repeat, TenantId};
+use crate::interface::{Cause, Class, ClassId, Outcome, Repeat, TenantId};
 use crate::net::http::{Answering, Request, Response};
 use answer::{merge, Failure, Merged};
 use bytes::Bytes;
@@ -71,7 +71,7 @@
     key: Option<String>,
 }
 
-type Outcome = Result<Response, Failure>;
+type Answered = Result<Response, Failure>;
 
 impl OpenSearch {
     /// The front over this core. `incarnation` must be new with each start of the process.
@@ -117,7 +117,7 @@
             return Some(Box::pin(std::future::ready(error.response(index))));
         }
         self.0.counters.inc("opensearch.requests");
-        let work: Pin<Box<dyn Future<Output = Outcome> + Send>> = match what {
+        let work: Pin<Box<dyn Future<Output = Answered> + Send>> = match what {
             "_search" => self.search(index, request),
             "_count" => self.count(index, request),
             "_msearch" => self.msearch(index, request),
@@ -243,7 +243,12 @@
             }
             Answer::Refused { retry_after, cause, missing }
             | Answer::Failed { retry_after, cause, missing } => {
+                // A district whose listed hosts answer to nobody is as good as one that no host holds.
+                let unreached = missing.iter().any(|m| matches!(m.last, None | Some(Outcome::ConnectFailed)));
                 let (status, kind, reason) = match cause {
+                    Cause::Late | Cause::Lost if unreached => {
+                        (503, "no_shard_available_action_exception", "no host of a district can be reached")
+                    }
                     Cause::Busy => {
                         (429, "rejected_execution_exception", "more work than can be done in time")
                     }
@@ -263,7 +268,7 @@
         Reader { district_field: &index.config.district_field, location_field: &index.config.location_field }
     }
 
-    fn search(&self, name: &str, request: &Request) -> Pin<Box<dyn Future<Output = Outcome> + Send>> {
+    fn search(&self, name: &str, request: &Request) -> Pin<Box<dyn Future<Output = Answered> + Send>> {
         let front = self.clone();
         let prepared = self.prepare(name, request);
         let name = name.to_owned();
@@ -316,7 +321,7 @@
         Ok((search, terms, keep))
     }
 
-    fn count(&self, name: &str, request: &Request) -> Pin<Box<dyn Future<Output = Outcome> + Send>> {
+    fn count(&self, name: &str, request: &Request) -> Pin<Box<dyn Future<Output = Answered> + Send>> {
         let front = self.clone();
         let prepared = (|| -> Result<_, Failure> {
             let index = self.index(name)?;
@@ -332,7 +337,7 @@
         })
     }
 
-    fn msearch(&self, default: &str, request: &Request) -> Pin<Box<dyn Future<Output = Outcome> + Send>> {
+    fn msearch(&self, default: &str, request: &Request) -> Pin<Box<dyn Future<Output = Answered> + Send>> {
         let front = self.clone();
         let prepared = self.prepare_many(default, request);
         let arrived = request.arrived;
@@ -397,7 +402,7 @@
     }
 
     /// The next page of a scroll: from memory, so at once.
-    fn page(&self, request: &Request) -> Outcome {
+    fn page(&self, request: &Request) -> Answered {
         let params = Params::read(request, &["scroll", "scroll_id"])?;
         let body = json_body(&request.body)?;
         let fields = body.as_object().into_iter().flatten();
@@ -418,7 +423,7 @@
         Ok(ok(&page))
     }
 
-    fn free(&self, all: bool, request: &Request) -> Outcome {
+    fn free(&self, all: bool, request: &Request) -> Answered {
         let body = json_body(&request.body)?;
         let ids: Vec<String> = match &body["scroll_id"] {
             Value::String(id) => vec![id.clone()],
--- a/tests/opensearch.rs
+++ b/tests/opensearch.rs
@@ -125,11 +125,12 @@
     let ledger = Ledger::default();
     let calls = AtomicUsize::new(0);
     let calls = std::sync::Arc::new(calls);
-    let (_hosts, members) = fleet(&ledger, move |seen| match calls.fetch_add(1, Ordering::Relaxed) % 9 {
+    let (_hosts, members) = fleet(&ledger, move |seen| match calls.fetch_add(1, Ordering::Relaxed) % 16 {
         2 => Act::Broke,
-        4 => Act::Skip,
-        6 => Act::Break,
-        8 if seen.shard == 3 => Act::Silent,
+        5 => Act::Garbage,
+        8 => Act::Skip,
+        11 => Act::Break,
+        14 if seen.shard == 3 => Act::Silent,
         _ => taxis(seen),
     });
     let c = start(&members);
@@ -205,6 +206,23 @@
     assert_eq!(ask(&mut client, "POST", "/fleet/_search", only).0, 503);
 }
 
+/// Hosts that are still listed but refuse every connection are no sound hosts either.
+#[test]
+fn districts_whose_hosts_are_dead_but_listed_are_told_apart_too() {
+    let ledger = Ledger::default();
+    let (_hosts, mut members) = fleet(&ledger, taxis);
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    [1, 3].iter().for_each(|n| members[*n]["host_port"] = gone.clone().into());
+    let c = start(&members);
+    let mut client = Client::new(&c.addr);
+    let (status, answer) =
+        ask(&mut client, "POST", "/free-taxis/_search?timeout=1s", near(&["anfa", "maarif"]));
+    assert_eq!((status, error(&answer).0), (503, "no_shard_available_action_exception"));
+    let (status, answer) = ask(&mut client, "POST", "/fleet/_search?timeout=1s", json!({}));
+    assert_eq!((status, &answer["_shards"]["failed"]), (200, &json!(2)), "{answer}");
+    assert!(ledger.all().iter().all(|s| s.host % 2 == 0) && c.counters.get("ended.connect_failed") > 0);
+}
+
 #[test]
 fn a_host_that_keeps_silent_is_a_timeout() {
     let ledger = Ledger::default();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -232,6 +232,24 @@
     assert!(headers.contains_key("retry-after"));
 }
 
+/// Beyond the cap on clients, which follows from memory and descriptors, a request is refused and not
+/// left to wait.
+#[test]
+fn a_client_beyond_the_cap_is_told_to_come_back() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, value);
+    let text = config("127.0.0.1:1", &[member(0, &h.addr, 0, "Ready")], &settings(), None);
+    let mut small: Value = serde_json::from_str(&text).unwrap();
+    small["limits"] = serde_json::json!({"memory_mb": 64, "sockets": 1024});
+    let c = Coordinator::start(&small.to_string(), "");
+    let mut clients: Vec<Client> = (0..102).map(|_| Client::new(&c.addr)).collect();
+    assert!(clients.iter_mut().all(|c| c.ask("GET", "/_health", "", "").0 == 200));
+    let (status, headers, _) = Client::new(&c.addr).ask("GET", "/_health", "", "");
+    assert!(status == 503 && headers.contains_key("retry-after"), "{status}");
+    until("there is room again", || clients[0].ask("GET", "/_health", "", "").0 == 200);
+    assert_eq!(c.counters.get("answered.refused.client_cap"), 1);
+}
+
 /// A host closes what stands idle; a call written just then would be lost, so links close first.
 #[test]
 fn unused_links_close_before_the_host_does() {
