Follow the limits down to 256 descriptors and 32 MB instead of exiting with 2

Checked: check-config on a file with limits 256/32: 'limits.sockets' can't be '256'. Lines at fault: config.rs from_raw, which asked for 512 descriptors and 64 MB; serve.rs and table.rs, which held 32 clients and 32 MB of values beyond whatever the limits say. Now: clients, connections to hosts and held values are shares of the limits, in one place (config::Room); a host always gets a first connection, further ones come out of the hosts' share. Test: tests/process.rs checks the smallest machine that the platform gives.

--- a/src/config.rs
+++ b/src/config.rs
@@ -8,10 +8,48 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 
-/// Descriptors kept for hosts, the list and files; clients get the rest.
-const KEPT_SOCKETS: usize = 256;
+/// Fewest descriptors and least memory that the program can serve with.
+const LEAST: (usize, usize) = (128, 24);
+/// Descriptors kept for the listener, the list, the runtime and the standard streams.
+const KEPT_SOCKETS: usize = 16;
+/// Memory kept for the program itself, its hosts' connections and their values.
+const KEPT_MB: usize = 16;
 /// Memory that a client may come to hold, with its rings, a body and its answer.
-const CLIENT_KB: usize = 160;
+const CLIENT_KB: usize = 112;
+
+/// What of the limits goes where.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    /// Clients served at once.
+    pub clients: usize,
+    /// Clients beyond those that are still told so.
+    pub turned_away: usize,
+    /// Connections to hosts at once.
+    pub links: usize,
+    /// Bytes of hosts' values held for open queries.
+    pub held: usize,
+}
+
+impl Room {
+    /// Half of the descriptors at most go to clients, as far as the memory holds out; hosts get the rest,
+    /// so that clients can't keep the program from them.
+    fn of(limits: &RawLimits) -> Result<Self, ConfigError> {
+        let (sockets, memory_mb) = (limits.sockets.unwrap_or(1024), limits.memory_mb.unwrap_or(192));
+        if sockets < LEAST.0 {
+            return Err(ConfigError::Value("limits.sockets", sockets.to_string()));
+        }
+        if memory_mb < LEAST.1 {
+            return Err(ConfigError::Value("limits.memory_mb", memory_mb.to_string()));
+        }
+        let (clients, turned_away) = (sockets / 2, sockets / 16);
+        Ok(Self {
+            clients: clients.min((memory_mb - KEPT_MB) * 1024 / CLIENT_KB),
+            turned_away,
+            links: sockets - clients - turned_away - KEPT_SOCKETS,
+            held: memory_mb * 1024 * 1024 / 8,
+        })
+    }
+}
 
 /// What is wrong with the configuration; each message names the key or the file.
 #[derive(Debug, thiserror::Error)]
@@ -200,8 +238,8 @@
     pub discovery: Option<String>,
     /// The seed of all random choices.
     pub seed: u64,
-    /// Clients served at once.
-    pub clients: usize,
+    /// What of the limits goes where.
+    pub room: Room,
     /// The host list as last known.
     pub known: News,
     /// The settings.
@@ -263,14 +301,7 @@
                 news(v.to_string().as_bytes()).map_err(bad)?
             }
         };
-        let sockets = raw.limits.sockets.unwrap_or(1024);
-        let memory_mb = raw.limits.memory_mb.unwrap_or(192);
-        if sockets < 2 * KEPT_SOCKETS {
-            return Err(ConfigError::Value("limits.sockets", sockets.to_string()));
-        }
-        if memory_mb < 64 {
-            return Err(ConfigError::Value("limits.memory_mb", memory_mb.to_string()));
-        }
+        let room = Room::of(&raw.limits)?;
         let site = settings::read(&raw.settings.to_string())?;
         operator.check(&site)?;
         Ok(Self {
@@ -278,7 +309,7 @@
             listen: address("listen", listen)?,
             discovery: discovery.map(|d| address("discovery", d)).transpose()?,
             seed: raw.seed.map_or(Ok(0), |s| number("seed", &s, 16))?,
-            clients: (sockets - KEPT_SOCKETS).min((memory_mb - 48) * 1024 / CLIENT_KB),
+            room,
             known,
             site,
             operator,
@@ -287,13 +318,15 @@
 
     /// What it comes to, on one line.
     pub fn summary(&self) -> String {
-        let Self { name, listen, known, site, clients, .. } = self;
+        let Self { name, listen, known, site, room, .. } = self;
         let discovery = self.discovery.as_deref().unwrap_or("-");
         format!(
-            "{name}: listen={listen} discovery={discovery} known={} classes={} clients={clients} open={} \
+            "{name}: listen={listen} discovery={discovery} known={} classes={} clients={} links={} open={} \
              streams={} retry_after={:?}",
             known.members.len(),
             site.classes.join(","),
+            room.clients,
+            room.links,
             site.caps.open,
             site.caps.streams,
             site.settings.retry_after_max,
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -12,10 +12,6 @@
 /// Sends to a draining host stop this long before the rule says, as the frame still has to be written.
 const DRAIN_MARGIN: Duration = Duration::from_millis(50);
 
-/// Values held for open queries, in bytes. Hosts' answers must not take the memory: a value beyond that
-/// counts as an error of its host.
-const MOST_HELD: usize = 32 * 1024 * 1024;
-
 struct Query {
     ticket: u64,
     reply: oneshot::Sender<Answer>,
@@ -65,14 +61,23 @@
     deadlines: BTreeSet<(Instant, RequestId)>,
     wakes: BTreeSet<Instant>,
     next_id: u32,
-    /// Bytes of the values held.
+    /// Bytes of the values held, and how many may be. Hosts' answers must not take the memory: a value
+    /// beyond that counts as an error of its host.
     held: usize,
+    most_held: usize,
     actions: Vec<Action>,
 }
 
 impl<T: Transport> Table<T> {
-    /// A core with nothing in it.
-    pub fn new(site: Site, seed: u64, clock: Clock, transport: T, counters: Counters) -> Self {
+    /// A core with nothing in it, for values of so many bytes at once.
+    pub fn new(
+        site: Site,
+        seed: u64,
+        clock: Clock,
+        transport: T,
+        most_held: usize,
+        counters: Counters,
+    ) -> Self {
         let keyed = site.settings.classes.iter().map(|c| c.repeat != Repeat::Safe).collect();
         Self {
             open_cap: site.caps.open,
@@ -96,6 +101,7 @@
             wakes: BTreeSet::new(),
             next_id: 0,
             held: 0,
+            most_held,
             actions: Vec::new(),
         }
     }
@@ -171,7 +177,7 @@
     fn on_ended(&mut self, mut e: Ended, now: Instant) {
         let Some(attempt) = self.attempts.remove(&(e.part, e.attempt)) else { return };
         let size = e.value.as_ref().map_or(0, Bytes::len);
-        if size > MOST_HELD - self.held {
+        if size > self.most_held - self.held {
             self.counters.inc("ended.no_room");
             (e.outcome, e.value) = (Outcome::Error, None);
         }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -6,7 +6,7 @@
 use crate::counters::Counters;
 use crate::interface::{Outcome, RequestId, ServerId};
 use std::collections::BTreeMap;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 use tokio::sync::mpsc;
@@ -37,6 +37,9 @@
 struct Shared {
     dialect: Arc<dyn Dialect>,
     caps: Caps,
+    /// Connections to all hosts at once: a host's first one is always opened, further ones only below this.
+    most_links: usize,
+    links: Arc<AtomicUsize>,
     core: mpsc::UnboundedSender<Mail>,
     counters: Counters,
 }
@@ -48,14 +51,16 @@
 }
 
 impl Peers {
-    /// No hosts yet. Answers go to the core's mailbox.
+    /// No hosts yet, and room for so many connections. Answers go to the core's mailbox.
     pub fn new(
         dialect: Arc<dyn Dialect>,
         caps: Caps,
+        most_links: usize,
         core: mpsc::UnboundedSender<Mail>,
         counters: Counters,
     ) -> Self {
-        let shared = Arc::new(Shared { dialect, caps, core, counters });
+        let links = Arc::default();
+        let shared = Arc::new(Shared { dialect, caps, most_links, links, core, counters });
         Self { shared, mailboxes: BTreeMap::new() }
     }
 
@@ -156,6 +161,12 @@
         fullest.map(|l| l.mail.clone())
     }
 
+    fn may_open(&self) -> bool {
+        let own = self.links.iter().filter(|l| !l.old).count();
+        let all = self.shared.links.load(Ordering::Relaxed);
+        own < self.shared.dialect.most_links() && all < self.shared.most_links
+    }
+
     fn open(&mut self) -> mpsc::UnboundedSender<LinkMail> {
         let (tx, mail) = mpsc::unbounded_channel();
         let gauge = Arc::new(Gauge::default());
@@ -171,7 +182,12 @@
             core: self.shared.core.clone(),
             counters: self.shared.counters.clone(),
         };
-        tokio::spawn(self.shared.dialect.open(setup));
+        let (task, links) = (self.shared.dialect.open(setup), self.shared.links.clone());
+        links.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            task.await;
+            links.fetch_sub(1, Ordering::Relaxed);
+        });
         self.links.push(LinkRef { old: false, mail: tx.clone(), gauge });
         tx
     }
@@ -180,9 +196,7 @@
         loop {
             let link = match self.sound_link(parts.len()) {
                 Some(link) => link,
-                None if self.links.iter().filter(|l| !l.old).count() < self.shared.dialect.most_links() => {
-                    self.open()
-                }
+                None if self.may_open() => self.open(),
                 // All full: the call waits on the emptiest one, within its parts' time.
                 None => match self
                     .links
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -19,9 +19,6 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
-/// Clients beyond the cap that are still told so.
-const TURNED_AWAY: usize = 32;
-
 /// Serves until SIGTERM or SIGINT and all that was taken is answered.
 pub fn run(config: Config) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -66,9 +63,9 @@
         HostDialect::Frames => Arc::new(Frames),
         HostDialect::OpenSearch => Arc::new(OpenSearchHosts),
     };
-    let caps = config.site.caps.clone();
-    let peers = Peers::new(dialect, caps, mail.clone(), counters.clone());
-    let table = Table::new(config.site, config.seed, Clock::new(), peers, counters.clone());
+    let (caps, room) = (config.site.caps.clone(), config.room);
+    let peers = Peers::new(dialect, caps, room.links, mail.clone(), counters.clone());
+    let table = Table::new(config.site, config.seed, Clock::new(), peers, room.held, counters.clone());
     let revision = (!config.known.members.is_empty()).then_some(config.known.revision);
     // The list as last known comes first, so that the first query finds hosts.
     let _ = mail.send(Mail::List(ListKind::Cached, config.known.members));
@@ -80,7 +77,7 @@
         let watch = Watch { addr, revision, core: mail, counters: counters.clone() };
         tokio::spawn(watch.run());
     }
-    let limits = Limits { clients: config.clients, most: config.clients + TURNED_AWAY };
+    let limits = Limits { clients: room.clients, most: room.clients + room.turned_away };
     tokio::select! {
         _ = http::serve(listener, Arc::new(fronts), limits, counters, stop) => Ok(()),
         _ = core_task => Err(std::io::Error::other("the core has ended")),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -240,9 +240,9 @@
     let h = host(0, false, &ledger, value);
     let text = config("127.0.0.1:1", &[member(0, &h.addr, 0, "Ready")], &settings(), None);
     let mut small: Value = serde_json::from_str(&text).unwrap();
-    small["limits"] = serde_json::json!({"memory_mb": 64, "sockets": 1024});
+    small["limits"] = serde_json::json!({"memory_mb": 32, "sockets": 256});
     let c = Coordinator::start(&small.to_string(), "");
-    let mut clients: Vec<Client> = (0..102).map(|_| Client::new(&c.addr)).collect();
+    let mut clients: Vec<Client> = (0..128).map(|_| Client::new(&c.addr)).collect();
     assert!(clients.iter_mut().all(|c| c.ask("GET", "/_health", "", "").0 == 200));
     let (status, headers, _) = Client::new(&c.addr).ask("GET", "/_health", "", "");
     assert!(status == 503 && headers.contains_key("retry-after"), "{status}");
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -38,6 +38,10 @@
 fn a_bad_configuration_ends_with_2_and_the_name_of_the_key() {
     let good = || -> Value { serde_json::from_str(&config("127.0.0.1:1", &[], &settings(), None)).unwrap() };
     assert_eq!(check("good", &good().to_string(), None).0, Some(0));
+    // The smallest machine that the platform gives: refusing it was a crash at every start.
+    let mut small = good();
+    small["limits"] = json!({"sockets": 256, "memory_mb": 32});
+    assert_eq!(check("small", &small.to_string(), None).0, Some(0));
     let cases: [(&str, Value); 7] = [
         ("listen", json!("nowhere")),
         ("discovery", json!("127.0.0.1:port")),
