Follow SIGHUP to a new discovery; seat clients so that bad ones keep nobody out

Memory 8 MB, CPU 0.14 s a second at most: neither is what is short, seats are. Ruled out: the garbled answers (33 in all) as the main loss. Lines at fault: serve.rs run() (no SIGHUP); net/http.rs IDLE 120 s, SLOW_REQUEST 10 s and the cap, which kept the newcomers out instead of the useless; platform.rs query(), which passed on parts of shards that do not exist, shares that are none and ids in use. Now: the configuration is read again on SIGHUP, a bad file named by its key and left; a new watch takes over once it speaks. A first request is due 2 s from connecting; idle connections give their buffers back at once and their seat when it is needed. What no host could use is a 400, an id in use a 409. Tests: tests/process.rs and tests/platform.rs, one story for each.

--- a/src/bin/fennelpin/main.rs
+++ b/src/bin/fennelpin/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use fennelpin::config::Config;
+use fennelpin::config::{Config, Source};
 use fennelpin::{logger, serve};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,29 +20,31 @@
 #[derive(Subcommand)]
 enum Command {
     /// Serves until SIGTERM, then answers all it has taken and exits.
-    Serve {
-        /// The platform's configuration; else PROXY_CONFIG names it.
-        #[arg(long)]
-        config: Option<PathBuf>,
-        /// An operator's file for what the platform does not configure.
-        #[arg(long)]
-        operator: Option<PathBuf>,
-    },
+    Serve(Files),
     /// Reads the configuration, says what it comes to, and exits 2 if it is bad.
-    CheckConfig {
-        /// The platform's configuration; else PROXY_CONFIG names it.
-        #[arg(long)]
-        config: Option<PathBuf>,
-        /// An operator's file for what the platform does not configure.
-        #[arg(long)]
-        operator: Option<PathBuf>,
-    },
+    CheckConfig(Files),
     /// Prints the version.
     Version,
 }
 
-fn load(file: Option<PathBuf>, operator: Option<PathBuf>) -> Result<Config, ExitCode> {
-    Config::load(file.as_deref(), operator.as_deref(), |name| std::env::var(name).ok()).map_err(|e| {
+#[derive(clap::Args)]
+struct Files {
+    /// The platform's configuration; else PROXY_CONFIG names it.
+    #[arg(long)]
+    config: Option<PathBuf>,
+    /// An operator's file for what the platform does not configure.
+    #[arg(long)]
+    operator: Option<PathBuf>,
+}
+
+impl From<Files> for Source {
+    fn from(files: Files) -> Self {
+        Self { file: files.config, operator: files.operator }
+    }
+}
+
+fn load(source: &Source) -> Result<Config, ExitCode> {
+    source.load().map_err(|e| {
         log::error!("configuration: {e}");
         ExitCode::from(2)
     })
@@ -51,10 +53,11 @@
 fn run(command: Command) -> Result<(), ExitCode> {
     match command {
         Command::Version => println!("fennelpin {}", env!("CARGO_PKG_VERSION")),
-        Command::CheckConfig { config, operator } => println!("{}", load(config, operator)?.summary()),
-        Command::Serve { config, operator } => {
-            let config = load(config, operator)?;
-            serve::run(config).map_err(|e| {
+        Command::CheckConfig(files) => println!("{}", load(&files.into())?.summary()),
+        Command::Serve(files) => {
+            let source = files.into();
+            let config = load(&source)?;
+            serve::run(config, source).map_err(|e| {
                 log::error!("{e}");
                 ExitCode::FAILURE
             })?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -248,6 +248,32 @@
     pub operator: Operator,
 }
 
+/// Where the configuration is read from.
+#[derive(Clone, Debug, Default)]
+pub struct Source {
+    /// The platform's file; else `PROXY_CONFIG` names it.
+    pub file: Option<PathBuf>,
+    /// The operator's file, if there is one.
+    pub operator: Option<PathBuf>,
+}
+
+impl Source {
+    /// Reads it at the start.
+    pub fn load(&self) -> Result<Config, ConfigError> {
+        self.read(|name| std::env::var(name).ok())
+    }
+
+    /// Reads it again, checked in the same way. The environment is as old as the process, so where
+    /// discovery is now, the file alone says.
+    pub fn reload(&self) -> Result<Config, ConfigError> {
+        self.read(|name| std::env::var(name).ok().filter(|_| name != "PROXY_DISCOVERY"))
+    }
+
+    fn read(&self, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        Config::load(self.file.as_deref(), self.operator.as_deref(), env)
+    }
+}
+
 fn number(key: &'static str, text: &str, radix: u32) -> Result<u64, ConfigError> {
     u64::from_str_radix(text, radix).map_err(|_| ConfigError::Value(key, text.to_owned()))
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -52,7 +52,7 @@
 /// A query as a front hands it over.
 #[derive(Clone, Debug)]
 pub struct NewQuery {
-    /// Its name on the hosts' wire; the front answers for its being new.
+    /// Its name on the hosts' wire. While another query of that name is open, it is turned down.
     pub name: Arc<str>,
     /// Its class.
     pub class: ClassId,
@@ -120,6 +120,8 @@
         /// The parts that are not in.
         missing: Vec<Missing>,
     },
+    /// Not taken: its name belongs to a query that is still open, and hosts could not tell the two apart.
+    NameTaken,
     /// Given up.
     Failed {
         /// When to come back, where that makes sense.
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -30,6 +30,8 @@
     pub connect_timeout: Duration,
     /// Parts that one connection carries at once.
     pub streams: usize,
+    /// Number of shards; they count from 0. Where it is not told, any shard may exist.
+    pub shards: Option<u32>,
     /// Time after the news of a drain in which sends must have stopped.
     pub drain_grace: Duration,
 }
@@ -156,6 +158,8 @@
     #[serde(default)]
     partial_earns: Vec<f64>,
     sets: u32,
+    #[serde(default)]
+    shards: Option<u32>,
     width: u32,
 }
 
@@ -267,6 +271,7 @@
             conn_idle: from_ms(caps.conn_idle.unwrap_or(15_000.0)),
             connect_timeout: from_ms(caps.connect_timeout.unwrap_or(250.0)),
             streams: caps.streams_per_conn.unwrap_or(32).max(1),
+            shards: family.shards,
             drain_grace: from_ms(s.drain_grace.unwrap_or(2000.0)),
         },
     })
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -33,7 +33,9 @@
 
 struct Attempt {
     server: ServerId,
+    name: Arc<str>,
     sent: Instant,
+    give_up: Instant,
     /// Whether it was given up: its outcome is then on the way.
     given_up: bool,
 }
@@ -56,6 +58,8 @@
     tickets: HashMap<u64, RequestId>,
     parts: HashMap<RequestId, Part>,
     attempts: HashMap<(RequestId, u32), Attempt>,
+    /// Names in use, with the number of open queries and attempts under each.
+    names: HashMap<Arc<str>, u32>,
     /// Attempts by the time of their time-out.
     timeouts: BTreeSet<(Instant, RequestId, u32)>,
     deadlines: BTreeSet<(Instant, RequestId)>,
@@ -96,6 +100,7 @@
             tickets: HashMap::new(),
             parts: HashMap::new(),
             attempts: HashMap::new(),
+            names: HashMap::new(),
             timeouts: BTreeSet::new(),
             deadlines: BTreeSet::new(),
             wakes: BTreeSet::new(),
@@ -144,6 +149,13 @@
     }
 
     fn on_query(&mut self, new: NewQuery, ticket: u64, reply: oneshot::Sender<Answer>, now: Instant) {
+        // Two queries by one name would share their parts' names: the hosts would take one's for a copy of
+        // the other's.
+        if self.names.contains_key(&new.name) {
+            self.counters.inc("answered.name_taken");
+            let _ = reply.send(Answer::NameTaken);
+            return;
+        }
         self.counters.inc("taken.queries");
         self.counters.add("taken.parts", new.parts.len() as u64);
         let deadline = new.arrived + new.wait;
@@ -170,18 +182,20 @@
         self.tickets.insert(ticket, id);
         self.deadlines.insert((deadline, id));
         let NewQuery { name, key, payload, .. } = new;
+        self.names.insert(name.clone(), 1);
         let key = key.filter(|_| self.keyed.get(class.0 as usize).copied().unwrap_or(false));
         self.queries.insert(id, Query { ticket, reply, name, key, payload, deadline, parts });
     }
 
     fn on_ended(&mut self, mut e: Ended, now: Instant) {
         let Some(attempt) = self.attempts.remove(&(e.part, e.attempt)) else { return };
+        self.release_name(&attempt.name);
         let size = e.value.as_ref().map_or(0, Bytes::len);
         if size > self.most_held - self.held {
             self.counters.inc("ended.no_room");
             (e.outcome, e.value) = (Outcome::Error, None);
         }
-        self.timeouts.retain(|t| (t.1, t.2) != (e.part, e.attempt));
+        self.timeouts.remove(&(attempt.give_up, e.part, e.attempt));
         self.counters.inc(match e.outcome {
             Outcome::Ok => "ended.served",
             Outcome::Error => "ended.error",
@@ -271,6 +285,15 @@
         }
     }
 
+    fn release_name(&mut self, name: &Arc<str>) {
+        if let Some(n) = self.names.get_mut(name) {
+            *n -= 1;
+            if *n == 0 {
+                self.names.remove(name);
+            }
+        }
+    }
+
     fn missing(&self, parts: &[RequestId]) -> Vec<Missing> {
         let parts = parts.iter().filter_map(|p| self.parts.get(p));
         let last = |p: &Part| if p.out { Some(Outcome::Timeout) } else { p.last };
@@ -288,6 +311,7 @@
         let q = self.queries.remove(&id)?;
         self.tickets.remove(&q.ticket);
         self.deadlines.remove(&(q.deadline, id));
+        self.release_name(&q.name);
         if q.reply.is_closed() {
             self.drop_parts(&q.parts);
         }
@@ -360,9 +384,11 @@
         part.out = true;
         self.counters.inc(if attempt == 0 { "sent.first" } else { "sent.resends" });
         let give_up = (now + timeout).min(q.deadline);
-        self.attempts.insert((id, attempt), Attempt { server, sent: now, given_up: false });
-        self.timeouts.insert((give_up, id, attempt));
         let (name, key, payload) = (q.name.clone(), q.key.clone(), q.payload.clone());
+        self.names.entry(name.clone()).and_modify(|n| *n += 1).or_insert(1);
+        let open = Attempt { server, name: name.clone(), sent: now, give_up, given_up: false };
+        self.attempts.insert((id, attempt), open);
+        self.timeouts.insert((give_up, id, attempt));
         Some(CallPart { part: id, attempt, name, shard: part.shard, give_up, key, payload })
     }
 
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -241,6 +241,7 @@
                 let shards = merged.failures;
                 Err(Failure { shards, ..Failure::new(status, kind, "Partial shards failure") })
             }
+            Answer::NameTaken => Err(Failure::new(409, "version_conflict_engine_exception", "name in use")),
             Answer::Refused { retry_after, cause, missing }
             | Answer::Failed { retry_after, cause, missing } => {
                 // A district whose listed hosts answer to nobody is as good as one that no host holds.
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::core::{Answer, Core, NewPart, NewQuery};
 use crate::counters::Counters;
-use crate::interface::{ClassId, TenantId};
+use crate::interface::{ClassId, Repeat, TenantId};
 use crate::net::http::{Answering, Request, Response, Service};
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,8 @@
 
 /// Longest time that a client may ask us to wait.
 const LONGEST_WAIT_MS: u64 = 600_000;
+/// By how much the parts' shares may miss 1, as they are rounded.
+const ROUNDING: f64 = 1e-3;
 
 #[derive(Deserialize)]
 struct RawBody {
@@ -39,6 +41,9 @@
     tenants: Vec<String>,
     marks_retry: bool,
     most_parts: usize,
+    /// Number of shards, and the classes whose parts go by a key.
+    shards: Option<u32>,
+    keyed: Vec<bool>,
 }
 
 /// Why a request is no query.
@@ -62,6 +67,8 @@
             tenants: site.tenants.clone(),
             marks_retry: site.marks_retry,
             most_parts: site.caps.open,
+            shards: site.caps.shards,
+            keyed: site.settings.classes.iter().map(|c| matches!(c.repeat, Repeat::Keyed(_))).collect(),
         }
     }
 
@@ -89,21 +96,32 @@
         if key.is_some_and(|k| !plain(k) || k.contains(',')) {
             return Err(bad("Idempotency-Key can't be used"));
         }
+        // Without one a repeat could take effect twice.
+        if self.keyed[class] && key.is_none() {
+            return Err(bad("Idempotency-Key is missing"));
+        }
         let body: RawBody = serde_json::from_slice(&r.body).map_err(|e| Bad::Request(e.to_string()))?;
         if body.tablets.is_empty() || body.tablets.len() > self.most_parts {
             return Err(bad("'tablets' has no parts or too many"));
         }
-        let mut seen = BTreeSet::new();
+        let (mut seen, mut sum) = (BTreeSet::new(), 0.0);
         let mut parts = Vec::with_capacity(body.tablets.len());
         for p in body.tablets {
             if !seen.insert(p.tablet) {
                 return Err(bad("'tablet' names a shard twice"));
             }
-            if !(p.fraction.is_finite() && p.fraction >= 0.0) {
+            if self.shards.is_some_and(|n| p.tablet >= n) {
+                return Err(bad("'tablet' names no shard"));
+            }
+            if !(p.fraction > 0.0 && p.fraction <= 1.0) {
                 return Err(bad("'fraction' is no share"));
             }
+            sum += p.fraction;
             parts.push(NewPart { shard: p.tablet, weight: p.fraction });
         }
+        if (sum - 1.0).abs() > ROUNDING {
+            return Err(bad("the 'fraction's don't add up to 1"));
+        }
         let owner = r.headers.get("Req-Owner");
         let tenant = owner.and_then(|o| self.tenants.iter().position(|t| t == o));
         let retry = r.headers.get("Req-Retry") == Some("1");
@@ -137,6 +155,7 @@
 /// The wire form of an answer.
 fn response(answer: Option<Answer>) -> Response {
     match answer {
+        Some(Answer::NameTaken) => Response::text(409, "Req-Id belongs to an open request\n"),
         Some(Answer::Served { full, pieces, .. }) => match served(full, &pieces) {
             Some(body) => Response::json(200, body),
             None => Response::text(502, "a host's value is no text\n"),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,13 +4,16 @@
 use super::conn::Conn;
 use crate::counters::Counters;
 use bytes::{Bytes, BytesMut};
+use std::collections::BTreeMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Notify};
 
 /// Largest body that is taken.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -18,14 +21,24 @@
 pub const INPUT: usize = 16 * 1024;
 const OUTPUT: usize = 16 * 1024;
 const MOST_HEADERS: usize = 64;
-/// A request that has begun to come must be whole in this time.
-const SLOW_REQUEST: Duration = Duration::from_secs(10);
-/// An unused connection is closed after this.
-const IDLE: Duration = Duration::from_secs(120);
+/// A client must have sent its first request whole in this time from connecting, and any later one from
+/// its first byte: whoever says nothing, or half of something, is let go while it still counts as prompt.
+const SLOW_REQUEST: Duration = Duration::from_secs(2);
+/// An unused connection is closed after this, and sooner once more than a share of the seats is taken.
+const IDLE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_millis(2200));
+const ROOMY: f64 = 0.25;
+/// When all seats are taken, a connection that has been asking for so long without a whole request, or
+/// standing idle for so long, goes for a new one.
+const MAKES_ROOM: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// After so many answers in a row to what was no query the next request is read so much later for each one
+/// more, up to a limit: who asks again at once must not starve the others.
+const FREE_BAD: u32 = 2;
+const BAD_PAUSE: Duration = Duration::from_millis(50);
+const MOST_PAUSES: u32 = 8;
 /// A client that does not take its answer is let go after this.
 const SLOW_CLIENT: Duration = Duration::from_secs(5);
 /// Once stopping, new requests are served for this long, and connections in use stay open.
-const STOP_SERVING: Duration = Duration::from_millis(750);
+const STOP_SERVING: Duration = Duration::from_millis(600);
 /// Nothing taken may be waited for beyond this.
 const STOP_LONGEST: Duration = Duration::from_secs(12);
 
@@ -167,6 +180,7 @@
             404 => "Not Found",
             405 => "Method Not Allowed",
             408 => "Request Timeout",
+            409 => "Conflict",
             413 => "Content Too Large",
             429 => "Too Many Requests",
             431 => "Request Header Fields Too Large",
@@ -202,11 +216,13 @@
     if lengths.any(|l| Some(l) != length) {
         return Err(HttpError::Malformed("content-length"));
     }
-    if let Some(coding) = headers.get("Transfer-Encoding") {
-        if length.is_some() || !coding.eq_ignore_ascii_case("chunked") {
-            return Err(HttpError::Malformed("transfer-encoding"));
+    let codings: Vec<&str> = headers.all("Transfer-Encoding").collect();
+    match codings[..] {
+        [] => {}
+        [coding] if length.is_none() && coding.eq_ignore_ascii_case("chunked") => {
+            return Ok(Framing::Chunked)
         }
-        return Ok(Framing::Chunked);
+        _ => return Err(HttpError::Malformed("transfer-encoding")),
     }
     match length {
         Some(l) if !l.is_empty() && l.bytes().all(|b| b.is_ascii_digit()) => match l.parse() {
@@ -420,14 +436,103 @@
     pub most: usize,
 }
 
+/// What a connection is at.
+#[derive(Clone, Copy, PartialEq, PartialOrd)]
+enum Phase {
+    /// It has not sent its request whole.
+    Asking,
+    /// It stands between two requests.
+    Idle,
+    /// A request of it is being answered.
+    Busy,
+}
+
+struct Seat {
+    phase: Phase,
+    since: Instant,
+    leave: Arc<Notify>,
+}
+
+/// The connections served, and who goes when a new one needs room.
+#[derive(Default)]
+struct Seats {
+    next: u64,
+    taken: BTreeMap<u64, Seat>,
+}
+
+impl Seats {
+    fn take(&mut self, now: Instant) -> (u64, Arc<Notify>) {
+        self.next += 1;
+        let leave = Arc::new(Notify::new());
+        self.taken.insert(self.next, Seat { phase: Phase::Asking, since: now, leave: leave.clone() });
+        (self.next, leave)
+    }
+
+    fn enter(&mut self, seat: u64, phase: Phase, now: Instant) {
+        if let Some(s) = self.taken.get_mut(&seat) {
+            (s.phase, s.since) = (phase, now);
+        }
+    }
+
+    /// Asks the one that has been of no use for longest to leave: a crowd that says nothing, or stays
+    /// after its one request, must not keep others out.
+    fn make_room(&mut self, now: Instant) -> bool {
+        let goes = |s: &Seat| match s.phase {
+            Phase::Asking => now - s.since >= MAKES_ROOM.0,
+            Phase::Idle => now - s.since >= MAKES_ROOM.1,
+            Phase::Busy => false,
+        };
+        let useless = self.taken.iter().filter(|(_, s)| goes(s));
+        let order = |a: &Seat, b: &Seat| (a.phase, a.since).partial_cmp(&(b.phase, b.since));
+        let first = useless.min_by(|a, b| order(a.1, b.1).unwrap_or(std::cmp::Ordering::Equal));
+        let seat = first.map(|(n, _)| *n).and_then(|n| self.taken.remove(&n));
+        seat.inspect(|s| s.leave.notify_one()).is_some()
+    }
+}
+
 struct Shared {
     service: Arc<dyn Service>,
     counters: Counters,
     limits: Limits,
     clients: AtomicUsize,
+    seats: Mutex<Seats>,
     stopping: AtomicBool,
 }
 
+impl Shared {
+    fn seats(&self) -> MutexGuard<'_, Seats> {
+        self.seats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn crowded(&self, share: f64) -> bool {
+        self.seats().taken.len() as f64 > share * self.limits.clients as f64
+    }
+
+    /// Seats a new connection and serves it; above the hard cap it is closed at once.
+    fn welcome(self: &Arc<Self>, stream: TcpStream, from: SocketAddr, closing: &watch::Receiver<bool>) {
+        let now = Instant::now();
+        if self.seats().taken.len() >= self.limits.clients && self.seats().make_room(now) {
+            self.counters.inc("clients.made_room");
+        }
+        if self.clients.load(Ordering::Relaxed) >= self.limits.most {
+            self.counters.inc("clients.dropped_at_cap");
+            log::warn!("client {from} end=at_cap");
+            return;
+        }
+        self.clients.fetch_add(1, Ordering::Relaxed);
+        let (number, leave) = self.seats().take(now);
+        let (shared, closing) = (self.clone(), closing.clone());
+        tokio::spawn(async move {
+            let conn = Conn::new(stream, INPUT, OUTPUT);
+            let (served, code) = client(conn, &shared, number, leave, closing).await;
+            shared.seats().taken.remove(&number);
+            shared.clients.fetch_sub(1, Ordering::Relaxed);
+            shared.counters.inc("clients.ended");
+            log::info!("client {from} end={code} requests={served}");
+        });
+    }
+}
+
 /// Serves until told to stop, and then until all that was taken is answered.
 pub async fn serve(
     listener: TcpListener,
@@ -436,30 +541,15 @@
     counters: Counters,
     mut stop: watch::Receiver<bool>,
 ) {
-    let (clients, stopping) = (AtomicUsize::new(0), AtomicBool::new(false));
-    let shared = Arc::new(Shared { service, counters, limits, clients, stopping });
+    let (clients, seats, stopping) = Default::default();
+    let shared = Arc::new(Shared { service, counters, limits, clients, seats, stopping });
     let (close, closing) = watch::channel(false);
     let mut until = None;
     loop {
         let rest = until.unwrap_or_else(|| tokio::time::Instant::now() + Duration::from_secs(3600));
         tokio::select! {
             came = listener.accept() => match came {
-                Ok((stream, from)) => {
-                    if shared.clients.load(Ordering::Relaxed) >= shared.limits.most {
-                        shared.counters.inc("clients.dropped_at_cap");
-                        log::warn!("client {from} end=at_cap");
-                        continue;
-                    }
-                    let (shared, closing) = (shared.clone(), closing.clone());
-                    shared.clients.fetch_add(1, Ordering::Relaxed);
-                    tokio::spawn(async move {
-                        let conn = Conn::new(stream, INPUT, OUTPUT);
-                        let (served, code) = client(conn, &shared, closing).await;
-                        shared.clients.fetch_sub(1, Ordering::Relaxed);
-                        shared.counters.inc("clients.ended");
-                        log::info!("client {from} end={code} requests={served}");
-                    });
-                }
+                Ok((stream, from)) => shared.welcome(stream, from, &closing),
                 // Out of descriptors: the ones in use come back.
                 Err(e) => {
                     log::warn!("accept: {e}");
@@ -473,6 +563,10 @@
             _ = tokio::time::sleep_until(rest) => if until.is_some() { break },
         }
     }
+    // What the machine has accepted by now is served too: closing the listener would reset it.
+    while let Ok(Ok((stream, from))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        shared.welcome(stream, from, &closing);
+    }
     drop(listener);
     let _ = close.send(true);
     let end = Instant::now() + STOP_LONGEST;
@@ -482,10 +576,21 @@
 }
 
 /// Serves one client; gives the number of requests and the reason for the end.
-async fn client(mut conn: Conn, shared: &Shared, mut closing: watch::Receiver<bool>) -> (u64, &'static str) {
-    let mut served = 0;
+async fn client(
+    mut conn: Conn,
+    shared: &Shared,
+    seat: u64,
+    leave: Arc<Notify>,
+    mut closing: watch::Receiver<bool>,
+) -> (u64, &'static str) {
+    let (mut served, mut bad) = (0, 0u32);
+    let mut since = Instant::now();
     loop {
         if conn.input.is_empty() {
+            conn.input.give_back();
+            conn.output.give_back();
+            let idle = if shared.crowded(ROOMY) { IDLE.1 } else { IDLE.0 };
+            let end = since + if served == 0 { SLOW_REQUEST } else { idle };
             tokio::select! {
                 biased;
                 got = conn.fill() => match got {
@@ -494,24 +599,33 @@
                     Err(_) => return (served, "io_error"),
                 },
                 _ = closing.wait_for(|c| *c) => return (served, "stopping"),
-                _ = tokio::time::sleep(IDLE) => return (served, "idle"),
+                _ = leave.notified() => return (served, "made_room"),
+                _ = tokio::time::sleep_until(end.into()) => return (served, if served == 0 { "silent" } else { "idle" }),
             }
         }
-        let read = tokio::time::timeout(SLOW_REQUEST, read_request(&mut conn, MOST_BODY)).await;
+        if served > 0 {
+            since = Instant::now();
+            shared.seats().enter(seat, Phase::Asking, since);
+        }
+        let read = tokio::select! {
+            biased;
+            read = tokio::time::timeout_at((since + SLOW_REQUEST).into(), read_request(&mut conn, MOST_BODY)) => read,
+            _ = leave.notified() => return (served, "made_room"),
+        };
         let (request, keep) = match read.unwrap_or(Err(HttpError::Slow)) {
             Ok(read) => read,
             Err(e) => {
                 shared.counters.inc("requests.unreadable");
                 if let Some(status) = e.status() {
                     let answer = shared.service.error(status, &e.to_string());
-                    let _ = write(&mut conn, &answer, true).await;
-                    linger(&mut conn).await;
+                    finish(&mut conn, &answer).await;
                 }
                 return (served, e.code());
             }
         };
         served += 1;
-        let over = shared.clients.load(Ordering::Relaxed) > shared.limits.clients;
+        shared.seats().enter(seat, Phase::Busy, Instant::now());
+        let over = shared.crowded(1.0);
         let answer = if over {
             shared.counters.inc("answered.refused.client_cap");
             let answer = shared.service.error(503, "too many clients");
@@ -520,14 +634,31 @@
             answer_or_gone(&mut conn, shared.service.answer(request)).await
         };
         let Some(answer) = answer else { return (served, "client_gone") };
-        let last = !keep || over || shared.stopping.load(Ordering::Relaxed);
-        match tokio::time::timeout(SLOW_CLIENT, write(&mut conn, &answer, last)).await {
-            Ok(Ok(())) if last && shared.stopping.load(Ordering::Relaxed) => return (served, "stopping"),
-            Ok(Ok(())) if last => return (served, if over { "at_cap" } else { "asked_to_close" }),
+        // 429 and the fives are answers to queries; the other fours are for what was none.
+        bad = if (400..429).contains(&answer.status) { bad + 1 } else { 0 };
+        let stopping = shared.stopping.load(Ordering::Relaxed);
+        if !keep || over || stopping {
+            finish(&mut conn, &answer).await;
+            let codes = [(stopping, "stopping"), (over, "at_cap")];
+            return (served, codes.iter().find(|c| c.0).map_or("asked_to_close", |c| c.1));
+        }
+        match tokio::time::timeout(SLOW_CLIENT, write(&mut conn, &answer, false)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return (served, "client_gone"),
             Err(_) => return (served, "client_too_slow"),
         }
+        since = Instant::now();
+        shared.seats().enter(seat, Phase::Idle, since);
+        if bad > FREE_BAD {
+            tokio::time::sleep(BAD_PAUSE * (bad - FREE_BAD).min(MOST_PAUSES)).await;
+        }
+    }
+}
+
+/// A last answer, and then no more.
+async fn finish(conn: &mut Conn, answer: &Response) {
+    if let Ok(Ok(())) = tokio::time::timeout(SLOW_CLIENT, write(conn, answer, true)).await {
+        linger(conn).await;
     }
 }
 
@@ -544,6 +675,7 @@
 
 /// Reads on for a moment: closing with input unread would reset the connection and take the answer along.
 async fn linger(conn: &mut Conn) {
+    let _ = conn.stream.shutdown().await;
     let drain = async {
         let mut left = 4 * MOST_BODY;
         while left > 0 {
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -9,11 +9,13 @@
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 
-/// Discovery sends a line every 2 s; one silent for so long is asked anew.
-const SILENT: Duration = Duration::from_secs(7);
-const CONNECT: Duration = Duration::from_secs(2);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+/// Discovery sends a line every 2 s; one silent for so long is asked anew, early enough that a drain it
+/// did not tell is still kept.
+const SILENT: Duration = Duration::from_millis(4500);
+const CONNECT: Duration = Duration::from_secs(1);
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// Longest line of a watch.
 const MOST_LINE: usize = 1024 * 1024;
 
@@ -83,9 +85,32 @@
     pub core: mpsc::UnboundedSender<Mail>,
     /// The counters.
     pub counters: Counters,
+    /// Watches of earlier addresses, which this one takes over from once it has heard something.
+    pub replaces: Vec<AbortHandle>,
 }
 
 impl Watch {
+    /// Watches, and goes on at each further address that comes. The list stands, and the watch before goes
+    /// on, until the new one speaks; versions of one discovery mean nothing to another.
+    pub async fn follow_moves(self, mut moves: mpsc::UnboundedReceiver<String>) {
+        let (core, counters) = (self.core.clone(), self.counters.clone());
+        let mut addr = self.addr.clone();
+        let mut running = vec![tokio::spawn(self.run()).abort_handle()];
+        while let Some(next) = moves.recv().await {
+            if next == addr {
+                continue;
+            }
+            log::info!("list: from {addr} to {next}");
+            counters.inc("list.moved");
+            addr = next.clone();
+            running.retain(|w| !w.is_finished());
+            let replaces = running.clone();
+            let (core, counters) = (core.clone(), counters.clone());
+            let watch = Watch { addr: next, revision: None, core, counters, replaces };
+            running.push(tokio::spawn(watch.run()).abort_handle());
+        }
+    }
+
     /// Watches for ever, over as many connections as it takes.
     pub async fn run(mut self) {
         let mut wait = BACKOFF.0;
@@ -146,6 +171,7 @@
             HttpError::Malformed("list line")
         })?;
         self.revision = Some(revision);
+        self.replaces.drain(..).for_each(|old| old.abort());
         let kind = if complete { ListKind::Full } else { ListKind::Changes };
         let _ = self.core.send(Mail::List(kind, members));
         Ok(())
--- a/src/net/ring.rs
+++ b/src/net/ring.rs
@@ -3,9 +3,11 @@
 use std::io;
 use tokio::net::TcpStream;
 
-/// A ring buffer. It never grows: a full one pushes back on whoever fills it.
+/// A ring buffer. It never grows: a full one pushes back on whoever fills it. It takes its memory with the
+/// first byte, and [`Ring::give_back`] returns it: connections that stand idle hold none.
 pub struct Ring {
     buf: Box<[u8]>,
+    capacity: usize,
     head: usize,
     len: usize,
 }
@@ -13,7 +15,14 @@
 impl Ring {
     /// An empty ring for this many bytes.
     pub fn new(capacity: usize) -> Self {
-        Self { buf: vec![0; capacity.max(1)].into_boxed_slice(), head: 0, len: 0 }
+        Self { buf: Box::default(), capacity: capacity.max(1), head: 0, len: 0 }
+    }
+
+    /// Returns the memory if nothing is held.
+    pub fn give_back(&mut self) {
+        if self.len == 0 {
+            self.buf = Box::default();
+        }
     }
 
     /// Bytes held.
@@ -28,13 +37,13 @@
 
     /// Bytes that fit in.
     pub fn free(&self) -> usize {
-        self.buf.len() - self.len
+        self.capacity - self.len
     }
 
     /// The first run of bytes held.
     pub fn first(&self) -> &[u8] {
         let end = (self.head + self.len).min(self.buf.len());
-        &self.buf[self.head..end]
+        self.buf.get(self.head..end).unwrap_or_default()
     }
 
     /// All bytes held in one run, moved if they wrap.
@@ -43,18 +52,21 @@
             self.buf.rotate_left(self.head);
             self.head = 0;
         }
-        &self.buf[self.head..self.head + self.len]
+        self.buf.get(self.head..self.head + self.len).unwrap_or_default()
     }
 
     /// Drops this many bytes from the front.
     pub fn consume(&mut self, n: usize) {
         let n = n.min(self.len);
         self.len -= n;
-        self.head = if self.len == 0 { 0 } else { (self.head + n) % self.buf.len() };
+        self.head = if self.len == 0 { 0 } else { (self.head + n) % self.capacity };
     }
 
     fn room(&mut self) -> &mut [u8] {
-        let cap = self.buf.len();
+        let cap = self.capacity;
+        if self.buf.is_empty() {
+            self.buf = vec![0; cap].into_boxed_slice();
+        }
         let tail = (self.head + self.len) % cap;
         let end = if self.len == cap || tail < self.head { self.head } else { cap };
         if self.len == cap {
@@ -109,6 +121,7 @@
             assert_eq!(got, (0..n).map(|i| expect.wrapping_add(i as u8)).collect::<Vec<_>>());
             ring.consume(n);
             expect = expect.wrapping_add(n as u8);
+            ring.give_back();
         }
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,6 @@
 //! The coordinator as a process: all actors put together, from start to SIGTERM.
 
-use crate::config::{Config, HostDialect};
+use crate::config::{Config, HostDialect, Source};
 use crate::core::{self, Clock, Core, Mail, Table};
 use crate::counters::Counters;
 use crate::front::opensearch::hosts::OpenSearchHosts;
@@ -19,13 +19,28 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
-/// Serves until SIGTERM or SIGINT and all that was taken is answered.
-pub fn run(config: Config) -> std::io::Result<()> {
+/// Serves until SIGTERM or SIGINT and all that was taken is answered. SIGHUP reads the configuration again
+/// and follows its `discovery`; all else takes a restart.
+pub fn run(config: Config, source: Source) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let (stop, stopping) = watch::channel(false);
         let mut term = signal(SignalKind::terminate())?;
         let mut int = signal(SignalKind::interrupt())?;
+        // Before anyone can take this process for ready: unhandled, the signal would end it.
+        let mut hup = signal(SignalKind::hangup())?;
+        let (moved, moves) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while hup.recv().await.is_some() {
+                match source.reload() {
+                    Ok(Config { discovery, .. }) => {
+                        log::info!("configuration: read again, discovery={discovery:?}");
+                        discovery.into_iter().for_each(|d| drop(moved.send(d)));
+                    }
+                    Err(e) => log::error!("configuration: {e}; the one before stays"),
+                }
+            }
+        });
         tokio::spawn(async move {
             tokio::select! { _ = term.recv() => {} _ = int.recv() => {} }
             log::info!("stopping: serving on for a moment, then answering all that was taken");
@@ -34,19 +49,20 @@
         let listener = TcpListener::bind(&config.listen).await?;
         log::info!("listening on {}", listener.local_addr()?);
         let counters = Counters::default();
-        serve(config, listener, counters.clone(), stopping).await?;
+        serve(config, listener, counters.clone(), stopping, moves).await?;
         log::info!("stopped: {}", counters.line());
         Ok(())
     })
 }
 
-/// Serves on a listener until told to stop. An error means that the core itself has ended: without it
+/// Serves on a listener until told to stop; `moves` brings new addresses of discovery. An error means that the core itself has ended: without it
 /// every query would be lost, so the process must end and be started again.
 pub async fn serve(
     config: Config,
     listener: TcpListener,
     counters: Counters,
     stop: watch::Receiver<bool>,
+    moves: mpsc::UnboundedReceiver<String>,
 ) -> std::io::Result<()> {
     log::info!("{}", config.summary());
     let (mail, inbox) = mpsc::unbounded_channel();
@@ -74,8 +90,8 @@
         let (responder, service, core) = (d.responder, d.service, mail);
         tokio::spawn(Browser { responder, service, core, counters: counters.clone() }.run());
     } else if let Some(addr) = config.discovery {
-        let watch = Watch { addr, revision, core: mail, counters: counters.clone() };
-        tokio::spawn(watch.run());
+        let (counters, replaces) = (counters.clone(), Vec::new());
+        tokio::spawn(Watch { addr, revision, core: mail, counters, replaces }.follow_moves(moves));
     }
     let limits = Limits { clients: room.clients, most: room.clients + room.turned_away };
     tokio::select! {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -213,6 +213,127 @@
     assert_eq!(client.read().0, 429, "no host holds the shard");
 }
 
+/// What hosts would turn away, or take for a copy of another's part, is an error to its client alone: sent
+/// on, it could cost others on that host's connection, and serving it would answer what was not asked.
+#[test]
+fn what_no_host_could_use_is_turned_down_before_it_costs_others() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| match s.id.as_str() {
+        "held.0" => Act::Silent,
+        _ => value(s),
+    });
+    let c = start(&[member(0, &h.addr, 0, "Ready")]);
+    let mut client = Client::new(&c.addr);
+    client.query("near", "held", 3000, &[0]);
+    until("the part is out", || ledger.all().len() == 1);
+    let ask = |headers: &str, parts: &str| {
+        let body = format!(r#"{{"tablets":[{parts}],"statement":"x"}}"#);
+        Client::new(&c.addr).ask("POST", "/near", headers, &body).0
+    };
+    let good = "Req-Id: a\r\nReq-Deadline-Ms: 3000\r\n";
+    let part = r#"{"tablet":0,"fraction":1.0}"#;
+    assert_eq!(ask(good, part), 200);
+    for (headers, parts) in [
+        (good, r#"{"tablet":100,"fraction":1.0}"#),
+        (good, r#"{"tablet":0,"fraction":1.5}"#),
+        (good, r#"{"tablet":0,"fraction":0.5},{"tablet":2,"fraction":0.0},{"tablet":4,"fraction":0.5}"#),
+        (good, r#"{"tablet":0,"fraction":0.5},{"tablet":2,"fraction":0.4}"#),
+        (good, r#"{"tablet":0,"fraction":0.5},{"tablet":0,"fraction":0.5}"#),
+        ("Req-Id: b\r\nReq-Deadline-Ms: soon\r\n", part),
+        ("Req-Deadline-Ms: 3000\r\n", part),
+    ] {
+        assert_eq!(ask(headers, parts), 400, "{headers} {parts}");
+    }
+    assert_eq!(ask("Req-Id: held\r\nReq-Deadline-Ms: 3000\r\n", part), 409);
+    assert_eq!(
+        Client::new(&c.addr)
+            .ask("POST", "/book", good, &format!(r#"{{"tablets":[{part}],"statement":"x"}}"#))
+            .0,
+        400
+    );
+    assert_eq!(ledger.all().len(), 2);
+}
+
+/// Connections that say nothing, or half of something, are let go in time, and while there are more of
+/// them than there are seats the usual clients still get theirs.
+#[test]
+fn silent_and_half_sent_connections_go_and_keep_nobody_out() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, value);
+    let text = config("127.0.0.1:1", &[member(0, &h.addr, 0, "Ready")], &settings(), None);
+    let mut small: Value = serde_json::from_str(&text).unwrap();
+    small["limits"] = serde_json::json!({"memory_mb": 32, "sockets": 128});
+    let c = Coordinator::start(&small.to_string(), "");
+    let mut half = Client::new(&c.addr);
+    half.write(b"POST /near HTTP/1.1\r\nContent-Length: 5\r\n\r\n12");
+    let started = Instant::now();
+    let mut silent: Vec<Client> = (0..60).map(|_| Client::new(&c.addr)).collect();
+    std::thread::sleep(ms(200));
+    silent.extend((0..60).map(|_| Client::new(&c.addr)));
+    std::thread::sleep(ms(200));
+    for n in 0..10 {
+        let mut usual = Client::new(&c.addr);
+        usual.query("near", &format!("q{n}"), 3000, &[0]);
+        assert_eq!(usual.read().0, 200);
+    }
+    assert!(c.counters.get("clients.made_room") > 0);
+    assert!(half.ended() && silent.iter_mut().all(Client::ended) && started.elapsed() < ms(3000));
+}
+
+/// A request that could hide another one is refused, and nothing behind it is read as a request.
+#[test]
+fn a_request_with_two_lengths_ends_its_connection() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, value);
+    let c = start(&[member(0, &h.addr, 0, "Ready")]);
+    let body = r#"{"tablets":[{"tablet":0,"fraction":1.0}],"statement":"x"}"#;
+    let head = "Req-Id: hidden\r\nReq-Deadline-Ms: 3000\r\nContent-Length";
+    let hidden = format!("POST /near HTTP/1.1\r\n{head}: {}\r\n\r\n{body}", body.len());
+    for coding in
+        ["Transfer-Encoding: chunked", "Transfer-Encoding: identity", "transfer-encoding: x, chunked"]
+    {
+        let mut client = Client::new(&c.addr);
+        let outer = format!("POST /near HTTP/1.1\r\nContent-Length: {}\r\n{coding}\r\n\r\n", hidden.len());
+        client.write(format!("{outer}0\r\n\r\n{hidden}").as_bytes());
+        let (status, headers, _) = client.read();
+        assert!(status == 400 && headers["connection"] == "close" && client.ended());
+    }
+    assert!(ledger.all().is_empty());
+}
+
+/// One that asks for nonsense again and again is answered, but read less and less often.
+#[test]
+fn a_client_that_errs_again_and_again_is_slowed_down() {
+    let c = start(&[]);
+    let mut client = Client::new(&c.addr);
+    let started = Instant::now();
+    assert!((0..8).all(|_| client.ask("POST", "/far", "", "{}").0 == 404));
+    assert!(started.elapsed() > ms(700));
+}
+
+/// Discovery moves: the known list stays until the new place speaks, whatever version it counts by.
+#[test]
+fn a_new_discovery_is_followed_once_it_speaks() {
+    let ledger = Ledger::default();
+    let (hosts, members) = pair(&ledger, value);
+    let (old, _old_lines) = discovery();
+    let (new, lines) = discovery();
+    let c = Coordinator::start(&config("127.0.0.1:1", &members, &settings(), Some(&old)), "");
+    c.moves.send(new).unwrap();
+    until("it has moved", || c.counters.get("list.moved") == 1);
+    let mut client = Client::new(&c.addr);
+    let mut ask = |n: usize| {
+        client.query("near", &format!("q{n}"), 3000, &[0]);
+        assert_eq!(client.read().0, 200, "the known list is gone");
+    };
+    ask(0);
+    let list = serde_json::json!({"revision": 0, "complete": true, "members": [members[1]]});
+    lines.send(list.to_string()).unwrap();
+    until("the new place has spoken", || c.counters.get("list.news") == 2);
+    (1..8).for_each(&mut ask);
+    assert!(ledger.all()[1..].iter().all(|s| s.host == 1), "{}", hosts.len());
+}
+
 /// At the cap on open queries and parts new ones are refused, with the time to come back.
 #[test]
 fn a_full_coordinator_refuses() {
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read};
 use std::path::PathBuf;
-use std::process::{Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use support::*;
 
 fn binary() -> Command {
@@ -90,6 +90,49 @@
     assert_eq!(code, Some(0), "{said}");
 }
 
+/// The coordinator as a process, its log, and where it listens.
+fn serve(path: &PathBuf) -> (Child, BufReader<ChildStderr>, String) {
+    let mut child = binary().arg("serve").env("PROXY_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let line = line_with(&mut log, "listening on ");
+    let addr = line.rsplit(' ').next().unwrap().to_owned();
+    (child, log, addr)
+}
+
+/// Reads the log up to a line with these words.
+fn line_with(log: &mut BufReader<ChildStderr>, words: &str) -> String {
+    loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ended before it said '{words}'");
+        if line.contains(words) {
+            return line.trim_end().to_owned();
+        }
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
+}
+
+/// Unhandled, SIGHUP ends the process. A bad file must cost nothing, a good one is followed.
+#[test]
+fn sighup_reads_the_configuration_again() {
+    let (old, _old_lines) = discovery();
+    let (new, _new_lines) = discovery();
+    let text = |discovery: &str| config("127.0.0.1:0", &[], &settings(), Some(discovery));
+    let path = file("reload", &text(&old));
+    let (mut child, mut log, addr) = serve(&path);
+    std::fs::write(&path, text("nowhere")).unwrap();
+    signal(&child, "-HUP");
+    assert!(line_with(&mut log, "the one before stays").contains("'discovery'"));
+    assert_eq!(Client::new(&addr).ask("GET", "/_health", "", "").0, 200);
+    std::fs::write(&path, text(&new)).unwrap();
+    signal(&child, "-HUP");
+    assert!(line_with(&mut log, "list: from").ends_with(&format!("from {old} to {new}")));
+    signal(&child, "-TERM");
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 #[test]
 fn sigterm_ends_it_with_0_after_all_answers() {
     let ledger = Ledger::default();
@@ -99,19 +142,11 @@
     });
     let members = [member(0, &h.addr, 0, "Ready")];
     let path = file("serve", &config("127.0.0.1:0", &members, &settings(), None));
-    let mut child = binary().arg("serve").env("PROXY_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let addr = loop {
-        let mut line = String::new();
-        assert!(log.read_line(&mut line).unwrap() > 0, "it ended before it listened");
-        if let Some((_, addr)) = line.trim_end().split_once("listening on ") {
-            break addr.to_owned();
-        }
-    };
+    let (mut child, mut log, addr) = serve(&path);
     let mut client = Client::new(&addr);
     client.query("near", "q1", 3000, &[0]);
     until("the part is out", || ledger.all().len() == 1);
-    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+    signal(&child, "-TERM");
     assert_eq!(client.read().0, 200);
     // New connections are still taken for a moment.
     let mut late = Client::new(&addr);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -346,7 +346,7 @@
             {"name": "report", "goal_time": 1500.0, "hard_limit": 3000.0, "idempotency": "retryable"},
             {"name": "book", "goal_time": 1500.0, "hard_limit": 3000.0, "idempotency": "dedup", "window": 1000.0}],
         "family_info": {"bundle_max": 8, "call_cost": 10.0, "class_floor": [1.0, 0.5, 1.0],
-                        "class_need": [1.0, 1.0, 1.0], "partial_earns": [0.9, 0.8, 0.9], "sets": 2, "width": 1},
+                        "class_need": [1.0, 1.0, 1.0], "partial_earns": [0.9, 0.8, 0.9], "sets": 2, "shards": 100, "width": 1},
         "safety": {"drain_grace": 2000.0},
         "stats": {"how": "piggyback", "names": ["pending", "busy_reqs"]},
         "tenants": [{"name": "coop", "portion": 1.0}],
@@ -365,6 +365,8 @@
 pub struct Coordinator {
     pub addr: String,
     pub counters: Counters,
+    /// Where discovery goes.
+    pub moves: tokio::sync::mpsc::UnboundedSender<String>,
     stop: tokio::sync::watch::Sender<bool>,
     thread: Option<thread::JoinHandle<()>>,
 }
@@ -375,6 +377,7 @@
         let config = Config::parse(config, operator, |_| None).unwrap();
         let counters = Counters::default();
         let (stop, stopping) = tokio::sync::watch::channel(false);
+        let (moves, moved) = tokio::sync::mpsc::unbounded_channel();
         let (tx, rx) = channel();
         let ours = counters.clone();
         let thread = thread::spawn(move || {
@@ -382,10 +385,10 @@
             runtime.block_on(async {
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
                 tx.send(listener.local_addr().unwrap().to_string()).unwrap();
-                fennelpin::serve::serve(config, listener, ours, stopping).await.unwrap();
+                fennelpin::serve::serve(config, listener, ours, stopping, moved).await.unwrap();
             });
         });
-        Self { addr: rx.recv().unwrap(), counters, stop, thread: Some(thread) }
+        Self { addr: rx.recv().unwrap(), counters, moves, stop, thread: Some(thread) }
     }
 
     /// Tells it to stop; the thread ends once all is answered.
@@ -420,6 +423,15 @@
         (first.split(' ').nth(1).unwrap().parse().unwrap(), headers, body)
     }
 
+    /// Whether the other side ends the connection, after whatever it still sends.
+    pub fn ended(&mut self) -> bool {
+        let mut rest = Vec::new();
+        match self.0.read_to_end(&mut rest) {
+            Ok(_) => true,
+            Err(e) => e.kind() == ErrorKind::ConnectionReset,
+        }
+    }
+
     pub fn send(&mut self, method: &str, target: &str, headers: &str, body: &str) {
         let head = format!(
             "{method} {target} HTTP/1.1\r\nHost: x\r\n{headers}Content-Length: {}\r\n\r\n",
