End spoilt answers at once, serve on while stopping, forget hosts that are gone

Lines at fault: net/link.rs read() (unknown ids ignored, no limit for a frame that does not go on, resets where the host lives), frames.rs next() (512 KB taken as a length, nothing looked at before the frame is whole), settings.rs load_report() (an unreadable report was one of nothing); http.rs STOP_SERVING closed every connection after its next answer; peer.rs, names.rs and state.rs kept every host for ever.

--- a/src/bin/fennelpin-adapter/wire.rs
+++ b/src/bin/fennelpin-adapter/wire.rs
@@ -161,7 +161,7 @@
     }
 
     fn report(&self, row: Option<&str>) -> Option<LoadReport> {
-        Some(load_report(self.stats.iter().map(String::as_str).zip(row?.split(','))))
+        load_report(self.stats.iter().map(String::as_str).zip(row?.split(',')))
     }
 
     /// Reads an event of a running instance; `None` for one that says nothing to the module.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -92,6 +92,8 @@
 const OVER_QUOTA: f64 = 0.6;
 /// Expected part time, as a share of the goal, above which hedges and late work stop.
 const CONGESTED: f64 = 0.3;
+/// Time after which a server that is gone is forgotten.
+const FORGET: f64 = 15.0;
 /// Interval of housekeeping while no query is open, and of decisions while one is.
 const REST: f64 = 0.25;
 const TICK: f64 = 0.01;
@@ -990,6 +992,7 @@
             self.on_entry(e, fresh);
         }
         self.listed_once = true;
+        self.forget_gone(FORGET);
         self.index_cells();
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -211,4 +211,6 @@
     fn probe(&mut self, server: ServerId);
     /// Closes unused connections to a host.
     fn release(&mut self, server: ServerId);
+    /// Drops a host that is gone for good, with nothing out on it.
+    fn forget(&mut self, server: ServerId);
 }
--- a/src/core/names.rs
+++ b/src/core/names.rs
@@ -1,12 +1,14 @@
 //! Names to numbers and back.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Numbers names in the order of their first appearance.
 #[derive(Default, Debug)]
 pub struct Names {
-    numbers: HashMap<String, u32>,
-    names: Vec<String>,
+    numbers: HashMap<Arc<str>, u32>,
+    names: HashMap<u32, Arc<str>>,
+    next: u32,
 }
 
 impl Names {
@@ -15,9 +17,10 @@
         if let Some(n) = self.numbers.get(name) {
             return *n;
         }
-        let n = self.names.len() as u32;
-        self.names.push(name.to_owned());
-        self.numbers.insert(name.to_owned(), n);
+        let (n, name) = (self.next, Arc::<str>::from(name));
+        self.next += 1;
+        self.names.insert(n, name.clone());
+        self.numbers.insert(name, n);
         n
     }
 
@@ -28,6 +31,13 @@
 
     /// The name behind a number that was given out here.
     pub fn name(&self, n: u32) -> &str {
-        self.names.get(n as usize).map_or("", String::as_str)
+        self.names.get(&n).map_or("", |name| name)
+    }
+
+    /// Drops a name that will not be asked for again; if it is, it gets a new number.
+    pub fn forget(&mut self, n: u32) {
+        if let Some(name) = self.names.remove(&n) {
+            self.numbers.remove(&name);
+        }
     }
 }
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -59,11 +59,12 @@
     Duration::from_micros((ms * 1000.0).round().max(0.0) as u64)
 }
 
-/// A load report from names and values, by the wire's words or the simulator's.
-pub fn load_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> LoadReport {
+/// A load report from names and values, by the wire's words or the simulator's. A value that is no load is
+/// left out; `None` if there is nothing in it: one that can't be read must not pass for an idle server's.
+pub fn load_report<'a>(values: impl Iterator<Item = (&'a str, &'a str)>) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for (name, value) in values {
-        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
         match name {
             "busy_reqs" | "inflight" => report.inflight = value,
             "pending" | "queue" => report.queue = value,
@@ -71,7 +72,7 @@
             _ => {}
         }
     }
-    report
+    (report != LoadReport::default()).then_some(report)
 }
 
 #[derive(Deserialize)]
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -12,6 +12,10 @@
 /// Sends to a draining host stop this long before the rule says, as the frame still has to be written.
 const DRAIN_MARGIN: Duration = Duration::from_millis(50);
 
+/// A host that has been gone for so long, with nothing out on it, is forgotten with all that goes by its
+/// name: hosts are replaced under new names all the time.
+const FORGET: Duration = Duration::from_secs(15);
+
 struct Query {
     ticket: u64,
     reply: oneshot::Sender<Answer>,
@@ -54,6 +58,8 @@
     servers: Names,
     zones: Names,
     listed: BTreeMap<ServerId, Listed>,
+    /// Hosts that are gone, and when they are to be forgotten.
+    gone: BTreeMap<ServerId, Instant>,
     queries: HashMap<RequestId, Query>,
     tickets: HashMap<u64, RequestId>,
     parts: HashMap<RequestId, Part>,
@@ -96,6 +102,7 @@
             servers: Names::default(),
             zones: site.zones,
             listed: BTreeMap::new(),
+            gone: BTreeMap::new(),
             queries: HashMap::new(),
             tickets: HashMap::new(),
             parts: HashMap::new(),
@@ -217,13 +224,7 @@
             }
         }
         let latency = now.saturating_duration_since(attempt.sent);
-        log::trace!(
-            "ended {} {:?} {:.1} {:?}",
-            attempt.server.0,
-            e.outcome,
-            latency.as_secs_f64() * 1e3,
-            e.report
-        );
+        log::trace!("ended {} {:?} {latency:?} {:?}", attempt.server.0, e.outcome, e.report);
         let (part, attempt, outcome, report) = (e.part, e.attempt, e.outcome, e.report);
         self.tell(now, Event::AttemptEnd { part, attempt, outcome, latency, closed, report });
     }
@@ -237,14 +238,7 @@
             seen.insert(server);
             let zone = ZoneId(self.zones.number(&e.zone));
             let boot = self.clock.boot(e.up_since_ms);
-            log::trace!(
-                "list {kind:?} {} = {} cell {} {:?} up {}",
-                server.0,
-                e.id,
-                e.cell,
-                e.state,
-                e.up_since_ms
-            );
+            log::trace!("list {kind:?} {} = {} cell {} {:?}", server.0, e.id, e.cell, e.state);
             told.push(ServerEntry { server, zone, cell: e.cell, state: e.state, boot });
             // The grace counts from the first news of a drain, not from its repetition.
             let same = self.listed.get(&server).is_some_and(|old| *old == e);
@@ -265,12 +259,32 @@
                 host.state = ServerState::Gone;
             }
         }
+        let is_gone = |host: &Listed| host.state == ServerState::Gone;
+        self.gone.retain(|s, _| self.listed.get(s).is_some_and(is_gone));
+        for (server, _) in self.listed.iter().filter(|(_, host)| is_gone(host)) {
+            self.gone.entry(*server).or_insert(now + FORGET);
+        }
         self.counters.inc("list.news");
         self.tell(now, Event::List { kind, entries: told });
     }
 
+    fn forget_gone(&mut self, now: Instant) {
+        let due: Vec<ServerId> = self.gone.iter().filter(|g| *g.1 <= now).map(|g| *g.0).collect();
+        for server in due {
+            // What is out there still ends by its actor.
+            if self.attempts.values().all(|a| a.server != server) {
+                self.gone.remove(&server);
+                self.listed.remove(&server);
+                self.servers.forget(server.0);
+                self.transport.forget(server);
+                self.counters.inc("list.forgotten");
+            }
+        }
+    }
+
     /// Time-outs, deadlines and wake-ups that are due.
     pub fn run_timers(&mut self, now: Instant) {
+        self.forget_gone(now);
         while self.wakes.first().is_some_and(|t| *t <= now) {
             self.wakes.pop_first();
             self.tell(now, Event::Wake);
@@ -399,14 +413,7 @@
         part.out = true;
         self.counters.inc(if attempt == 0 { "sent.first" } else { "sent.resends" });
         let give_up = (now + timeout).min(q.deadline);
-        log::trace!(
-            "send {} part {}.{} n={attempt} for {:.1} left {:.1}",
-            server.0,
-            q.name,
-            part.shard,
-            timeout.as_secs_f64() * 1e3,
-            (q.deadline - now).as_secs_f64() * 1e3
-        );
+        log::trace!("send {} {}.{} n={attempt} for {timeout:?}", server.0, q.name, part.shard);
         let (name, key, payload) = (q.name.clone(), q.key.clone(), q.payload.clone());
         self.names.entry(name.clone()).and_modify(|n| *n += 1).or_insert(1);
         let open = Attempt { server, name: name.clone(), sent: now, give_up, given_up: false };
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -66,6 +66,7 @@
 struct Terms {
     arrived: Instant,
     timeout: Option<Duration>,
+    left: Option<Duration>,
     allow_partial: bool,
     tenant: Option<String>,
     key: Option<String>,
@@ -177,6 +178,7 @@
         }
         Ok(Terms {
             arrived: request.arrived,
+            left: request.left(),
             timeout: params.get("timeout").map(|t| dsl::time("timeout", t)).transpose()?,
             allow_partial: flag("allow_partial_search_results")?,
             tenant: header(&index.config.tenant_header).map(str::to_owned),
@@ -204,6 +206,7 @@
         }
         let number = |t: &String| self.0.tenants.iter().position(|n| n == t).map(|n| TenantId(n as u32));
         let wait = search.timeout.or(terms.timeout).unwrap_or(class.limit).min(class.limit);
+        let wait = terms.left.map_or(wait, |left| left.min(wait));
         let n = self.0.next.fetch_add(1, Ordering::Relaxed);
         let count = shards.len();
         let weight = 1.0 / count as f64;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -92,6 +92,7 @@
         let wait = r.headers.get("Req-Deadline-Ms").and_then(|d| d.parse::<u64>().ok());
         let wait = wait.filter(|d| (1..=LONGEST_WAIT_MS).contains(d));
         let wait = wait.ok_or_else(|| bad("Req-Deadline-Ms is missing or no time"))?;
+        let wait = Duration::from_millis(wait);
         let key = r.headers.get("Idempotency-Key");
         if key.is_some_and(|k| !plain(k) || k.contains(',')) {
             return Err(bad("Idempotency-Key can't be used"));
@@ -130,7 +131,7 @@
             class: ClassId(class as u32),
             tenant: tenant.map(|t| TenantId(t as u32)),
             arrived: r.arrived,
-            wait: Duration::from_millis(wait),
+            wait: r.left().map_or(wait, |left| left.min(wait)),
             repeat: self.marks_retry.then_some(retry),
             key: key.map(Arc::from),
             parts,
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -6,8 +6,10 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::time::Instant;
 
-/// Largest frame taken from a host.
-pub const MOST_FRAME: usize = 512 * 1024;
+/// Longest line before a value, and longest frame without one.
+const MOST_LINE: usize = 1024;
+/// Largest frame taken from a host: its value must fit into an answer to a client.
+pub const MOST_FRAME: usize = 64 * 1024 + MOST_LINE;
 
 /// What a host says.
 #[derive(Debug, PartialEq)]
@@ -76,10 +78,11 @@
 }
 
 fn report(text: &str) -> Option<LoadReport> {
-    (text != "-").then(|| load_report(text.split(',').filter_map(|pair| pair.split_once('='))))
+    load_report(text.split(',').filter_map(|pair| pair.split_once('=')))
 }
 
-/// Takes the next frame off the front of `bytes`, if all of it is there.
+/// Takes the next frame off the front of `bytes`, if all of it is there. One that can't become a good frame
+/// is an error as soon as that shows: waiting for the rest of it would cost its part's whole time.
 pub fn next(bytes: &mut BytesMut) -> Result<Option<Reply>, FrameError> {
     let Some(length) = bytes.first_chunk::<4>().map(|n| u32::from_be_bytes(*n) as usize) else {
         return Ok(None);
@@ -87,35 +90,50 @@
     if length == 0 || length > MOST_FRAME {
         return Err(FrameError::Length(length));
     }
-    if bytes.len() < 4 + length {
-        return Ok(None);
-    }
-    bytes.advance(4);
-    let mut rest = bytes.split_to(length).freeze();
-    let letter = rest.get_u8();
+    let Some(letter) = bytes.get(4).copied() else { return Ok(None) };
     let bad = || FrameError::Rest(char::from(letter));
     let text = |b: &[u8]| std::str::from_utf8(b).map(str::to_owned).map_err(|_| bad());
-    Ok(Some(match letter {
+    let here = &bytes[5..bytes.len().min(4 + length)];
+    let line = match letter {
         b'a' => {
-            let end = rest.iter().position(|b| *b == b'\n').ok_or_else(bad)?;
-            let line = text(&rest[..end])?;
-            let fields: Vec<&str> = line.split(' ').collect();
-            let [id, end_word, _score, load] = fields[..] else { return Err(bad()) };
-            let outcome = match end_word {
-                "served" => Outcome::Ok,
-                "broke" => Outcome::Error,
-                "skipped" => Outcome::Full,
-                _ => return Err(bad()),
-            };
-            rest.advance(end + 1);
-            Reply::Part { id: id.to_owned(), outcome, value: rest, report: report(load) }
+            let end = here.iter().take(MOST_LINE).position(|b| *b == b'\n');
+            if end.is_none() && (here.len() >= MOST_LINE || here.len() + 1 == length) {
+                return Err(bad());
+            }
+            end.map(|end| answer_line(&text(&here[..end])?).ok_or_else(bad)).transpose()?
         }
-        b'p' | b'l' => match text(&rest)?.as_str() {
+        b'p' | b'l' | b'e' if length <= MOST_LINE => None,
+        b'p' | b'l' | b'e' => return Err(bad()),
+        other => return Err(FrameError::Letter(char::from(other))),
+    };
+    if bytes.len() < 4 + length {
+        return Ok(None);
+    }
+    bytes.advance(5);
+    let mut rest = bytes.split_to(length - 1).freeze();
+    Ok(Some(match (letter, line) {
+        (b'a', Some((id, outcome, report, end))) => {
+            rest.advance(end);
+            Reply::Part { id, outcome, value: rest, report }
+        }
+        (b'e', _) => Reply::Refused(text(&rest)?),
+        _ => match text(&rest)?.as_str() {
             "broke" => Reply::Probe(Outcome::Error, None),
             "served" => Reply::Probe(Outcome::Ok, None),
             load => Reply::Probe(Outcome::Ok, report(load)),
         },
-        b'e' => Reply::Refused(text(&rest)?),
-        other => return Err(FrameError::Letter(char::from(other))),
     }))
 }
+
+/// The line of an answer: the part's name, its outcome, the report, and where the value begins.
+fn answer_line(line: &str) -> Option<(String, Outcome, Option<LoadReport>, usize)> {
+    let fields: Vec<&str> = line.split(' ').collect();
+    let [id, end_word, _score, load] = fields[..] else { return None };
+    let outcome = match end_word {
+        "served" => Outcome::Ok,
+        "broke" => Outcome::Error,
+        "skipped" => Outcome::Full,
+        _ => return None,
+    };
+    Some((id.to_owned(), outcome, report(load), line.len() + 1))
+}
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -8,8 +8,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -37,8 +37,8 @@
 const MOST_PAUSES: u32 = 8;
 /// A client that does not take its answer is let go after this.
 const SLOW_CLIENT: Duration = Duration::from_secs(5);
-/// Once stopping, new requests are served for this long, and connections in use stay open.
-const STOP_SERVING: Duration = Duration::from_millis(600);
+/// Once stopping, this is the least time for which new connections are taken.
+const STOP_LEAST: Duration = Duration::from_millis(600);
 /// Nothing taken may be waited for beyond this.
 const STOP_LONGEST: Duration = Duration::from_secs(12);
 
@@ -135,6 +135,15 @@
     pub body: Bytes,
     /// When its last byte came.
     pub arrived: Instant,
+    /// When it must be answered at the latest, whatever its client says, as the process ends.
+    pub latest: Option<Instant>,
+}
+
+impl Request {
+    /// The time that is left for it, where the process is about to end.
+    pub fn left(&self) -> Option<Duration> {
+        self.latest.map(|l| l.saturating_duration_since(self.arrived))
+    }
 }
 
 /// An answer; how it is framed is settled when it is written.
@@ -413,7 +422,8 @@
     let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
     let (path, query) = (path.to_owned(), query.to_owned());
     let Head { method, headers, keep, .. } = head;
-    Ok((Request { method, path, query, headers, body, arrived: Instant::now() }, keep))
+    let (arrived, latest) = (Instant::now(), None);
+    Ok((Request { method, path, query, headers, body, arrived, latest }, keep))
 }
 
 /// An answer on its way.
@@ -434,6 +444,10 @@
     pub clients: usize,
     /// Clients beyond that are still told so; above this sum they are let go.
     pub most: usize,
+    /// Once told to stop, requests are served for so long, as clients keep the connections they have.
+    pub serve_on: Duration,
+    /// By then all of them must be answered.
+    pub answer_by: Duration,
 }
 
 /// What a connection is at.
@@ -496,7 +510,8 @@
     limits: Limits,
     clients: AtomicUsize,
     seats: Mutex<Seats>,
-    stopping: AtomicBool,
+    /// Set once stopping: when all must be answered.
+    latest: OnceLock<Instant>,
 }
 
 impl Shared {
@@ -541,12 +556,12 @@
     counters: Counters,
     mut stop: watch::Receiver<bool>,
 ) {
-    let (clients, seats, stopping) = Default::default();
-    let shared = Arc::new(Shared { service, counters, limits, clients, seats, stopping });
+    let (clients, seats, latest) = Default::default();
+    let shared = Arc::new(Shared { service, counters, limits, clients, seats, latest });
     let (close, closing) = watch::channel(false);
-    let mut until = None;
+    let mut stopped: Option<Instant> = None;
     loop {
-        let rest = until.unwrap_or_else(|| tokio::time::Instant::now() + Duration::from_secs(3600));
+        let rest = if stopped.is_some() { Duration::from_millis(50) } else { Duration::from_secs(3600) };
         tokio::select! {
             came = listener.accept() => match came {
                 Ok((stream, from)) => shared.welcome(stream, from, &closing),
@@ -556,11 +571,16 @@
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             },
-            _ = stop.wait_for(|s| *s), if until.is_none() => {
-                shared.stopping.store(true, Ordering::Relaxed);
-                until = Some(tokio::time::Instant::now() + STOP_SERVING);
+            _ = stop.wait_for(|s| *s), if stopped.is_none() => {
+                let now = Instant::now();
+                stopped = Some(now);
+                let _ = shared.latest.set(now + limits.answer_by);
             }
-            _ = tokio::time::sleep_until(rest) => if until.is_some() { break },
+            _ = tokio::time::sleep(rest) => {}
+        }
+        let nobody = shared.clients.load(Ordering::Relaxed) == 0;
+        if stopped.map(|s| s.elapsed()).is_some_and(|t| t >= limits.serve_on || (nobody && t >= STOP_LEAST)) {
+            break;
         }
     }
     // What the machine has accepted by now is served too: closing the listener would reset it.
@@ -612,7 +632,7 @@
             read = tokio::time::timeout_at((since + SLOW_REQUEST).into(), read_request(&mut conn, MOST_BODY)) => read,
             _ = leave.notified() => return (served, "made_room"),
         };
-        let (request, keep) = match read.unwrap_or(Err(HttpError::Slow)) {
+        let (mut request, keep) = match read.unwrap_or(Err(HttpError::Slow)) {
             Ok(read) => read,
             Err(e) => {
                 shared.counters.inc("requests.unreadable");
@@ -624,6 +644,7 @@
             }
         };
         served += 1;
+        request.latest = shared.latest.get().copied();
         shared.seats().enter(seat, Phase::Busy, Instant::now());
         let over = shared.crowded(1.0);
         let answer = if over {
@@ -636,7 +657,7 @@
         let Some(answer) = answer else { return (served, "client_gone") };
         // 429 and the fives are answers to queries; the other fours are for what was none.
         bad = if (400..429).contains(&answer.status) { bad + 1 } else { 0 };
-        let stopping = shared.stopping.load(Ordering::Relaxed);
+        let stopping = *closing.borrow();
         if !keep || over || stopping {
             finish(&mut conn, &answer).await;
             let codes = [(stopping, "stopping"), (over, "at_cap")];
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -16,13 +16,21 @@
 use tokio::io::Interest;
 use tokio::sync::mpsc;
 
-const INPUT: usize = 32 * 1024;
-const OUTPUT: usize = 32 * 1024;
+const INPUT: usize = 16 * 1024;
+const OUTPUT: usize = 16 * 1024;
 /// Share of the host's own idle time after which a link closes: before the host does, so that no call
 /// is written to a connection that is being closed.
 const IDLE_SHARE: f64 = 0.7;
 /// A withdrawal that can't be written within this closes the connection, which withdraws as well.
 const CANCEL_WAIT: Duration = Duration::from_millis(100);
+/// A frame that has begun to come and does not go on for so long will not.
+const FRAME_WAIT: Duration = Duration::from_millis(250);
+/// Names of parts answered, and of parts given up, that are remembered: an answer to one of these is a copy
+/// or late, one to any other name was never asked for.
+const REMEMBERED: (usize, usize) = (32, 256);
+
+/// Reason codes of connections that ended over what the host sent.
+const SPOILT: [&str; 3] = ["bad_frame", "unknown_part", "host_refused_frame"];
 
 /// What a link is told.
 pub enum LinkMail {
@@ -162,6 +170,10 @@
     leaving: Vec<(RequestId, u32, Outcome)>,
     leaving_since: Instant,
     partial: BytesMut,
+    answered: VecDeque<String>,
+    given_up: VecDeque<String>,
+    /// Whether the host sent more than belongs to an answer: what is out may still come, nothing new goes.
+    spoilt: bool,
     probes: VecDeque<Instant>,
     heard: Instant,
     used: Instant,
@@ -192,14 +204,19 @@
             leaving: Vec::new(),
             leaving_since: now,
             partial: BytesMut::new(),
+            answered: VecDeque::new(),
+            given_up: VecDeque::new(),
+            spoilt: false,
             probes: VecDeque::new(),
             heard: now,
             used: now,
         };
         let (code, detail) = link.serve().await;
         link.setup.log_end(code, &detail);
-        let unused = link.sending.is_none() && link.out.is_empty() && code == "host_closed";
-        link.fail_started();
+        let closed = matches!(code, "host_closed" | "extra_bytes");
+        let unused = link.sending.is_none() && link.out.is_empty() && closed;
+        // A host that sends what can't be read is alive; the parts that waited there may have run.
+        link.fail_started(if SPOILT.contains(&code) { Outcome::Error } else { Outcome::Reset });
         (setup, queue) = (link.setup, link.queue);
         // A host that closes an unused connection while a call is on its way to it has refused nothing.
         while let Some(mail) = unused.then(|| setup.mail.try_recv().ok()).flatten() {
@@ -213,6 +230,13 @@
     }
 }
 
+fn remember(names: &mut VecDeque<String>, id: String, most: usize) {
+    names.push_back(id);
+    if names.len() > most {
+        names.pop_front();
+    }
+}
+
 fn take_unconnected(setup: &mut LinkSetup, queue: &mut VecDeque<Vec<CallPart>>, mail: LinkMail) {
     match mail {
         LinkMail::Call(parts) => queue.push_back(parts),
@@ -259,6 +283,11 @@
             }
             let now = Instant::now();
             let wait = self.setup.idle_limit().saturating_sub(now - self.used);
+            if !self.busy() {
+                self.conn.input.give_back();
+                self.conn.output.give_back();
+                self.partial = BytesMut::new();
+            }
             if !self.busy() && self.leaving.is_empty() && (wait.is_zero() || !open) {
                 if !open {
                     return ("peer_gone", String::new());
@@ -282,9 +311,13 @@
             }
             // A link that keeps silent carries no new calls; once nothing is out on it, it is of no use.
             if self.setup.gauge.silent.load(Ordering::Relaxed) && !self.busy() && self.leaving.is_empty() {
-                return ("silent", String::new());
+                return (if self.spoilt { "extra_bytes" } else { "silent" }, String::new());
             }
             let tick = if self.busy() || !self.leaving.is_empty() { Duration::from_millis(50) } else { wait };
+            let tick = match self.partial.is_empty() {
+                true => tick,
+                false => tick.min((self.heard + FRAME_WAIT).saturating_duration_since(now)),
+            };
             let interest = match self.conn.output.is_empty() {
                 true => Interest::READABLE,
                 false => Interest::READABLE | Interest::WRITABLE,
@@ -315,7 +348,12 @@
                         Err(e) => return ("host_reset", e.to_string()),
                     }
                 }
-                _ = tokio::time::sleep(tick) => {}
+                // Only here, with nothing left to read: the time that this process stood still is not the host's.
+                _ = tokio::time::sleep(tick) => {
+                    if !self.partial.is_empty() && self.heard.elapsed() >= FRAME_WAIT {
+                        return ("bad_frame", "a frame that does not end".into());
+                    }
+                }
             }
         }
     }
@@ -348,6 +386,7 @@
                 self.setup.gauge.silent.store(true, Ordering::Relaxed);
             }
             self.small.push_back(frames::short(b'c', &id));
+            remember(&mut self.given_up, id, REMEMBERED.1);
             self.leave(part, attempt, outcome);
         } else if let Some(s) = self.sending.as_mut() {
             // Its frame has begun and must be finished; the withdrawal follows it.
@@ -454,35 +493,47 @@
     fn read(&mut self) -> Result<(), (&'static str, String)> {
         let now = Instant::now();
         (self.heard, self.used) = (now, now);
-        self.setup.gauge.silent.store(false, Ordering::Relaxed);
         self.partial.extend_from_slice(self.conn.input.contiguous());
         self.conn.input.consume(self.conn.input.len());
         loop {
             match frames::next(&mut self.partial) {
-                Ok(None) => return Ok(()),
+                Ok(None) => break,
                 Ok(Some(Reply::Part { id, outcome, value, report })) => {
-                    // Unknown ids are answers to parts given up meanwhile.
                     if let Some(Out { part, attempt, .. }) = self.out.remove(&id) {
                         // A copy of its own: a slice would keep the whole buffer it came in.
                         let value = (outcome == Outcome::Ok).then(|| Bytes::copy_from_slice(&value));
                         self.setup.report(Ended { part, attempt, outcome, value, report });
+                        remember(&mut self.answered, id, REMEMBERED.0);
+                    } else if let Some(n) = self.given_up.iter().position(|g| *g == id) {
+                        self.given_up.remove(n);
+                        self.setup.counters.inc("ended.late");
+                    } else if self.answered.contains(&id) {
+                        self.spoilt = true;
+                    } else {
+                        return Err(("unknown_part", id));
                     }
                 }
-                Ok(Some(Reply::Probe(outcome, report))) => {
-                    if self.probes.pop_front().is_some() {
-                        self.probed(outcome, report);
-                    }
-                }
+                Ok(Some(Reply::Probe(outcome, report))) => match self.probes.pop_front() {
+                    Some(_) => self.probed(outcome, report),
+                    None => self.spoilt = true,
+                },
                 Ok(Some(Reply::Refused(words))) => return Err(("host_refused_frame", words)),
+                // Behind the last answer that was waited for it costs nothing but the connection.
+                Err(e) if self.out.is_empty() => return Err(("extra_bytes", e.to_string())),
                 Err(e) => return Err(("bad_frame", e.to_string())),
             }
         }
+        if self.out.is_empty() && self.probes.is_empty() && !self.partial.is_empty() {
+            return Err(("extra_bytes", String::new()));
+        }
+        self.setup.gauge.silent.store(self.spoilt, Ordering::Relaxed);
+        Ok(())
     }
 
     /// The connection is over: what was written whole may have run, what was not never did.
-    fn fail_started(&mut self) {
+    fn fail_started(&mut self, outcome: Outcome) {
         for (_, o) in std::mem::take(&mut self.out) {
-            self.setup.ended(o.part, o.attempt, Outcome::Reset);
+            self.setup.ended(o.part, o.attempt, outcome);
         }
         for p in self.sending.take().map_or(Vec::new(), |s| s.parts) {
             self.setup.ended(p.part, p.attempt, Outcome::ConnectFailed);
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -66,7 +66,7 @@
 
     fn tell(&mut self, server: ServerId, mail: PeerMail) {
         if let Some(mailbox) = self.mailboxes.get(&server) {
-            // An actor ends only with its mailbox.
+            // An actor ends only with its mailbox, that with the host.
             let _ = mailbox.send(mail);
         }
     }
@@ -100,6 +100,11 @@
     fn release(&mut self, server: ServerId) {
         self.tell(server, PeerMail::Release);
     }
+
+    fn forget(&mut self, server: ServerId) {
+        // Its actor ends with its mailbox, and each link once nothing is out on it.
+        self.mailboxes.remove(&server);
+    }
 }
 
 impl Peer {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,11 +14,17 @@
 use crate::net::list::Watch;
 use crate::net::peer::Peers;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
+/// The platform ends the process no sooner after SIGTERM than the longest time a client waits, up to this,
+/// and some more; by a margin before that all must be answered, and for the last of it nothing new is taken.
+const STOP_MOST: Duration = Duration::from_secs(3);
+const STOP_MORE: Duration = Duration::from_millis(500);
+const STOP_KEPT: Duration = Duration::from_millis(350);
+
 /// Serves until SIGTERM or SIGINT and all that was taken is answered. SIGHUP reads the configuration again
 /// and follows its `discovery`; all else takes a restart.
 pub fn run(config: Config, source: Source) -> std::io::Result<()> {
@@ -80,6 +86,9 @@
         HostDialect::OpenSearch => Arc::new(OpenSearchHosts),
     };
     let (caps, room) = (config.site.caps.clone(), config.room);
+    let longest = config.site.settings.classes.iter().map(|c| c.limit).max().unwrap_or_default();
+    let answer_by = longest.min(STOP_MOST) + STOP_MORE;
+    let serve_on = answer_by.saturating_sub(STOP_KEPT);
     let peers = Peers::new(dialect, caps, room.links, mail.clone(), counters.clone());
     let table = Table::new(config.site, config.seed, Clock::new(), peers, room.held, counters.clone());
     let revision = (!config.known.members.is_empty()).then_some(config.known.revision);
@@ -93,7 +102,7 @@
         let (counters, replaces) = (counters.clone(), Vec::new());
         tokio::spawn(Watch { addr, revision, core: mail, counters, replaces }.follow_moves(moves));
     }
-    let limits = Limits { clients: room.clients, most: room.clients + room.turned_away };
+    let limits = Limits { clients: room.clients, most: room.clients + room.turned_away, serve_on, answer_by };
     tokio::select! {
         _ = http::serve(listener, Arc::new(fronts), limits, counters, stop) => Ok(()),
         _ = core_task => Err(std::io::Error::other("the core has ended")),
--- a/src/state.rs
+++ b/src/state.rs
@@ -390,11 +390,20 @@
     /// Notes that servers which a whole list does not name are gone.
     pub(crate) fn keep_listed(&mut self, entries: &[ServerEntry]) {
         let missing = |id: &ServerId| !entries.iter().any(|e| e.server == *id);
-        for (_, s) in self.servers.iter_mut().filter(|(id, _)| missing(id)) {
-            s.state = ServerState::Gone;
+        let now = self.now;
+        for (_, s) in self.servers.iter_mut().filter(|(id, s)| s.state != ServerState::Gone && missing(id)) {
+            (s.state, s.left_at) = (ServerState::Gone, now);
         }
     }
 
+    /// Drops what is known of servers that have been gone for so long and hold no part of ours.
+    pub(crate) fn forget_gone(&mut self, after: f64) {
+        let now = self.now;
+        let stays =
+            |s: &Server| s.state != ServerState::Gone || !s.outs.is_empty() || now - s.left_at < after;
+        self.servers.retain(|_, s| stays(s));
+    }
+
     /// The attempts of a query none of whose parts was ever answered; `None` once one was.
     pub(crate) fn unanswered(&self, q: &Query) -> Option<Vec<&Attempt>> {
         let parts = q.parts.iter().map(|p| &self.parts[p]);
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -54,8 +54,13 @@
     }
 
     fn ended(&mut self) -> (u32, Outcome) {
+        let Ended { part, outcome, .. } = self.end();
+        (part.0, outcome)
+    }
+
+    fn end(&mut self) -> Ended {
         match self.next() {
-            Mail::Ended(Ended { part, outcome, .. }) => (part.0, outcome),
+            Mail::Ended(ended) => ended,
             _ => panic!("not the end of an attempt"),
         }
     }
@@ -86,6 +91,87 @@
     assert!(outcome.never_ran() && ledger.all().is_empty(), "{outcome:?}");
 }
 
+/// An answer that can't be read has run, and its connection is of no further use: the part ends at once as
+/// an error, not at its time-out, and the host is not taken for dead. No such length gets a buffer.
+#[test]
+fn a_spoilt_answer_ends_its_part_and_its_connection_at_once() {
+    let spoilt: [fn(&str) -> Vec<u8>; 8] = [
+        |_| b"\xd1y\x89\x80Qo%*5\r\n".to_vec(),
+        |_| [&3_000_000_000u32.to_be_bytes()[..], b"a"].concat(),
+        |id| frame('z', &format!("{id} served 1 -\nv")),
+        |id| frame('a', &format!("{id} ? 1 -\nv")),
+        |_| frame('a', "never-asked.0 served 1 -\nv"),
+        |_| vec![b'x'; 3000],
+        |_| frame('a', &"x".repeat(3000)),
+        // Its length is for more than comes.
+        |id| [&900u32.to_be_bytes()[..], format!("a{id} served 1 -\nv").as_bytes()].concat(),
+    ];
+    for (n, bytes) in spoilt.into_iter().enumerate() {
+        let ledger = Ledger::default();
+        let h = host(0, false, &ledger, move |s| match s.id.as_str() {
+            "q1.0" => Act::Raw(bytes(&s.id)),
+            _ => Act::Serve("v".into()),
+        });
+        let mut bench = Bench::new(Arc::new(Frames), &h.addr);
+        let asked = Instant::now();
+        bench.call(1);
+        assert_eq!(bench.ended(), (1, Outcome::Error), "{n}");
+        assert!(asked.elapsed() < PATIENCE / 4, "{n}");
+        bench.call(2);
+        assert_eq!(bench.ended(), (2, Outcome::Ok), "{n}");
+        assert_eq!(h.conns.lock().unwrap().len(), 2, "{n}");
+    }
+}
+
+/// What comes behind a good answer spoils the connection, not the answer; and a report that can't be read
+/// is no report, least of all one of an idle host.
+#[test]
+fn extra_bytes_cost_the_connection_and_not_the_answer() {
+    let extra: [fn(&str) -> Vec<u8>; 3] = [
+        |id| frame('a', &format!("{id} served 1 -\nv")),
+        |_| b"\xb2\xb4\x03N<\xed".to_vec(),
+        |_| b"\0\0\0\x40a".to_vec(),
+    ];
+    for (n, more) in extra.into_iter().enumerate() {
+        let ledger = Ledger::default();
+        let h = host(0, false, &ledger, move |s| {
+            let good = frame('a', &format!("{} served 1 nan\nvalue", s.id));
+            Act::Raw([good, if s.id == "q1.0" { more(&s.id) } else { vec![] }].concat())
+        });
+        let mut bench = Bench::new(Arc::new(Frames), &h.addr);
+        for q in [1, 2] {
+            bench.call(q);
+            let Ended { part, outcome, value, report, .. } = bench.end();
+            assert_eq!((part.0, outcome, value.as_deref()), (q, Outcome::Ok, Some(&b"value"[..])), "{n}");
+            assert_eq!(report, None);
+            // The host notices the end of a spoilt connection before it is asked again.
+            std::thread::sleep(ms(30));
+            bench.runtime.block_on(async { tokio::time::sleep(ms(30)).await });
+        }
+        assert_eq!(h.conns.lock().unwrap().len(), 2, "{n}");
+    }
+}
+
+/// The answer to a part given up may still come: it is late, and costs nothing.
+#[test]
+fn a_late_answer_is_told_from_one_never_asked_for() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| {
+        if s.id == "q1.0" {
+            std::thread::sleep(ms(300));
+        }
+        Act::Serve("v".into())
+    });
+    let mut bench = Bench::new(Arc::new(Frames), &h.addr);
+    bench.call(1);
+    bench.runtime.block_on(async { tokio::time::sleep(ms(100)).await });
+    bench.act(|p, _| p.cancel(HOST, RequestId(1), 0, Outcome::Cancelled));
+    assert_eq!(bench.ended(), (1, Outcome::Cancelled));
+    bench.call(2);
+    assert_eq!(bench.ended(), (2, Outcome::Ok));
+    assert_eq!(h.conns.lock().unwrap().len(), 1);
+}
+
 /// Over HTTP too a probe is a question: a host that is gone or silent must not pass for a sound one.
 #[test]
 fn a_probe_over_http_tells_the_living_from_the_dead() {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -77,7 +77,7 @@
         let attempts = ledger.attempts(3, ms(1000));
         assert!(attempts.values().any(|n| *n > 1), "the bad host was never asked");
         let name = match act {
-            Act::Broke => "ended.error",
+            Act::Broke | Act::Garbage => "ended.error",
             Act::Skip => "ended.full",
             _ => "ended.reset",
         };
@@ -406,5 +406,12 @@
     c.stop();
     second.query("near", "q2", 3000, &[0]);
     assert_eq!((first.read().0, second.read().0), (200, 200));
+    // Clients use the connections they have for as long as these stay open: closing them early would send
+    // them to others that may be down as well.
+    std::thread::sleep(ms(800));
+    second.query("near", "q3", 3000, &[0]);
+    let (status, headers, _) = second.read();
+    assert!(status == 200 && !headers.contains_key("connection"));
     c.join();
+    assert!(first.ended() && second.ended());
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -39,6 +39,8 @@
     Break,
     /// Sends something that is no answer.
     Garbage,
+    /// Sends these bytes and no more.
+    Raw(Vec<u8>),
 }
 
 /// A part as a host met it.
@@ -137,7 +139,7 @@
     Host { addr, conns }
 }
 
-fn frame(letter: char, rest: &str) -> Vec<u8> {
+pub fn frame(letter: char, rest: &str) -> Vec<u8> {
     let mut f = (rest.len() as u32 + 1).to_be_bytes().to_vec();
     f.push(letter as u8);
     f.extend(rest.as_bytes());
@@ -186,6 +188,10 @@
                             stream.write_all(b"\xff\xff\xff\xffnonsense")?;
                             continue;
                         }
+                        Act::Raw(bytes) => {
+                            stream.write_all(&bytes)?;
+                            continue;
+                        }
                     };
                     ledger.over(n, word != "skipped");
                     let load = "inflight=0,queue=0";
