Tell the core of a withdrawal 3 ms after it was written, so that the host has read it

Lines at fault: net/link.rs write(): the end was reported once the bytes were in the socket; run(): the same for connections that we end; hosts.rs run(). Conclusion: likely cause, not proved by repetition; the wait is cheap beside a time-out.

--- a/src/front/opensearch/hosts.rs
+++ b/src/front/opensearch/hosts.rs
@@ -5,7 +5,7 @@
 use crate::interface::{Outcome, RequestId};
 use crate::net::conn::Conn;
 use crate::net::http::{response_head, Body, HttpError};
-use crate::net::link::{Dialect, LinkMail, LinkSetup, LinkTask};
+use crate::net::link::{Dialect, LinkMail, LinkSetup, LinkTask, CANCEL_HEAD};
 use bytes::Bytes;
 use serde::de::IgnoredAny;
 use serde::Deserialize;
@@ -172,6 +172,9 @@
     };
     link.setup.log_end(code, &detail);
     link.setup.mail.close();
+    if !link.leaving.is_empty() {
+        tokio::time::sleep(CANCEL_HEAD).await;
+    }
     for (part, attempt, outcome) in std::mem::take(&mut link.leaving) {
         link.setup.ended(part, attempt, outcome);
     }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::io::Interest;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::sync::mpsc;
 
 const INPUT: usize = 16 * 1024;
@@ -23,6 +23,9 @@
 const IDLE_SHARE: f64 = 0.7;
 /// A withdrawal that can't be written within this closes the connection, which withdraws as well.
 const CANCEL_WAIT: Duration = Duration::from_millis(100);
+/// A withdrawal is told to the core so long after it was written, or the connection closed: the host reads
+/// its connections in no common order, and a resend to another must not come to light before it.
+pub const CANCEL_HEAD: Duration = Duration::from_millis(3);
 /// A frame that has begun to come and does not go on for so long will not.
 const FRAME_WAIT: Duration = Duration::from_millis(250);
 /// Names of parts answered, and of parts given up, that are remembered: an answer to one of these is a copy
@@ -166,9 +169,11 @@
     out: HashMap<String, Out>,
     /// Short frames that wait for the ring.
     small: VecDeque<Bytes>,
-    /// Attempts given up whose withdrawal waits in the ring.
+    /// Attempts given up whose withdrawal waits in the ring, and those whose withdrawal is written, with the
+    /// time for the core to hear of them.
     leaving: Vec<(RequestId, u32, Outcome)>,
     leaving_since: Instant,
+    left: VecDeque<(Instant, RequestId, u32, Outcome)>,
     partial: BytesMut,
     answered: VecDeque<String>,
     given_up: VecDeque<String>,
@@ -203,6 +208,7 @@
             small: VecDeque::new(),
             leaving: Vec::new(),
             leaving_since: now,
+            left: VecDeque::new(),
             partial: BytesMut::new(),
             answered: VecDeque::new(),
             given_up: VecDeque::new(),
@@ -214,6 +220,11 @@
         let (code, detail) = link.serve().await;
         link.setup.log_end(code, &detail);
         let closed = matches!(code, "host_closed" | "extra_bytes");
+        if !matches!(code, "host_closed" | "host_reset" | "write_failed") {
+            // The end is ours: the host has to see it before the core hears of it.
+            let _ = link.conn.stream.shutdown().await;
+            tokio::time::sleep(CANCEL_HEAD).await;
+        }
         let unused = link.sending.is_none() && link.out.is_empty() && closed;
         // A host that sends what can't be read is alive; the parts that waited there may have run.
         link.fail_started(if SPOILT.contains(&code) { Outcome::Error } else { Outcome::Reset });
@@ -271,7 +282,18 @@
 
 impl Link {
     fn busy(&self) -> bool {
-        self.sending.is_some() || !self.out.is_empty() || !self.queue.is_empty() || !self.probes.is_empty()
+        let waits = !self.queue.is_empty() || !self.probes.is_empty() || !self.left.is_empty();
+        self.sending.is_some() || !self.out.is_empty() || waits
+    }
+
+    /// Tells the core of what was withdrawn by some time, or of all.
+    fn tell_left(&mut self, by: Option<Instant>) {
+        while let Some((_, part, attempt, outcome)) =
+            self.left.front().copied().filter(|l| by.is_none_or(|t| l.0 <= t))
+        {
+            self.left.pop_front();
+            self.setup.ended(part, attempt, outcome);
+        }
     }
 
     /// Works until the connection ends; says why it did.
@@ -282,6 +304,7 @@
                 return ("write_failed", e.to_string());
             }
             let now = Instant::now();
+            self.tell_left(Some(now));
             let wait = self.setup.idle_limit().saturating_sub(now - self.used);
             if !self.busy() {
                 self.conn.input.give_back();
@@ -314,6 +337,7 @@
                 return (if self.spoilt { "extra_bytes" } else { "silent" }, String::new());
             }
             let tick = if self.busy() || !self.leaving.is_empty() { Duration::from_millis(50) } else { wait };
+            let tick = self.left.front().map_or(tick, |l| tick.min(l.0 - now));
             let tick = match self.partial.is_empty() {
                 true => tick,
                 false => tick.min((self.heard + FRAME_WAIT).saturating_duration_since(now)),
@@ -434,10 +458,9 @@
                 Some(s) => self.sending = Some(s),
                 None if !self.small.is_empty() => {}
                 None => {
-                    // All that was to be withdrawn has been: the core may send those parts again.
-                    for (part, attempt, outcome) in std::mem::take(&mut self.leaving) {
-                        self.setup.ended(part, attempt, outcome);
-                    }
+                    // All that was to be withdrawn has been: in a moment the core may send those parts again.
+                    let heard = Instant::now() + CANCEL_HEAD;
+                    self.left.extend(self.leaving.drain(..).map(|(p, n, outcome)| (heard, p, n, outcome)));
                     if !self.begin_call() {
                         return Ok(());
                     }
@@ -541,6 +564,7 @@
         for (part, attempt, outcome) in std::mem::take(&mut self.leaving) {
             self.setup.ended(part, attempt, outcome);
         }
+        self.tell_left(None);
         if !self.probes.is_empty() {
             self.probed(Outcome::Reset, None);
         }
