Count given-up parts on their connection; leave a host for the one class it swallows

Checked: a trace of every written call and withdrawal: each resend follows its withdrawal by 3 to 8 ms, so none overlaps here; on connections with 32 parts out and given up the host reads no further ('wait unread'), and 1539 withdrawals brought 6 late answers: given-up parts keep their place there. By class: hosts 3, 5, 6, 8, 9, 10 answer none of nearby-search and all of the others for 10 s. Lines at fault: net/link.rs begin_call() and cancel() (given-up parts did not count), peer.rs (all 32 places used, so that the withdrawal behind them stayed unread); choice.rs judge() (health per host only; a time-out at a host that answers others taken for silence), on_attempt_end() (part times without the ones that timed out). Tests: tests/peers.rs, tests/module.rs (fails with the class share off: 6 swallowed, 5 served).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,19 +32,18 @@
 const SAMPLE_SPAN: f64 = 4.0;
 const FEW: usize = 4;
 /// First ejection; each relapse doubles it up to the longest. Short, as a trial costs one part little.
-const EJECT_FIRST: f64 = 0.5;
-const EJECT_LONGEST: f64 = 4.0;
+const EJECT: (f64, f64) = (0.5, 4.0);
 /// Weight of one answer in a server's share of failures, and the share from which it is left: a stray error
 /// or a connection that broke is none, two in a row are. Failures of one moment are one: they share a cause.
 const BAD_GAIN: f64 = 0.25;
 const BAD_SHARE: f64 = 0.4;
 const SAME_MOMENT: f64 = 0.005;
+/// The same share for one class, where failures of the others don't count.
+const SICK: f64 = 0.6;
 /// What each answer adds to the room of a server, which was cut to what it held when it turned a part away.
 const ROOM_STEP: f64 = 0.2;
-/// Share of a drain's grace in which a server may still help out, and the load over the mean that its
-/// fellows must feel before it does.
+/// Share of a drain's grace in which a server may still help out.
 const LEAVE: f64 = 0.8;
-const CROWDED: f64 = 4.0;
 const RELAPSE_SPAN: f64 = 15.0;
 /// A wake-up so late means that this router itself stood still.
 const AWAY: f64 = 0.15;
@@ -60,7 +59,7 @@
 const STALL: f64 = 4.0;
 /// Least stall, as a share of the shortest goal.
 const STALL_GOAL: f64 = 0.4;
-/// Parts beyond twice the mean that a full server is taken to hold.
+/// Parts beyond twice the mean that a full server is taken to hold, and beyond the mean a crowded one.
 const FULL: f64 = 4.0;
 /// Parts a second to a cold server beyond its share, at most: more of them slow queries down.
 const COLD_PACE: f64 = 1.0;
@@ -167,7 +166,7 @@
         };
         let latency = secs(latency);
         let Some((attempt, class)) = self.close_attempt(id, number, outcome, closed) else { return };
-        let Attempt { server, sent, load, idle, .. } = attempt;
+        let Attempt { server, sent, load, idle, class: of, .. } = attempt;
         let overdue = self.now - sent > OVERDUE * self.all_latencies.mean();
         let cut = matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
         let lost = idle && ((cut && overdue) || outcome == Outcome::Reset);
@@ -190,12 +189,17 @@
         if !own_delay {
             self.learn_slowness(server, outcome, latency, load);
         }
-        if let Some(class) = class.filter(|_| outcome == Outcome::Ok && !own_delay) {
+        // A part that timed out at a server which answers others took at least so long: without it, the more
+        // are given up too soon, the sooner they are.
+        let alive = self.servers.get(&server).is_some_and(|s| s.heard > sent);
+        let tells = outcome == Outcome::Ok || (outcome == Outcome::Timeout && alive);
+        if let Some(class) = class.filter(|_| tells && !own_delay) {
             self.latencies[class.0 as usize].add(self.now, latency, SAMPLES);
             self.all_latencies.add(self.now, latency, SAMPLES);
         }
         if !unused {
             self.judge(server, outcome, sent);
+            self.judge_class(server, of, outcome);
         }
         // Where servers tell no load at all, an answer shows at least that it was idle enough for that.
         let told = report.and_then(|r| r.inflight.or(r.queue).or(r.busy.map(|b| 2.0 * b)));
@@ -355,7 +359,7 @@
     // ---- Replica choice ----
 
     /// The one check before every send: first try, retry or hedge. `None` means never.
-    fn standing(&self, s: &Server) -> Option<Standing> {
+    fn standing(&self, s: &Server, class: ClassId) -> Option<Standing> {
         let leaving = s.state == ServerState::Draining
             && self.now - s.left_at < LEAVE * secs(self.cfg.drain_grace) - self.margin();
         if !(s.state == ServerState::Ready || leaving)
@@ -364,11 +368,13 @@
         {
             return None;
         }
-        match s.out_until {
+        let sick = Some(&s.sick[class.0 as usize]).filter(|c| c.bad > SICK).map(|c| c.until);
+        let free = s.out_until.is_none() || (!s.unreached && s.outs.is_empty());
+        match s.out_until.or(sick) {
             None if leaving => Some(Standing::Leaving),
             _ if leaving => None,
             None => Some(Standing::Sound),
-            Some(until) if until <= self.now && !s.unreached && s.outs.is_empty() => Some(Standing::Trial),
+            Some(until) if until <= self.now && free => Some(Standing::Trial),
             // The last hope of a shard is asked, but not hammered.
             _ if s.own() < 2 => Some(Standing::LastHope),
             _ => None,
@@ -381,19 +387,21 @@
         let part = &self.parts[&pid];
         let class = self.queries[&part.query].class;
         let tried = |id: ServerId| part.attempts.iter().any(|a| a.server == id);
-        let mut found: Vec<(Standing, bool, ServerId)> =
-            self.holders(part.shard).filter_map(|(id, s)| Some((self.standing(s)?, tried(id), id))).collect();
+        let mut found: Vec<(Standing, bool, ServerId)> = self
+            .holders(part.shard)
+            .filter_map(|(id, s)| Some((self.standing(s, class)?, tried(id), id)))
+            .collect();
         if why != Why::Try {
             found.retain(|f| !f.1 && (f.0 == Standing::Sound || why == Why::Rescue));
         }
         // A trial goes first: without it a server would never be cleared. Only a first try of a part that
         // may be repeated is risked on it.
         let trial = found.iter().find(|f| f.0 == Standing::Trial);
-        if self.class(class).repeat == Repeat::Safe && part.attempts.is_empty() && trial.is_some() {
+        if self.class(class).repeat != Repeat::Unsafe && part.attempts.is_empty() && trial.is_some() {
             return trial.map(|f| f.2);
         }
         // One that leaves helps out while its grace lasts, once the others are crowded.
-        let crowded = |id: &ServerId| self.felt(&self.servers[id]) > self.mean_load + CROWDED;
+        let crowded = |id: &ServerId| self.felt(&self.servers[id]) > self.mean_load + FULL;
         if found.iter().filter(|f| f.0 == Standing::Sound).all(|f| crowded(&f.2)) {
             found.iter_mut().filter(|f| f.0 == Standing::Leaving).for_each(|f| f.0 = Standing::Sound);
         }
@@ -429,8 +437,9 @@
     /// Holds against errors, dropped connections and dead hosts, seen by all or by this router alone; hurts
     /// little when an error was chance, as the other holders take over for a second.
     fn judge(&mut self, server: ServerId, outcome: Outcome, sent: f64) {
-        let silent = outcome == Outcome::Timeout && self.now - sent.max(self.away.1) > self.stall_limit();
+        let limit = self.stall_limit();
         let Some(s) = self.servers.get_mut(&server) else { return };
+        let silent = outcome == Outcome::Timeout && self.now - sent.max(s.heard).max(self.away.1) > limit;
         match outcome {
             Outcome::Ok => {
                 (s.heard, s.unreached) = (self.now, false);
@@ -451,8 +460,7 @@
             }
             Outcome::ConnectFailed => {
                 if self.now - s.reset_at < KILLER_SPAN {
-                    s.died_at = self.now;
-                    self.broken_at = Some(self.now);
+                    (s.died_at, self.broken_at) = (self.now, Some(self.now));
                 }
                 self.eject(server, true);
             }
@@ -473,6 +481,24 @@
         }
     }
 
+    /// Judges a server for one class: some fail or swallow what one class asks and serve the others, so that
+    /// neither their reports nor their other answers show it. It gets one part of that class now and then.
+    fn judge_class(&mut self, server: ServerId, class: ClassId, outcome: Outcome) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let c = &mut s.sick[class.0 as usize];
+        match outcome {
+            Outcome::Ok if c.bad > SICK => *c = Sick::default(),
+            Outcome::Ok => c.bad -= BAD_GAIN * c.bad,
+            Outcome::Timeout | Outcome::Error if now - c.failed_at >= SAME_MOMENT => {
+                c.bad += BAD_GAIN * (1.0 - c.bad);
+                (c.failed_at, c.gap) = (now, (2.0 * c.gap).clamp(EJECT.0, EJECT.1));
+                c.until = if c.bad > SICK { now + c.gap } else { 0.0 };
+            }
+            _ => {}
+        }
+    }
+
     /// Leaves a server for a while, longer with each relapse, which is forgotten in time: one that flaps is
     /// trusted more slowly and still comes back.
     fn eject(&mut self, server: ServerId, unreached: bool) {
@@ -485,7 +511,7 @@
         }
         s.relapses = s.relapses * (-(now - s.ejected_at) / RELAPSE_SPAN).exp() + 1.0;
         s.ejected_at = now;
-        s.out_until = Some(now + (EJECT_FIRST * (s.relapses - 1.0).exp2()).min(EJECT_LONGEST));
+        s.out_until = Some(now + (EJECT.0 * (s.relapses - 1.0).exp2()).min(EJECT.1));
     }
 
     /// Silence: a server with own parts out that answers nothing for far longer than usual is ejected.
@@ -620,7 +646,7 @@
             let held = |p: &RequestId| self.holds(&self.servers[&server], self.parts[p].shard);
             let riders: Vec<RequestId> = first.iter().copied().filter(held).take(limit - 1).collect();
             for rider in riders {
-                if self.standing(&self.servers[&server]).is_none_or(|s| s != Standing::Sound) {
+                if self.standing(&self.servers[&server], class).is_none_or(|s| s != Standing::Sound) {
                     break;
                 }
                 first.retain(|p| *p != rider);
@@ -684,11 +710,13 @@
             out.push(Action::Release { server });
         }
         s.last_send = now;
+        let c = &mut s.sick[class.0 as usize];
+        c.until = now + c.gap;
         let Some(part) = self.parts.get_mut(&pid) else { return };
         if !part.attempts.is_empty() {
             self.extra.add(now);
         }
-        part.attempts.push(Attempt::new(server, now, load, idle && !drops));
+        part.attempts.push(Attempt::new(server, class, now, load, idle && !drops));
         self.sends.add(now, RATE_SPAN);
         self.track_own(server, now, true, REPORT_LAG);
         out.push(Action::Send { part: pid, server, timeout: duration(timeout.max(0.001)) });
@@ -1000,14 +1028,15 @@
     /// being gone, with no time told counts from now.
     fn on_entry(&mut self, e: &ServerEntry, fresh: bool) {
         let now = self.now;
-        let boot = e.boot.map(secs);
-        let s = self.servers.entry(e.server).or_insert_with(|| Server::new(e, now));
+        let (boot, classes) = (e.boot.map(secs), self.cfg.classes.len());
+        let s = self.servers.entry(e.server).or_insert_with(|| Server::new(e, now, classes));
         let joined = s.state == ServerState::Gone && e.state == ServerState::Ready;
         let started = boot.is_some_and(|b| s.boot.is_none_or(|old| b > old));
         if started || (joined && fresh) {
             s.cold_since = boot.or(Some(now));
             (s.unreached, s.out_until, s.slow, s.bad, s.room) = (false, None, 1.0, 0.0, f64::MAX);
             (s.entries, s.listed_at) = (1, now);
+            s.sick.fill(Sick::default());
         }
         if s.state == ServerState::Ready && e.state == ServerState::Gone {
             self.death_at = now;
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -174,6 +174,7 @@
             let _ = reply.send(Answer::Refused { retry_after, cause: Cause::Busy, missing: vec![] });
             return;
         }
+        log::trace!("query {} class {} parts {}", new.name, new.class.0, new.parts.len());
         let id = self.fresh();
         let at = self.clock.at(deadline);
         let (class, tenant, repeat) = (new.class, new.tenant, new.repeat);
@@ -224,7 +225,7 @@
             }
         }
         let latency = now.saturating_duration_since(attempt.sent);
-        log::trace!("ended {} {:?} {latency:?} {:?}", attempt.server.0, e.outcome, e.report);
+        log::trace!("ended {} {:?} {latency:?} {} {:?}", attempt.server.0, e.outcome, attempt.name, e.report);
         let (part, attempt, outcome, report) = (e.part, e.attempt, e.outcome, e.report);
         self.tell(now, Event::AttemptEnd { part, attempt, outcome, latency, closed, report });
     }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -177,6 +177,9 @@
     partial: BytesMut,
     answered: VecDeque<String>,
     given_up: VecDeque<String>,
+    /// Parts given up that no answer has come for. To the host they are still on this connection: it reads
+    /// nothing behind the parts that it can carry, not even a withdrawal, so they count.
+    gone: usize,
     /// Whether the host sent more than belongs to an answer: what is out may still come, nothing new goes.
     spoilt: bool,
     probes: VecDeque<Instant>,
@@ -212,6 +215,7 @@
             partial: BytesMut::new(),
             answered: VecDeque::new(),
             given_up: VecDeque::new(),
+            gone: 0,
             spoilt: false,
             probes: VecDeque::new(),
             heard: now,
@@ -219,7 +223,8 @@
         };
         let (code, detail) = link.serve().await;
         link.setup.log_end(code, &detail);
-        let closed = matches!(code, "host_closed" | "extra_bytes");
+        let closed = matches!(code, "host_closed" | "extra_bytes" | "worn");
+        link.setup.gauge.parts.fetch_sub(link.gone, Ordering::Relaxed);
         if !matches!(code, "host_closed" | "host_reset" | "write_failed") {
             // The end is ours: the host has to see it before the core hears of it.
             let _ = link.conn.stream.shutdown().await;
@@ -332,6 +337,11 @@
                 self.probed(Outcome::Timeout, None);
                 self.setup.gauge.silent.store(true, Ordering::Relaxed);
             }
+            let waits = !self.queue.is_empty() || self.gone > self.setup.streams / 4;
+            let still = self.sending.is_none() && self.out.is_empty() && self.probes.is_empty();
+            if self.gone > 0 && waits && still && self.left.is_empty() && self.leaving.is_empty() {
+                return ("worn", format!("{} parts given up", self.gone));
+            }
             // A link that keeps silent carries no new calls; once nothing is out on it, it is of no use.
             if self.setup.gauge.silent.load(Ordering::Relaxed) && !self.busy() && self.leaving.is_empty() {
                 return (if self.spoilt { "extra_bytes" } else { "silent" }, String::new());
@@ -411,6 +421,8 @@
             }
             self.small.push_back(frames::short(b'c', &id));
             remember(&mut self.given_up, id, REMEMBERED.1);
+            self.gone += 1;
+            self.setup.gauge.parts.fetch_add(1, Ordering::Relaxed);
             self.leave(part, attempt, outcome);
         } else if let Some(s) = self.sending.as_mut() {
             // Its frame has begun and must be finished; the withdrawal follows it.
@@ -471,7 +483,8 @@
 
     /// A call starts only once the ring is empty, so that it does not wait there past its time.
     fn begin_call(&mut self) -> bool {
-        let room = |c: &Vec<CallPart>| self.out.is_empty() || self.out.len() + c.len() <= self.setup.streams;
+        let there = self.out.len() + self.gone;
+        let room = |c: &Vec<CallPart>| there == 0 || there + c.len() <= self.setup.streams;
         let Some(call) = self.queue.front().is_some_and(room).then(|| self.queue.pop_front()).flatten()
         else {
             return false;
@@ -529,6 +542,8 @@
                         remember(&mut self.answered, id, REMEMBERED.0);
                     } else if let Some(n) = self.given_up.iter().position(|g| *g == id) {
                         self.given_up.remove(n);
+                        self.gone -= 1;
+                        self.setup.gauge.parts.fetch_sub(1, Ordering::Relaxed);
                         self.setup.counters.inc("ended.late");
                     } else if self.answered.contains(&id) {
                         self.spoilt = true;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -54,11 +54,14 @@
     /// No hosts yet, and room for so many connections. Answers go to the core's mailbox.
     pub fn new(
         dialect: Arc<dyn Dialect>,
-        caps: Caps,
+        mut caps: Caps,
         most_links: usize,
         core: mpsc::UnboundedSender<Mail>,
         counters: Counters,
     ) -> Self {
+        // A host whose connection carries all that it may reads nothing more on it, not even a withdrawal: a
+        // part sent elsewhere would then be a second copy. So one place stays free.
+        caps.streams = caps.streams.saturating_sub(1).max(1);
         let links = Arc::default();
         let shared = Arc::new(Shared { dialect, caps, most_links, links, core, counters });
         Self { shared, mailboxes: BTreeMap::new() }
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,7 +36,20 @@
     Hedge,
 }
 
+/// How a server does for one class.
+#[derive(Clone, Default)]
+pub(crate) struct Sick {
+    /// Share of its latest answers that were failures, and when the last one came.
+    pub(crate) bad: f64,
+    pub(crate) failed_at: f64,
+    /// Once it is left: until when, and for how long at a time.
+    pub(crate) until: f64,
+    pub(crate) gap: f64,
+}
+
 pub(crate) struct Server {
+    /// By class.
+    pub(crate) sick: Vec<Sick>,
     pub(crate) zone: ZoneId,
     pub(crate) cell: u32,
     pub(crate) state: ServerState,
@@ -80,8 +93,9 @@
 
 impl Server {
     /// A server not heard of before, as yet in no list.
-    pub(crate) fn new(entry: &ServerEntry, now: f64) -> Self {
+    pub(crate) fn new(entry: &ServerEntry, now: f64, classes: usize) -> Self {
         Self {
+            sick: vec![Sick::default(); classes],
             zone: entry.zone,
             cell: entry.cell,
             state: ServerState::Gone,
@@ -122,6 +136,7 @@
 #[derive(Clone)]
 pub(crate) struct Attempt {
     pub(crate) server: ServerId,
+    pub(crate) class: ClassId,
     pub(crate) sent: f64,
     pub(crate) load: f64,
     /// Whether its connection had been out of use for long.
@@ -134,8 +149,8 @@
 
 impl Attempt {
     /// An attempt just sent.
-    pub(crate) fn new(server: ServerId, sent: f64, load: f64, idle: bool) -> Self {
-        Self { server, sent, load, idle, out: true, broken: false, may_have_run: true }
+    pub(crate) fn new(server: ServerId, class: ClassId, sent: f64, load: f64, idle: bool) -> Self {
+        Self { server, class, sent, load, idle, out: true, broken: false, may_have_run: true }
     }
 }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -391,6 +391,31 @@
     }
 }
 
+/// Found on the wide day: half of the hosts swallowed what one class asked and served the others, so nothing
+/// that was counted for a host as a whole could show it.
+#[test]
+fn a_server_that_swallows_one_class_is_left_by_that_class() {
+    let two = vec![class(), class()];
+    let mut b = Bench::new(Settings { classes: two, second_copies: false, ..settings() });
+    let (_, parts, out) = b.query(0, &[(0, 1.0)]);
+    let sick = sends(&out)[0].1;
+    b.end(parts[0], 0, Outcome::Ok, 0.0);
+    let (mut swallowed, mut served) = (0, 0);
+    for n in 0..200 {
+        let (_, parts, out) = b.query(n % 2, &[(0, 1.0)]);
+        for (part, server) in sends(&out) {
+            let hangs = server == sick && n % 2 == 0;
+            b.now += 10;
+            let load = if server == sick { 0.0 } else { 5.0 };
+            b.end(part, 0, if hangs { Outcome::Timeout } else { Outcome::Ok }, load);
+            b.end(parts[0], 1, Outcome::Ok, 5.0);
+            swallowed += usize::from(hangs);
+            served += usize::from(server == sick && !hangs);
+        }
+    }
+    assert!(swallowed <= 12 && served >= 20, "{swallowed} swallowed, {served} served");
+}
+
 /// Found on the reload day: the one holder left for some shards turned 265 parts away in a second, and each
 /// came back at once until its attempts were spent. What was turned away waits until there is room.
 #[test]
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -172,6 +172,39 @@
     assert_eq!(h.conns.lock().unwrap().len(), 1);
 }
 
+/// A host reads nothing behind the parts that a connection can carry, and parts given up are among them for
+/// as long as it holds them: withdrawals unread behind those let a resend become a second copy.
+#[test]
+fn parts_given_up_count_on_their_connection_and_one_place_stays_free() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |_| Act::Silent);
+    let mut bench = Bench::new(Arc::new(Frames), &h.addr);
+    let sent = |bench: &mut Bench, n: usize| {
+        bench.runtime.block_on(async { tokio::time::timeout(PATIENCE, wait_for(&ledger, n)).await.unwrap() })
+    };
+    // One that stays out, or the connection would be closed for what was given up on it.
+    bench.call(0);
+    for n in 1..=29 {
+        bench.call(n);
+        sent(&mut bench, n as usize + 1);
+        bench.act(|p, _| p.cancel(HOST, RequestId(n), 0, Outcome::Cancelled));
+        assert_eq!(bench.ended(), (n, Outcome::Cancelled));
+    }
+    assert_eq!(h.conns.lock().unwrap().len(), 1);
+    // Two out and those given up fill the first connection, but for the place that stays free.
+    for (n, conns) in [(30, 1), (31, 2)] {
+        bench.call(n);
+        sent(&mut bench, n as usize + 1);
+        assert_eq!(h.conns.lock().unwrap().len(), conns);
+    }
+}
+
+async fn wait_for(ledger: &Ledger, n: usize) {
+    while ledger.all().len() < n {
+        tokio::time::sleep(ms(2)).await;
+    }
+}
+
 /// Over HTTP too a probe is a question: a host that is gone or silent must not pass for a sound one.
 #[test]
 fn a_probe_over_http_tells_the_living_from_the_dead() {
