Name the key when a value in the configuration has the wrong type

Seen: a file with a number for 'discovery' was refused with 'invalid type: integer 5' and no key, also on SIGHUP. Checked: check-config on such a file; now it says discovery: invalid type. Lines at fault: config.rs parse(), settings.rs read(): serde_json alone does not tell the path. Now: serde_path_to_error, a kept crate for just this. One constant of choice.rs is back beside its comment. Test: two more cases in tests/process.rs, which fail without it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,6 +33,7 @@
 const FEW: usize = 4;
 /// First ejection; each relapse doubles it up to the longest. Short, as a trial costs one part little.
 const EJECT: (f64, f64) = (0.5, 4.0);
+const RELAPSE_SPAN: f64 = 15.0;
 /// Weight of one answer in a server's share of failures, and the share from which it is left: a stray error
 /// or a connection that broke is none, two in a row are. Failures of one moment are one: they share a cause.
 const BAD_GAIN: f64 = 0.25;
@@ -44,7 +45,6 @@
 const ROOM_STEP: f64 = 0.2;
 /// Share of a drain's grace in which a server may still help out.
 const LEAVE: f64 = 0.8;
-const RELAPSE_SPAN: f64 = 15.0;
 /// A wake-up so late means that this router itself stood still.
 const AWAY: f64 = 0.15;
 /// Weight of one part's time in a server's slowness, and the time over which that is forgotten: each router
--- a/src/config.rs
+++ b/src/config.rs
@@ -309,8 +309,11 @@
         operator: Operator,
         env: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, ConfigError> {
-        let json = |e: serde_json::Error| ConfigError::Text(PathBuf::new(), e.to_string());
-        Self::from_raw(serde_json::from_str(text).map_err(json)?, operator, env)
+        let mut json = serde_json::Deserializer::from_str(text);
+        let bad = |e: &dyn std::fmt::Display| ConfigError::Text(PathBuf::new(), e.to_string());
+        let raw = serde_path_to_error::deserialize(&mut json).map_err(|e| bad(&e))?;
+        json.end().map_err(|e| bad(&e))?;
+        Self::from_raw(raw, operator, env)
     }
 
     fn from_raw(
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -10,7 +10,7 @@
 pub enum SettingsError {
     /// Not JSON of the expected shape; the message names the key.
     #[error("{0}")]
-    Json(#[from] serde_json::Error),
+    Json(#[from] serde_path_to_error::Error<serde_json::Error>),
     /// A key with a value that means nothing.
     #[error("'{0}' can't be '{1}'")]
     Value(&'static str, String),
@@ -195,7 +195,7 @@
 
 /// Reads the settings, a JSON object as the simulator's first message and the platform's file have it.
 pub fn read(json: &str) -> Result<Site, SettingsError> {
-    let raw: RawSettings = serde_json::from_str(json)?;
+    let raw: RawSettings = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(json))?;
     let mut zones = Names::default();
     let family = &raw.family_info;
     let mut classes = Vec::new();
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -42,7 +42,9 @@
     let mut small = good();
     small["limits"] = json!({"sockets": 256, "memory_mb": 32});
     assert_eq!(check("small", &small.to_string(), None).0, Some(0));
-    let cases: [(&str, Value); 7] = [
+    let cases: [(&str, Value); 9] = [
+        ("discovery", json!(5)),
+        ("limits", json!({"sockets": "many"})),
         ("listen", json!("nowhere")),
         ("discovery", json!("127.0.0.1:port")),
         ("seed", json!("xyz")),
