--- a/src/bin/fennelpin/main.rs
+++ b/src/bin/fennelpin/main.rs
@@ -13,6 +13,9 @@
     /// How much is logged: error, warn, info, debug or trace.
     #[arg(long, global = true, default_value = "info")]
     log: log::LevelFilter,
+    /// How a line of the log is written.
+    #[arg(long, global = true, value_enum, default_value_t)]
+    log_format: logger::Format,
     #[command(subcommand)]
     command: Command,
 }
@@ -68,7 +71,7 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    logger::start(cli.log);
+    logger::start(cli.log, cli.log_format);
     match run(cli.command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(code) => code,
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,10 +1,75 @@
-//! The small logger behind the `log` crate: one line a record on standard error.
+//! The small logger behind the `log` crate: one line a record on standard error, as text or as JSON.
 
+use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use serde_json::{Map, Value as Json};
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::sync::OnceLock;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-struct Logger;
+/// How a record is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, clap::ValueEnum)]
+pub enum Format {
+    /// `SECONDS.MILLIS LEVEL MESSAGE key=value …`
+    #[default]
+    Text,
+    /// One JSON object a line: `ts` (Unix seconds), `level`, `target`, `msg`, then the record's own keys.
+    Json,
+}
+
+struct Logger(Format);
+
+/// Appends `key=value` pairs; a value with white space, quotes or nothing in it is quoted.
+struct TextPairs<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for TextPairs<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let text = value.to_string();
+        let plain = !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || c == '"');
+        let _ = match plain {
+            true => write!(self.0, " {key}={text}"),
+            false => write!(self.0, " {key}={text:?}"),
+        };
+        Ok(())
+    }
+}
+
+struct JsonPairs<'a>(&'a mut Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for JsonPairs<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let json = value.to_u64().map(Json::from).or_else(|| value.to_i64().map(Json::from));
+        let json =
+            json.or_else(|| value.to_f64().map(Json::from)).or_else(|| value.to_bool().map(Json::from));
+        self.0.insert(key.to_string(), json.unwrap_or_else(|| value.to_string().into()));
+        Ok(())
+    }
+}
+
+impl Format {
+    /// One record as a line without its end.
+    pub fn line(self, since_epoch: Duration, record: &Record) -> String {
+        let (s, ms) = (since_epoch.as_secs(), since_epoch.subsec_millis());
+        match self {
+            Self::Text => {
+                let mut line = format!("{s}.{ms:03} {} {}", record.level(), record.args());
+                let _ = record.key_values().visit(&mut TextPairs(&mut line));
+                line
+            }
+            Self::Json => {
+                let mut fields = Map::new();
+                let _ = record.key_values().visit(&mut JsonPairs(&mut fields));
+                // What every line has goes before a key of the same name.
+                fields.insert("ts".into(), since_epoch.as_secs_f64().into());
+                fields.insert("level".into(), record.level().as_str().into());
+                fields.insert("target".into(), record.target().into());
+                fields.insert("msg".into(), record.args().to_string().into());
+                Json::Object(fields).to_string()
+            }
+        }
+    }
+}
 
 impl Log for Logger {
     fn enabled(&self, metadata: &Metadata) -> bool {
@@ -13,18 +78,48 @@
 
     fn log(&self, record: &Record) {
         if self.enabled(record.metadata()) {
-            let t = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-            let (s, ms) = (t.as_secs(), t.subsec_millis());
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             // A log that can't be written must not stop the service.
-            let _ = writeln!(std::io::stderr().lock(), "{s}.{ms:03} {} {}", record.level(), record.args());
+            let _ = writeln!(std::io::stderr().lock(), "{}", self.0.line(now, record));
         }
     }
 
     fn flush(&self) {}
 }
 
+static LOGGER: OnceLock<Logger> = OnceLock::new();
+
 /// Starts logging at this level; a second call only changes the level.
-pub fn start(level: LevelFilter) {
-    let _ = log::set_logger(&Logger);
+pub fn start(level: LevelFilter, format: Format) {
+    let _ = log::set_logger(LOGGER.get_or_init(|| Logger(format)));
     log::set_max_level(level);
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn lines(format: Format) -> String {
+        let pairs = [("end", Value::from("host_closed")), ("detail", "a \"b\"".into()), ("parts", 3.into())];
+        let record = Record::builder()
+            .args(format_args!("host"))
+            .level(log::Level::Info)
+            .target("fennelpin::net")
+            .key_values(&pairs)
+            .build();
+        format.line(Duration::from_millis(1500), &record)
+    }
+
+    #[test]
+    fn text_lines_end_in_pairs_that_can_be_told_apart() {
+        assert_eq!(lines(Format::Text), "1.500 INFO host end=host_closed detail=\"a \\\"b\\\"\" parts=3");
+    }
+
+    #[test]
+    fn json_lines_keep_numbers_as_numbers() {
+        let json: Json = serde_json::from_str(&lines(Format::Json)).unwrap();
+        let want = serde_json::json!({"ts": 1.5, "level": "INFO", "target": "fennelpin::net", "msg": "host",
+            "end": "host_closed", "detail": "a \"b\"", "parts": 3});
+        assert_eq!(json, want);
+    }
+}
--- a/src/net/dns_sd.rs
+++ b/src/net/dns_sd.rs
@@ -218,7 +218,7 @@
         loop {
             if let Err(e) = self.browse().await {
                 self.counters.inc("list.ended");
-                log::info!("list {} end=io_error {e}", self.responder);
+                log::info!(source = self.responder, end = "io_error", detail:% = e; "list");
             }
             tokio::time::sleep(BACKOFF.0).await;
         }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -539,7 +539,7 @@
         let extra = full && !made_room;
         if self.clients.load(Ordering::Relaxed) >= self.limits.most {
             self.counters.inc("clients.dropped_at_cap");
-            log::warn!("client {from} end=at_cap");
+            log::warn!(from:%, end = "at_cap"; "client");
             return;
         }
         self.clients.fetch_add(1, Ordering::Relaxed);
@@ -551,7 +551,7 @@
             shared.seats().taken.remove(&number);
             shared.clients.fetch_sub(1, Ordering::Relaxed);
             shared.counters.inc("clients.ended");
-            log::info!("client {from} end={code} requests={served}");
+            log::info!(from:%, end = code, requests = served; "client");
         });
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -142,7 +142,7 @@
     /// Logs the end of a connection with its reason code.
     pub fn log_end(&self, code: &'static str, detail: &str) {
         self.counters.inc("links.ended");
-        log::info!("host {} {} end={code} {detail}", self.server.0, self.addr);
+        log::info!(server = self.server.0, addr = self.addr, end = code, detail; "host");
     }
 }
 
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -119,7 +119,7 @@
             let mut lines = 0;
             let end = self.follow(&mut lines).await;
             self.counters.inc("list.ended");
-            log::info!("list {} end={} lines={lines} {end}", self.addr, end.code());
+            log::info!(source = self.addr, end = end.code(), lines, detail:% = end; "list");
             wait = if lines > 0 || self.revision != before { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
             tokio::time::sleep(wait).await;
         }
