--- /dev/null
+++ b/crates/fennelpin-standin/src/frames.rs
@@ -0,0 +1,174 @@
+//! A modelled host's side of the frame protocol: a length of four bytes, a letter, the rest.
+
+use crate::host::{reset, Arrival, Host, Open, Reply};
+use crate::ledger::{reference, End};
+use bytes::{Buf, BufMut, BytesMut};
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Largest frame that is taken.
+const MOST_FRAME: usize = 1024 * 1024;
+/// What may wait to be written before nothing more is read.
+const MOST_OUTPUT: usize = 1024 * 1024;
+
+fn frame(out: &mut BytesMut, letter: u8, rest: &[&[u8]]) {
+    out.put_u32(rest.iter().map(|r| r.len()).sum::<usize>() as u32 + 1);
+    out.put_u8(letter);
+    rest.iter().for_each(|r| out.put_slice(r));
+}
+
+/// The value of an attempt, as it goes over the wire: 16 hex digits.
+pub fn value(attempt: u64) -> String {
+    format!("{attempt:016x}")
+}
+
+fn answer(out: &mut BytesMut, id: &str, end: End, report: &str) {
+    let (word, value) = match end {
+        End::Served(v) => ("served", value(v)),
+        End::Broke => ("broke", String::new()),
+        _ => ("skipped", String::new()),
+    };
+    frame(out, b'a', &[format!("{id} {word} 1 {report}\n").as_bytes(), value.as_bytes()]);
+}
+
+/// One part of a call's frame: its line's fields and its text.
+struct Part<'a> {
+    id: &'a str,
+    shard: u32,
+    wait: Duration,
+    key: Option<&'a str>,
+    text: &'a str,
+}
+
+fn parts(mut rest: &[u8]) -> Option<Vec<Part<'_>>> {
+    let mut all = Vec::new();
+    while !rest.is_empty() {
+        let end = rest.iter().position(|b| *b == b'\n')?;
+        let mut fields = std::str::from_utf8(&rest[..end]).ok()?.split(' ');
+        let (id, shard, list) = (fields.next()?, fields.next()?.parse().ok()?, fields.next()?);
+        let length: usize = fields.next()?.parse().ok()?;
+        rest = &rest[end + 1..];
+        let text = std::str::from_utf8(rest.get(..length)?).ok()?;
+        rest = &rest[length..];
+        let entry = |k: &str| list.split(',').find_map(|e| e.strip_prefix(k)?.strip_prefix('='));
+        let wait = Duration::from_millis(entry("d")?.parse().ok()?);
+        all.push(Part { id, shard, wait, key: entry("k"), text });
+    }
+    Some(all)
+}
+
+/// Handles the frames that are whole; `None` if one can't be used, after saying so.
+fn take(input: &mut BytesMut, out: &mut BytesMut, host: &Host, open: &mut Open) -> Option<()> {
+    while open.len() < host.conn.streams && out.len() < MOST_OUTPUT {
+        let Some(length) = input.first_chunk::<4>().map(|n| u32::from_be_bytes(*n) as usize) else { break };
+        if length == 0 || length > MOST_FRAME {
+            frame(out, b'e', &[b"length"]);
+            return None;
+        }
+        if input.len() < 4 + length {
+            break;
+        }
+        input.advance(4);
+        let body = input.split_to(length);
+        match body[0] {
+            b'c' => open.withdraw(std::str::from_utf8(&body[1..]).ok()?),
+            b'p' => frame(out, b'p', &[b"served"]),
+            b'l' => frame(out, b'l', &[host.report().as_bytes()]),
+            b'q' => {
+                let Some(parts) = parts(&body[1..]).filter(|p| !p.is_empty()) else {
+                    frame(out, b'e', &[b"a call that can't be read"]);
+                    return None;
+                };
+                let report = host.report();
+                for (n, p) in parts.iter().enumerate() {
+                    // The part's name is the query's, a dot and the shard.
+                    let name = p.id.rsplit_once('.').map_or(p.id, |(name, _)| name);
+                    let marked = reference(p.text, p.shard);
+                    let (shard, key, wait, first) = (p.shard, p.key, p.wait, n == 0);
+                    if let (_, Some(end)) =
+                        open.arrive(p.id, Arrival { name, shard, key, wait, marked, first })
+                    {
+                        answer(out, p.id, end, &report);
+                    }
+                }
+            }
+            _ => {
+                frame(out, b'e', &[b"letter"]);
+                return None;
+            }
+        }
+    }
+    Some(())
+}
+
+/// Serves one connection until it ends or the host's process does.
+pub async fn serve(host: Rc<Host>, coordinator: u16, stream: TcpStream) {
+    let mut open = Open::new(host.clone(), coordinator);
+    let mut life = host.life();
+    let (mut input, mut out) = (BytesMut::with_capacity(16 * 1024), BytesMut::with_capacity(16 * 1024));
+    let outbox = open.outbox.clone();
+    loop {
+        if !out.is_empty() {
+            match stream.try_write(&out) {
+                Ok(n) => out.advance(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+        let reading = open.len() < host.conn.streams && out.len() < MOST_OUTPUT;
+        tokio::select! {
+            biased;
+            () = life.leaves() => {
+                // Half-open while silent: nothing is read, written or closed until the machine is back.
+                life.ends().await;
+                return reset(stream);
+            }
+            () = outbox.wait() => {
+                let report = host.report();
+                for reply in outbox.take() {
+                    deliver(&mut out, &mut open, &reply, &report);
+                }
+            }
+            ready = stream.writable(), if !out.is_empty() => if ready.is_err() { return },
+            ready = stream.readable(), if reading => {
+                if ready.is_err() { return }
+                input.reserve(16 * 1024);
+                match stream.try_read_buf(&mut input) {
+                    Ok(0) => return,
+                    Ok(_) => {}
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                    Err(_) => return,
+                }
+            }
+            () = tokio::time::sleep(host.conn.idle), if open.is_empty() && out.is_empty() => return,
+        }
+        if take(&mut input, &mut out, &host, &mut open).is_none() {
+            let _ = stream.try_write(&out);
+            return;
+        }
+    }
+}
+
+fn deliver(out: &mut BytesMut, open: &mut Open, reply: &Reply, report: &str) {
+    if let Some(id) = open.answered(reply) {
+        answer(out, &id, reply.end, report);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_is_read_part_by_part_and_a_bad_one_not_at_all() {
+        let call = "a.3 3 d=240,k=k1 8\nlab:1.2;a.4 4 d=240 0\n";
+        let all = parts(call.as_bytes()).unwrap();
+        assert_eq!((all.len(), all[0].id, all[0].shard, all[0].key), (2, "a.3", 3, Some("k1")));
+        assert_eq!((all[0].text, all[1].key, all[1].wait), ("lab:1.2;", None, Duration::from_millis(240)));
+        for bad in ["a.3 3 d=240 9\nshort", "a.3 3 k=1 0\n", "a.3 x d=1 0\n", "a.3 3 d=1 0"] {
+            assert!(parts(bad.as_bytes()).is_none(), "{bad}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/fennelpin-standin/src/scripted.rs
@@ -0,0 +1,340 @@
+//! Scripted peers: district hosts in both dialects and discovery, on threads of their own. A script that
+//! is broken ends its thread with a message: these are for tests.
+#![allow(missing_docs)]
+
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest wait for anything that must come.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Waits for something to become true.
+pub fn until(what: &str, mut is: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !is() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+        thread::sleep(ms(5));
+    }
+}
+
+/// What a scripted host does with a part.
+#[derive(Clone, PartialEq)]
+pub enum Act {
+    Serve(String),
+    Broke,
+    Skip,
+    Silent,
+    /// Breaks the connection.
+    Break,
+    /// Sends something that is no answer.
+    Garbage,
+    /// Sends these bytes and no more.
+    Raw(Vec<u8>),
+}
+
+/// A part as a host met it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub host: usize,
+    /// The part, however the dialect names it: query, dot, shard.
+    pub id: String,
+    pub shard: u32,
+    pub key: Option<String>,
+    pub text: String,
+    pub at: Instant,
+    /// When it was over for the host: answered, withdrawn or cut off.
+    pub over: Option<Instant>,
+    /// Whether it may have taken effect.
+    pub ran: bool,
+}
+
+/// All that hosts met, in order.
+#[derive(Clone, Default)]
+pub struct Ledger(Arc<Mutex<Vec<Seen>>>);
+
+impl Ledger {
+    pub fn all(&self) -> Vec<Seen> {
+        self.0.lock().unwrap().clone()
+    }
+
+    fn add(&self, seen: Seen) -> usize {
+        let mut all = self.0.lock().unwrap();
+        all.push(seen);
+        all.len() - 1
+    }
+
+    fn over(&self, n: usize, ran: bool) {
+        let seen = &mut self.0.lock().unwrap()[n];
+        seen.ran &= ran;
+        seen.over.get_or_insert_with(Instant::now);
+    }
+
+    /// Attempts by part; checks that none overlapped and no keyed one came after its window.
+    pub fn attempts(&self, most: usize, window: Duration) -> HashMap<String, usize> {
+        let mut parts: HashMap<String, Vec<Seen>> = HashMap::new();
+        for s in self.all() {
+            parts.entry(s.id.clone()).or_default().push(s);
+        }
+        for (id, all) in &parts {
+            assert!(all.len() <= most, "{id} was sent {} times", all.len());
+            for pair in all.windows(2) {
+                // The host's thread may notice a withdrawal a moment after the next host has the part, as two
+                // sockets have no common order; one that was never withdrawn is out for far longer.
+                let over = pair[0].over.unwrap_or_else(|| panic!("{id} is still out at its next attempt"));
+                assert!(over <= pair[1].at + ms(250), "attempts of {id} overlapped");
+            }
+            if let Some(first) = all.iter().find(|s| s.key.is_some() && s.ran) {
+                assert!(all.iter().all(|s| s.at < first.at + window), "{id} was repeated after its window");
+            }
+        }
+        parts.into_iter().map(|(id, all)| (id, all.len())).collect()
+    }
+}
+
+type Script = Arc<dyn Fn(&Seen) -> Act + Send + Sync>;
+
+/// A scripted district host.
+pub struct Host {
+    pub addr: String,
+    pub conns: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+/// Starts a host that speaks frames or OpenSearch.
+pub fn host(
+    n: usize,
+    http: bool,
+    ledger: &Ledger,
+    script: impl Fn(&Seen) -> Act + Send + Sync + 'static,
+) -> Host {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let (ledger, script): (_, Script) = (ledger.clone(), Arc::new(script));
+    let conns: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+    let kept = conns.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            kept.lock().unwrap().push(stream.try_clone().unwrap());
+            let (ledger, script) = (ledger.clone(), script.clone());
+            thread::spawn(move || {
+                let mut open = Vec::new();
+                let _ = match http {
+                    true => speak_http(n, stream, &ledger, &script, &mut open),
+                    false => speak_frames(n, stream, &ledger, &script, &mut open),
+                };
+                open.into_iter().for_each(|(_, at)| ledger.over(at, true));
+            });
+        }
+    });
+    Host { addr, conns }
+}
+
+pub fn frame(letter: char, rest: &str) -> Vec<u8> {
+    let mut f = (rest.len() as u32 + 1).to_be_bytes().to_vec();
+    f.push(letter as u8);
+    f.extend(rest.as_bytes());
+    f
+}
+
+fn speak_frames(
+    host: usize,
+    mut stream: TcpStream,
+    ledger: &Ledger,
+    script: &Script,
+    open: &mut Vec<(String, usize)>,
+) -> std::io::Result<()> {
+    loop {
+        let mut head = [0; 5];
+        stream.read_exact(&mut head)?;
+        let mut rest = vec![0; u32::from_be_bytes(head[..4].try_into().unwrap()) as usize - 1];
+        stream.read_exact(&mut rest)?;
+        match head[4] {
+            b'c' => {
+                let id = String::from_utf8(rest).unwrap();
+                open.iter().filter(|(o, _)| *o == id).for_each(|(_, at)| ledger.over(*at, true));
+            }
+            b'l' => stream.write_all(&frame('l', "inflight=0"))?,
+            b'q' => {
+                let mut rest = &rest[..];
+                while !rest.is_empty() {
+                    let mut line = String::new();
+                    rest.read_line(&mut line)?;
+                    let f: Vec<&str> = line.trim_end().split(' ').collect();
+                    let (text, left) = rest.split_at(f[3].parse().unwrap());
+                    rest = left;
+                    let key = f[2].split(',').find_map(|p| p.strip_prefix("k=")).map(str::to_owned);
+                    let text = String::from_utf8(text.to_vec()).unwrap();
+                    let (id, shard, at) = (f[0].to_owned(), f[1].parse().unwrap(), Instant::now());
+                    let seen = Seen { host, id: id.clone(), shard, key, text, at, over: None, ran: true };
+                    let n = ledger.add(seen.clone());
+                    open.push((id.clone(), n));
+                    let (word, value) = match script(&seen) {
+                        Act::Serve(value) => ("served", value),
+                        Act::Broke => ("broke", String::new()),
+                        Act::Skip => ("skipped", String::new()),
+                        Act::Silent => continue,
+                        Act::Break => return stream.shutdown(Shutdown::Both),
+                        Act::Garbage => {
+                            stream.write_all(b"\xff\xff\xff\xffnonsense")?;
+                            continue;
+                        }
+                        Act::Raw(bytes) => {
+                            stream.write_all(&bytes)?;
+                            continue;
+                        }
+                    };
+                    ledger.over(n, word != "skipped");
+                    let load = "inflight=0,queue=0";
+                    stream.write_all(&frame('a', &format!("{id} {word} 1 {load}\n{value}")))?;
+                }
+            }
+            other => panic!("a frame with letter {other}"),
+        }
+    }
+}
+
+/// One HTTP message: its first line, headers and body.
+pub fn message(stream: &mut impl BufRead) -> std::io::Result<(String, HashMap<String, String>, String)> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line)? == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        match line.trim_end() {
+            "" => break,
+            line => lines.push(line.to_owned()),
+        }
+    }
+    let headers: HashMap<String, String> = lines[1..]
+        .iter()
+        .filter_map(|l| l.split_once(": ").map(|(k, v)| (k.to_ascii_lowercase(), v.to_owned())))
+        .collect();
+    let length = headers.get("content-length").map_or(0, |l| l.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body)?;
+    Ok((lines.remove(0), headers, String::from_utf8(body).unwrap()))
+}
+
+fn speak_http(
+    host: usize,
+    stream: TcpStream,
+    ledger: &Ledger,
+    script: &Script,
+    open: &mut Vec<(String, usize)>,
+) -> std::io::Result<()> {
+    let mut input = BufReader::new(stream.try_clone()?);
+    let mut output = stream;
+    loop {
+        let (first, headers, body) = message(&mut input)?;
+        let target = first.split(' ').nth(1).unwrap().to_owned();
+        if target == "/" {
+            write!(output, "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{{}}")?;
+            continue;
+        }
+        let shard_of =
+            |p: &str| p.rsplit_once("_shards:").unwrap().1.trim_matches('"').parse::<u32>().unwrap();
+        let many = target == "/_msearch";
+        let searches: Vec<(u32, String)> = match many {
+            false => vec![(shard_of(&target), body.clone())],
+            true => body
+                .lines()
+                .collect::<Vec<_>>()
+                .chunks(2)
+                .map(|p| {
+                    let head: Value = serde_json::from_str(p[0]).unwrap();
+                    (shard_of(head["preference"].as_str().unwrap()), p[1].to_owned())
+                })
+                .collect(),
+        };
+        let (mut answers, mut silent, mut broken) = (Vec::new(), false, false);
+        for (shard, text) in searches {
+            // Parts of several queries may share a call; only its first one's name is told.
+            let id = format!("{}.{shard}", headers["x-opaque-id"]);
+            let key = headers.get("idempotency-key").cloned();
+            let at = Instant::now();
+            let seen = Seen { host, id: id.clone(), shard, key, text, at, over: None, ran: true };
+            let n = ledger.add(seen.clone());
+            open.push((id, n));
+            let act = script(&seen);
+            match act {
+                Act::Silent => silent = true,
+                Act::Break => broken = true,
+                Act::Skip => ledger.over(n, false),
+                _ => ledger.over(n, true),
+            }
+            answers.push(match act {
+                Act::Serve(value) => (200, value),
+                Act::Skip => (429, r#"{"status":429}"#.to_owned()),
+                Act::Garbage => (200, "{".to_owned()),
+                _ => (500, r#"{"status":500}"#.to_owned()),
+            });
+        }
+        if broken {
+            return output.shutdown(Shutdown::Both);
+        }
+        if silent {
+            continue;
+        }
+        let (status, body) = match many {
+            false => answers.remove(0),
+            true => {
+                let one = |(status, body): (u16, String)| {
+                    let mut value: Value = serde_json::from_str(&body).unwrap_or(json!({}));
+                    value["status"] = status.into();
+                    value
+                };
+                let all: Vec<Value> = answers.into_iter().map(one).collect();
+                (200, json!({"responses": all}).to_string())
+            }
+        };
+        write!(output, "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
+    }
+}
+
+/// One line of the host list.
+pub fn member(n: usize, addr: &str, cell: u32, phase: &str) -> Value {
+    json!({"id": format!("h{n}"), "host_port": addr, "locality": "a", "flavor": "x", "cell": cell,
+           "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+/// Scripted discovery: what is sent here goes out as a line of every watch.
+pub fn discovery() -> (String, Sender<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let (tx, lines) = channel::<String>();
+    thread::spawn(move || {
+        let mut waiting: Option<String> = None;
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut input = BufReader::new(stream.try_clone().unwrap());
+            if message(&mut input).is_err() {
+                continue;
+            }
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            if stream.write_all(head.as_bytes()).is_err() {
+                continue;
+            }
+            loop {
+                let Some(line) = waiting.take().or_else(|| lines.recv().ok()) else { return };
+                let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+                // The coordinator closes after a bad line: what follows goes to its next watch.
+                stream.set_read_timeout(Some(ms(50))).unwrap();
+                let closed = matches!(stream.read(&mut [0]), Ok(0));
+                if closed || stream.write_all(chunk.as_bytes()).is_err() {
+                    waiting = Some(line);
+                    break;
+                }
+            }
+        }
+    });
+    (addr, tx)
+}
