Lab: scenarios, arrival processes, plans from a seed and traces

crates/fennelpin-lab reads a scenario (one TOML file, errors name file and key), lays constant, Poisson or Markov-modulated arrivals along a sum of shapes by a time change, draws the mix (classes, tenants, Zipf keys, hot keys, parts by key), and reads and writes plans as CSV or JSON Lines traces with time scale, rate scale and loop.

--- /dev/null
+++ b/crates/fennelpin-lab/src/trace.rs
@@ -0,0 +1,323 @@
+//! Recorded traces: CSV with a head line, or JSON Lines. A plan goes out whole and comes back the same;
+//! a trace from elsewhere may leave all but `at_us` and `class` to the scenario's draw.
+
+use crate::plan::{Mixer, Plan, Planned, PlannedPart};
+use crate::scenario::{Scenario, TraceTable};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+
+/// Most queries that a trace may hold.
+const MOST: usize = 20_000_000;
+
+/// What is wrong with a trace.
+#[derive(Debug, thiserror::Error)]
+pub enum TraceError {
+    /// The file can't be read or written.
+    #[error("{0}: {1}")]
+    File(PathBuf, std::io::Error),
+    /// A line can't be used.
+    #[error("{file}: line {line}: {why}")]
+    Line {
+        /// The file.
+        file: PathBuf,
+        /// The line, from 1.
+        line: usize,
+        /// What is wrong.
+        why: String,
+    },
+    /// Its ending is neither `.csv` nor `.jsonl`.
+    #[error("{0}: a trace ends in .csv or .jsonl")]
+    Kind(PathBuf),
+}
+
+/// A line of a trace.
+#[derive(Debug, Default, Deserialize, Serialize, PartialEq, Clone)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// When, in microseconds from the start.
+    pub at_us: u64,
+    /// The class by its name.
+    pub class: String,
+    /// The tenant by its name.
+    #[serde(default)]
+    pub tenant: Option<String>,
+    /// What it is about.
+    #[serde(default)]
+    pub key: Option<u32>,
+    /// The front's number among the scenario's.
+    #[serde(default)]
+    pub front: Option<u8>,
+    /// The zone's number.
+    #[serde(default)]
+    pub zone: Option<u8>,
+    /// How long its client waits for each try, in microseconds.
+    #[serde(default)]
+    pub wait_us: Option<u64>,
+    /// Further tries.
+    #[serde(default)]
+    pub retries: Option<u8>,
+    /// The wait before the first of them.
+    #[serde(default)]
+    pub backoff_us: Option<u64>,
+    /// Whether its client keeps to `Retry-After`: 0 or 1.
+    #[serde(default)]
+    pub honours: Option<u8>,
+    /// Its parts: `SHARD:WEIGHT:WORK_US;…`.
+    #[serde(default)]
+    pub parts: Option<String>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Kind {
+    Csv,
+    Lines,
+}
+
+fn kind(path: &Path) -> Result<Kind, TraceError> {
+    match path.extension().and_then(|e| e.to_str()) {
+        Some("csv") => Ok(Kind::Csv),
+        Some("jsonl") => Ok(Kind::Lines),
+        _ => Err(TraceError::Kind(path.to_owned())),
+    }
+}
+
+fn parts(text: &str) -> Option<Vec<PlannedPart>> {
+    let part = |p: &str| {
+        let mut f = p.split(':');
+        let (shard, weight, work) =
+            (f.next()?.parse().ok()?, f.next()?.parse().ok()?, f.next()?.parse().ok()?);
+        let sound = f.next().is_none() && weight > 0.0 && weight <= 1.0;
+        sound.then_some(PlannedPart { shard, weight, work_us: work })
+    };
+    text.split(';').map(part).collect()
+}
+
+impl Record {
+    fn of(q: &Planned, s: &Scenario) -> Self {
+        let parts: Vec<String> =
+            q.parts.iter().map(|p| format!("{}:{}:{}", p.shard, p.weight, p.work_us)).collect();
+        Self {
+            at_us: q.at_us,
+            class: s.classes[usize::from(q.class)].name.clone(),
+            tenant: Some(s.tenants[usize::from(q.tenant)].name.clone()),
+            key: Some(q.key),
+            front: Some(q.front),
+            zone: Some(q.zone),
+            wait_us: Some(q.wait_us),
+            retries: Some(q.retries),
+            backoff_us: Some(q.backoff_us),
+            honours: Some(q.honours.into()),
+            parts: Some(parts.join(";")),
+        }
+    }
+
+    /// The query that this line asks for, the rest drawn.
+    fn planned(&self, s: &Scenario, mixer: &mut Mixer) -> Result<Planned, String> {
+        let class = s.classes.iter().position(|c| c.name == self.class);
+        let class = class.ok_or_else(|| format!("unknown class '{}'", self.class))? as u8;
+        let tenant = match &self.tenant {
+            None => None,
+            Some(name) => {
+                let at = s.tenants.iter().position(|t| t.name == *name);
+                Some(at.ok_or_else(|| format!("unknown tenant '{name}'"))? as u8)
+            }
+        };
+        let mut q = mixer.query(self.at_us, Some(class), tenant, self.key);
+        let below = |what: &str, n: Option<u8>, most: usize| match n {
+            Some(n) if usize::from(n) >= most => Err(format!("{what} {n} is none of {most}")),
+            other => Ok(other),
+        };
+        q.front = below("front", self.front, s.traffic.fronts.len())?.unwrap_or(q.front);
+        q.zone = below("zone", self.zone, s.fleet.zones.len())?.unwrap_or(q.zone);
+        q.wait_us = self.wait_us.unwrap_or(q.wait_us);
+        if !(1000..=600_000_000).contains(&q.wait_us) {
+            return Err(format!("'wait_us' of {}: it must lie in 1 ms to 10 minutes", q.wait_us));
+        }
+        q.retries = self.retries.unwrap_or(q.retries);
+        q.backoff_us = self.backoff_us.unwrap_or(q.backoff_us);
+        q.honours = self.honours.map_or(q.honours, |h| h > 0);
+        if let Some(text) = &self.parts {
+            q.parts = parts(text).ok_or_else(|| format!("'parts' can't be '{text}'"))?;
+            if let Some(p) = q.parts.iter().find(|p| p.shard >= s.shards()) {
+                return Err(format!("shard {} is none of {}", p.shard, s.shards()));
+            }
+        }
+        Ok(q)
+    }
+}
+
+/// Reads a trace's lines and checks that they can be used; nothing is run of a trace with a bad line.
+///
+/// # Errors
+/// Names the file and the line.
+pub fn import(path: &Path, s: &Scenario) -> Result<Plan, TraceError> {
+    let text = std::fs::read_to_string(path).map_err(|e| TraceError::File(path.to_owned(), e))?;
+    parse(&text, path, s)
+}
+
+fn parse(text: &str, path: &Path, s: &Scenario) -> Result<Plan, TraceError> {
+    let at = |line: usize, why: String| TraceError::Line { file: path.to_owned(), line, why };
+    let mut records: Vec<(usize, Record)> = Vec::new();
+    match kind(path)? {
+        Kind::Lines => {
+            for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+                records.push((n + 1, serde_json::from_str(line).map_err(|e| at(n + 1, e.to_string()))?));
+            }
+        }
+        Kind::Csv => {
+            let mut reader = csv::Reader::from_reader(text.as_bytes());
+            for record in reader.deserialize() {
+                let record = record.map_err(|e| {
+                    let line = e.position().map_or(1, |p| p.line() as usize);
+                    at(line, e.to_string())
+                })?;
+                records.push((records.len() + 2, record));
+            }
+        }
+    }
+    if records.len() > MOST {
+        return Err(at(MOST, format!("more than {MOST} queries")));
+    }
+    let (mut mixer, mut before, mut plan) = (Mixer::new(s), 0, Vec::with_capacity(records.len()));
+    for (line, r) in records {
+        if r.at_us < before {
+            return Err(at(line, format!("time goes back, from {before} to {} us", r.at_us)));
+        }
+        before = r.at_us;
+        plan.push(r.planned(s, &mut mixer).map_err(|why| at(line, why))?);
+    }
+    Ok(Plan(plan))
+}
+
+/// Writes a plan as a trace.
+///
+/// # Errors
+/// If the file can't be written or its ending is unknown.
+pub fn export(path: &Path, plan: &Plan, s: &Scenario) -> Result<(), TraceError> {
+    let text = render(plan, s, kind(path)?);
+    std::fs::write(path, text).map_err(|e| TraceError::File(path.to_owned(), e))
+}
+
+fn render(plan: &Plan, s: &Scenario, kind: Kind) -> Vec<u8> {
+    let mut out = Vec::new();
+    let records = plan.0.iter().map(|q| Record::of(q, s));
+    // Writing to memory can't fail, and neither can records of plain fields.
+    match kind {
+        Kind::Lines => records.for_each(|r| {
+            let _ = serde_json::to_writer(&mut out, &r);
+            out.push(b'\n');
+        }),
+        Kind::Csv => {
+            let mut writer = csv::Writer::from_writer(&mut out);
+            records.for_each(|r| drop(writer.serialize(r)));
+            let _ = writer.flush();
+        }
+    }
+    out
+}
+
+/// Fits a trace to a length: scaled in time and rate, and played again and again if it is to loop. What
+/// comes from the rate's scale is spread between a query and the next.
+pub fn fit(plan: &Plan, t: &TraceTable, length_us: u64, seed: u64) -> Plan {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x7472_6163);
+    let mut out = Vec::new();
+    let Some(last) = plan.0.last() else { return Plan::default() };
+    let scaled = |at: u64| (at as f64 * t.time_scale) as u64;
+    // A loop starts anew as far after the last query as queries lie apart on average.
+    let round = scaled(last.at_us) + (scaled(last.at_us) / plan.0.len() as u64).max(1);
+    let mut from = 0;
+    while from < length_us {
+        for (n, q) in plan.0.iter().enumerate() {
+            let at = from + scaled(q.at_us);
+            let next = plan.0.get(n + 1).map_or(from + round, |q| from + scaled(q.at_us));
+            let whole = t.rate_scale.floor();
+            let copies = whole as u64 + u64::from(rng.random::<f64>() < t.rate_scale - whole);
+            for c in 0..copies {
+                let more = if c == 0 || next <= at { 0 } else { rng.random_range(0..next - at) };
+                out.push(Planned { at_us: at + more, ..q.clone() });
+            }
+        }
+        from += round;
+        if !t.looped {
+            break;
+        }
+    }
+    out.retain(|q| q.at_us < length_us);
+    out.sort_by_key(|q| q.at_us);
+    Plan(out)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn scenario() -> Scenario {
+        let text = "name = 'x'\nlength_s = 5\n[traffic]\nfronts = ['platform', 'opensearch']\n\
+                    [[traffic.shape]]\nkind = 'steady'\nrate = 100\n";
+        Scenario::parse(text, Path::new("x.toml")).unwrap()
+    }
+
+    #[test]
+    fn a_plan_comes_back_from_either_form_as_it_was() {
+        let s = scenario();
+        let plan = Plan::draw(&s);
+        for (name, form) in [("t.csv", Kind::Csv), ("t.jsonl", Kind::Lines)] {
+            let text = String::from_utf8(render(&plan, &s, form)).unwrap();
+            assert_eq!(parse(&text, Path::new(name), &s).unwrap(), plan, "{name}");
+        }
+    }
+
+    #[test]
+    fn a_trace_from_elsewhere_needs_a_time_and_a_class() {
+        let s = scenario();
+        let plan =
+            parse("at_us,class\n0,nearby-search\n1500,ride-booking\n", Path::new("t.csv"), &s).unwrap();
+        assert_eq!(plan.0.iter().map(|q| (q.at_us, q.class)).collect::<Vec<_>>(), [(0, 0), (1500, 2)]);
+        assert!(plan.0.iter().all(|q| !q.parts.is_empty()));
+    }
+
+    #[test]
+    fn a_bad_line_is_named_and_nothing_is_run() {
+        let s = scenario();
+        let good = "{\"at_us\":5,\"class\":\"nearby-search\"}\n";
+        for (text, name, line, why) in [
+            ("at_us,class\n7,nearby-search\n5,nearby-search\n".to_owned(), "t.csv", 3, "time goes back"),
+            ("at_us,class\n7,nearby-search\n8,taxi\n".to_owned(), "t.csv", 3, "unknown class 'taxi'"),
+            ("at_us,class\n7,nearby-search\n8\n".to_owned(), "t.csv", 3, "record"),
+            (format!("{good}{good}{{\"at_us\":9,\"cla"), "t.jsonl", 3, "EOF"),
+            (format!("{good}{{\"at_us\":1,\"class\":\"nearby-search\"}}"), "t.jsonl", 2, "time goes back"),
+            (good.replace("}", ",\"tenant\":\"coop-x\"}"), "t.jsonl", 1, "unknown tenant"),
+            (good.replace("}", ",\"parts\":\"99:1:1\"}"), "t.jsonl", 1, "shard 99"),
+            (good.replace("}", ",\"parts\":\"1:x\"}"), "t.jsonl", 1, "'parts'"),
+            (good.replace("}", ",\"wait_us\":5}"), "t.jsonl", 1, "'wait_us'"),
+        ] {
+            let e = parse(&text, Path::new(name), &s).expect_err(&text);
+            let said = e.to_string();
+            assert!(matches!(e, TraceError::Line { line: l, .. } if l == line), "{said} for {text}");
+            assert!(said.contains(why), "{said} for {why}");
+        }
+    }
+
+    #[test]
+    fn a_trace_is_scaled_in_time_and_rate_and_looped() {
+        let s = scenario();
+        let plan = Plan::draw(&s);
+        let table = |time_scale, rate_scale, looped| TraceTable {
+            file: "t.csv".into(),
+            time_scale,
+            rate_scale,
+            looped,
+        };
+        assert_eq!(fit(&plan, &table(1.0, 1.0, false), 10_000_000, 1), plan);
+        let twice = fit(&plan, &table(2.0, 1.0, false), 20_000_000, 1);
+        assert_eq!(twice.0.len(), plan.0.len());
+        assert_eq!(twice.0.last().unwrap().at_us, plan.0.last().unwrap().at_us * 2);
+        let more = fit(&plan, &table(1.0, 2.5, false), 10_000_000, 1).0.len() as f64 / plan.0.len() as f64;
+        assert!((more - 2.5).abs() < 0.1, "{more}");
+        let looped = fit(&plan, &table(1.0, 1.0, true), 20_000_000, 1);
+        assert!((looped.0.len() as f64 / plan.0.len() as f64 - 4.0).abs() < 0.05);
+        assert!(looped.0.is_sorted_by_key(|q| q.at_us));
+    }
+}
