Lab: generator on sockets, auditor from the ledgers, figures, coordinators as processes

The auditor puts attempts together from the hosts' events and checks eight rules; figures come from histograms of those records. Nothing of the coordinator changed.

--- /dev/null
+++ b/crates/fennelpin-lab/src/audit.rs
@@ -0,0 +1,451 @@
+//! The auditor: from the ledgers of hosts, discovery and clients it checks what a coordinator has to keep.
+//! It takes nothing that a coordinator says for true, and reads neither its log nor its counters.
+
+use crate::clients::TryEnd;
+use crate::plan::Plan;
+use crate::record::{Life, Lives, QueryRecord, TryRecord};
+use crate::scenario::{DialectName, RepeatName, Scenario};
+use fennelpin_standin::ledger::{End, Event, Phase, Ref, What};
+use fennelpin_standin::model::Micros;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+
+/// After the news of a drain nothing new may reach a host later than this.
+const DRAIN_GRACE: Micros = 2_000_000;
+/// An answer may come so much later than its client's time.
+const ANSWER_SLACK: Micros = 20_000;
+/// Shares of the weight may fall short by this much.
+const ROUNDING: f64 = 1e-3;
+/// How far back it counts what pushed a host over.
+const PUSHED: Micros = 1_000_000;
+/// Discovery's news counts as told at the latest after this.
+const TOLD_AT_LATEST: Micros = 6_000_000;
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// A query that a running coordinator took has no answer, or none in time.
+    Lost,
+    /// More than one answer.
+    Twice,
+    /// Two attempts of a part at once.
+    Overlap,
+    /// More attempts than the cap, or a repeat that its class forbids.
+    Attempts,
+    /// New work for a host that drains or is gone.
+    Drain,
+    /// A cold host was pushed over.
+    Cold,
+    /// An answer that says more than is true.
+    Honest,
+    /// A part that nobody asked for, or at the wrong host.
+    Stray,
+}
+
+impl Rule {
+    /// All of them.
+    pub const ALL: [Self; 8] = [
+        Self::Lost,
+        Self::Twice,
+        Self::Overlap,
+        Self::Attempts,
+        Self::Drain,
+        Self::Cold,
+        Self::Honest,
+        Self::Stray,
+    ];
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Violation {
+    /// Which.
+    pub rule: Rule,
+    /// When, in microseconds since the run's epoch.
+    pub at: Micros,
+    /// The client's query, where one is concerned.
+    pub query: Option<u32>,
+    /// What happened.
+    pub what: String,
+}
+
+/// All that the auditor looks at.
+pub struct Evidence<'a> {
+    /// The scenario.
+    pub scenario: &'a Scenario,
+    /// The plan.
+    pub plan: &'a Plan,
+    /// What clients saw, in the plan's order.
+    pub queries: &'a [QueryRecord],
+    /// What hosts and discovery saw, by time.
+    pub events: &'a [Event],
+    /// What happened to the coordinators.
+    pub lives: &'a Lives,
+}
+
+/// An attempt, put together from its events.
+#[derive(Clone, Debug)]
+struct Attempt<'a> {
+    id: u64,
+    arrived: Micros,
+    host: u16,
+    coordinator: u16,
+    name: &'a str,
+    shard: u32,
+    key: Option<&'a str>,
+    reference: Option<Ref>,
+    /// Its first end; what comes after a withdrawal is an answer under way.
+    end: Option<(Micros, End)>,
+    /// When it was served, if it was, withdrawn or not.
+    served: Option<Micros>,
+}
+
+impl Attempt<'_> {
+    fn may_have_run(&self) -> bool {
+        !matches!(self.end, Some((_, End::Skipped)))
+    }
+}
+
+fn attempts(events: &[Event]) -> Vec<Attempt<'_>> {
+    let mut all: Vec<Attempt> = Vec::new();
+    let mut place: HashMap<u64, usize> = HashMap::new();
+    let mut open: HashMap<u16, Vec<usize>> = HashMap::new();
+    for e in events {
+        match &e.what {
+            What::Arrived { name, shard, key, reference } => {
+                place.insert(e.attempt, all.len());
+                open.entry(e.host).or_default().push(all.len());
+                all.push(Attempt {
+                    id: e.attempt,
+                    arrived: e.at,
+                    host: e.host,
+                    coordinator: e.coordinator,
+                    name,
+                    shard: *shard,
+                    key: key.as_deref(),
+                    reference: *reference,
+                    end: None,
+                    served: None,
+                });
+            }
+            What::Ended(end) => {
+                if let Some(a) = place.get(&e.attempt).map(|n| &mut all[*n]) {
+                    a.end.get_or_insert((e.at, *end));
+                    if matches!(end, End::Served(_)) {
+                        a.served.get_or_insert(e.at);
+                    }
+                }
+                if let Some(open) = open.get_mut(&e.host) {
+                    open.retain(|n| all[*n].end.is_none());
+                }
+            }
+            // A dead or silent host can't hear that a part is given up.
+            What::Down | What::Fell => {
+                for n in open.remove(&e.host).into_iter().flatten() {
+                    all[n].end.get_or_insert((e.at, End::Cut));
+                }
+            }
+            _ => {}
+        }
+    }
+    all
+}
+
+/// Names a part: by its query's name on the wire and its shard, or over HTTP, where that names only the
+/// first of a call, by the client's own mark.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum PartName<'a> {
+    Wire(u16, &'a str, u32),
+    Marked(Ref, u32),
+}
+
+/// Checks all rules; violations by time.
+pub fn audit(e: &Evidence) -> Vec<Violation> {
+    let attempts = attempts(e.events);
+    let mut found = Vec::new();
+    answers(e, &attempts, &mut found);
+    parts(e, &attempts, &mut found);
+    drains(e, &attempts, &mut found);
+    cold(e, &attempts, &mut found);
+    strays(e, &attempts, &mut found);
+    found.sort_by_key(|v| v.at);
+    found
+}
+
+/// Lost, twice and honest: from the clients' records, held against what hosts gave.
+fn answers(e: &Evidence, attempts: &[Attempt], found: &mut Vec<Violation>) {
+    let slack = e.scenario.audit.slack_ms * 1000;
+    let by_id: HashMap<u64, &Attempt> = attempts.iter().map(|a| (a.id, a)).collect();
+    let mut by_try: HashMap<Ref, Vec<&Attempt>> = HashMap::new();
+    for a in attempts {
+        a.reference.into_iter().for_each(|r| by_try.entry(r).or_default().push(a));
+    }
+    for t in e.queries.iter().flat_map(|q| &q.tries) {
+        let mut add = |rule, what: String| {
+            found.push(Violation { rule, at: t.ended, query: Some(t.query), what });
+        };
+        let excused = t.sent == 0 || e.lives.excused(t.coordinator, t.sent, t.ended);
+        let what = format!("try {} at coordinator {}", t.attempt, t.coordinator);
+        match t.end {
+            TryEnd::Closed | TryEnd::Cut | TryEnd::GaveUp | TryEnd::Unreadable if !excused => {
+                let after = (t.ended - t.sent) / 1000;
+                add(Rule::Lost, format!("{what}: {} {after} ms after it was sent", t.end.word()));
+            }
+            TryEnd::Served(_) | TryEnd::Refused | TryEnd::Failed(_) => {
+                let by = t.sent + t.wait_us + ANSWER_SLACK + slack;
+                if t.ended > by && !excused {
+                    add(Rule::Lost, format!("{what}: answered {} ms too late", (t.ended - by) / 1000));
+                }
+            }
+            _ => {}
+        }
+        if t.extra {
+            add(Rule::Twice, format!("{what}: bytes came that nobody asked for"));
+        }
+        let reference = Ref { query: t.query, attempt: t.attempt };
+        let mine = by_try.get(&reference).map_or(&[][..], |v| v);
+        if let TryEnd::Served(full) = t.end {
+            if let Some(why) = dishonest(e, t, full, mine, &by_id) {
+                add(Rule::Honest, format!("{what}: {why}"));
+            }
+        }
+        let class = &e.scenario.classes[usize::from(e.plan.0[t.query as usize].class)];
+        let ran = mine.iter().any(|a| a.may_have_run());
+        if t.end == TryEnd::Refused && class.repeat == RepeatName::Unsafe && ran {
+            add(
+                Rule::Honest,
+                format!("{what}: refused though a part may have run, in a class without repeats"),
+            );
+        }
+    }
+}
+
+fn dishonest(
+    e: &Evidence,
+    t: &TryRecord,
+    full: bool,
+    mine: &[&Attempt],
+    by_id: &HashMap<u64, &Attempt>,
+) -> Option<String> {
+    let slack = e.scenario.audit.slack_ms * 1000;
+    let q = &e.plan.0[t.query as usize];
+    let class = &e.scenario.classes[usize::from(q.class)];
+    let mut said = t.shards.clone();
+    said.sort_unstable();
+    if said.windows(2).any(|p| p[0] == p[1]) {
+        return Some("a part is in it twice".into());
+    }
+    if let Some(s) = said.iter().find(|s| !q.parts.iter().any(|p| p.shard == **s)) {
+        return Some(format!("shard {s} was never asked for"));
+    }
+    for s in &said {
+        let gave = |a: &&&Attempt| a.shard == *s && a.served.is_some_and(|at| at <= t.ended + slack);
+        if !mine.iter().any(|a| gave(&a)) {
+            return Some(format!("shard {s} is said to be in, but no host had given it"));
+        }
+    }
+    for v in &t.values {
+        let reference = Ref { query: t.query, attempt: t.attempt };
+        let real = by_id.get(v).is_some_and(|a| a.reference == Some(reference) && a.served.is_some());
+        if !real {
+            return Some(format!("the value {v:016x} is of no host for this query"));
+        }
+    }
+    let weight: f64 = q.parts.iter().filter(|p| said.contains(&p.shard)).map(|p| p.weight).sum();
+    if full && said.len() < q.parts.len() {
+        return Some(format!("marked whole with {} of {} parts", said.len(), q.parts.len()));
+    }
+    let below = weight < class.floor - ROUNDING;
+    below.then(|| format!("given from {:.3} of the weight, under the floor of {}", weight, class.floor))
+}
+
+/// Overlap and attempts: part by part, from the hosts' events.
+fn parts(e: &Evidence, attempts: &[Attempt], found: &mut Vec<Violation>) {
+    let slack = e.scenario.audit.slack_ms * 1000;
+    let mut by_part: BTreeMap<PartName, Vec<&Attempt>> = BTreeMap::new();
+    for a in attempts {
+        let part = match (e.scenario.fleet.dialect, a.reference) {
+            (DialectName::OpenSearch, Some(r)) => PartName::Marked(r, a.shard),
+            _ => PartName::Wire(a.coordinator, a.name, a.shard),
+        };
+        by_part.entry(part).or_default().push(a);
+    }
+    for mine in by_part.values() {
+        let query = mine[0].reference.map(|r| r.query);
+        let what = format!("part {}.{}", mine[0].name, mine[0].shard);
+        let mut add = |rule, at, what| found.push(Violation { rule, at, query, what });
+        for pair in mine.windows(2) {
+            let over = pair[0].end.map_or(Micros::MAX, |(at, _)| at);
+            if over > pair[1].arrived + slack {
+                let (a, b) = (pair[0].host, pair[1].host);
+                add(Rule::Overlap, pair[1].arrived, format!("{what}: at host {b} while out at host {a}"));
+            }
+        }
+        if let Some(a) = mine.get(e.scenario.limits.attempts as usize) {
+            let most = e.scenario.limits.attempts;
+            add(Rule::Attempts, a.arrived, format!("{what}: {} attempts, {most} at most", mine.len()));
+        }
+        let class = query.and_then(|q| e.plan.0.get(q as usize)).map(|q| usize::from(q.class));
+        let Some(class) = class.and_then(|c| e.scenario.classes.get(c)) else { continue };
+        let Some(first) = mine.iter().position(|a| a.may_have_run()) else { continue };
+        for a in &mine[first + 1..] {
+            let late = a.arrived.saturating_sub(mine[first].arrived);
+            match class.repeat {
+                RepeatName::Unsafe => {
+                    add(Rule::Attempts, a.arrived, format!("{what}: repeated though it may have run"));
+                }
+                RepeatName::Keyed if late > (class.window_ms * 1e3) as u64 + slack => {
+                    let late = late / 1000;
+                    add(
+                        Rule::Attempts,
+                        a.arrived,
+                        format!("{what}: repeated {late} ms after it may have run"),
+                    );
+                }
+                RepeatName::Keyed if a.key.is_none() => {
+                    add(Rule::Attempts, a.arrived, format!("{what}: repeated without its key"));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// What each coordinator was told of each host, by time.
+fn told(e: &Evidence) -> HashMap<(u16, u16), Vec<(Micros, Phase)>> {
+    let mut all: HashMap<(u16, u16), Vec<(Micros, Phase)>> = HashMap::new();
+    for event in e.events {
+        if let What::Told(phase) = event.what {
+            all.entry((event.coordinator, event.host)).or_default().push((event.at, phase));
+        }
+    }
+    all
+}
+
+fn drains(e: &Evidence, attempts: &[Attempt], found: &mut Vec<Violation>) {
+    let slack = e.scenario.audit.slack_ms * 1000;
+    let told = told(e);
+    for a in attempts {
+        let started = e.lives.started_before(a.coordinator, a.arrived);
+        let news = told.get(&(a.coordinator, a.host)).map_or(&[][..], |v| v);
+        // What an earlier process was told, this one does not know.
+        let known: Vec<_> = news.iter().filter(|(at, _)| (started..=a.arrived).contains(at)).collect();
+        // The first word that it is going since the last word that it is ready.
+        let going = known.iter().rev().take_while(|(_, p)| *p != Phase::Ready).last();
+        let Some((at, phase)) = going else { continue };
+        // A coordinator that stood still had it read to it only afterwards.
+        let stalls = e.lives.stalls(a.coordinator);
+        let heard =
+            stalls.iter().filter(|(from, to)| from <= at && at <= to).map(|s| s.1).max().unwrap_or(*at);
+        if a.arrived > heard.saturating_add(DRAIN_GRACE + slack) {
+            let late = (a.arrived - heard) / 1000;
+            let query = a.reference.map(|r| r.query);
+            let what =
+                format!("host {}: a part {late} ms after the news that it is {}", a.host, phase.word());
+            found.push(Violation { rule: Rule::Drain, at: a.arrived, query, what });
+        }
+    }
+}
+
+fn cold(e: &Evidence, attempts: &[Attempt], found: &mut Vec<Violation>) {
+    let told = told(e);
+    for fell in e.events.iter().filter(|x| x.what == What::Fell) {
+        let up = e.events.iter().rev().find(|x| x.host == fell.host && x.what == What::Up && x.at <= fell.at);
+        let up = up.map_or(0, |x| x.at);
+        // Who knew of its start, or counts as told of it.
+        let knew = |a: &&Attempt| {
+            let news = told.get(&(a.coordinator, a.host)).map_or(&[][..], |v| v);
+            let heard = news.iter().any(|(at, p)| *p == Phase::Ready && *at >= up && *at <= a.arrived);
+            heard || a.arrived >= up + TOLD_AT_LATEST
+        };
+        let span = fell.at.saturating_sub(PUSHED)..=fell.at;
+        let pushed: Vec<&Attempt> =
+            attempts.iter().filter(|a| a.host == fell.host && span.contains(&a.arrived)).collect();
+        let known = pushed.iter().filter(|a| knew(a)).count();
+        if known * 3 >= pushed.len() * 2 {
+            let of = pushed.len();
+            let what =
+                format!("host {}: pushed over, {known} of {of} parts by coordinators that knew", fell.host);
+            found.push(Violation { rule: Rule::Cold, at: fell.at, query: None, what });
+        }
+    }
+}
+
+fn strays(e: &Evidence, attempts: &[Attempt], found: &mut Vec<Violation>) {
+    for a in attempts {
+        let planned = a.reference.and_then(|r| e.plan.0.get(r.query as usize));
+        let asked = planned.is_some_and(|q| q.parts.iter().any(|p| p.shard == a.shard));
+        let holds = u32::from(a.host) % e.scenario.fleet.cells == e.scenario.cell_of(a.shard);
+        let why = match (asked, holds) {
+            (true, true) => continue,
+            (false, _) => "that no client asked for",
+            (true, false) => "that it does not hold",
+        };
+        let what = format!("host {}: part {}.{} {why}", a.host, a.name, a.shard);
+        let query = a.reference.map(|r| r.query);
+        found.push(Violation { rule: Rule::Stray, at: a.arrived, query, what });
+    }
+}
+
+/// All that is known of a query, event by event.
+pub fn story(e: &Evidence, query: u32) -> String {
+    let mut lines: Vec<(Micros, String)> = Vec::new();
+    if let Some(q) = e.queries.iter().find(|q| q.query == query) {
+        let p = &e.plan.0[query as usize];
+        let shards: Vec<u32> = p.parts.iter().map(|p| p.shard).collect();
+        let class = &e.scenario.classes[usize::from(p.class)].name;
+        lines.push((q.due, format!("due: {class}, shards {shards:?}, {} further tries", p.retries)));
+        for t in &q.tries {
+            let c = t.coordinator;
+            lines.push((
+                t.sent,
+                format!("try {} sent to coordinator {c}, for {} ms", t.attempt, t.wait_us / 1000),
+            ));
+            let back = t.retry_after_us.map_or(String::new(), |r| format!(", come back in {} ms", r / 1000));
+            let end = t.end.word();
+            lines.push((t.ended, format!("try {} ended: {end}, shards {:?}{back}", t.attempt, t.shards)));
+        }
+    }
+    let mine: Vec<Attempt> =
+        attempts(e.events).into_iter().filter(|a| a.reference.is_some_and(|r| r.query == query)).collect();
+    let ids: HashMap<u64, &Attempt> = mine.iter().map(|a| (a.id, a)).collect();
+    for event in e.events {
+        let Some(a) = ids.get(&event.attempt) else { continue };
+        let part = format!("part {}.{}", a.name, a.shard);
+        let said = match &event.what {
+            What::Arrived { .. } => {
+                format!("host {}: {part} came from coordinator {}", a.host, a.coordinator)
+            }
+            What::Ended(end) => format!("host {}: {part} {end:?}", a.host),
+            _ => continue,
+        };
+        lines.push((event.at, said));
+    }
+    let from = lines.iter().map(|l| l.0).filter(|at| *at > 0).min().unwrap_or(0);
+    let to = lines.iter().map(|l| l.0).max().unwrap_or(0);
+    let hosts: Vec<u16> = mine.iter().map(|a| a.host).collect();
+    for event in e.events.iter().filter(|x| hosts.contains(&x.host) && (from..=to).contains(&x.at)) {
+        let (host, c) = (event.host, event.coordinator);
+        match &event.what {
+            What::Told(phase) => {
+                lines.push((event.at, format!("coordinator {c} was told: host {host} {phase:?}")))
+            }
+            What::Arrived { .. } | What::Ended(_) => {}
+            other => lines.push((event.at, format!("host {host}: {other:?}"))),
+        }
+    }
+    for l in e.lives.0.iter().filter(|l| (from..=to).contains(&l.at) && l.life != Life::Ready) {
+        lines.push((l.at, format!("coordinator {}: {:?}", l.coordinator, l.life)));
+    }
+    lines.sort();
+    let mut text = format!("query {query}\n");
+    for (at, line) in lines {
+        let _ = writeln!(text, "{:>12.3} ms  {line}", at as f64 / 1e3);
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fennelpin-lab/src/audit/tests.rs
@@ -0,0 +1,336 @@
+//! Each rule is broken once on purpose, in an otherwise clean ledger.
+
+use super::*;
+use crate::plan::{Planned, PlannedPart};
+use crate::record::LifeEvent;
+use fennelpin_standin::ledger::NOBODY;
+use std::path::Path;
+
+const S: Micros = 1_000_000;
+
+/// A run in which one report of shards 0 and 1 (hosts 0 and 1) is served by coordinator 0.
+struct World {
+    scenario: Scenario,
+    plan: Plan,
+    queries: Vec<QueryRecord>,
+    events: Vec<Event>,
+    lives: Lives,
+}
+
+fn arrived(at: Micros, host: u16, attempt: u64, shard: u32) -> Event {
+    let reference = Some(Ref { query: 0, attempt: 0 });
+    let what = What::Arrived { name: "q0".into(), shard, key: Some("k0".into()), reference };
+    Event { at, host, coordinator: 0, attempt, what }
+}
+
+fn ended(at: Micros, host: u16, attempt: u64, end: End) -> Event {
+    Event { at, host, coordinator: 0, attempt, what: What::Ended(end) }
+}
+
+fn about(at: Micros, host: u16, coordinator: u16, what: What) -> Event {
+    Event { at, host, coordinator, attempt: 0, what }
+}
+
+impl World {
+    fn new() -> Self {
+        let text = "name = 'x'\nlength_s = 50\n[traffic]\n[[traffic.shape]]\nkind = 'steady'\nrate = 1\n";
+        let scenario = Scenario::parse(text, Path::new("x.toml")).unwrap();
+        let part = |shard, weight| PlannedPart { shard, weight, work_us: 1000 };
+        let planned = Planned {
+            at_us: 0,
+            class: 1,
+            tenant: 0,
+            front: 0,
+            zone: 0,
+            key: 0,
+            wait_us: 3 * S,
+            retries: 0,
+            backoff_us: 0,
+            honours: false,
+            parts: vec![part(0, 0.75), part(1, 0.25)],
+        };
+        let tried = TryRecord {
+            query: 0,
+            attempt: 0,
+            coordinator: 0,
+            sent: 10 * S,
+            ended: 11 * S,
+            wait_us: 3 * S,
+            end: TryEnd::Served(true),
+            retry_after_us: None,
+            shards: vec![0, 1],
+            values: vec![1, 2],
+            extra: false,
+        };
+        let record = QueryRecord {
+            query: 0,
+            due: 10 * S,
+            started: 10 * S,
+            first_sent: 10 * S,
+            ended: 11 * S,
+            tries: vec![tried],
+        };
+        let ms = S / 1000;
+        let events = vec![
+            arrived(10 * S + ms, 0, 1, 0),
+            arrived(10 * S + ms, 1, 2, 1),
+            ended(10 * S + 500 * ms, 0, 1, End::Served(1)),
+            ended(10 * S + 600 * ms, 1, 2, End::Served(2)),
+        ];
+        let lives = Lives(vec![LifeEvent { at: 0, coordinator: 0, life: Life::Started }]);
+        Self { scenario, plan: Plan(vec![planned]), queries: vec![record], events, lives }
+    }
+
+    fn tried(&mut self) -> &mut TryRecord {
+        &mut self.queries[0].tries[0]
+    }
+
+    fn class(&mut self, class: u8) {
+        self.plan.0[0].class = class;
+    }
+
+    fn evidence(&self) -> Evidence<'_> {
+        let Self { scenario, plan, queries, events, lives } = self;
+        Evidence { scenario, plan, queries, events, lives }
+    }
+
+    fn broken(&mut self) -> Vec<Rule> {
+        self.events.sort_by_key(|e| e.at);
+        audit(&self.evidence()).into_iter().map(|v| v.rule).collect()
+    }
+}
+
+fn broken(spoil: impl FnOnce(&mut World)) -> Vec<Rule> {
+    let mut w = World::new();
+    spoil(&mut w);
+    w.broken()
+}
+
+#[test]
+fn a_clean_ledger_passes() {
+    assert_eq!(broken(|_| {}), []);
+}
+
+#[test]
+fn a_query_without_an_answer_is_lost_unless_its_coordinator_was_killed_or_stopped() {
+    for end in [TryEnd::Closed, TryEnd::Cut, TryEnd::GaveUp, TryEnd::Unreadable] {
+        assert_eq!(broken(|w| w.tried().end = end), [Rule::Lost], "{end:?}");
+        for life in [Life::Gone, Life::Stopped] {
+            let excused = broken(|w| {
+                w.tried().end = end;
+                w.lives.0.push(LifeEvent { at: 10 * S + 1, coordinator: 0, life });
+            });
+            assert_eq!(excused, [], "{end:?} {life:?}");
+        }
+        // Another coordinator's death is no excuse.
+        let other = broken(|w| {
+            w.tried().end = end;
+            w.lives.0.push(LifeEvent { at: 10 * S + 1, coordinator: 1, life: Life::Gone });
+        });
+        assert_eq!(other, [Rule::Lost], "{end:?}");
+    }
+    assert_eq!(broken(|w| (w.tried().end, w.tried().sent) = (TryEnd::Closed, 0)), [], "never sent");
+    assert_eq!(broken(|w| w.tried().end = TryEnd::NoConnection), [], "nobody took it");
+}
+
+#[test]
+fn an_answer_after_the_clients_time_is_lost_as_well() {
+    assert_eq!(broken(|w| w.tried().ended = 13 * S + 60_000), []);
+    assert_eq!(broken(|w| w.tried().ended = 13 * S + 80_000), [Rule::Lost]);
+    let refused = broken(|w| (w.tried().end, w.tried().ended) = (TryEnd::Refused, 14 * S));
+    assert_eq!(refused, [Rule::Lost]);
+}
+
+#[test]
+fn a_second_answer_is_seen() {
+    assert_eq!(broken(|w| w.tried().extra = true), [Rule::Twice]);
+}
+
+/// A second attempt of shard 0 at host 4, which holds it as well.
+fn again(w: &mut World, first: (Micros, End), second: Micros) {
+    w.events[2] = ended(first.0, 0, 1, first.1);
+    w.events.push(arrived(second, 4, 9, 0));
+    w.events.push(ended(second + 1, 4, 9, End::Served(9)));
+    w.tried().values = vec![9, 2];
+    w.tried().ended = (second + S / 10).max(11 * S);
+    w.tried().wait_us = 30 * S;
+}
+
+#[test]
+fn two_attempts_at_once_overlap_but_not_one_after_the_other() {
+    let out_until = 10 * S + 500_000;
+    for end in [End::Withdrawn, End::Cut, End::Skipped] {
+        assert_eq!(broken(|w| again(w, (out_until, end), out_until + 1)), [], "{end:?}");
+        assert_eq!(broken(|w| again(w, (out_until, end), out_until - 100_000)), [Rule::Overlap], "{end:?}");
+    }
+    // One that never ends overlaps with all that follow.
+    let never = broken(|w| {
+        again(w, (out_until, End::Cut), out_until + 1);
+        w.events.remove(2);
+    });
+    assert_eq!(never, [Rule::Overlap]);
+    // A silent host can't hear a withdrawal.
+    let silent = broken(|w| {
+        again(w, (out_until, End::Cut), out_until + 1);
+        w.events[2] = about(out_until - 1, 0, NOBODY, What::Down);
+    });
+    assert_eq!(silent, []);
+}
+
+#[test]
+fn attempts_are_capped_and_keyed_ones_end_with_their_window() {
+    let four = broken(|w| {
+        for n in 0..3u64 {
+            let at = 10 * S + 700_000 + n * 1000;
+            w.events.push(arrived(at, 4, 20 + n, 0));
+            w.events.push(ended(at + 1, 4, 20 + n, End::Skipped));
+        }
+    });
+    assert_eq!(four, [Rule::Attempts]);
+    let cut = (10 * S + 100_000, End::Cut);
+    let keyed = |second| {
+        broken(|w| {
+            w.class(2);
+            again(w, cut, second);
+        })
+    };
+    assert_eq!(keyed(11 * S), []);
+    assert_eq!(keyed(12 * S + 100_000), [Rule::Attempts]);
+    // One that never ran starts no window.
+    let skipped = broken(|w| {
+        w.class(2);
+        again(w, (10 * S + 100_000, End::Skipped), 13 * S);
+    });
+    assert_eq!(skipped, []);
+    let risky = |end| {
+        broken(|w| {
+            w.scenario.classes[2].repeat = RepeatName::Unsafe;
+            w.class(2);
+            again(w, (10 * S + 100_000, end), 10 * S + 200_000);
+        })
+    };
+    assert_eq!(risky(End::Cut), [Rule::Attempts]);
+    assert_eq!(risky(End::Skipped), []);
+}
+
+#[test]
+fn nothing_reaches_a_host_two_seconds_after_the_news_that_it_drains_or_is_gone() {
+    for phase in [Phase::Terminating, Phase::Gone] {
+        let told = |at| broken(|w| w.events.push(about(at, 0, 0, What::Told(phase))));
+        assert_eq!(told(9 * S), [], "within the grace");
+        assert_eq!(told(7 * S), [Rule::Drain]);
+        assert_eq!(broken(|w| w.events.push(about(7 * S, 0, 1, What::Told(phase)))), [], "another was told");
+        let back = broken(|w| {
+            w.events.push(about(6 * S, 0, 0, What::Told(phase)));
+            w.events.push(about(8 * S, 0, 0, What::Told(Phase::Ready)));
+        });
+        assert_eq!(back, [], "it is back");
+        let anew = broken(|w| {
+            w.events.push(about(6 * S, 0, 0, What::Told(phase)));
+            w.lives.0.push(LifeEvent { at: 8 * S, coordinator: 0, life: Life::Started });
+        });
+        assert_eq!(anew, [], "this process was never told");
+        let still = broken(|w| {
+            w.events.push(about(7 * S, 0, 0, What::Told(phase)));
+            w.lives.0.push(LifeEvent { at: 6 * S, coordinator: 0, life: Life::Stopped });
+            w.lives.0.push(LifeEvent { at: 9 * S, coordinator: 0, life: Life::Continued });
+        });
+        assert_eq!(still, [], "it stood still when it was told");
+    }
+    // Draining, then gone: the first word counts.
+    let both = broken(|w| {
+        w.events.push(about(7 * S, 0, 0, What::Told(Phase::Terminating)));
+        w.events.push(about(9 * S, 0, 0, What::Told(Phase::Gone)));
+    });
+    assert_eq!(both, [Rule::Drain]);
+}
+
+#[test]
+fn a_cold_host_that_falls_is_put_down_to_those_who_knew() {
+    let fell = |up, told: Option<Micros>| {
+        broken(|w| {
+            w.events.push(about(up, 0, NOBODY, What::Up));
+            told.into_iter().for_each(|at| w.events.push(about(at, 0, 0, What::Told(Phase::Ready))));
+            w.events.push(about(10 * S + 2000, 0, NOBODY, What::Fell));
+        })
+    };
+    assert_eq!(fell(8 * S, Some(9 * S)), [Rule::Cold]);
+    assert_eq!(fell(8 * S, None), [], "nobody had been told");
+    assert_eq!(fell(3 * S, None), [Rule::Cold], "by now it counts as told");
+}
+
+#[test]
+fn answers_that_say_more_than_is_true_are_found() {
+    let say = |shards: &[u32], values: &[u64], full| {
+        broken(|w| {
+            w.tried().shards = shards.to_vec();
+            w.tried().values = values.to_vec();
+            w.tried().end = TryEnd::Served(full);
+        })
+    };
+    assert_eq!(say(&[0], &[1], false), [], "0.75 is above the floor of 0.7");
+    assert_eq!(say(&[1], &[2], false), [Rule::Honest], "0.25 is not");
+    assert_eq!(say(&[0], &[1], true), [Rule::Honest], "marked whole and is not");
+    assert_eq!(say(&[0, 0, 1], &[1, 2], true), [Rule::Honest], "a part twice");
+    assert_eq!(say(&[0, 1, 2], &[1, 2], true), [Rule::Honest], "a part nobody wanted");
+    assert_eq!(say(&[0, 1], &[1, 77], true), [Rule::Honest], "a value of no host");
+    let late = broken(|w| w.events[3] = ended(12 * S, 1, 2, End::Served(2)));
+    assert_eq!(late, [Rule::Honest], "said to be in before its host had given it");
+    let other = broken(|w| {
+        w.scenario.classes[1].repeat = RepeatName::Unsafe;
+        w.tried().end = TryEnd::Refused;
+    });
+    assert_eq!(other, [Rule::Honest], "refused though it ran");
+}
+
+#[test]
+fn parts_nobody_asked_for_and_parts_at_the_wrong_host_are_strays() {
+    assert_eq!(broken(|w| w.events.push(arrived(10 * S, 2, 30, 2))), [Rule::Stray]);
+    let wrong = broken(|w| {
+        w.events[1].host = 2;
+        w.events[3].host = 2;
+    });
+    assert_eq!(wrong, [Rule::Stray]);
+    let unmarked = broken(|w| {
+        let what = What::Arrived { name: "x".into(), shard: 0, key: None, reference: None };
+        w.events.push(Event { at: S, host: 0, coordinator: 0, attempt: 31, what });
+    });
+    assert_eq!(unmarked, [Rule::Stray]);
+}
+
+#[test]
+fn over_http_parts_are_told_apart_by_the_clients_mark() {
+    // Two queries in one call: the second one's part bears the first one's name.
+    let two = |dialect| {
+        broken(|w| {
+            w.scenario.fleet.dialect = dialect;
+            let q = w.plan.0[0].clone();
+            w.plan.0.push(q);
+            let mut other = arrived(10 * S + 2000, 4, 9, 0);
+            if let What::Arrived { reference, .. } = &mut other.what {
+                *reference = Some(Ref { query: 1, attempt: 0 });
+            }
+            w.events.push(other);
+            w.events.push(ended(10 * S + 9000, 4, 9, End::Served(9)));
+        })
+    };
+    assert_eq!(two(DialectName::OpenSearch), []);
+    assert_eq!(two(DialectName::Frames), [Rule::Overlap]);
+}
+
+#[test]
+fn a_story_tells_all_of_a_query_in_order() {
+    let mut w = World::new();
+    w.events.push(about(10 * S + 2, 0, 0, What::Told(Phase::Terminating)));
+    w.events.sort_by_key(|e| e.at);
+    let story = story(&w.evidence(), 0);
+    let at = |words: &str| story.find(words).unwrap_or_else(|| panic!("no '{words}' in\n{story}"));
+    let order = [
+        at("due: fleet-report"),
+        at("was told: host 0 Terminating"),
+        at("host 0: part q0.0 came from coordinator 0"),
+        at("host 0: part q0.0 Served"),
+        at("try 0 ended: served"),
+    ];
+    assert!(order.is_sorted(), "{story}");
+}
--- a/crates/fennelpin-lab/src/lib.rs
+++ b/crates/fennelpin-lab/src/lib.rs
@@ -6,9 +6,14 @@
 #![warn(missing_docs)]
 
 pub mod arrivals;
+pub mod audit;
 pub mod clients;
 pub mod curve;
+pub mod deploy;
 pub mod drivers;
+pub mod engine;
 pub mod plan;
+pub mod record;
 pub mod scenario;
+pub mod stats;
 pub mod trace;
--- a/crates/fennelpin-lab/src/plan.rs
+++ b/crates/fennelpin-lab/src/plan.rs
@@ -126,7 +126,7 @@
         // A log-normal of mean 1 and this spread.
         let sigma = (1.0 + c.work_cv * c.work_cv).ln().sqrt();
         let spread = LogNormal::new(-sigma * sigma / 2.0, sigma).ok();
-        let mut of = |rng: &mut Pcg64Mcg| spread.map_or(1.0, |s| s.sample(rng));
+        let of = |rng: &mut Pcg64Mcg| spread.map_or(1.0, |s| s.sample(rng));
         let heavy: Vec<f64> = (0..count).map(|_| of(&mut fixed).max(0.01)).collect();
         let total: f64 = heavy.iter().sum();
         let noise: Vec<f64> =
