Lab: up, run, load, compare and trace; faults by timetable; results and charts

lab run starts stand-ins and coordinators, carries out the faults, drives the plan, audits the ledgers and writes summary, windows, HDR log, report, charts and one page; exit codes tell a broken rule, a void run and a crash apart. lab compare pairs runs of two builds, lab load drives any target, lab target is one of known behaviour.

--- /dev/null
+++ b/crates/fennelpin-lab/src/charts.rs
@@ -0,0 +1,200 @@
+//! Charts of a run as SVG, with the faults marked.
+
+use crate::faults::Mark;
+use crate::run::Sample;
+use crate::stats::Window;
+use hdrhistogram::Histogram;
+use plotters::coord::Shift;
+use plotters::prelude::*;
+
+const SIZE: (u32, u32) = (900, 320);
+const COLOURS: [RGBColor; 6] = [
+    RGBColor(31, 119, 180),
+    RGBColor(44, 160, 44),
+    RGBColor(255, 127, 14),
+    RGBColor(214, 39, 40),
+    RGBColor(148, 103, 189),
+    RGBColor(90, 90, 90),
+];
+
+/// A drawing that failed; drawing into memory should not.
+pub type ChartError = Box<dyn std::error::Error>;
+
+/// A named line.
+pub struct Line {
+    /// Its name.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+impl Line {
+    /// One line.
+    pub fn new(name: &str, points: Vec<(f64, f64)>) -> Self {
+        Self { name: name.to_owned(), points }
+    }
+}
+
+fn extent(lines: &[Line]) -> ((f64, f64), f64) {
+    let all = || lines.iter().flat_map(|l| &l.points);
+    let least = all().map(|p| p.0).fold(f64::INFINITY, f64::min);
+    let most = all().map(|p| p.0).fold(f64::NEG_INFINITY, f64::max);
+    let top = all().map(|p| p.1).fold(0.0, f64::max);
+    if least < most {
+        ((least, most), top.max(1e-9) * 1.08)
+    } else {
+        ((0.0, 1.0), top.max(1.0))
+    }
+}
+
+fn draw(
+    root: &DrawingArea<SVGBackend, Shift>,
+    title: &str,
+    x: &str,
+    y: &str,
+    lines: &[Line],
+    marks: &[Mark],
+    x_label: &dyn Fn(&f64) -> String,
+) -> Result<(), ChartError> {
+    root.fill(&WHITE)?;
+    let ((left, right), top) = extent(lines);
+    let mut chart = ChartBuilder::on(root)
+        .caption(title, ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(left..right, 0.0..top)?;
+    for m in marks.iter().filter(|m| m.at_s < right) {
+        let to = m.to_s.clamp(m.at_s + (right - left) / 400.0, right);
+        let band = Rectangle::new([(m.at_s, 0.0), (to, top)], RGBColor(200, 60, 60).mix(0.12).filled());
+        chart.draw_series([band])?;
+        chart.draw_series([Text::new(m.what.clone(), (m.at_s, top * 0.99), ("sans-serif", 10))])?;
+    }
+    chart
+        .configure_mesh()
+        .light_line_style(TRANSPARENT)
+        .x_desc(x)
+        .y_desc(y)
+        .x_label_formatter(x_label)
+        .label_style(("sans-serif", 11))
+        .draw()?;
+    for (n, l) in lines.iter().enumerate() {
+        let colour = COLOURS[n % COLOURS.len()];
+        let series = chart.draw_series(LineSeries::new(l.points.iter().copied(), colour.stroke_width(1)))?;
+        if lines.len() <= COLOURS.len() {
+            series.label(&l.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        }
+    }
+    if lines.len() <= COLOURS.len() {
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperRight)
+            .background_style(WHITE.mix(0.8))
+            .label_font(("sans-serif", 11))
+            .draw()?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+/// Lines over time in seconds.
+///
+/// # Errors
+/// If drawing fails.
+pub fn over_time(title: &str, y: &str, lines: &[Line], marks: &[Mark]) -> Result<String, ChartError> {
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        draw(&root, title, "seconds", y, lines, marks, &|x| format!("{x:.0}"))?;
+    }
+    Ok(svg)
+}
+
+/// Latency by percentile, on an axis that gives each further nine the same room.
+///
+/// # Errors
+/// If drawing fails.
+pub fn percentiles(title: &str, all: &[(&str, &Histogram<u64>)]) -> Result<String, ChartError> {
+    let line = |(name, h): &(&str, &Histogram<u64>)| {
+        // Up to where a single value decides.
+        let most = (h.len().max(10) as f64).log10();
+        let at = |n: u32| {
+            let nines = most * f64::from(n) / 200.0;
+            let q = 1.0 - 10f64.powf(-nines);
+            (nines, h.value_at_quantile(q) as f64 / 1e3)
+        };
+        Line::new(name, (0..=200).map(at).collect())
+    };
+    let lines: Vec<Line> = all.iter().map(line).collect();
+    let label = |nines: &f64| match nines.round() as i32 {
+        0 => "0%".to_owned(),
+        n => format!("{}%", 100.0 - 100.0 * 10f64.powi(-n)),
+    };
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        draw(&root, title, "percentile", "ms", &lines, &[], &label)?;
+    }
+    Ok(svg)
+}
+
+/// The charts of a run: name and SVG.
+///
+/// # Errors
+/// If drawing fails.
+pub fn of_run(
+    windows: &[Window],
+    samples: &[Sample],
+    marks: &[Mark],
+    histograms: &[(&str, &Histogram<u64>)],
+) -> Result<Vec<(&'static str, String)>, ChartError> {
+    let over = |name: &str, of: &dyn Fn(&Window) -> f64| {
+        Line::new(name, windows.iter().map(|w| (w.at_s + 0.5, of(w))).collect())
+    };
+    let rates = [
+        over("due", &|w| w.due as f64),
+        over("served", &|w| w.served as f64),
+        over("refused", &|w| w.refused as f64),
+        over("failed", &|w| w.failed as f64),
+        over("tries", &|w| w.tries as f64),
+    ];
+    let latency = [over("p50", &|w| w.latency.p50), over("p99", &|w| w.latency.p99)];
+    let worth = [over("worth earned of worth asked", &|w| w.worth)];
+    let count = samples.first().map_or(0, |s| s.hosts.len());
+    let host = |n: usize| {
+        Line::new(
+            &format!("host {n}"),
+            samples.iter().map(|s| (s.at_s, f64::from(s.hosts[n].held))).collect(),
+        )
+    };
+    let hosts: Vec<Line> = (0..count).map(host).collect();
+    let mut all = vec![
+        ("percentiles", percentiles("Time by percentile", histograms)?),
+        ("rates", over_time("Queries a second, by the instant they were due", "a second", &rates, marks)?),
+        ("latency", over_time("Latency from the planned instant", "ms", &latency, marks)?),
+        ("worth", over_time("Worth", "share", &worth, marks)?),
+    ];
+    if count > 0 {
+        all.push(("hosts", over_time("Parts held by each host", "parts", &hosts, marks)?));
+    }
+    Ok(all)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn charts_are_drawn_with_their_marks_and_of_nothing_as_well() {
+        let mut h = crate::stats::histogram();
+        (1..1000).for_each(|n| h.saturating_record(n * 100));
+        let windows: Vec<Window> =
+            (0..10).map(|n| Window { at_s: f64::from(n), due: 10 * n as u64, ..Window::default() }).collect();
+        let marks = [Mark { at_s: 3.0, to_s: 5.0, what: "host-crash 3".into() }];
+        let charts = of_run(&windows, &[], &marks, &[("latency", &h)]).unwrap();
+        assert_eq!(charts.len(), 4);
+        assert!(charts.iter().all(|(_, svg)| svg.starts_with("<svg") && svg.trim_end().ends_with("</svg>")));
+        assert!(charts[1].1.contains("host-crash 3") && charts[0].1.contains("99.9%"));
+        of_run(&[], &[], &[], &[("latency", &crate::stats::histogram())]).unwrap();
+    }
+}
--- a/crates/fennelpin-lab/src/deploy.rs
+++ b/crates/fennelpin-lab/src/deploy.rs
@@ -115,6 +115,7 @@
             let text = serde_json::to_string_pretty(&config).unwrap_or_default();
             let config = write(dir.join(format!("coordinator-{c}.json")), text)?;
             let log = dir.join(format!("coordinator-{c}.log"));
+            write(log.clone(), String::new())?;
             let (before_s, last) = (0.0, Usage::default());
             all.push(One { listen, config, log, child: None, before_s, last });
         }
--- a/crates/fennelpin-lab/src/lib.rs
+++ b/crates/fennelpin-lab/src/lib.rs
@@ -7,13 +7,19 @@
 
 pub mod arrivals;
 pub mod audit;
+pub mod charts;
 pub mod clients;
+pub mod compare;
 pub mod curve;
 pub mod deploy;
 pub mod drivers;
 pub mod engine;
+pub mod faults;
 pub mod plan;
 pub mod record;
+pub mod results;
+pub mod run;
 pub mod scenario;
 pub mod stats;
+pub mod target;
 pub mod trace;
--- a/crates/fennelpin-lab/src/scenario.rs
+++ b/crates/fennelpin-lab/src/scenario.rs
@@ -676,6 +676,9 @@
         need(self.tenants.iter().any(|t| t.share > 0.0), "tenant", "have no share at all")?;
         let t = &self.traffic;
         need(!t.fronts.is_empty(), "traffic.fronts", "must name one at least")?;
+        // The platform's text is no search: a coordinator can't say it to such hosts.
+        let speak = f.dialect == DialectName::Frames || t.fronts.iter().all(|f| *f == FrontName::OpenSearch);
+        need(speak, "traffic.fronts", "must be 'opensearch' alone where 'fleet.dialect' is")?;
         need((1..=10_000_000).contains(&t.keys), "traffic.keys", "must lie in 1 to 10000000")?;
         need((0.0..=4.0).contains(&t.zipf), "traffic.zipf", "must lie in 0 to 4")?;
         need(!t.shapes.is_empty() || t.trace.is_some(), "traffic.shape", "or 'traffic.trace' is needed")?;
@@ -885,6 +888,7 @@
             (LEAST.replace("rate = 10", "rate = -1"), "traffic.shape[0]"),
             (LEAST.replace("name = 'x'", "name = 'x'\ncolour = 1"), "colour"),
             (add("[fleet]\ncells = 99\n"), "fleet.cells"),
+            (add("[fleet]\ndialect = 'opensearch'\n"), "traffic.fronts"),
             (add("[fleet.host]\ncold_share = 0\n"), "fleet.host.cold_share"),
             (add("[clients]\npatience = [1.0, 0.5]\n"), "clients.patience"),
             (add("[[fault]]\nat_s = 1\nkind = 'host-crash'\nwhich = [12]\n"), "fault[0].which"),
--- a/crates/fennelpin-lab/src/trace.rs
+++ b/crates/fennelpin-lab/src/trace.rs
@@ -1,7 +1,7 @@
 //! Recorded traces: CSV with a head line, or JSON Lines. A plan goes out whole and comes back the same;
 //! a trace from elsewhere may leave all but `at_us` and `class` to the scenario's draw.
 
-use crate::plan::{Mixer, Plan, Planned, PlannedPart};
+use crate::plan::{weighed, Mixer, Plan, Planned, PlannedPart};
 use crate::scenario::{Scenario, TraceTable};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -131,6 +131,7 @@
         };
         q.front = below("front", self.front, s.traffic.fronts.len())?.unwrap_or(q.front);
         q.zone = below("zone", self.zone, s.fleet.zones.len())?.unwrap_or(q.zone);
+        q.parts = weighed(q.parts, s.traffic.fronts[usize::from(q.front)]);
         q.wait_us = self.wait_us.unwrap_or(q.wait_us);
         if !(1000..=600_000_000).contains(&q.wait_us) {
             return Err(format!("'wait_us' of {}: it must lie in 1 ms to 10 minutes", q.wait_us));
