--- a/crates/fennelpin-lab/src/lib.rs
+++ b/crates/fennelpin-lab/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod arrivals;
 pub mod audit;
+pub mod calibrate;
 pub mod charts;
 pub mod clients;
 pub mod compare;
--- a/crates/fennelpin-lab/src/main.rs
+++ b/crates/fennelpin-lab/src/main.rs
@@ -9,7 +9,7 @@
 use fennelpin_lab::scenario::{FrontName, Scenario};
 use fennelpin_lab::stats::Spread;
 use fennelpin_lab::target::{Service, Target, TargetSpec};
-use fennelpin_lab::{compare, trace};
+use fennelpin_lab::{calibrate, compare, trace};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -90,6 +90,18 @@
         #[arg(long, default_value_t = 5)]
         pairs: usize,
     },
+    /// Measures the generator against references of known times and against a null target.
+    Calibrate {
+        /// Seconds for each reference.
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+        /// Rates for the null target, queries a second.
+        #[arg(long, value_delimiter = ',', default_value = "2000,10000,20000,35000,50000")]
+        rates: Vec<f64>,
+        /// Threads of the generator.
+        #[arg(long, default_value_t = 4)]
+        threads: usize,
+    },
     /// Traces and plans.
     #[command(subcommand)]
     Trace(TraceCommand),
@@ -401,6 +413,11 @@
             print!("{}", compare::two(&Summary::load(&a)?, &Summary::load(&b)?));
             Ok(ExitCode::SUCCESS)
         }
+        Command::Calibrate { seconds, rates, threads } => {
+            let c = calibrate::calibrate(seconds.clamp(1.0, 600.0), &rates, threads.clamp(1, 64))?;
+            println!("{}\nlargest difference from a reference: {:.2}%", c.text, c.worst * 100.0);
+            Ok(ExitCode::SUCCESS)
+        }
         Command::Trace(command) => traces(command),
         Command::Target { listen, threads, fixed_ms } => {
             let stop = stopper()?;
--- a/crates/fennelpin-lab/src/run.rs
+++ b/crates/fennelpin-lab/src/run.rs
@@ -322,6 +322,8 @@
 pub struct Loaded {
     /// The plan.
     pub plan: Plan,
+    /// What clients saw.
+    pub queries: Vec<QueryRecord>,
     /// Figures.
     pub figures: Figures,
     /// Histograms.
@@ -343,12 +345,25 @@
 /// # Errors
 /// If a thread can't be had.
 pub fn load_plan(s: &Scenario, plan: Plan, targets: Vec<SocketAddr>) -> Result<Loaded, RunError> {
+    load_plan_at(s, plan, targets, Instant::now() + LEAD)
+}
+
+/// Drives targets with a plan whose time 0 is this instant.
+///
+/// # Errors
+/// If a thread can't be had.
+pub fn load_plan_at(
+    s: &Scenario,
+    plan: Plan,
+    targets: Vec<SocketAddr>,
+    start: Instant,
+) -> Result<Loaded, RunError> {
     let plan = Arc::new(plan);
     let epoch = Epoch(Instant::now());
     let shared = Arc::new(Shared::new(s.clone(), targets, epoch, run_name()));
-    let start = Instant::now() + LEAD;
     let queries = engine::run(&shared, &plan, start)?;
     let (figures, histograms) = stats::figures(s, &plan, &queries, epoch.at(start));
     let void = void(s, &figures);
-    Ok(Loaded { plan: Arc::try_unwrap(plan).unwrap_or_else(|p| (*p).clone()), figures, histograms, void })
+    let plan = Arc::try_unwrap(plan).unwrap_or_else(|p| (*p).clone());
+    Ok(Loaded { plan, queries, figures, histograms, void })
 }
--- a/crates/fennelpin-lab/src/target.rs
+++ b/crates/fennelpin-lab/src/target.rs
@@ -12,8 +12,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 
-const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 26\r\n\r\n\
-                        {\"full\":true,\"pieces\":[]} \n";
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 25\r\n\r\n\
+                        {\"full\":true,\"pieces\":[]}";
 
 /// How long an answer takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -126,8 +126,7 @@
     /// If the socket or a thread can't be had.
     pub fn start(spec: TargetSpec, addr: Option<SocketAddr>) -> std::io::Result<Self> {
         let addr = addr.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
-        let listener = std::net::TcpListener::bind(addr)?;
-        listener.set_nonblocking(true)?;
+        let listener = fennelpin_standin::fleet::listener(addr)?;
         let addr = listener.local_addr()?;
         let (orders, received) = mpsc::channel();
         let mut threads = vec![std::thread::spawn(move || timekeeper(&received))];
--- a/crates/fennelpin-standin/src/fleet.rs
+++ b/crates/fennelpin-standin/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::{Agent, Member};
 use crate::frames;
-use crate::host::{bind, ConnSpec, Host, Mode};
+use crate::host::{ConnSpec, Host, Mode};
 use crate::ledger::{Epoch, Ledger, Phase};
 use crate::model::HostSpec;
 use crate::search;
@@ -126,13 +126,8 @@
             |n: usize| SocketAddr::from((Ipv4Addr::new(127, 21, (n / 250) as u8, (n % 250) as u8 + 1), 0));
         let mut doors: Vec<Vec<StdListener>> = Vec::new();
         for n in 0..spec.hosts.len() {
-            let door = |_| {
-                let l = StdListener::bind(loopback(n))?;
-                l.set_nonblocking(true)?;
-                socket2::SockRef::from(&l).listen(1024)?;
-                Ok(l)
-            };
-            doors.push((0..spec.coordinators).map(door).collect::<std::io::Result<_>>()?);
+            doors
+                .push((0..spec.coordinators).map(|_| listener(loopback(n))).collect::<std::io::Result<_>>()?);
         }
         let addr = |l: &StdListener| l.local_addr();
         let addrs: Vec<Vec<SocketAddr>> =
@@ -150,11 +145,7 @@
             .map(|c| spec.hosts.iter().enumerate().map(|p| member(p, c)).collect())
             .collect();
         let lists: Vec<StdListener> = (0..spec.coordinators)
-            .map(|_| {
-                let l = StdListener::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-                l.set_nonblocking(true)?;
-                Ok(l)
-            })
+            .map(|_| listener(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))))
             .collect::<std::io::Result<_>>()?;
         let discovery = lists.iter().map(addr).collect::<std::io::Result<_>>()?;
         let states = Arc::new(Mutex::new(vec![HostState::default(); spec.hosts.len()]));
@@ -325,10 +316,14 @@
     StdListener::bind(SocketAddr::from((Ipv4Addr::new(127, 22, 0, 1), 0)))?.local_addr()
 }
 
-/// A listener with a long queue, for tools that stand in for a coordinator.
+/// A listener with a long queue, ready for a runtime.
 ///
 /// # Errors
 /// If the address can't be had.
-pub fn listener(addr: SocketAddr) -> std::io::Result<tokio::net::TcpListener> {
-    bind(addr)
+pub fn listener(addr: SocketAddr) -> std::io::Result<StdListener> {
+    let l = StdListener::bind(addr)?;
+    l.set_nonblocking(true)?;
+    // The library's own queue holds 128: a burst of connections beyond it waits a second for its next SYN.
+    socket2::SockRef::from(&l).listen(4096)?;
+    Ok(l)
 }
