Several cores in one process: a table a core, limits, names and drains kept as one

With [cores] in the operator's file (off otherwise: the path with one core stays) each core is a thread with its own module, table, hosts and clients. One thread accepts and deals connections to the core with the fewest; a query stays with its connection unless that core is dead, stands still or far fuller, and a booking goes to its key's core. crates/fennelpin-shared holds what is one over all: a budget with leases, open names, gates that close for all cores at once when a host drains, who gets what.

Confirmed by reading and mended: request numbers are 64 bits and never wrap; forgetting a host asks an index instead of going over all attempts; a mailbox takes no more queries than may be open. Counters have a stripe a core.

Failed first: a core that read of a drain late still counted on the module's grace and lost three attempts on the closed gate; it is now told that the host is gone. Tests cause a busy core at a drain, a panic, a stall, one key on four connections, all clients on one core, 500 connections at once.

--- a/crates/fennelpin-lab/src/scenario.rs
+++ b/crates/fennelpin-lab/src/scenario.rs
@@ -77,6 +77,8 @@
 pub struct FleetTable {
     /// Coordinators.
     pub coordinators: u16,
+    /// Cores of each coordinator.
+    pub cores: u16,
     /// District hosts, dealt out to cells in turn.
     pub hosts: u16,
     /// Cells: the hosts of a cell hold the same shards.
@@ -101,6 +103,7 @@
     fn default() -> Self {
         Self {
             coordinators: 2,
+            cores: 1,
             hosts: 12,
             cells: 4,
             shards_per_cell: 3,
@@ -615,6 +618,7 @@
         let f = &self.fleet;
         need(self.length_s > 0.0 && self.length_s <= 86_400.0, "length_s", "must lie in (0, 86400]")?;
         need((1..=64).contains(&f.coordinators), "fleet.coordinators", "must lie in 1 to 64")?;
+        need((1..=64).contains(&f.cores), "fleet.cores", "must lie in 1 to 64")?;
         need((1..=2000).contains(&f.hosts), "fleet.hosts", "must lie in 1 to 2000")?;
         need(
             f.cells >= 1 && f.cells <= f.hosts.into(),
@@ -827,13 +831,20 @@
     pub fn operator(&self) -> Option<String> {
         let front = self.traffic.fronts.contains(&FrontName::OpenSearch);
         let hosts = self.fleet.dialect == DialectName::OpenSearch;
-        if !front && !hosts {
+        let cores = self.fleet.cores > 1;
+        if !front && !hosts && !cores {
             return None;
         }
         let mut text = String::new();
         if hosts {
             text.push_str("hosts = \"opensearch\"\n");
         }
+        if cores {
+            text.push_str(&format!("[cores]\ncount = {}\n", self.fleet.cores));
+        }
+        if !front {
+            return Some(text);
+        }
         text.push_str("[opensearch]\nscroll_contexts = 32\n");
         for c in &self.classes {
             let tenant = &self.tenants[0].name;
--- a/crates/fennelpin-lab/tests/generator.rs
+++ b/crates/fennelpin-lab/tests/generator.rs
@@ -7,7 +7,7 @@
 use fennelpin_lab::scenario::Arrivals;
 use fennelpin_lab::target::{Service, Target, TargetSpec};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -21,7 +21,9 @@
 fn server(
     script: impl Fn(usize, &mut TcpStream) -> bool + Send + Sync + 'static,
 ) -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    // With a long queue: beyond the library's own 128 a connection waits a second for its next SYN.
+    let listener = fennelpin_standin::fleet::listener("127.0.0.1:0".parse().unwrap()).unwrap();
+    listener.set_nonblocking(false).unwrap();
     let addr = listener.local_addr().unwrap();
     let (script, conns, requests) =
         (Arc::new(script), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
--- a/src/bin/fennelpin-adapter/wire.rs
+++ b/src/bin/fennelpin-adapter/wire.rs
@@ -181,7 +181,7 @@
                 f.optional();
                 let whole = f.text("whole_no")?.to_owned();
                 let shard = f.number("shard")?;
-                let id = RequestId(self.requests.number(xid));
+                let id = RequestId(self.requests.number(xid).into());
                 let weight = f.number("size_or_weight")?;
                 if shard < 0.0 {
                     let bits = f.optional().and_then(|b| b.parse::<u32>().ok());
@@ -194,7 +194,7 @@
                 }
             }
             "attempt_end" => {
-                let part = self.requests.find(f.text("xid")?).map(RequestId);
+                let part = self.requests.find(f.text("xid")?).map(|n| RequestId(n.into()));
                 let attempt = f.value("hop")?;
                 f.text("node")?;
                 let outcome = outcome(f.text("how")?).map_err(|e| format!("attempt_end: {e}"))?;
@@ -205,7 +205,7 @@
                 Event::AttemptEnd { part, attempt, outcome, latency, closed, report }
             }
             "withdrawn" => match self.requests.find(f.text("xid")?) {
-                Some(n) => Event::Withdrawn { query: RequestId(n) },
+                Some(n) => Event::Withdrawn { query: RequestId(n.into()) },
                 None => return Ok(None),
             },
             "check_result" => {
@@ -227,7 +227,8 @@
 
     /// Writes an action of instance `who` as a line.
     pub fn action(&self, who: u32, action: &Action, out: &mut String) {
-        let request = |id: &RequestId| self.requests.name(id.0);
+        // Numbers that were given out here, so they fit.
+        let request = |id: &RequestId| u32::try_from(id.0).map_or("", |n| self.requests.name(n));
         let written = match action {
             Action::Send { part, server, timeout } => {
                 let node = self.servers.name(server.0);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -117,6 +117,7 @@
             Event::AttemptEnd { .. } => self.on_attempt_end(event, out),
             Event::Withdrawn { query } => self.forget(query, out),
             Event::Probed { server, outcome, report } => self.on_probed(server, outcome, report),
+            Event::Unreached { server } => self.eject(server, true),
             Event::Wake => {}
             Event::TurnEnd => self.decide(out),
         }
@@ -131,9 +132,8 @@
         if let Some(rate) = tenant.and_then(|t| self.tenants.get_mut(t.0 as usize)) {
             rate.add(self.now, RATE_SPAN);
         }
-        let query =
-            Query { class, tenant, goal_at, deadline, parts: Vec::new(), admitted: false, first: None };
-        self.queries.insert(id, query);
+        let (parts, admitted, first) = (Vec::new(), false, None);
+        self.queries.insert(id, Query { class, tenant, goal_at, deadline, parts, admitted, first });
     }
 
     /// First tries of a class all wait equally long; the client's last one waits for what is left of its
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,6 +10,10 @@
 
 /// Fewest descriptors and least memory that the program can serve with.
 const LEAST: (usize, usize) = (128, 24);
+/// Most cores of one process.
+const MOST_CORES: usize = 64;
+/// Fewest connections to hosts, and seats for clients, that a core can work with.
+const LEAST_OF_CORE: usize = 8;
 /// Descriptors kept for the listener, the list, the runtime and the standard streams.
 const KEPT_SOCKETS: usize = 16;
 /// Memory kept for the program itself, its hosts' connections and their values.
@@ -51,6 +55,19 @@
     }
 }
 
+impl Room {
+    /// What one of several cores has of it.
+    pub fn of_core(&self, cores: usize) -> Self {
+        let part = |n: usize| n / cores.max(1);
+        Self {
+            clients: part(self.clients),
+            turned_away: part(self.turned_away),
+            links: part(self.links),
+            held: part(self.held),
+        }
+    }
+}
+
 /// What is wrong with the configuration; each message names the key or the file.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -91,7 +108,7 @@
 }
 
 /// An operator's file: what the platform does not configure.
-#[derive(Deserialize, Default, Debug)]
+#[derive(Deserialize, Default, Debug, Clone)]
 #[serde(deny_unknown_fields, default)]
 pub struct Operator {
     /// How hosts are spoken to.
@@ -100,6 +117,19 @@
     pub opensearch: Option<OpenSearchConfig>,
     /// DNS-SD as the source of the host list, in place of discovery.
     pub dns_sd: Option<DnsSdConfig>,
+    /// Several cores in one process.
+    pub cores: Option<CoresConfig>,
+}
+
+/// Several cores in one process.
+#[derive(Deserialize, Debug, Clone, Copy, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CoresConfig {
+    /// How many; 1 is the same as none of this.
+    pub count: usize,
+    /// Whether each is bound to a processor, where the system lets it.
+    #[serde(default)]
+    pub pin: bool,
 }
 
 /// How hosts are spoken to.
@@ -217,6 +247,11 @@
                 return Err(ConfigError::Missing("opensearch.index.key_header"));
             }
         }
+        if let Some(c) = &self.cores {
+            if !(1..=MOST_CORES).contains(&c.count) {
+                return Err(ConfigError::Value("cores.count", c.count.to_string()));
+            }
+        }
         if let Some(d) = &self.dns_sd {
             address("dns_sd.responder", d.responder.clone())?;
             let first = d.service.iter().next().unwrap_or_default();
@@ -229,6 +264,7 @@
 }
 
 /// The whole configuration.
+#[derive(Clone)]
 pub struct Config {
     /// This coordinator's name.
     pub name: String,
@@ -333,6 +369,14 @@
         let room = Room::of(&raw.limits)?;
         let site = settings::read(&raw.settings.to_string())?;
         operator.check(&site)?;
+        let cores = operator.cores.map_or(1, |c| c.count);
+        let one = room.of_core(cores);
+        if cores > 1 && one.links.min(one.clients) < LEAST_OF_CORE {
+            return Err(ConfigError::Value(
+                "cores.count",
+                format!("{cores} with so few descriptors or so little memory"),
+            ));
+        }
         Ok(Self {
             name: env("PROXY_NAME").or(raw.name).unwrap_or_else(|| "coordinator".into()),
             listen: address("listen", listen)?,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -196,6 +196,10 @@
     Probed(ServerId, Outcome, Option<LoadReport>),
     /// News of the host list.
     List(ListKind, Vec<Listed>),
+    /// Another core could not reach the host of this name.
+    Unreached(Arc<str>),
+    /// All news up to this version of the list has been handed over.
+    Version(u64),
 }
 
 /// Carries calls to hosts. Everything handed over is reported back as [`Mail`], once.
--- a/src/core/names.rs
+++ b/src/core/names.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 /// Numbers names in the order of their first appearance.
-#[derive(Default, Debug)]
+#[derive(Default, Debug, Clone)]
 pub struct Names {
     numbers: HashMap<Arc<str>, u32>,
     names: HashMap<u32, Arc<str>>,
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -37,6 +37,7 @@
 }
 
 /// The settings together with the names that the module knows only as numbers.
+#[derive(Clone)]
 pub struct Site {
     /// What the module is given.
     pub settings: Settings,
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -4,6 +4,7 @@
 use super::settings::Site;
 use super::*;
 use crate::counters::Counters;
+use crate::shard::Seat;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use tokio::sync::oneshot;
 
@@ -12,6 +13,9 @@
 /// Sends to a draining host stop this long before the rule says, as the frame still has to be written.
 const DRAIN_MARGIN: Duration = Duration::from_millis(50);
 
+/// So many connections in a row that did not come up are news for the other cores.
+const UNREACHED: u32 = 2;
+
 /// A host that has been gone for so long, with nothing out on it, is forgotten with all that goes by its
 /// name: hosts are replaced under new names all the time.
 const FORGET: Duration = Duration::from_secs(15);
@@ -64,18 +68,24 @@
     tickets: HashMap<u64, RequestId>,
     parts: HashMap<RequestId, Part>,
     attempts: HashMap<(RequestId, u32), Attempt>,
+    /// Attempts out on each host.
+    out: HashMap<ServerId, usize>,
     /// Names in use, with the number of open queries and attempts under each.
     names: HashMap<Arc<str>, u32>,
     /// Attempts by the time of their time-out.
     timeouts: BTreeSet<(Instant, RequestId, u32)>,
     deadlines: BTreeSet<(Instant, RequestId)>,
     wakes: BTreeSet<Instant>,
-    next_id: u32,
+    next_id: u64,
     /// Bytes of the values held, and how many may be. Hosts' answers must not take the memory: a value
     /// beyond that counts as an error of its host.
     held: usize,
     most_held: usize,
     actions: Vec<Action>,
+    /// What it shares with other cores of the process; `None` where it is the only one.
+    seat: Option<Seat>,
+    /// Connections in a row that did not come up, by host.
+    unreached: HashMap<ServerId, u32>,
 }
 
 impl<T: Transport> Table<T> {
@@ -107,6 +117,7 @@
             tickets: HashMap::new(),
             parts: HashMap::new(),
             attempts: HashMap::new(),
+            out: HashMap::new(),
             names: HashMap::new(),
             timeouts: BTreeSet::new(),
             deadlines: BTreeSet::new(),
@@ -115,6 +126,34 @@
             held: 0,
             most_held,
             actions: Vec::new(),
+            seat: None,
+            unreached: HashMap::new(),
+        }
+    }
+
+    /// The same as one of several cores.
+    pub fn among(mut self, seat: Seat) -> Self {
+        self.seat = Some(seat);
+        self
+    }
+
+    /// Tells the other cores of a host that could not be reached twice in a row: each would otherwise
+    /// find out at the cost of its own parts.
+    fn hear(&mut self, server: ServerId, outcome: Outcome) {
+        let Some(seat) = &self.seat else { return };
+        if outcome != Outcome::ConnectFailed {
+            self.unreached.remove(&server);
+            return;
+        }
+        let n = self.unreached.entry(server).or_default();
+        *n += 1;
+        if *n == UNREACHED {
+            let id: Arc<str> = self.servers.name(server.0).into();
+            for other in &seat.others {
+                // One that has ended hears nothing more.
+                let _ = other.send(Mail::Unreached(id.clone()));
+            }
+            self.counters.inc("cores.told_unreached");
         }
     }
 
@@ -132,7 +171,7 @@
     }
 
     fn fresh(&mut self) -> RequestId {
-        self.next_id = self.next_id.wrapping_add(1);
+        self.next_id += 1;
         RequestId(self.next_id)
     }
 
@@ -149,16 +188,28 @@
             }
             Mail::Ended(ended) => self.on_ended(ended, now),
             Mail::Probed(server, outcome, report) => {
+                self.hear(server, outcome);
                 self.tell(now, Event::Probed { server, outcome, report });
             }
             Mail::List(kind, entries) => self.on_list(kind, entries, now),
+            Mail::Unreached(id) => {
+                if let Some(server) = self.servers.find(&id).map(ServerId) {
+                    self.tell(now, Event::Unreached { server });
+                }
+            }
+            Mail::Version(version) => {
+                if let Some(seat) = &self.seat {
+                    seat.gates.acknowledge(seat.core, version);
+                }
+            }
         }
     }
 
     fn on_query(&mut self, new: NewQuery, ticket: u64, reply: oneshot::Sender<Answer>, now: Instant) {
         // Two queries by one name would share their parts' names: the hosts would take one's for a copy of
         // the other's.
-        if self.names.contains_key(&new.name) {
+        let elsewhere = |s: &Seat| !s.names.open(&new.name, s.core);
+        if self.names.contains_key(&new.name) || self.seat.as_ref().is_some_and(elsewhere) {
             self.counters.inc("answered.name_taken");
             let _ = reply.send(Answer::NameTaken);
             return;
@@ -168,7 +219,15 @@
         let deadline = new.arrived + new.wait;
         // Over the cap on what may be open a query never reaches the module: it would cost memory for
         // work that can't be done in time.
-        if self.queries.len() + self.parts.len() + 1 + new.parts.len() > self.open_cap {
+        let wanted = 1 + new.parts.len();
+        let room = match &self.seat {
+            Some(seat) => seat.lease.take(wanted),
+            None => self.queries.len() + self.parts.len() + wanted <= self.open_cap,
+        };
+        if !room {
+            if let Some(seat) = &self.seat {
+                seat.names.close(&new.name, seat.core);
+            }
             self.counters.inc("answered.refused.open_cap");
             let retry_after = Some(self.longest_hint.unwrap_or(Duration::from_secs(1)));
             let _ = reply.send(Answer::Refused { retry_after, cause: Cause::Busy, missing: vec![] });
@@ -198,6 +257,13 @@
     fn on_ended(&mut self, mut e: Ended, now: Instant) {
         let Some(attempt) = self.attempts.remove(&(e.part, e.attempt)) else { return };
         self.release_name(&attempt.name);
+        if let Some(n) = self.out.get_mut(&attempt.server) {
+            *n -= 1;
+            if *n == 0 {
+                self.out.remove(&attempt.server);
+            }
+        }
+        self.hear(attempt.server, e.outcome);
         let size = e.value.as_ref().map_or(0, Bytes::len);
         if size > self.most_held - self.held {
             self.counters.inc("ended.no_room");
@@ -240,7 +306,12 @@
             let zone = ZoneId(self.zones.number(&e.zone));
             let boot = self.clock.boot(e.up_since_ms);
             log::trace!("list {kind:?} {} = {} cell {} {:?}", server.0, e.id, e.cell, e.state);
-            told.push(ServerEntry { server, zone, cell: e.cell, state: e.state, boot });
+            // A core that stood still reads of a drain late: where the host's gate has shut meanwhile, the
+            // module must not count on a grace that is over.
+            let shut =
+                e.state == ServerState::Draining && self.seat.as_ref().is_some_and(|s| s.shut(&e.id, now));
+            let state = if shut { ServerState::Gone } else { e.state };
+            told.push(ServerEntry { server, zone, cell: e.cell, state, boot });
             // The grace counts from the first news of a drain, not from its repetition.
             let same = self.listed.get(&server).is_some_and(|old| *old == e);
             if !same {
@@ -273,7 +344,7 @@
         let due: Vec<ServerId> = self.gone.iter().filter(|g| *g.1 <= now).map(|g| *g.0).collect();
         for server in due {
             // What is out there still ends by its actor.
-            if self.attempts.values().all(|a| a.server != server) {
+            if !self.out.contains_key(&server) {
                 self.gone.remove(&server);
                 self.listed.remove(&server);
                 self.servers.forget(server.0);
@@ -320,6 +391,9 @@
             *n -= 1;
             if *n == 0 {
                 self.names.remove(name);
+                if let Some(seat) = &self.seat {
+                    seat.names.close(name, seat.core);
+                }
             }
         }
     }
@@ -333,12 +407,18 @@
     fn drop_parts(&mut self, parts: &[RequestId]) {
         for part in parts.iter().filter_map(|p| self.parts.remove(p)) {
             self.held -= part.value.map_or(0, |v| v.len());
+            if let Some(seat) = &self.seat {
+                seat.lease.give(1);
+            }
         }
     }
 
     /// Takes a query out; its parts stay until the caller has read them.
     fn close(&mut self, id: RequestId) -> Option<Query> {
         let q = self.queries.remove(&id)?;
+        if let Some(seat) = &self.seat {
+            seat.lease.give(1);
+        }
         self.tickets.remove(&q.ticket);
         self.deadlines.remove(&(q.deadline, id));
         self.release_name(&q.name);
@@ -419,6 +499,7 @@
         self.names.entry(name.clone()).and_modify(|n| *n += 1).or_insert(1);
         let open = Attempt { server, name: name.clone(), sent: now, give_up, given_up: false };
         self.attempts.insert((id, attempt), open);
+        *self.out.entry(server).or_default() += 1;
         self.timeouts.insert((give_up, id, attempt));
         Some(CallPart { part: id, attempt, name, shard: part.shard, give_up, key, payload })
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,32 +6,38 @@
 use std::time::Duration;
 
 macro_rules! id {
-    ($(#[$doc:meta])* $name:ident) => {
+    ($(#[$doc:meta])* $name:ident, $number:ty) => {
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        pub struct $name(pub u32);
+        pub struct $name(pub $number);
     };
 }
 
 id!(
-    /// A query or a part. The caller numbers them and never uses a number twice in one router.
-    RequestId
+    /// A query or a part. The caller numbers them and never uses a number twice in one router: 64 bits
+    /// last for longer than any process.
+    RequestId,
+    u64
 );
 id!(
     /// A server, numbered by the caller; the same server keeps its number across restarts.
-    ServerId
+    ServerId,
+    u32
 );
 id!(
     /// A class of query: its position in [`Settings::classes`].
-    ClassId
+    ClassId,
+    u32
 );
 id!(
     /// A tenant: its position in [`Settings::tenants`].
-    TenantId
+    TenantId,
+    u32
 );
 id!(
     /// A zone: its position in the list of zones known to the caller.
-    ZoneId
+    ZoneId,
+    u32
 );
 
 /// How often a part may take effect.
@@ -292,6 +298,11 @@
         /// The load report that came with it.
         report: Option<LoadReport>,
     },
+    /// A neighbour router on the same machine could not reach this server.
+    Unreached {
+        /// The server.
+        server: ServerId,
+    },
     /// A wake-up that was asked for is due.
     Wake,
     /// All events of this turn are in: the router decides now.
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -55,11 +55,17 @@
             Self::Text => {
                 let mut line = format!("{s}.{ms:03} {} {}", record.level(), record.args());
                 let _ = record.key_values().visit(&mut TextPairs(&mut line));
+                if let Some(core) = crate::shard::among_several() {
+                    let _ = write!(line, " core={core}");
+                }
                 line
             }
             Self::Json => {
                 let mut fields = Map::new();
                 let _ = record.key_values().visit(&mut JsonPairs(&mut fields));
+                if let Some(core) = crate::shard::among_several() {
+                    fields.insert("core".into(), core.into());
+                }
                 // What every line has goes before a key of the same name.
                 fields.insert("ts".into(), since_epoch.as_secs_f64().into());
                 fields.insert("level".into(), record.level().as_str().into());
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 
 /// Largest body that is taken.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -507,6 +507,40 @@
     }
 }
 
+/// A connection that another thread has accepted; `guard` is dropped with it.
+pub struct Handed {
+    /// The socket, set to non-blocking.
+    pub stream: std::net::TcpStream,
+    /// Where it comes from.
+    pub from: SocketAddr,
+    /// Counts it for as long as it lives.
+    pub guard: Guard,
+}
+
+/// Something that lives as long as a connection.
+pub type Guard = Box<dyn std::any::Any + Send>;
+
+/// Where connections come from.
+pub enum Incoming {
+    /// A listener of one's own.
+    Listener(TcpListener),
+    /// A thread that accepts for several.
+    Handed(mpsc::UnboundedReceiver<Handed>),
+}
+
+impl Incoming {
+    async fn accept(&mut self) -> std::io::Result<(TcpStream, SocketAddr, Option<Guard>)> {
+        match self {
+            Self::Listener(l) => l.accept().await.map(|(stream, from)| (stream, from, None)),
+            Self::Handed(mail) => match mail.recv().await {
+                Some(h) => Ok((TcpStream::from_std(h.stream)?, h.from, Some(h.guard))),
+                // The one that accepts has ended: no more will come.
+                None => std::future::pending().await,
+            },
+        }
+    }
+}
+
 struct Shared {
     service: Arc<dyn Service>,
     counters: Counters,
@@ -527,7 +561,11 @@
     }
 
     /// Seats a new connection and serves it; above the hard cap it is closed at once.
-    fn welcome(self: &Arc<Self>, stream: TcpStream, from: SocketAddr, closing: &watch::Receiver<bool>) {
+    fn welcome(
+        self: &Arc<Self>,
+        (stream, from, guard): (TcpStream, SocketAddr, Option<Guard>),
+        closing: &watch::Receiver<bool>,
+    ) {
         let now = Instant::now();
         let full = self.seats().taken.len() >= self.limits.clients;
         let idlers = self.seats().taken.values().filter(|s| s.phase == Phase::Idle).count();
@@ -550,6 +588,7 @@
             let (served, code) = client(conn, &shared, number, extra, leave, closing).await;
             shared.seats().taken.remove(&number);
             shared.clients.fetch_sub(1, Ordering::Relaxed);
+            drop(guard);
             shared.counters.inc("clients.ended");
             log::info!(from:%, end = code, requests = served; "client");
         });
@@ -558,7 +597,7 @@
 
 /// Serves until told to stop, and then until all that was taken is answered.
 pub async fn serve(
-    listener: TcpListener,
+    mut incoming: Incoming,
     service: Arc<dyn Service>,
     limits: Limits,
     counters: Counters,
@@ -571,8 +610,8 @@
     loop {
         let rest = if stopped.is_some() { Duration::from_millis(50) } else { Duration::from_secs(3600) };
         tokio::select! {
-            came = listener.accept() => match came {
-                Ok((stream, from)) => shared.welcome(stream, from, &closing),
+            came = incoming.accept() => match came {
+                Ok(came) => shared.welcome(came, &closing),
                 // Out of descriptors: the ones in use come back.
                 Err(e) => {
                     log::warn!("accept: {e}");
@@ -592,10 +631,10 @@
         }
     }
     // What the machine has accepted by now is served too: closing the listener would reset it.
-    while let Ok(Ok((stream, from))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-        shared.welcome(stream, from, &closing);
+    while let Ok(Ok(came)) = tokio::time::timeout(Duration::ZERO, incoming.accept()).await {
+        shared.welcome(came, &closing);
     }
-    drop(listener);
+    drop(incoming);
     let _ = close.send(true);
     let end = Instant::now() + STOP_LONGEST;
     while shared.clients.load(Ordering::Relaxed) > 0 && Instant::now() < end {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -7,6 +7,7 @@
 use crate::counters::Counters;
 use crate::interface::{Outcome, RequestId, ServerId};
 use bytes::{Buf, Bytes, BytesMut};
+use fennelpin_shared::gates::Gate;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::Future;
 use std::pin::Pin;
@@ -72,6 +73,8 @@
     pub idle: Duration,
     /// No call starts after this.
     pub stop_at: Option<Instant>,
+    /// The host's gate, which closes for all cores at once, and the origin of its times.
+    pub gate: Option<(Arc<Gate>, Instant)>,
     /// Its mailbox.
     pub mail: mpsc::UnboundedReceiver<LinkMail>,
     /// What its peer sees of it.
@@ -130,7 +133,10 @@
     /// The parts of a call that may still be sent; the others end here, never sent. Waiting in our own
     /// buffers counts against a part's time-out and against a drain's grace.
     pub fn sendable(&self, call: Vec<CallPart>, now: Instant) -> Vec<CallPart> {
-        let stopped = self.stop_at.is_some_and(|t| now >= t);
+        let shut = |(gate, origin): &(Arc<Gate>, Instant)| {
+            !gate.lets_through(now.saturating_duration_since(*origin).as_micros() as u64)
+        };
+        let stopped = self.stop_at.is_some_and(|t| now >= t) || self.gate.as_ref().is_some_and(shut);
         let (go, stay): (Vec<_>, Vec<_>) = call.into_iter().partition(|p| !stopped && now < p.give_up);
         for p in stay {
             self.counters.inc("sent.withheld");
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -40,7 +40,7 @@
 }
 
 /// A list or a change of it.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct News {
     /// Its version.
     pub revision: u64,
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -5,6 +5,7 @@
 use crate::core::{CallPart, Listed, Mail, Transport};
 use crate::counters::Counters;
 use crate::interface::{Outcome, RequestId, ServerId};
+use fennelpin_shared::gates::{Gate, Gates};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -30,6 +31,7 @@
     server: ServerId,
     addr: String,
     stop_at: Option<Instant>,
+    gate: Option<(Arc<Gate>, Instant)>,
     links: Vec<LinkRef>,
     shared: Arc<Shared>,
 }
@@ -42,6 +44,8 @@
     links: Arc<AtomicUsize>,
     core: mpsc::UnboundedSender<Mail>,
     counters: Counters,
+    /// The gates that all cores share, and the origin of their times.
+    gates: Option<(Arc<Gates>, Instant)>,
 }
 
 /// The hosts' actors, as the core's transport.
@@ -58,12 +62,13 @@
         most_links: usize,
         core: mpsc::UnboundedSender<Mail>,
         counters: Counters,
+        gates: Option<(Arc<Gates>, Instant)>,
     ) -> Self {
         // A host whose connection carries all that it may reads nothing more on it, not even a withdrawal: a
         // part sent elsewhere would then be a second copy. So one place stays free.
         caps.streams = caps.streams.saturating_sub(1).max(1);
         let links = Arc::default();
-        let shared = Arc::new(Shared { dialect, caps, most_links, links, core, counters });
+        let shared = Arc::new(Shared { dialect, caps, most_links, links, core, counters, gates });
         Self { shared, mailboxes: BTreeMap::new() }
     }
 
@@ -81,7 +86,8 @@
         let addr = host.addr.clone();
         self.mailboxes.entry(server).or_insert_with(|| {
             let (tx, rx) = mpsc::unbounded_channel();
-            let peer = Peer { server, addr, stop_at, links: Vec::new(), shared };
+            let gate = shared.gates.as_ref().map(|(gates, origin)| (gates.of(&host.id), *origin));
+            let peer = Peer { server, addr, stop_at, gate, links: Vec::new(), shared };
             tokio::spawn(peer.run(rx));
             tx
         });
@@ -185,6 +191,7 @@
             connect_timeout: self.shared.caps.connect_timeout,
             idle: self.shared.caps.conn_idle,
             stop_at: self.stop_at,
+            gate: self.gate.clone(),
             mail,
             gauge: gauge.clone(),
             core: self.shared.core.clone(),
--- /dev/null
+++ b/src/shard/mod.rs
@@ -0,0 +1,66 @@
+//! Several cores in one process: a thread with a current-thread runtime for each, with its own decision
+//! module, table, hosts' connections and clients. What must be one over all of them is in
+//! [`fennelpin_shared`]; `docs/design/several-cores.md` says why it is divided this way.
+
+mod run;
+
+pub use run::run;
+
+use crate::core::Mail;
+use fennelpin_shared::gates::Gates;
+use fennelpin_shared::lease::Lease;
+use fennelpin_shared::names::OpenNames;
+use std::cell::Cell;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::mpsc;
+
+thread_local! {
+    static HERE: Cell<Option<usize>> = const { Cell::new(None) };
+}
+
+/// The core whose thread this is; 0 where there is only one.
+pub fn here() -> usize {
+    HERE.get().unwrap_or(0)
+}
+
+/// The core whose thread this is, if it is one of several.
+pub fn among_several() -> Option<usize> {
+    HERE.get()
+}
+
+/// This thread is that of a core from now on.
+fn settle_on(core: usize) {
+    HERE.set(Some(core));
+}
+
+/// What a core's table shares with the others.
+pub struct Seat {
+    /// Its number.
+    pub core: usize,
+    /// Its lease on what may be open.
+    pub lease: Lease,
+    /// Names that are open on any core.
+    pub names: Arc<OpenNames>,
+    /// The gates of hosts, and who has acknowledged what.
+    pub gates: Arc<Gates>,
+    /// The origin of the gates' times.
+    pub origin: Instant,
+    /// The other cores' mailboxes.
+    pub others: Vec<mpsc::UnboundedSender<Mail>>,
+}
+
+impl Seat {
+    /// Whether a host's gate is shut at this time.
+    pub fn shut(&self, host: &str, now: Instant) -> bool {
+        let now = now.saturating_duration_since(self.origin).as_micros() as u64;
+        !self.gates.of(host).lets_through(now)
+    }
+}
+
+impl Drop for Seat {
+    /// With the table, however that ends: nothing stays taken by a core that is gone.
+    fn drop(&mut self) {
+        self.names.retire(self.core);
+    }
+}
--- /dev/null
+++ b/tests/cores.rs
@@ -0,0 +1,346 @@
+//! Several cores in one process. A logger stands in for what may hold a core up or bring it down: at the
+//! trace line of a query whose name says so, the thread sleeps or panics.
+
+mod support;
+
+use serde_json::{json, Value};
+use std::sync::{Mutex, MutexGuard, Once, PoisonError};
+use std::time::{Duration, Instant};
+use support::*;
+
+struct Trap;
+
+impl log::Log for Trap {
+    fn enabled(&self, _: &log::Metadata) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record) {
+        let line = record.args().to_string();
+        if line.starts_with("query stall") {
+            std::thread::sleep(ms(1500));
+        }
+        assert!(!line.starts_with("query panic"), "a planted panic");
+    }
+
+    fn flush(&self) {}
+}
+
+/// One at a time: these tests count threads' time.
+fn alone() -> MutexGuard<'static, ()> {
+    static START: Once = Once::new();
+    static ONE: Mutex<()> = Mutex::new(());
+    START.call_once(|| {
+        log::set_logger(&Trap).unwrap();
+        log::set_max_level(log::LevelFilter::Trace);
+    });
+    ONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn cores(n: usize) -> String {
+    format!("[cores]\ncount = {n}\n")
+}
+
+fn start(members: &[Value], settings: &Value, discovery: Option<&str>, n: usize) -> Coordinator {
+    Coordinator::start(&config("127.0.0.1:0", members, settings, discovery), &cores(n))
+}
+
+/// Connections, each on the next core in turn: they are dealt to the core with the fewest.
+fn clients(c: &Coordinator, n: usize) -> Vec<Client> {
+    (0..n)
+        .map(|_| {
+            let mut client = Client::new(&c.addr);
+            assert_eq!(client.ask("GET", "/_health", "", "").0, 200);
+            client
+        })
+        .collect()
+}
+
+fn keyed(id: &str, key: &str, shard: u32) -> (String, String) {
+    let headers =
+        format!("Req-Id: {id}\r\nReq-Kind: book\r\nReq-Deadline-Ms: 3000\r\nIdempotency-Key: {key}\r\n");
+    let body = json!({"tablets": [{"tablet": shard, "fraction": 1.0}], "statement": "what"}).to_string();
+    (headers, body)
+}
+
+#[test]
+fn queries_are_served_on_all_cores_and_counted_by_core_and_in_sum() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| Act::Serve(format!("v{}", s.shard)));
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 4);
+    let mut all = clients(&c, 8);
+    for (n, client) in all.iter_mut().enumerate() {
+        client.query("near", &format!("q{n}"), 3000, &[0]);
+        assert_eq!(client.read().0, 200);
+    }
+    assert_eq!(c.counters.get("answered.served.full"), 8);
+    assert_eq!([0, 1, 2, 3].map(|n| c.counters.on_core(n, "taken.queries")), [2; 4]);
+    let text = all[0].ask("GET", "/_counters", "", "").2;
+    assert!(text.contains("\ntaken.queries 8\n") && text.contains("core.3.taken.queries 2\n"), "{text}");
+    drop(all);
+    c.join();
+}
+
+/// The grace is 600 ms here; the core is held up for 1.5 s with queries in its mailbox.
+#[test]
+fn a_drain_is_in_force_on_a_core_that_is_busy_meanwhile() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let serve = |s: &Seen| Act::Serve(format!("v{}", s.shard));
+    let (old, new) = (host(0, false, &ledger, serve), host(1, false, &ledger, serve));
+    let (discovery, lines) = discovery();
+    let mut quick = settings();
+    quick["safety"]["drain_grace"] = json!(600.0);
+    let members = [member(0, &old.addr, 0, "Ready")];
+    let mut c = start(&members, &quick, Some(&discovery), 2);
+    let mut all = clients(&c, 6);
+    // Both cores know the host and have a connection to it.
+    for (n, client) in all.iter_mut().enumerate() {
+        client.query("near", &format!("w{n}"), 3000, &[0]);
+        assert_eq!(client.read().0, 200);
+    }
+    all[0].query("near", "stall-a", 5000, &[0]);
+    until("a core holds the query that stalls it", || c.counters.get("taken.queries") == 7);
+    let changes = [member(0, &old.addr, 0, "Terminating"), member(1, &new.addr, 0, "Ready")];
+    let told = Instant::now();
+    lines.send(json!({"revision": 2, "complete": false, "members": changes}).to_string()).unwrap();
+    // What comes to the stalled core while it stands still is decided on only once it goes on.
+    for n in [2, 4] {
+        all[n].query("near", &format!("late{n}"), 5000, &[0]);
+    }
+    for n in [0, 2, 4] {
+        // Its goal may have passed meanwhile: then it is turned away, which is final as well.
+        let status = all[n].read().0;
+        assert!([200, 429].contains(&status), "{status}");
+        // The successor is new and gets its first parts slowly: until it has taken one, others are refused.
+        let mut tries = 0;
+        until("the successor serves", || {
+            tries += 1;
+            all[n].query("near", &format!("then{n}-{tries}"), 3000, &[0]);
+            all[n].read().0 == 200
+        });
+    }
+    let late: Vec<Seen> = ledger.all().into_iter().filter(|s| s.host == 0 && s.at > told + ms(650)).collect();
+    assert!(late.is_empty(), "new work for a draining host after its grace: {late:?}");
+    assert!(ledger.all().iter().any(|s| s.host == 1), "its successor has the work");
+    drop(all);
+    c.join();
+}
+
+#[test]
+fn one_name_is_open_on_one_core_only() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| {
+        std::thread::sleep(ms(400));
+        Act::Serve(format!("v{}", s.shard))
+    });
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 2);
+    let mut all = clients(&c, 2);
+    all[0].query("near", "same", 3000, &[0]);
+    until("the first is out", || ledger.all().len() == 1);
+    all[1].query("near", "same", 3000, &[0]);
+    assert_eq!(all[1].read().0, 409, "in use, whichever core holds it");
+    assert_eq!(all[0].read().0, 200);
+    all[1].query("near", "same", 3000, &[0]);
+    assert_eq!(all[1].read().0, 200, "free again");
+    assert_eq!([0, 1].map(|n| c.counters.on_core(n, "taken.queries")), [1, 1]);
+    drop(all);
+    c.join();
+}
+
+/// Bookings of one key meet on the key's core, so that two cores can't both spend what its class allows.
+#[test]
+fn the_same_booking_key_on_two_connections_meets_on_one_core() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |_| Act::Broke);
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 4);
+    let mut all = clients(&c, 4);
+    for (n, client) in all.iter_mut().enumerate() {
+        let (headers, body) = keyed(&format!("b{n}"), "one-key", 0);
+        client.send("POST", "/book", &headers, &body);
+    }
+    for client in &mut all {
+        assert_ne!(client.read().0, 200);
+    }
+    let by_core = [0, 1, 2, 3].map(|n| c.counters.on_core(n, "taken.queries"));
+    assert_eq!(by_core.iter().max(), Some(&4), "{by_core:?}");
+    // No part was tried more often than its class allows, nor after its window.
+    let parts = ledger.attempts(3, ms(1000));
+    assert_eq!(parts.len(), 4);
+    drop(all);
+    c.join();
+}
+
+#[test]
+fn a_core_with_all_the_clients_hands_queries_to_an_idle_one() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| {
+        std::thread::sleep(ms(5));
+        Act::Serve(format!("v{}", s.shard))
+    });
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 2);
+    let mut all = clients(&c, 80);
+    // Every second connection is the other core's: those go.
+    let mut n = 0;
+    all.retain(|_| {
+        n += 1;
+        n % 2 == 1
+    });
+    until("half the connections have ended", || c.counters.get("clients.ended") == 40);
+    for (n, client) in all.iter_mut().enumerate() {
+        client.query("near", &format!("q{n}"), 3000, &[0]);
+    }
+    let statuses: Vec<u16> = all.iter_mut().map(|client| client.read().0).collect();
+    assert!(statuses.iter().all(|s| [200, 429].contains(s)), "{statuses:?}");
+    assert!(c.counters.get("cores.handed_over") > 0);
+    let by_core = [0, 1].map(|n| c.counters.on_core(n, "taken.queries"));
+    assert!(by_core[0].min(by_core[1]) > 0 && by_core[0] + by_core[1] == 40, "{by_core:?}");
+    drop(all);
+    c.join();
+}
+
+#[test]
+fn the_cap_on_what_is_open_is_one_over_all_cores() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |_| Act::Silent);
+    let mut small = settings();
+    small["caps"]["open_cap"] = json!(20);
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")], &small, None, 4);
+    let mut all = clients(&c, 20);
+    for (n, client) in all.iter_mut().enumerate() {
+        // Two units each: the query and its part.
+        client.query("near", &format!("q{n}"), 1500, &[0]);
+    }
+    let statuses: Vec<u16> = all.iter_mut().map(|client| client.read().0).collect();
+    assert_eq!(statuses.len(), 20);
+    let over = c.counters.get("answered.refused.open_cap");
+    // Ten fit; a core that gathers units while another does may refuse one more each.
+    assert!((10..=14).contains(&over), "{over} refused for the cap");
+    assert_eq!(c.counters.get("taken.queries"), 20);
+    drop(all);
+    c.join();
+}
+
+#[test]
+fn a_core_that_panics_fails_its_queries_at_once_and_the_others_serve_on() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| match s.text.as_str() {
+        "what" if s.id.starts_with("slow") => Act::Silent,
+        _ => Act::Serve(format!("v{}", s.shard)),
+    });
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 2);
+    let mut all = clients(&c, 4);
+    // A booking that another core's client has sent to the core that is going to end.
+    let key = (0..100)
+        .map(|n| format!("key{n}"))
+        .find(|key| {
+            let before = c.counters.on_core(0, "taken.queries");
+            let (headers, body) = keyed(&format!("probe-{key}"), key, 0);
+            assert_eq!(all[1].ask("POST", "/book", &headers, &body).0, 200);
+            c.counters.on_core(0, "taken.queries") > before
+        })
+        .expect("a key of the first core");
+    let (headers, body) = keyed("slow", &key, 0);
+    all[1].send("POST", "/book", &headers, &body);
+    until("the booking is out", || ledger.all().iter().any(|s| s.id.starts_with("slow")));
+    let begun = Instant::now();
+    all[0].query("near", "panic-now", 3000, &[0]);
+    assert!(all[0].ended(), "its own clients lose their connections");
+    assert_eq!(all[1].read().0, 500, "a final answer");
+    assert!(begun.elapsed() < ms(1400), "at once, not at its deadline: {:?}", begun.elapsed());
+    until("the main thread has heard", || c.counters.get("cores.ended") == 1);
+    // The same key has another core now, new connections too, and the names are free again.
+    let (headers, body) = keyed("again", &key, 0);
+    assert_eq!(all[3].ask("POST", "/book", &headers, &body).0, 200);
+    let mut more = clients(&c, 3);
+    for (n, client) in more.iter_mut().enumerate() {
+        client.query("near", &format!("after{n}"), 3000, &[0]);
+        assert_eq!(client.read().0, 200);
+    }
+    drop((all, more));
+    c.join();
+}
+
+#[test]
+fn what_another_core_has_that_stands_still_fails_at_once() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| Act::Serve(format!("v{}", s.shard)));
+    let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 2);
+    let mut all = clients(&c, 4);
+    let key = (0..100)
+        .map(|n| format!("key{n}"))
+        .find(|key| {
+            let before = c.counters.on_core(0, "taken.queries");
+            let (headers, body) = keyed(&format!("probe-{key}"), key, 0);
+            assert_eq!(all[1].ask("POST", "/book", &headers, &body).0, 200);
+            c.counters.on_core(0, "taken.queries") > before
+        })
+        .expect("a key of the first core");
+    let taken = c.counters.get("taken.queries");
+    all[0].query("near", "stall-b", 5000, &[0]);
+    until("the core stands still", || c.counters.get("taken.queries") == taken + 1);
+    let begun = Instant::now();
+    let (headers, body) = keyed("held", &key, 0);
+    assert_eq!(all[1].ask("POST", "/book", &headers, &body).0, 500);
+    let took = begun.elapsed();
+    assert!(took < ms(1200), "final before the other core goes on: {took:?}");
+    // The core is back: all that it held is answered, and it serves.
+    assert!([200, 429].contains(&all[0].read().0));
+    let (headers, body) = keyed("after", &key, 0);
+    assert_eq!(all[3].ask("POST", "/book", &headers, &body).0, 200);
+    drop(all);
+    c.join();
+}
+
+#[test]
+fn what_one_core_learns_of_an_unreachable_host_the_others_hear() {
+    let _alone = alone();
+    let ledger = Ledger::default();
+    let good = host(0, false, &ledger, |s| {
+        std::thread::sleep(ms(20));
+        Act::Serve(format!("v{}", s.shard))
+    });
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let members = [member(0, &good.addr, 0, "Ready"), member(1, &gone, 0, "Ready")];
+    let mut c = start(&members, &settings(), None, 2);
+    let mut all = clients(&c, 8);
+    // Only the first core's clients ask, until one of their parts has met the host that is not there and a
+    // probe has met it as well.
+    let begun = Instant::now();
+    while c.counters.get("cores.told_unreached") == 0 && begun.elapsed() < PATIENCE {
+        for n in [0, 2, 4, 6] {
+            all[n].query("near", &format!("q{n}"), 3000, &[0]);
+        }
+        for n in [0, 2, 4, 6] {
+            assert!([200, 429].contains(&all[n].read().0));
+        }
+    }
+    assert_eq!(c.counters.on_core(0, "cores.told_unreached"), 1, "{}", c.counters.text());
+    drop(all);
+    c.join();
+}
+
+#[test]
+fn five_hundred_connections_at_once_are_dealt_evenly() {
+    let _alone = alone();
+    let mut text: Value = serde_json::from_str(&config("127.0.0.1:0", &[], &settings(), None)).unwrap();
+    text["limits"] = json!({"sockets": 2048, "memory_mb": 512});
+    let mut c = Coordinator::start(&text.to_string(), &cores(4));
+    let begun = Instant::now();
+    let mut all: Vec<Client> = (0..500).map(|_| Client::new(&c.addr)).collect();
+    all.iter_mut().for_each(|client| client.send("GET", "/_health", "", ""));
+    assert!(all.iter_mut().all(|client| client.read().0 == 200));
+    assert!(begun.elapsed() < Duration::from_secs(8));
+    drop(all);
+    until("all have ended", || c.counters.get("clients.ended") == 500);
+    let by_core = [0, 1, 2, 3].map(|n| c.counters.on_core(n, "clients.ended"));
+    assert!(by_core.iter().all(|n| *n == 125), "{by_core:?}");
+    c.join();
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -52,7 +52,7 @@
     router: Router,
     now: u64,
     log: Vec<Action>,
-    next: u32,
+    next: u64,
     deadline: u64,
 }
 
@@ -94,11 +94,11 @@
             vec![Event::Query { id, class: ClassId(class), tenant: None, deadline, repeat: None }];
         let mut parts = Vec::new();
         for (n, (shard, weight)) in weights.iter().enumerate() {
-            let part = RequestId(self.next + 1 + n as u32);
+            let part = RequestId(self.next + 1 + n as u64);
             events.push(Event::Part { id: part, query: id, shard: *shard, weight: *weight });
             parts.push(part);
         }
-        self.next += 1 + weights.len() as u32;
+        self.next += 1 + weights.len() as u64;
         let out = self.turn(events);
         (id, parts, out)
     }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -27,7 +27,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let caps = settings::read(&settings().to_string()).unwrap().caps;
         let (core, mail) = mpsc::unbounded_channel();
-        let peers = Peers::new(dialect, caps, 64, core, Counters::default());
+        let peers = Peers::new(dialect, caps, 64, core, Counters::default(), None);
         let (addr, zone) = (addr.to_owned(), "a".to_owned());
         let host = Listed { id: "h".into(), addr, zone, cell: 0, state: ServerState::Ready, up_since_ms: 0 };
         let mut bench = Self { runtime, peers, mail, host };
@@ -40,7 +40,7 @@
         act(&mut self.peers, &self.host);
     }
 
-    fn call(&mut self, n: u32) {
+    fn call(&mut self, n: u64) {
         let give_up = Instant::now() + PATIENCE;
         let payload = payload("taxis", &Default::default());
         let name = format!("q{n}").into();
@@ -53,7 +53,7 @@
         runtime.block_on(async { tokio::time::timeout(PATIENCE, mail.recv()).await.unwrap().unwrap() })
     }
 
-    fn ended(&mut self) -> (u32, Outcome) {
+    fn ended(&mut self) -> (u64, Outcome) {
         let Ended { part, outcome, .. } = self.end();
         (part.0, outcome)
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -52,7 +52,7 @@
     pub fn start(config: &str, operator: &str) -> Self {
         let operator = Operator::parse(operator).unwrap();
         let config = Config::parse(config, operator, |_| None).unwrap();
-        let counters = Counters::default();
+        let counters = Counters::striped(config.operator.cores.map_or(1, |c| c.count));
         let (stop, stopping) = tokio::sync::watch::channel(false);
         let (moves, moved) = tokio::sync::mpsc::unbounded_channel();
         let (tx, rx) = channel();
