--- a/crates/fennelpin-lab/tests/lab.rs
+++ b/crates/fennelpin-lab/tests/lab.rs
@@ -109,6 +109,24 @@
     assert!(back.filter(|t| t.end.served()).count() > 0, "it serves again");
 }
 
+/// Hosts that die, drain and come back cold while four cores of two coordinators want them.
+#[test]
+fn four_cores_keep_the_rules_while_hosts_drain_and_come_back_cold() {
+    let faults = "[[fault]]\nat_s = 0.3\nkind = 'host-crash'\nwhich = [0, 5]\nfor_s = 1\n\
+        [[fault]]\nat_s = 0.5\nkind = 'host-release'\nwhich = [2]\nfor_s = 1.5\n\
+        [[fault]]\nat_s = 1\nkind = 'host-silent'\nwhich = [7]\nfor_s = 2\n";
+    let text = scenario("cores", faults).replace("hosts = 8\n", "hosts = 8\ncores = 4\n");
+    let quick = "[fleet.list]\nadd_ms = [50, 200]\nnotice_ms = [50, 200]\nsilent_ms = [200, 400]\n[[class]]";
+    let text = text.replacen("[[class]]", quick, 1);
+    let s = Scenario::parse(&text, Path::new("cores")).unwrap();
+    let o = run(&s, &Options { log: "info".into(), work: dir("cores"), ..Options::default() }).unwrap();
+    sound(&o);
+    let told =
+        |what: &fennelpin_standin::ledger::What| matches!(what, fennelpin_standin::ledger::What::Told(_));
+    assert!(o.events.iter().filter(|e| told(&e.what)).count() > 8, "drains and returns were told");
+    assert!(o.figures.outcomes["served"] > 80, "{:?}", o.figures.outcomes);
+}
+
 #[test]
 fn a_run_leaves_its_results_and_a_plan_that_can_be_shown() {
     let path =
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -68,6 +68,9 @@
         (format!("{index}class = 'near'"), "districts"),
         ("hosts = 'telnet'".to_owned(), "hosts"),
         ("colour = 1".to_owned(), "colour"),
+        ("[cores]\ncount = 0".to_owned(), "cores.count"),
+        ("[cores]\ncount = 64".to_owned(), "cores.count"),
+        ("[cores]\ncount = 'all'".to_owned(), "count"),
         ("[dns_sd]\nresponder = '127.0.0.1:53'\nservice = 'x'".to_owned(), "dns_sd.service"),
     ]
     .into_iter()
@@ -94,7 +97,17 @@
 
 /// The coordinator as a process, its log, and where it listens.
 fn serve(path: &PathBuf) -> (Child, BufReader<ChildStderr>, String) {
-    let mut child = binary().arg("serve").env("PROXY_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
+    serve_with(path, None)
+}
+
+/// The same with an operator's file.
+fn serve_with(path: &PathBuf, operator: Option<&PathBuf>) -> (Child, BufReader<ChildStderr>, String) {
+    let mut command = binary();
+    command.arg("serve").env("PROXY_CONFIG", path).stderr(Stdio::piped());
+    if let Some(operator) = operator {
+        command.arg("--operator").arg(operator);
+    }
+    let mut child = command.spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let line = line_with(&mut log, "listening on ");
     let addr = line.rsplit(' ').next().unwrap().to_owned();
@@ -159,3 +172,41 @@
     log.read_to_string(&mut rest).unwrap();
     assert!(rest.contains("answered.served.full=2") && rest.contains("end=stopping"), "{rest}");
 }
+
+/// The same with four cores: a signal reaches all of them, and none ends before it has answered.
+#[test]
+fn four_cores_follow_sighup_and_end_together_on_sigterm() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| {
+        std::thread::sleep(ms(300));
+        Act::Serve(format!("v{}", s.shard))
+    });
+    let (old, _old_lines) = discovery();
+    let (new, new_lines) = discovery();
+    let members = [member(0, &h.addr, 0, "Ready")];
+    let text = |discovery: &str| config("127.0.0.1:0", &members, &settings(), Some(discovery));
+    let path = file("four", &text(&old));
+    let operator = file("four.toml", "[cores]\ncount = 4\npin = true\n");
+    let (mut child, mut log, addr) = serve_with(&path, Some(&operator));
+    std::fs::write(&path, text(&new)).unwrap();
+    signal(&child, "-HUP");
+    line_with(&mut log, "list: from");
+    // What the new discovery says reaches all cores: a host that it does not name is gone for each.
+    let full = json!({"revision": 9, "complete": true, "members": members}).to_string();
+    new_lines.send(full).unwrap();
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::new(&addr)).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.query("near", &format!("q{n}"), 3000, &[0]);
+    }
+    until("the parts are out", || ledger.all().len() >= 4);
+    signal(&child, "-TERM");
+    for client in &mut clients {
+        assert!([200, 429].contains(&client.read().0));
+    }
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+    let mut rest = String::new();
+    log.read_to_string(&mut rest).unwrap();
+    assert!(rest.contains("stopped: ") && rest.contains("taken.queries=8"), "{rest}");
+    assert!((0..4).all(|n| rest.contains(&format!("core={n}"))), "each core's clients ended there: {rest}");
+    assert!(!rest.contains("a core has ended"), "{rest}");
+}
