--- a/tests/cores.rs
+++ b/tests/cores.rs
@@ -63,6 +63,17 @@
     (headers, body)
 }
 
+/// A key whose bookings the first core has, found by asking through a client.
+fn key_of_first_core(c: &Coordinator, client: &mut Client) -> String {
+    let at_first = |key: &String| {
+        let before = c.counters.on_core(0, "taken.queries");
+        let (headers, body) = keyed(&format!("probe-{key}"), key, 0);
+        assert_eq!(client.ask("POST", "/book", &headers, &body).0, 200);
+        c.counters.on_core(0, "taken.queries") > before
+    };
+    (0..100).map(|n| format!("key{n}")).find(at_first).expect("a key of the first core")
+}
+
 #[test]
 fn queries_are_served_on_all_cores_and_counted_by_core_and_in_sum() {
     let _alone = alone();
@@ -239,15 +250,7 @@
     let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 2);
     let mut all = clients(&c, 4);
     // A booking that another core's client has sent to the core that is going to end.
-    let key = (0..100)
-        .map(|n| format!("key{n}"))
-        .find(|key| {
-            let before = c.counters.on_core(0, "taken.queries");
-            let (headers, body) = keyed(&format!("probe-{key}"), key, 0);
-            assert_eq!(all[1].ask("POST", "/book", &headers, &body).0, 200);
-            c.counters.on_core(0, "taken.queries") > before
-        })
-        .expect("a key of the first core");
+    let key = key_of_first_core(&c, &mut all[1]);
     let (headers, body) = keyed("slow", &key, 0);
     all[1].send("POST", "/book", &headers, &body);
     until("the booking is out", || ledger.all().iter().any(|s| s.id.starts_with("slow")));
@@ -275,15 +278,7 @@
     let h = host(0, false, &ledger, |s| Act::Serve(format!("v{}", s.shard)));
     let mut c = start(&[member(0, &h.addr, 0, "Ready")], &settings(), None, 2);
     let mut all = clients(&c, 4);
-    let key = (0..100)
-        .map(|n| format!("key{n}"))
-        .find(|key| {
-            let before = c.counters.on_core(0, "taken.queries");
-            let (headers, body) = keyed(&format!("probe-{key}"), key, 0);
-            assert_eq!(all[1].ask("POST", "/book", &headers, &body).0, 200);
-            c.counters.on_core(0, "taken.queries") > before
-        })
-        .expect("a key of the first core");
+    let key = key_of_first_core(&c, &mut all[1]);
     let taken = c.counters.get("taken.queries");
     all[0].query("near", "stall-b", 5000, &[0]);
     until("the core stands still", || c.counters.get("taken.queries") == taken + 1);
