Back off from discovery with full jitter and bounds that grow with the fleet

Every coordinator works with its first list: connects refused 1,000 to 5,000 a second once hosts are replaced. At fault: list.rs, BACKOFF 50 to 500 ms without jitter, the same whatever the number of coordinators.

Ruled out: a broken discovery (15 watches that were not cut got their news all the time); the request (the same line gets 200 at the start); Retry-After (503 carries none).

--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,5 +1,6 @@
 //! The actor of the host list: watches discovery and tells the core what changes.
 
+use super::backoff::Backoff;
 use super::conn::Conn;
 use super::http::{response_head, Body, HttpError, INPUT};
 use crate::core::{Listed, Mail};
@@ -15,7 +16,11 @@
 /// did not tell is still kept.
 const SILENT: Duration = Duration::from_millis(4500);
 const CONNECT: Duration = Duration::from_secs(1);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Waits after calls that failed, of one coordinator among a few; with more of them each waits longer.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
+const A_FEW: u32 = 5;
+/// Longest wait, however many coordinators there are.
+const LONGEST: Duration = Duration::from_secs(10);
 /// Longest line of a watch.
 const MOST_LINE: usize = 1024 * 1024;
 
@@ -75,6 +80,15 @@
     Ok(News { revision: raw.revision, complete: raw.complete, members })
 }
 
+/// What the pace of calls after a failure follows from.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// The coordinator's own seed.
+    pub seed: u64,
+    /// Coordinators in the fleet.
+    pub fleet: u32,
+}
+
 /// The list actor over discovery's watch.
 pub struct Watch {
     /// Where discovery answers.
@@ -85,6 +99,8 @@
     pub core: mpsc::UnboundedSender<Mail>,
     /// The counters.
     pub counters: Counters,
+    /// When to call again.
+    pub pace: Pace,
     /// Watches of earlier addresses, which this one takes over from once it has heard something.
     pub replaces: Vec<AbortHandle>,
 }
@@ -93,7 +109,7 @@
     /// Watches, and goes on at each further address that comes. The list stands, and the watch before goes
     /// on, until the new one speaks; versions of one discovery mean nothing to another.
     pub async fn follow_moves(self, mut moves: mpsc::UnboundedReceiver<String>) {
-        let (core, counters) = (self.core.clone(), self.counters.clone());
+        let (core, counters, pace) = (self.core.clone(), self.counters.clone(), self.pace);
         let mut addr = self.addr.clone();
         let mut running = vec![tokio::spawn(self.run()).abort_handle()];
         while let Some(next) = moves.recv().await {
@@ -106,21 +122,24 @@
             running.retain(|w| !w.is_finished());
             let replaces = running.clone();
             let (core, counters) = (core.clone(), counters.clone());
-            let watch = Watch { addr: next, revision: None, core, counters, replaces };
+            let watch = Watch { addr: next, revision: None, core, counters, pace, replaces };
             running.push(tokio::spawn(watch.run()).abort_handle());
         }
     }
 
     /// Watches for ever, over as many connections as it takes.
     pub async fn run(mut self) {
-        let mut wait = BACKOFF.0;
+        let mut backoff = Backoff::new(self.pace.seed, self.pace.fleet, BACKOFF, A_FEW, LONGEST);
         loop {
             let before = self.revision;
             let mut lines = 0;
             let end = self.follow(&mut lines).await;
             self.counters.inc("list.ended");
-            log::info!(source = self.addr, end = end.code(), lines, detail:% = end; "list");
-            wait = if lines > 0 || self.revision != before { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
+            if lines > 0 || self.revision != before {
+                backoff.reached();
+            }
+            let wait = backoff.failed();
+            log::info!(source = self.addr, end = end.code(), lines, detail:% = end, wait:?; "list");
             tokio::time::sleep(wait).await;
         }
     }
@@ -140,6 +159,7 @@
         let slow = |_| HttpError::Slow;
         let head = tokio::time::timeout(SILENT, response_head(&mut conn)).await.map_err(slow)?;
         let (status, headers) = head?;
+        log::debug!("list: status {status}{since}");
         if status != 200 {
             return Err(HttpError::Malformed("discovery's status"));
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Everything that touches sockets: connections with their ring buffers, HTTP, frames, the actors of
 //! the hosts and of the host list.
 
+pub mod backoff;
 pub mod conn;
 pub mod dns_sd;
 pub mod frames;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::net::dns_sd::Browser;
 use crate::net::http::{self, Incoming, Limits};
 use crate::net::link::{Dialect, Frames};
-use crate::net::list::Watch;
+use crate::net::list::{Pace, Watch};
 use crate::net::peer::Peers;
 use crate::shard;
 use fennelpin_shared::deal::Deal;
@@ -105,8 +105,8 @@
     if let Some(d) = config.operator.dns_sd {
         tokio::spawn(Browser { responder: d.responder, service: d.service, core, counters }.run());
     } else if let Some(addr) = config.discovery {
-        let replaces = Vec::new();
-        tokio::spawn(Watch { addr, revision, core, counters, replaces }.follow_moves(moves));
+        let (pace, replaces) = (Pace { seed: config.seed, fleet: config.site.settings.routers }, Vec::new());
+        tokio::spawn(Watch { addr, revision, core, counters, pace, replaces }.follow_moves(moves));
     }
 }
 
