Let cold hosts make up for an unused slot; spread the fleet's first calls to discovery

Each coordinator's slot for a cold host opens every 2 to 3 s and a part for that cell comes every 0.6 s: a slot counted from the last send, so what passed between its opening and the next part was lost (choice.rs, slot_wait and send). Of 70 coordinators that start at 14.6 s all call discovery at once: 36 have their list within 2 s, 34 wait for 2 s in vain and most of them have it 7 to 9 s after their start (each call takes it about 55 ms).

With a list in hand the first call waits up to 40 ms for each coordinator beyond 5.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,6 @@
 
 /// Age at which an entry of the idle queue no longer counts.
 const ENTRY_AGE: f64 = 2.0;
-/// Weight of a new sample in the running means of loads.
 const MEAN_GAIN: f64 = 0.03;
 /// Time by which a report may trail the own parts that it counts.
 const REPORT_LAG: f64 = 0.4;
@@ -75,7 +74,7 @@
 const COPIES: Budget = Budget { free: 10.0, share: 0.2, span: Duration::from_secs(2) };
 /// Share of the budget open to hedges; the rest is kept for parts that failed.
 const HEDGE_SHARE: f64 = 0.6;
-/// Share of the goal's time left at which copies and spare parts may start.
+/// Share of the goal's time left at which copies may start.
 const PRESSING: f64 = 0.65;
 /// Time kept for a second step, over the slow part time.
 const SECOND_STEP: f64 = 1.2;
@@ -382,7 +381,7 @@
 
     /// Time until a server takes a part of ours again, after it turned one away or while it is cold.
     fn slot_wait(&self, s: &Server) -> f64 {
-        let cold = if self.warmth(s) < 1.0 { s.last_send + self.cold_gap(s) } else { f64::MIN };
+        let cold = if self.warmth(s) < 1.0 { s.slot_at + self.cold_gap(s) } else { f64::MIN };
         (s.shut_until.max(cold) - self.now).max(0.0)
     }
 
@@ -711,7 +710,7 @@
         let end = if late { q.deadline } else { q.deadline.min(q.goal_at) };
         let timeout = if copies { end - now } else { (end - now).min(stall) };
         let load = self.load(&self.servers[&server]);
-        let drops = self.idle_drops();
+        let (drops, gap) = (self.idle_drops(), self.cold_gap(&self.servers[&server]));
         let s = self.servers.get_mut(&server).expect("a picked server is known");
         if now - s.listed_at > ENTRY_AGE {
             (s.entries, s.listed_at) = (0, now);
@@ -722,7 +721,8 @@
         if idle && drops && s.last_send < now {
             out.push(Action::Release { server });
         }
-        s.last_send = now;
+        // One unused slot may be made up for.
+        (s.last_send, s.slot_at) = (now, (s.slot_at + gap).max(now - gap));
         let c = &mut s.sick[class.0 as usize];
         c.until = now + c.gap;
         let Some(part) = self.parts.get_mut(&pid) else { return };
@@ -1053,7 +1053,7 @@
         if started || (joined && fresh) {
             // All routers hear of a start at about the same time: their first parts are spread over the gap.
             let first = now - self.chance() * self.cold_gap(&self.servers[&e.server]);
-            self.servers.get_mut(&e.server).into_iter().for_each(|s| s.last_send = first);
+            self.servers.get_mut(&e.server).into_iter().for_each(|s| s.slot_at = first);
         }
     }
 
--- a/src/net/backoff.rs
+++ b/src/net/backoff.rs
@@ -36,9 +36,19 @@
         self.least.saturating_mul(1 << self.failures.min(16)).min(self.most)
     }
 
+    /// How long to wait before the very first call, up to `spread` and the last bound.
+    pub fn start(&mut self, spread: Duration) -> Duration {
+        let share = self.share();
+        spread.min(self.most).mul_f64(share)
+    }
+
+    fn share(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
+    }
+
     /// How long to wait after one more call that failed.
     pub fn failed(&mut self) -> Duration {
-        let share = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+        let share = self.share();
         let wait = self.bound().mul_f64(share);
         self.failures += 1;
         wait
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -19,6 +19,9 @@
 /// Waits after calls that failed, of one coordinator among a few; with more of them each waits longer.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
 const A_FEW: u32 = 5;
+/// With a list in hand the first calls of a fleet that starts at one moment are spread over so much for each
+/// coordinator beyond a few: about what a call of some tens of lines takes discovery.
+const START: Duration = Duration::from_millis(40);
 /// Longest wait, however many coordinators there are.
 const LONGEST: Duration = Duration::from_secs(10);
 /// Longest line of a watch.
@@ -130,6 +133,10 @@
     /// Watches for ever, over as many connections as it takes.
     pub async fn run(mut self) {
         let mut backoff = Backoff::new(self.pace.seed, self.pace.fleet, BACKOFF, A_FEW, LONGEST);
+        if self.revision.is_some() {
+            tokio::time::sleep(backoff.start(START.saturating_mul(self.pace.fleet.saturating_sub(A_FEW))))
+                .await;
+        }
         loop {
             let before = self.revision;
             let mut lines = 0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -91,6 +91,8 @@
     pub(crate) probing: bool,
     pub(crate) heard: f64,
     pub(crate) last_send: f64,
+    /// While it is cold: when its latest slot was, whether used or not.
+    pub(crate) slot_at: f64,
     /// Its part times over what its load lets expect, and when that was learned.
     pub(crate) slow: f64,
     pub(crate) slow_at: f64,
@@ -130,6 +132,7 @@
             probing: false,
             heard: now,
             last_send: f64::MIN,
+            slot_at: f64::MIN,
             slow: 1.0,
             slow_at: now,
         }
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,208 @@
+//! Many routers at once on modelled servers in simulated time: what each does alone must hold in sum.
+
+use fennelpin::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const ROUTERS: u32 = 100;
+/// Time of one part at a server that is not crowded, in milliseconds.
+const PART: u64 = 20;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn settings() -> Settings {
+    let class = Class {
+        goal: ms(600),
+        limit: ms(1700),
+        late_worth: 0.0,
+        worth: 1.0,
+        repeat: Repeat::Safe,
+        need: 1.0,
+        floor: 1.0,
+        partial_earns: 0.9,
+        second_step: 0,
+    };
+    Settings {
+        classes: vec![class],
+        tenants: vec![],
+        routers: ROUTERS,
+        zone: None,
+        zone_cost: false,
+        layout: Layout { cells: 4, width: 1 },
+        bundle_max: 8,
+        call_cost: ms(7),
+        max_attempts: 3,
+        second_copies: false,
+        may_cancel: true,
+        probes: true,
+        retry_after_max: Some(ms(1000)),
+        budget: None,
+        cold: Some(ColdRule { share: 0.2, ramp: ms(14_000), fall_multiple: 2.0, tip_after: ms(1000) }),
+        must_ask_in: None,
+        drain_grace: ms(2000),
+        step: ms(1),
+    }
+}
+
+fn entry(server: u32, state: ServerState, boot: Option<u64>) -> ServerEntry {
+    ServerEntry { server: ServerId(server), zone: ZoneId(0), cell: server % 4, state, boot: boot.map(ms) }
+}
+
+/// How an attempt ends.
+#[derive(Clone, Copy)]
+struct End {
+    who: usize,
+    part: RequestId,
+    attempt: u32,
+    server: u32,
+    outcome: Outcome,
+    latency: u64,
+}
+
+/// A fleet of routers and 12 servers, three a cell; how a server answers is up to the test.
+struct Fleet {
+    routers: Vec<Router>,
+    now: u64,
+    next: u64,
+    /// Answers on their way, by time: router, part, attempt, outcome, latency.
+    coming: BTreeMap<u64, Vec<End>>,
+    /// Parts that each server holds.
+    held: [u32; 12],
+    attempts: BTreeMap<(usize, RequestId), u32>,
+    /// All sends: time and server.
+    sent: Vec<(u64, u32)>,
+    finals: BTreeMap<&'static str, usize>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let routers = (0..ROUTERS).map(|n| Router::new(settings(), u64::from(n) + 1)).collect();
+        let mut fleet = Self {
+            routers,
+            now: 0,
+            next: 0,
+            coming: BTreeMap::new(),
+            held: [0; 12],
+            attempts: BTreeMap::new(),
+            sent: vec![],
+            finals: BTreeMap::new(),
+        };
+        fleet.list(ListKind::Full, (0..12).map(|s| entry(s, ServerState::Ready, None)).collect());
+        fleet
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
+        for router in &mut self.routers {
+            router.handle(ms(self.now), Event::List { kind, entries: entries.clone() }, &mut vec![]);
+        }
+    }
+
+    /// Plays so many milliseconds: each router gets a query of one part about every `gap` ms, on the shards
+    /// in turn. `answer` tells how a server ends a part, and after how many milliseconds.
+    fn play(&mut self, span: u64, gap: u64, mut answer: impl FnMut(u64, u32) -> (Outcome, u64)) {
+        for _ in 0..span {
+            self.now += 1;
+            let ended = self.coming.remove(&self.now).unwrap_or_default();
+            for end in &ended {
+                self.held[end.server as usize] -= 1;
+            }
+            for who in 0..self.routers.len() {
+                let told = |e: &End| LoadReport {
+                    inflight: Some(f64::from(self.held[e.server as usize])),
+                    ..LoadReport::default()
+                };
+                let event = |e: &End| Event::AttemptEnd {
+                    part: e.part,
+                    attempt: e.attempt,
+                    outcome: e.outcome,
+                    latency: ms(e.latency),
+                    closed: e.outcome == Outcome::Ok,
+                    report: (e.outcome == Outcome::Ok).then(|| told(e)),
+                };
+                let mut events: Vec<Event> = ended.iter().filter(|e| e.who == who).map(event).collect();
+                if (self.now + 37 * who as u64).is_multiple_of(gap) {
+                    let (id, part) = (RequestId(self.next), RequestId(self.next + 1));
+                    let shard = (self.next.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as u32 % 4;
+                    self.next += 2;
+                    let deadline = ms(self.now + 1700);
+                    let (class, tenant, repeat) = (ClassId(0), None, None);
+                    events.push(Event::Query { id, class, tenant, deadline, repeat });
+                    events.push(Event::Part { id: part, query: id, shard, weight: 1.0 });
+                }
+                if events.is_empty() && !self.now.is_multiple_of(10) {
+                    continue;
+                }
+                let mut out = vec![];
+                for event in events.into_iter().chain([Event::Wake, Event::TurnEnd]) {
+                    self.routers[who].handle(ms(self.now), event, &mut out);
+                }
+                for action in out {
+                    match action {
+                        Action::Send { part, server, .. } => {
+                            self.sent.push((self.now, server.0));
+                            let n = self.attempts.entry((who, part)).or_insert(0);
+                            let (outcome, mut latency) = answer(self.now, server.0);
+                            let held = &mut self.held[server.0 as usize];
+                            latency += if outcome == Outcome::Ok { 5 * u64::from(*held) } else { 0 };
+                            *held += 1;
+                            let (attempt, server) = (*n, server.0);
+                            *n += 1;
+                            let end = End { who, part, attempt, server, outcome, latency };
+                            self.coming.entry(self.now + latency).or_default().push(end);
+                        }
+                        Action::Answer { .. } => *self.finals.entry("answered").or_default() += 1,
+                        Action::Refuse { .. } => *self.finals.entry("refused").or_default() += 1,
+                        Action::Fail { .. } => *self.finals.entry("failed").or_default() += 1,
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn sent_to(&self, server: u32, from: u64, until: u64) -> usize {
+        self.sent.iter().filter(|(t, s)| *s == server && (from..until).contains(t)).count()
+    }
+}
+
+/// A host back cold with a hundred routers wanting it: the sum stays under the rule's multiple in every
+/// window, and yet it is used: with each router's slots lost whenever no part came in step, cold hosts idled
+/// at a third of what they can while their warm fellows were full.
+#[test]
+fn a_cold_host_is_neither_pushed_over_nor_left_idle() {
+    let mut fleet = Fleet::new();
+    let quick = |_, _| (Outcome::Ok, PART);
+    // 600 parts a second on 12 servers: 50 each, half of what one can do.
+    fleet.play(4000, 166, quick);
+    fleet.list(ListKind::Changes, vec![entry(1, ServerState::Gone, None)]);
+    fleet.play(2000, 166, quick);
+    let boot = fleet.now;
+    fleet.list(ListKind::Changes, vec![entry(1, ServerState::Ready, Some(boot))]);
+    fleet.play(10_000, 166, quick);
+    let warmth = |age: f64| 0.2 + 0.8 * age / 14.0;
+    for from in (boot..boot + 9000).step_by(50) {
+        let can = 100.0 * warmth((from - boot) as f64 / 1000.0);
+        let n = fleet.sent_to(1, from, from + 1000);
+        assert!((n as f64) < 1.7 * can, "{n} in the second from {from}, where {can:.0} can be done");
+    }
+    let late = fleet.sent_to(1, boot + 6000, boot + 10_000) as f64 / 4.0;
+    assert!(late > 50.0 * warmth(8.0), "{late} parts a second at a host that is three fifths warm");
+}
+
+/// A host that fails at once among sound ones: a router sees it seldom, and a hundred of them have to find
+/// out by themselves, but no part is lost by it and its share shrinks.
+#[test]
+fn a_quick_failer_loses_its_share() {
+    let mut fleet = Fleet::new();
+    fleet.play(3000, 166, |_, _| (Outcome::Ok, PART));
+    let from = fleet.now;
+    let bad = |_, server| if server == 1 { (Outcome::Error, 3) } else { (Outcome::Ok, PART) };
+    fleet.play(10_000, 166, bad);
+    let share = fleet.sent_to(1, from + 5000, fleet.now) as f64 / 5.0;
+    assert!(share < 30.0, "{share} parts a second to a failing host, of 50 to a sound one");
+    assert_eq!(fleet.finals.get("failed"), None);
+    let refused = fleet.finals.get("refused").copied().unwrap_or(0);
+    assert!(refused * 100 < fleet.finals["answered"], "{:?}", fleet.finals);
+}
