Send cold hosts half as much again in a large fleet, within what two cores bear

Change: beyond 8 routers the pace is 1.5 times the even share, and never more than two cores do at the least median part time seen so far (the present one grows in a crisis and takes the gain back).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,22 +61,21 @@
 const STALL_GOAL: f64 = 0.4;
 /// Parts beyond twice the mean that a full server is taken to hold, and beyond the mean a crowded one.
 const FULL: f64 = 4.0;
-/// Parts a second to a cold server beyond its share, at most: more of them slow queries down.
+/// Slots of many routers go unused; and what they send in a crisis is bounded by what two cores bear.
+const UNUSED_SLOTS: f64 = 1.5;
+/// Parts a second to a cold server beyond its share, at most.
 const COLD_PACE: f64 = 1.0;
 /// Time after a server's death under an own part in which queries send one part ahead.
 const KILLER_SPAN: f64 = 10.0;
 /// Time without use after which a connection may be gone, and the time over which losses on such count.
 const IDLE: f64 = 1.0;
 const IDLE_SPAN: f64 = 8.0;
-/// Slowness from which a server is left even while all are late.
 const OUTLIER: f64 = 2.5;
-/// Budget of copies where the settings have none.
 const COPIES: Budget = Budget { free: 10.0, share: 0.2, span: Duration::from_secs(2) };
 /// Share of the budget open to hedges; the rest is kept for parts that failed.
 const HEDGE_SHARE: f64 = 0.6;
 /// Share of the goal's time left at which copies may start.
 const PRESSING: f64 = 0.65;
-/// Time kept for a second step, over the slow part time.
 const SECOND_STEP: f64 = 1.2;
 /// Share of the goal that one call's work may take: bundles beyond it make a query's slowest part.
 const BUNDLE_GOAL: f64 = 0.5;
@@ -90,14 +89,11 @@
 const OVER_QUOTA: f64 = 0.6;
 /// Expected part time, as a share of the goal, above which hedges stop.
 const CONGESTED: f64 = 0.3;
-/// Time after which a server that is gone is forgotten.
 const FORGET: f64 = 15.0;
 /// Interval of housekeeping while no query is open, and of decisions while one is.
 const REST: f64 = 0.25;
 const TICK: f64 = 0.01;
-/// Below this, two points in time are the same.
 const CLOCK_GRAIN: f64 = 1e-4;
-/// Sums of weights may fall this short by rounding.
 const ROUNDING: f64 = 5e-5;
 
 type Out = Vec<Action>;
@@ -191,6 +187,9 @@
         if let Some(class) = class.filter(|_| tells && !own_delay) {
             self.latencies[class.0 as usize].add(self.now, latency, SAMPLES);
             self.all_latencies.add(self.now, latency, SAMPLES);
+            let usual = self.all_latencies.quantile(0.5, SAMPLES / 4);
+            self.least_time =
+                usual.map(|t| self.least_time.map_or(t, |least| least.min(t))).or(self.least_time);
         }
         if !unused {
             self.judge(server, outcome, sent);
@@ -260,7 +259,6 @@
         self.all_latencies.quantile(0.75, FEW).map_or(0.0, |t| t / (CONGESTED * goal))
     }
 
-    /// Whether parts wait so long on the usual server that extra work would hurt.
     fn congested(&self) -> bool {
         self.pressure() > 1.0
     }
@@ -441,8 +439,7 @@
 
     // ---- Health: ejection and re-admission ----
 
-    /// Judges a server by how an attempt ended, whatever its reports say: a quick failer looks idle. Hurts
-    /// little when an error was chance, as the other holders take over for a second.
+    /// Judges a server by how an attempt ended, whatever its reports say: a quick failer looks idle.
     fn judge(&mut self, server: ServerId, outcome: Outcome, sent: f64) {
         let (limit, call) = (self.stall_limit(), f64::from(self.cfg.bundle_max.max(1)));
         let jitter = if outcome == Outcome::Full { 0.5 + self.chance() } else { 0.0 };
@@ -488,7 +485,6 @@
         }
     }
 
-    /// Counts a failure: a server that fails too often is left. One that is on trial has failed it.
     fn fault(&mut self, server: ServerId, unreached: bool) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         let again = self.now - s.failed_at < SAME_MOMENT;
@@ -589,15 +585,19 @@
         (share + (1.0 - share) * age / ramp.max(0.1)).min(1.0)
     }
 
-    /// Time between parts of ours to a cold server. It gets its share of what a warm one is sent, scaled by
-    /// its warmth, or this router's part of half of what one core of it bears. Hurts on a light day.
+    /// Time between parts of ours to a cold server: its share of what a warm one is sent, scaled by its
+    /// warmth, or this router's part of half of what one core of it bears.
     fn cold_gap(&self, s: &Server) -> f64 {
         let warm = self.servers.values().filter(|s| s.state == ServerState::Ready).count().max(1) as f64;
         let multiple = self.cfg.cold.map_or(2.0, |c| c.fall_multiple) / 2.0;
-        let work = self.all_latencies.quantile(0.2, FEW).unwrap_or(0.1);
-        let core = multiple / (work * f64::from(self.cfg.routers)).max(0.01);
-        let usual = self.sends.get(self.now, RATE_SPAN) / warm * multiple.clamp(1.0, 1.5);
-        1.0 / (self.warmth(s) * usual.max(core.min(COLD_PACE))).max(1e-3)
+        let work = |time: Option<f64>| (time.unwrap_or(0.1) * f64::from(self.cfg.routers)).max(0.01);
+        let core = multiple / work(self.all_latencies.quantile(0.2, FEW));
+        let usual = self.sends.get(self.now, RATE_SPAN) / warm;
+        let pace = match f64::from(self.cfg.routers) > FEW_ROUTERS {
+            true => (UNUSED_SLOTS * usual).min(2.0 / work(self.least_time)),
+            false => usual * multiple.clamp(1.0, 1.5),
+        };
+        1.0 / (self.warmth(s) * pace.max(core.min(COLD_PACE))).max(1e-3)
     }
 
     // ---- Sends: first tries, retries, hedges, one budget ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -288,6 +288,8 @@
     /// By class: latencies, and how long a try usually waits, with the votes for it.
     pub(crate) latencies: Vec<Latencies>,
     pub(crate) all_latencies: Latencies,
+    /// The least that the usual part time has been.
+    pub(crate) least_time: Option<f64>,
     pub(crate) usual_wait: Vec<(f64, u32)>,
     pub(crate) tenants: Vec<Rate>,
     pub(crate) taken: Window,
@@ -330,6 +332,7 @@
             orphans: BTreeMap::new(),
             latencies: cfg.classes.iter().map(|_| Latencies::default()).collect(),
             all_latencies: Latencies::default(),
+            least_time: None,
             usual_wait: vec![(0.0, 0); cfg.classes.len()],
             tenants: vec![Rate::default(); cfg.tenants.len()],
             taken: Window::default(),
