--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -5,6 +5,9 @@
 use serde::Deserialize;
 use std::time::Duration;
 
+/// More coordinators than this are a mistake in the settings.
+const MOST_COORDINATORS: u32 = 100_000;
+
 /// What is wrong with the settings.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -197,6 +200,10 @@
 /// Reads the settings, a JSON object as the simulator's first message and the platform's file have it.
 pub fn read(json: &str) -> Result<Site, SettingsError> {
     let raw: RawSettings = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(json))?;
+    // Waits and paces are worked out from it: 0 or an absurd number would stop them or let them grow for ever.
+    if !(1..=MOST_COORDINATORS).contains(&raw.balancers) {
+        return Err(SettingsError::Value("balancers", raw.balancers.to_string()));
+    }
     let mut zones = Names::default();
     let family = &raw.family_info;
     let mut classes = Vec::new();
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -59,6 +59,15 @@
         let (code, said) = check(&format!("bad{n}"), &bad.to_string(), None);
         assert!(code == Some(2) && said.contains(key), "{key}: {code:?} {said}");
     }
+    for number in [json!(0), json!(4_000_000_000u32), json!(-1), json!(null)] {
+        let mut bad = good();
+        bad["settings"]["balancers"] = number.clone();
+        let (code, said) = check("balancers", &bad.to_string(), None);
+        assert!(code == Some(2) && said.contains("balancers"), "{number}: {code:?} {said}");
+    }
+    let mut alone = good();
+    alone["settings"]["balancers"] = json!(1);
+    assert_eq!(check("alone", &alone.to_string(), None).0, Some(0));
     let index = "[opensearch]\n[[opensearch.index]]\nname = 'a'\n";
     let districts = "districts = {x = 0}";
     for (n, (text, key)) in [
