Take a host heard lately for alive; keep windows as before among few coordinators

What was refused were calls waiting on connections that broke over spoilt answers, reported as not connected. At fault: choice.rs, judge: 'refused' set by any connect failure; and the window of a call and the rest of a host, which are for coordinators that have a part or none on a host.

Ruled out: bad clients (the refusals follow the spoilt answers), the pace to cold hosts (unchanged below 9).

Change: a connect failure marks a host as refusing only if it has answered nothing for 0.4 s; the window of a call and the rest hold beyond 8 coordinators.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -441,7 +441,8 @@
 
     /// Judges a server by how an attempt ended, whatever its reports say: a quick failer looks idle.
     fn judge(&mut self, server: ServerId, outcome: Outcome, sent: f64) {
-        let (limit, call) = (self.stall_limit(), f64::from(self.cfg.bundle_max.max(1)));
+        let (limit, many) = (self.stall_limit(), f64::from(self.cfg.routers) > FEW_ROUTERS);
+        let call = if many { f64::from(self.cfg.bundle_max.max(1)) } else { 1.0 };
         let jitter = if outcome == Outcome::Full { 0.5 + self.chance() } else { 0.0 };
         let Some(s) = self.servers.get_mut(&server) else { return };
         let silent = outcome == Outcome::Timeout && self.now - sent.max(s.heard).max(self.away.1) > limit;
@@ -459,13 +460,12 @@
                 s.heard = self.now;
                 self.fault(server, false);
             }
-            // Connections break under sound servers too; a dead one refuses the next.
             Outcome::Reset => {
                 s.reset_at = self.now;
                 self.fault(server, true);
             }
             Outcome::ConnectFailed => {
-                s.refused = true;
+                s.refused = self.now - s.heard > REPORT_LAG;
                 if self.now - s.reset_at < KILLER_SPAN {
                     (s.died_at, self.broken_at) = (self.now, Some(self.now));
                 }
@@ -475,7 +475,7 @@
                 // A window of less than a call is none, but time; one that drains wants nothing more.
                 let least = if s.state == ServerState::Ready { call } else { 0.0 };
                 s.room = s.room.min(f64::from(s.own()).max(least));
-                if s.own() == 0 {
+                if many && s.own() == 0 {
                     s.shut_gap = (2.0 * s.shut_gap).clamp(SHUT.0, SHUT.1);
                     s.shut_until = self.now + jitter * s.shut_gap;
                 }
