Stretch calls to discovery only where coordinators share it; count on hosts that leave

Found in review. Where discovery has an agent on each machine ('pushed'), which answers at no cost, a hundred coordinators would have waited up to 10 s after a lost watch, too long for a drain told meanwhile (6 s and 2 s of grace): list.rs, LONGEST and the pace took the number alone. They now follow from 'on_request' and its must_ask_in; the first call's spread too. And choice.rs, give_up_if_hopeless, took a part for lost whose last holders in service had begun to drain, though these may still help out within their grace.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -840,8 +840,7 @@
 
     // ---- Admission and shedding ----
 
-    /// Takes a query if it can be expected to end before its goal; else refuses it at once, with a hint.
-    /// Tenants past quota go first.
+    /// Takes a query if it can be expected to end before its goal; else, those past quota first, refuses it.
     fn admit(&mut self, id: RequestId, out: &mut Out) -> bool {
         let q = &self.queries[&id];
         let c = self.class(q.class);
@@ -962,7 +961,8 @@
         let total = self.progress(q).total;
         let lost = |p: &&Part| {
             let still = p.attempts.iter().all(|a| !a.out);
-            let dead = still && self.usable(p.shard).next().is_none();
+            let leaving = |h: (ServerId, &Server)| h.1.state == ServerState::Draining;
+            let dead = still && self.usable(p.shard).next().is_none() && !self.holders(p.shard).any(leaving);
             let over = dead || (!p.attempts.is_empty() && still && !self.may_repeat(p, q.class));
             !p.done && (p.closed || over)
         };
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -22,8 +22,6 @@
 /// With a list in hand the first calls of a fleet that starts at one moment are spread over so much for each
 /// coordinator beyond a few: about what a call of some tens of lines takes discovery.
 const START: Duration = Duration::from_millis(40);
-/// Longest wait, however many coordinators there are.
-const LONGEST: Duration = Duration::from_secs(10);
 /// Longest line of a watch.
 const MOST_LINE: usize = 1024 * 1024;
 
@@ -88,8 +86,18 @@
 pub struct Pace {
     /// The coordinator's own seed.
     pub seed: u64,
-    /// Coordinators in the fleet.
-    pub fleet: u32,
+    /// Coordinators that ask one discovery, and the time within which each has to have asked again: the
+    /// longest wait. `None` where discovery has an agent on each machine, which answers at no cost.
+    pub shared: Option<(u32, Duration)>,
+}
+
+impl Pace {
+    /// The waits after calls that failed, and the spread of the first call.
+    pub fn backoff(&self) -> (Backoff, Duration) {
+        let (fleet, longest) = self.shared.unwrap_or((1, BACKOFF.1));
+        let spread = START.saturating_mul(fleet.saturating_sub(A_FEW));
+        (Backoff::new(self.seed, fleet, BACKOFF, A_FEW, longest), spread)
+    }
 }
 
 /// The list actor over discovery's watch.
@@ -132,10 +140,9 @@
 
     /// Watches for ever, over as many connections as it takes.
     pub async fn run(mut self) {
-        let mut backoff = Backoff::new(self.pace.seed, self.pace.fleet, BACKOFF, A_FEW, LONGEST);
+        let (mut backoff, spread) = self.pace.backoff();
         if self.revision.is_some() {
-            tokio::time::sleep(backoff.start(START.saturating_mul(self.pace.fleet.saturating_sub(A_FEW))))
-                .await;
+            tokio::time::sleep(backoff.start(spread)).await;
         }
         loop {
             let before = self.revision;
@@ -204,3 +211,29 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A hundred that start at one moment with a list in hand call discovery spread over seconds; with an
+    /// agent on each machine, or a few of them, each calls at once and comes back soon.
+    #[test]
+    fn first_calls_and_waits_follow_from_how_many_share_discovery() {
+        let within = Duration::from_secs(10);
+        let start = |seed: u64| {
+            let (mut backoff, spread) = Pace { seed, shared: Some((100, within)) }.backoff();
+            backoff.start(spread)
+        };
+        let mut first: Vec<Duration> = (0..100).map(start).collect();
+        first.sort();
+        let busiest = first.windows(30).map(|w| w[29] - w[0]).min().unwrap();
+        assert!(busiest > Duration::from_millis(500), "30 within {busiest:?}");
+        assert!(first[99] < Duration::from_secs(4));
+        for shared in [None, Some((3, within))] {
+            let (mut backoff, spread) = Pace { seed: 1, shared }.backoff();
+            assert_eq!(backoff.start(spread), Duration::ZERO);
+            (0..20).for_each(|_| assert!(backoff.failed() <= BACKOFF.1));
+        }
+    }
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -105,7 +105,9 @@
     if let Some(d) = config.operator.dns_sd {
         tokio::spawn(Browser { responder: d.responder, service: d.service, core, counters }.run());
     } else if let Some(addr) = config.discovery {
-        let (pace, replaces) = (Pace { seed: config.seed, fleet: config.site.settings.routers }, Vec::new());
+        let settings = &config.site.settings;
+        let shared = settings.must_ask_in.map(|within| (settings.routers, within));
+        let (pace, replaces) = (Pace { seed: config.seed, shared }, Vec::new());
         tokio::spawn(Watch { addr, revision, core, counters, pace, replaces }.follow_moves(moves));
     }
 }
