--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -206,3 +206,25 @@
     let refused = fleet.finals.get("refused").copied().unwrap_or(0);
     assert!(refused * 100 < fleet.finals["answered"], "{:?}", fleet.finals);
 }
+
+/// Six in ten hosts are replaced within seconds: none that drains gets anything after its grace, and each
+/// query has its one final answer.
+#[test]
+fn nothing_goes_to_a_drained_host_while_six_in_ten_are_replaced() {
+    let mut fleet = Fleet::new();
+    fleet.play(3000, 166, |_, _| (Outcome::Ok, PART));
+    for wave in [[0, 1, 2, 3], [4, 5, 6, 7]] {
+        let told = fleet.now;
+        fleet.list(ListKind::Changes, wave.map(|s| entry(s, ServerState::Draining, None)).to_vec());
+        let drains = |_, s| if wave.contains(&s) { (Outcome::Full, 2) } else { (Outcome::Ok, PART) };
+        fleet.play(4000, 166, drains);
+        assert!(wave.iter().all(|s| fleet.sent_to(*s, told + 2000, fleet.now) == 0));
+        let boot = fleet.now;
+        fleet.list(ListKind::Changes, wave.map(|s| entry(s, ServerState::Ready, Some(boot))).to_vec());
+        fleet.play(3000, 166, |_, _| (Outcome::Ok, PART));
+    }
+    fleet.play(2000, u64::MAX, |_, _| (Outcome::Ok, PART));
+    let ended: usize = fleet.finals.values().sum();
+    assert_eq!(ended as u64, fleet.next / 2, "{:?}", fleet.finals);
+    assert!(fleet.finals["answered"] * 20 > ended * 19, "{:?}", fleet.finals);
+}
