--- a/src/config.rs
+++ b/src/config.rs
@@ -14,8 +14,10 @@
 const MOST_CORES: usize = 64;
 /// Fewest connections to hosts, and seats for clients, that a core can work with.
 const LEAST_OF_CORE: usize = 8;
-/// Descriptors kept for the listener, the list, the runtime and the standard streams.
+/// Descriptors kept for the listener, the list, the runtime and the standard streams; and, where there is an
+/// operator's address, for its callers, its listener and runtime.
 const KEPT_SOCKETS: usize = 16;
+const KEPT_FOR_DESK: usize = 32;
 /// Memory kept for the program itself, its hosts' connections and their values.
 const KEPT_MB: usize = 12;
 /// Memory that a client may come to hold, with its rings, a body and its answer.
@@ -37,7 +39,7 @@
 impl Room {
     /// Five eighths of the descriptors at most go to clients, as far as the memory holds out; hosts get the
     /// rest, so that clients can't keep the program from them.
-    fn of(limits: &RawLimits) -> Result<Self, ConfigError> {
+    fn of(limits: &RawLimits, desk: bool) -> Result<Self, ConfigError> {
         let (sockets, memory_mb) = (limits.sockets.unwrap_or(1024), limits.memory_mb.unwrap_or(192));
         if sockets < LEAST.0 {
             return Err(ConfigError::Value("limits.sockets", sockets.to_string()));
@@ -45,6 +47,7 @@
         if memory_mb < LEAST.1 {
             return Err(ConfigError::Value("limits.memory_mb", memory_mb.to_string()));
         }
+        let sockets = sockets - if desk { KEPT_FOR_DESK } else { 0 };
         let (clients, turned_away) = (sockets * 5 / 8, sockets / 16);
         Ok(Self {
             clients: clients.min((memory_mb - KEPT_MB) * 1024 / CLIENT_KB),
@@ -92,6 +95,7 @@
 struct RawConfig {
     name: Option<String>,
     listen: Option<String>,
+    operator: Option<String>,
     discovery: Option<String>,
     seed: Option<String>,
     #[serde(default)]
@@ -270,6 +274,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: String,
+    /// Where the operators' staff call; `None` where there is no such address.
+    pub desk: Option<String>,
     /// Where discovery answers; `None` where an operator's file names another source.
     pub discovery: Option<String>,
     /// The seed of all random choices.
@@ -366,7 +372,9 @@
                 news(v.to_string().as_bytes()).map_err(bad)?
             }
         };
-        let room = Room::of(&raw.limits)?;
+        let desk = env("PROXY_OPERATOR").or(raw.operator);
+        let desk = desk.map(|d| address("operator", d)).transpose()?;
+        let room = Room::of(&raw.limits, desk.is_some())?;
         let site = settings::read(&raw.settings.to_string())?;
         operator.check(&site)?;
         let cores = operator.cores.map_or(1, |c| c.count);
@@ -380,6 +388,7 @@
         Ok(Self {
             name: env("PROXY_NAME").or(raw.name).unwrap_or_else(|| "coordinator".into()),
             listen: address("listen", listen)?,
+            desk,
             discovery: discovery.map(|d| address("discovery", d)).transpose()?,
             seed: raw.seed.map_or(Ok(0), |s| number("seed", &s, 16))?,
             room,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -200,6 +200,8 @@
     Unreached(Arc<str>),
     /// All news up to this version of the list has been handed over.
     Version(u64),
+    /// Asks for word once all mail before this has been taken.
+    Taken(tokio::sync::oneshot::Sender<()>),
 }
 
 /// Carries calls to hosts. Everything handed over is reported back as [`Mail`], once.
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -16,6 +16,9 @@
 /// So many connections in a row that did not come up are news for the other cores.
 const UNREACHED: u32 = 2;
 
+/// How often the operators' figures of the list are brought up to date.
+const SHOW: Duration = Duration::from_millis(100);
+
 /// A host that has been gone for so long, with nothing out on it, is forgotten with all that goes by its
 /// name: hosts are replaced under new names all the time.
 const FORGET: Duration = Duration::from_secs(15);
@@ -86,6 +89,8 @@
     seat: Option<Seat>,
     /// Connections in a row that did not come up, by host.
     unreached: HashMap<ServerId, u32>,
+    /// When the list's figures are shown next.
+    show_at: Instant,
 }
 
 impl<T: Transport> Table<T> {
@@ -128,6 +133,7 @@
             actions: Vec::new(),
             seat: None,
             unreached: HashMap::new(),
+            show_at: Instant::now(),
         }
     }
 
@@ -202,6 +208,8 @@
                     seat.gates.acknowledge(seat.core, version);
                 }
             }
+            // Who asked may have given up waiting.
+            Mail::Taken(word) => drop(word.send(())),
         }
     }
 
@@ -431,6 +439,10 @@
     /// Lets the module decide and carries out what it asks for.
     pub fn turn_end(&mut self, now: Instant) {
         self.tell(now, Event::TurnEnd);
+        if now >= self.show_at {
+            self.show_at = now + SHOW;
+            self.counters.show_pool(self.router.pool());
+        }
         let mut calls: BTreeMap<ServerId, Vec<CallPart>> = BTreeMap::new();
         for action in std::mem::take(&mut self.actions) {
             match action {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -27,4 +27,11 @@
             None => self.platform.error(status, reason),
         }
     }
+
+    fn no_seat(&self, request: &Request) -> Response {
+        match &self.opensearch {
+            Some(_) => OpenSearch::error(503, "too many clients"),
+            None => self.platform.no_seat(request),
+        }
+    }
 }
--- a/src/front/opensearch/hosts.rs
+++ b/src/front/opensearch/hosts.rs
@@ -314,6 +314,7 @@
             }
         }
         self.written = true;
+        self.setup.counters.add("tries", self.out.len() as u64);
         let answer = async {
             let (status, headers) = response_head(conn).await?;
             let body = Body::of_response(&headers)?.whole(conn, MOST_ANSWER).await?;
--- a/src/front/opensearch/mod.rs
+++ b/src/front/opensearch/mod.rs
@@ -9,7 +9,7 @@
 use crate::config::{IndexConfig, OpenSearchConfig};
 use crate::core::settings::Site;
 use crate::core::{Answer, Core, NewPart, NewQuery};
-use crate::counters::Counters;
+use crate::counters::{Counters, End};
 use crate::interface::{Cause, Class, ClassId, Outcome, Repeat, TenantId};
 use crate::net::http::{Answering, Request, Response};
 use answer::{merge, Failure, Merged};
@@ -223,7 +223,7 @@
             payload: hosts::payload(&index_name, &search.forward),
         });
         let stopping = || Failure::new(503, "node_closed_exception", "the coordinator is stopping");
-        match ticket.await.ok_or_else(stopping)? {
+        let read = |answer: Answer| match answer {
             Answer::Served { full, pieces, missing } => {
                 let merged = merge(&pieces, missing, &search.sort);
                 let share = merged.successful as f64 / count as f64;
@@ -265,7 +265,18 @@
                 let shards = missing.into_iter().map(Into::into).collect();
                 Err(Failure { retry_after, shards, ..Failure::new(status, kind, reason) })
             }
-        }
+        };
+        let found = ticket.await.ok_or_else(stopping).and_then(read);
+        // A search in a request of many has no answer of its own to be counted with: it ends here.
+        self.0.counters.ended(
+            index.class.0 as usize,
+            match &found {
+                Ok(_) => End::Ok,
+                Err(f) if matches!(f.status, 429 | 503) => End::Shed,
+                Err(_) => End::Errors,
+            },
+        );
+        found
     }
 
     fn reader<'a>(&self, index: &'a Index) -> Reader<'a> {
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,9 +1,10 @@
 //! The platform's own front: `POST /<class>` with the parts in JSON.
 
 use crate::core::{Answer, Core, NewPart, NewQuery};
-use crate::counters::Counters;
+use crate::counters::{Counters, End};
 use crate::interface::{ClassId, Repeat, TenantId};
 use crate::net::http::{Answering, Request, Response, Service};
+use crate::ops::Readiness;
 use bytes::{BufMut, Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -44,6 +45,8 @@
     /// Number of shards, and the classes whose parts go by a key.
     shards: Option<u32>,
     keyed: Vec<bool>,
+    /// What health goes by; without an operator's address a process that answers is healthy.
+    readiness: Option<Readiness>,
 }
 
 /// Why a request is no query.
@@ -59,7 +62,12 @@
 
 impl Platform {
     /// The front of this core, for these classes and tenants.
-    pub fn new(core: Core, counters: Counters, site: &crate::core::settings::Site) -> Self {
+    pub fn new(
+        core: Core,
+        counters: Counters,
+        site: &crate::core::settings::Site,
+        readiness: Option<Readiness>,
+    ) -> Self {
         Self {
             core,
             counters,
@@ -68,6 +76,7 @@
             marks_retry: site.marks_retry,
             most_parts: site.caps.open,
             shards: site.caps.shards,
+            readiness,
             keyed: site.settings.classes.iter().map(|c| matches!(c.repeat, Repeat::Keyed(_))).collect(),
         }
     }
@@ -153,35 +162,44 @@
     Some(out.freeze())
 }
 
-/// The wire form of an answer.
-fn response(answer: Option<Answer>) -> Response {
-    match answer {
-        Some(Answer::NameTaken) => Response::text(409, "Req-Id belongs to an open request\n"),
+/// The wire form of an answer to a query of this class.
+fn response(answer: Option<Answer>, class: usize) -> Response {
+    let (response, end) = match answer {
+        Some(Answer::NameTaken) => (Response::text(409, "Req-Id belongs to an open request\n"), End::Errors),
         Some(Answer::Served { full, pieces, .. }) => match served(full, &pieces) {
-            Some(body) => Response::json(200, body),
-            None => Response::text(502, "a host's value is no text\n"),
+            Some(body) => (Response::json(200, body), End::Ok),
+            None => (Response::text(502, "a host's value is no text\n"), End::Errors),
         },
         Some(Answer::Refused { retry_after, .. }) => {
-            Response::text(429, "refused\n").retry_after(retry_after)
+            (Response::text(429, "refused\n").retry_after(retry_after), End::Shed)
         }
-        Some(Answer::Failed { retry_after, .. }) => Response::text(504, "failed\n").retry_after(retry_after),
-        None => Response::text(500, "stopping\n"),
-    }
+        Some(Answer::Failed { retry_after, .. }) => {
+            (Response::text(504, "failed\n").retry_after(retry_after), End::Errors)
+        }
+        None => (Response::text(500, "stopping\n"), End::Errors),
+    };
+    response.ends(class, end)
 }
 
 impl Service for Platform {
     fn answer(&self, request: Request) -> Answering {
         let done = |r: Response| -> Answering { Box::pin(std::future::ready(r)) };
         match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/_health") => return done(Response::text(200, "ok\n")),
+            ("GET", "/_health") => {
+                return done(match self.readiness.as_ref().and_then(Readiness::obstacle) {
+                    None => Response::text(200, "ok\n"),
+                    Some(why) => Response::text(503, format!("{why}\n")),
+                })
+            }
             ("GET", "/_counters") => return done(Response::text(200, self.counters.text())),
             (_, "/_health" | "/_counters") => return done(self.error(405, "only GET here")),
             _ => {}
         }
         match self.query(&request) {
             Ok(query) => {
+                let class = query.class.0 as usize;
                 let ticket = self.core.submit(query);
-                Box::pin(async move { response(ticket.await) })
+                Box::pin(async move { response(ticket.await, class) })
             }
             Err(e) => {
                 self.counters.inc("requests.bad");
@@ -198,4 +216,12 @@
     fn error(&self, status: u16, reason: &str) -> Response {
         Response::text(status, format!("{reason}\n"))
     }
+
+    fn no_seat(&self, request: &Request) -> Response {
+        let answer = self.error(503, "too many clients");
+        match self.query(request) {
+            Ok(query) => answer.ends(query.class.0 as usize, End::Shed),
+            Err(_) => answer,
+        }
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod interface;
 pub mod logger;
 pub mod net;
+pub mod ops;
 pub mod serve;
 pub mod shard;
 mod state;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -2,7 +2,7 @@
 //! clients of this program need to read.
 
 use super::conn::Conn;
-use crate::counters::Counters;
+use crate::counters::{Counters, End};
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -27,9 +27,11 @@
 /// An unused connection is closed after this, and sooner once more than a share of the seats is taken.
 const IDLE: (Duration, Duration) = (Duration::from_secs(10), Duration::from_millis(2200));
 const ROOMY: f64 = 0.25;
-/// When all seats are taken, a connection that has been asking for so long without a whole request, or
-/// standing idle for so long, goes for a new one: its client can come back, one turned away is not served.
-const MAKES_ROOM: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(100));
+/// When all seats are taken, a connection that has been asking for so long without a whole request (of
+/// clients), or standing idle for so long, goes for a new one: its client can come back, one turned away is
+/// not served.
+pub const PATIENCE: Duration = Duration::from_millis(100);
+const MAKES_ROOM: Duration = Duration::from_millis(100);
 /// Share of the seats that may stand idle: beyond it the one that has for longest goes with each that comes,
 /// as clients that ask once and stay use up what connections the usual ones may have.
 const IDLERS: f64 = 0.2;
@@ -158,17 +160,29 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body.
     pub body: Bytes,
+    /// The requests that end with it: their classes, and how. They count once it is written.
+    pub ends: Vec<(usize, End)>,
 }
 
 impl Response {
     /// An answer with a JSON body.
     pub fn json(status: u16, body: impl Into<Bytes>) -> Self {
-        Self { status, headers: vec![("Content-Type", "application/json".into())], body: body.into() }
+        Self::of_type("application/json", status, body.into())
     }
 
     /// An answer in plain text.
     pub fn text(status: u16, body: impl Into<Bytes>) -> Self {
-        Self { status, headers: vec![("Content-Type", "text/plain".into())], body: body.into() }
+        Self::of_type("text/plain", status, body.into())
+    }
+
+    fn of_type(kind: &str, status: u16, body: Bytes) -> Self {
+        Self { status, headers: vec![("Content-Type", kind.into())], body, ends: Vec::new() }
+    }
+
+    /// A request of this class ends with it.
+    pub fn ends(mut self, class: usize, end: End) -> Self {
+        self.ends.push((class, end));
+        self
     }
 
     /// Adds a header.
@@ -438,6 +452,10 @@
     fn answer(&self, request: Request) -> Answering;
     /// Words an error that the server itself finds.
     fn error(&self, status: u16, reason: &str) -> Response;
+    /// Refuses a request at the cap on clients.
+    fn no_seat(&self, _request: &Request) -> Response {
+        self.error(503, "too many clients")
+    }
 }
 
 /// Limits of a server.
@@ -451,6 +469,10 @@
     pub serve_on: Duration,
     /// By then all of them must be answered.
     pub answer_by: Duration,
+    /// When all seats are taken, a connection that has been asking for so long makes room.
+    pub patience: Duration,
+    /// Whether a connection is for one request alone.
+    pub one_call: bool,
 }
 
 /// What a connection is at.
@@ -493,10 +515,10 @@
 
     /// Asks the one that has been of no use for longest to leave: a crowd that says nothing, or stays
     /// after its one request, must not keep others out. Unless `full`, only one that stands idle goes.
-    fn make_room(&mut self, now: Instant, full: bool) -> bool {
+    fn make_room(&mut self, now: Instant, full: bool, patience: Duration) -> bool {
         let goes = |s: &Seat| match s.phase {
-            Phase::Asking => full && now - s.since >= MAKES_ROOM.0,
-            Phase::Idle => now - s.since >= MAKES_ROOM.1,
+            Phase::Asking => full && now - s.since >= patience,
+            Phase::Idle => now - s.since >= MAKES_ROOM,
             Phase::Busy => false,
         };
         let useless = self.taken.iter().filter(|(_, s)| goes(s));
@@ -570,7 +592,7 @@
         let full = self.seats().taken.len() >= self.limits.clients;
         let idlers = self.seats().taken.values().filter(|s| s.phase == Phase::Idle).count();
         let crowded = full || idlers as f64 > IDLERS * self.limits.clients as f64;
-        let made_room = crowded && self.seats().make_room(now, full);
+        let made_room = crowded && self.seats().make_room(now, full, self.limits.patience);
         if made_room {
             self.counters.inc("clients.made_room");
         }
@@ -686,7 +708,7 @@
                 shared.counters.inc("requests.unreadable");
                 if let Some(status) = e.status() {
                     let answer = shared.service.error(status, &e.to_string());
-                    finish(&mut conn, &answer).await;
+                    finish(&mut conn, &answer, &shared.counters).await;
                 }
                 return (served, e.code());
             }
@@ -695,11 +717,12 @@
         request.latest = shared.latest.get().copied();
         let arrived = request.arrived;
         shared.seats().enter(seat, Phase::Busy, Instant::now());
+        let _open = shared.counters.open();
         // Those who had a seat before it was full keep it.
         let over = extra && shared.crowded(1.0);
         let answer = if over {
             shared.counters.inc("answered.refused.client_cap");
-            let answer = shared.service.error(503, "too many clients");
+            let answer = shared.service.no_seat(&request);
             Some(answer.retry_after(Some(Duration::from_secs(1))))
         } else {
             answer_or_gone(&mut conn, shared.service.answer(request)).await
@@ -709,13 +732,13 @@
         // 429 and the fives are answers to queries; the other fours are for what was none.
         bad = if (400..429).contains(&answer.status) { bad + 1 } else { 0 };
         let stopping = *closing.borrow();
-        if !keep || over || stopping {
-            finish(&mut conn, &answer).await;
+        if !keep || over || stopping || shared.limits.one_call {
+            finish(&mut conn, &answer, &shared.counters).await;
             let codes = [(stopping, "stopping"), (over, "at_cap")];
             return (served, codes.iter().find(|c| c.0).map_or("asked_to_close", |c| c.1));
         }
         match tokio::time::timeout(SLOW_CLIENT, write(&mut conn, &answer, false)).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(())) => tally(&answer, &shared.counters),
             Ok(Err(_)) => return (served, "client_gone"),
             Err(_) => return (served, "client_too_slow"),
         }
@@ -727,9 +750,15 @@
     }
 }
 
+/// The answer is its client's now: what ends with it counts.
+fn tally(answer: &Response, counters: &Counters) {
+    answer.ends.iter().for_each(|(class, end)| counters.ended(*class, *end));
+}
+
 /// A last answer, and then no more.
-async fn finish(conn: &mut Conn, answer: &Response) {
+async fn finish(conn: &mut Conn, answer: &Response, counters: &Counters) {
     if let Ok(Ok(())) = tokio::time::timeout(SLOW_CLIENT, write(conn, answer, true)).await {
+        tally(answer, counters);
         linger(conn).await;
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -519,6 +519,7 @@
     fn written(&mut self, sending: Sending) {
         let now = Instant::now();
         self.used = now;
+        self.setup.counters.add("tries", sending.parts.len() as u64);
         for p in &sending.parts {
             let out = Out { part: p.part, attempt: p.attempt, sent: now };
             self.out.insert(frames::part_id(p), out);
--- /dev/null
+++ b/src/ops/bans.rs
@@ -0,0 +1,146 @@
+//! District hosts taken out by hand: an overlay between the sources of the list and the module. No I/O.
+//!
+//! To the module a banned host is one that drains, whatever its source says. A host called back counts as
+//! started at that moment, or when its source says, if that is later.
+
+use crate::core::Listed;
+use crate::interface::{ListKind, ServerState};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Hosts out by hand at once: a list has a few hundred lines.
+const MOST: usize = 4096;
+/// A call back that is older than any cold start lasts is forgotten.
+const FORGET_MS: u64 = 600_000;
+
+/// Why a call is not obeyed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// No source has named such a host.
+    #[error("no such district host")]
+    Unknown,
+    /// The set is full.
+    #[error("too many district hosts are out")]
+    Full,
+}
+
+/// The hosts that are out by hand, over the list as its source last told it.
+#[derive(Clone, Debug, Default)]
+pub struct Bans {
+    out: BTreeSet<String>,
+    /// When hosts were called back, in Unix milliseconds.
+    back: BTreeMap<String, u64>,
+    listed: BTreeMap<String, Listed>,
+}
+
+impl Bans {
+    /// Takes news of the list; gives what the module is to be told.
+    pub fn news(&mut self, kind: ListKind, hosts: Vec<Listed>) -> Vec<Listed> {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            self.listed.clear();
+        }
+        for host in &hosts {
+            if host.state == ServerState::Gone {
+                self.listed.remove(&host.id);
+            } else {
+                self.listed.insert(host.id.clone(), host.clone());
+            }
+        }
+        hosts.into_iter().map(|host| self.seen(host)).collect()
+    }
+
+    /// A host as the module is to see it.
+    fn seen(&self, mut host: Listed) -> Listed {
+        if host.state == ServerState::Ready && self.out.contains(&host.id) {
+            host.state = ServerState::Draining;
+        }
+        let back = self.back.get(&host.id).copied();
+        host.up_since_ms = host.up_since_ms.max(back.unwrap_or(0));
+        host
+    }
+
+    fn told(&self, id: &str) -> Vec<Listed> {
+        self.listed.get(id).cloned().map(|host| self.seen(host)).into_iter().collect()
+    }
+
+    /// Takes a host out, or calls it back at this Unix time; gives what the module is to be told of it.
+    /// A call that changes nothing tells nothing.
+    ///
+    /// # Errors
+    /// If nobody has this id, or too many are out.
+    pub fn order(&mut self, id: &str, offline: bool, now_ms: u64) -> Result<Vec<Listed>, Refusal> {
+        let was_out = self.out.contains(id);
+        if !was_out && !self.listed.contains_key(id) {
+            return Err(Refusal::Unknown);
+        }
+        if was_out == offline {
+            return Ok(Vec::new());
+        }
+        if offline {
+            if self.out.len() >= MOST {
+                return Err(Refusal::Full);
+            }
+            self.out.insert(id.to_owned());
+        } else {
+            self.out.remove(id);
+            self.back.retain(|_, at| now_ms.saturating_sub(*at) < FORGET_MS);
+            self.back.insert(id.to_owned(), now_ms);
+        }
+        Ok(self.told(id))
+    }
+
+    /// The ids that are out.
+    pub fn out(&self) -> impl Iterator<Item = &str> {
+        self.out.iter().map(String::as_str)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn host(id: &str, state: ServerState, up_since_ms: u64) -> Listed {
+        Listed { id: id.into(), addr: "a:1".into(), zone: "a".into(), cell: 0, state, up_since_ms }
+    }
+
+    fn states(hosts: &[Listed]) -> Vec<(&str, ServerState, u64)> {
+        hosts.iter().map(|h| (h.id.as_str(), h.state, h.up_since_ms)).collect()
+    }
+
+    use ListKind::{Cached, Changes, Full};
+    use ServerState::{Draining, Gone, Ready};
+
+    #[test]
+    fn discovery_neither_lifts_nor_forgets_a_ban_and_one_call_back_lifts_it() {
+        let mut bans = Bans::default();
+        assert_eq!(bans.order("a", true, 5), Err(Refusal::Unknown));
+        bans.news(Cached, vec![host("a", Ready, 1), host("b", Ready, 1)]);
+        assert_eq!(states(&bans.order("a", true, 5).unwrap()), [("a", Draining, 1)]);
+        // Out twice is once.
+        assert_eq!(bans.order("a", true, 6), Ok(vec![]));
+        for kind in [Full, Changes, Cached] {
+            let told = bans.news(kind, vec![host("a", Ready, 2), host("b", Ready, 1)]);
+            assert_eq!(states(&told), [("a", Draining, 2), ("b", Ready, 1)]);
+        }
+        // It leaves the list, comes again, is left out of a whole list: out all the while.
+        assert_eq!(states(&bans.news(Changes, vec![host("a", Gone, 2)])), [("a", Gone, 2)]);
+        assert_eq!(bans.order("a", true, 7), Ok(vec![]));
+        assert_eq!(states(&bans.news(Changes, vec![host("a", Ready, 3)])), [("a", Draining, 3)]);
+        bans.news(Full, vec![host("b", Ready, 1)]);
+        assert_eq!(states(&bans.news(Full, vec![host("a", Ready, 4)])), [("a", Draining, 4)]);
+        assert_eq!(states(&bans.order("a", false, 50).unwrap()), [("a", Ready, 50)]);
+        assert_eq!(bans.order("a", false, 60), Ok(vec![]));
+        assert_eq!(bans.out().count(), 0);
+    }
+
+    #[test]
+    fn a_host_called_back_counts_as_started_then_or_later_if_discovery_says_so() {
+        let mut bans = Bans::default();
+        bans.news(Full, vec![host("a", Ready, 10)]);
+        bans.order("a", true, 20).unwrap();
+        // Restarted meanwhile, and draining by discovery's own word: that stands after the call back.
+        bans.news(Changes, vec![host("a", Draining, 30)]);
+        assert_eq!(states(&bans.order("a", false, 40).unwrap()), [("a", Draining, 40)]);
+        assert_eq!(states(&bans.news(Changes, vec![host("a", Ready, 30)])), [("a", Ready, 40)]);
+        assert_eq!(states(&bans.news(Changes, vec![host("a", Ready, 70)])), [("a", Ready, 70)]);
+    }
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,6 +13,9 @@
 use crate::net::link::{Dialect, Frames};
 use crate::net::list::{Pace, Watch};
 use crate::net::peer::Peers;
+use crate::ops::bans::Bans;
+use crate::ops::desk::Desk;
+use crate::ops::{members, Readiness};
 use crate::shard;
 use fennelpin_shared::deal::Deal;
 use std::sync::Arc;
@@ -56,25 +59,47 @@
         });
         let listener = TcpListener::bind(&config.listen).await?;
         log::info!("listening on {}", listener.local_addr()?);
+        let desk = config.desk.as_ref().map(|at| bind_desk(at)).transpose()?;
         let counters = Counters::striped(config.operator.cores.map_or(1, |c| c.count));
-        serve(config, listener, counters.clone(), stopping, moves).await?;
+        serve(config, Doors { clients: listener, desk }, counters.clone(), stopping, moves).await?;
         log::info!("stopped: {}", counters.line());
         Ok(())
     })
 }
 
+fn bind_desk(at: &str) -> std::io::Result<std::net::TcpListener> {
+    let named = |e: std::io::Error| std::io::Error::new(e.kind(), format!("operator's address {at}: {e}"));
+    let desk = std::net::TcpListener::bind(at).map_err(named)?;
+    log::info!("operator's address on {}", desk.local_addr()?);
+    Ok(desk)
+}
+
+/// Where a coordinator listens.
+pub struct Doors {
+    /// For clients.
+    pub clients: TcpListener,
+    /// For the operators' staff, if that is configured.
+    pub desk: Option<std::net::TcpListener>,
+}
+
 /// When a client that finds no room is asked to come back, where the settings name no longest wait.
 pub(crate) const HINT: Duration = Duration::from_secs(1);
 
 /// All fronts over the way to the core.
-pub(crate) fn fronts(config: &Config, core: Core, counters: &Counters) -> Fronts {
+pub(crate) fn fronts(
+    config: &Config,
+    core: Core,
+    counters: &Counters,
+    readiness: Option<Readiness>,
+) -> Fronts {
     // New with each start: ids that clients hold from an earlier one must not be taken for this one's.
     let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as u64;
     let incarnation = started ^ config.seed;
     let opensearch = config.operator.opensearch.as_ref();
     let opensearch =
         opensearch.map(|o| OpenSearch::new(o, &config.site, core.clone(), counters.clone(), incarnation));
-    Fronts { platform: Platform::new(core, counters.clone(), &config.site), opensearch }
+    let platform = Platform::new(core, counters.clone(), &config.site, readiness);
+    Fronts { platform, opensearch }
 }
 
 /// How hosts are spoken to.
@@ -90,7 +115,8 @@
     let longest = config.site.settings.classes.iter().map(|c| c.limit).max().unwrap_or_default();
     let answer_by = longest.min(STOP_MOST) + STOP_MORE;
     let serve_on = answer_by.saturating_sub(STOP_KEPT);
-    Limits { clients: room.clients, most: room.clients + room.turned_away, serve_on, answer_by }
+    let most = room.clients + room.turned_away;
+    Limits { clients: room.clients, most, serve_on, answer_by, patience: http::PATIENCE, one_call: false }
 }
 
 /// Starts the actor of the host list; its news go to `core`.
@@ -112,34 +138,54 @@
     }
 }
 
-/// Serves on a listener until told to stop; `moves` brings new addresses of discovery. An error means that the core itself has ended: without it
-/// every query would be lost, so the process must end and be started again.
+/// Serves until told to stop; `moves` brings new addresses of discovery. An error means that the core itself
+/// has ended: without it every query would be lost, so the process must end and be started again.
 pub async fn serve(
     config: Config,
-    listener: TcpListener,
+    doors: Doors,
     counters: Counters,
     stop: watch::Receiver<bool>,
     moves: mpsc::UnboundedReceiver<String>,
 ) -> std::io::Result<()> {
+    counters.of_classes(&config.site.classes);
+    let Doors { clients: listener, desk } = doors;
+    let (readiness, orders) = match desk {
+        None => (None, None),
+        Some(at) => {
+            let readiness = Readiness::new(stop.clone(), counters.clone());
+            let (desk, orders) = Desk::new(readiness.clone(), counters.clone());
+            desk.serve(at)?;
+            (Some(readiness), Some(orders))
+        }
+    };
     if let Some(cores) = config.operator.cores.filter(|c| c.count > 1) {
-        return shard::run(config, cores, listener, counters, stop, moves).await;
+        return shard::run(config, cores, listener, counters, stop, moves, (readiness, orders)).await;
     }
     log::info!("{}", config.summary());
     let (mail, inbox) = mpsc::unbounded_channel();
     let (origin, deal) = (Instant::now(), Deal::new(1, config.site.caps.open));
     let hint = config.site.settings.retry_after_max.unwrap_or(HINT);
     let core = Core::new(vec![mail.clone()], deal.clone(), origin, hint, counters.clone());
-    let fronts = fronts(&config, core, &counters);
+    let fronts = fronts(&config, core, &counters, readiness.clone());
     let (room, limits) = (config.room, limits(&config, config.room));
     let caps = config.site.caps.clone();
     let peers = Peers::new(dialect(&config), caps, room.links, mail.clone(), counters.clone(), None);
     let site = config.site.clone();
     let table = Table::new(site, config.seed, Clock::new(), peers, room.held, counters.clone());
+    let news = match orders {
+        None => mail,
+        Some(orders) => {
+            let (news, told) = mpsc::unbounded_channel();
+            tokio::spawn(members::run(Bans::default(), told, orders, mail));
+            news
+        }
+    };
     // The list as last known comes first, so that the first query finds hosts.
-    let _ = mail.send(Mail::List(ListKind::Cached, config.known.members.clone()));
+    let _ = news.send(Mail::List(ListKind::Cached, config.known.members.clone()));
     let core_task = tokio::spawn(core::start(table, inbox, (deal, 0, origin)));
-    list_source(config, mail, &counters, moves);
+    list_source(config, news, &counters, moves);
     let incoming = Incoming::Listener(listener);
+    readiness.iter().for_each(|r| r.accepts(true));
     tokio::select! {
         _ = http::serve(incoming, Arc::new(fronts), limits, counters, stop) => Ok(()),
         _ = core_task => Err(std::io::Error::other("the core has ended")),
--- a/src/shard/run.rs
+++ b/src/shard/run.rs
@@ -10,6 +10,9 @@
 use crate::interface::{ListKind, ServerState};
 use crate::net::http::{self, Handed, Incoming, Service};
 use crate::net::peer::Peers;
+use crate::ops::bans::Bans;
+use crate::ops::members::{self, word_of, Order, Sink};
+use crate::ops::Readiness;
 use crate::serve::{dialect, fronts, limits, list_source, HINT};
 use fennelpin_shared::deal::Deal;
 use fennelpin_shared::gates::Gates;
@@ -18,7 +21,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// Gates close so long before the rule says, as the frame still has to be written.
 const MARGIN: Duration = Duration::from_millis(50);
@@ -77,6 +80,7 @@
     counters: Counters,
     stop: watch::Receiver<bool>,
     moves: mpsc::UnboundedReceiver<String>,
+    (readiness, orders): (Option<Readiness>, Option<mpsc::Receiver<Order>>),
 ) -> std::io::Result<()> {
     let n = cores.count;
     log::info!(cores = n, pinned = cores.pin; "{}", config.summary());
@@ -89,7 +93,7 @@
     let (doors, handed): (Vec<_>, Vec<_>) = (0..n).map(|_| mpsc::unbounded_channel()).unzip();
     let hint = config.site.settings.retry_after_max.unwrap_or(HINT);
     let core = Core::new(mails.clone(), deal.clone(), origin, hint, counters.clone());
-    let fronts = Arc::new(fronts(&config, core, &counters));
+    let fronts = Arc::new(fronts(&config, core, &counters, readiness.clone()));
     let (over, mut ended) = mpsc::unbounded_channel();
     let mut threads = Vec::new();
     for (core, (inbox, handed)) in inboxes.into_iter().zip(handed).enumerate() {
@@ -122,7 +126,8 @@
     drop(over);
     let spread =
         Spread { gates, mails, origin, grace: config.site.caps.drain_grace, counters: counters.clone() };
-    tokio::spawn(spread.run(config, moves));
+    tokio::spawn(spread.run(config, moves, orders));
+    readiness.iter().for_each(|r| r.accepts(true));
     let accepting = accept(listener, deal.clone(), doors, origin);
     tokio::pin!(accepting);
     let mut left = n;
@@ -195,9 +200,15 @@
 }
 
 impl Spread {
-    async fn run(self, config: Config, moves: mpsc::UnboundedReceiver<String>) {
+    async fn run(
+        self,
+        config: Config,
+        moves: mpsc::UnboundedReceiver<String>,
+        mut orders: Option<mpsc::Receiver<Order>>,
+    ) {
         let (news, mut inbox) = mpsc::unbounded_channel();
-        self.publish(ListKind::Cached, &config.known.members);
+        let mut bans = Bans::default();
+        self.publish(ListKind::Cached, bans.news(ListKind::Cached, config.known.members.clone()));
         list_source(config, news, &self.counters, moves);
         let mut late = tokio::time::interval(SLOW_ACK);
         late.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -206,12 +217,13 @@
             tokio::select! {
                 mail = inbox.recv() => match mail {
                     Some(Mail::List(kind, hosts)) => {
-                        self.publish(kind, &hosts);
+                        self.publish(kind, bans.news(kind, hosts));
                         published = Instant::now();
                     }
                     Some(_) => {}
                     None => return,
                 },
+                Some(order) = given(&mut orders) => members::obey(&mut bans, order, &self),
                 _ = late.tick() => if published.elapsed() >= SLOW_ACK {
                     self.check();
                 },
@@ -219,7 +231,20 @@
         }
     }
 
-    fn publish(&self, kind: ListKind, hosts: &[Listed]) {
+    /// Counts cores that have left a version unread: their gates hold all the same.
+    fn check(&self) {
+        let version = self.gates.revision();
+        for core in (0..self.mails.len()).filter(|c| self.gates.acknowledged(*c) < version) {
+            if !self.mails[core].is_closed() {
+                self.counters.inc("cores.slow_to_acknowledge");
+                log::warn!(core, version, acknowledged = self.gates.acknowledged(core); "list not read yet");
+            }
+        }
+    }
+}
+
+impl Sink for Spread {
+    fn publish(&self, kind: ListKind, hosts: Vec<Listed>) {
         let now = self.origin.elapsed();
         let stop_at = (now + self.grace).saturating_sub(MARGIN).as_micros() as u64;
         let complete = matches!(kind, ListKind::Full | ListKind::Cached);
@@ -228,20 +253,21 @@
         self.gates.prune(now.saturating_sub(FORGET).as_micros() as u64);
         for mail in &self.mails {
             // One that has ended needs no news.
-            let _ = mail.send(Mail::List(kind, hosts.to_vec()));
+            let _ = mail.send(Mail::List(kind, hosts.clone()));
             let _ = mail.send(Mail::Version(version));
         }
     }
 
-    /// Counts cores that have left a version unread: their gates hold all the same.
-    fn check(&self) {
-        let version = self.gates.revision();
-        for core in (0..self.mails.len()).filter(|c| self.gates.acknowledged(*c) < version) {
-            if !self.mails[core].is_closed() {
-                self.counters.inc("cores.slow_to_acknowledge");
-                log::warn!(core, version, acknowledged = self.gates.acknowledged(core); "list not read yet");
-            }
-        }
+    fn in_force(&self) -> Vec<oneshot::Receiver<()>> {
+        self.mails.iter().map(word_of).collect()
+    }
+}
+
+/// The next order; never one where there is no operator's address.
+async fn given(orders: &mut Option<mpsc::Receiver<Order>>) -> Option<Order> {
+    match orders {
+        Some(orders) => orders.recv().await,
+        None => std::future::pending().await,
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a router remembers: plain containers, running figures and look-ups. Nothing here decides anything.
 
+use crate::counters::Pool;
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -492,6 +493,19 @@
         f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
     }
 
+    /// What is known of the list: the hosts in it, those that get nothing as a rule (they drain, or failures
+    /// keep them out until answers clear them), and those in service.
+    pub(crate) fn pool(&self) -> Pool {
+        let mut pool = Pool::default();
+        for s in self.servers.values().filter(|s| s.state != ServerState::Gone) {
+            let ready = s.state == ServerState::Ready;
+            pool.size += 1;
+            pool.in_service += usize::from(ready);
+            pool.ejected += usize::from(!ready || s.out_until.is_some());
+        }
+        pool
+    }
+
     /// The settings of a class.
     pub(crate) fn class(&self, id: ClassId) -> &Class {
         &self.cfg.classes[id.0 as usize]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -41,6 +41,8 @@
 /// The coordinator on a thread of its own.
 pub struct Coordinator {
     pub addr: String,
+    /// The operator's address; nobody listens there where `config` names none.
+    pub desk: String,
     pub counters: Counters,
     /// Where discovery goes.
     pub moves: tokio::sync::mpsc::UnboundedSender<String>,
@@ -52,6 +54,9 @@
     pub fn start(config: &str, operator: &str) -> Self {
         let operator = Operator::parse(operator).unwrap();
         let config = Config::parse(config, operator, |_| None).unwrap();
+        let desk = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let desk_addr = desk.local_addr().unwrap().to_string();
+        let desk = config.desk.is_some().then_some(desk);
         let counters = Counters::striped(config.operator.cores.map_or(1, |c| c.count));
         let (stop, stopping) = tokio::sync::watch::channel(false);
         let (moves, moved) = tokio::sync::mpsc::unbounded_channel();
@@ -62,10 +67,11 @@
             runtime.block_on(async {
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
                 tx.send(listener.local_addr().unwrap().to_string()).unwrap();
-                fennelpin::serve::serve(config, listener, ours, stopping, moved).await.unwrap();
+                let doors = fennelpin::serve::Doors { clients: listener, desk };
+                fennelpin::serve::serve(config, doors, ours, stopping, moved).await.unwrap();
             });
         });
-        Self { addr: rx.recv().unwrap(), counters, moves, stop, thread: Some(thread) }
+        Self { addr: rx.recv().unwrap(), desk: desk_addr, counters, moves, stop, thread: Some(thread) }
     }
 
     /// Tells it to stop; the thread ends once all is answered.
