--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -153,7 +153,7 @@
 }
 
 /// One line of the host list, as discovery has it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Listed {
     /// The host's name, the same at every coordinator.
     pub id: String,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -169,7 +169,7 @@
 }
 
 /// State of a listed server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum ServerState {
     /// Takes work.
     Ready,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -3,6 +3,7 @@
 
 use super::conn::Conn;
 use crate::counters::{Counters, End};
+use crate::ops::turnover::Beside;
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -459,7 +460,7 @@
 }
 
 /// Limits of a server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// Clients that are served.
     pub clients: usize,
@@ -473,6 +474,23 @@
     pub patience: Duration,
     /// Whether a connection is for one request alone.
     pub one_call: bool,
+    /// How this process stands to another: both have half of the seats, and one that is replaced takes no
+    /// new connections and closes each with its next answer.
+    pub beside: watch::Receiver<Beside>,
+}
+
+impl Limits {
+    fn replaced(&self) -> bool {
+        *self.beside.borrow() == Beside::Replaced
+    }
+
+    fn clients(&self) -> usize {
+        self.beside.borrow().share(self.clients)
+    }
+
+    fn most(&self) -> usize {
+        self.beside.borrow().share(self.most)
+    }
 }
 
 /// What a connection is at.
@@ -542,10 +560,37 @@
 /// Something that lives as long as a connection.
 pub type Guard = Box<dyn std::any::Any + Send>;
 
+/// A listener that is left alone once another process has taken over.
+pub struct Gated {
+    /// The listener.
+    pub listener: TcpListener,
+    /// How this process stands to another.
+    pub beside: watch::Receiver<Beside>,
+}
+
+impl Gated {
+    /// The next connection.
+    ///
+    /// # Errors
+    /// If the system has none to give, as descriptors have run out.
+    pub async fn accept(&mut self) -> std::io::Result<(TcpStream, SocketAddr)> {
+        loop {
+            // The other end of the watch goes only where there is never another process.
+            if self.beside.wait_for(|b| *b != Beside::Replaced).await.is_err() {
+                return self.listener.accept().await;
+            }
+            tokio::select! {
+                came = self.listener.accept() => return came,
+                changed = self.beside.changed() => if changed.is_err() { return self.listener.accept().await },
+            }
+        }
+    }
+}
+
 /// Where connections come from.
 pub enum Incoming {
     /// A listener of one's own.
-    Listener(TcpListener),
+    Listener(Gated),
     /// A thread that accepts for several.
     Handed(mpsc::UnboundedReceiver<Handed>),
 }
@@ -579,7 +624,19 @@
     }
 
     fn crowded(&self, share: f64) -> bool {
-        self.seats().taken.len() as f64 > share * self.limits.clients as f64
+        self.seats().taken.len() as f64 > share * self.limits.clients() as f64
+    }
+
+    /// What stands beyond the share of this process, as there is another now, goes as far as it is of no use.
+    fn make_half(&self) {
+        let now = Instant::now();
+        let over = self.seats().taken.len().saturating_sub(self.limits.clients());
+        for _ in 0..over {
+            if !self.seats().make_room(now, true, self.limits.patience) {
+                return;
+            }
+            self.counters.inc("clients.made_room");
+        }
     }
 
     /// Seats a new connection and serves it; above the hard cap it is closed at once.
@@ -589,15 +646,16 @@
         closing: &watch::Receiver<bool>,
     ) {
         let now = Instant::now();
-        let full = self.seats().taken.len() >= self.limits.clients;
+        let (clients, most) = (self.limits.clients(), self.limits.most());
+        let full = self.seats().taken.len() >= clients;
         let idlers = self.seats().taken.values().filter(|s| s.phase == Phase::Idle).count();
-        let crowded = full || idlers as f64 > IDLERS * self.limits.clients as f64;
+        let crowded = full || idlers as f64 > IDLERS * clients as f64;
         let made_room = crowded && self.seats().make_room(now, full, self.limits.patience);
         if made_room {
             self.counters.inc("clients.made_room");
         }
         let extra = full && !made_room;
-        if self.clients.load(Ordering::Relaxed) >= self.limits.most {
+        if self.clients.load(Ordering::Relaxed) >= most {
             self.counters.inc("clients.dropped_at_cap");
             log::warn!(from:%, end = "at_cap"; "client");
             return;
@@ -628,6 +686,8 @@
     let (clients, seats, latest) = Default::default();
     let shared = Arc::new(Shared { service, counters, limits, clients, seats, latest });
     let (close, closing) = watch::channel(false);
+    let mut beside = shared.limits.beside.clone();
+    let mut has_other = beside.has_changed().is_ok();
     let mut stopped: Option<Instant> = None;
     loop {
         let rest = if stopped.is_some() { Duration::from_millis(50) } else { Duration::from_secs(3600) };
@@ -640,17 +700,28 @@
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             },
+            _ = beside.changed(), if has_other => {
+                has_other = beside.has_changed().is_ok();
+                shared.make_half();
+            }
             _ = stop.wait_for(|s| *s), if stopped.is_none() => {
                 let now = Instant::now();
                 stopped = Some(now);
-                let _ = shared.latest.set(now + limits.answer_by);
+                let _ = shared.latest.set(now + shared.limits.answer_by);
             }
             _ = tokio::time::sleep(rest) => {}
         }
         let nobody = shared.clients.load(Ordering::Relaxed) == 0;
-        if stopped.map(|s| s.elapsed()).is_some_and(|t| t >= limits.serve_on || (nobody && t >= STOP_LEAST)) {
+        let replaced = shared.limits.replaced();
+        let least = if replaced { Duration::ZERO } else { STOP_LEAST };
+        let over = |t: Duration| t >= shared.limits.serve_on || (nobody && t >= least);
+        if stopped.map(|s| s.elapsed()).is_some_and(over) {
             break;
         }
+        // A crowd that leaves at once must have left before more of it come.
+        if shared.limits.one_call && shared.clients.load(Ordering::Relaxed) >= shared.limits.clients {
+            tokio::task::yield_now().await;
+        }
     }
     // What the machine has accepted by now is served too: closing the listener would reset it.
     while let Ok(Ok(came)) = tokio::time::timeout(Duration::ZERO, incoming.accept()).await {
@@ -732,9 +803,10 @@
         // 429 and the fives are answers to queries; the other fours are for what was none.
         bad = if (400..429).contains(&answer.status) { bad + 1 } else { 0 };
         let stopping = *closing.borrow();
-        if !keep || over || stopping || shared.limits.one_call {
+        let replaced = shared.limits.replaced();
+        if !keep || over || stopping || replaced || shared.limits.one_call {
             finish(&mut conn, &answer, &shared.counters).await;
-            let codes = [(stopping, "stopping"), (over, "at_cap")];
+            let codes = [(stopping, "stopping"), (over, "at_cap"), (replaced, "replaced")];
             return (served, codes.iter().find(|c| c.0).map_or("asked_to_close", |c| c.1));
         }
         match tokio::time::timeout(SLOW_CLIENT, write(&mut conn, &answer, false)).await {
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -5,12 +5,13 @@
 use crate::core::{CallPart, Listed, Mail, Transport};
 use crate::counters::Counters;
 use crate::interface::{Outcome, RequestId, ServerId};
+use crate::ops::turnover::Beside;
 use fennelpin_shared::gates::{Gate, Gates};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 enum PeerMail {
     Listed(String, Option<Instant>),
@@ -41,6 +42,8 @@
     caps: Caps,
     /// Connections to all hosts at once: a host's first one is always opened, further ones only below this.
     most_links: usize,
+    /// Of that another process of the coordinator has half, while there is one.
+    beside: watch::Receiver<Beside>,
     links: Arc<AtomicUsize>,
     core: mpsc::UnboundedSender<Mail>,
     counters: Counters,
@@ -63,12 +66,13 @@
         core: mpsc::UnboundedSender<Mail>,
         counters: Counters,
         gates: Option<(Arc<Gates>, Instant)>,
+        beside: watch::Receiver<Beside>,
     ) -> Self {
         // A host whose connection carries all that it may reads nothing more on it, not even a withdrawal: a
         // part sent elsewhere would then be a second copy. So one place stays free.
         caps.streams = caps.streams.saturating_sub(1).max(1);
         let links = Arc::default();
-        let shared = Arc::new(Shared { dialect, caps, most_links, links, core, counters, gates });
+        let shared = Arc::new(Shared { dialect, caps, most_links, beside, links, core, counters, gates });
         Self { shared, mailboxes: BTreeMap::new() }
     }
 
@@ -178,7 +182,8 @@
     fn may_open(&self) -> bool {
         let own = self.links.iter().filter(|l| !l.old).count();
         let all = self.shared.links.load(Ordering::Relaxed);
-        own < self.shared.dialect.most_links() && all < self.shared.most_links
+        own < self.shared.dialect.most_links()
+            && all < self.shared.beside.borrow().share(self.shared.most_links)
     }
 
     fn open(&mut self) -> mpsc::UnboundedSender<LinkMail> {
--- a/src/ops/bans.rs
+++ b/src/ops/bans.rs
@@ -5,6 +5,7 @@
 
 use crate::core::Listed;
 use crate::interface::{ListKind, ServerState};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Hosts out by hand at once: a list has a few hundred lines.
@@ -24,12 +25,15 @@
 }
 
 /// The hosts that are out by hand, over the list as its source last told it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Bans {
     out: BTreeSet<String>,
     /// When hosts were called back, in Unix milliseconds.
     back: BTreeMap<String, u64>,
     listed: BTreeMap<String, Listed>,
+    /// Hosts that the other process of the coordinator has heard of before this one.
+    #[serde(skip)]
+    expected: BTreeSet<String>,
 }
 
 impl Bans {
@@ -62,6 +66,13 @@
         self.listed.get(id).cloned().map(|host| self.seen(host)).into_iter().collect()
     }
 
+    /// The other process knows this host: an order for it is in place before it is listed here.
+    pub fn expect(&mut self, id: &str) {
+        if !self.listed.contains_key(id) && self.expected.len() < MOST {
+            self.expected.insert(id.to_owned());
+        }
+    }
+
     /// Takes a host out, or calls it back at this Unix time; gives what the module is to be told of it.
     /// A call that changes nothing tells nothing.
     ///
@@ -69,7 +80,7 @@
     /// If nobody has this id, or too many are out.
     pub fn order(&mut self, id: &str, offline: bool, now_ms: u64) -> Result<Vec<Listed>, Refusal> {
         let was_out = self.out.contains(id);
-        if !was_out && !self.listed.contains_key(id) {
+        if !was_out && !self.listed.contains_key(id) && !self.expected.contains(id) {
             return Err(Refusal::Unknown);
         }
         if was_out == offline {
@@ -88,6 +99,11 @@
         Ok(self.told(id))
     }
 
+    /// The list as its source last told it.
+    pub fn listed(&self) -> Vec<Listed> {
+        self.listed.values().cloned().collect()
+    }
+
     /// The ids that are out.
     pub fn out(&self) -> impl Iterator<Item = &str> {
         self.out.iter().map(String::as_str)
--- a/src/ops/desk.rs
+++ b/src/ops/desk.rs
@@ -3,10 +3,11 @@
 //! for the word that an order is in force.
 
 use super::bans::Refusal;
-use super::members::{Order, MOST_ORDERS};
+use super::members::{Order, Request as Asked};
+use super::turnover::never;
 use super::Readiness;
 use crate::counters::Counters;
-use crate::net::http::{self, Answering, Incoming, Limits, Request, Response, Service};
+use crate::net::http::{self, Answering, Gated, Incoming, Limits, Request, Response, Service};
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,14 +26,13 @@
 pub struct Desk {
     readiness: Readiness,
     counters: Counters,
-    orders: mpsc::Sender<Order>,
+    members: mpsc::Sender<Asked>,
 }
 
 impl Desk {
-    /// A desk, and the orders that are given there.
-    pub fn new(readiness: Readiness, counters: Counters) -> (Self, mpsc::Receiver<Order>) {
-        let (orders, given) = mpsc::channel(MOST_ORDERS);
-        (Self { readiness, counters, orders }, given)
+    /// A desk whose orders go to this actor of the list.
+    pub fn new(readiness: Readiness, counters: Counters, members: mpsc::Sender<Asked>) -> Self {
+        Self { readiness, counters, members }
     }
 
     /// Serves on a thread of its own for as long as the process lives.
@@ -49,6 +49,7 @@
             answer_by: Duration::ZERO,
             patience: Duration::ZERO,
             one_call: true,
+            beside: never(),
         };
         let work = move || {
             runtime.block_on(async move {
@@ -57,7 +58,7 @@
                     Err(e) => return log::error!(error:% = e; "operator's address"),
                 };
                 let (_never, stop) = watch::channel(false);
-                let incoming = Incoming::Listener(listener);
+                let incoming = Incoming::Listener(Gated { listener, beside: never() });
                 http::serve(incoming, Arc::new(self), limits, Counters::default(), stop).await;
             });
         };
@@ -83,7 +84,7 @@
         }
         let (reply, word) = oneshot::channel();
         let said = if offline { "offline\n" } else { "online\n" };
-        if self.orders.try_send(Order { host, offline, reply }).is_err() {
+        if self.members.try_send(Asked::Order(Order { host, offline, reply })).is_err() {
             return done(Response::text(503, "too many orders wait\n"));
         }
         Box::pin(async move {
--- a/src/ops/members.rs
+++ b/src/ops/members.rs
@@ -6,9 +6,6 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 
-/// Orders that wait at once; one more is refused.
-pub const MOST_ORDERS: usize = 64;
-
 /// A host is to be taken out, or called back.
 pub struct Order {
     /// Its id.
@@ -19,6 +16,54 @@
     pub reply: oneshot::Sender<Result<(), Refusal>>,
 }
 
+/// Another process of the same coordinator, beside this one.
+pub struct Attached {
+    /// Orders given here, for it to carry out too.
+    pub forward: mpsc::UnboundedSender<Order>,
+    /// Gets the state as of now; each order after that is passed on.
+    pub state: oneshot::Sender<Bans>,
+}
+
+/// What the actor is asked.
+pub enum Request {
+    /// An order of the operators' staff.
+    Order(Order),
+    /// An order that the other process passes on.
+    Passed(Order),
+    /// There is another process.
+    Attach(Attached),
+}
+
+/// The overlay, and the other process if there is one.
+#[derive(Default)]
+pub struct Overlay {
+    /// What is out by hand, over the list.
+    pub bans: Bans,
+    other: Option<mpsc::UnboundedSender<Order>>,
+}
+
+impl Overlay {
+    /// The overlay with what was known before.
+    pub fn new(bans: Bans) -> Self {
+        Self { bans, other: None }
+    }
+
+    /// Does what is asked, and tells `sink` what follows from it.
+    pub fn take(&mut self, request: Request, sink: &impl Sink) {
+        match request {
+            Request::Passed(order) => {
+                self.bans.expect(&order.host);
+                obey(&mut self.bans, order, None, sink)
+            }
+            Request::Order(order) => obey(&mut self.bans, order, self.other.as_ref(), sink),
+            Request::Attach(Attached { forward, state }) => {
+                let _ = state.send(self.bans.clone());
+                self.other = Some(forward);
+            }
+        }
+    }
+}
+
 /// Where news of the list goes.
 pub trait Sink {
     /// Hands news over.
@@ -48,8 +93,8 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64)
 }
 
-/// Carries an order out; its word goes out once all cores have taken it.
-pub fn obey(bans: &mut Bans, order: Order, sink: &impl Sink) {
+/// Carries an order out; its word goes out once all cores, and the other process, have taken it.
+fn obey(bans: &mut Bans, order: Order, other: Option<&mpsc::UnboundedSender<Order>>, sink: &impl Sink) {
     let Order { host, offline, reply } = order;
     match bans.order(&host, offline, unix_ms()) {
         Err(refusal) => drop(reply.send(Err(refusal))),
@@ -59,35 +104,40 @@
                 sink.publish(ListKind::Changes, told);
             }
             let words = sink.in_force();
+            let (passed, there) = oneshot::channel();
+            if let Some(other) = other {
+                let _ = other.send(Order { host, offline, reply: passed });
+            }
             tokio::spawn(async move {
+                // Of those that have ended no word comes, nor is one needed.
                 for word in words {
-                    // A core that has ended sends nothing any more.
                     let _ = word.await;
                 }
+                let _ = there.await;
                 let _ = reply.send(Ok(()));
             });
         }
     }
 }
 
-/// Passes news on and obeys orders until the sources of both have gone.
+/// Passes news on and does what is asked until the sources of both have gone.
 pub async fn run(
-    mut bans: Bans,
+    mut overlay: Overlay,
     mut news: mpsc::UnboundedReceiver<Mail>,
-    mut orders: mpsc::Receiver<Order>,
+    mut requests: mpsc::Receiver<Request>,
     sink: impl Sink,
 ) {
-    let (mut listening, mut ordered) = (true, true);
-    while listening || ordered {
+    let (mut listening, mut asked) = (true, true);
+    while listening || asked {
         tokio::select! {
             mail = news.recv(), if listening => match mail {
-                Some(Mail::List(kind, hosts)) => sink.publish(kind, bans.news(kind, hosts)),
+                Some(Mail::List(kind, hosts)) => sink.publish(kind, overlay.bans.news(kind, hosts)),
                 Some(_) => {}
                 None => listening = false,
             },
-            order = orders.recv(), if ordered => match order {
-                Some(order) => obey(&mut bans, order, &sink),
-                None => ordered = false,
+            request = requests.recv(), if asked => match request {
+                Some(request) => overlay.take(request, &sink),
+                None => asked = false,
             },
         }
     }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -4,30 +4,33 @@
 pub mod bans;
 pub mod desk;
 pub mod members;
+pub mod turnover;
 
 use crate::counters::Counters;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use tokio::sync::watch;
+use turnover::Beside;
 
 /// Whether this process can serve, as it is told to whoever asks.
 #[derive(Clone)]
 pub struct Readiness {
     /// Whether connections of clients are accepted.
     accepting: Arc<AtomicBool>,
+    beside: watch::Receiver<Beside>,
     stop: watch::Receiver<bool>,
     counters: Counters,
 }
 
 impl Readiness {
     /// Not ready as yet.
-    pub fn new(stop: watch::Receiver<bool>, counters: Counters) -> Self {
-        Self { accepting: Arc::default(), stop, counters }
+    pub fn new(stop: watch::Receiver<bool>, beside: watch::Receiver<Beside>, counters: Counters) -> Self {
+        Self { accepting: Arc::default(), beside, stop, counters }
     }
 
-    /// Connections of clients are accepted from now on, or no longer.
-    pub fn accepts(&self, accepting: bool) {
-        self.accepting.store(accepting, Ordering::Relaxed);
+    /// Connections of clients are accepted from now on.
+    pub fn accepts(&self) {
+        self.accepting.store(true, Ordering::Relaxed);
     }
 
     /// Why it can't serve; `None` if it can.
@@ -35,6 +38,9 @@
         if *self.stop.borrow() {
             return Some("stopping");
         }
+        if *self.beside.borrow() == Beside::Replaced {
+            return Some("replaced by another process");
+        }
         if !self.accepting.load(Ordering::Relaxed) {
             return Some("not accepting connections");
         }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -9,18 +9,21 @@
 use crate::front::Fronts;
 use crate::interface::ListKind;
 use crate::net::dns_sd::Browser;
-use crate::net::http::{self, Incoming, Limits};
+use crate::net::http::{self, Gated, Incoming, Limits};
 use crate::net::link::{Dialect, Frames};
 use crate::net::list::{Pace, Watch};
 use crate::net::peer::Peers;
 use crate::ops::bans::Bans;
 use crate::ops::desk::Desk;
-use crate::ops::{members, Readiness};
+use crate::ops::members::{self, Overlay, Request};
+use crate::ops::turnover::{self, Beside, TakenOver, Turnover};
+use crate::ops::Readiness;
 use crate::shard;
 use fennelpin_shared::deal::Deal;
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket, UnixStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
@@ -57,11 +60,14 @@
             log::info!("stopping: serving on for a moment, then answering all that was taken");
             let _ = stop.send(true);
         });
-        let listener = TcpListener::bind(&config.listen).await?;
+        let (listener, before) = match &config.desk {
+            None => (TcpListener::bind(&config.listen).await?, None),
+            Some(_) => take_over(&config).await?,
+        };
         log::info!("listening on {}", listener.local_addr()?);
         let desk = config.desk.as_ref().map(|at| bind_desk(at)).transpose()?;
         let counters = Counters::striped(config.operator.cores.map_or(1, |c| c.count));
-        serve(config, Doors { clients: listener, desk }, counters.clone(), stopping, moves).await?;
+        serve(config, Doors { clients: listener, desk, before }, counters.clone(), stopping, moves).await?;
         log::info!("stopped: {}", counters.line());
         Ok(())
     })
@@ -74,14 +80,58 @@
     Ok(desk)
 }
 
+/// The clients' listening socket from a process of this coordinator that runs, with what it tells; or else
+/// one of our own, beside which another can listen.
+async fn take_over(config: &Config) -> std::io::Result<(TcpListener, Option<(Bans, UnixStream)>)> {
+    if let Some(path) = turnover::meeting_place(&config.name).filter(|p| p.exists()) {
+        match turnover::take_over(&path, &config.name, &config.listen).await {
+            Ok(TakenOver { listener, bans, link }) => {
+                log::info!(out = bans.out().count(), hosts = bans.listed().len(); "turnover: taken over");
+                return Ok((TcpListener::from_std(listener)?, Some((bans, link))));
+            }
+            Err(e) => log::warn!(path:% = path.display(), error:% = e; "turnover: nothing taken over"),
+        }
+    }
+    let mut last = std::io::ErrorKind::AddrNotAvailable.into();
+    for addr in tokio::net::lookup_host(&config.listen).await? {
+        let bound = || {
+            let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+            socket.set_reuseaddr(true)?;
+            socket.set_reuseport(true)?;
+            socket.bind(addr)?;
+            socket.listen(1024)
+        };
+        match bound() {
+            Ok(listener) => return Ok((listener, None)),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
+/// What the operators' staff work with.
+pub struct Staff {
+    /// Whether this process can serve.
+    pub readiness: Readiness,
+    /// The hosts that are out by hand.
+    pub overlay: Overlay,
+    /// What the list's actor is asked.
+    pub requests: mpsc::Receiver<Request>,
+}
+
 /// Where a coordinator listens.
 pub struct Doors {
     /// For clients.
     pub clients: TcpListener,
     /// For the operators' staff, if that is configured.
     pub desk: Option<std::net::TcpListener>,
+    /// What was taken over from another process, and the link to it.
+    pub before: Option<(Bans, UnixStream)>,
 }
 
+/// What the list's actor may be asked at once; one order more is refused.
+const MOST_REQUESTS: usize = 64;
+
 /// When a client that finds no room is asked to come back, where the settings name no longest wait.
 pub(crate) const HINT: Duration = Duration::from_secs(1);
 
@@ -111,12 +161,13 @@
 }
 
 /// Limits of the server of clients that has this room.
-pub(crate) fn limits(config: &Config, room: Room) -> Limits {
+pub(crate) fn limits(config: &Config, room: Room, beside: watch::Receiver<Beside>) -> Limits {
     let longest = config.site.settings.classes.iter().map(|c| c.limit).max().unwrap_or_default();
     let answer_by = longest.min(STOP_MOST) + STOP_MORE;
     let serve_on = answer_by.saturating_sub(STOP_KEPT);
     let most = room.clients + room.turned_away;
-    Limits { clients: room.clients, most, serve_on, answer_by, patience: http::PATIENCE, one_call: false }
+    let (clients, patience, one_call) = (room.clients, http::PATIENCE, false);
+    Limits { clients, most, serve_on, answer_by, patience, one_call, beside }
 }
 
 /// Starts the actor of the host list; its news go to `core`.
@@ -148,44 +199,54 @@
     moves: mpsc::UnboundedReceiver<String>,
 ) -> std::io::Result<()> {
     counters.of_classes(&config.site.classes);
-    let Doors { clients: listener, desk } = doors;
-    let (readiness, orders) = match desk {
-        None => (None, None),
-        Some(at) => {
-            let readiness = Readiness::new(stop.clone(), counters.clone());
-            let (desk, orders) = Desk::new(readiness.clone(), counters.clone());
-            desk.serve(at)?;
-            (Some(readiness), Some(orders))
+    let Doors { clients: listener, desk, before } = doors;
+    let mut config = config;
+    let (stand, beside) = watch::channel(if before.is_some() { Beside::Both } else { Beside::Alone });
+    let mut staff = None;
+    if let Some(at) = desk {
+        let readiness = Readiness::new(stop.clone(), beside.clone(), counters.clone());
+        let (members, requests) = mpsc::channel(MOST_REQUESTS);
+        Desk::new(readiness.clone(), counters.clone(), members.clone()).serve(at)?;
+        let (bans, link) = before.map_or((Bans::default(), None), |(bans, link)| (bans, Some(link)));
+        if link.is_some() {
+            config.known.members = bans.listed();
+        }
+        if let Some(path) = turnover::meeting_place(&config.name) {
+            let (name, listen) = (config.name.clone(), config.listen.clone());
+            let listener = std::net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+            let turnover = Turnover { path, name, listen, listener, members, beside: stand };
+            tokio::spawn(turnover.run(link));
         }
-    };
+        staff = Some(Staff { readiness, overlay: Overlay::new(bans), requests });
+    }
+    let listener = Gated { listener, beside: beside.clone() };
     if let Some(cores) = config.operator.cores.filter(|c| c.count > 1) {
-        return shard::run(config, cores, listener, counters, stop, moves, (readiness, orders)).await;
+        return shard::run(config, cores, listener, counters, stop, moves, staff).await;
     }
     log::info!("{}", config.summary());
     let (mail, inbox) = mpsc::unbounded_channel();
     let (origin, deal) = (Instant::now(), Deal::new(1, config.site.caps.open));
     let hint = config.site.settings.retry_after_max.unwrap_or(HINT);
     let core = Core::new(vec![mail.clone()], deal.clone(), origin, hint, counters.clone());
-    let fronts = fronts(&config, core, &counters, readiness.clone());
-    let (room, limits) = (config.room, limits(&config, config.room));
+    let fronts = fronts(&config, core, &counters, staff.as_ref().map(|s| s.readiness.clone()));
+    let (room, limits) = (config.room, limits(&config, config.room, beside.clone()));
     let caps = config.site.caps.clone();
-    let peers = Peers::new(dialect(&config), caps, room.links, mail.clone(), counters.clone(), None);
+    let (count, cores) = (counters.clone(), None);
+    let peers = Peers::new(dialect(&config), caps, room.links, mail.clone(), count, cores, beside);
     let site = config.site.clone();
     let table = Table::new(site, config.seed, Clock::new(), peers, room.held, counters.clone());
-    let news = match orders {
-        None => mail,
-        Some(orders) => {
-            let (news, told) = mpsc::unbounded_channel();
-            tokio::spawn(members::run(Bans::default(), told, orders, mail));
-            news
-        }
-    };
+    let (mut news, mut readiness) = (mail.clone(), None);
+    if let Some(staff) = staff {
+        let (told, inbox) = mpsc::unbounded_channel();
+        tokio::spawn(members::run(staff.overlay, inbox, staff.requests, mail));
+        (news, readiness) = (told, Some(staff.readiness));
+    }
     // The list as last known comes first, so that the first query finds hosts.
     let _ = news.send(Mail::List(ListKind::Cached, config.known.members.clone()));
     let core_task = tokio::spawn(core::start(table, inbox, (deal, 0, origin)));
     list_source(config, news, &counters, moves);
     let incoming = Incoming::Listener(listener);
-    readiness.iter().for_each(|r| r.accepts(true));
+    readiness.iter().for_each(|r| r.accepts());
     tokio::select! {
         _ = http::serve(incoming, Arc::new(fronts), limits, counters, stop) => Ok(()),
         _ = core_task => Err(std::io::Error::other("the core has ended")),
--- a/src/shard/run.rs
+++ b/src/shard/run.rs
@@ -8,19 +8,17 @@
 use crate::counters::Counters;
 use crate::front::Fronts;
 use crate::interface::{ListKind, ServerState};
-use crate::net::http::{self, Handed, Incoming, Service};
+use crate::net::http::{self, Gated, Handed, Incoming, Service};
 use crate::net::peer::Peers;
-use crate::ops::bans::Bans;
-use crate::ops::members::{self, word_of, Order, Sink};
-use crate::ops::Readiness;
-use crate::serve::{dialect, fronts, limits, list_source, HINT};
+use crate::ops::members::{word_of, Overlay, Request, Sink};
+use crate::ops::turnover::Beside;
+use crate::serve::{dialect, fronts, limits, list_source, Staff, HINT};
 use fennelpin_shared::deal::Deal;
 use fennelpin_shared::gates::Gates;
 use fennelpin_shared::lease::Budget;
 use fennelpin_shared::names::OpenNames;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Gates close so long before the rule says, as the frame still has to be written.
@@ -47,6 +45,7 @@
     counters: Counters,
     stop: watch::Receiver<bool>,
     pin: bool,
+    beside: watch::Receiver<Beside>,
 }
 
 /// Counts a connection on its core for as long as it lives.
@@ -76,13 +75,18 @@
 pub async fn run(
     config: Config,
     cores: CoresConfig,
-    listener: TcpListener,
+    listener: Gated,
     counters: Counters,
     stop: watch::Receiver<bool>,
     moves: mpsc::UnboundedReceiver<String>,
-    (readiness, orders): (Option<Readiness>, Option<mpsc::Receiver<Order>>),
+    desk: Option<Staff>,
 ) -> std::io::Result<()> {
     let n = cores.count;
+    let beside = listener.beside.clone();
+    let (readiness, overlay, requests) = match desk {
+        Some(Staff { readiness, overlay, requests }) => (Some(readiness), overlay, Some(requests)),
+        None => (None, Overlay::default(), None),
+    };
     log::info!(cores = n, pinned = cores.pin; "{}", config.summary());
     let origin = Instant::now();
     let open = config.site.caps.open;
@@ -114,6 +118,7 @@
             counters: counters.clone(),
             stop: stop.clone(),
             pin: cores.pin,
+            beside: beside.clone(),
         };
         let guard = Ended(deal.clone(), core, over.clone());
         let thread = std::thread::Builder::new().name(format!("core-{core}"));
@@ -126,8 +131,8 @@
     drop(over);
     let spread =
         Spread { gates, mails, origin, grace: config.site.caps.drain_grace, counters: counters.clone() };
-    tokio::spawn(spread.run(config, moves, orders));
-    readiness.iter().for_each(|r| r.accepts(true));
+    tokio::spawn(spread.run(config, moves, overlay, requests));
+    readiness.iter().for_each(|r| r.accepts());
     let accepting = accept(listener, deal.clone(), doors, origin);
     tokio::pin!(accepting);
     let mut left = n;
@@ -159,7 +164,7 @@
 
 /// Deals connections out for as long as a core takes them.
 async fn accept(
-    listener: TcpListener,
+    mut listener: Gated,
     deal: Arc<Deal>,
     doors: Vec<mpsc::UnboundedSender<Handed>>,
     origin: Instant,
@@ -204,11 +209,11 @@
         self,
         config: Config,
         moves: mpsc::UnboundedReceiver<String>,
-        mut orders: Option<mpsc::Receiver<Order>>,
+        mut overlay: Overlay,
+        mut requests: Option<mpsc::Receiver<Request>>,
     ) {
         let (news, mut inbox) = mpsc::unbounded_channel();
-        let mut bans = Bans::default();
-        self.publish(ListKind::Cached, bans.news(ListKind::Cached, config.known.members.clone()));
+        self.publish(ListKind::Cached, overlay.bans.news(ListKind::Cached, config.known.members.clone()));
         list_source(config, news, &self.counters, moves);
         let mut late = tokio::time::interval(SLOW_ACK);
         late.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -217,13 +222,13 @@
             tokio::select! {
                 mail = inbox.recv() => match mail {
                     Some(Mail::List(kind, hosts)) => {
-                        self.publish(kind, bans.news(kind, hosts));
+                        self.publish(kind, overlay.bans.news(kind, hosts));
                         published = Instant::now();
                     }
                     Some(_) => {}
                     None => return,
                 },
-                Some(order) = given(&mut orders) => members::obey(&mut bans, order, &self),
+                Some(request) = asked(&mut requests) => overlay.take(request, &self),
                 _ = late.tick() => if published.elapsed() >= SLOW_ACK {
                     self.check();
                 },
@@ -263,10 +268,10 @@
     }
 }
 
-/// The next order; never one where there is no operator's address.
-async fn given(orders: &mut Option<mpsc::Receiver<Order>>) -> Option<Order> {
-    match orders {
-        Some(orders) => orders.recv().await,
+/// What is asked next; nothing ever where there is no operator's address.
+async fn asked(requests: &mut Option<mpsc::Receiver<Request>>) -> Option<Request> {
+    match requests {
+        Some(requests) => requests.recv().await,
         None => std::future::pending().await,
     }
 }
@@ -293,6 +298,7 @@
             origin,
             counters,
             stop,
+            beside,
             ..
         } = self;
         let n = deal.cores();
@@ -301,9 +307,10 @@
         config.site.settings.routers = config.site.settings.routers.saturating_mul(n as u32);
         let seed = config.seed ^ (core as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let dialect = dialect(&config);
-        let limits = limits(&config, room);
+        let limits = limits(&config, room, beside.clone());
         let caps = config.site.caps.clone();
-        let peers = Peers::new(dialect, caps, room.links, mail, counters.clone(), Some((gates, origin)));
+        let peers =
+            Peers::new(dialect, caps, room.links, mail, counters.clone(), Some((gates, origin)), beside);
         let table =
             Table::new(config.site, seed, Clock::new(), peers, room.held, counters.clone()).among(seat);
         let task = tokio::spawn(core::start(table, inbox, (deal, core, origin)));
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -27,7 +27,8 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let caps = settings::read(&settings().to_string()).unwrap().caps;
         let (core, mail) = mpsc::unbounded_channel();
-        let peers = Peers::new(dialect, caps, 64, core, Counters::default(), None);
+        let peers =
+            Peers::new(dialect, caps, 64, core, Counters::default(), None, fennelpin::ops::turnover::never());
         let (addr, zone) = (addr.to_owned(), "a".to_owned());
         let host = Listed { id: "h".into(), addr, zone, cell: 0, state: ServerState::Ready, up_since_ms: 0 };
         let mut bench = Self { runtime, peers, mail, host };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -67,7 +67,7 @@
             runtime.block_on(async {
                 let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
                 tx.send(listener.local_addr().unwrap().to_string()).unwrap();
-                let doors = fennelpin::serve::Doors { clients: listener, desk };
+                let doors = fennelpin::serve::Doors { clients: listener, desk, before: None };
                 fennelpin::serve::serve(config, doors, ours, stopping, moved).await.unwrap();
             });
         });
