--- a/src/choice.rs
+++ b/src/choice.rs
@@ -351,7 +351,7 @@
         let leaving = s.state == ServerState::Draining
             && self.now - s.left_at < LEAVE * secs(self.cfg.drain_grace) - self.margin();
         if !(s.state == ServerState::Ready || leaving)
-            || f64::from(s.own()) >= s.room
+            || f64::from(s.own()) + s.brim >= s.room
             || self.slot_wait(s) > 0.0
         {
             return None;
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,8 @@
     pub(crate) died_at: f64,
     /// Own parts that it may hold: it turned away what went beyond.
     pub(crate) room: f64,
+    /// What of it must come free before it gets parts again, once it was all taken: they then share a call.
+    pub(crate) brim: f64,
     /// Until when it gets nothing, as it turned our only part away; and how long that is at a time.
     pub(crate) shut_until: f64,
     pub(crate) shut_gap: f64,
@@ -125,6 +127,7 @@
             reset_at: f64::MIN,
             died_at: f64::MIN,
             room: f64::MAX,
+            brim: 0.0,
             shut_until: f64::MIN,
             shut_gap: 0.0,
             refused: false,
@@ -401,7 +404,22 @@
         } else if let Some(n) = s.outs.iter().position(|t| *t == sent) {
             s.outs.remove(n);
         }
-        s.own_mean.max(own)
+        let most = s.own_mean.max(own);
+        self.fill(server);
+        most
+    }
+
+    /// Notes whether the room of a server is all taken, or enough of it free again for a call of several parts,
+    /// where calls cost work: singly each part would cost a crowded server one.
+    fn fill(&mut self, server: ServerId) {
+        let dear = self.cfg.call_cost > Duration::ZERO;
+        let call = if dear { f64::from(self.cfg.bundle_max.max(1) - 1) / 2.0 } else { 0.0 };
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let own = f64::from(s.own());
+        s.brim = match own + s.brim >= s.room {
+            true => call.min(s.room / 2.0),
+            false => 0.0,
+        };
     }
 
     /// Moves parts out of the books; gives their attempts still out, which now are orphans.
@@ -456,7 +474,8 @@
             let out = p.done || p.closed || p.attempts.iter().any(|a| a.out);
             !out && p.shard % cells == shard % cells && self.queries.get(&p.query).is_some_and(|q| q.admitted)
         };
-        let holders = self.holders(shard).filter(|h| h.1.state == ServerState::Ready).count();
+        let sound = |s: &Server| s.state == ServerState::Ready && s.out_until.is_none();
+        let holders = self.holders(shard).filter(|h| sound(h.1)).count();
         self.parts.values().filter(waits).count() as f64 / holders.max(1) as f64
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1127,3 +1127,23 @@
     assert!(widest <= 110, "{widest} characters in a line");
     assert!(text.lines().take(3).any(|l| l.contains("src/interface.rs")));
 }
+
+/// Found on a day with two of three holders out by hand: at the full survivor each answer made room for one
+/// part, which went as a call of its own, and calls cost it work that the parts of one call share.
+#[test]
+fn a_full_server_gets_parts_again_once_several_can_share_a_call() {
+    for (call_cost, together) in [(ms(10), true), (ms(0), false)] {
+        let mut b = Bench::new(Settings { bundle_max: 8, call_cost, second_copies: false, ..settings() });
+        b.turn(vec![changed(1, ServerState::Gone, None)]);
+        (0..12).for_each(|_| drop(b.query(0, &[(0, 1.0)])));
+        let parts: Vec<RequestId> = sends(&b.log).iter().map(|s| s.0).collect();
+        assert!(parts.len() > 4);
+        b.now += 5;
+        // It turns some away, which wait for what the others leave free.
+        parts[3..].iter().for_each(|p| assert!(sends(&b.end(*p, 0, Outcome::Full, 0.0)).is_empty()));
+        let calls = parts[..3].iter().map(|p| sends(&b.end(*p, 0, Outcome::Ok, 3.0)).len());
+        let calls: Vec<usize> = calls.collect();
+        assert_eq!(calls[0] == 0, together, "{call_cost:?}: {calls:?}");
+        assert!(calls.iter().any(|n| *n > 1), "what waits goes as room comes free: {calls:?}");
+    }
+}
