--- a/src/state.rs
+++ b/src/state.rs
@@ -405,21 +405,18 @@
             s.outs.remove(n);
         }
         let most = s.own_mean.max(own);
-        self.fill(server);
+        self.fill(server, own);
         most
     }
 
     /// Notes whether the room of a server is all taken, or enough of it free again for a call of several parts,
     /// where calls cost work: singly each part would cost a crowded server one.
-    fn fill(&mut self, server: ServerId) {
+    fn fill(&mut self, server: ServerId, before: f64) {
         let dear = self.cfg.call_cost > Duration::ZERO;
         let call = if dear { f64::from(self.cfg.bundle_max.max(1) - 1) / 2.0 } else { 0.0 };
         let Some(s) = self.servers.get_mut(&server) else { return };
-        let own = f64::from(s.own());
-        s.brim = match own + s.brim >= s.room {
-            true => call.min(s.room / 2.0),
-            false => 0.0,
-        };
+        let full = before >= s.room || f64::from(s.own()) + s.brim >= s.room;
+        s.brim = if full { call.min(s.room / 2.0) } else { 0.0 };
     }
 
     /// Moves parts out of the books; gives their attempts still out, which now are orphans.
