--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,7 +1,6 @@
 //! Every decision of the router; the types it speaks in are in `src/interface.rs`, what it remembers in
-//! `src/state.rs`. Map: constants - events (`handle`) - settings-derived limits - idle queue - replica choice
-//! (the one eligibility check) - health - slow start - sends, retries, hedges and their budget -
-//! admission and shedding - completion - discovery.
+//! `src/state.rs`. Map: constants - events - limits - idle queue - replica choice (with the one eligibility
+//! check) - health - slow start - sends and their budget - admission - completion - discovery.
 //!
 //! The ordinary path is Join-Idle-Queue: an answer whose load report shows a server idle, or light by
 //! the fleet's own measure, lists it here; a part takes a listed holder of its shard and strikes the
@@ -79,8 +78,8 @@
 const SECOND_STEP: f64 = 1.2;
 /// Share of the goal that one call's work may take: bundles beyond it make a query's slowest part.
 const BUNDLE_GOAL: f64 = 0.5;
-/// Bounds of the share of the time to the goal that an admitted query may be expected to take.
-const ADMIT: (f64, f64) = (0.4, 0.85);
+/// Bounds of the share of the time its worth lasts that an admitted query may be expected to take.
+const ADMIT: (f64, f64) = (0.4, 1.0);
 /// The share of a router that has learned nothing yet: one that starts into an overload must not add to it.
 const ADMIT_FIRST: f64 = 0.6;
 /// What that share gains with an admitted query that ends in time, and loses with one that does not.
@@ -860,7 +859,8 @@
         }
         let over = self.over_quota(q) && self.congested();
         let share = self.admit_share.unwrap_or(ADMIT_FIRST) * if over { OVER_QUOTA } else { 1.0 };
-        let left = q.goal_at.min(q.deadline) - self.now;
+        // The time for which its worth lasts: what a late answer earns counts for as much.
+        let left = q.goal_at.min(q.deadline) + c.late_worth * (q.deadline - q.goal_at).max(0.0) - self.now;
         let late = left < 0.0 && self.useful_until(q) > self.now;
         // With nothing of its own out a router can't know of a queue that is gone by now: it must ask.
         let blind = !self.queries.values().any(|q| q.admitted) && left > self.latency(q.class, 0.5);
--- a/src/state.rs
+++ b/src/state.rs
@@ -307,7 +307,7 @@
     pub(crate) reports: bool,
     /// Running sums of the worth and of the parts of admitted queries.
     pub(crate) worth_seen: f64,
-    /// Share of the time to the goal that an admitted query may be expected to take.
+    /// Share of the time its worth lasts that an admitted query may be expected to take.
     pub(crate) admit_share: Option<f64>,
     pub(crate) parts_seen: f64,
     pub(crate) listed_once: bool,
