--- a/src/choice.rs
+++ b/src/choice.rs
@@ -80,10 +80,12 @@
 const BUNDLE_GOAL: f64 = 0.5;
 /// Bounds of the share of the time its worth lasts that an admitted query may be expected to take.
 const ADMIT: (f64, f64) = (0.4, 1.0);
-/// The share of a router that has learned nothing yet: one that starts into an overload must not add to it.
+/// That share before anything is learned: a router that starts into an overload must not add to it.
 const ADMIT_FIRST: f64 = 0.6;
 /// What that share gains with an admitted query that ends in time, and loses with one that does not.
-const ADMIT_STEP: (f64, f64) = (0.01, 0.05);
+const ADMIT_STEP: (f64, f64) = (0.02, 0.05);
+/// Bounds of what the worth of a query for its work makes of that: forecasts err by so much.
+const RICH: (f64, f64) = (0.7, 1.3);
 /// The same for a tenant beyond its quota, as a share of that: it goes first when the fleet is short.
 const OVER_QUOTA: f64 = 0.6;
 /// Expected part time, as a share of the goal, above which hedges stop.
@@ -153,11 +155,9 @@
     }
 
     fn on_attempt_end(&mut self, event: Event, out: &mut Out) {
-        let Event::AttemptEnd { part: id, attempt: number, outcome, latency, closed, report } = event else {
-            return;
-        };
+        let Event::AttemptEnd { part: id, attempt, outcome, latency, closed, report } = event else { return };
         let latency = secs(latency);
-        let Some((attempt, class)) = self.close_attempt(id, number, outcome, closed) else { return };
+        let Some((attempt, class)) = self.close_attempt(id, attempt, outcome, closed) else { return };
         let Attempt { server, sent, load, idle, class: of, .. } = attempt;
         let overdue = self.now - sent > OVERDUE * self.all_latencies.mean();
         let cut = matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
@@ -395,8 +395,7 @@
         if why != Why::Try {
             found.retain(|f| !f.1 && (f.0 == Standing::Sound || why == Why::Rescue));
         }
-        // A trial goes first, or a server would never be cleared; only a first try of a part that may be
-        // repeated is risked on it.
+        // A trial goes first, or none would be cleared; only a first try that may be repeated is risked.
         let trial = found.iter().find(|f| f.0 == Standing::Trial);
         if self.class(class).repeat != Repeat::Unsafe && part.attempts.is_empty() && trial.is_some() {
             return trial.map(|f| f.2);
@@ -428,8 +427,7 @@
         if listed.is_some() || found.is_empty() {
             return listed;
         }
-        // At random, but not to a holder known to be busier than the others, nor to another zone unless
-        // the near ones are busier.
+        // At random, but to none known to be busier than the others, nor far off unless the near ones are.
         let mean = found.iter().map(|f| rank(f.2)).sum::<f64>() / found.len() as f64;
         found.retain(|f| rank(f.2) <= mean + 1e-9);
         let n = self.rng.next_u32() as usize % found.len();
@@ -546,8 +544,7 @@
         (STALL * usual).max((STALL_GOAL * goal).min(0.5))
     }
 
-    /// A server that was unreachable or silent is probed before it gets a part again. A good probe clears
-    /// nobody: answers to single parts do.
+    /// An unreachable or silent server is probed before its next part; a good probe alone clears nobody.
     fn probe_ejected(&mut self, out: &mut Out) {
         let (now, probes) = (self.now, self.cfg.probes);
         for (id, s) in self.servers.iter_mut().filter(|(_, s)| s.out_until.is_some_and(|t| t <= now)) {
@@ -566,9 +563,9 @@
         (s.probing, s.refused) = (false, outcome == Outcome::ConnectFailed);
         if outcome == Outcome::Ok {
             s.unreached = false;
-            let own = f64::from(s.own());
             if let Some(held) = report.and_then(|r| r.inflight.or(r.queue)) {
-                self.note_load(server, (held - own).max(0.0));
+                let others = held - f64::from(s.own());
+                self.note_load(server, others.max(0.0));
             }
         } else if s.unreached {
             self.eject(server, true);
@@ -821,7 +818,7 @@
     fn best_share(&self, c: &Class, order: &[&RequestId], total: f64) -> f64 {
         // What a part costs others rises faster than the wait does: next to nothing while servers are light.
         let pressed = self.pressure().powi(2);
-        let price = pressed * self.worth_seen / self.parts_seen.max(1.0) / c.worth.max(1e-6);
+        let price = pressed * self.worth_a_part() / c.worth.max(1e-6);
         let (mut sum, mut best) = (0.0, (f64::MIN, total));
         for (n, pid) in order.iter().enumerate() {
             sum += self.parts[pid].weight;
@@ -852,13 +849,16 @@
         times.sort_by(f64::total_cmp);
         let last = ((c.floor.min(c.need) * times.len() as f64).ceil() as usize).max(1) - 1;
         // The query ends with the worst of the parts that it needs; without holders there is no time.
-        let mut expect = times.get(last).copied().unwrap_or(f64::MAX);
-        let known = expect < f64::MAX;
-        if c.second_step > 0 {
-            expect += self.expected(q.class, self.mean_load);
-        }
+        let first = times.get(last).copied().unwrap_or(f64::MAX);
+        let known = first < f64::MAX;
+        let expect = first + if c.second_step > 0 { self.expected(q.class, self.mean_load) } else { 0.0 };
         let over = self.over_quota(q) && self.congested();
-        let share = self.admit_share.unwrap_or(ADMIT_FIRST) * if over { OVER_QUOTA } else { 1.0 };
+        let (parts, mean) = (q.parts.len() as f64, self.worth_a_part());
+        let worth = c.worth * if self.cfg.worth_by_work { parts } else { 1.0 };
+        // Where there is not enough for all, what earns more for its work goes first.
+        let rich = if mean > 0.0 && self.congested() { worth / parts / mean } else { 1.0 };
+        let share = self.admit_share.unwrap_or(ADMIT_FIRST) * rich.sqrt().clamp(RICH.0, RICH.1);
+        let share = share * if over { OVER_QUOTA } else { 1.0 };
         // The time for which its worth lasts: what a late answer earns counts for as much.
         let left = q.goal_at.min(q.deadline) + c.late_worth * (q.deadline - q.goal_at).max(0.0) - self.now;
         let late = left < 0.0 && self.useful_until(q) > self.now;
@@ -869,21 +869,23 @@
             self.refuse(id, expect - share * left.max(0.0), cause, out);
             return false;
         }
-        let (worth, parts) = (c.worth, q.parts.len() as f64);
         self.worth_seen += worth - MEAN_GAIN * self.worth_seen;
         self.parts_seen += parts - MEAN_GAIN * self.parts_seen;
         self.queries.get_mut(&id).into_iter().for_each(|q| q.admitted = true);
         true
     }
 
+    fn worth_a_part(&self) -> f64 {
+        self.worth_seen / self.parts_seen.max(1e-6)
+    }
+
     /// Forecasts err by fleet and hour: where admitted queries miss, fewer are taken.
     fn learn_share(&mut self, in_time: bool) {
         let step = if in_time { ADMIT_STEP.0 } else { -ADMIT_STEP.1 };
         self.admit_share = Some((self.admit_share.unwrap_or(ADMIT_FIRST) + step).clamp(ADMIT.0, ADMIT.1));
     }
 
-    /// A tenant is over when it alone fills its quota here, or passes an even part of it while holding more
-    /// than its portion of what comes here.
+    /// A tenant is over when it fills its quota here, or its even part and more than its portion here.
     fn over_quota(&self, q: &Query) -> bool {
         let Some(id) = q.tenant.map(|t| t.0 as usize).filter(|t| *t < self.tenants.len()) else {
             return false;
@@ -1026,8 +1028,7 @@
         self.index_cells();
     }
 
-    /// One line of the list. A start counts as cold from the told time; a server that is new, or back from
-    /// being gone, with no time told counts from now.
+    /// One line of the list. A start counts from the told time, or from now for one that is new or back.
     fn on_entry(&mut self, e: &ServerEntry, fresh: bool) {
         let now = self.now;
         let (boot, classes) = (e.boot.map(secs), self.cfg.classes.len());
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -101,6 +101,8 @@
     step: f64,
     #[serde(default)]
     tenants: Vec<RawTenant>,
+    #[serde(default)]
+    worth_by: String,
 }
 
 #[derive(Deserialize, Default)]
@@ -249,6 +251,7 @@
         (raw.registry_mode == "on_request").then(|| s.must_ask_in.map_or(Duration::from_secs(10), from_ms));
     let settings = Settings {
         classes,
+        worth_by_work: raw.worth_by == "work",
         tenants,
         routers: raw.balancers,
         zone: raw.az.map(|z| ZoneId(zones.number(&z))),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -121,6 +121,9 @@
 pub struct Settings {
     /// The classes of query.
     pub classes: Vec<Class>,
+    /// Whether worth counts by the work of a query's parts, so that each part is worth its class's; else a
+    /// query is worth the same however many parts it has.
+    pub worth_by_work: bool,
     /// The tenants; may be empty.
     pub tenants: Vec<Tenant>,
     /// Number of routers, this one included.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //!     need: 1.0, floor: 1.0, partial_earns: 1.0, second_step: 0,
 //! };
 //! let settings = Settings {
-//!     classes: vec![class], tenants: vec![], routers: 1, zone: None, zone_cost: false,
+//!     classes: vec![class], worth_by_work: false, tenants: vec![], routers: 1, zone: None, zone_cost: false,
 //!     layout: Layout { cells: 1, width: 1 }, bundle_max: 1, call_cost: ms(0), max_attempts: 3,
 //!     second_copies: true, may_cancel: true, probes: false, retry_after_max: None, budget: None,
 //!     cold: None, must_ask_in: None, drain_grace: ms(0), step: ms(5),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -26,6 +26,7 @@
     };
     Settings {
         classes: vec![class],
+        worth_by_work: false,
         tenants: vec![],
         routers: ROUTERS,
         zone: None,
