--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -3,6 +3,7 @@
 
 use super::conn::Conn;
 use super::frames::{self, Reply};
+use super::silence::Pace;
 use crate::core::{CallPart, Ended, Mail};
 use crate::counters::Counters;
 use crate::interface::{Outcome, RequestId, ServerId};
@@ -12,7 +13,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncWriteExt, Interest};
 use tokio::sync::mpsc;
@@ -57,6 +58,20 @@
     pub parts: AtomicUsize,
     /// Whether it keeps a part waiting in silence: new calls go elsewhere.
     pub silent: AtomicBool,
+    /// Since when it has kept parts waiting and said nothing; `None` with none out.
+    waits: Mutex<Option<Instant>>,
+}
+
+impl Gauge {
+    /// Since when the link has kept parts waiting and said nothing; `None` with none out.
+    pub fn waits(&self) -> Option<Instant> {
+        *self.waits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets since when parts wait.
+    pub fn set_waits(&self, since: Option<Instant>) {
+        *self.waits.lock().unwrap_or_else(PoisonError::into_inner) = since;
+    }
 }
 
 /// All that a link needs.
@@ -79,6 +94,8 @@
     pub mail: mpsc::UnboundedReceiver<LinkMail>,
     /// What its peer sees of it.
     pub gauge: Arc<Gauge>,
+    /// How fast the host answers, over all its links.
+    pub pace: Arc<Pace>,
     /// The core's mailbox.
     pub core: mpsc::UnboundedSender<Mail>,
     /// The counters.
@@ -343,6 +360,9 @@
                 self.probed(Outcome::Timeout, None);
                 self.setup.gauge.silent.store(true, Ordering::Relaxed);
             }
+            if self.setup.pace.lost(self.setup.gauge.waits(), self.setup.connect_timeout) {
+                return ("silent", format!("{} parts out, later ones answered elsewhere", self.out.len()));
+            }
             let waits = !self.queue.is_empty() || self.gone > self.setup.streams / 4;
             let still = self.sending.is_none() && self.out.is_empty() && self.probes.is_empty();
             if self.gone > 0 && waits && still && self.left.is_empty() && self.leaving.is_empty() {
@@ -422,9 +442,12 @@
         if let Some(id) = self.out.iter().find(|(_, o)| (o.part, o.attempt) == key).map(|(id, _)| id.clone())
         {
             let sent = self.out.remove(&id).map(|o| o.sent);
-            if outcome == Outcome::Timeout && sent.is_some_and(|s| self.heard < s) {
+            let (waits, now) = (self.setup.gauge.waits(), Instant::now());
+            let stalled = self.setup.pace.stalled(waits, now, self.setup.connect_timeout);
+            if (outcome == Outcome::Timeout || stalled) && sent.is_some_and(|s| self.heard < s) {
                 self.setup.gauge.silent.store(true, Ordering::Relaxed);
             }
+            self.setup.gauge.set_waits(waits.filter(|_| !self.out.is_empty()));
             self.small.push_back(frames::short(b'c', &id));
             remember(&mut self.given_up, id, REMEMBERED.1);
             self.gone += 1;
@@ -524,6 +547,7 @@
             let out = Out { part: p.part, attempt: p.attempt, sent: now };
             self.out.insert(frames::part_id(p), out);
         }
+        self.setup.gauge.set_waits(self.setup.gauge.waits().or(Some(now)));
         for (part, attempt, outcome) in sending.given_up {
             self.cancel(part, attempt, outcome);
         }
@@ -542,7 +566,8 @@
             match frames::next(&mut self.partial) {
                 Ok(None) => break,
                 Ok(Some(Reply::Part { id, outcome, value, report })) => {
-                    if let Some(Out { part, attempt, .. }) = self.out.remove(&id) {
+                    if let Some(Out { part, attempt, sent }) = self.out.remove(&id) {
+                        self.setup.pace.answered(sent, now);
                         // A copy of its own: a slice would keep the whole buffer it came in.
                         let value = (outcome == Outcome::Ok).then(|| Bytes::copy_from_slice(&value));
                         self.setup.report(Ended { part, attempt, outcome, value, report });
@@ -572,6 +597,7 @@
             return Err(("extra_bytes", String::new()));
         }
         self.setup.gauge.silent.store(self.spoilt, Ordering::Relaxed);
+        self.setup.gauge.set_waits(Some(now).filter(|_| !self.out.is_empty()));
         Ok(())
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,3 +10,4 @@
 pub mod list;
 pub mod peer;
 pub mod ring;
+pub mod silence;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -1,6 +1,7 @@
 //! The actor of a district host: it owns the host's connections and hands calls to them.
 
 use super::link::{Dialect, Gauge, LinkMail, LinkSetup};
+use super::silence::Pace;
 use crate::core::settings::Caps;
 use crate::core::{CallPart, Listed, Mail, Transport};
 use crate::counters::Counters;
@@ -34,6 +35,7 @@
     stop_at: Option<Instant>,
     gate: Option<(Arc<Gate>, Instant)>,
     links: Vec<LinkRef>,
+    pace: Arc<Pace>,
     shared: Arc<Shared>,
 }
 
@@ -91,7 +93,8 @@
         self.mailboxes.entry(server).or_insert_with(|| {
             let (tx, rx) = mpsc::unbounded_channel();
             let gate = shared.gates.as_ref().map(|(gates, origin)| (gates.of(&host.id), *origin));
-            let peer = Peer { server, addr, stop_at, gate, links: Vec::new(), shared };
+            let (links, pace) = (Vec::new(), Arc::default());
+            let peer = Peer { server, addr, stop_at, gate, links, pace, shared };
             tokio::spawn(peer.run(rx));
             tx
         });
@@ -164,8 +167,17 @@
         }
     }
 
-    /// The fullest link that has room and is not silent: few links stay in use, the others go idle.
+    /// Whether a link has kept parts waiting in silence for longer than the host usually takes.
+    fn stalled(&self, l: &LinkRef) -> bool {
+        self.pace.stalled(l.gauge.waits(), Instant::now(), self.shared.caps.connect_timeout)
+    }
+
+    /// The fullest link that has room and is not silent: few links stay in use, the others go idle. One that
+    /// is stalled gets nothing more, as all that it collects would be lost with it; where two are it is the
+    /// host that stands still, and a further connection would not help.
     fn sound_link(&self, parts: usize) -> Option<mpsc::UnboundedSender<LinkMail>> {
+        let now_stalled: Vec<bool> = self.links.iter().map(|l| self.stalled(l)).collect();
+        let still = now_stalled.iter().filter(|s| **s).count() > 1;
         let room = |l: &&LinkRef| {
             !l.old
                 && !l.gauge.silent.load(Ordering::Relaxed)
@@ -175,8 +187,9 @@
                     self.shared.caps.streams,
                 )
         };
-        let fullest = self.links.iter().filter(room).max_by_key(|l| l.gauge.parts.load(Ordering::Relaxed));
-        fullest.map(|l| l.mail.clone())
+        let able = self.links.iter().zip(now_stalled).filter(|(l, stalled)| room(l) && (still || !stalled));
+        let fullest = able.max_by_key(|(l, stalled)| (!stalled, l.gauge.parts.load(Ordering::Relaxed)));
+        fullest.map(|(l, _)| l.mail.clone())
     }
 
     fn may_open(&self) -> bool {
@@ -199,6 +212,7 @@
             gate: self.gate.clone(),
             mail,
             gauge: gauge.clone(),
+            pace: self.pace.clone(),
             core: self.shared.core.clone(),
             counters: self.shared.counters.clone(),
         };
--- /dev/null
+++ b/src/net/silence.rs
@@ -0,0 +1,123 @@
+//! When a connection to a host is taken for silent. Decides from times alone; does no I/O and has no clock.
+//!
+//! A connection may die without a word while its host serves on over others. A host that stands still looks
+//! the same on one connection; it differs in that nothing else comes from it either. So two verdicts:
+//! *stalled*, by time alone, which only sends new calls elsewhere, and *lost*, by what the host answered
+//! elsewhere meanwhile, which ends the connection so that its parts can be sent again.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Weights of one answer in the usual time and in its spread, and how many times the spread is borne:
+/// those of RFC 6298, which judges silence on a path from the same two figures.
+const GAINS: (f64, f64) = (0.125, 0.25);
+const SPREADS: f64 = 4.0;
+/// Least patience, as a share of the time in which a new connection has to be up: below that a new one
+/// would hardly answer sooner.
+const FLOOR_SHARE: f64 = 0.25;
+
+/// How fast one host answers, over all connections to it.
+#[derive(Default)]
+pub struct Pace {
+    seen: Mutex<Seen>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    /// Usual time to an answer and its spread, in seconds; `None` before any answer.
+    usual: Option<(f64, f64)>,
+    /// The latest send that has been answered.
+    latest: Option<Instant>,
+}
+
+impl Pace {
+    fn seen(&self) -> Seen {
+        *self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an answer to a part sent at `sent`.
+    pub fn answered(&self, sent: Instant, now: Instant) {
+        let took = now.saturating_duration_since(sent).as_secs_f64();
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.usual = Some(match seen.usual {
+            None => (took, took / 2.0),
+            Some((usual, spread)) => {
+                (usual + GAINS.0 * (took - usual), spread + GAINS.1 * ((took - usual).abs() - spread))
+            }
+        });
+        seen.latest = seen.latest.max(Some(sent));
+    }
+
+    /// Time after which silence is out of the usual; `None` while nothing is known of the host. `connect` is
+    /// the time in which a connection has to be up.
+    pub fn patience(&self, connect: Duration) -> Option<Duration> {
+        let (usual, spread) = self.seen().usual?;
+        let bound = usual + SPREADS * spread;
+        Some(Duration::from_secs_f64(bound.min(3600.0)).max(connect.mul_f64(FLOOR_SHARE)))
+    }
+
+    /// Whether a connection that has kept a part waiting since `since` is silent for longer than usual.
+    pub fn stalled(&self, since: Option<Instant>, now: Instant, connect: Duration) -> bool {
+        let wait = since.map(|t| now.saturating_duration_since(t));
+        wait.zip(self.patience(connect)).is_some_and(|(wait, patience)| wait > patience)
+    }
+
+    /// Whether the host has meanwhile answered, on another connection, what was sent so much later that the
+    /// part waiting since `since` should have been answered long before.
+    pub fn lost(&self, since: Option<Instant>, connect: Duration) -> bool {
+        let later = since.zip(self.patience(connect)).map(|(t, patience)| t + patience);
+        later.zip(self.seen().latest).is_some_and(|(later, latest)| latest > later)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const CONNECT: Duration = Duration::from_millis(200);
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    fn seasoned(start: Instant, took: u64) -> Pace {
+        let pace = Pace::default();
+        (0..50).for_each(|n| pace.answered(start + ms(10 * n), start + ms(10 * n + took)));
+        pace
+    }
+
+    #[test]
+    fn a_host_not_heard_yet_is_given_all_time() {
+        let (pace, now) = (Pace::default(), Instant::now());
+        assert!(!pace.stalled(Some(now), now + ms(10_000), CONNECT) && !pace.lost(Some(now), CONNECT));
+    }
+
+    #[test]
+    fn patience_follows_the_answers_and_has_a_floor() {
+        let start = Instant::now();
+        assert_eq!(seasoned(start, 1).patience(CONNECT), Some(ms(50)));
+        let slow = seasoned(start, 400).patience(CONNECT).expect("known");
+        assert!((ms(400)..ms(500)).contains(&slow), "{slow:?}");
+    }
+
+    #[test]
+    fn silence_alone_stalls_and_a_later_answer_elsewhere_loses() {
+        let start = Instant::now();
+        let (pace, since) = (seasoned(start, 5), start + ms(1000));
+        assert!(!pace.stalled(Some(since), since + ms(49), CONNECT));
+        assert!(pace.stalled(Some(since), since + ms(51), CONNECT));
+        // A host that stands still: nothing was answered that was sent later.
+        assert!(!pace.lost(Some(since), CONNECT));
+        pace.answered(since + ms(40), since + ms(400));
+        assert!(!pace.lost(Some(since), CONNECT), "sent soon after");
+    }
+
+    #[test]
+    fn what_was_sent_much_later_and_answered_tells_of_a_lost_connection() {
+        let start = Instant::now();
+        let (pace, since) = (seasoned(start, 5), start + ms(1000));
+        pace.answered(since + ms(60), since + ms(65));
+        assert!(pace.lost(Some(since), CONNECT));
+        assert!(!pace.lost(None, CONNECT), "nothing waits");
+    }
+}
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -223,3 +223,48 @@
         assert!(matches!(bench.next(), Mail::Probed(HOST, got, _) if got == outcome), "{outcome:?}");
     }
 }
+
+impl Bench {
+    /// Lets far more time pass than a host that answers at once is given.
+    fn pause(&mut self) {
+        self.runtime.block_on(async { tokio::time::sleep(ms(1000)).await });
+    }
+}
+
+/// Found on rate+silent+leave of caerdydd-plans: the fullest link took every call, so a connection that had
+/// died without a word collected 31 parts, each of which waited for its query's end.
+#[test]
+fn a_connection_that_died_silently_gets_no_more_and_gives_its_parts_back() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| if s.id == "q2.0" { Act::Silent } else { Act::Serve("v".into()) });
+    let mut bench = Bench::new(Arc::new(Frames), &h.addr);
+    bench.call(1);
+    assert_eq!(bench.ended(), (1, Outcome::Ok));
+    bench.call(2);
+    bench.pause();
+    bench.call(3);
+    assert_eq!(bench.ended(), (3, Outcome::Ok));
+    assert_eq!(h.conns.lock().unwrap().len(), 2, "a connection of its own");
+    // What the host answers elsewhere tells that the first is lost; the part may have run there.
+    assert_eq!(bench.ended(), (2, Outcome::Reset));
+    bench.call(4);
+    assert_eq!(bench.ended(), (4, Outcome::Ok));
+    assert_eq!(h.conns.lock().unwrap().len(), 2);
+}
+
+/// A host that stands still is silent on every connection: one more is tried, no further ones, and what
+/// waits there is not given up by the network's judgement.
+#[test]
+fn a_host_that_stands_still_is_told_from_a_connection_that_died() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| if s.id == "q1.0" { Act::Serve("v".into()) } else { Act::Silent });
+    let mut bench = Bench::new(Arc::new(Frames), &h.addr);
+    bench.call(1);
+    assert_eq!(bench.ended(), (1, Outcome::Ok));
+    for (n, conns) in [(2, 1), (3, 2), (4, 2), (5, 2)] {
+        bench.call(n);
+        bench.pause();
+        assert_eq!((ledger.all().len(), h.conns.lock().unwrap().len()), (n as usize, conns));
+    }
+    assert!(bench.mail.try_recv().is_err(), "nothing has ended");
+}
