--- a/src/bin/fennelpin-adapter/main.rs
+++ b/src/bin/fennelpin-adapter/main.rs
@@ -2,8 +2,11 @@
 
 mod wire;
 
+use base64::{engine::general_purpose::STANDARD, Engine};
+use fennelpin::peers::Voice;
 use fennelpin::{Action, Event, Router};
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -12,6 +15,7 @@
 struct Instance {
     router: Router,
     words: Words,
+    voice: Option<Voice>,
     /// What the router asked for in this batch so far.
     actions: Vec<Action>,
     touched: bool,
@@ -43,7 +47,10 @@
                 let seed: i128 = f.value("nonce64")?;
                 let (settings, words) = wire::settings(f.tail("options")?)?;
                 let router = Router::new(settings, seed as u64);
-                let fresh = Instance { router, words, actions: Vec::new(), touched: true };
+                // Instances start anew with the clock further on: a later life has a larger number.
+                let life = now.as_micros() as u64;
+                let voice = words.talk.map(|talk| Voice::new(talk, life, seed as u64));
+                let fresh = Instance { router, words, voice, actions: Vec::new(), touched: true };
                 self.instances.insert(who, fresh);
                 return Ok(());
             }
@@ -54,6 +61,14 @@
             _ => {}
         }
         let Some(instance) = self.instances.get_mut(&who) else { return Ok(()) };
+        if f.what() == "memo" {
+            let from = f.value("author")?;
+            // What can't be read is a fellow's fault, and no reason to stop.
+            let blob = STANDARD.decode(f.text("blob")?).unwrap_or_default();
+            let _ = instance.voice.as_mut().map(|v| v.hear(now, from, &blob));
+            instance.touched = true;
+            return Ok(());
+        }
         let event = if f.what() == "roster_change" {
             let kind = f.text("scope")?;
             let slot = f.optional().and_then(|s| s.parse().ok());
@@ -71,7 +86,14 @@
 
     fn end_turn(&mut self, now: Duration, reply: &mut String) {
         for (who, instance) in self.instances.iter_mut().filter(|(_, i)| i.touched) {
-            instance.router.handle(now, Event::TurnEnd, &mut instance.actions);
+            let Instance { router, words, voice, actions, .. } = instance;
+            voice.iter_mut().for_each(|v| v.tell(now, router, actions));
+            router.handle(now, Event::TurnEnd, actions);
+            let word = voice.as_mut().and_then(|v| v.speak(now, router, actions, |id| words.server(id)));
+            if let Some(word) = word {
+                let blob = STANDARD.encode(word.bytes());
+                writeln!(reply, "broadcast_to {who} all {blob}").expect("writing to a string");
+            }
             for action in instance.actions.drain(..) {
                 instance.words.action(*who, &action, reply);
             }
--- a/src/bin/fennelpin-adapter/wire.rs
+++ b/src/bin/fennelpin-adapter/wire.rs
@@ -76,6 +76,8 @@
     tenants: Vec<String>,
     stats: Vec<String>,
     marks_retry: bool,
+    /// How instances may tell each other, where they may.
+    pub talk: Option<fennelpin::peers::Talk>,
 }
 
 /// Reads the settings of a `start`.
@@ -87,6 +89,7 @@
         tenants: site.tenants,
         stats: site.stats,
         marks_retry: site.marks_retry,
+        talk: site.talk,
         ..Words::default()
     };
     Ok((site.settings, words))
@@ -164,6 +167,11 @@
         load_report(self.stats.iter().map(String::as_str).zip(row?.split(',')))
     }
 
+    /// The name of a server.
+    pub fn server(&self, id: ServerId) -> &str {
+        self.servers.name(id.0)
+    }
+
     /// Reads an event of a running instance; `None` for one that says nothing to the module.
     pub fn event(&mut self, f: &mut Fields) -> Result<Option<Event>> {
         Ok(Some(match f.what() {
@@ -220,7 +228,7 @@
                 f.text("handle")?;
                 Event::Wake
             }
-            "accepted" | "memo" => return Ok(None),
+            "accepted" => return Ok(None),
             other => return Err(format!("unknown event '{other}'")),
         }))
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,6 +16,8 @@
 const MEAN_GAIN: f64 = 0.03;
 /// Time by which a report may trail the own parts that it counts.
 const REPORT_LAG: f64 = 0.4;
+/// Age up to which other routers' words on a server go before its reports, which are later still.
+const TOLD: f64 = 0.5;
 /// Rank that a holder in another zone loses, in parts of load: crossing is cheap next to queueing.
 const ZONE_RANK: f64 = 2.0;
 /// Share of the whole wait within which tries are of one length; votes that the usual length can hold.
@@ -27,15 +29,14 @@
 const SAMPLES: usize = 64;
 const SAMPLE_SPAN: f64 = 4.0;
 const FEW: usize = 4;
-/// First ejection; each relapse doubles it up to the longest. Short, as a trial costs one part little;
-/// longer among more than a few routers, as trials of all of them add up at the server.
+/// First ejection, doubled by each relapse up to the longest; longer among many, as trials add up.
 const FEW_ROUTERS: f64 = 8.0;
 const EJECT: (f64, f64) = (0.5, 4.0);
 const RELAPSE_SPAN: f64 = 15.0;
-/// Weight of one answer in a server's share of failures, and the share from which it is left: one error is
-/// chance, two in a row are not. Failures of one moment are one: they share a cause.
+/// Weight of one answer in a server's share of failures, and the share from which it is left: two in a row.
 const BAD_GAIN: f64 = 0.25;
 const BAD_SHARE: f64 = 0.4;
+/// Failures of one moment are one: they share a cause.
 const SAME_MOMENT: f64 = 0.005;
 /// Time for which a server that turned away our only part gets nothing, first and longest.
 const SHUT: (f64, f64) = (0.1, 2.0);
@@ -50,7 +51,6 @@
 /// Weight of one part's time in a server's slowness, and the time over which that is forgotten.
 const SLOW_GAIN: f64 = 0.35;
 const SLOW_SPAN: f64 = 8.0;
-/// Bounds of one part's time over the expected one.
 const SLOW_BOUNDS: (f64, f64) = (0.3, 8.0);
 /// A part still out tells of slowness once it is out for so many times the usual part time.
 const OVERDUE: f64 = 2.5;
@@ -114,6 +114,10 @@
             Event::Withdrawn { query } => self.forget(query, out),
             Event::Probed { server, outcome, report } => self.on_probed(server, outcome, report),
             Event::Unreached { server } => self.eject(server, true),
+            Event::Told { server, out, age } => {
+                self.note_load(server, out);
+                self.servers.get_mut(&server).into_iter().for_each(|s| s.told_at = self.now - secs(age));
+            }
             Event::Wake => {}
             Event::TurnEnd => self.decide(out),
         }
@@ -132,10 +136,9 @@
         self.queries.insert(id, Query { class, tenant, goal_at, deadline, parts, admitted, first });
     }
 
-    /// First tries of a class all wait equally long; the client's last one for what is left of its whole
-    /// wait. So a try of another length began as its deadline less the whole wait, and its goal counts from
-    /// there. One that waits for less than the goal is served in that time. Where clients mark repeats, the
-    /// mark decides. Hurts a first try that was held up on its way to the router.
+    /// First tries of a class all wait equally long, the client's last one for what is left of its wait: its
+    /// goal counts from the start of that. One that waits for less than the goal is served in that time.
+    /// Where clients mark repeats, the mark decides. Hurts a first try that was held up on its way.
     fn goal_of(&mut self, class: ClassId, deadline: f64, goal: f64, limit: f64, repeat: Option<bool>) -> f64 {
         let wait = deadline - self.now;
         let usual = &mut self.usual_wait[class.0 as usize];
@@ -196,13 +199,15 @@
         }
         let told = report.and_then(|r| r.inflight.or(r.queue).or(r.busy.map(|b| 2.0 * b)));
         self.reports |= told.is_some();
-        match outcome {
-            // A full server tells no load: it counts as far busier than the mean.
-            Outcome::Full => self.note_load(server, 2.0 * self.mean_load + FULL),
-            Outcome::Ok | Outcome::Error if told.is_some() || !self.reports => {
-                self.note_load(server, (told.unwrap_or(0.0) - before).max(0.0));
-            }
-            _ => {}
+        let word = self.servers.get(&server).is_some_and(|s| self.now - s.told_at < TOLD);
+        // A full server tells no load: it counts as far busier than the mean.
+        if outcome == Outcome::Full {
+            self.note_load(server, 2.0 * self.mean_load + FULL);
+        } else if matches!(outcome, Outcome::Ok | Outcome::Error)
+            && !word
+            && (told.is_some() || !self.reports)
+        {
+            self.note_load(server, (told.unwrap_or(0.0) - before).max(0.0));
         }
     }
 
@@ -289,9 +294,8 @@
         f64::from(s.own()) + self.mean_load + (s.others - self.mean_load) * fade
     }
 
-    /// How slow a server's own answers were for the load that it told, lately, or how long it already keeps
-    /// us waiting. Holds against reports that lie or come late, slow hosts, pauses, lost answers. Hurts when
-    /// a few heavy parts make a sound server look slow: it is asked less for some seconds.
+    /// How slow a server's own answers were lately for the load that it told, or how long it already keeps us
+    /// waiting: reports lie or come late. Hurts when a few heavy parts make a sound server look slow.
     fn slowness(&self, s: &Server) -> f64 {
         let past = 1.0 + (s.slow - 1.0) * (-(self.now - s.slow_at) / SLOW_SPAN).exp();
         let usual = self.all_latencies.mean();
@@ -322,17 +326,14 @@
     }
 
     /// Takes the load from elsewhere: what a report shows beyond the most own parts that it can have seen.
-    /// Lists the server once for each part that it is short of the threshold, or strikes it off if busy. The
-    /// threshold is the paper's extension: the mean load seen, so about the lighter half is listed.
+    /// Lists the server once for each part that it is short of the mean load, or strikes it off if busy.
     fn note_load(&mut self, server: ServerId, others: f64) {
         let (now, threshold) = (self.now, self.mean_load.max(0.5) + 0.5);
         let Some(s) = self.servers.get_mut(&server) else { return };
         (s.others, s.reported, s.listed_at) = (others, now, now);
         let load = f64::from(s.own()) + others;
-        let felt = self.felt(&self.servers[&server]);
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.entries = (threshold - felt).max(0.0).ceil() as u32;
-        }
+        let entries = (threshold - self.felt(&self.servers[&server])).max(0.0).ceil() as u32;
+        self.servers.get_mut(&server).into_iter().for_each(|s| s.entries = entries);
         self.mean_load += MEAN_GAIN * (load - self.mean_load);
     }
 
@@ -665,9 +666,8 @@
         }
     }
 
-    /// While servers die under parts, a query that has no answer yet sends one part ahead: one that crashes
-    /// what it touches then takes one server with it, not one for each part. `Some` says whether that scout
-    /// is out. Once it is late the others go: what crashes a server does so when it is begun.
+    /// While servers die under parts, a query without an answer sends one part ahead: one that crashes what
+    /// it touches takes one server with it. `Some` says whether that scout is out; once it is late, all go.
     fn scouting(&self, q: &Query) -> Option<bool> {
         let broken = self.broken_at?;
         let quiet = self.now - broken.max(self.death_at) > KILLER_SPAN;
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,9 +3,11 @@
 use crate::core::settings::{self, Site};
 use crate::interface::Repeat;
 use crate::net::list::{news, News};
+use crate::net::talk::Tier;
 use hickory_proto::rr::Name;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// Fewest descriptors and least memory that the program can serve with.
@@ -101,6 +103,9 @@
     #[serde(default)]
     limits: RawLimits,
     known: Option<serde_json::Value>,
+    peers: Option<Vec<String>>,
+    peers_all: Option<String>,
+    peer_listen: Option<String>,
     settings: serde_json::Value,
 }
 
@@ -286,6 +291,8 @@
     pub known: News,
     /// The settings.
     pub site: Site,
+    /// Where the coordinators that may be told something are; `None` where none may.
+    pub tier: Option<Tier>,
     /// The operator's file; empty on the platform.
     pub operator: Operator,
 }
@@ -327,6 +334,25 @@
     }
 }
 
+fn socket(key: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::Value(key, text))
+}
+
+/// Where talk is allowed and all its addresses are told; the settings' rank says which of them is this one's.
+fn tier(
+    peers: Option<Vec<String>>,
+    all: Option<String>,
+    listen: Option<String>,
+    site: &Site,
+) -> Result<Option<Tier>, ConfigError> {
+    let fellows = peers.unwrap_or_default().into_iter().map(|p| socket("peers", p));
+    let fellows = fellows.collect::<Result<Vec<_>, _>>()?;
+    let all = all.map(|a| socket("peers_all", a)).transpose()?;
+    let listen = listen.map(|a| socket("peer_listen", a)).transpose()?;
+    let talks = site.talk.filter(|_| !fellows.is_empty());
+    Ok(listen.zip(talks).map(|(listen, talk)| Tier { listen, fellows, all, rank: talk.rank }))
+}
+
 impl Config {
     /// Reads the platform's configuration: the file that `PROXY_CONFIG` or the caller names, and the
     /// environment over it.
@@ -376,6 +402,7 @@
         let desk = desk.map(|d| address("operator", d)).transpose()?;
         let room = Room::of(&raw.limits, desk.is_some())?;
         let site = settings::read(&raw.settings.to_string())?;
+        let tier = tier(raw.peers, raw.peers_all, raw.peer_listen, &site)?;
         operator.check(&site)?;
         let cores = operator.cores.map_or(1, |c| c.count);
         let one = room.of_core(cores);
@@ -393,6 +420,7 @@
             seed: raw.seed.map_or(Ok(0), |s| number("seed", &s, 16))?,
             room,
             known,
+            tier,
             site,
             operator,
         })
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -198,6 +198,8 @@
     List(ListKind, Vec<Listed>),
     /// Another core could not reach the host of this name.
     Unreached(Arc<str>),
+    /// A datagram of the coordinator of this rank.
+    Heard(u32, Bytes),
     /// All news up to this version of the list has been handed over.
     Version(u64),
     /// Asks for word once all mail before this has been taken.
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::core::names::Names;
 use crate::interface::*;
+use crate::peers::Talk;
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -54,6 +55,8 @@
     pub stats: Vec<String>,
     /// Whether clients mark their repeats.
     pub marks_retry: bool,
+    /// How coordinators may tell each other, where they may.
+    pub talk: Option<Talk>,
     /// Limits outside the module.
     pub caps: Caps,
 }
@@ -93,6 +96,8 @@
     costs: RawCosts,
     family_info: RawFamily,
     #[serde(default)]
+    rank: u32,
+    #[serde(default)]
     registry_mode: String,
     #[serde(default)]
     safety: RawSafety,
@@ -115,6 +120,7 @@
     max_attempts: Option<u32>,
     max_retry_after: f64,
     may_cancel: bool,
+    may_tell: bool,
     probes: bool,
     retry_after: bool,
     second_copies: bool,
@@ -148,6 +154,7 @@
 #[serde(default)]
 struct RawCosts {
     cross_zone: f64,
+    peer: f64,
 }
 
 #[derive(Deserialize)]
@@ -249,6 +256,8 @@
     });
     let must_ask_in =
         (raw.registry_mode == "on_request").then(|| s.must_ask_in.map_or(Duration::from_secs(10), from_ms));
+    let talk =
+        caps.may_tell.then_some(Talk { routers: raw.balancers, rank: raw.rank, price: raw.costs.peer });
     let settings = Settings {
         classes,
         worth_by_work: raw.worth_by == "work",
@@ -279,6 +288,7 @@
         zones,
         stats: raw.stats.names,
         marks_retry: raw.clients.marks_retry,
+        talk,
         caps: Caps {
             open: caps.open_cap.unwrap_or(4096).max(1),
             conn_idle: from_ms(caps.conn_idle.unwrap_or(15_000.0)),
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -4,9 +4,10 @@
 use super::settings::Site;
 use super::*;
 use crate::counters::Counters;
+use crate::peers::{Datagram, Voice};
 use crate::shard::Seat;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 /// Longest sleep of the core.
 const LONGEST_REST: Duration = Duration::from_secs(1);
@@ -91,6 +92,8 @@
     unreached: HashMap<ServerId, u32>,
     /// When the list's figures are shown next.
     show_at: Instant,
+    /// The talk with other coordinators, and where its words go.
+    voice: Option<(Voice, mpsc::Sender<Datagram>)>,
 }
 
 impl<T: Transport> Table<T> {
@@ -134,9 +137,16 @@
             seat: None,
             unreached: HashMap::new(),
             show_at: Instant::now(),
+            voice: None,
         }
     }
 
+    /// The same in talk with other coordinators; its words go to the channel.
+    pub fn talking(mut self, voice: Voice, words: mpsc::Sender<Datagram>) -> Self {
+        self.voice = Some((voice, words));
+        self
+    }
+
     /// The same as one of several cores.
     pub fn among(mut self, seat: Seat) -> Self {
         self.seat = Some(seat);
@@ -203,6 +213,12 @@
                     self.tell(now, Event::Unreached { server });
                 }
             }
+            Mail::Heard(from, bytes) => {
+                let at = self.clock.at(now);
+                if let Some((voice, _)) = &mut self.voice {
+                    self.counters.inc(voice.hear(at, from, &bytes).counter());
+                }
+            }
             Mail::Version(version) => {
                 if let Some(seat) = &self.seat {
                     seat.gates.acknowledge(seat.core, version);
@@ -438,7 +454,16 @@
 
     /// Lets the module decide and carries out what it asks for.
     pub fn turn_end(&mut self, now: Instant) {
+        let at = self.clock.at(now);
+        if let Some((voice, _)) = &mut self.voice {
+            voice.tell(at, &mut self.router, &mut self.actions);
+        }
         self.tell(now, Event::TurnEnd);
+        if let Some((voice, words)) = &mut self.voice {
+            let word = voice.speak(at, &self.router, &self.actions, |id| self.servers.name(id.0));
+            // One that finds the socket busy is dropped: the next says the same anew.
+            word.into_iter().for_each(|w| drop(words.try_send(w)));
+        }
         if now >= self.show_at {
             self.show_at = now + SHOW;
             self.counters.show_pool(self.router.pool());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -306,6 +306,15 @@
         /// The server.
         server: ServerId,
     },
+    /// What the other routers have out at a server, by their own word.
+    Told {
+        /// The server.
+        server: ServerId,
+        /// Their parts out there, over all of them.
+        out: f64,
+        /// Age of the oldest word in that.
+        age: Duration,
+    },
     /// A wake-up that was asked for is due.
     Wake,
     /// All events of this turn are in: the router decides now.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod logger;
 pub mod net;
 pub mod ops;
+pub mod peers;
 pub mod serve;
 pub mod shard;
 mod state;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,3 +11,4 @@
 pub mod peer;
 pub mod ring;
 pub mod silence;
+pub mod talk;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,11 +13,13 @@
 use crate::net::link::{Dialect, Frames};
 use crate::net::list::{Pace, Watch};
 use crate::net::peer::Peers;
+use crate::net::talk::Talk;
 use crate::ops::bans::Bans;
 use crate::ops::desk::Desk;
 use crate::ops::members::{self, Overlay, Request};
 use crate::ops::turnover::{self, Beside, TakenOver, Turnover};
 use crate::ops::Readiness;
+use crate::peers::Voice;
 use crate::shard;
 use fennelpin_shared::deal::Deal;
 use std::os::fd::AsFd;
@@ -131,6 +133,8 @@
 
 /// What the list's actor may be asked at once; one order more is refused.
 const MOST_REQUESTS: usize = 64;
+/// Words that may wait for the socket; one more is dropped.
+const MOST_WORDS: usize = 8;
 
 /// When a client that finds no room is asked to come back, where the settings name no longest wait.
 pub(crate) const HINT: Duration = Duration::from_secs(1);
@@ -234,7 +238,14 @@
     let (count, cores) = (counters.clone(), None);
     let peers = Peers::new(dialect(&config), caps, room.links, mail.clone(), count, cores, beside);
     let site = config.site.clone();
-    let table = Table::new(site, config.seed, Clock::new(), peers, room.held, counters.clone());
+    let mut table = Table::new(site, config.seed, Clock::new(), peers, room.held, counters.clone());
+    if let Some((tier, talk)) = config.tier.clone().zip(config.site.talk) {
+        // Unix time: a later life of this coordinator has a larger number.
+        let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        let (tx, words) = mpsc::channel(MOST_WORDS);
+        table = table.talking(Voice::new(talk, life, config.seed), tx);
+        tokio::spawn(Talk { tier, words, core: mail.clone(), counters: counters.clone() }.run());
+    }
     let (mut news, mut readiness) = (mail.clone(), None);
     if let Some(staff) = staff {
         let (told, inbox) = mpsc::unbounded_channel();
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,9 +61,10 @@
     pub(crate) outs: VecDeque<f64>,
     pub(crate) own_mean: f64,
     pub(crate) own_at: f64,
-    /// Load from elsewhere by its latest report, and the time of that.
+    /// Load from elsewhere by its latest report, and the time of that; and when other routers last told it.
     pub(crate) others: f64,
     pub(crate) reported: f64,
+    pub(crate) told_at: f64,
     /// Entries in the idle queue and the time of the report they come from.
     pub(crate) entries: u32,
     pub(crate) listed_at: f64,
@@ -116,6 +117,7 @@
             own_at: now,
             others: 0.0,
             reported: f64::MIN,
+            told_at: f64::MIN,
             entries: 0,
             listed_at: now,
             out_until: None,
@@ -362,6 +364,12 @@
         }
     }
 
+    /// Own parts out at each server that is not gone.
+    pub fn outs(&self) -> Vec<(ServerId, u32)> {
+        let here = self.servers.iter().filter(|(_, s)| s.state != ServerState::Gone);
+        here.map(|(id, s)| (*id, s.own())).collect()
+    }
+
     /// Notes a part of a query held.
     pub(crate) fn on_part(&mut self, id: RequestId, query: RequestId, shard: u32, weight: f64) {
         self.taken.add(self.now);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1108,6 +1108,30 @@
     }
 }
 
+/// Others' words on what they have out choose the holder, and while fresh go before reports that trail them.
+#[test]
+fn a_server_that_other_routers_load_is_left_to_them() {
+    for (age, heavy) in [(0, 0), (5000, 20)] {
+        let mut b = seasoned(settings(), 100);
+        let told = |server, out| Event::Told { server: ServerId(server), out, age: ms(age) };
+        let mut to_heavy = 0;
+        for _ in 0..20 {
+            b.turn(vec![told(0, 20.0), told(1, 0.0)]);
+            let (_, parts, out) = b.query(0, &[(0, 1.0)]);
+            let server = sends(&out)[0].1;
+            to_heavy += usize::from(server == ServerId(0));
+            b.now += 10;
+            // Reports that say the opposite: old ones of the heavy one, and a busy light one.
+            b.end(parts[0], 0, Outcome::Ok, if server == ServerId(0) { 0.0 } else { 30.0 });
+            let (_, parts, out) = b.query(0, &[(0, 1.0)]);
+            to_heavy += usize::from(sends(&out)[0].1 == ServerId(0));
+            b.now += 10;
+            b.end(parts[0], 0, Outcome::Ok, if sends(&out)[0].1 == ServerId(0) { 0.0 } else { 30.0 });
+        }
+        assert!(if heavy == 0 { to_heavy == 0 } else { to_heavy >= heavy / 2 }, "age {age}: {to_heavy}");
+    }
+}
+
 /// Found on jawa-skip big-1: most parts in, the others on slow servers with no copy, for congestion.
 #[test]
 fn in_congestion_parts_later_than_their_siblings_are_copied() {
