--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -139,7 +139,7 @@
         if news.is_empty() {
             return None;
         }
-        news.sort_by(|a, b| (b.0, b.1, b.2).cmp(&(a.0, a.1, a.2)));
+        news.sort_by_key(|n| std::cmp::Reverse((n.0, n.1, n.2)));
         let word =
             Word { life: self.life, seq: self.seq + 1, hosts: news.iter().map(|n| (n.2, n.3)).collect() };
         let (datagram, hosts) = word.write();
--- a/tests/talk.rs
+++ b/tests/talk.rs
@@ -32,7 +32,9 @@
 
 fn heard<'a>(words: impl Iterator<Item = &'a (u32, Word)>) -> View {
     let mut view = View::new(4);
-    words.for_each(|(from, w)| drop(view.take(ms(100), *from, w)));
+    for (from, w) in words {
+        view.take(ms(100), *from, w);
+    }
     view
 }
 
