--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,7 +23,6 @@
 /// Share of the whole wait within which tries are of one length; votes that the usual length can hold.
 const SAME_WAIT: f64 = 0.015;
 const WAIT_VOTES: u32 = 20;
-/// Time over which rates are taken.
 const RATE_SPAN: f64 = 3.0;
 /// Latencies kept for quantiles, and for how long; the last few are kept, as no fewer make a quantile.
 const SAMPLES: usize = 64;
@@ -40,13 +39,10 @@
 const SAME_MOMENT: f64 = 0.005;
 /// Time for which a server that turned away our only part gets nothing, first and longest.
 const SHUT: (f64, f64) = (0.1, 2.0);
-/// The same share for one class, where failures of the others don't count.
 const SICK: f64 = 0.6;
 /// What each answer adds to the room of a server, which was cut to what it held when it turned a part away.
 const ROOM_STEP: f64 = 0.2;
-/// Share of a drain's grace in which a server may still help out.
 const LEAVE: f64 = 0.8;
-/// A wake-up so late means that this router itself stood still.
 const AWAY: f64 = 0.15;
 /// Weight of one part's time in a server's slowness, and the time over which that is forgotten.
 const SLOW_GAIN: f64 = 0.35;
@@ -73,7 +69,6 @@
 const COPIES: Budget = Budget { free: 10.0, share: 0.2, span: Duration::from_secs(2) };
 /// Share of the budget open to hedges; the rest is kept for parts that failed.
 const HEDGE_SHARE: f64 = 0.6;
-/// Share of the goal's time left at which copies may start.
 const PRESSING: f64 = 0.65;
 const SECOND_STEP: f64 = 1.2;
 /// Share of the goal that one call's work may take: bundles beyond it make a query's slowest part.
@@ -84,6 +79,8 @@
 const ADMIT_FIRST: f64 = 0.6;
 /// What that share gains with an admitted query that ends in time, and loses with one that does not.
 const ADMIT_STEP: (f64, f64) = (0.02, 0.05);
+/// Gain and upper bound among many routers: what they do adds up, and each learns of it late.
+const ADMIT_MANY: (f64, f64) = (0.01, 0.85);
 /// Bounds of what the worth of a query for its work makes of that: forecasts err by so much.
 const RICH: (f64, f64) = (0.7, 1.3);
 /// The same for a tenant beyond its quota, as a share of that: it goes first when the fleet is short.
@@ -855,12 +852,13 @@
         let over = self.over_quota(q) && self.congested();
         let (parts, mean) = (q.parts.len() as f64, self.worth_a_part());
         let worth = c.worth * if self.cfg.worth_by_work { parts } else { 1.0 };
-        // Where there is not enough for all, what earns more for its work goes first.
-        let rich = if mean > 0.0 && self.congested() { worth / parts / mean } else { 1.0 };
+        // Among few routers worth for work decides in congestion, and what a late answer earns adds time.
+        let few = f64::from(self.cfg.routers) <= FEW_ROUTERS;
+        let rich = if few && mean > 0.0 && self.congested() { worth / parts / mean } else { 1.0 };
         let share = self.admit_share.unwrap_or(ADMIT_FIRST) * rich.sqrt().clamp(RICH.0, RICH.1);
         let share = share * if over { OVER_QUOTA } else { 1.0 };
-        // The time for which its worth lasts: what a late answer earns counts for as much.
-        let left = q.goal_at.min(q.deadline) + c.late_worth * (q.deadline - q.goal_at).max(0.0) - self.now;
+        let late_for = if few { (q.deadline - q.goal_at).max(0.0) } else { 0.0 };
+        let left = q.goal_at.min(q.deadline) + c.late_worth * late_for - self.now;
         let late = left < 0.0 && self.useful_until(q) > self.now;
         // With nothing of its own out a router can't know of a queue that is gone by now: it must ask.
         let blind = !self.queries.values().any(|q| q.admitted) && left > self.latency(q.class, 0.5);
@@ -881,8 +879,10 @@
 
     /// Forecasts err by fleet and hour: where admitted queries miss, fewer are taken.
     fn learn_share(&mut self, in_time: bool) {
-        let step = if in_time { ADMIT_STEP.0 } else { -ADMIT_STEP.1 };
-        self.admit_share = Some((self.admit_share.unwrap_or(ADMIT_FIRST) + step).clamp(ADMIT.0, ADMIT.1));
+        let many = f64::from(self.cfg.routers) > FEW_ROUTERS;
+        let (gain, most) = if many { ADMIT_MANY } else { (ADMIT_STEP.0, ADMIT.1) };
+        let step = if in_time { gain } else { -ADMIT_STEP.1 };
+        self.admit_share = Some((self.admit_share.unwrap_or(ADMIT_FIRST) + step).clamp(ADMIT.0, most));
     }
 
     /// A tenant is over when it fills its quota here, or its even part and more than its portion here.
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -38,6 +38,8 @@
     pub shards: Option<u32>,
     /// Time after the news of a drain in which sends must have stopped.
     pub drain_grace: Duration,
+    /// Coordinators that ask the same hosts, this one included.
+    pub coordinators: u32,
 }
 
 /// The settings together with the names that the module knows only as numbers.
@@ -296,6 +298,7 @@
             streams: caps.streams_per_conn.unwrap_or(32).max(1),
             shards: family.shards,
             drain_grace: from_ms(s.drain_grace.unwrap_or(2000.0)),
+            coordinators: raw.balancers,
         },
     })
 }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -93,7 +93,7 @@
         self.mailboxes.entry(server).or_insert_with(|| {
             let (tx, rx) = mpsc::unbounded_channel();
             let gate = shared.gates.as_ref().map(|(gates, origin)| (gates.of(&host.id), *origin));
-            let (links, pace) = (Vec::new(), Arc::default());
+            let (links, pace) = (Vec::new(), Arc::new(Pace::among(shared.caps.coordinators)));
             let peer = Peer { server, addr, stop_at, gate, links, pace, shared };
             tokio::spawn(peer.run(rx));
             tx
--- a/src/net/silence.rs
+++ b/src/net/silence.rs
@@ -15,10 +15,14 @@
 /// Least patience, as a share of the time in which a new connection has to be up: below that a new one
 /// would hardly answer sooner.
 const FLOOR_SHARE: f64 = 0.25;
+/// So many coordinators' connections are borne by a host.
+const FEW: f64 = 8.0;
 
 /// How fast one host answers, over all connections to it.
 #[derive(Default)]
 pub struct Pace {
+    /// How much longer the least patience is among many coordinators.
+    crowd: f64,
     seen: Mutex<Seen>,
 }
 
@@ -31,6 +35,12 @@
 }
 
 impl Pace {
+    /// The pace of a host that so many coordinators ask. Each that takes a pause for silence opens a connection,
+    /// and all of them do so at once: beyond eight the least patience grows with their number.
+    pub fn among(coordinators: u32) -> Self {
+        Self { crowd: f64::from(coordinators) / FEW, ..Self::default() }
+    }
+
     fn seen(&self) -> Seen {
         *self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -53,7 +63,10 @@
     pub fn patience(&self, connect: Duration) -> Option<Duration> {
         let (usual, spread) = self.seen().usual?;
         let bound = usual + SPREADS * spread;
-        Some(Duration::from_secs_f64(bound.min(3600.0)).max(connect.mul_f64(FLOOR_SHARE)))
+        Some(
+            Duration::from_secs_f64(bound.min(3600.0))
+                .max(connect.mul_f64(FLOOR_SHARE * self.crowd.max(1.0))),
+        )
     }
 
     /// Whether a connection that has kept a part waiting since `since` is silent for longer than usual.
@@ -100,6 +113,16 @@
         assert!((ms(400)..ms(500)).contains(&slow), "{slow:?}");
     }
 
+    #[test]
+    fn among_many_coordinators_the_least_patience_is_longer() {
+        let start = Instant::now();
+        for (coordinators, least) in [(3, 50), (8, 50), (80, 500)] {
+            let pace = Pace::among(coordinators);
+            (0..50).for_each(|n| pace.answered(start + ms(10 * n), start + ms(10 * n + 1)));
+            assert_eq!(pace.patience(CONNECT), Some(ms(least)), "{coordinators}");
+        }
+    }
+
     #[test]
     fn silence_alone_stalls_and_a_later_answer_elsewhere_loses() {
         let start = Instant::now();
