--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1070,12 +1070,14 @@
 /// where nothing was missed.
 #[test]
 fn a_query_that_still_earns_late_is_taken_though_it_may_be_late() {
-    for (late_worth, refused) in [(0.0, 1), (0.8, 0)] {
-        let mut b = seasoned(Settings { classes: vec![Class { late_worth, ..class() }], ..settings() }, 400);
+    // Among many routers each learns late of what all do: there it is left out.
+    for (late_worth, routers, refused) in [(0.0, 2, 1), (0.8, 2, 0), (0.8, 100, 1)] {
+        let classes = vec![Class { late_worth, ..class() }];
+        let mut b = seasoned(Settings { classes, routers, ..settings() }, 400);
         // Both holders of shard 2 get four parts each: what comes next is forecast to end past the goal.
         (0..8).for_each(|_| drop(b.query(0, &[(2, 1.0)])));
         let (id, _, _) = b.query(0, &[(2, 1.0)]);
-        assert_eq!(finals(&b.log, id), refused, "late worth {late_worth}");
+        assert_eq!(finals(&b.log, id), refused, "late worth {late_worth}, {routers} routers");
     }
 }
 
