A host that resets some connections is not left; calls spread over brittle connections

Two causes: - Peer::sound_link put every call on the fullest connection; when the host ended it after an answer, up to 14 others were lost at once, and had spent all four attempts within 30 ms. - Router::fault left a server from a share of failures of 0.4, which one reset in four reaches by chance; each time for twice as long, up to 4 s. Ruled out: a crash (the list names no host gone, connects succeed), the module's wait.

Mend: ends right after an answer are counted for each host (silence.rs); while they come more often than about once in 44 answers a call takes a connection of its own, six a host at most, fewer among many coordinators. A reset leaves a server from a share of 0.6 (four in a row); one that is dead refuses the next connection anyway.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -485,7 +485,7 @@
         let again = self.now - s.failed_at < SAME_MOMENT;
         s.failed_at = self.now;
         s.bad += if again { 0.0 } else { BAD_GAIN * (1.0 - s.bad) };
-        if s.bad > BAD_SHARE || s.out_until.is_some() {
+        if s.bad > if unreached { SICK } else { BAD_SHARE } || s.out_until.is_some() {
             self.eject(server, unreached);
         }
     }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -248,7 +248,9 @@
         link.setup.log_end(code, &detail);
         let closed = matches!(code, "host_closed" | "extra_bytes" | "worn");
         link.setup.gauge.parts.fetch_sub(link.gone, Ordering::Relaxed);
-        if !matches!(code, "host_closed" | "host_reset" | "write_failed") {
+        if matches!(code, "host_closed" | "host_reset" | "write_failed") {
+            link.setup.pace.ended(link.heard, Instant::now(), link.setup.connect_timeout);
+        } else {
             // The end is ours: the host has to see it before the core hears of it.
             let _ = link.conn.stream.shutdown().await;
             tokio::time::sleep(CANCEL_HEAD).await;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -174,7 +174,8 @@
 
     /// The fullest link that has room and is not silent: few links stay in use, the others go idle. One that
     /// is stalled gets nothing more, as all that it collects would be lost with it; where two are it is the
-    /// host that stands still, and a further connection would not help.
+    /// host that stands still, and a further connection would not help. Of a host that ends connections right
+    /// after answers the emptiest, and none that carries parts already while a further one is to be opened.
     fn sound_link(&self, parts: usize) -> Option<mpsc::UnboundedSender<LinkMail>> {
         let now_stalled: Vec<bool> = self.links.iter().map(|l| self.stalled(l)).collect();
         let still = now_stalled.iter().filter(|s| **s).count() > 1;
@@ -188,12 +189,22 @@
                 )
         };
         let able = self.links.iter().zip(now_stalled).filter(|(l, stalled)| room(l) && (still || !stalled));
-        let fullest = able.max_by_key(|(l, stalled)| (!stalled, l.gauge.parts.load(Ordering::Relaxed)));
-        fullest.map(|(l, _)| l.mail.clone())
+        let load = |l: &LinkRef| l.gauge.parts.load(Ordering::Relaxed);
+        let spread = self.pace.spread(self.shared.dialect.most_links());
+        if spread == 1 {
+            return able.max_by_key(|(l, stalled)| (!stalled, load(l))).map(|(l, _)| l.mail.clone());
+        }
+        let emptiest = able.min_by_key(|(l, stalled)| (*stalled, load(l)))?.0;
+        let more = load(emptiest) > 0 && self.own_links() < spread && self.may_open();
+        (!more).then(|| emptiest.mail.clone())
+    }
+
+    fn own_links(&self) -> usize {
+        self.links.iter().filter(|l| !l.old).count()
     }
 
     fn may_open(&self) -> bool {
-        let own = self.links.iter().filter(|l| !l.old).count();
+        let own = self.own_links();
         let all = self.shared.links.load(Ordering::Relaxed);
         own < self.shared.dialect.most_links()
             && all < self.shared.beside.borrow().share(self.shared.most_links)
--- a/src/net/silence.rs
+++ b/src/net/silence.rs
@@ -4,6 +4,9 @@
 //! the same on one connection; it differs in that nothing else comes from it either. So two verdicts:
 //! *stalled*, by time alone, which only sends new calls elsewhere, and *lost*, by what the host answered
 //! elsewhere meanwhile, which ends the connection so that its parts can be sent again.
+//!
+//! Also here, as it rests on the same answers: how often a host ends a connection right after an answer.
+//! What else is out on that connection is lost with it, so it is *brittle* and carries few parts at once.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -17,6 +20,11 @@
 const FLOOR_SHARE: f64 = 0.25;
 /// So many coordinators' connections are borne by a host.
 const FEW: f64 = 8.0;
+/// What one answer takes from the share of answers that a connection's end followed.
+const ENDS_GAIN: f64 = 1.0 / 64.0;
+/// Share of ends from which connections are brittle, in answers that the last end is remembered for: a new
+/// connection costs a host about a hundredth of a part's work, the loss of a part all of it.
+const BRITTLE: f64 = 0.5;
 
 /// How fast one host answers, over all connections to it.
 #[derive(Default)]
@@ -32,6 +40,8 @@
     usual: Option<(f64, f64)>,
     /// The latest send that has been answered.
     latest: Option<Instant>,
+    /// Ends of connections right after an answer, each fading with the answers since.
+    ends: f64,
 }
 
 impl Pace {
@@ -56,6 +66,26 @@
             }
         });
         seen.latest = seen.latest.max(Some(sent));
+        seen.ends -= ENDS_GAIN * seen.ends;
+    }
+
+    /// Takes the end of a connection by the host, last heard on it at `heard`. One that comes long after an
+    /// answer is an unused connection let go.
+    pub fn ended(&self, heard: Instant, now: Instant, connect: Duration) {
+        if now.saturating_duration_since(heard) < connect.mul_f64(FLOOR_SHARE) {
+            self.seen.lock().unwrap_or_else(PoisonError::into_inner).ends += 1.0;
+        }
+    }
+
+    /// Connections that a call is to be spread over before it joins others on one: one while connections
+    /// last, `most` while they are brittle, and never more of one coordinator's than a crowd of them may open.
+    pub fn spread(&self, most: usize) -> usize {
+        let crowd = most as f64 / self.crowd.max(1.0);
+        if self.seen().ends < BRITTLE {
+            1
+        } else {
+            (crowd as usize).max(1)
+        }
     }
 
     /// Time after which silence is out of the usual; `None` while nothing is known of the host. `connect` is
@@ -123,6 +153,31 @@
         }
     }
 
+    #[test]
+    fn a_host_that_ends_connections_after_answers_is_spread_over_more_of_them() {
+        let start = Instant::now();
+        let pace = seasoned(start, 5);
+        assert_eq!(pace.spread(6), 1);
+        pace.ended(start, start + ms(51), CONNECT);
+        assert_eq!(pace.spread(6), 1, "let go unused");
+        pace.ended(start, start + ms(1), CONNECT);
+        assert_eq!(pace.spread(6), 6);
+        (0..40).for_each(|_| pace.answered(start, start + ms(5)));
+        assert_eq!(pace.spread(6), 6, "one end in forty answers");
+        (0..10).for_each(|_| pace.answered(start, start + ms(5)));
+        assert_eq!(pace.spread(6), 1, "forgotten");
+    }
+
+    #[test]
+    fn among_many_coordinators_calls_are_spread_over_fewer_connections() {
+        let start = Instant::now();
+        for (coordinators, most) in [(3, 6), (8, 6), (24, 2), (100, 1)] {
+            let pace = Pace::among(coordinators);
+            pace.ended(start, start, CONNECT);
+            assert_eq!(pace.spread(6), most, "{coordinators}");
+        }
+    }
+
     #[test]
     fn silence_alone_stalls_and_a_later_answer_elsewhere_loses() {
         let start = Instant::now();
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -268,3 +268,24 @@
     }
     assert!(bench.mail.try_recv().is_err(), "nothing has ended");
 }
+
+/// Found on wide+reset+stale of caerdydd-plans: hosts ended connections right after answers, and with each all
+/// that waited on it, up to 30 parts; each had spent its attempts within 30 ms, at hosts that served on.
+#[test]
+fn calls_to_a_host_that_ends_connections_are_spread_over_a_few() {
+    let ledger = Ledger::default();
+    let h = host(0, false, &ledger, |s| match s.id.as_str() {
+        "q1.0" => Act::Serve("v".into()),
+        "q2.0" => Act::Break,
+        _ => Act::Silent,
+    });
+    let mut bench = Bench::new(Arc::new(Frames), &h.addr);
+    bench.call(1);
+    assert_eq!(bench.ended(), (1, Outcome::Ok));
+    bench.call(2);
+    assert_eq!(bench.ended(), (2, Outcome::Reset));
+    (3..=20).for_each(|n| bench.call(n));
+    bench.runtime.block_on(wait_for(&ledger, 20));
+    let most = Frames.most_links();
+    assert_eq!(h.conns.lock().unwrap().len(), 1 + most);
+}
