--- a/src/choice.rs
+++ b/src/choice.rs
@@ -536,10 +536,9 @@
     }
 
     fn stall_limit(&self) -> f64 {
-        let classes = 0..self.cfg.classes.len() as u32;
-        let usual = classes.map(|c| self.latency(ClassId(c), 0.9)).fold(0.0, f64::max);
+        let q90 = (0..self.latencies.len()).map(|c| self.latency(ClassId(c as u32), 0.9)).fold(0.0, f64::max);
         let goal = self.cfg.classes.iter().map(|c| secs(c.goal)).fold(f64::MAX, f64::min);
-        (STALL * usual).max((STALL_GOAL * goal).min(0.5))
+        (STALL * q90).max((STALL_GOAL * goal).min(0.5))
     }
 
     /// An unreachable or silent server is probed before its next part; a good probe alone clears nobody.
@@ -560,12 +559,15 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         (s.probing, s.refused) = (false, outcome == Outcome::ConnectFailed);
         if outcome == Outcome::Ok {
+            // What was out before counts no more: after a cut it would block the trial to its time-out.
             s.unreached = false;
+            s.outs.clear();
             if let Some(held) = report.and_then(|r| r.inflight.or(r.queue)) {
-                let others = held - f64::from(s.own());
-                self.note_load(server, others.max(0.0));
+                self.note_load(server, held);
             }
         } else if s.unreached {
+            // No lapse: it was out before, and asking again costs next to nothing.
+            s.relapses -= 1.0;
             self.eject(server, true);
         }
     }
@@ -699,8 +701,7 @@
         let stall = self.stall_limit();
         let Some(q) = self.parts.get(&pid).and_then(|p| self.queries.get(&p.query)) else { return };
         // An attempt lives as long as its answer can be of use: servers can drop what is overdue.
-        let late = self.class(class).late_worth > 0.0;
-        let end = if late { q.deadline } else { q.deadline.min(q.goal_at) };
+        let end = q.deadline.min(if self.class(class).late_worth > 0.0 { f64::MAX } else { q.goal_at });
         let timeout = if copies { end - now } else { (end - now).min(stall) };
         let load = self.load(&self.servers[&server]);
         let (drops, gap) = (self.idle_drops(), self.cold_gap(&self.servers[&server]));
@@ -738,8 +739,7 @@
         // Enough of its siblings in to tell: only it is late, not the fleet.
         let siblings = &self.queries[&p.query].parts;
         let parts_in = siblings.iter().filter(|s| self.parts[s].done).count();
-        let most_in = parts_in >= (4 * FEW).max(siblings.len() / 2);
-        let congested = self.congested() && !most_in;
+        let congested = self.congested() && parts_in < (4 * FEW).max(siblings.len() / 2);
         let mut why = if p.attempts.iter().any(|a| a.out) { Why::Rescue } else { Why::Try };
         for a in p.attempts.iter().filter(|a| a.out) {
             let Some(s) = self.servers.get(&a.server).filter(|s| s.out_until.is_none()) else { continue };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -930,6 +930,40 @@
     assert_eq!(hits, 1, "one part at a time until it answers");
 }
 
+/// Found on days with a zone cut off: each failed probe passed for a lapse, so after a cut hosts were asked every
+/// 4 s and cleared by five good answers, and parts lost in the cut kept even the first from being sent.
+#[test]
+fn a_server_cut_off_for_long_is_back_with_its_first_answer() {
+    let mut b = Bench::new(Settings { probes: true, ..settings() });
+    let (server, mut asked) = (ServerId(0), Vec::new());
+    b.fail(server, Outcome::ConnectFailed, 1);
+    while asked.len() < 8 {
+        let more = b.until(b.now + 10);
+        if more.contains(&Action::Probe { server }) {
+            asked.push(b.now);
+            b.turn(vec![Event::Probed { server, outcome: Outcome::Timeout, report: None }]);
+        }
+    }
+    assert!(asked.windows(2).all(|w| w[1] - w[0] <= 750), "asked at {asked:?}");
+    // The last hope of a shard is asked meanwhile, and that part is never heard of again.
+    (1..4).for_each(|n| drop(b.turn(vec![changed(n, ServerState::Draining, None)])));
+    b.now += 2100;
+    let (_, _, lost) = b.query(0, &[(0, 1.0)]);
+    assert!(sends(&lost).iter().any(|s| s.1 == server));
+    assert!(lost.contains(&Action::Probe { server }));
+    b.turn(vec![Event::Probed { server, outcome: Outcome::Ok, report: None }]);
+    (1..4).for_each(|n| drop(b.turn(vec![changed(n, ServerState::Ready, None)])));
+    b.now += 600;
+    let (_, parts, out) = b.query(0, &[(0, 1.0)]);
+    assert!(sends(&out).iter().any(|s| s.1 == server), "its trial");
+    b.now += 50;
+    b.answer(parts[0], 0, 50);
+    b.now += 10;
+    assert!(!b.until(b.now + 1000).contains(&Action::Probe { server }));
+    let hits = (0..6).map(|_| b.query(0, &[(0, 1.0)]).2).filter(|o| sends(o).iter().any(|s| s.1 == server));
+    assert!(hits.count() > 1, "cleared by the first answer");
+}
+
 /// Found on a standard day: reports of parts that weigh alike were cut to half of them for less than half
 /// of their worth. Parts that weigh little beside others may be left out, equal ones not.
 #[test]
