--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1141,16 +1141,18 @@
 #[test]
 fn in_congestion_what_earns_more_for_its_work_goes_first() {
     let cases = [
-        (5.0, false, 1, 320, (1, 0)),
+        (5.0, false, 1, 320, 2, (1, 0)),
         // No congestion, no choice between them.
-        (5.0, false, 1, 100, (0, 0)),
+        (5.0, false, 1, 100, 2, (0, 0)),
         // One part where others had four: worth more for its work, unless worth counts by that.
-        (1.0, false, 4, 320, (0, 0)),
-        (1.0, true, 4, 320, (1, 1)),
+        (1.0, false, 4, 320, 2, (0, 0)),
+        (1.0, true, 4, 320, 2, (1, 1)),
+        // Among many routers each of which would prefer the same, none does.
+        (5.0, false, 1, 320, 100, (1, 1)),
     ];
-    for (worth, worth_by_work, parts, latency, ends) in cases {
+    for (worth, worth_by_work, parts, latency, routers, ends) in cases {
         let classes = vec![class(), Class { worth, ..class() }];
-        let mut b = seasoned(Settings { classes, worth_by_work, ..settings() }, latency);
+        let mut b = seasoned(Settings { classes, worth_by_work, routers, ..settings() }, latency);
         let shards: Vec<(u32, f64)> = (0..parts).map(|_| (0, 1.0 / f64::from(parts))).collect();
         for _ in 0..20 {
             let (_, parts, _) = b.query(1, &shards);
@@ -1162,10 +1164,27 @@
         let (first, _, _) = b.query(0, &[(2, 1.0)]);
         let (second, _, _) = b.query(1, &[(2, 1.0)]);
         let ended = (finals(&b.log, first), finals(&b.log, second));
-        assert_eq!(ended, ends, "worth {worth}, by work {worth_by_work}, {parts} parts, {latency} ms");
+        let case = format!("worth {worth}, by work {worth_by_work}, {parts} parts, {latency} ms, {routers}");
+        assert_eq!(ended, ends, "{case}");
     }
 }
 
+/// What many routers take adds up, and each learns late of it: with all in time each takes less than one of a few.
+#[test]
+fn among_many_routers_less_is_taken_though_all_is_in_time() {
+    let taken = |routers: u32| {
+        let mut b = seasoned(Settings { routers, ..settings() }, 200);
+        for n in 0..60 {
+            let (_, parts, _) = b.query(0, &[(n % 4, 1.0)]);
+            b.until(b.now + 200);
+            parts.iter().for_each(|p| drop(b.answer(*p, 0, 200)));
+        }
+        (0..40).take_while(|_| sends(&b.query(0, &[(2, 1.0)]).2).len() == 1).count()
+    };
+    assert!(taken(8) > taken(9), "{} {}", taken(8), taken(9));
+    assert_eq!((taken(2), taken(9)), (taken(8), taken(100)));
+}
+
 /// Others' words on what they have out choose the holder, and while fresh go before reports that trail them.
 #[test]
 fn a_server_that_other_routers_load_is_left_to_them() {
