A good probe forgets parts only of a host that was out of reach; what a reset counts, said

Seen on reading the change again: on_probed dropped a host's parts out also where an answer had come between probe and reply, so that too few counted as out; SICK had lost its words and now stands for resets as well; BRITTLE's were unclear. Mended there; a module test shows that another router's word ends or bars no server.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,7 @@
 const SAME_MOMENT: f64 = 0.005;
 /// Time for which a server that turned away our only part gets nothing, first and longest.
 const SHUT: (f64, f64) = (0.1, 2.0);
+/// The same share for one class, and for resets, which sound servers cause as well: four in a row.
 const SICK: f64 = 0.6;
 /// What each answer adds to the room of a server, which was cut to what it held when it turned a part away.
 const ROOM_STEP: f64 = 0.2;
@@ -482,9 +483,8 @@
 
     fn fault(&mut self, server: ServerId, unreached: bool) {
         let Some(s) = self.servers.get_mut(&server) else { return };
-        let again = self.now - s.failed_at < SAME_MOMENT;
+        s.bad += if self.now - s.failed_at < SAME_MOMENT { 0.0 } else { BAD_GAIN * (1.0 - s.bad) };
         s.failed_at = self.now;
-        s.bad += if again { 0.0 } else { BAD_GAIN * (1.0 - s.bad) };
         if s.bad > if unreached { SICK } else { BAD_SHARE } || s.out_until.is_some() {
             self.eject(server, unreached);
         }
@@ -560,11 +560,11 @@
         (s.probing, s.refused) = (false, outcome == Outcome::ConnectFailed);
         if outcome == Outcome::Ok {
             // What was out before counts no more: after a cut it would block the trial to its time-out.
-            s.unreached = false;
-            s.outs.clear();
-            if let Some(held) = report.and_then(|r| r.inflight.or(r.queue)) {
-                self.note_load(server, held);
-            }
+            let lost = std::mem::take(&mut s.unreached);
+            s.outs.retain(|_| !lost);
+            let own = f64::from(s.own());
+            let others = report.and_then(|r| r.inflight.or(r.queue)).map(|held| (held - own).max(0.0));
+            others.into_iter().for_each(|others| self.note_load(server, others));
         } else if s.unreached {
             // No lapse: it was out before, and asking again costs next to nothing.
             s.relapses -= 1.0;
--- a/src/net/silence.rs
+++ b/src/net/silence.rs
@@ -22,8 +22,9 @@
 const FEW: f64 = 8.0;
 /// What one answer takes from the share of answers that a connection's end followed.
 const ENDS_GAIN: f64 = 1.0 / 64.0;
-/// Share of ends from which connections are brittle, in answers that the last end is remembered for: a new
-/// connection costs a host about a hundredth of a part's work, the loss of a part all of it.
+/// What is left of the ends from which connections are brittle: one end makes them so for the next 44 answers.
+/// More often than that a part is lost sooner than the hundredth of its work that a new connection costs a host
+/// has been spent as often.
 const BRITTLE: f64 = 0.5;
 
 /// How fast one host answers, over all connections to it.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1291,3 +1291,15 @@
         assert!(calls.iter().any(|n| *n > 1), "what waits goes as room comes free: {calls:?}");
     }
 }
+
+/// A coordinator that is cut off, and whose parts pile up, tells of busy servers: no word ends or bars one.
+#[test]
+fn another_routers_word_ends_no_server() {
+    let mut b = seasoned(settings(), 50);
+    let told = |n| Event::Told { server: ServerId(n), out: 8.0, age: ms(30) };
+    b.turn((0..4).map(told).collect());
+    for shard in 0..4 {
+        let (id, _, out) = b.query(0, &[(shard, 1.0)]);
+        assert_eq!((sends(&out).len(), finals(&b.log, id)), (1, 0), "shard {shard}");
+    }
+}
