A call whose withdrawal is already here is not begun; connecting links take mail

A link took one message, wrote, and took the next. While it connected it took none. So a call and its withdrawal that both came before the connection was up went out as frame and `c`: the request of a client that left up to a whole connect time-out earlier. The same in a mailbox of a connection in use, and over HTTP, where it also costs the connection. A part that timed out while connecting was told to the core only at the end of the connect time, and its resend waited for that.

Ruled out: the core's side. A query and its withdrawal in one turn send nothing; the peer's actor keeps the order; a call in a link's queue is taken out.

At fault: Link::serve in src/net/link.rs (write before all mail is taken), run (connect without mail), Http::serve in src/front/opensearch/hosts.rs.

Change: all mail that waits is taken before the next byte; while connecting a frames link takes calls and withdrawals, and keeps probes and releases until the connection is there.

--- a/crates/fennelpin-standin/src/scripted.rs
+++ b/crates/fennelpin-standin/src/scripted.rs
@@ -109,6 +109,27 @@
     pub conns: Arc<Mutex<Vec<TcpStream>>>,
 }
 
+/// An address where connections never come up: its listener's queue is full.
+pub struct Stuck {
+    pub addr: String,
+    _listener: socket2::Socket,
+    _waiting: Vec<TcpStream>,
+}
+
+impl Stuck {
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Self {
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let any: std::net::SocketAddr = ([127, 0, 0, 1], 0).into();
+        listener.bind(&any.into()).unwrap();
+        listener.listen(0).unwrap();
+        let at = listener.local_addr().unwrap().as_socket().unwrap();
+        let fill = || TcpStream::connect_timeout(&at, ms(100)).ok();
+        let waiting = std::iter::from_fn(fill).take(64).collect();
+        Self { addr: at.to_string(), _listener: listener, _waiting: waiting }
+    }
+}
+
 /// Starts a host that speaks frames or OpenSearch.
 pub fn host(
     n: usize,
--- a/src/front/opensearch/hosts.rs
+++ b/src/front/opensearch/hosts.rs
@@ -265,6 +265,13 @@
                     _ = tokio::time::sleep(idle) => return ("idle", String::new()),
                 }
             }
+            // All that waits comes before the next byte goes out: a call must not begin of which the
+            // withdrawal is here already.
+            while let Ok(mail) = self.setup.mail.try_recv() {
+                if !self.take(mail) {
+                    return ("released", String::new());
+                }
+            }
             if self.probes > 0 {
                 if let Err(end) = self.probe(&mut conn).await {
                     return end;
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -213,12 +213,13 @@
 async fn run(mut setup: LinkSetup) {
     let mut queue = VecDeque::new();
     loop {
-        let opened = Conn::connect(&setup.addr, setup.connect_timeout, INPUT, OUTPUT).await;
-        let conn = match opened {
+        let mut held = Held::default();
+        let conn = match connect(&mut setup, &mut queue, &mut held).await {
             Ok(conn) => conn,
             Err(e) => {
                 setup.mail.close();
                 setup.log_end("connect_failed", &e.to_string());
+                (0..held.probes).for_each(|_| take_unconnected(&mut setup, &mut queue, LinkMail::Probe));
                 refuse_all(&mut setup, queue);
                 return;
             }
@@ -244,7 +245,13 @@
             heard: now,
             used: now,
         };
-        let (code, detail) = link.serve().await;
+        for _ in 0..held.probes {
+            link.take(LinkMail::Probe);
+        }
+        let (code, detail) = match held.release && !link.busy() {
+            true => ("released", String::new()),
+            false => link.serve().await,
+        };
         link.setup.log_end(code, &detail);
         let closed = matches!(code, "host_closed" | "extra_bytes" | "worn");
         link.setup.gauge.parts.fetch_sub(link.gone, Ordering::Relaxed);
@@ -271,6 +278,36 @@
     }
 }
 
+/// What came while a connection was being opened and needs it.
+#[derive(Default)]
+struct Held {
+    probes: usize,
+    release: bool,
+}
+
+/// Connects, and meanwhile takes what comes: a part given up before the connection is up is over at once and
+/// never goes out on it. What needs the connection is held until it is there.
+async fn connect(
+    setup: &mut LinkSetup,
+    queue: &mut VecDeque<Vec<CallPart>>,
+    held: &mut Held,
+) -> std::io::Result<Conn> {
+    let addr = setup.addr.clone();
+    let connecting = Conn::connect(&addr, setup.connect_timeout, INPUT, OUTPUT);
+    tokio::pin!(connecting);
+    loop {
+        tokio::select! {
+            biased;
+            Some(mail) = setup.mail.recv() => match mail {
+                LinkMail::Probe => held.probes += 1,
+                LinkMail::Release => held.release = true,
+                mail => take_unconnected(setup, queue, mail),
+            },
+            opened = &mut connecting => return opened,
+        }
+    }
+}
+
 fn remember(names: &mut VecDeque<String>, id: String, most: usize) {
     names.push_back(id);
     if names.len() > most {
@@ -330,6 +367,19 @@
     async fn serve(&mut self) -> (&'static str, String) {
         let mut open = true;
         loop {
+            // All that waits comes before the next byte goes out: a call must not begin of which the
+            // withdrawal is here already.
+            while open {
+                match self.setup.mail.try_recv() {
+                    Ok(mail) => {
+                        if !self.take(mail) {
+                            return ("released", String::new());
+                        }
+                    }
+                    Err(mpsc::error::TryRecvError::Empty) => break,
+                    Err(mpsc::error::TryRecvError::Disconnected) => open = false,
+                }
+            }
             if let Err(e) = self.write() {
                 return ("write_failed", e.to_string());
             }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -49,6 +49,10 @@
         self.act(|p, _| p.call(HOST, vec![part]));
     }
 
+    fn cancel(&mut self, n: u64) {
+        self.act(|p, _| p.cancel(HOST, RequestId(n), 0, Outcome::Cancelled));
+    }
+
     fn next(&mut self) -> Mail {
         let Self { runtime, mail, .. } = self;
         runtime.block_on(async { tokio::time::timeout(PATIENCE, mail.recv()).await.unwrap().unwrap() })
@@ -80,6 +84,41 @@
     assert_eq!(bench.ended(), (2, Outcome::Ok));
 }
 
+/// A call and its withdrawal that both come before the connection is up, or that both wait in the mailbox of
+/// one that is: nothing of it goes out, in either dialect, and what comes behind it does.
+#[test]
+fn a_call_withdrawn_before_it_begins_is_never_sent() {
+    for (dialect, http) in [(Arc::new(Frames) as Arc<dyn Dialect>, false), (Arc::new(OpenSearchHosts), true)]
+    {
+        let ledger = Ledger::default();
+        let answer = if http { r#"{"hits":{}}"# } else { "v" };
+        let host = host(0, http, &ledger, move |_| Act::Serve(answer.into()));
+        let mut bench = Bench::new(dialect, &host.addr);
+        for (gone, stays) in [(1, 2), (3, 4)] {
+            // None of the actors runs between these: all are in their mailboxes when they do.
+            bench.call(gone);
+            bench.cancel(gone);
+            bench.call(stays);
+            let mut ends = [bench.ended(), bench.ended()];
+            ends.sort_by_key(|e| e.0);
+            assert_eq!(ends, [(gone, Outcome::Cancelled), (stays, Outcome::Ok)]);
+            assert!(ledger.all().iter().all(|s| s.id != format!("q{gone}.0")), "q{gone} was sent");
+        }
+    }
+}
+
+/// A part given up while its connection does not come up is over at once: its resend waits for that alone.
+#[test]
+fn a_part_given_up_while_connecting_is_over_at_once() {
+    let stuck = Stuck::new();
+    let mut bench = Bench::new(Arc::new(Frames), &stuck.addr);
+    bench.act(|p, _| p.probe(HOST));
+    bench.call(1);
+    bench.cancel(1);
+    assert_eq!(bench.ended(), (1, Outcome::Cancelled), "before the connection's time is over");
+    assert!(matches!(bench.next(), Mail::Probed(HOST, Outcome::ConnectFailed, None)));
+}
+
 /// No call starts once a drain's grace is over, and what is withheld is proved never to have run.
 #[test]
 fn a_call_after_the_grace_is_withheld() {
