--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1002,6 +1002,20 @@
     }
 }
 
+/// Found on calm days of a third deployment: where worth goes by work, a query of many parts earns that many
+/// times its class's worth. Its parts' price was held against the worth of one, and light servers were left
+/// idle while queries were answered from two parts in five. Where worth goes by query the price is as before.
+#[test]
+fn where_worth_goes_by_work_a_part_is_priced_against_the_whole_query() {
+    for (worth_by_work, asked) in [(true, 4), (false, 1)] {
+        let classes = vec![Class { floor: 0.4, partial_earns: 0.95, ..class() }];
+        // Half of what counts as congestion.
+        let mut b = seasoned(Settings { classes, worth_by_work, ..settings() }, 150);
+        let (_, _, out) = b.query(0, &[(0, 0.55), (1, 0.2), (2, 0.15), (3, 0.1)]);
+        assert_eq!(sends(&out).len(), asked, "by work: {worth_by_work}");
+    }
+}
+
 /// Found in review: part times of zero made ranks of a division of zero by zero, and no candidate was left.
 #[test]
 fn part_times_of_zero_leave_a_choice() {
