--- a/src/choice.rs
+++ b/src/choice.rs
@@ -814,9 +814,8 @@
     /// The share of the weight, heaviest first, beyond which a part earns less than parts do on average.
     fn best_share(&self, c: &Class, order: &[&RequestId], total: f64) -> f64 {
         // What a part costs others rises faster than the wait does: next to nothing while servers are light.
-        let pressed = self.pressure().powi(2);
         let worth = c.worth * if self.cfg.worth_by_work { order.len() as f64 } else { 1.0 };
-        let price = pressed * self.worth_a_part() / worth.max(1e-6);
+        let price = self.pressure().powi(2) * self.worth_a_part() / worth.max(1e-6);
         let (mut sum, mut best) = (0.0, (f64::MIN, total));
         for (n, pid) in order.iter().enumerate() {
             sum += self.parts[pid].weight;
