A client that has left is looked for before its request is begun, and behind a full ring

(1) After a standstill or the pause for bad requests, a request and its client's end wait in the socket together: the query went to the core, the end was read after it. (2) Behind more than the ring takes nothing was read, so a client that sent much and left was never seen to leave while its request waited. (3) Where the settings allow no cancel, nothing stopped parts that still waited for a connection or for room once their query was over or their client gone. (4) A call half written to a host that does not read was finished whenever it read on, though all of it was given up.

At fault: answer_or_gone in src/net/http.rs (submitted before it looked; no look with a full ring), Table::close (left all to the module, which may not cancel there), Link::cancel (no time limit for a withdrawal behind a half-written frame).

Change: what waits in the socket is read, and the system's word on the read side taken, before the query is begun and while it waits (every 50 ms behind a full ring). Transport::retract takes back what has not begun.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -215,6 +215,8 @@
     /// Gives an attempt up; it ends with this outcome, or another already under way, once the host
     /// has been written to.
     fn cancel(&mut self, server: ServerId, part: RequestId, attempt: u32, outcome: Outcome);
+    /// Takes an attempt back that nobody waits for. One that has not begun ends as moot; else nothing happens.
+    fn retract(&mut self, server: ServerId, part: RequestId, attempt: u32);
     /// Probes a host.
     fn probe(&mut self, server: ServerId);
     /// Closes unused connections to a host.
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -63,6 +63,8 @@
     drain_grace: Duration,
     longest_hint: Option<Duration>,
     keyed: Vec<bool>,
+    /// Whether hosts may be told of what is given up: the module then withdraws what nobody waits for.
+    may_cancel: bool,
     servers: Names,
     zones: Names,
     listed: BTreeMap<ServerId, Listed>,
@@ -112,6 +114,7 @@
             bundle: site.settings.bundle_max.max(1) as usize,
             drain_grace: site.caps.drain_grace,
             longest_hint: site.settings.retry_after_max,
+            may_cancel: site.settings.may_cancel,
             router: crate::Router::new(site.settings, seed),
             clock,
             transport,
@@ -437,6 +440,17 @@
         }
     }
 
+    /// What of these parts has not begun yet never does: their query is over, or its client has left.
+    fn retract(&mut self, parts: &[RequestId]) {
+        for (id, part) in parts.iter().filter_map(|id| Some((*id, self.parts.get(id)?))) {
+            for n in 0..part.attempts {
+                if let Some(a) = self.attempts.get(&(id, n)).filter(|a| !a.given_up) {
+                    self.transport.retract(a.server, id, n);
+                }
+            }
+        }
+    }
+
     /// Takes a query out; its parts stay until the caller has read them.
     fn close(&mut self, id: RequestId) -> Option<Query> {
         let q = self.queries.remove(&id)?;
@@ -446,6 +460,9 @@
         self.tickets.remove(&q.ticket);
         self.deadlines.remove(&(q.deadline, id));
         self.release_name(&q.name);
+        if !self.may_cancel {
+            self.retract(&q.parts);
+        }
         if q.reply.is_closed() {
             self.drop_parts(&q.parts);
         }
--- a/src/front/opensearch/hosts.rs
+++ b/src/front/opensearch/hosts.rs
@@ -5,7 +5,7 @@
 use crate::interface::{Outcome, RequestId};
 use crate::net::conn::Conn;
 use crate::net::http::{response_head, Body, HttpError};
-use crate::net::link::{Dialect, LinkMail, LinkSetup, LinkTask, CANCEL_HEAD};
+use crate::net::link::{take_out, Dialect, LinkMail, LinkSetup, LinkTask, CANCEL_HEAD};
 use bytes::Bytes;
 use serde::de::IgnoredAny;
 use serde::Deserialize;
@@ -210,9 +210,7 @@
             }
             LinkMail::Cancel(part, attempt, outcome) => {
                 let this = |p: &CallPart| (p.part, p.attempt) == (part, attempt);
-                if self.queue.iter().flatten().any(this) {
-                    self.queue.iter_mut().for_each(|c| c.retain(|p| !this(p)));
-                    self.queue.retain(|c| !c.is_empty());
+                if take_out(&mut self.queue, part, attempt) {
                     let never = if outcome == Outcome::Timeout { Outcome::Moot } else { outcome };
                     self.setup.ended(part, attempt, never);
                 }
@@ -223,6 +221,11 @@
                     return false;
                 }
             }
+            LinkMail::Retract(part, attempt) => {
+                if take_out(&mut self.queue, part, attempt) {
+                    self.setup.ended(part, attempt, Outcome::Moot);
+                }
+            }
             LinkMail::Probe => self.probes += 1,
             LinkMail::StopAt(at) => self.setup.stop_at = at,
             LinkMail::Release => return !(self.out.is_empty() && self.queue.is_empty()),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest, Ready};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
 
@@ -796,7 +796,7 @@
             let answer = shared.service.no_seat(&request);
             Some(answer.retry_after(Some(Duration::from_secs(1))))
         } else {
-            answer_or_gone(&mut conn, shared.service.answer(request)).await
+            answer_or_gone(&mut conn, || shared.service.answer(request)).await
         };
         let Some(answer) = answer else { return (served, "client_gone") };
         log::trace!("answered {} after {:?}", answer.status, arrived.elapsed());
@@ -862,14 +862,48 @@
     let _ = tokio::time::timeout(Duration::from_millis(200), drain).await;
 }
 
-/// The answer, or `None` if the client closes first. A client that sends on is left to wait.
-async fn answer_or_gone(conn: &mut Conn, mut answer: Answering) -> Option<Response> {
+/// How often a client that has sent more than is taken is looked at for its end.
+const FULL_LOOK: Duration = Duration::from_millis(50);
+
+/// Takes what has come by now, up to a full ring; false once the client has gone. A client that ends only its
+/// own side has gone too: the protocol knows no other end, and nothing tells the two apart.
+fn stays(conn: &mut Conn, known: Ready) -> bool {
+    // Behind what is not taken no end can be read: there the system's word must do.
+    while conn.input.free() > 0 {
+        match conn.input.read_from(&conn.stream) {
+            Ok(n) if n > 0 => {}
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return true,
+            _ => return false,
+        }
+    }
+    !known.is_read_closed()
+}
+
+/// What the system has said of the socket by now.
+async fn known(conn: &Conn) -> Ready {
+    let ready = tokio::time::timeout(Duration::ZERO, conn.stream.ready(Interest::READABLE)).await;
+    ready.map_or(Ready::EMPTY, |r| r.unwrap_or(Ready::READ_CLOSED))
+}
+
+/// The answer to a request, or `None` if its client has gone before it is asked for, or goes first. A client
+/// that sends on is left to wait. What a client leaves behind in one go, request and end, is not begun.
+async fn answer_or_gone(conn: &mut Conn, ask: impl FnOnce() -> Answering) -> Option<Response> {
+    let at_first = known(conn).await;
+    if !stays(conn, at_first) {
+        return None;
+    }
+    let mut answer = ask();
     loop {
         let full = conn.input.free() == 0;
         tokio::select! {
             biased;
             done = &mut answer => return Some(done),
-            got = conn.fill(), if !full => if !matches!(got, Ok(n) if n > 0) { return None },
+            _ = tokio::time::sleep(FULL_LOOK), if full => {}
+            ready = conn.stream.readable(), if !full => if ready.is_err() { return None },
+        }
+        let by_now = known(conn).await;
+        if !stays(conn, by_now) {
+            return None;
         }
     }
 }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -43,6 +43,8 @@
     Call(Vec<CallPart>),
     /// Give an attempt up.
     Cancel(RequestId, u32, Outcome),
+    /// Take an attempt back if it has not begun.
+    Retract(RequestId, u32),
     /// Probe the host.
     Probe,
     /// Start no more calls after this; `None` lifts it.
@@ -315,19 +317,30 @@
     }
 }
 
+/// Takes an attempt out of the calls that have not begun; whether it was there.
+pub fn take_out(queue: &mut VecDeque<Vec<CallPart>>, part: RequestId, attempt: u32) -> bool {
+    let this = |p: &CallPart| (p.part, p.attempt) == (part, attempt);
+    let there = queue.iter().flatten().any(this);
+    queue.iter_mut().for_each(|c| c.retain(|p| !this(p)));
+    queue.retain(|c| !c.is_empty());
+    there
+}
+
 fn take_unconnected(setup: &mut LinkSetup, queue: &mut VecDeque<Vec<CallPart>>, mail: LinkMail) {
     match mail {
         LinkMail::Call(parts) => queue.push_back(parts),
         LinkMail::Cancel(part, attempt, outcome) => {
-            let known = queue.iter().flatten().any(|p| (p.part, p.attempt) == (part, attempt));
-            if known {
-                queue.iter_mut().for_each(|c| c.retain(|p| (p.part, p.attempt) != (part, attempt)));
-                queue.retain(|c| !c.is_empty());
+            if take_out(queue, part, attempt) {
                 // Never sent, so never ran, whatever it was given up for.
                 let never = if outcome == Outcome::Timeout { Outcome::Moot } else { outcome };
                 setup.ended(part, attempt, never);
             }
         }
+        LinkMail::Retract(part, attempt) => {
+            if take_out(queue, part, attempt) {
+                setup.ended(part, attempt, Outcome::Moot);
+            }
+        }
         LinkMail::Probe => {
             let failed = Mail::Probed(setup.server, Outcome::ConnectFailed, None);
             let _ = setup.core.send(failed);
@@ -403,7 +416,8 @@
                 };
                 continue;
             }
-            if !self.leaving.is_empty() && now - self.leaving_since > CANCEL_WAIT {
+            let behind = self.sending.as_ref().is_some_and(|s| !s.given_up.is_empty());
+            if (behind || !self.leaving.is_empty()) && now - self.leaving_since > CANCEL_WAIT {
                 return ("withdrawn", "a withdrawal could not be written".into());
             }
             let probe_late = self.probes.front().is_some_and(|t| now - *t > self.setup.connect_timeout);
@@ -478,6 +492,7 @@
                 self.queue.push_back(parts);
             }
             LinkMail::Cancel(part, attempt, outcome) => self.cancel(part, attempt, outcome),
+            LinkMail::Retract(..) => take_unconnected(&mut self.setup, &mut self.queue, mail),
             LinkMail::Probe => {
                 self.used = Instant::now();
                 self.probes.push_back(self.used);
@@ -508,6 +523,9 @@
         } else if let Some(s) = self.sending.as_mut() {
             // Its frame has begun and must be finished; the withdrawal follows it.
             if s.parts.iter().any(|p| (p.part, p.attempt) == key) {
+                if self.leaving.is_empty() && s.given_up.is_empty() {
+                    self.leaving_since = Instant::now();
+                }
                 s.given_up.push((part, attempt, outcome));
                 return;
             }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -18,6 +18,7 @@
     Listed(String, Option<Instant>),
     Call(Vec<CallPart>),
     Cancel(RequestId, u32, Outcome),
+    Retract(RequestId, u32),
     Probe,
     Release,
 }
@@ -109,6 +110,10 @@
         self.tell(server, PeerMail::Cancel(part, attempt, outcome));
     }
 
+    fn retract(&mut self, server: ServerId, part: RequestId, attempt: u32) {
+        self.tell(server, PeerMail::Retract(part, attempt));
+    }
+
     fn probe(&mut self, server: ServerId) {
         self.tell(server, PeerMail::Probe);
     }
@@ -136,6 +141,9 @@
                         let _ = l.mail.send(LinkMail::Cancel(part, attempt, outcome));
                     });
                 }
+                PeerMail::Retract(part, attempt) => {
+                    self.links.iter().for_each(|l| drop(l.mail.send(LinkMail::Retract(part, attempt))));
+                }
                 PeerMail::Probe => {
                     let link = self.sound_link(0).unwrap_or_else(|| self.open());
                     if link.send(LinkMail::Probe).is_err() {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use fennelpin::core::{settings, CallPart, Clock, Ended, Listed, Mail, NewPart, NewQuery, Table, Transport};
+use fennelpin::core::{
+    settings, Answer, CallPart, Clock, Ended, Listed, Mail, NewPart, NewQuery, Table, Transport,
+};
 use fennelpin::counters::Counters;
 use fennelpin::{ClassId, ListKind, Outcome, RequestId, ServerId, ServerState};
 use std::sync::{Arc, Mutex};
@@ -14,6 +16,8 @@
 struct Asked {
     calls: Vec<(ServerId, RequestId)>,
     forgotten: Vec<ServerId>,
+    cancelled: Vec<RequestId>,
+    retracted: Vec<RequestId>,
 }
 
 #[derive(Clone, Default)]
@@ -24,7 +28,12 @@
     fn call(&mut self, server: ServerId, parts: Vec<CallPart>) {
         self.0.lock().unwrap().calls.extend(parts.iter().map(|p| (server, p.part)));
     }
-    fn cancel(&mut self, _: ServerId, _: RequestId, _: u32, _: Outcome) {}
+    fn cancel(&mut self, _: ServerId, part: RequestId, _: u32, _: Outcome) {
+        self.0.lock().unwrap().cancelled.push(part);
+    }
+    fn retract(&mut self, _: ServerId, part: RequestId, _: u32) {
+        self.0.lock().unwrap().retracted.push(part);
+    }
     fn probe(&mut self, _: ServerId) {}
     fn release(&mut self, _: ServerId) {}
     fn forget(&mut self, server: ServerId) {
@@ -37,6 +46,49 @@
     Listed { id, addr, zone, cell: 0, state, up_since_ms: 0 }
 }
 
+/// A query of one part under this ticket.
+fn query(ticket: u64, arrived: Instant) -> (Mail, tokio::sync::oneshot::Receiver<Answer>) {
+    let (name, class, parts) = ("q".into(), ClassId(0), vec![NewPart { shard: 0, weight: 1.0 }]);
+    let (wait, payload) = (ms(100_000), Default::default());
+    let query =
+        NewQuery { name, class, tenant: None, arrived, wait, repeat: None, key: None, parts, payload };
+    let (reply, answer) = tokio::sync::oneshot::channel();
+    (Mail::Query(Box::new(query), ticket, reply), answer)
+}
+
+/// A client leaves while its part waits with the transport: it is withdrawn where hosts may be told so, else
+/// taken back, which stops what has not begun. Leaving in the turn of the query, nothing is sent at all.
+#[test]
+fn what_a_client_leaves_behind_is_stopped_whether_or_not_hosts_may_be_told() {
+    for may_cancel in [true, false] {
+        for same_turn in [true, false] {
+            let mut settings = settings();
+            settings["caps"]["may_cancel"] = may_cancel.into();
+            let site = settings::read(&settings.to_string()).unwrap();
+            let (script, start) = (Script::default(), Instant::now());
+            let counters = Counters::default();
+            let mut table = Table::new(site, 7, Clock::new(), script.clone(), 1 << 20, counters.clone());
+            table.take(Mail::List(ListKind::Full, vec![host(0, ServerState::Ready)]), start);
+            let (query, answer) = query(1, start);
+            table.take(query, start);
+            if !same_turn {
+                table.turn_end(start);
+            }
+            drop(answer);
+            table.take(Mail::Withdraw(1), start);
+            table.turn_end(start);
+            let asked = script.0.lock().unwrap();
+            let (sent, stopped) = (asked.calls.len(), (asked.cancelled.len(), asked.retracted.len()));
+            match (same_turn, may_cancel) {
+                (true, _) => assert_eq!((sent, stopped), (0, (0, 0))),
+                (false, true) => assert_eq!((sent, stopped), (1, (1, 0))),
+                (false, false) => assert_eq!((sent, stopped), (1, (0, 1))),
+            }
+            assert_eq!(counters.get("answered.none.client_gone"), 1);
+        }
+    }
+}
+
 /// Where hosts are replaced by others all day, what goes by the name of one must go with it, but not while a
 /// part is still out there.
 #[test]
@@ -45,19 +97,8 @@
     let (script, counters, start) = (Script::default(), Counters::default(), Instant::now());
     let mut table = Table::new(site, 7, Clock::new(), script.clone(), 1 << 20, counters.clone());
     table.take(Mail::List(ListKind::Full, vec![host(0, ServerState::Ready)]), start);
-    let query = NewQuery {
-        name: "q".into(),
-        class: ClassId(0),
-        tenant: None,
-        arrived: start,
-        wait: ms(100_000),
-        repeat: None,
-        key: None,
-        parts: vec![NewPart { shard: 0, weight: 1.0 }],
-        payload: Default::default(),
-    };
-    let (reply, _answer) = tokio::sync::oneshot::channel();
-    table.take(Mail::Query(Box::new(query), 1, reply), start);
+    let (query, _answer) = query(1, start);
+    table.take(query, start);
     table.turn_end(start);
     let (server, part) = script.0.lock().unwrap().calls[0];
     table.take(Mail::List(ListKind::Changes, vec![host(0, ServerState::Gone)]), start);
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -107,6 +107,65 @@
     }
 }
 
+/// Taking a part back stops what has not begun, and nothing else: what is on the wire runs its course.
+#[test]
+fn a_part_taken_back_is_stopped_unless_it_has_begun() {
+    for (dialect, http) in [(Arc::new(Frames) as Arc<dyn Dialect>, false), (Arc::new(OpenSearchHosts), true)]
+    {
+        let ledger = Ledger::default();
+        let (met, go) = std::sync::mpsc::channel();
+        let (go, met) = (std::sync::Mutex::new(go), std::sync::Mutex::new(met));
+        let answer = if http { r#"{"hits":{}}"# } else { "v" };
+        let host = host(0, http, &ledger, move |_| {
+            go.lock().unwrap().recv().unwrap();
+            Act::Serve(answer.into())
+        });
+        let mut bench = Bench::new(dialect, &host.addr);
+        bench.call(1);
+        bench.act(|p, _| p.retract(HOST, RequestId(1), 0));
+        assert_eq!(bench.ended(), (1, Outcome::Moot));
+        bench.call(2);
+        bench.runtime.block_on(async {
+            while ledger.all().is_empty() {
+                tokio::time::sleep(ms(1)).await;
+            }
+        });
+        bench.act(|p, _| p.retract(HOST, RequestId(2), 0));
+        met.lock().unwrap().send(()).unwrap();
+        assert_eq!(bench.ended(), (2, Outcome::Ok));
+        assert_eq!(ledger.all().len(), 1);
+    }
+}
+
+/// A frame that its host does not read to the end, of which a part is given up: the connection is closed within
+/// the time for a withdrawal, or the rest would go out whenever the host reads on. Nothing of it has run.
+#[test]
+fn a_half_written_call_that_is_given_up_is_never_finished() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut bench = Bench::new(Arc::new(Frames), &listener.local_addr().unwrap().to_string());
+    let (give_up, name, payload) = (Instant::now() + PATIENCE, "q1".into(), vec![b'x'; 64 << 20].into());
+    let part = CallPart { part: RequestId(1), attempt: 0, name, shard: 0, give_up, key: None, payload };
+    bench.act(|p, _| p.call(HOST, vec![part]));
+    let (tx, accepted) = std::sync::mpsc::channel();
+    std::thread::spawn(move || tx.send(listener.accept().unwrap().0));
+    let begun = |s: &std::net::TcpStream| matches!(s.peek(&mut [0]), Ok(1));
+    let Bench { runtime, .. } = &bench;
+    let host = runtime.block_on(async {
+        loop {
+            tokio::time::sleep(ms(1)).await;
+            if let Ok(stream) = accepted.try_recv() {
+                while !begun(&stream) {
+                    tokio::time::sleep(ms(1)).await;
+                }
+                break stream;
+            }
+        }
+    });
+    bench.cancel(1);
+    assert_eq!(bench.ended(), (1, Outcome::ConnectFailed));
+    drop(host);
+}
+
 /// A part given up while its connection does not come up is over at once: its resend waits for that alone.
 #[test]
 fn a_part_given_up_while_connecting_is_over_at_once() {
