A list watch's silence counts from its last whole line; calls left unanswered are made again

Seen: reading the watch for where silence meets what comes next, against the term that what a silent watch missed counts as told 6 s after its last line. (1) Any byte counted as life: a line that drips, or stops half-way after an empty line, kept the watch for ever. (2) A call made while discovery is down was waited for 4.5 s; what the agent has at the return counts at once, and a drain's grace is 1 to 4 s. (3) Of a fleet of 300 that has to ask, each waited up to 6 s after silence. (4) Lists may come indented; each line was read as an object.

Ruled out, by test: moves to and fro before the new place speaks, a new place that never speaks, an earlier place heard after a later one.

At fault: try_follow and run in src/net/list.rs.

Change: a bounded reader of objects without I/O (src/net/objects.rs) takes one line or many and tells bad input at the byte that shows it, and an empty line within an object; silence counts from whole objects and empty lines. An agent has half of a drain's grace for its head and its first object, the latter doubled with each watch that gave none. The wait after a silent watch ends within half of what is left of the 6 s.

--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -3,18 +3,21 @@
 use super::backoff::Backoff;
 use super::conn::Conn;
 use super::http::{response_head, Body, HttpError, INPUT};
+use super::objects::{Found, NoObject, Objects};
 use crate::core::{Listed, Mail};
 use crate::counters::Counters;
 use crate::interface::{ListKind, ServerState};
-use bytes::{Buf, BytesMut};
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// Discovery sends a line every 2 s; one silent for so long is asked anew, early enough that a drain it
 /// did not tell is still kept.
 const SILENT: Duration = Duration::from_millis(4500);
+/// What a silent watch missed counts as told so long after its last line: by then a new one must have spoken.
+const TOLD: Duration = Duration::from_secs(6);
 const CONNECT: Duration = Duration::from_secs(1);
 /// Waits after calls that failed, of one coordinator among a few; with more of them each waits longer.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(500));
@@ -22,7 +25,7 @@
 /// With a list in hand the first calls of a fleet that starts at one moment are spread over so much for each
 /// coordinator beyond a few: about what a call of some tens of lines takes discovery.
 const START: Duration = Duration::from_millis(40);
-/// Longest line of a watch.
+/// Largest object of a watch.
 const MOST_LINE: usize = 1024 * 1024;
 
 #[derive(Deserialize)]
@@ -89,9 +92,21 @@
     /// Coordinators that ask one discovery, and the time within which each has to have asked again: the
     /// longest wait. `None` where discovery has an agent on each machine, which answers at no cost.
     pub shared: Option<(u32, Duration)>,
+    /// Time that a host which drains is still sent to.
+    pub grace: Duration,
 }
 
 impl Pace {
+    /// Time for the head of an answer. An agent on the machine answers at once or, while discovery is down,
+    /// not at all, and what it hears then counts as told at once: it is asked again within half of a drain's
+    /// grace. Where calls wait in turn, all of the time that silence may last.
+    fn head(&self) -> Duration {
+        match self.shared {
+            None => (self.grace / 2).clamp(CONNECT / 4, SILENT),
+            Some(_) => SILENT,
+        }
+    }
+
     /// The waits after calls that failed, and the spread of the first call.
     pub fn backoff(&self) -> (Backoff, Duration) {
         let (fleet, longest) = self.shared.unwrap_or((1, BACKOFF.1));
@@ -116,6 +131,15 @@
     pub replaces: Vec<AbortHandle>,
 }
 
+impl From<NoObject> for HttpError {
+    fn from(e: NoObject) -> Self {
+        match e {
+            NoObject::Malformed => Self::Malformed("list line"),
+            NoObject::TooLarge => Self::BodyTooLarge,
+        }
+    }
+}
+
 impl Watch {
     /// Watches, and goes on at each further address that comes. The list stands, and the watch before goes
     /// on, until the new one speaks; versions of one discovery mean nothing to another.
@@ -144,66 +168,69 @@
         if self.revision.is_some() {
             tokio::time::sleep(backoff.start(spread)).await;
         }
+        // The first object comes with the head; where none did, the next watch is given longer.
+        let mut first = self.pace.head();
         loop {
             let before = self.revision;
             let mut lines = 0;
-            let end = self.follow(&mut lines).await;
+            let end = self.follow(&mut lines, first).await;
+            first = if lines > 0 { self.pace.head() } else { (2 * first).min(SILENT) };
             self.counters.inc("list.ended");
             if lines > 0 || self.revision != before {
                 backoff.reached();
             }
-            let wait = backoff.failed();
+            // A watch that fell silent after lines is no sign of a service in need: its successor has to speak
+            // before what was missed counts, whatever a fleet that lost the service would wait.
+            let silent = lines > 0 && matches!(end, HttpError::Slow);
+            let longest = if silent { (TOLD - SILENT) / 2 } else { Duration::MAX };
+            let wait = backoff.failed().min(longest);
             log::info!(source = self.addr, end = end.code(), lines, detail:% = end, wait:?; "list");
             tokio::time::sleep(wait).await;
         }
     }
 
-    async fn follow(&mut self, lines: &mut u64) -> HttpError {
-        match self.try_follow(lines).await {
+    async fn follow(&mut self, lines: &mut u64, first: Duration) -> HttpError {
+        match self.try_follow(lines, first).await {
             Ok(()) => HttpError::Closed,
             Err(e) => e,
         }
     }
 
-    async fn try_follow(&mut self, lines: &mut u64) -> Result<(), HttpError> {
+    async fn try_follow(&mut self, lines: &mut u64, first: Duration) -> Result<(), HttpError> {
         let mut conn = Conn::connect(&self.addr, CONNECT, INPUT, 1024).await?;
         let since = self.revision.map_or(String::new(), |r| format!("&since={r}"));
         let ask = format!("GET /catalog/members?follow=1{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
         conn.write_all(ask.as_bytes()).await?;
         let slow = |_| HttpError::Slow;
-        let head = tokio::time::timeout(SILENT, response_head(&mut conn)).await.map_err(slow)?;
-        let (status, headers) = head?;
+        let (status, headers) = timeout(self.pace.head(), response_head(&mut conn)).await.map_err(slow)??;
         log::debug!("list: status {status}{since}");
         if status != 200 {
             return Err(HttpError::Malformed("discovery's status"));
         }
-        let mut body = Body::of_response(&headers)?;
-        let mut bytes = BytesMut::new();
-        while tokio::time::timeout(SILENT, body.next(&mut conn, &mut bytes)).await.map_err(slow)?? {
-            while let Some(n) = bytes.iter().position(|b| *b == b'\n') {
-                let line = bytes.split_to(n + 1);
+        let (mut body, mut objects) = (Body::of_response(&headers)?, Objects::new(MOST_LINE));
+        // Silence counts from the last whole line: one that drips, or stops half-way, tells nothing.
+        let mut until = Instant::now() + first;
+        while timeout_at(until, body.next(&mut conn, objects.input())).await.map_err(slow)?? {
+            while let Some(found) = objects.found()? {
+                until = Instant::now() + SILENT;
                 *lines += 1;
-                self.line(line.trim_ascii())?;
-            }
-            if bytes.len() > MOST_LINE {
-                return Err(HttpError::BodyTooLarge);
+                if let Found::Object(line) = found {
+                    self.line(&line)?;
+                }
             }
         }
-        // A last line without its end is one that was cut: its changes come again.
-        bytes.advance(bytes.len());
+        // A last object without its end is one that was cut: its changes come again.
         Ok(())
     }
 
-    /// One line. A malformed one costs the connection, as what it would have told is missing now: the
+    /// One object. A malformed one costs the connection, as what it would have told is missing now: the
     /// next watch starts from the last version that was read.
     fn line(&mut self, line: &[u8]) -> Result<(), HttpError> {
-        if line.is_empty() {
-            return Ok(());
-        }
         let News { revision, complete, members } = news(line).map_err(|e| {
             log::warn!("list: {e}");
             HttpError::Malformed("list line")
         })?;
+        log::debug!("list: revision {revision} complete {complete} entries {}", members.len());
         self.revision = Some(revision);
         self.replaces.drain(..).for_each(|old| old.abort());
         let kind = if complete { ListKind::Full } else { ListKind::Changes };
@@ -222,7 +249,7 @@
     fn first_calls_and_waits_follow_from_how_many_share_discovery() {
         let within = Duration::from_secs(10);
         let start = |seed: u64| {
-            let (mut backoff, spread) = Pace { seed, shared: Some((100, within)) }.backoff();
+            let (mut backoff, spread) = Pace { seed, shared: Some((100, within)), grace: CONNECT }.backoff();
             backoff.start(spread)
         };
         let mut first: Vec<Duration> = (0..100).map(start).collect();
@@ -231,7 +258,7 @@
         assert!(busiest > Duration::from_millis(500), "30 within {busiest:?}");
         assert!(first[99] < Duration::from_secs(4));
         for shared in [None, Some((3, within))] {
-            let (mut backoff, spread) = Pace { seed: 1, shared }.backoff();
+            let (mut backoff, spread) = Pace { seed: 1, shared, grace: CONNECT }.backoff();
             assert_eq!(backoff.start(spread), Duration::ZERO);
             (0..20).for_each(|_| assert!(backoff.failed() <= BACKOFF.1));
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod link;
 pub mod list;
+pub mod objects;
 pub mod peer;
 pub mod ring;
 pub mod silence;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -188,7 +188,8 @@
     } else if let Some(addr) = config.discovery {
         let settings = &config.site.settings;
         let shared = settings.must_ask_in.map(|within| (settings.routers, within));
-        let (pace, replaces) = (Pace { seed: config.seed, shared }, Vec::new());
+        let pace = Pace { seed: config.seed, shared, grace: config.site.caps.drain_grace };
+        let replaces = Vec::new();
         tokio::spawn(Watch { addr, revision, core, counters, pace, replaces }.follow_moves(moves));
     }
 }
