Settings of nothing, of ages or at odds are refused at the start, with their key

Seen: check-config took a step of 0, negative times and 1e300 ms, two classes of one name and a class named like a path or like /_health; limits of 2^60 wrapped round in Room::of.

Ruled out: a crash by huge times.

At fault: settings::read (no bounds but for balancers and the layout), Room::of in src/config.rs.

Change: check() in src/core/settings.rs refuses what can mean nothing.

Children of tests/process.rs now end by a guard: one left behind by a failed assertion held the runner's output. That is the likely cause of the 20 minutes a run hung, not proved: the test passes as first written.

--- a/src/config.rs
+++ b/src/config.rs
@@ -12,6 +12,8 @@
 
 /// Fewest descriptors and least memory that the program can serve with.
 const LEAST: (usize, usize) = (128, 24);
+/// No machine has more of either; what is worked out from it must not overflow.
+const MOST_LIMIT: usize = 1 << 24;
 /// Most cores of one process.
 const MOST_CORES: usize = 64;
 /// Fewest connections to hosts, and seats for clients, that a core can work with.
@@ -43,10 +45,10 @@
     /// rest, so that clients can't keep the program from them.
     fn of(limits: &RawLimits, desk: bool) -> Result<Self, ConfigError> {
         let (sockets, memory_mb) = (limits.sockets.unwrap_or(1024), limits.memory_mb.unwrap_or(192));
-        if sockets < LEAST.0 {
+        if !(LEAST.0..=MOST_LIMIT).contains(&sockets) {
             return Err(ConfigError::Value("limits.sockets", sockets.to_string()));
         }
-        if memory_mb < LEAST.1 {
+        if !(LEAST.1..=MOST_LIMIT).contains(&memory_mb) {
             return Err(ConfigError::Value("limits.memory_mb", memory_mb.to_string()));
         }
         let sockets = sockets - if desk { KEPT_FOR_DESK } else { 0 };
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -208,6 +208,64 @@
     quota_per_s: Option<f64>,
 }
 
+/// Longest time that any key may name, in milliseconds: some days. Beyond it a number is a slip of the pen.
+const MOST_MS: f64 = 1e9;
+
+/// Whether a number lies within what its key can mean.
+fn within(key: &'static str, value: f64, least: f64, most: f64) -> Result<(), SettingsError> {
+    match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => Err(SettingsError::Value(key, value.to_string())),
+    }
+}
+
+/// Refuses numbers that mean nothing. What merely is unwise is taken: other settings may make sense of it.
+fn check(raw: &RawSettings) -> Result<(), SettingsError> {
+    let (s, caps, family, least) = (&raw.safety, &raw.caps, &raw.family_info, 1e-3);
+    let counts = |n: Option<usize>| n.map(|n| n as f64);
+    let given = [
+        ("step", Some(raw.step), least, 60_000.0),
+        ("caps.conn_idle", caps.conn_idle, least, MOST_MS),
+        ("caps.connect_timeout", caps.connect_timeout, least, MOST_MS),
+        ("caps.max_retry_after", Some(caps.max_retry_after), 0.0, MOST_MS),
+        ("family_info.call_cost", Some(family.call_cost), 0.0, MOST_MS),
+        ("safety.drain_grace", s.drain_grace, 0.0, MOST_MS),
+        ("safety.budget_span", s.budget_span, least, MOST_MS),
+        ("safety.ramp_time", s.ramp_time, 0.0, MOST_MS),
+        ("safety.tip_after", s.tip_after, 0.0, MOST_MS),
+        ("safety.must_ask_in", s.must_ask_in, least, MOST_MS),
+        ("safety.cold_share", s.cold_share, 0.0, 1.0),
+        ("caps.open_cap", counts(caps.open_cap), 1.0, 1e9),
+        ("caps.streams_per_conn", counts(caps.streams_per_conn), 1.0, 1e9),
+        ("caps.max_attempts", caps.max_attempts.map(f64::from), 1.0, 1e9),
+        ("family_info.bundle_max", family.bundle_max.map(f64::from), 1.0, 1e9),
+        ("family_info.shards", family.shards.map(f64::from), 1.0, 1e9),
+    ];
+    for (key, value, least, most) in given {
+        value.map_or(Ok(()), |v| within(key, v, least, most))?;
+    }
+    for (key, values) in
+        [("family_info.class_need", &family.class_need), ("family_info.class_floor", &family.class_floor)]
+    {
+        values.iter().try_for_each(|v| within(key, *v, 0.0, 1.0))?;
+    }
+    let mut names = std::collections::BTreeSet::new();
+    for c in &raw.classes {
+        // A class is a path of one piece, beside those that begin with an underscore.
+        if c.name.is_empty() || c.name.contains('/') || c.name.starts_with('_') || !names.insert(&c.name) {
+            return Err(SettingsError::Value("classes.name", c.name.clone()));
+        }
+        within("classes.goal_time", c.goal_time, least, MOST_MS)?;
+        within("classes.hard_limit", c.hard_limit, least, MOST_MS)?;
+        within("classes.window", c.window, 0.0, MOST_MS)?;
+        within("classes.worth", c.worth, 0.0, f64::MAX)?;
+    }
+    if names.is_empty() {
+        return Err(SettingsError::Value("classes", "[]".into()));
+    }
+    Ok(())
+}
+
 /// Reads the settings, a JSON object as the simulator's first message and the platform's file have it.
 pub fn read(json: &str) -> Result<Site, SettingsError> {
     let raw: RawSettings = serde_path_to_error::deserialize(&mut serde_json::Deserializer::from_str(json))?;
@@ -215,6 +273,7 @@
     if !(1..=MOST_COORDINATORS).contains(&raw.balancers) {
         return Err(SettingsError::Value("balancers", raw.balancers.to_string()));
     }
+    check(&raw)?;
     let mut zones = Names::default();
     let family = &raw.family_info;
     let mut classes = Vec::new();
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -65,6 +65,39 @@
         let (code, said) = check("balancers", &bad.to_string(), None);
         assert!(code == Some(2) && said.contains("balancers"), "{number}: {code:?} {said}");
     }
+    // Settings that are zero, huge or negative were taken without a word.
+    let (zero, huge, below) = (json!(0), json!(1e300), json!(-1));
+    for (parent, key, values) in [
+        ("", "step", vec![&zero, &huge, &below]),
+        ("/safety", "drain_grace", vec![&huge, &below]),
+        ("/caps", "connect_timeout", vec![&zero, &huge, &below]),
+        ("/caps", "conn_idle", vec![&zero, &huge]),
+        ("/caps", "max_retry_after", vec![&huge, &below]),
+        ("/caps", "open_cap", vec![&zero, &huge, &below]),
+        ("/caps", "streams_per_conn", vec![&zero, &huge]),
+        ("/caps", "max_attempts", vec![&zero, &below]),
+        ("/family_info", "sets", vec![&zero, &below]),
+        ("/family_info", "bundle_max", vec![&zero]),
+        ("/family_info", "class_floor", vec![&json!([2.0]), &json!([-1])]),
+        ("/classes/0", "goal_time", vec![&zero, &huge, &below]),
+        ("/classes/0", "hard_limit", vec![&zero, &huge, &below]),
+        ("/classes/0", "name", vec![&json!("report"), &json!("a/b"), &json!("_x"), &json!("")]),
+        ("/classes/2", "window", vec![&huge, &below]),
+        ("", "classes", vec![&json!([])]),
+    ] {
+        for value in values {
+            let mut bad = good();
+            bad["settings"].pointer_mut(parent).unwrap()[key] = value.clone();
+            let (code, said) = check("extreme", &bad.to_string(), None);
+            assert!(code == Some(2) && said.contains(key), "{key}: {value}: {code:?} {said}");
+        }
+    }
+    for limit in ["sockets", "memory_mb"] {
+        let mut bad = good();
+        bad["limits"] = json!({limit: 1u64 << 60});
+        let (code, said) = check("limits", &bad.to_string(), None);
+        assert!(code == Some(2) && said.contains(limit), "{limit}: {code:?} {said}");
+    }
     let mut alone = good();
     alone["settings"]["balancers"] = json!(1);
     assert_eq!(check("alone", &alone.to_string(), None).0, Some(0));
@@ -106,19 +139,42 @@
     }
 }
 
+/// A child that ends with its test, whatever becomes of that: left over, it would hold the runner's output.
+struct Guard(Child);
+
+impl std::ops::Deref for Guard {
+    type Target = Child;
+    fn deref(&self) -> &Child {
+        &self.0
+    }
+}
+
+impl std::ops::DerefMut for Guard {
+    fn deref_mut(&mut self) -> &mut Child {
+        &mut self.0
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// The coordinator as a process, its log, and where it listens.
-fn serve(path: &PathBuf) -> (Child, BufReader<ChildStderr>, String) {
+fn serve(path: &PathBuf) -> (Guard, BufReader<ChildStderr>, String) {
     serve_with(path, None)
 }
 
 /// The same with an operator's file.
-fn serve_with(path: &PathBuf, operator: Option<&PathBuf>) -> (Child, BufReader<ChildStderr>, String) {
+fn serve_with(path: &PathBuf, operator: Option<&PathBuf>) -> (Guard, BufReader<ChildStderr>, String) {
     let mut command = binary();
     command.arg("serve").env("PROXY_CONFIG", path).stderr(Stdio::piped());
     if let Some(operator) = operator {
         command.arg("--operator").arg(operator);
     }
-    let mut child = command.spawn().unwrap();
+    let mut child = Guard(command.stdout(Stdio::null()).spawn().unwrap());
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let line = line_with(&mut log, "listening on ");
     let addr = line.rsplit(' ').next().unwrap().to_owned();
@@ -184,6 +240,33 @@
     assert!(rest.contains("answered.served.full=2") && rest.contains("end=stopping"), "{rest}");
 }
 
+/// SIGTERM again, and SIGHUP after it, while a request is out: neither cuts what was taken.
+#[test]
+fn signals_after_sigterm_cost_no_answer() {
+    let ledger = Ledger::default();
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let wait = std::sync::Mutex::new(wait);
+    let h = host(0, false, &ledger, move |s| {
+        let _ = wait.lock().unwrap().recv_timeout(PATIENCE);
+        Act::Serve(format!("v{}", s.shard))
+    });
+    let members = [member(0, &h.addr, 0, "Ready")];
+    let path = file("twice", &config("127.0.0.1:0", &members, &settings(), None));
+    let (mut child, mut log, addr) = serve(&path);
+    let mut client = Client::new(&addr);
+    client.query("near", "q1", 3000, &[0]);
+    until("the part is out", || ledger.all().len() == 1);
+    signal(&child, "-TERM");
+    line_with(&mut log, "stopping: ");
+    signal(&child, "-TERM");
+    signal(&child, "-HUP");
+    line_with(&mut log, "configuration: ");
+    go.send(()).unwrap();
+    assert_eq!(client.read().0, 200);
+    drop(client);
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
+
 /// The same with four cores: a signal reaches all of them, and none ends before it has answered.
 #[test]
 fn four_cores_follow_sighup_and_end_together_on_sigterm() {
