--- /dev/null
+++ b/crates/fallow/src/lib.rs
@@ -0,0 +1,3 @@
+//! To be written.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
