Member's shell: identity, disk thread, links, control API

Cause: the control plane's state machine needs its I/O. Change: rootstock::shell with a stand-in of the member and of the file; the roster isn't wired yet. Measured: builds; not run.

--- /dev/null
+++ b/crates/rootstock/src/shell/disk.rs
@@ -0,0 +1,152 @@
+//! The disk's thread: it alone waits for the disk. Writes that have queued up share one sync.
+
+use crate::member::DiskError;
+use crate::shell::identity::{latest, Birth, Identity};
+use furrow::Furrow;
+use std::path::PathBuf;
+use std::sync::mpsc;
+
+/// Records of identities that are kept before the file is rewritten.
+const IDENTITIES: usize = 64;
+/// Writes that share a sync at most.
+const BATCH: usize = 256;
+
+/// A write that waits for the disk.
+#[derive(Debug)]
+pub struct Write {
+    /// Its number.
+    pub ticket: u64,
+    /// The records.
+    pub records: Vec<Vec<u8>>,
+    /// Whether they stand for all that was there.
+    pub rewrite: bool,
+}
+
+/// What the thread tells.
+#[derive(Debug)]
+pub enum Told {
+    /// The files are open.
+    Open {
+        /// The identity of this life.
+        identity: Identity,
+        /// The member's records.
+        records: Vec<Vec<u8>>,
+    },
+    /// The files can't be opened (yet); the thread tries again.
+    NotOpen {
+        /// Why.
+        detail: String,
+    },
+    /// A write has ended.
+    Wrote {
+        /// Its number.
+        ticket: u64,
+        /// Whether it is on disk.
+        result: Result<(), DiskError>,
+    },
+}
+
+/// Starts the thread. It ends when the sender of writes is dropped; `tell` is called on the thread.
+///
+/// # Errors
+/// Where no thread can be started.
+pub fn start(
+    dir: PathBuf,
+    birth: Birth,
+    tell: impl Fn(Told) + Send + 'static,
+) -> std::io::Result<mpsc::Sender<Write>> {
+    let (writes, queue) = mpsc::channel::<Write>();
+    std::thread::Builder::new().name("disk".into()).spawn(move || work(&dir, &birth, &tell, &queue))?;
+    Ok(writes)
+}
+
+fn work(dir: &std::path::Path, birth: &Birth, tell: &dyn Fn(Told), queue: &mpsc::Receiver<Write>) {
+    let (mut who, mut file, identity) = loop {
+        match open(dir, birth) {
+            Ok((who, file, identity, records)) => {
+                tell(Told::Open { identity: identity.clone(), records });
+                break (who, file, identity);
+            }
+            Err(detail) => tell(Told::NotOpen { detail }),
+        }
+        match queue.recv_timeout(std::time::Duration::from_millis(250)) {
+            Err(mpsc::RecvTimeoutError::Disconnected) => return,
+            // Nobody writes before the files are open.
+            Ok(_) | Err(mpsc::RecvTimeoutError::Timeout) => {}
+        }
+    };
+    while let Ok(first) = queue.recv() {
+        let mut batch = vec![first];
+        while batch.len() < BATCH {
+            let Ok(next) = queue.try_recv() else { break };
+            batch.push(next);
+        }
+        let mut rest = batch.as_slice();
+        while let Some(head) = rest.first() {
+            // What is rewritten stands by itself; what is added goes together.
+            let count = match head.rewrite {
+                true => 1,
+                false => rest.iter().take_while(|w| !w.rewrite).count(),
+            };
+            let (now, later) = rest.split_at(count);
+            let kept = who.keep(&identity);
+            let result = kept.and_then(|()| put(&mut file, now, head.rewrite));
+            if let Err(e) = &result {
+                log::debug!(error:% = e; "disk refuses");
+            }
+            for write in now {
+                let result = result.as_ref().map(|_| ()).map_err(refusal);
+                tell(Told::Wrote { ticket: write.ticket, result });
+            }
+            rest = later;
+        }
+    }
+}
+
+fn refusal(_error: &furrow::Error) -> DiskError {
+    DiskError::Failed
+}
+
+fn put(file: &mut Furrow, writes: &[Write], rewrite: bool) -> Result<(), furrow::Error> {
+    let records: Vec<&[u8]> = writes.iter().flat_map(|w| w.records.iter().map(Vec::as_slice)).collect();
+    match rewrite {
+        true => file.rewrite(&records),
+        false => file.append(&records),
+    }
+}
+
+/// The identity's file: nothing else is written before the identity is kept.
+struct Who {
+    file: Furrow,
+    records: usize,
+    kept: bool,
+}
+
+impl Who {
+    fn keep(&mut self, identity: &Identity) -> Result<(), furrow::Error> {
+        if self.kept {
+            return Ok(());
+        }
+        let record = graft::write_one(identity);
+        match self.records < IDENTITIES {
+            true => self.file.append(&[&record])?,
+            false => self.file.rewrite(&[&record])?,
+        }
+        self.kept = true;
+        Ok(())
+    }
+}
+
+type Open = (Who, Furrow, Identity, Vec<Vec<u8>>);
+
+fn open(dir: &std::path::Path, birth: &Birth) -> Result<Open, String> {
+    let (file, kept) = Furrow::open(dir, "identity").map_err(|e| e.to_string())?;
+    let identity = birth.identity(latest(&kept));
+    let mut who = Who { file, records: kept.len(), kept: false };
+    // A full disk is no reason to stay away: the number of the life follows the time of day as well.
+    if let Err(e) = who.keep(&identity) {
+        log::warn!(error:% = e; "identity not kept yet");
+    }
+    let (file, records) = Furrow::open(dir, "ledger").map_err(|e| e.to_string())?;
+    Ok((who, file, identity, records))
+}
