The one binary: programs as subcommands, operators' commands, deploy file

Cause: one set of pages in memory for all programs. Change: orchard with bpaf and logforth; agent and proxy aren't wired yet. Measured: builds; not run.

--- a/crates/orchard/src/lib.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! To be written.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
--- /dev/null
+++ b/crates/orchard/src/roles.rs
@@ -0,0 +1,55 @@
+//! The three programs, each on one thread.
+
+use crate::failure::{Failure, RootstockSnafu, StartSnafu};
+use crate::options::From;
+use crate::settings;
+use snafu::ResultExt;
+use std::future::Future;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+
+/// Runs `work` on this thread to its end.
+fn run<F: Future<Output = Result<(), Failure>>>(work: F) -> Result<(), Failure> {
+    let runtime = Builder::new_current_thread().enable_all().build().context(StartSnafu)?;
+    LocalSet::new().block_on(&runtime, work)
+}
+
+/// Done when the process is asked to end.
+fn stop() -> Result<impl Future<Output = ()>, Failure> {
+    let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
+    let mut int = signal(SignalKind::interrupt()).context(StartSnafu)?;
+    Ok(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    })
+}
+
+/// A member of the control plane.
+pub fn rootstock(from: &From) -> Result<(), Failure> {
+    let boot = settings::read(&from.settings)?;
+    run(async {
+        let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
+        rootstock::shell::run(boot, seeds, stop()?).await.context(RootstockSnafu)
+    })
+}
+
+/// A machine's agent.
+pub fn hedgerow(from: &From) -> Result<(), Failure> {
+    let _boot = settings::read(&from.settings)?;
+    run(async {
+        stop()?.await;
+        Ok(())
+    })
+}
+
+/// A proxy.
+pub fn trellis(from: &From) -> Result<(), Failure> {
+    let _boot = settings::read(&from.settings)?;
+    run(async {
+        stop()?.await;
+        Ok(())
+    })
+}
