Control plane: the member's state machine and the ledger

Cause: who acts, and what lasts, has to survive any loss that the settings allow. Change: rootstock::member (canvass, promise, view, lease, copies, voters that come and go), rootstock::ledger; graft has the messages for it.

--- a/crates/almanac/src/document.rs
+++ b/crates/almanac/src/document.rs
@@ -153,7 +153,12 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_header_bytes: 16384, max_body_bytes: 4 << 20, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
+        Self {
+            max_header_bytes: 16384,
+            max_body_bytes: 4 << 20,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15000,
+        }
     }
 }
 
@@ -396,8 +401,7 @@
     pub fn delta(&self, newer: &Document) -> Delta {
         let (routes, gone_routes) = changed(&self.routes, &newer.routes);
         let (services, gone_services) = changed(&self.services, &newer.services);
-        let limits =
-            newer.limits.as_ref().filter(|_| self.limits != newer.limits).map(|l| l.raw.to_string());
+        let limits = newer.limits.as_ref().filter(|_| self.limits != newer.limits).map(|l| l.raw.to_string());
         Delta { from: self.version, to: newer.version, routes, services, gone_routes, gone_services, limits }
     }
 
--- a/crates/graft/src/message.rs
+++ b/crates/graft/src/message.rs
@@ -58,6 +58,10 @@
     #[br(parse_with = list)]
     #[bw(write_with = put_list)]
     pub voters: Vec<Seat>,
+    /// The voters of the view that it followed: while these differ, the next view needs a majority of both.
+    #[br(parse_with = list)]
+    #[bw(write_with = put_list)]
+    pub before: Vec<Seat>,
 }
 
 /// How far a ledger goes.
@@ -344,6 +348,39 @@
     },
 }
 
+/// What a member keeps on disk.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// No lower epoch is followed any more.
+    #[brw(magic(1u8))]
+    Promised {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// A view, with the ledger at its start where the member holds it.
+    #[brw(magic(2u8))]
+    Accepted {
+        /// The view.
+        view: View,
+        /// The ledger.
+        #[br(parse_with = option)]
+        #[bw(write_with = put_option)]
+        snapshot: Option<Snapshot>,
+    },
+    /// A change of the ledger.
+    #[brw(magic(3u8))]
+    Change {
+        /// Epoch of the view.
+        epoch: u64,
+        /// Number of the change.
+        seq: u64,
+        /// The change.
+        change: Change,
+    },
+}
+
 /// A message.
 #[binrw]
 #[brw(little)]
@@ -363,6 +400,24 @@
         #[bw(write_with = put_list)]
         seats: Vec<Seat>,
     },
+    /// Asks whether a promise would be given, before it is asked for: nobody is disturbed by one that can't win.
+    #[brw(magic(8u8))]
+    Canvass {
+        /// The highest epoch that the speaker knows.
+        seen: u64,
+    },
+    /// The answer to [`Message::Canvass`].
+    #[brw(magic(9u8))]
+    Canvassed {
+        /// Whether a promise would be given now.
+        #[br(parse_with = flag)]
+        #[bw(write_with = put_flag)]
+        willing: bool,
+        /// The highest epoch that the speaker has promised.
+        seen: u64,
+        /// When asking again makes sense.
+        wait_ms: u32,
+    },
     /// Asks for a promise to follow no lower epoch.
     #[brw(magic(10u8))]
     Prepare {
@@ -553,7 +608,6 @@
     },
 }
 
-
 impl From<SocketAddrV4> for Addr {
     fn from(addr: SocketAddrV4) -> Self {
         Self { ip: u32::from(*addr.ip()), port: addr.port() }
@@ -576,8 +630,15 @@
         self.voters.iter().find(|s| s.id == id)
     }
 
-    /// How many voters are a majority.
-    pub fn majority(&self) -> usize {
-        self.voters.len() / 2 + 1
+    /// Whether those that `has` names are a majority of the voters, and of the voters before.
+    pub fn majority(&self, has: impl Fn(u64) -> bool) -> bool {
+        let most = |seats: &[Seat]| 2 * seats.iter().filter(|s| has(s.id)).count() > seats.len();
+        most(&self.voters) && most(&self.before)
+    }
+
+    /// Whether its voters are those of the view before.
+    pub fn settled(&self) -> bool {
+        let ids = |seats: &[Seat]| seats.iter().map(|s| s.id).collect::<std::collections::BTreeSet<_>>();
+        ids(&self.voters) == ids(&self.before)
     }
 }
--- /dev/null
+++ b/crates/rootstock/src/member/candidate.rs
@@ -0,0 +1,314 @@
+//! A member that stands: it canvasses, gathers promises, takes the ledger over, installs a view. The primary
+//! goes the same way to change its view.
+//!
+//! A view whose voters differ from those before it may not have been agreed on: until its primary has followed it
+//! with one that keeps the voters, whoever stands needs a majority of both, and hands both on as they are.
+
+use super::disk::After;
+use super::primary::Acting;
+use super::view::choose_copies;
+use super::{Member, Output, Role};
+use crate::ledger::Ledger;
+use graft::{Message, Record, Seat, Snapshot, Tag, View};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Bits of an epoch that tell candidates apart.
+const OWN_BITS: u32 = 20;
+
+/// How a view is to differ from the one before.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct ViewChange {
+    /// Members that are not to be copies.
+    pub(super) exclude: BTreeSet<u64>,
+    /// Voters that come.
+    pub(super) add: Vec<Seat>,
+    /// Voters that go.
+    pub(super) remove: BTreeSet<u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Canvass,
+    Prepare,
+    Fetch,
+    Copies,
+    Witnesses,
+}
+
+#[derive(Debug)]
+pub(super) struct Candidacy {
+    pub(super) epoch: u64,
+    phase: Phase,
+    since: Duration,
+    willing: BTreeSet<u64>,
+    asked: BTreeSet<u64>,
+    promises: BTreeMap<u64, (View, Option<Tag>)>,
+    installed: BTreeSet<u64>,
+    target: Option<(View, Ledger)>,
+    change: ViewChange,
+    /// The view whose primary this member was, and so knows to be agreed on.
+    agreed: Option<u64>,
+}
+
+impl Candidacy {
+    fn new(now: Duration, change: ViewChange, agreed: Option<u64>) -> Self {
+        Self {
+            epoch: 0,
+            phase: Phase::Canvass,
+            since: now,
+            willing: BTreeSet::new(),
+            asked: BTreeSet::new(),
+            promises: BTreeMap::new(),
+            installed: BTreeSet::new(),
+            target: None,
+            change,
+            agreed,
+        }
+    }
+}
+
+/// All seats of a view that have a say.
+fn electors(view: &View) -> BTreeSet<u64> {
+    view.voters.iter().chain(&view.before).map(|s| s.id).collect()
+}
+
+impl Member {
+    /// A voter that sees no lease stands once its turn has come.
+    pub(super) fn run_idle(&mut self, out: &mut Vec<Output>) {
+        let held_back = self.grant.is_some_and(|g| g.until > self.now) || self.leaving || !self.fit();
+        let idle = matches!(self.role, Role::Idle) && self.is_voter() && self.now >= self.stand_at;
+        if held_back || !idle {
+            return;
+        }
+        self.stand_at = self.now + self.config.lease / 2 + self.stagger();
+        self.role = Role::Candidate(Box::new(Candidacy::new(self.now, ViewChange::default(), None)));
+        let others = self.view.as_ref().map(electors).unwrap_or_default();
+        for id in others.into_iter().filter(|id| *id != self.me()) {
+            self.send(id, Message::Canvass { seen: self.seen }, out);
+        }
+        self.canvassed(out);
+    }
+
+    pub(super) fn on_canvassed(
+        &mut self,
+        from: Seat,
+        willing: bool,
+        seen: u64,
+        wait_ms: u32,
+        out: &mut Vec<Output>,
+    ) {
+        self.see(seen);
+        let Role::Candidate(candidacy) = &mut self.role else { return };
+        if candidacy.phase != Phase::Canvass {
+            return;
+        }
+        if willing {
+            candidacy.willing.insert(from.id);
+            self.canvassed(out);
+        } else {
+            let wait = Duration::from_millis(u64::from(wait_ms));
+            self.stand_at = self.stand_at.max(self.now + wait + self.config.lease / 20);
+        }
+    }
+
+    fn canvassed(&mut self, out: &mut Vec<Output>) {
+        let (me, Role::Candidate(candidacy)) = (self.me(), &self.role) else { return };
+        let enough = |v: &View| v.majority(|id| id == me || candidacy.willing.contains(&id));
+        if self.view.as_ref().is_some_and(enough) {
+            self.prepare(ViewChange::default(), None, out);
+        }
+    }
+
+    /// Asks for promises under a new epoch.
+    pub(super) fn prepare(&mut self, change: ViewChange, agreed: Option<u64>, out: &mut Vec<Output>) {
+        let round = (self.seen.max(self.promised) >> OWN_BITS) + 1;
+        let epoch = (round << OWN_BITS) | (self.me() & ((1 << OWN_BITS) - 1));
+        let mut candidacy = Candidacy::new(self.now, change, agreed);
+        (candidacy.epoch, candidacy.phase) = (epoch, Phase::Prepare);
+        self.step_down();
+        self.role = Role::Candidate(Box::new(candidacy));
+        let me = self.config.me.clone();
+        self.promise(me, epoch);
+        let electors = self.view.as_ref().map(electors).unwrap_or_default();
+        self.ask_promises(electors, out);
+    }
+
+    fn ask_promises(&mut self, ids: BTreeSet<u64>, out: &mut Vec<Output>) {
+        let me = self.config.me.clone();
+        let Role::Candidate(candidacy) = &mut self.role else { return };
+        let epoch = candidacy.epoch;
+        let new: Vec<u64> =
+            ids.into_iter().filter(|id| *id != me.id && candidacy.asked.insert(*id)).collect();
+        for id in new {
+            self.send(id, Message::Prepare { epoch, candidate: me.clone() }, out);
+        }
+    }
+
+    pub(super) fn on_promise(
+        &mut self,
+        from: Seat,
+        epoch: u64,
+        granted: bool,
+        has: Option<(View, Option<Tag>)>,
+        wait_ms: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let Role::Candidate(candidacy) = &mut self.role else { return };
+        if candidacy.epoch != epoch || candidacy.phase != Phase::Prepare {
+            return;
+        }
+        match has {
+            Some(has) if granted => {
+                candidacy.promises.insert(from.id, has);
+                self.promised_by_many(out);
+            }
+            _ => {
+                let wait = Duration::from_millis(u64::from(wait_ms));
+                self.stand_at = self.stand_at.max(self.now + wait);
+            }
+        }
+    }
+
+    /// Goes on once a majority of the highest view's electors, a copy of it among them, has promised.
+    fn promised_by_many(&mut self, out: &mut Vec<Output>) {
+        let Role::Candidate(candidacy) = &self.role else { return };
+        let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch);
+        let Some(highest) = highest.cloned() else { return };
+        // The highest view may know of others than this member's own.
+        self.ask_promises(electors(&highest), out);
+        let Role::Candidate(candidacy) = &mut self.role else { return };
+        if !highest.majority(|id| candidacy.promises.contains_key(&id)) {
+            return;
+        }
+        if highest.epoch == 0 {
+            return self.compose(highest, Ledger::default(), out);
+        }
+        let holds = |p: &(&u64, &(View, Option<Tag>))| {
+            highest.copies.contains(p.0) && p.1 .1.is_some_and(|t| t.epoch == highest.epoch)
+        };
+        let mut holders: Vec<(u64, u64)> =
+            candidacy.promises.iter().filter(holds).map(|(id, p)| (*id, p.1.map_or(0, |t| t.seq))).collect();
+        let me = self.config.me.id;
+        let own = self.view.as_ref().is_some_and(|v| v.epoch == highest.epoch);
+        if let Some(held) = self.held.as_ref().filter(|_| own && holders.iter().any(|h| h.0 == me)) {
+            let ledger = held.disk.clone();
+            return self.compose(highest, ledger, out);
+        }
+        holders.sort_by_key(|h| h.1);
+        if let Some((holder, _)) = holders.pop().filter(|h| h.0 != me) {
+            let epoch = candidacy.epoch;
+            candidacy.phase = Phase::Fetch;
+            self.send(holder, Message::Fetch { epoch }, out);
+        }
+    }
+
+    pub(super) fn on_fetched(&mut self, _from: Seat, epoch: u64, snapshot: &Snapshot, out: &mut Vec<Output>) {
+        let Role::Candidate(candidacy) = &self.role else { return };
+        if candidacy.epoch != epoch || candidacy.phase != Phase::Fetch {
+            return;
+        }
+        let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch).cloned();
+        if let Some((highest, ledger)) = highest.zip(Ledger::of(snapshot).ok()) {
+            self.compose(highest, ledger, out);
+        }
+    }
+
+    /// Makes the new view and sends it to its copies; where they are too few, more promises may come.
+    fn compose(&mut self, base: View, ledger: Ledger, out: &mut Vec<Output>) {
+        let Role::Candidate(candidacy) = &self.role else { return };
+        let change = candidacy.change.clone();
+        let agreed = candidacy.agreed == Some(base.epoch);
+        let mut voters: Vec<Seat> = base.voters.iter().map(|s| self.fresh(s)).collect();
+        let before = match agreed {
+            true => {
+                voters.retain(|s| !change.remove.contains(&s.id));
+                voters
+                    .extend(change.add.iter().filter(|a| !base.voters.iter().any(|v| v.id == a.id)).cloned());
+                base.voters.iter().map(|s| self.fresh(s)).collect()
+            }
+            false => base.before.iter().map(|s| self.fresh(s)).collect(),
+        };
+        let me = self.me();
+        let there = |id: u64| {
+            let well = self.peers.get(&id).is_none_or(|p| p.fit) && !change.exclude.contains(&id);
+            let joins = agreed && change.add.iter().any(|s| s.id == id);
+            id == me || (well && (candidacy.promises.contains_key(&id) || joins))
+        };
+        let mut seats: Vec<&Seat> = voters.iter().filter(|s| there(s.id)).collect();
+        seats.sort_by_key(|s| (s.id != me, !base.copies.contains(&s.id)));
+        let copies = choose_copies(&self.config.budget, &seats);
+        let Some(copies) = copies.filter(|_| voters.iter().any(|s| s.id == me)) else { return };
+        let view = View { epoch: candidacy.epoch, primary: me, copies, voters, before };
+        let snapshot = Some(ledger.snapshot());
+        for copy in view.copies.iter().filter(|c| **c != me) {
+            let to = view.seat(*copy).map(|s| self.fresh(s));
+            let message = Message::Install { view: view.clone(), snapshot: snapshot.clone() };
+            out.extend(to.map(|to| Output::Send { to, message }));
+        }
+        let after = After::Installed {
+            to: self.config.me.clone(),
+            view: Box::new(view.clone()),
+            ledger: Some(Box::new(ledger.clone())),
+        };
+        self.write(&Record::Accepted { view: view.clone(), snapshot }, after);
+        let now = self.now;
+        if let Role::Candidate(candidacy) = &mut self.role {
+            (candidacy.phase, candidacy.since) = (Phase::Copies, now);
+            candidacy.target = Some((view, ledger));
+        }
+    }
+
+    pub(super) fn on_installed(&mut self, from: u64, epoch: u64, ok: bool, out: &mut Vec<Output>) {
+        if let (Role::Primary(acting), true) = (&mut self.role, ok) {
+            if acting.epoch == epoch {
+                acting.lacking.remove(&from);
+            }
+            return;
+        }
+        let Role::Candidate(candidacy) = &mut self.role else { return };
+        let Some((view, ledger)) = candidacy.target.clone().filter(|t| t.0.epoch == epoch) else { return };
+        if !ok {
+            if view.copies.contains(&from) {
+                self.peers.entry(from).and_modify(|p| p.fit = false);
+                self.give_up(self.now);
+            }
+            return;
+        }
+        candidacy.installed.insert(from);
+        if candidacy.phase == Phase::Copies && view.copies.iter().all(|c| candidacy.installed.contains(c)) {
+            candidacy.phase = Phase::Witnesses;
+            for id in electors(&view).into_iter().filter(|id| !view.copies.contains(id)) {
+                self.send(id, Message::Install { view: view.clone(), snapshot: None }, out);
+            }
+        }
+        let Role::Candidate(candidacy) = &mut self.role else { return };
+        if candidacy.phase == Phase::Witnesses && view.majority(|id| candidacy.installed.contains(&id)) {
+            let lacking = view.voters.iter().map(|s| s.id).filter(|id| !candidacy.installed.contains(id));
+            let lacking = lacking.collect();
+            self.grant = None;
+            self.role = Role::Primary(Box::new(Acting::new(epoch, self.now, ledger, &view, lacking)));
+            self.publish(out);
+            self.run_primary(out);
+        }
+    }
+
+    fn give_up(&mut self, until: Duration) {
+        self.step_down();
+        self.stand_at = self.stand_at.max(until) + self.stagger();
+    }
+
+    pub(super) fn run_candidate(&mut self, _out: &mut Vec<Output>) {
+        let Role::Candidate(candidacy) = &self.role else { return };
+        if self.now >= candidacy.since + self.config.lease / 2 || self.leaving {
+            self.give_up(self.now);
+        }
+    }
+
+    pub(super) fn candidate_wake(&self) -> Option<Duration> {
+        match &self.role {
+            Role::Candidate(candidacy) => Some(candidacy.since + self.config.lease / 2),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rootstock/src/member/commands.rs
@@ -0,0 +1,96 @@
+//! Commands of hosts and the operator, taken by any member and run by the primary.
+
+use super::{Member, Output, Role};
+use almanac::Code;
+use graft::{Command, Message, Seat};
+use std::time::Duration;
+
+/// A command that the primary has not answered is asked again after this; asking twice does no harm.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+
+/// A command of a caller of this member.
+#[derive(Debug)]
+pub(super) struct Local {
+    command: Command,
+    since: Duration,
+    /// The primary that was asked last, and when.
+    pub(super) asked: Option<(u64, Duration)>,
+    /// Whether a primary may have it.
+    sent: bool,
+}
+
+/// Where an answer goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Source {
+    /// A caller of this member.
+    Local(u64),
+    /// Another member, with its number.
+    Remote(u64, u64),
+}
+
+impl Member {
+    pub(super) fn on_command(&mut self, ticket: u64, command: Command) {
+        self.local.insert(ticket, Local { command, since: self.now, asked: None, sent: false });
+    }
+
+    pub(super) fn on_ask(&mut self, from: Seat, id: u64, command: Command) {
+        if let Role::Primary(acting) = &mut self.role {
+            let source = Source::Remote(from.id, id);
+            if !acting.inbox.iter().any(|i| i.0 == source) {
+                acting.inbox.push_back((source, command));
+            }
+        }
+    }
+
+    pub(super) fn on_answer(&mut self, id: u64, code: u16, text: Vec<u8>, out: &mut Vec<Output>) {
+        let code = Code::of(code).unwrap_or(Code::Unclear);
+        self.answer(Source::Local(id), code, text, out);
+    }
+
+    pub(super) fn answer(&mut self, to: Source, code: Code, body: Vec<u8>, out: &mut Vec<Output>) {
+        match to {
+            Source::Local(ticket) if self.local.remove(&ticket).is_some() => {
+                out.push(Output::Answer { ticket, code, body });
+            }
+            Source::Local(_) => {}
+            Source::Remote(member, id) => {
+                self.send(member, Message::Answer { id, code: code.number(), text: body }, out);
+            }
+        }
+    }
+
+    /// Hands what waits to whoever acts, and ends what has waited too long.
+    pub(super) fn run_commands(&mut self, out: &mut Vec<Output>) {
+        let (now, patience, me) = (self.now, self.config.patience, self.me());
+        let over: Vec<u64> =
+            self.local.iter().filter(|l| now >= l.1.since + patience).map(|l| *l.0).collect();
+        for ticket in over {
+            let code = if self.local[&ticket].sent { Code::Unclear } else { Code::NoPrimary };
+            self.answer(Source::Local(ticket), code, Vec::new(), out);
+        }
+        if let Some(primary) = self.primary().filter(|_| !self.local.is_empty()) {
+            let due = |l: &Local| {
+                l.asked.is_none_or(|(to, at)| to != primary.id || (to != me && now >= at + ASK_AGAIN))
+            };
+            for (id, local) in self.local.iter_mut().filter(|l| due(l.1)) {
+                local.asked = Some((primary.id, now));
+                local.sent = true;
+                let command = local.command.clone();
+                match &mut self.role {
+                    Role::Primary(acting) => acting.inbox.push_back((Source::Local(*id), command)),
+                    _ => out.push(Output::Send {
+                        to: primary.clone(),
+                        message: Message::Ask { id: *id, command },
+                    }),
+                }
+            }
+        }
+        self.serve_inbox(out);
+    }
+
+    pub(super) fn commands_wake(&self) -> Option<Duration> {
+        let ends = self.local.values().map(|l| l.since + self.config.patience).min();
+        let asks = self.local.values().filter_map(|l| l.asked).filter(|a| a.0 != self.me());
+        ends.into_iter().chain(asks.map(|a| a.1 + ASK_AGAIN)).min()
+    }
+}
--- /dev/null
+++ b/crates/rootstock/src/member/mod.rs
@@ -0,0 +1,422 @@
+//! A member of the control plane: voter, copy, candidate, primary. Takes inputs with the time and says what to
+//! send, write and answer. Safety rests on epochs; leases only say who may act and when others may stand.
+
+mod candidate;
+mod commands;
+mod disk;
+mod primary;
+mod view;
+mod voter;
+
+pub use view::choose_copies;
+
+use crate::ledger::Ledger;
+use almanac::{Code, Document, FaultBudget};
+use candidate::Candidacy;
+use commands::Local;
+use disk::Disk;
+use graft::{Command, Message, Record, Seat, View};
+use primary::Acting;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a member is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its own seat.
+    pub me: Seat,
+    /// Set only where the whole system starts for the first time and the disk is empty: the voters of view 0.
+    pub bootstrap_voters: Option<Vec<Seat>>,
+    /// What may be lost at once.
+    pub budget: FaultBudget,
+    /// How long a lease lasts.
+    pub lease: Duration,
+    /// How long a command of a caller may wait for its answer.
+    pub patience: Duration,
+    /// A write that takes longer means that the disk stalls.
+    pub stall: Duration,
+}
+
+/// A write that the disk refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskError {
+    /// There is no room.
+    Full,
+    /// Another failure.
+    Failed,
+}
+
+/// What happens to a member.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A message came.
+    Message {
+        /// Who sent it.
+        from: Seat,
+        /// The message.
+        message: Message,
+    },
+    /// A write that was asked for is over.
+    Wrote {
+        /// Its number.
+        ticket: u64,
+        /// How it ended; what was refused is not on disk.
+        result: Result<(), DiskError>,
+    },
+    /// A host or the operator calls.
+    Command {
+        /// The caller's number for it.
+        ticket: u64,
+        /// The command.
+        command: Command,
+    },
+    /// A member shows that it is there.
+    Reachable {
+        /// Its seat.
+        seat: Seat,
+    },
+    /// The process is asked to end.
+    Leave,
+}
+
+/// What a member asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a message; it may be lost.
+    Send {
+        /// To whom.
+        to: Seat,
+        /// The message.
+        message: Message,
+    },
+    /// Write records and sync them. One write is out at a time.
+    Write {
+        /// Number of the write.
+        ticket: u64,
+        /// The records.
+        records: Vec<Vec<u8>>,
+        /// Whether they stand for all that the file holds; else they are appended.
+        rewrite: bool,
+    },
+    /// Answer a command.
+    Answer {
+        /// The caller's number.
+        ticket: u64,
+        /// The result.
+        code: Code,
+        /// What goes with it: a text, or the configuration read.
+        body: Vec<u8>,
+    },
+    /// The newest acknowledged ledger, from the primary.
+    Publish {
+        /// Number of its last change.
+        seq: u64,
+        /// The configuration.
+        document: Arc<Document>,
+        /// Hosts that are leaving or gone.
+        drains: Vec<String>,
+    },
+    /// Come back with a [`Input::Tick`] at this time at the latest.
+    Wake {
+        /// The time.
+        at: Duration,
+    },
+    /// Nothing is left to hand over: the process may end.
+    Left,
+}
+
+/// A lease granted as a voter.
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    to: u64,
+    epoch: u64,
+    until: Duration,
+}
+
+/// The ledger as a copy holds it.
+#[derive(Clone, Debug)]
+struct Held {
+    /// With all changes taken.
+    head: Ledger,
+    /// As far as it is on disk.
+    disk: Ledger,
+}
+
+#[derive(Debug)]
+struct Peer {
+    seat: Seat,
+    heard: Duration,
+    /// Whether its disk takes writes, by its latest word.
+    fit: bool,
+}
+
+#[derive(Debug)]
+enum Role {
+    Idle,
+    Candidate(Box<Candidacy>),
+    Primary(Box<Acting>),
+}
+
+/// A member.
+#[derive(Debug)]
+pub struct Member {
+    config: Config,
+    now: Duration,
+    started: Duration,
+    /// Whether it may have granted a lease in an earlier life.
+    restarted: bool,
+    random: u64,
+    promised: u64,
+    /// The highest epoch seen anywhere.
+    seen: u64,
+    view: Option<View>,
+    held: Option<Held>,
+    grant: Option<Grant>,
+    peers: BTreeMap<u64, Peer>,
+    role: Role,
+    /// When it may stand next.
+    stand_at: Duration,
+    disk: Disk,
+    local: BTreeMap<u64, Local>,
+    leaving: bool,
+}
+
+impl Member {
+    /// A member whose disk holds these records. `random` only spreads what several members do.
+    pub fn new(config: Config, records: &[Vec<u8>], now: Duration, random: u64) -> Self {
+        let mut member = Self {
+            now,
+            started: now,
+            restarted: !records.is_empty(),
+            random: random | 1,
+            promised: 0,
+            seen: 0,
+            view: None,
+            held: None,
+            grant: None,
+            peers: BTreeMap::new(),
+            role: Role::Idle,
+            stand_at: now,
+            disk: Disk::default(),
+            local: BTreeMap::new(),
+            leaving: false,
+            config,
+        };
+        if let Some(voters) = member.config.bootstrap_voters.clone() {
+            let before = voters.clone();
+            member.view = Some(View { epoch: 0, primary: 0, copies: vec![], voters, before });
+        }
+        records.iter().filter_map(|r| graft::read_one(r).ok()).for_each(|r| member.recover(r));
+        member.disk.kept(records.iter().map(Vec::len).sum());
+        let start = if member.restarted { member.config.lease } else { Duration::ZERO };
+        member.stand_at = now + start + member.stagger();
+        member
+    }
+
+    fn recover(&mut self, record: Record) {
+        match record {
+            Record::Promised { epoch } => self.promised = self.promised.max(epoch),
+            Record::Accepted { view, snapshot } => {
+                self.promised = self.promised.max(view.epoch);
+                let ledger = snapshot.and_then(|s| Ledger::of(&s).ok());
+                self.held = ledger.map(|l| Held { head: l.clone(), disk: l });
+                self.view = Some(view);
+            }
+            Record::Change { seq, change, .. } => {
+                let next = self.held.as_ref().filter(|h| h.head.seq + 1 == seq);
+                if let Some(next) = next.and_then(|h| h.head.after(&change).ok()) {
+                    self.held = Some(Held { head: next.clone(), disk: next });
+                }
+            }
+        }
+        self.seen = self.seen.max(self.promised);
+    }
+
+    /// Takes one input; what has to be done is added to `out`, which ends with the next time to wake.
+    pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => {}
+            Input::Message { from, message } => {
+                self.note(&from);
+                self.on_message(from, message, out);
+            }
+            Input::Wrote { ticket, result } => self.on_wrote(ticket, result, out),
+            Input::Command { ticket, command } => self.on_command(ticket, command),
+            Input::Reachable { seat } => self.note(&seat),
+            Input::Leave => {
+                self.leaving = true;
+                self.yield_lease(out);
+                out.push(Output::Left);
+            }
+        }
+        self.run_primary(out);
+        self.run_candidate(out);
+        self.run_idle(out);
+        self.run_commands(out);
+        self.flush(out);
+        out.push(Output::Wake { at: self.next_wake() });
+    }
+
+    fn on_message(&mut self, from: Seat, message: Message, out: &mut Vec<Output>) {
+        match message {
+            Message::Canvass { seen } => self.on_canvass(from, seen, out),
+            Message::Prepare { epoch, candidate } => self.on_prepare(from, epoch, candidate, out),
+            Message::Install { view, snapshot } => self.on_install(from, view, snapshot, out),
+            Message::Append { epoch, seq, change } => self.on_append(from, epoch, seq, change, out),
+            Message::Renew { epoch, stamp, .. } => self.on_renew(from, epoch, stamp, out),
+            Message::Fetch { epoch } => self.on_fetch(from, epoch, out),
+            Message::Yield { epoch } => self.on_yield(epoch),
+            Message::Canvassed { willing, seen, wait_ms } => {
+                self.on_canvassed(from, willing, seen, wait_ms, out)
+            }
+            Message::Promise { epoch, granted, seen, view, tag, wait_ms } => {
+                self.see(seen);
+                self.on_promise(from, epoch, granted, view.zip(Some(tag)), wait_ms, out);
+            }
+            Message::Fetched { epoch, snapshot, .. } => self.on_fetched(from, epoch, &snapshot, out),
+            Message::Installed { epoch, ok, seen } => {
+                self.see(seen);
+                self.on_installed(from.id, epoch, ok, out);
+            }
+            Message::Appended { epoch, seq, ok, seen } => {
+                self.see(seen);
+                self.on_appended(from.id, epoch, seq, ok, out);
+            }
+            Message::Renewed { epoch, stamp, ok, seen, fit } => {
+                self.see(seen);
+                self.on_renewed(from, epoch, stamp, ok, fit, out);
+            }
+            Message::Ask { id, command } => self.on_ask(from, id, command),
+            Message::Answer { id, code, text } => self.on_answer(id, code, text, out),
+            Message::Hello { .. } | Message::Peers { .. } | Message::Pull { .. } | Message::News { .. } => {}
+        }
+    }
+
+    fn note(&mut self, seat: &Seat) {
+        if seat.id == 0 || seat.id == self.config.me.id {
+            return;
+        }
+        // At one address there is one process: another identity there has lost its disk.
+        self.peers.retain(|id, p| *id == seat.id || p.seat.addr != seat.addr);
+        let now = self.now;
+        let peer = self.peers.entry(seat.id).or_insert(Peer { seat: seat.clone(), heard: now, fit: true });
+        peer.heard = now;
+        if !seat.name.is_empty() {
+            peer.seat = seat.clone();
+        }
+    }
+
+    fn see(&mut self, epoch: u64) {
+        self.seen = self.seen.max(epoch);
+    }
+
+    fn me(&self) -> u64 {
+        self.config.me.id
+    }
+
+    fn is_voter(&self) -> bool {
+        self.view.as_ref().is_some_and(|v| v.seat(self.me()).is_some())
+    }
+
+    /// The freshest word on where a seat is.
+    fn fresh(&self, seat: &Seat) -> Seat {
+        match seat.id {
+            id if id == self.me() => self.config.me.clone(),
+            id => self.peers.get(&id).map_or(seat, |p| &p.seat).clone(),
+        }
+    }
+
+    fn seat_of(&self, id: u64) -> Option<Seat> {
+        let voter = self.view.as_ref().and_then(|v| v.seat(id).or(v.before.iter().find(|s| s.id == id)));
+        self.peers.get(&id).map(|p| &p.seat).or(voter).cloned()
+    }
+
+    fn send(&self, to: u64, message: Message, out: &mut Vec<Output>) {
+        if let Some(to) = self.seat_of(to) {
+            out.push(Output::Send { to, message });
+        }
+    }
+
+    fn draw(&mut self, below: Duration) -> Duration {
+        // xorshift64*
+        self.random ^= self.random >> 12;
+        self.random ^= self.random << 25;
+        self.random ^= self.random >> 27;
+        let part = (self.random.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 40) as f64 / (1u64 << 24) as f64;
+        below.mul_f64(part)
+    }
+
+    /// Voters stand one after the other: copies first, in the view's order.
+    fn stagger(&mut self) -> Duration {
+        let step = self.config.lease / 8;
+        let me = self.me();
+        let rank = self.view.as_ref().map_or(0, |v| {
+            let copies = v.copies.iter().copied();
+            let rest = v.voters.iter().map(|s| s.id).filter(|id| !v.copies.contains(id));
+            copies.chain(rest).filter(|id| *id != v.primary || *id == me).position(|id| id == me).unwrap_or(0)
+        });
+        step * rank as u32 + self.draw(step / 2)
+    }
+
+    /// Who acts, as far as known here: the holder of a lease that hasn't ended.
+    pub fn primary(&self) -> Option<Seat> {
+        match &self.role {
+            Role::Primary(_) => Some(self.config.me.clone()),
+            _ => self.grant.filter(|g| g.until > self.now).and_then(|g| self.seat_of(g.to)),
+        }
+    }
+
+    /// Whether this member acts now.
+    pub fn acts(&self) -> bool {
+        matches!(&self.role, Role::Primary(acting) if self.lease_end(acting) > self.now)
+    }
+
+    /// The latest view that this member accepted.
+    pub fn view(&self) -> Option<&View> {
+        self.view.as_ref()
+    }
+
+    /// The highest epoch that this member has promised.
+    pub fn promised(&self) -> u64 {
+        self.promised
+    }
+
+    /// Since when, at most, this member may have missed what the primary acknowledged.
+    pub fn age(&self, now: Duration) -> Duration {
+        match &self.role {
+            Role::Primary(acting) if self.lease_end(acting) > now => Duration::ZERO,
+            _ => match self.grant {
+                Some(g) => now.saturating_sub(g.until.saturating_sub(self.config.lease)),
+                None => now.saturating_sub(self.started) + self.config.lease,
+            },
+        }
+    }
+
+    /// Whether the disk takes writes.
+    pub fn fit(&self) -> bool {
+        self.disk.fit(self.now, self.config.stall)
+    }
+
+    fn next_wake(&self) -> Duration {
+        let idle = self.is_voter() && matches!(self.role, Role::Idle) && !self.leaving;
+        let stand = idle.then(|| self.stand_at.max(self.grant.map_or(self.stand_at, |g| g.until)));
+        let grace = Duration::from_millis(1);
+        [
+            stand,
+            self.primary_wake(),
+            self.candidate_wake(),
+            self.commands_wake(),
+            self.disk.wake(self.config.stall),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .unwrap_or(self.now + self.config.lease)
+        .max(self.now + grace)
+        .min(self.now + 4 * self.config.lease)
+    }
+}
--- /dev/null
+++ b/crates/rootstock/src/member/voter.rs
@@ -0,0 +1,177 @@
+//! A member as a voter and a copy: promises, views, changes, leases.
+
+use super::disk::After;
+use super::{Grant, Member, Output, Role};
+use crate::ledger::Ledger;
+use graft::{Change, Message, Record, Seat, Snapshot, Tag, View};
+use std::time::Duration;
+
+impl Member {
+    /// Whether a promise to a candidate can be given now; else when asking again makes sense.
+    fn may_promise(&self, candidate: u64) -> Result<(), Duration> {
+        let wait = self.config.lease / 2;
+        if !self.is_voter() || !self.fit() {
+            return Err(wait);
+        }
+        let grant = self.grant.filter(|g| g.to != candidate && g.until > self.now);
+        let own = match &self.role {
+            Role::Primary(acting) if candidate != self.me() => Some(self.lease_end(acting)),
+            _ => None,
+        };
+        // What it granted before it was started again is not known.
+        let earlier = self.restarted.then_some(self.started + self.config.lease);
+        let until = [grant.map(|g| g.until), own, earlier].into_iter().flatten().max();
+        match until.filter(|until| *until > self.now) {
+            Some(until) => Err(until - self.now),
+            None => Ok(()),
+        }
+    }
+
+    pub(super) fn on_canvass(&mut self, from: Seat, seen: u64, out: &mut Vec<Output>) {
+        self.see(seen);
+        let may = self.may_promise(from.id);
+        let wait_ms = may.err().map_or(0, |w| w.as_millis() as u32);
+        let message = Message::Canvassed { willing: may.is_ok(), seen: self.promised, wait_ms };
+        out.push(Output::Send { to: from, message });
+    }
+
+    pub(super) fn on_prepare(&mut self, from: Seat, epoch: u64, candidate: Seat, out: &mut Vec<Output>) {
+        let wait = match self.may_promise(from.id) {
+            Ok(()) if epoch > self.promised => return self.promise(candidate, epoch),
+            Ok(()) => Duration::ZERO,
+            Err(wait) => wait,
+        };
+        let (seen, wait_ms) = (self.promised, wait.as_millis() as u32);
+        let message =
+            Message::Promise { epoch, granted: false, seen, view: self.view.clone(), tag: None, wait_ms };
+        out.push(Output::Send { to: from, message });
+    }
+
+    /// Promises an epoch to a candidate, itself perhaps.
+    pub(super) fn promise(&mut self, to: Seat, epoch: u64) {
+        self.promised = epoch;
+        self.see(epoch);
+        if to.id != self.me() {
+            self.step_down();
+            self.stand_at = self.now + self.config.lease + self.stagger();
+        }
+        self.write(&Record::Promised { epoch }, After::Promise { to, epoch });
+    }
+
+    pub(super) fn promise_written(&mut self, to: Seat, epoch: u64, out: &mut Vec<Output>) {
+        let (view, tag) = (self.view.clone(), self.tag());
+        if to.id == self.me() {
+            let me = self.config.me.clone();
+            return self.on_promise(me, epoch, true, view.zip(Some(tag)), 0, out);
+        }
+        let message = Message::Promise { epoch, granted: true, seen: self.promised, view, tag, wait_ms: 0 };
+        out.push(Output::Send { to, message });
+    }
+
+    /// How far the ledger on this disk goes.
+    pub(super) fn tag(&self) -> Option<Tag> {
+        let view = self.view.as_ref()?;
+        self.held.as_ref().map(|h| Tag { epoch: view.epoch, seq: h.disk.seq })
+    }
+
+    pub(super) fn on_fetch(&mut self, from: Seat, epoch: u64, out: &mut Vec<Output>) {
+        // Only under the promise: from here on no change of an older view gets this copy's word.
+        if epoch != self.promised {
+            return;
+        }
+        if let Some((tag, held)) = self.tag().zip(self.held.as_ref()) {
+            let message = Message::Fetched { epoch, tag, snapshot: held.disk.snapshot() };
+            out.push(Output::Send { to: from, message });
+        }
+    }
+
+    pub(super) fn on_install(
+        &mut self,
+        from: Seat,
+        view: View,
+        snapshot: Option<Snapshot>,
+        out: &mut Vec<Output>,
+    ) {
+        let epoch = view.epoch;
+        self.see(epoch);
+        let held = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
+        let copy = view.copies.contains(&self.me());
+        let ledger = snapshot.as_ref().map(Ledger::of).transpose();
+        let fits = view.seat(self.me()).is_some() && epoch >= self.promised && copy == snapshot.is_some();
+        match ledger {
+            _ if held && epoch >= self.promised => {
+                let message = Message::Installed { epoch, ok: true, seen: self.promised };
+                out.push(Output::Send { to: from, message });
+            }
+            Ok(ledger) if fits && self.fit() => {
+                self.promised = epoch;
+                self.step_down();
+                self.stand_at = self.now + self.config.lease + self.stagger();
+                let record = Record::Accepted { view: view.clone(), snapshot };
+                let ledger = ledger.map(Box::new);
+                self.write(&record, After::Installed { to: from, view: Box::new(view), ledger });
+            }
+            _ => {
+                let message = Message::Installed { epoch, ok: false, seen: self.promised };
+                out.push(Output::Send { to: from, message });
+            }
+        }
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: Seat,
+        epoch: u64,
+        seq: u64,
+        change: Change,
+        out: &mut Vec<Output>,
+    ) {
+        let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch && v.primary == from.id);
+        let held = self.held.as_mut().filter(|_| follows && self.promised == epoch);
+        let message = match held {
+            Some(held) if seq <= held.disk.seq => {
+                Message::Appended { epoch, seq: held.disk.seq, ok: true, seen: self.promised }
+            }
+            // On its way to the disk.
+            Some(held) if seq <= held.head.seq => return,
+            Some(held) if seq == held.head.seq + 1 && self.disk.fit(self.now, self.config.stall) => {
+                match held.head.after(&change) {
+                    Ok(next) => {
+                        held.head = next.clone();
+                        let after = After::Appended { to: from.id, epoch, ledger: Box::new(next) };
+                        return self.write(&Record::Change { epoch, seq, change }, after);
+                    }
+                    Err(_) => Message::Appended { epoch, seq, ok: false, seen: self.promised },
+                }
+            }
+            _ => Message::Appended { epoch, seq, ok: false, seen: self.promised },
+        };
+        out.push(Output::Send { to: from, message });
+    }
+
+    pub(super) fn on_renew(&mut self, from: Seat, epoch: u64, stamp: u64, out: &mut Vec<Output>) {
+        let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch && v.primary == from.id);
+        let ok = follows && self.promised == epoch;
+        if ok {
+            let until = self.now + self.config.lease;
+            self.grant = Some(Grant { to: from.id, epoch, until });
+            self.stand_at = until + self.stagger();
+        }
+        let message =
+            Message::Renewed { epoch, stamp, ok, seen: self.promised, fit: self.fit() && !self.leaving };
+        out.push(Output::Send { to: from, message });
+    }
+
+    pub(super) fn on_yield(&mut self, epoch: u64) {
+        if self.grant.is_some_and(|g| g.epoch <= epoch) {
+            self.grant = None;
+            self.stand_at = self.now + self.stagger();
+        }
+    }
+
+    /// Stops acting or standing. Commands that wait are asked of whoever acts next.
+    pub(super) fn step_down(&mut self) {
+        self.role = Role::Idle;
+        self.local.values_mut().for_each(|l| l.asked = None);
+    }
+}
