--- a/crates/rootstock/src/lib.rs
+++ b/crates/rootstock/src/lib.rs
@@ -1,7 +1,8 @@
-//! The control plane: each `core` machine runs a member ([`member`]), which takes the operator's and the
-//! hosts' calls, keeps the ledger on disk and serves pulls. [`shell`] holds all I/O.
+//! The control plane: who acts ([`member`]), what lasts ([`ledger`]): state machines without I/O or clock. The
+//! shell round them ([`shell`]) is thin. `docs/design/system.md` tells how they work together.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod ledger;
 pub mod member;
 pub mod shell;
--- a/crates/rootstock/src/shell/mod.rs
+++ b/crates/rootstock/src/shell/mod.rs
@@ -156,7 +156,7 @@
     };
     let now = origin.elapsed();
     let mut shell = Shell {
-        member: Member::new(config, records, now, random()?),
+        member: Member::new(config, &records, now, random()?),
         outputs: Vec::new(),
         origin,
         wake: Some(now),
