furrow: an append-only file of checksummed records, opened, appended to, rewritten

Cause: the members' identity, epochs and ledger have to outlive kills and losses of power. Change: crate furrow; format apart from the disk; a torn batch is cut off, damage before a later batch is an error with its place; after a failed write the file is cut back, after a failed sync copied and not trusted.

--- /dev/null
+++ b/crates/furrow/src/file.rs
@@ -0,0 +1,299 @@
+//! The file: opened, appended to, rewritten, mended.
+
+use std::io;
+use std::path::Path;
+
+use crate::format::{self, Piece, Pieces, HEADER, MAX_BATCH, MAX_RECORD, RECORD_HEAD, VERSION};
+use crate::{Disk, DiskFile, Error, Folder};
+
+/// A file is never rewritten below this length, in bytes.
+const SHORT: u64 = 64 << 10;
+
+/// It is long when it is more than this many times what lives in it.
+const TIMES: u64 = 4;
+
+/// How much is written at once when a file is rewritten, in bytes; what the buffer may keep between calls.
+const CHUNK: usize = 256 << 10;
+
+/// What [`Furrow::open`] cut off: the last batch was not written whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cut {
+    /// Where the file was cut off, in bytes from its start.
+    pub offset: u64,
+    /// How many bytes went.
+    pub bytes: u64,
+}
+
+/// How far the open file can be relied on.
+enum State<F> {
+    /// There is none yet; the first append makes it.
+    Missing,
+    /// It holds `length` bytes, all synced.
+    Sound(F),
+    /// Behind `length` bytes, all synced, there may be others that have to go.
+    Overhang(F),
+    /// A sync failed or the name may not last. What was synced before can be read; it has to be copied.
+    Distrusted,
+}
+
+/// An append-only file of records.
+///
+/// A record is any bytes, up to [`MAX_RECORD`]. After an error the file takes further calls: the next one first
+/// brings it back to what was synced last.
+pub struct Furrow<D: Disk = Folder> {
+    disk: D,
+    name: String,
+    state: State<D::File>,
+    /// How many bytes are synced.
+    length: u64,
+    cut: Option<Cut>,
+    buffer: Vec<u8>,
+}
+
+impl Furrow {
+    /// Opens the file of this name in a folder that is there, and gives its records in order.
+    ///
+    /// Nothing is made before the first append, so a full disk opens too. All records given are synced. A last batch
+    /// that isn't whole is cut off behind its last whole record ([`Furrow::cut`]); the remains of an interrupted
+    /// rewrite are removed.
+    ///
+    /// # Errors
+    /// [`Error::Damaged`] and [`Error::Header`] where bytes are bad that had been synced, [`Error::Newer`] for a
+    /// file of a later release, [`Error::Full`] and [`Error::Io`] if the disk refuses; the file is left as it is.
+    pub fn open(folder: &Path, name: &str) -> Result<(Furrow, Vec<Vec<u8>>), Error> {
+        Furrow::open_on(Folder::at(folder), name)
+    }
+}
+
+impl<D: Disk> Furrow<D> {
+    /// The same on any disk; see [`Furrow::open`].
+    ///
+    /// # Errors
+    /// As [`Furrow::open`].
+    pub fn open_on(mut disk: D, name: &str) -> Result<(Furrow<D>, Vec<Vec<u8>>), Error> {
+        let failed = |doing| move |error| Error::of(doing, name, error);
+        let mut records = Vec::new();
+        let (mut length, mut cut, mut state) = (0, None, State::Missing);
+        if let Some(mut file) = disk.open(name).map_err(failed("open"))? {
+            let end;
+            (length, end) = read(&mut file, name, &mut records)?;
+            if length < end {
+                cut = Some(Cut { offset: length, bytes: end - length });
+            }
+            // A disk that takes no writes may refuse the cut; the file is readable all the same.
+            let is_cut = cut.is_none() || file.cut(length).is_ok();
+            // The process before may have been killed between write and sync, or between rename and sync.
+            file.sync().map_err(failed("sync"))?;
+            state = if is_cut { State::Sound(file) } else { State::Overhang(file) };
+        }
+        // The remains of a rewrite; if they stay, the next rewrite takes their place.
+        let _ = disk.remove(&fresh(name));
+        if !matches!(state, State::Missing) {
+            disk.sync_names().map_err(failed("sync the folder of"))?;
+        }
+        Ok((Furrow { disk, name: name.to_owned(), state, length, cut, buffer: Vec::new() }, records))
+    }
+
+    /// What was cut off when the file was opened.
+    pub fn cut(&self) -> Option<Cut> {
+        self.cut
+    }
+
+    /// How many bytes of the file are synced; 0 while there is none.
+    pub fn len(&self) -> u64 {
+        self.length
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.length <= HEADER as u64
+    }
+
+    /// Whether the file is long for what lives in it, given in bytes.
+    pub fn wants_rewrite(&self, live_bytes: u64) -> bool {
+        self.length > SHORT && self.length / TIMES > live_bytes
+    }
+
+    /// Appends records: one write and one sync for all of them. None of them is a promise before the `Ok`.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`] and nothing was done; [`Error::Full`] or [`Error::Io`] if the disk refused. Then the
+    /// records count as not written, here and for the next append; only if the process ends before the next call
+    /// can they (or some of the first of them) turn up at its next start.
+    pub fn append(&mut self, records: &[&[u8]]) -> Result<(), Error> {
+        check(records)?;
+        if records.is_empty() {
+            return Ok(());
+        }
+        let batch: u64 = records.iter().map(|record| (RECORD_HEAD + record.len()) as u64).sum();
+        if batch > MAX_BATCH as u64 {
+            return Err(Error::TooLarge { bytes: batch, limit: MAX_BATCH as u64 });
+        }
+        self.mend()?;
+        // `Sound` comes back only where all went well.
+        let State::Sound(mut file) = std::mem::replace(&mut self.state, State::Distrusted) else {
+            return Err(Error::of("append to", &self.name, io::ErrorKind::Other.into()));
+        };
+        self.buffer.clear();
+        for record in records {
+            let first = if self.buffer.is_empty() { None } else { Some(self.length) };
+            format::put_record(&mut self.buffer, self.length, first, record);
+        }
+        let written = format::write_fully(&mut file, self.length, &self.buffer);
+        let bytes = self.buffer.len() as u64;
+        self.buffer.clear();
+        self.buffer.shrink_to(CHUNK);
+        if let Err(error) = written {
+            self.state = State::Overhang(file);
+            // If this fails too, the next call tries it again.
+            let _ = self.mend();
+            return Err(Error::of("append to", &self.name, error));
+        }
+        if let Err(error) = file.sync() {
+            // What was written must not be found by a process that starts after this one, as it may never reach the
+            // disk though a later sync says so.
+            let _ = file.cut(self.length);
+            return Err(Error::of("sync", &self.name, error));
+        }
+        self.length += bytes;
+        self.state = State::Sound(file);
+        Ok(())
+    }
+
+    /// Puts a new file with these records, and no others, in the place of the old one, which stays whole until then.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`] and nothing was done; [`Error::Full`] or [`Error::Io`] if the disk refused. Then the file
+    /// is the old one, or the new one whole.
+    pub fn rewrite(&mut self, records: &[&[u8]]) -> Result<(), Error> {
+        check(records)?;
+        let mut buffer = std::mem::take(&mut self.buffer);
+        let result = self.replace(|file| {
+            buffer.extend_from_slice(&format::header(VERSION));
+            let mut base = 0;
+            for record in records {
+                // Each is its own batch: all are synced before the file gets its name.
+                format::put_record(&mut buffer, base, None, record);
+                if buffer.len() >= CHUNK {
+                    format::write_fully(file, base, &buffer)?;
+                    base += buffer.len() as u64;
+                    buffer.clear();
+                }
+            }
+            format::write_fully(file, base, &buffer)?;
+            Ok(base + buffer.len() as u64)
+        });
+        buffer.clear();
+        buffer.shrink_to(CHUNK);
+        self.buffer = buffer;
+        result
+    }
+
+    /// Brings the file back to the bytes that are synced, and to nothing else; makes it if there is none.
+    fn mend(&mut self) -> Result<(), Error> {
+        if let State::Missing = self.state {
+            return self.rewrite(&[]);
+        }
+        if let State::Overhang(file) = &mut self.state {
+            file.cut(self.length).map_err(|error| Error::of("cut", &self.name, error))?;
+            match file.sync() {
+                Ok(()) => {
+                    if let State::Overhang(file) = std::mem::replace(&mut self.state, State::Distrusted) {
+                        self.state = State::Sound(file);
+                    }
+                }
+                Err(error) => {
+                    self.state = State::Distrusted;
+                    return Err(Error::of("sync", &self.name, error));
+                }
+            }
+        }
+        if !matches!(self.state, State::Distrusted) {
+            return Ok(());
+        }
+        let opened = self.disk.open_to_read(&self.name);
+        let old = opened.map_err(|error| Error::of("open", &self.name, error))?;
+        let mut old = old.ok_or_else(|| Error::Header { name: self.name.clone() })?;
+        let length = self.length;
+        self.replace(|file| {
+            let (mut at, mut chunk) = (0, vec![0; CHUNK.min(length as usize)]);
+            while at < length {
+                let part = (length - at).min(CHUNK as u64) as usize;
+                if format::read_fully(&mut old, at, &mut chunk[..part])? < part {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                format::write_fully(file, at, &chunk[..part])?;
+                at += part as u64;
+            }
+            Ok(length)
+        })
+    }
+
+    /// Writes a file under another name, and gives it the name of the old one once it is synced.
+    fn replace(&mut self, fill: impl FnOnce(&mut D::File) -> io::Result<u64>) -> Result<(), Error> {
+        let temporary = fresh(&self.name);
+        let failed = |error| Error::of("rewrite", &self.name, error);
+        let made = self.disk.create(&temporary).and_then(|mut file| {
+            let length = fill(&mut file)?;
+            file.sync()?;
+            Ok((file, length))
+        });
+        let renamed = made.and_then(|made| self.disk.rename(&temporary, &self.name).map(|()| made));
+        let (file, length) = match renamed {
+            Ok(made) => made,
+            Err(error) => {
+                // Its room is wanted back; if this fails too, the next rewrite takes its place.
+                let _ = self.disk.remove(&temporary);
+                return Err(failed(error));
+            }
+        };
+        self.length = length;
+        if let Err(error) = self.disk.sync_names() {
+            // Appends to a file whose name may not last would be lost with it.
+            self.state = State::Distrusted;
+            return Err(Error::of("sync the folder of", &self.name, error));
+        }
+        self.state = State::Sound(file);
+        Ok(())
+    }
+}
+
+/// The name that a rewritten file has until it is whole.
+fn fresh(name: &str) -> String {
+    format!("{name}.new")
+}
+
+fn check(records: &[&[u8]]) -> Result<(), Error> {
+    match records.iter().map(|record| record.len()).max() {
+        Some(longest) if longest > MAX_RECORD => {
+            Err(Error::TooLarge { bytes: longest as u64, limit: MAX_RECORD as u64 })
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Reads the records of a file; how many bytes of it are good, and how many there are.
+fn read<F: DiskFile>(file: &mut F, name: &str, records: &mut Vec<Vec<u8>>) -> Result<(u64, u64), Error> {
+    let failed = |error| Error::of("read", name, error);
+    let mut pieces = Pieces::of(file).map_err(failed)?;
+    match pieces.version().map_err(failed)? {
+        Some(VERSION) => {}
+        Some(found) if found > VERSION => {
+            return Err(Error::Newer { name: name.to_owned(), found, known: VERSION });
+        }
+        _ => return Err(Error::Header { name: name.to_owned() }),
+    }
+    let mut gap = None;
+    while let Some(piece) = pieces.next_piece().map_err(failed)? {
+        match (piece, gap) {
+            (Piece::Record { body, .. }, None) => records.push(body),
+            (Piece::Record { offset: whole_at, batch, .. }, Some(offset)) if batch > offset => {
+                let (name, record) = (name.to_owned(), records.len() as u64);
+                return Err(Error::Damaged { name, record, offset, whole_at });
+            }
+            (Piece::Record { .. }, Some(_)) | (Piece::Gap { .. }, Some(_)) => {}
+            (Piece::Gap { offset, .. }, None) => gap = Some(offset),
+        }
+    }
+    Ok((gap.unwrap_or(pieces.end()), pieces.end()))
+}
