--- a/crates/rootstock/src/shell/disk.rs
+++ b/crates/rootstock/src/shell/disk.rs
@@ -103,8 +103,11 @@
     }
 }
 
-fn refusal(_error: &furrow::Error) -> DiskError {
-    DiskError::Failed
+fn refusal(error: &furrow::Error) -> DiskError {
+    match error.is_full() {
+        true => DiskError::Full,
+        false => DiskError::Failed,
+    }
 }
 
 fn put(file: &mut Furrow, writes: &[Write], rewrite: bool) -> Result<(), furrow::Error> {
