Proxy: plain requests and streams from client to host, with retries and resumption

Cause: the system needs its data plane; the crate was empty. Change: trellis serves clients (heads, bodies and bounds by httparse), routes by host and longest prefix, asks the policy for a host, keeps connections, tries other hosts where the attempt's state machine allows it, passes streams on as they come and takes resumable ones up at another host; readiness; an end in steps after the stop.

--- /dev/null
+++ b/crates/trellis/src/core.rs
@@ -0,0 +1,239 @@
+//! What all connections share.
+
+use crate::counters::Tally;
+use crate::hostlink::Link;
+use crate::pool::Pool;
+use crate::routes::Routes;
+use crate::serve::World;
+use almanac::{Boot, Document, Limits};
+use espalier::{Attempt, Load, Outcome, Policy, ServiceInfo, Settings};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasher, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Descriptors left for listeners, the link to the agent and what is opened for a moment.
+const SPARE_FDS: u64 = 250;
+/// Share of the descriptors for clients; the others are for hosts.
+const CLIENTS_SHARE: f64 = 0.6;
+/// Share of the memory for bodies that are held.
+const BODIES_SHARE: f64 = 0.3;
+
+/// What is known since the last news.
+pub(crate) struct Known {
+    document: Arc<Document>,
+    pub(crate) routes: Routes,
+    pub(crate) limits: Limits,
+    /// Connections that one host of a service takes from this process.
+    conns: HashMap<String, usize>,
+    has_hosts: bool,
+}
+
+/// State of the process, on its one thread.
+pub(crate) struct Core {
+    origin: Instant,
+    pub(crate) policy: RefCell<Policy>,
+    known: RefCell<Option<Rc<Known>>>,
+    pub(crate) pool: RefCell<Pool<Link>>,
+    pub(crate) tally: Tally,
+    pub(crate) stopping: Cell<bool>,
+    pub(crate) most_clients: usize,
+    most_bodies: usize,
+    bodies: Cell<usize>,
+    draws: Cell<u64>,
+}
+
+impl Core {
+    pub(crate) fn new(boot: &Boot) -> Self {
+        let seed = std::collections::hash_map::RandomState::new().build_hasher().finish();
+        let bounds = &boot.bounds;
+        let seconds = |s: f64| Duration::try_from_secs_f64(s).unwrap_or_default();
+        let settings = Settings {
+            zone: boot.zone.as_str().into(),
+            retry_ratio: bounds.retry_ratio,
+            retry_window: seconds(bounds.retry_window_s),
+            retry_slack: bounds.retry_slack,
+            drain: seconds(bounds.drain_ms / 1e3),
+            beat: Duration::from_millis(boot.beat_period_ms),
+            seed,
+        };
+        let fds = boot.limits.fd_limit.saturating_sub(SPARE_FDS).max(16) as f64;
+        let memory = boot.limits.memory_mb as f64 * 1024.0 * 1024.0;
+        Self {
+            origin: Instant::now(),
+            policy: RefCell::new(Policy::new(settings)),
+            known: RefCell::default(),
+            pool: RefCell::new(Pool::new((fds * (1.0 - CLIENTS_SHARE)) as usize)),
+            tally: Tally::default(),
+            stopping: Cell::new(false),
+            most_clients: (fds * CLIENTS_SHARE) as usize,
+            most_bodies: (memory * BODIES_SHARE) as usize,
+            bodies: Cell::new(0),
+            draws: Cell::new(seed),
+        }
+    }
+
+    /// Time since the start.
+    pub(crate) fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    pub(crate) fn since_start(&self, at: Instant) -> Duration {
+        at.saturating_duration_since(self.origin)
+    }
+
+    pub(crate) fn at(&self, time: Duration) -> Instant {
+        self.origin + time
+    }
+
+    /// Numbers that are spread evenly (SplitMix64).
+    pub(crate) fn draw(&self) -> u64 {
+        let state = self.draws.get().wrapping_add(0x9E37_79B9_7F4A_7C15);
+        self.draws.set(state);
+        let z = (state ^ (state >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        z ^ (z >> 31)
+    }
+
+    /// What is known now; `None` before the first configuration.
+    pub(crate) fn known(&self) -> Option<Rc<Known>> {
+        self.known.borrow().clone()
+    }
+
+    /// Bounds on clients.
+    pub(crate) fn limits(&self) -> Limits {
+        self.known.borrow().as_ref().map_or_else(Limits::default, |k| k.limits)
+    }
+
+    /// Whether requests are to come here.
+    pub(crate) fn ready(&self) -> bool {
+        !self.stopping.get() && self.known.borrow().as_ref().is_some_and(|k| k.has_hosts)
+    }
+
+    /// Connections that one host of this service takes from this process.
+    pub(crate) fn conns(&self, service: &str) -> usize {
+        self.known.borrow().as_ref().and_then(|k| k.conns.get(service).copied()).unwrap_or(4)
+    }
+
+    /// Takes news in. A configuration that is older than the known one is passed over.
+    pub(crate) fn learn(&self, world: &World) {
+        let now = self.now();
+        let before = self.known();
+        let stale = before.as_ref().is_some_and(|k| k.document.version > world.document.version);
+        let document = match &before {
+            Some(k) if stale => &k.document,
+            _ => &world.document,
+        };
+        let same = before.as_ref().filter(|k| Arc::ptr_eq(&k.document, document));
+        let mut policy = self.policy.borrow_mut();
+        if same.is_none() {
+            let services: Vec<ServiceInfo> = document.services.iter().map(|s| info(&s.value)).collect();
+            policy.set_services(now, &services);
+            log::info!("configuration {}: {} routes", document.version, document.routes.len());
+        }
+        policy.set_coordinators(now, world.coordinators);
+        policy.set_hosts(now, &world.hosts);
+        let ids: HashSet<&str> = world.hosts.iter().map(|h| &*h.id).collect();
+        self.pool.borrow_mut().keep(&ids);
+        for host in world.hosts.iter().filter(|h| h.draining) {
+            self.pool.borrow_mut().forget(&host.id);
+        }
+        let has_hosts = world.hosts.iter().any(|h| !h.draining);
+        let conns = |limit: u32| (limit as usize / world.coordinators.max(1)).max(4);
+        let conns =
+            document.services.iter().map(|s| (s.value.name.clone(), conns(s.value.conn_limit))).collect();
+        match same {
+            Some(k) if k.conns == conns && k.has_hosts == has_hosts => {}
+            _ => {
+                let known = Known {
+                    routes: Routes::new(document),
+                    limits: document.client_limits(),
+                    document: document.clone(),
+                    conns,
+                    has_hosts,
+                };
+                *self.known.borrow_mut() = Some(Rc::new(known));
+            }
+        }
+    }
+
+    /// Holds so many bytes of bodies; `None` where there is no room.
+    pub(crate) fn hold(self: &Rc<Self>, bytes: usize) -> Option<Held> {
+        let mut held = Held { core: self.clone(), bytes: 0 };
+        held.grow(bytes).then_some(held)
+    }
+}
+
+fn info(service: &almanac::Service) -> ServiceInfo {
+    ServiceInfo {
+        name: service.name.as_str().into(),
+        conn_limit: service.conn_limit,
+        cache_tokens: service.engine.as_ref().map(|e| e.cache_tokens),
+    }
+}
+
+/// Room for bodies, given back when dropped.
+pub(crate) struct Held {
+    core: Rc<Core>,
+    bytes: usize,
+}
+
+impl Held {
+    /// Room for so many bytes in all; false where there is none.
+    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.bytes);
+        let sum = self.core.bodies.get() + more;
+        if sum > self.core.most_bodies {
+            return false;
+        }
+        self.core.bodies.set(sum);
+        self.bytes += more;
+        true
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.core.bodies.set(self.core.bodies.get().saturating_sub(self.bytes));
+    }
+}
+
+/// An attempt that the policy counts as out until it is told the end, or this is dropped.
+pub(crate) struct Out {
+    core: Rc<Core>,
+    attempt: Attempt,
+    over: bool,
+}
+
+impl Out {
+    pub(crate) fn new(core: &Rc<Core>, attempt: Attempt) -> Self {
+        Self { core: core.clone(), attempt, over: false }
+    }
+
+    pub(crate) fn first(&self) {
+        self.core.policy.borrow_mut().first(self.core.now(), self.attempt);
+    }
+
+    pub(crate) fn patience(&self) -> Option<Duration> {
+        self.core.policy.borrow().patience(self.core.now(), self.attempt)
+    }
+
+    pub(crate) fn end(mut self, outcome: Outcome, load: Option<Load>) {
+        self.close(outcome, load);
+    }
+
+    fn close(&mut self, outcome: Outcome, load: Option<Load>) {
+        if !std::mem::replace(&mut self.over, true) {
+            self.core.policy.borrow_mut().ended(self.core.now(), self.attempt, outcome, load);
+        }
+    }
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        self.close(Outcome::Cancelled, None);
+    }
+}
--- /dev/null
+++ b/crates/trellis/src/counters.rs
@@ -0,0 +1,65 @@
+//! What the proxy counts.
+
+use std::cell::Cell;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident;)*) => {
+        /// Numbers since the start.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+        pub struct Counters { $($(#[$doc])* pub $name: u64,)* }
+
+        impl Counters {
+            /// Names and numbers.
+            pub fn pairs(&self) -> Vec<(&'static str, u64)> { vec![$((stringify!($name), self.$name),)*] }
+        }
+    };
+}
+
+counters! {
+    /// Connections of clients.
+    clients;
+    /// Requests that were read whole.
+    requests;
+    /// Requests sent to a host.
+    sent;
+    /// Of those, sent to a host after another one.
+    repeats;
+    /// Answers of hosts passed on whole.
+    passed;
+    /// Streams that went on at another host.
+    resumed;
+    /// Answers of our own that promise that the request has not run.
+    refused;
+    /// Other answers of our own.
+    failed;
+    /// Answers cut off because the host's was.
+    cut;
+    /// Clients that left before their answer.
+    left;
+    /// Connections opened to hosts.
+    connects;
+    /// Connections to hosts that did not come up.
+    unreached;
+    /// Answers to other requests, thrown away.
+    strays;
+    /// Bytes of hosts that were no answer, and answers cut off.
+    broken;
+    /// Requests moved to another host as the first was silent.
+    moved;
+}
+
+/// Counters that one thread counts up.
+#[derive(Debug, Default)]
+pub(crate) struct Tally(Cell<Counters>);
+
+impl Tally {
+    pub(crate) fn add(&self, change: impl FnOnce(&mut Counters)) {
+        let mut counters = self.0.get();
+        change(&mut counters);
+        self.0.set(counters);
+    }
+
+    pub(crate) fn get(&self) -> Counters {
+        self.0.get()
+    }
+}
--- /dev/null
+++ b/crates/trellis/src/front.rs
@@ -0,0 +1,299 @@
+//! Clients: their connections, and their requests read whole within the operator's bounds.
+
+use crate::core::{Core, Held};
+use crate::exchange::{self, Answer, Done, Stage};
+use crate::http1::{Body, Framing, Malformed, Piece, RequestHead};
+use crate::wire;
+use almanac::{Code, Limits};
+use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+/// Connections beyond the cap that are still told so.
+const TOLD: usize = 200;
+/// Read ahead of a client whose answer is under way.
+const AHEAD: usize = 64 * 1024;
+/// While leaving, a connection that says nothing is closed after this.
+const LEAVING_IDLE: Duration = Duration::from_millis(200);
+/// When to come back where too much is open.
+const CROWDED: Duration = Duration::from_millis(500);
+const LINGER: Duration = Duration::from_millis(200);
+
+/// How far the end of the process has come, for connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd)]
+pub(crate) enum Phase {
+    /// All are served.
+    Open,
+    /// Those that stand idle go.
+    Leaving,
+    /// All go, each with an answer.
+    Over,
+}
+
+/// A request, read whole.
+pub(crate) struct Request {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    /// When its first byte was there.
+    pub(crate) arrived: Instant,
+    pub(crate) _held: Option<Held>,
+}
+
+/// Why a connection ends before a request is whole.
+enum Refused {
+    /// Nothing was asked, or the client left.
+    Gone,
+    Because(Code),
+}
+
+impl From<std::io::Error> for Refused {
+    fn from(_: std::io::Error) -> Self {
+        Self::Gone
+    }
+}
+
+struct Count(Rc<Cell<usize>>);
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Serves a new connection.
+pub(crate) fn welcome(
+    core: &Rc<Core>,
+    stream: TcpStream,
+    open: &Rc<Cell<usize>>,
+    closing: &watch::Receiver<Phase>,
+) {
+    core.tally.add(|c| c.clients += 1);
+    if open.get() >= core.most_clients + TOLD {
+        return;
+    }
+    let crowded = open.get() >= core.most_clients;
+    open.set(open.get() + 1);
+    let count = Count(open.clone());
+    let (core, closing) = (core.clone(), closing.clone());
+    tokio::task::spawn_local(async move {
+        let _count = count;
+        let _ = stream.set_nodelay(true);
+        client(&core, &stream, crowded, closing).await;
+    });
+}
+
+async fn client(core: &Rc<Core>, stream: &TcpStream, crowded: bool, mut closing: watch::Receiver<Phase>) {
+    let mut buf = BytesMut::new();
+    loop {
+        if buf.is_empty() {
+            // Nothing is held for a connection that stands idle.
+            buf = BytesMut::new();
+            let idle = Duration::from_millis(core.limits().idle_timeout_ms);
+            let leaving = async {
+                let _ = closing.wait_for(|p| *p >= Phase::Leaving).await;
+                sleep(LEAVING_IDLE).await;
+            };
+            tokio::select! {
+                biased;
+                got = wire::fill(stream, &mut buf) => if !matches!(got, Ok(n) if n > 0) { return },
+                () = leaving => return,
+                () = sleep(idle) => return,
+            }
+        }
+        // Boxed: only connections with a request under way hold what one needs.
+        if !Box::pin(one(core, stream, &mut buf, crowded, &mut closing)).await {
+            return;
+        }
+    }
+}
+
+/// Takes and answers one request; false where the connection is to end.
+async fn one(
+    core: &Rc<Core>,
+    stream: &TcpStream,
+    buf: &mut BytesMut,
+    crowded: bool,
+    closing: &mut watch::Receiver<Phase>,
+) -> bool {
+    let limits = core.limits();
+    let (read, id) = read(core, stream, buf, &limits).await;
+    let request = match read {
+        Ok(request) => request,
+        Err(Refused::Gone) => return false,
+        Err(Refused::Because(code)) => {
+            let answer = Answer::own(code, id.as_deref(), (code == Code::Crowded).then_some(CROWDED));
+            if answer.write(core, stream, true).await {
+                linger(stream).await;
+            }
+            return false;
+        }
+    };
+    core.tally.add(|c| c.requests += 1);
+    if crowded {
+        let answer =
+            Answer::own(Code::Crowded, request.head.fields.get("fennelpin-attempt-id"), Some(CROWDED));
+        if answer.write(core, stream, true).await {
+            linger(stream).await;
+        }
+        return false;
+    }
+    let stage = Stage::default();
+    let over = async {
+        let _ = closing.wait_for(|p| *p == Phase::Over).await;
+    };
+    let done = tokio::select! {
+        biased;
+        done = exchange::run(core, stream, &request, &stage) => done,
+        () = gone(stream, buf) => {
+            core.tally.add(|c| c.left += 1);
+            return false;
+        }
+        () = over => {
+            if !stage.started() {
+                let code = stage.refusal(Code::Leaving);
+                let id = request.head.fields.get("fennelpin-attempt-id");
+                Answer::own(code, id, Some(CROWDED)).write(core, stream, true).await;
+            }
+            return false;
+        }
+    };
+    match done {
+        Done::Keep => true,
+        Done::Close => {
+            linger(stream).await;
+            false
+        }
+        Done::Cut => {
+            core.tally.add(|c| c.cut += 1);
+            false
+        }
+    }
+}
+
+/// Reads a request whole; beside it the identity of the attempt, as far as it is known.
+async fn read(
+    core: &Rc<Core>,
+    stream: &TcpStream,
+    buf: &mut BytesMut,
+    limits: &Limits,
+) -> (Result<Request, Refused>, Option<Vec<u8>>) {
+    let arrived = Instant::now();
+    let by = arrived + Duration::from_millis(limits.header_timeout_ms);
+    let head = match timeout_at(by, read_head(stream, buf, limits.max_header_bytes)).await {
+        Ok(Ok(head)) => head,
+        Ok(Err(refused)) => return (Err(refused), None),
+        Err(_) => return (Err(Refused::Because(Code::SlowClient)), None),
+    };
+    let body = match head.framing {
+        None | Some(Framing::Length(0)) => Ok((Bytes::new(), None)),
+        Some(framing) => read_body(core, stream, buf, limits, &head, framing).await,
+    };
+    match body {
+        Ok((body, held)) => (Ok(Request { head, body, arrived, _held: held }), None),
+        Err(refused) => {
+            let id = head.fields.get("fennelpin-attempt-id").map(<[u8]>::to_vec);
+            (Err(refused), id)
+        }
+    }
+}
+
+async fn read_head(stream: &TcpStream, buf: &mut BytesMut, most: usize) -> Result<RequestHead, Refused> {
+    loop {
+        match RequestHead::take(buf, most) {
+            Ok(Some(head)) => return Ok(head),
+            Ok(None) => {}
+            Err(Malformed::TooLarge) => return Err(Refused::Because(Code::HeadTooLarge)),
+            Err(Malformed::Syntax { .. }) => return Err(Refused::Because(Code::BadRequest)),
+        }
+        if wire::fill(stream, buf).await? == 0 {
+            return Err(Refused::Gone);
+        }
+    }
+}
+
+async fn read_body(
+    core: &Rc<Core>,
+    stream: &TcpStream,
+    buf: &mut BytesMut,
+    limits: &Limits,
+    head: &RequestHead,
+    framing: Framing,
+) -> Result<(Bytes, Option<Held>), Refused> {
+    let most = limits.max_body_bytes;
+    let length = match framing {
+        Framing::Length(n) => match usize::try_from(n) {
+            Ok(n) if n <= most => Some(n),
+            _ => return Err(Refused::Because(Code::TooLarge)),
+        },
+        _ => None,
+    };
+    let mut held = core.hold(length.unwrap_or(0)).ok_or(Refused::Because(Code::Crowded))?;
+    let there = length.is_some_and(|n| buf.len() >= n);
+    if !there && head.fields.has_token("expect", "100-continue") && head.minor > 0 {
+        wire::write_all(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"", &mut 0).await?;
+    }
+    let quiet = Duration::from_millis(limits.idle_timeout_ms);
+    if let Some(n) = length {
+        buf.reserve(n.saturating_sub(buf.len()));
+        while buf.len() < n {
+            more(stream, buf, quiet).await?;
+        }
+        return Ok((buf.split_to(n).freeze(), Some(held)));
+    }
+    let (mut body, mut out) = (Body::new(framing), BytesMut::new());
+    loop {
+        match body.take(buf) {
+            Ok(Piece::Data(data)) => {
+                if out.len() + data.len() > most {
+                    return Err(Refused::Because(Code::TooLarge));
+                }
+                if !held.grow(out.len() + data.len()) {
+                    return Err(Refused::Because(Code::Crowded));
+                }
+                out.extend_from_slice(&data);
+            }
+            Ok(Piece::End) => return Ok((out.freeze(), Some(held))),
+            Ok(Piece::More) => more(stream, buf, quiet).await?,
+            Err(_) => return Err(Refused::Because(Code::BadRequest)),
+        }
+    }
+}
+
+async fn more(stream: &TcpStream, buf: &mut BytesMut, quiet: Duration) -> Result<(), Refused> {
+    match timeout(quiet, wire::fill(stream, buf)).await {
+        Ok(Ok(0)) => Err(Refused::Gone),
+        Ok(got) => Ok(got.map(|_| ())?),
+        Err(_) => Err(Refused::Because(Code::SlowClient)),
+    }
+}
+
+/// Resolves when the client has left; what it sends ahead is kept.
+async fn gone(stream: &TcpStream, buf: &mut BytesMut) {
+    while buf.len() < AHEAD {
+        match wire::fill(stream, buf).await {
+            Ok(n) if n > 0 => {}
+            _ => return,
+        }
+    }
+    // Behind what is not read no end can be seen; a write will show it.
+    std::future::pending().await
+}
+
+/// Reads on for a moment: closing with input unread would reset the connection and take the answer along.
+async fn linger(stream: &TcpStream) {
+    let _ = rustix::net::shutdown(stream, rustix::net::Shutdown::Write);
+    let drain = async {
+        let mut buf = BytesMut::new();
+        while let Ok(n) = wire::fill(stream, &mut buf).await {
+            if n == 0 {
+                return;
+            }
+            buf.clear();
+        }
+    };
+    let _ = timeout(LINGER, drain).await;
+}
--- /dev/null
+++ b/crates/trellis/src/hostlink.rs
@@ -0,0 +1,182 @@
+//! Connections to hosts: one request at a time on each, kept for the next where both sides agree.
+
+use crate::core::Core;
+use crate::http1::{Body, Malformed, Piece, ResponseHead};
+use crate::pool::Ticket;
+use crate::wire;
+use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+/// Longest time for a connection to come up.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Longest time that a connection stands idle, whatever the host allows.
+const IDLE: Duration = Duration::from_secs(10);
+/// Largest head of an answer.
+const MOST_HEAD: usize = 32 * 1024;
+
+/// Why there is no (further) part of an answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum Lost {
+    /// The socket failed.
+    #[snafu(context(false), display("{source}"))]
+    Socket {
+        /// How.
+        source: std::io::Error,
+    },
+    /// The host ended the connection.
+    #[snafu(display("closed by the host"))]
+    Closed,
+    /// What came is no answer.
+    #[snafu(context(false), display("{source}"))]
+    NoAnswer {
+        /// How.
+        source: Malformed,
+    },
+}
+
+/// A connection to a host.
+#[derive(Debug)]
+pub(crate) struct Link {
+    stream: TcpStream,
+    buf: BytesMut,
+    /// Whether it was used before.
+    pub(crate) used: bool,
+    _ticket: Ticket,
+}
+
+/// Why no connection could be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoLink {
+    /// This process has as many to the host as it may.
+    Full,
+    /// It did not come up.
+    Unreached,
+}
+
+impl Link {
+    /// An idle connection to the host, or a new one.
+    pub(crate) async fn get(
+        core: &Core,
+        id: &Arc<str>,
+        addr: SocketAddrV4,
+        most: usize,
+        until: Instant,
+    ) -> Result<Self, NoLink> {
+        loop {
+            let idle = core.pool.borrow_mut().take(core.now(), id);
+            match idle {
+                Some(link) if wire::quiet(&link.stream) => return Ok(link),
+                Some(_) => {}
+                None => return Self::open(core, id, addr, most, until).await,
+            }
+        }
+    }
+
+    /// A new connection.
+    pub(crate) async fn open(
+        core: &Core,
+        id: &Arc<str>,
+        addr: SocketAddrV4,
+        most: usize,
+        until: Instant,
+    ) -> Result<Self, NoLink> {
+        let ticket = core.pool.borrow_mut().room(id, most).ok_or(NoLink::Full)?;
+        core.tally.add(|c| c.connects += 1);
+        let until = until.min(Instant::now() + CONNECT);
+        match timeout_at(until, TcpStream::connect(std::net::SocketAddr::V4(addr))).await {
+            Ok(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                Ok(Self { stream, buf: BytesMut::new(), used: false, _ticket: ticket })
+            }
+            _ => {
+                core.tally.add(|c| c.unreached += 1);
+                Err(NoLink::Unreached)
+            }
+        }
+    }
+
+    /// Writes a request. `written` counts what the system took, also where this fails.
+    pub(crate) async fn send(&self, head: &[u8], body: &[u8], written: &mut usize) -> std::io::Result<()> {
+        wire::write_all(&self.stream, head, body, written).await
+    }
+
+    async fn more(&mut self) -> Result<(), Lost> {
+        match wire::fill(&self.stream, &mut self.buf).await? {
+            0 => ClosedSnafu.fail(),
+            _ => Ok(()),
+        }
+    }
+
+    /// The head of the next answer, past interim ones. May be dropped and called again.
+    pub(crate) async fn head(&mut self, to_head: bool) -> Result<ResponseHead, Lost> {
+        loop {
+            if !self.buf.is_empty() {
+                if let Some(head) = ResponseHead::take(&mut self.buf, MOST_HEAD, to_head)? {
+                    match head.status {
+                        100..=199 => continue,
+                        _ => return Ok(head),
+                    }
+                }
+            }
+            self.more().await?;
+        }
+    }
+
+    /// What comes next of a body; `None` at its end. May be dropped and called again.
+    pub(crate) async fn piece(&mut self, body: &mut Body) -> Result<Option<Bytes>, Lost> {
+        loop {
+            match body.take(&mut self.buf)? {
+                Piece::Data(data) => return Ok(Some(data)),
+                Piece::End => return Ok(None),
+                Piece::More => match self.more().await {
+                    Err(Lost::Closed) if body.ends_with_connection() => return Ok(None),
+                    step => step?,
+                },
+            }
+        }
+    }
+
+    /// Reads a body into `out`; false where it goes on beyond `most` bytes. May be dropped and called again.
+    pub(crate) async fn whole(
+        &mut self,
+        body: &mut Body,
+        out: &mut BytesMut,
+        most: usize,
+    ) -> Result<bool, Lost> {
+        while out.len() <= most {
+            match self.piece(body).await? {
+                Some(data) => out.extend_from_slice(&data),
+                None => return Ok(true),
+            }
+        }
+        Ok(false)
+    }
+
+    /// Keeps the connection for the next request, after a whole answer with this head.
+    pub(crate) fn keep(mut self, core: &Core, id: &str, head: &ResponseHead) {
+        // More after a whole answer belongs to no request.
+        if !head.keeps_alive() || !self.buf.is_empty() {
+            return;
+        }
+        let until = core.now() + idle(head.fields.text("keep-alive"));
+        self.used = true;
+        self.buf = BytesMut::new();
+        core.pool.borrow_mut().put(id, self, until);
+    }
+}
+
+/// How long a connection may stand idle: less than the host says, so that it isn't closed under a request.
+fn idle(keep_alive: Option<&str>) -> Duration {
+    let given = keep_alive.into_iter().flat_map(|v| v.split(',')).find_map(|p| {
+        let (name, value) = p.trim().split_once('=')?;
+        let seconds: u64 = value.trim().parse().ok()?;
+        name.trim().eq_ignore_ascii_case("timeout").then_some(Duration::from_secs(seconds.min(3600)))
+    });
+    let margin = |d: Duration| d.saturating_sub(Duration::from_secs(1)).max(d / 2);
+    given.map_or(IDLE, |d| margin(d).min(IDLE))
+}
--- a/crates/trellis/src/lib.rs
+++ b/crates/trellis/src/lib.rs
@@ -1,3 +1,25 @@
-//! To be written.
+//! The proxy (data plane): takes clients' requests, finds their route, sends them to the host that
+//! [`espalier`] names, and passes the answers and streams back. One thread, a tokio `current_thread` runtime;
+//! [`serve`] has to run inside a `LocalSet`.
+//!
+//! What must hold is decided in parts without I/O: [`attempt`] (whether a request goes out again),
+//! [`events`] (whole events of a stream), [`http1`] (heads and bodies), [`pool`] (connections that stand
+//! idle), [`routes`]. The rest moves bytes.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod attempt;
+mod core;
+pub mod counters;
+pub mod events;
+mod exchange;
+mod front;
+mod hostlink;
+pub mod http1;
+pub mod pool;
+mod readiness;
+pub mod routes;
+mod serve;
+mod wire;
+
+pub use serve::{serve, Error, World};
--- /dev/null
+++ b/crates/trellis/src/pool.rs
@@ -0,0 +1,102 @@
+//! Connections that stand idle, by host, and how many are open. No I/O; times are since any one origin.
+
+use std::cell::Cell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Debug)]
+struct Idle<C> {
+    conn: C,
+    until: Duration,
+}
+
+#[derive(Debug)]
+struct Shelf<C> {
+    idle: Vec<Idle<C>>,
+    open: Rc<Cell<usize>>,
+}
+
+/// Counts a connection as open for as long as it lives.
+#[derive(Debug)]
+pub struct Ticket(Rc<Cell<usize>>, Rc<Cell<usize>>);
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+        self.1.set(self.1.get().saturating_sub(1));
+    }
+}
+
+/// Idle connections of all hosts.
+#[derive(Debug)]
+pub struct Pool<C> {
+    shelves: HashMap<Arc<str>, Shelf<C>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl<C> Pool<C> {
+    /// With at most so many connections open over all hosts.
+    pub fn new(most: usize) -> Self {
+        Self { shelves: HashMap::new(), open: Rc::default(), most }
+    }
+
+    /// Connections that are open, in use or not.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// The connection of a host that was used last, where one may still be used.
+    pub fn take(&mut self, now: Duration, host: &str) -> Option<C> {
+        let idle = &mut self.shelves.get_mut(host)?.idle;
+        while let Some(last) = idle.pop() {
+            if last.until > now {
+                return Some(last.conn);
+            }
+        }
+        None
+    }
+
+    /// Room for one more connection to a host that takes `most` from this process; `None` where there is none.
+    pub fn room(&mut self, host: &Arc<str>, most: usize) -> Option<Ticket> {
+        if self.open.get() >= self.most {
+            self.shelves.values_mut().find(|s| !s.idle.is_empty())?.idle.remove(0);
+        }
+        let shelf = self
+            .shelves
+            .entry(host.clone())
+            .or_insert_with(|| Shelf { idle: Vec::new(), open: Rc::default() });
+        if shelf.open.get() >= most.max(1) {
+            return None;
+        }
+        shelf.open.set(shelf.open.get() + 1);
+        self.open.set(self.open.get() + 1);
+        Some(Ticket(shelf.open.clone(), self.open.clone()))
+    }
+
+    /// A connection that may be used again until a time; it is dropped where its host is no longer known.
+    pub fn put(&mut self, host: &str, conn: C, until: Duration) {
+        if let Some(shelf) = self.shelves.get_mut(host) {
+            shelf.idle.push(Idle { conn, until });
+        }
+    }
+
+    /// Drops the idle connections of a host.
+    pub fn forget(&mut self, host: &str) {
+        if let Some(shelf) = self.shelves.get_mut(host) {
+            shelf.idle.clear();
+        }
+    }
+
+    /// Drops what belongs to other hosts than these.
+    pub fn keep(&mut self, hosts: &HashSet<&str>) {
+        self.shelves.retain(|h, _| hosts.contains(&**h));
+    }
+
+    /// Drops what has stood idle for too long.
+    pub fn sweep(&mut self, now: Duration) {
+        self.shelves.values_mut().for_each(|s| s.idle.retain(|i| i.until > now));
+    }
+}
--- /dev/null
+++ b/crates/trellis/src/serve.rs
@@ -0,0 +1,166 @@
+//! The process: its listeners, its news, its end.
+
+use crate::core::Core;
+use crate::counters::Counters;
+use crate::{front, readiness};
+use almanac::{Boot, Document};
+use espalier::HostInfo;
+use snafu::{ResultExt, Snafu};
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// What is known of the fleet.
+#[derive(Clone, Debug)]
+pub struct World {
+    /// The configuration.
+    pub document: Arc<Document>,
+    /// All hosts that are not gone.
+    pub hosts: Vec<HostInfo>,
+    /// Proxies that share the budget for repeats, this one among them.
+    pub coordinators: usize,
+}
+
+/// Why the proxy can't start.
+#[derive(Debug, Snafu)]
+#[non_exhaustive]
+pub enum Error {
+    /// The settings name no address for this purpose.
+    #[snafu(display("the settings name no address for {purpose}"))]
+    NoAddress {
+        /// `front` or `readiness`.
+        purpose: &'static str,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("{addr} can't be listened on: {source}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddrV4,
+        /// How it failed.
+        source: std::io::Error,
+    },
+}
+
+/// Told to stop, new requests are taken for so long at least: until the platform has noticed.
+const SERVE_ON: Duration = Duration::from_millis(2500);
+/// All is answered by so long before the platform's kill.
+const BEFORE_KILL: Duration = Duration::from_millis(700);
+const SWEEP: Duration = Duration::from_secs(1);
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A task that ends with its owner.
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn task(work: impl Future<Output = ()> + 'static) -> Task {
+    Task(tokio::task::spawn_local(work))
+}
+
+async fn listen(purpose: &'static str, addr: Option<SocketAddrV4>) -> Result<TcpListener, Error> {
+    let addr = addr.ok_or(Error::NoAddress { purpose })?;
+    TcpListener::bind(addr).await.context(ListenSnafu { addr })
+}
+
+async fn follow(core: Rc<Core>, mut world: watch::Receiver<Option<Arc<World>>>) {
+    loop {
+        let news = world.borrow_and_update().clone();
+        if let Some(news) = news {
+            core.learn(&news);
+        }
+        if world.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn sweep(core: Rc<Core>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        core.pool.borrow_mut().sweep(core.now());
+    }
+}
+
+/// Serves until `stop` resolves, and then until all that was taken is answered. Has to run inside a
+/// [`tokio::task::LocalSet`] on a `current_thread` runtime. Gives what was counted.
+///
+/// # Errors
+/// Where the settings name no address to listen on, or it can't be listened on.
+pub async fn serve(
+    boot: Boot,
+    world: watch::Receiver<Option<Arc<World>>>,
+    stop: impl Future<Output = ()>,
+) -> Result<Counters, Error> {
+    let core = Rc::new(Core::new(&boot));
+    let front = listen("front", boot.bind.front).await?;
+    let readiness = listen("readiness", boot.bind.readiness).await?;
+    let _tasks = [
+        task(follow(core.clone(), world)),
+        task(readiness::listen(core.clone(), readiness)),
+        task(sweep(core.clone())),
+    ];
+    let (close, closing) = watch::channel(front::Phase::Open);
+    let open = Rc::new(std::cell::Cell::new(0));
+    let welcome = |came| front::welcome(&core, came, &open, &closing);
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            _ = &mut stop => break,
+            came = front.accept() => accepted(came, &welcome).await,
+        }
+    }
+    log::info!("stopping");
+    core.stopping.set(true);
+    let grace = Duration::try_from_secs_f64(boot.bounds.grace_s).unwrap_or_default();
+    let last = Instant::now() + grace.saturating_sub(BEFORE_KILL);
+    let until = last.min(Instant::now() + SERVE_ON);
+    loop {
+        tokio::select! {
+            _ = sleep_until(until) => break,
+            came = front.accept() => accepted(came, &welcome).await,
+        }
+    }
+    let _ = close.send(front::Phase::Leaving);
+    while Instant::now() < last && open.get() > 0 {
+        tokio::select! {
+            _ = tokio::time::sleep(LOOK) => {}
+            came = front.accept() => accepted(came, &welcome).await,
+        }
+    }
+    // What the machine has taken for us by now is answered too: closing the listener would reset it.
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, front.accept()).await {
+        welcome(stream);
+    }
+    let _ = close.send(front::Phase::Over);
+    let end = Instant::now() + BEFORE_KILL / 2;
+    while Instant::now() < end && open.get() > 0 {
+        tokio::time::sleep(LOOK / 4).await;
+    }
+    log::info!("stopped with {} open", open.get());
+    drop(front);
+    Ok(core.tally.get())
+}
+
+async fn accepted(
+    came: std::io::Result<(tokio::net::TcpStream, std::net::SocketAddr)>,
+    welcome: &impl Fn(tokio::net::TcpStream),
+) {
+    match came {
+        Ok((stream, _)) => welcome(stream),
+        // Out of descriptors: those in use come back.
+        Err(e) => {
+            log::warn!("front: {e}");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/trellis/tests/common/mod.rs
@@ -0,0 +1,361 @@
+//! A proxy with hosts that follow a script, in one process on 127.0.0.1.
+#![allow(dead_code)]
+
+use almanac::{Boot, Document};
+use espalier::HostInfo;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use trellis::counters::Counters;
+use trellis::{Error, World};
+
+/// Runs a test's story on one thread.
+pub fn story(work: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let guard = async { tokio::time::timeout(Duration::from_secs(20), work).await.expect("too long") };
+    tokio::task::LocalSet::new().block_on(&runtime, guard);
+}
+
+fn v4(addr: SocketAddr) -> SocketAddrV4 {
+    match addr {
+        SocketAddr::V4(addr) => addr,
+        SocketAddr::V6(_) => unreachable!("only IPv4 here"),
+    }
+}
+
+pub async fn free_addr() -> SocketAddrV4 {
+    v4(TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap())
+}
+
+/// A host: its connections are handed to the test, which plays it.
+pub struct Host {
+    pub info: HostInfo,
+    conns: mpsc::UnboundedReceiver<TcpStream>,
+}
+
+impl Host {
+    pub async fn new(id: &str, service: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = v4(listener.local_addr().unwrap());
+        let (send, conns) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.set_nodelay(true);
+                if send.send(stream).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { info: info(id, service, addr), conns }
+    }
+
+    pub async fn conn(&mut self) -> Peer {
+        Peer::new(self.conns.recv().await.unwrap())
+    }
+
+    /// Whether nobody has connected.
+    pub fn unasked(&mut self) -> bool {
+        self.conns.try_recv().is_err()
+    }
+}
+
+pub fn info(id: &str, service: &str, addr: SocketAddrV4) -> HostInfo {
+    HostInfo {
+        id: id.into(),
+        service: service.into(),
+        addr,
+        zone: "a".into(),
+        capacity: 4,
+        draining: false,
+        silent: false,
+        cold_left: Duration::ZERO,
+    }
+}
+
+/// One end of a connection, read message by message.
+pub struct Peer {
+    pub stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+/// A message: its head as text and its body with chunks put together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Message {
+    pub head: String,
+    pub body: String,
+    /// Whether the body came to its proper end.
+    pub whole: bool,
+}
+
+impl Message {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|l| {
+            let (n, v) = l.split_once(':')?;
+            n.eq_ignore_ascii_case(name).then(|| v.trim())
+        })
+    }
+
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, buf: Vec::new() }
+    }
+
+    pub async fn connect(addr: SocketAddrV4) -> Self {
+        let stream = TcpStream::connect(SocketAddr::V4(addr)).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self::new(stream)
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    async fn more(&mut self) -> bool {
+        let mut some = [0; 4096];
+        match self.stream.read(&mut some).await {
+            Ok(n) if n > 0 => {
+                self.buf.extend_from_slice(&some[..n]);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Resolves once the other side has closed; what it sent before stays.
+    pub async fn closed(&mut self) {
+        while self.more().await {}
+    }
+
+    /// Reads until what has come ends with this text, from the last message on.
+    pub async fn until(&mut self, text: &str) -> String {
+        while !String::from_utf8_lossy(&self.buf).contains(text) {
+            assert!(self.more().await, "closed after {:?}", String::from_utf8_lossy(&self.buf));
+        }
+        String::from_utf8_lossy(&self.buf).into_owned()
+    }
+
+    pub async fn head(&mut self) -> Option<String> {
+        loop {
+            if let Some(n) = self.buf.windows(4).position(|w| w == b"\r\n\r\n") {
+                let head = String::from_utf8(self.buf.drain(..n + 4).collect()).unwrap();
+                return Some(head);
+            }
+            if !self.more().await {
+                return None;
+            }
+        }
+    }
+
+    /// The next message, or `None` where the connection ends without one.
+    pub async fn message(&mut self) -> Option<Message> {
+        let head = self.head().await?;
+        let mut message = Message { head, body: String::new(), whole: true };
+        if message.field("transfer-encoding").is_some() {
+            loop {
+                let line = match self.line().await {
+                    Some(line) => line,
+                    None => return Some(Message { whole: false, ..message }),
+                };
+                let size = usize::from_str_radix(line.trim(), 16).unwrap();
+                match self.take(size + 2).await {
+                    Some(data) if size > 0 => message.body.push_str(&data[..size]),
+                    Some(_) => return Some(message),
+                    None => return Some(Message { whole: false, ..message }),
+                }
+            }
+        }
+        let length = message.field("content-length").map(|l| l.parse().unwrap());
+        match length {
+            Some(n) => match self.take(n).await {
+                Some(body) => message.body = body,
+                None => {
+                    message.body = String::from_utf8(std::mem::take(&mut self.buf)).unwrap();
+                    message.whole = false;
+                }
+            },
+            None if message.head.starts_with("HTTP/") && message.status() != 204 => {
+                self.closed().await;
+                message.body = String::from_utf8(std::mem::take(&mut self.buf)).unwrap();
+            }
+            None => {}
+        }
+        Some(message)
+    }
+
+    async fn line(&mut self) -> Option<String> {
+        loop {
+            if let Some(n) = self.buf.windows(2).position(|w| w == b"\r\n") {
+                return Some(String::from_utf8(self.buf.drain(..n + 2).collect()).unwrap());
+            }
+            if !self.more().await {
+                return None;
+            }
+        }
+    }
+
+    async fn take(&mut self, n: usize) -> Option<String> {
+        while self.buf.len() < n {
+            if !self.more().await {
+                return None;
+            }
+        }
+        Some(String::from_utf8(self.buf.drain(..n).collect()).unwrap())
+    }
+
+    /// Reads a request and answers it with a body.
+    pub async fn answer(&mut self, body: &str) -> Message {
+        let request = self.message().await.expect("a request");
+        let id = request.field("fennelpin-attempt-id").unwrap_or("none").to_owned();
+        self.send(&good(&id, body)).await;
+        request
+    }
+
+    /// Reads a request and refuses it.
+    pub async fn refuse(&mut self) -> Message {
+        let request = self.message().await.expect("a request");
+        let id = request.field("fennelpin-attempt-id").unwrap_or("none").to_owned();
+        self.send(&format!(
+            "HTTP/1.1 503 Service Unavailable\r\nFennelpin-Attempt-Id: {id}\r\nFennelpin-Not-Executed: full\r\n\
+             Content-Length: 0\r\n\r\n"
+        ))
+        .await;
+        request
+    }
+
+    /// Reads a request and begins a stream with these events.
+    pub async fn begin(&mut self, seal: &str, events: &[u64]) -> Message {
+        let request = self.message().await.expect("a request");
+        let id = request.field("fennelpin-attempt-id").unwrap_or("none").to_owned();
+        self.send(&format!(
+            "HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: {id}\r\nFennelpin-Host-Seal: {seal}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ))
+        .await;
+        self.events(events).await;
+        request
+    }
+
+    pub async fn events(&mut self, events: &[u64]) {
+        for id in events {
+            let event = event(*id);
+            self.send(&format!("{:x}\r\n{event}\r\n", event.len())).await;
+        }
+    }
+}
+
+pub fn event(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+pub fn events(ids: impl IntoIterator<Item = u64>) -> String {
+    ids.into_iter().map(event).collect()
+}
+
+/// A good answer.
+pub fn good(id: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: {id}\r\nFennelpin-Host-Seal: seal\r\nContent-Length: {}\r\n\
+         Keep-Alive: timeout=5\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// A request to a path.
+pub fn request(path: &str, id: &str, more: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: {id}\r\n{more}Content-Length: 2\r\n\r\nhi")
+}
+
+/// The proxy under test: `/pure/`, `/once/` (mutating), `/live/` (stream), `/more/` (stream that may be
+/// resumed), all of service `s` with three tries.
+pub struct Proxy {
+    pub front: SocketAddrV4,
+    pub readiness: SocketAddrV4,
+    pub world: watch::Sender<Option<Arc<World>>>,
+    pub stop: Option<oneshot::Sender<()>>,
+    pub done: JoinHandle<Result<Counters, Error>>,
+}
+
+pub const ROUTES: &str = r#"
+    {"name":"p","hostname":"x.example","path_prefix":"/pure/","route_class":"pure","deadline_ms":8000,"target_ms":100,"service":"s","max_tries":3},
+    {"name":"o","hostname":"x.example","path_prefix":"/once/","route_class":"mutating","deadline_ms":8000,"service":"s","max_tries":3},
+    {"name":"l","hostname":"x.example","path_prefix":"/live/","route_class":"streaming","deadline_ms":8000,"service":"s","max_tries":3},
+    {"name":"m","hostname":"x.example","path_prefix":"/more/","route_class":"streaming","deadline_ms":8000,"service":"s","max_tries":3,"resumable":true},
+    {"name":"q","hostname":"x.example","path_prefix":"/quick/","route_class":"pure","deadline_ms":150,"service":"s","max_tries":3},
+    {"name":"d","hostname":"x.example","path_prefix":"/quick/once/","route_class":"mutating","deadline_ms":150,"service":"s","max_tries":3}"#;
+
+pub fn document(version: u64, routes: &str) -> Arc<Document> {
+    let text = format!(
+        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"s"}},{{"name":"t"}}],"limits":{{"max_header_bytes":4096,"max_body_bytes":100000}}}}"#
+    );
+    Arc::new(Document::read(text.as_bytes(), version - 1).unwrap())
+}
+
+impl Proxy {
+    /// A proxy that knows nothing yet.
+    pub async fn blank() -> Self {
+        let (front, readiness) = (free_addr().await, free_addr().await);
+        let text = format!(
+            r#"{{"node_name":"n","role":"r","ip_addr":"127.0.0.1","zone":"a","port_range":[7000,7001],
+                "bind":{{"front":"{front}","readiness":"{readiness}"}},"bounds":{{"grace_s":8}},
+                "limits":{{"memory_mb":256,"fd_limit":1024}}}}"#
+        );
+        let boot = Boot::read(&text).unwrap();
+        let (world, news) = watch::channel(None);
+        let (stop, stopped) = oneshot::channel::<()>();
+        let stopped = async move {
+            if stopped.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let done = tokio::task::spawn_local(trellis::serve(boot, news, stopped));
+        // The listeners are bound once the task has run.
+        while !done.is_finished() && TcpStream::connect(SocketAddr::V4(readiness)).await.is_err() {
+            tokio::task::yield_now().await;
+        }
+        Self { front, readiness, world, stop: Some(stop), done }
+    }
+
+    pub async fn new(hosts: &[&Host]) -> Self {
+        let proxy = Self::blank().await;
+        proxy.know(document(1, ROUTES), hosts.iter().map(|h| h.info.clone()).collect()).await;
+        proxy
+    }
+
+    pub async fn know(&self, document: Arc<Document>, hosts: Vec<HostInfo>) {
+        self.world.send(Some(Arc::new(World { document, hosts, coordinators: 2 }))).unwrap();
+        for _ in 0..4 {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    pub async fn client(&self) -> Peer {
+        Peer::connect(self.front).await
+    }
+
+    pub async fn ready(&self) -> u16 {
+        let mut peer = Peer::connect(self.readiness).await;
+        peer.send("GET /fennelpin/readiness HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        peer.message().await.unwrap().status()
+    }
+
+    /// Ends it and gives what it counted.
+    pub async fn stop(mut self) -> Counters {
+        self.stop.take().unwrap().send(()).unwrap();
+        self.done.await.unwrap().unwrap()
+    }
+}
+
+/// Something that is set once in a story.
+pub type Slot<T> = Rc<RefCell<Option<T>>>;
