Policy: Join-Idle-Queue with home order, health, budget; idle list as a part of its own

Cause: espalier was a stub that took hosts in turn. Measured: nothing yet but that it compiles; tests follow.

--- /dev/null
+++ b/crates/espalier/src/policy.rs
@@ -0,0 +1,446 @@
+//! The policy: what it is told, and its answers.
+
+use crate::budget::Terms;
+use crate::health::Fault;
+use crate::host::Host;
+use crate::random::Random;
+use crate::service::Service;
+use crate::types::{Ask, Attempt, Choice, HostInfo, Load, Outcome, ServiceInfo, Settings};
+use crate::window::{from_ms, ms};
+use slab::Slab;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// With no call for longer, this process stalled: what it knew before isn't vouched for.
+const STALL: Duration = Duration::from_millis(250);
+/// A full host is left alone for so long.
+const FULL: Duration = Duration::from_millis(100);
+/// Shortest and longest patience with an attempt that has shown nothing, in ms.
+const PATIENCE_MS: (f64, f64) = (250.0, 2000.0);
+/// Patience over the time within which nearly all answers come.
+const PATIENCE: f64 = 1.5;
+/// The same where the host shows signs of life on other connections.
+const ALIVE: f64 = 2.0;
+/// Share of the time left that may be waited, so that another host still has time.
+const LEFT: f64 = 0.4;
+/// A client that left after so long without a byte shows a host dark.
+const LEFT_DARK: Duration = Duration::from_millis(800);
+
+/// An attempt that is out.
+#[derive(Debug)]
+pub(crate) struct Out {
+    pub(crate) host: usize,
+    pub(crate) sent: Duration,
+    /// Time to the first event as reckoned when it was sent, in ms, and how much of that was waiting.
+    pub(crate) reckoned: f64,
+    waited: f64,
+    tokens: u32,
+    pub(crate) first: bool,
+    pub(crate) heard: Option<Duration>,
+    idempotent: bool,
+    trial: bool,
+    left: Duration,
+}
+
+/// All that the policy remembers.
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) random: Random,
+    pub(crate) names: HashMap<Arc<str>, usize>,
+    pub(crate) services: Slab<Service>,
+    ids: HashMap<Arc<str>, usize>,
+    pub(crate) hosts: Slab<Host>,
+    pub(crate) attempts: Slab<Out>,
+    terms: Terms,
+    /// The latest call, and when this process last woke from a stall.
+    called: Option<Duration>,
+    pub(crate) woke: Duration,
+}
+
+/// The policy of one proxy.
+pub struct Policy {
+    state: State,
+}
+
+impl Policy {
+    /// A policy that knows no hosts yet.
+    pub fn new(settings: Settings) -> Self {
+        let terms = Terms {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: settings.retry_window,
+            proxies: None,
+            born: None,
+        };
+        let state = State {
+            random: Random::new(settings.seed),
+            settings,
+            names: HashMap::new(),
+            services: Slab::new(),
+            ids: HashMap::new(),
+            hosts: Slab::new(),
+            attempts: Slab::new(),
+            terms,
+            called: None,
+            woke: Duration::ZERO,
+        };
+        Self { state }
+    }
+
+    /// The services as configured now.
+    pub fn set_services(&mut self, now: Duration, services: &[ServiceInfo]) {
+        self.state.wake(now);
+        for (_, service) in &mut self.state.services {
+            service.info = None;
+        }
+        for info in services {
+            let number = self.state.service(&info.name);
+            if let Some(service) = self.state.services.get_mut(number) {
+                service.info = Some(info.clone());
+            }
+        }
+        self.state.prune(now);
+    }
+
+    /// The hosts as the roster has them now, over all services.
+    pub fn set_hosts(&mut self, now: Duration, hosts: &[HostInfo]) {
+        self.state.wake(now);
+        let listed: HashSet<&str> = hosts.iter().map(|h| &*h.id).collect();
+        let lost: Vec<usize> =
+            self.state.hosts.iter().filter(|(_, h)| !listed.contains(&*h.info.id)).map(|(k, _)| k).collect();
+        for key in lost {
+            self.state.lose(key);
+        }
+        let first: HashSet<usize> =
+            self.state.services.iter().filter(|(_, s)| s.hosts.is_empty()).map(|(n, _)| n).collect();
+        for info in hosts {
+            self.state.set_host(now, info, &first);
+        }
+        self.state.prune(now);
+    }
+
+    /// Number of coordinators that share the budget.
+    pub fn set_coordinators(&mut self, now: Duration, count: usize) {
+        self.state.wake(now);
+        self.state.terms.proxies = (count > 0).then_some(count);
+    }
+
+    /// Time passes. Called every 100 ms or so while attempts are out, a stall of this process shows in the gap between two calls.
+    pub fn tick(&mut self, now: Duration) {
+        self.state.wake(now);
+    }
+
+    /// A request came in for a service: the budget grows by its share. Once for each try of a client.
+    pub fn arrived(&mut self, now: Duration, service: &str) {
+        self.state.wake(now);
+        let number = self.state.service(service);
+        if let Some(service) = self.state.services.get_mut(number) {
+            service.budget.arrived(now);
+        }
+    }
+
+    /// Picks a host, and counts the attempt as sent.
+    pub fn choose(&mut self, now: Duration, ask: &Ask) -> Choice {
+        self.state.wake(now);
+        match self.state.pick(now, ask) {
+            Ok(pick) => self.state.send(now, ask, pick.host, pick.tokens, pick.trial),
+            Err(retry_after) => Choice::None { retry_after },
+        }
+    }
+
+    /// Whether the budget has room for one more host for a request that was sent before; if so it is taken.
+    /// Asked before [`Policy::choose`] for every attempt beyond a try's first that reached a host.
+    pub fn take_repeat(&mut self, now: Duration, service: &str) -> bool {
+        self.state.wake(now);
+        let number = self.state.service(service);
+        let state = &mut self.state;
+        state.services.get_mut(number).is_some_and(|s| s.budget.take(now, &state.terms))
+    }
+
+    /// The head of a good answer came (for streams: the first event).
+    pub fn first(&mut self, now: Duration, attempt: Attempt) {
+        self.state.wake(now);
+        self.state.first(now, attempt.0);
+    }
+
+    /// Something more came for an attempt: an event of its stream, a piece of its body.
+    pub fn heard(&mut self, now: Duration, attempt: Attempt) {
+        self.state.wake(now);
+        let Some(out) = self.state.attempts.get_mut(attempt.0) else { return };
+        out.heard = Some(now);
+        if let Some(host) = self.state.hosts.get_mut(out.host) {
+            host.heard = Some(now);
+        }
+    }
+
+    /// A host told its load in the head of an answer that goes on. Where it comes with the end, it goes to
+    /// [`Policy::ended`].
+    pub fn told(&mut self, now: Duration, attempt: Attempt, load: Load) {
+        self.state.wake(now);
+        if let Some(key) = self.state.attempts.get(attempt.0).map(|o| o.host) {
+            self.state.loaded(now, key, load);
+        }
+    }
+
+    /// An attempt ended.
+    pub fn ended(&mut self, now: Duration, attempt: Attempt, outcome: Outcome, load: Option<Load>) {
+        self.state.wake(now);
+        self.state.ended(now, attempt.0, outcome, load);
+    }
+
+    /// How long an attempt may stay without a first byte before another host is worth asking (only where the
+    /// request may run twice); `None` where waiting is best.
+    pub fn patience(&self, now: Duration, attempt: Attempt) -> Option<Duration> {
+        self.state.patience(now, attempt.0)
+    }
+
+    /// Hosts to be asked for `GET /fennelpin/report` now: few, as each is priced.
+    pub fn reports_due(&mut self, now: Duration) -> Vec<Arc<str>> {
+        self.state.wake(now);
+        Vec::new()
+    }
+}
+
+impl State {
+    /// Notes a call; after a stall, drops what was known before it.
+    fn wake(&mut self, now: Duration) {
+        self.terms.born.get_or_insert(now);
+        if self.called.is_some_and(|t| now.saturating_sub(t) > STALL) {
+            self.woke = now;
+            for (_, service) in &mut self.services {
+                service.idle.drop_before(now);
+            }
+        }
+        self.called = Some(self.called.map_or(now, |t| t.max(now)));
+    }
+
+    /// The number of a service, which is made where it isn't known.
+    fn service(&mut self, name: &str) -> usize {
+        if let Some(number) = self.names.get(name) {
+            return *number;
+        }
+        let number = self.services.insert(Service::new(self.settings.retry_window));
+        self.names.insert(name.into(), number);
+        number
+    }
+
+    /// Forgets services that are neither configured nor have hosts nor had requests lately.
+    fn prune(&mut self, now: Duration) {
+        let services = &mut self.services;
+        self.names.retain(|_, n| {
+            let unused = |s: &Service| s.info.is_none() && s.hosts.is_empty() && s.budget.unused(now);
+            let drop = services.get(*n).is_none_or(unused);
+            if drop {
+                services.try_remove(*n);
+            }
+            !drop
+        });
+    }
+
+    fn set_host(&mut self, now: Duration, info: &HostInfo, first: &HashSet<usize>) {
+        if let Some(&key) = self.ids.get(&info.id) {
+            let Some(host) = self.hosts.get_mut(key) else { return };
+            if host.info.addr == info.addr && host.info.service == info.service {
+                let back = host.info.silent && !info.silent;
+                if info.cold_left != host.info.cold_left {
+                    host.cold_until = now + info.cold_left;
+                }
+                host.info = info.clone();
+                if back {
+                    host.health.heard_elsewhere(now);
+                }
+                if back || info.draining || info.silent {
+                    self.unlist(key);
+                }
+                return;
+            }
+            self.lose(key);
+        }
+        // Another host at this address that was known before has ended.
+        for (_, other) in &mut self.hosts {
+            if other.info.addr == info.addr && other.since < now {
+                other.moved = true;
+            }
+        }
+        let number = self.service(&info.service);
+        let late_comer =
+            !first.contains(&number) && self.services.get(number).is_some_and(|s| !s.hosts.is_empty());
+        let key = self.hosts.insert(Host::new(info.clone(), number, now, late_comer));
+        self.ids.insert(info.id.clone(), key);
+        if let Some(service) = self.services.get_mut(number) {
+            service.hosts.push(key);
+        }
+    }
+
+    /// A host has left the roster.
+    fn lose(&mut self, key: usize) {
+        self.unlist(key);
+        let Some(host) = self.hosts.get_mut(key) else { return };
+        host.gone = true;
+        if self.ids.get(&host.info.id) == Some(&key) {
+            self.ids.remove(&host.info.id);
+        }
+        self.drop_if_done(key);
+    }
+
+    /// Forgets a host that is gone once nothing is out on it.
+    fn drop_if_done(&mut self, key: usize) {
+        let Some(host) = self.hosts.get(key).filter(|h| h.gone && h.out.is_empty()) else { return };
+        if let Some(service) = self.services.get_mut(host.service) {
+            service.hosts.retain(|k| *k != key);
+            service.idle.remove(key);
+        }
+        self.hosts.remove(key);
+    }
+
+    fn send(&mut self, now: Duration, ask: &Ask, key: usize, tokens: u32, trial: bool) -> Choice {
+        let none = Choice::None { retry_after: FULL };
+        let proxies = self.terms.proxies.unwrap_or(1).max(1) as f64;
+        let Some(waited) = self.hosts.get(key).map(|h| self.wait(now, h)) else { return none };
+        let Some(host) = self.hosts.get_mut(key) else { return none };
+        let Some(service) = self.services.get(host.service) else { return none };
+        let reading = service.reading(tokens);
+        let attempt = self.attempts.insert(Out {
+            host: key,
+            sent: now,
+            reckoned: waited + service.times.base() + reading,
+            waited,
+            tokens,
+            first: false,
+            heard: None,
+            idempotent: ask.idempotent,
+            trial,
+            left: ask.left,
+        });
+        host.out.push(attempt);
+        let mut priority = None;
+        if let Some(room) = service.info.as_ref().and_then(|i| i.cache_tokens) {
+            host.busy_until = host.busy_until.max(now) + from_ms(reading);
+            // The others fill the host's memory as fast as we do.
+            host.kept.touch(ask.parts, room / proxies);
+            priority = Some(priority_of(ask.rank));
+        }
+        if trial {
+            host.health.begin_trial();
+        }
+        Choice::Host { attempt: Attempt(attempt), id: host.info.id.clone(), addr: host.info.addr, priority }
+    }
+
+    fn first(&mut self, now: Duration, number: usize) {
+        let Some(out) = self.attempts.get_mut(number) else { return };
+        if std::mem::replace(&mut out.first, true) {
+            return;
+        }
+        // What came while this process stalled can't be timed.
+        let timed = self.woke <= out.sent;
+        let took = ms(now.saturating_sub(out.sent));
+        let (key, tokens) = (out.host, out.tokens);
+        let (late, read, ratio) = (took - out.reckoned, took - out.waited, took / out.reckoned.max(1.0));
+        self.settle(now, key);
+        let Some(host) = self.hosts.get_mut(key) else { return };
+        host.heard = Some(now);
+        host.health.good();
+        if timed {
+            host.late_by(now, late);
+        }
+        if let Some(service) = self.services.get_mut(host.service).filter(|_| timed) {
+            service.times.add(f64::from(tokens), read.max(0.0));
+            service.spread.add(ratio);
+        }
+        self.relist(now, key);
+    }
+
+    /// With nothing left to be read of ours, a host's backlog is over.
+    fn settle(&mut self, now: Duration, key: usize) {
+        let Some(host) = self.hosts.get(key) else { return };
+        let reading = host.out.iter().filter_map(|o| self.attempts.get(*o)).any(|o| !o.first);
+        if let Some(host) = self.hosts.get_mut(key).filter(|_| !reading) {
+            host.busy_until = now;
+        }
+    }
+
+    fn ended(&mut self, now: Duration, number: usize, outcome: Outcome, load: Option<Load>) {
+        if outcome == Outcome::Done {
+            self.first(now, number);
+        }
+        let Some(out) = self.attempts.try_remove(number) else { return };
+        let key = out.host;
+        if let Some(host) = self.hosts.get_mut(key) {
+            host.out.retain(|o| *o != number);
+        }
+        self.settle(now, key);
+        let Some(host) = self.hosts.get_mut(key) else { return };
+        let age = now.saturating_sub(out.sent.max(self.woke.min(now)));
+        let unheard = !out.first && host.heard.is_none_or(|h| h <= out.sent);
+        // Where the attempt tells nothing of the host's health, a trial is open again.
+        let open = |host: &mut Host| out.trial.then(|| host.health.trial_ended());
+        let alive =
+            !matches!(outcome, Outcome::Unreached | Outcome::Broken | Outcome::Silent | Outcome::Cancelled);
+        if alive && outcome != Outcome::OtherHost {
+            host.heard = Some(now);
+        }
+        let mut busy = true;
+        match outcome {
+            Outcome::Done => {
+                host.health.good();
+                busy = false;
+            }
+            Outcome::Failed => {
+                host.health.erred(now, Fault::Failure);
+            }
+            Outcome::Full | Outcome::TurnedAway => {
+                host.health.good();
+                host.full_until = Some(now + FULL);
+            }
+            Outcome::OtherHost => {
+                host.moved = true;
+                open(host);
+            }
+            Outcome::Unreached | Outcome::Broken => {
+                host.health.erred(now, Fault::Connection);
+            }
+            Outcome::Silent if unheard => {
+                host.health.erred(now, Fault::Silence);
+            }
+            Outcome::Cancelled if unheard && age >= LEFT_DARK => {
+                host.health.erred(now, Fault::Silence);
+            }
+            Outcome::Silent => {
+                host.late_by(now, ms(age));
+                open(host);
+            }
+            Outcome::Cancelled => {
+                open(host);
+                busy = false;
+            }
+        }
+        match load {
+            Some(load) if !busy => self.loaded(now, key, load),
+            _ if busy => self.put(now, key, 0),
+            _ => self.relist(now, key),
+        }
+        self.drop_if_done(key);
+    }
+
+    fn patience(&self, now: Duration, number: usize) -> Option<Duration> {
+        let out = self.attempts.get(number).filter(|o| o.idempotent && !o.first)?;
+        let host = self.hosts.get(out.host)?;
+        let service = self.services.get(host.service)?;
+        let (least, most) = PATIENCE_MS;
+        if !out.trial && host.health.out() && host.health.dark() {
+            return Some(from_ms(least));
+        }
+        let alive = host.heard.is_some_and(|h| h > out.sent && now.saturating_sub(h) < STALL);
+        let usual = PATIENCE * service.spread.value().max(1.0) * out.reckoned;
+        let usual = usual * if alive { ALIVE } else { 1.0 };
+        let most = most.min(LEFT * ms(out.left)).max(least);
+        Some(from_ms(usual.clamp(least, most)))
+    }
+}
+
+/// What goes out as `Priority` (0 is first, 5 stands for none). Ranks keep their order, and with rank 0 at 2 the
+/// ends of the scale stay free.
+fn priority_of(rank: u32) -> u8 {
+    u8::try_from(rank.saturating_mul(2).saturating_add(2).min(9)).unwrap_or(9)
+}
