--- a/crates/espalier/src/choice.rs
+++ b/crates/espalier/src/choice.rs
@@ -135,7 +135,7 @@
 
         let mut fit: Vec<usize> =
             opens.iter().filter(|(_, h)| !h.health.out() && !h.info.silent).map(|(k, _)| *k).collect();
-        if fit.len() * PANIC < known {
+        if !fit.is_empty() && fit.len() * PANIC < known {
             let bad = opens.iter().filter(|(_, h)| h.health.out() && !h.health.dark() && !h.info.silent);
             fit.extend(bad.map(|(k, _)| *k));
         }
--- a/crates/espalier/src/policy.rs
+++ b/crates/espalier/src/policy.rs
@@ -211,6 +211,9 @@
             for (_, service) in &mut self.services {
                 service.idle.drop_before(now);
             }
+            for (_, host) in &mut self.hosts {
+                host.told_busy = None;
+            }
         }
         self.called = Some(self.called.map_or(now, |t| t.max(now)));
     }
