--- /dev/null
+++ b/crates/hedgerow/tests/chain.rs
@@ -0,0 +1,197 @@
+//! A fake member serves; the agent and the proxy's mirror behind it follow.
+
+use almanac::{Boot, Document};
+use graft::{Addr, HostRecord, Mark, Seat, SourceNews};
+use scion::{client, Mirror, News, Puller, SharedMirror, Snapshot};
+use std::net::SocketAddrV4;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// A member's listener on a port whose next one is free for the agent.
+async fn listen(ip: &str) -> (TcpListener, u16) {
+    loop {
+        let listener = TcpListener::bind((ip, 0)).await.unwrap();
+        let port = listener.local_addr().unwrap().port();
+        if port < u16::MAX && TcpListener::bind(("127.0.0.1", port + 1)).await.is_ok() {
+            return (listener, port);
+        }
+    }
+}
+
+fn boot(port: u16, seeds: &[&str]) -> Boot {
+    let seeds: Vec<String> = seeds.iter().map(|ip| format!("{ip}:9")).collect();
+    let json = serde_json::json!({
+        "node_name": "edge-1", "role": "agent", "ip_addr": "127.0.0.9", "zone": "z", "region": "r",
+        "port_range": [port, port + 15], "seed_nodes": seeds, "beat_period_ms": 1200,
+    });
+    Boot::read(&json.to_string()).unwrap()
+}
+
+fn document(version: u64) -> Arc<Document> {
+    let text = format!(
+        r#"{{"version":{version},"routes":[{{"name":"a","hostname":"h","path_prefix":"/","route_class":"pure",
+        "deadline_ms":{version}000,"service":"s"}}],"services":[{{"name":"s"}}],"limits":{{}}}}"#
+    );
+    Arc::new(Document::read(text.as_bytes(), 0).unwrap())
+}
+
+fn host(id: &str, call_seq: u64) -> HostRecord {
+    let addr = Addr { ip: 1, port: id.bytes().map(u16::from).sum() };
+    HostRecord { id: id.into(), service: "s".into(), addr, capacity: 1, call_seq, ..HostRecord::default() }
+}
+
+fn source(id: u64, seq: u64, hosts: Vec<HostRecord>) -> News {
+    let mark = Mark { id, life: 1, seq };
+    News {
+        sources: vec![SourceNews { mark, whole: seq == 1, hosts, coordinators: vec![] }],
+        ..News::default()
+    }
+}
+
+async fn until(views: &mut watch::Receiver<Arc<Snapshot>>, what: impl Fn(&Snapshot) -> bool) {
+    timeout(LONG, views.wait_for(|v| what(v))).await.expect("it comes").unwrap();
+}
+
+struct FakeMember {
+    shared: Arc<SharedMirror>,
+    callers: Arc<Mutex<Vec<(String, u64)>>>,
+    heard: Arc<tokio::sync::Notify>,
+}
+
+fn member(id: u64, listener: TcpListener) -> FakeMember {
+    let shared = SharedMirror::new(Mirror::new(id, Duration::from_millis(1200)));
+    let callers: Arc<Mutex<Vec<(String, u64)>>> = Arc::default();
+    let heard = Arc::new(tokio::sync::Notify::new());
+    let fake = FakeMember { shared: shared.clone(), callers: callers.clone(), heard: heard.clone() };
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            let (callers, heard) = (callers.clone(), heard.clone());
+            tokio::spawn(scion::serve(stream, Vec::new(), shared.clone(), move |caller| {
+                callers.lock().unwrap().push((caller.name.clone(), caller.version));
+                heard.notify_one();
+            }));
+        }
+    });
+    fake
+}
+
+fn proxy(boot: &Boot) -> (Arc<SharedMirror>, mpsc::UnboundedSender<client::Control>) {
+    let shared = SharedMirror::new(Mirror::new(0, Duration::from_millis(1200)).at_the_end());
+    let (control, told) = mpsc::unbounded_channel();
+    let mut puller = Puller::new(&boot.node_name, 1, None).fixed();
+    puller.set_seeds(&[scion::agent_addr(boot)]);
+    tokio::spawn(client::run(puller, scion::no_seat(boot), scion::caller(boot, 0), shared.clone(), told));
+    (shared, control)
+}
+
+#[tokio::test]
+async fn agent_and_proxy_follow_the_members() {
+    let (listener, port) = listen("127.0.0.2").await;
+    let first = member(11, listener);
+    let second = member(12, TcpListener::bind(("127.0.0.3", port)).await.unwrap());
+    let boot = boot(port, &["127.0.0.2"]);
+    tokio::spawn(hedgerow::run(boot.clone(), None, std::future::pending()));
+    let (shared, control) = proxy(&boot);
+    let mut views = shared.subscribe();
+
+    first.shared.update(|m, now| {
+        m.proved(now);
+        m.set_ledger(1, document(1), &[]);
+        m.apply(now, &source(11, 1, vec![host("i-1", 1)]))
+    });
+    until(&mut views, |v| v.document.version == 1 && v.hosts.contains_key("i-1")).await;
+
+    // A change, and a drain.
+    first.shared.update(|m, now| {
+        m.set_ledger(2, document(4), &["i-1".to_owned()]);
+        m.apply(now, &source(11, 2, vec![host("i-2", 1)]))
+    });
+    until(&mut views, |v| v.document.version == 4 && v.hosts.len() == 2 && v.hosts["i-1"].phase == 1).await;
+    assert_eq!(views.borrow().document.routes[0].value.deadline_ms, 4000.0);
+
+    // The proxy's version goes up through the agent.
+    control.send(client::Control::Version(4)).unwrap();
+    timeout(LONG, async {
+        while !first.callers.lock().unwrap().contains(&("edge-1".into(), 4)) {
+            first.heard.notified().await;
+        }
+    })
+    .await
+    .expect("the version goes up");
+
+    // A member that is learnt, not a seed, brings news too.
+    let seat = |id, ip: &str| {
+        let addr = SocketAddrV4::new(ip.parse().unwrap(), port).into();
+        Seat { id, name: format!("m{id}"), addr, ..Seat::default() }
+    };
+    first.shared.update(|m, _| m.set_fleet(1, 11, vec![seat(11, "127.0.0.2"), seat(12, "127.0.0.3")]));
+    second.shared.update(|m, now| m.apply(now, &source(12, 1, vec![host("i-3", 1)])));
+    until(&mut views, |v| v.hosts.contains_key("i-3")).await;
+}
+
+/// The settings change from one member to another, which alone has the second version.
+async fn other_seeds(ips: [&str; 2], hang_up: bool) {
+    let (listener, port) = listen(ips[0]).await;
+    let first = member(11, listener);
+    let second = member(12, TcpListener::bind((ips[1], port)).await.unwrap());
+    first.shared.update(|m, _| m.set_ledger(1, document(1), &[]));
+    second.shared.update(|m, _| m.set_ledger(2, document(2), &[]));
+    let text = |seed: &str| {
+        format!(
+            r#"{{"node_name":"e","role":"a","ip_addr":"127.0.0.9","zone":"z","port_range":[{port},{}],
+            "seed_nodes":["{seed}:9"]}}"#,
+            port + 15
+        )
+    };
+    let file = std::env::temp_dir().join(format!("hedgerow-{}-{port}.json", std::process::id()));
+    let write = |seed: &str, modified: std::time::SystemTime| {
+        std::fs::write(&file, text(seed)).unwrap();
+        std::fs::File::options().append(true).open(&file).unwrap().set_modified(modified).unwrap();
+    };
+    let start = std::time::SystemTime::now();
+    write(ips[0], start);
+    let boot = Boot::read(&text(ips[0])).unwrap();
+    tokio::spawn(hedgerow::run(boot.clone(), Some(file.clone()), std::future::pending()));
+    let (shared, _control) = proxy(&boot);
+    let mut views = shared.subscribe();
+    until(&mut views, |v| v.document.version == 1).await;
+    if hang_up {
+        write(ips[1], start);
+        let pid = std::process::id().to_string();
+        assert!(std::process::Command::new("kill").args(["-HUP", &pid]).status().unwrap().success());
+    } else {
+        write(ips[1], start + Duration::from_secs(5));
+    }
+    until(&mut views, |v| v.document.version == 2).await;
+    std::fs::remove_file(file).unwrap();
+}
+
+#[tokio::test]
+async fn a_change_of_the_settings_file_brings_other_seeds() {
+    other_seeds(["127.0.0.4", "127.0.0.5"], false).await;
+}
+
+#[tokio::test]
+async fn the_signal_for_changed_settings_brings_other_seeds() {
+    other_seeds(["127.0.0.10", "127.0.0.11"], true).await;
+}
+
+#[tokio::test]
+async fn it_ends_when_told_to() {
+    let (_listener, port) = listen("127.0.0.6").await;
+    hedgerow::run(boot(port, &["127.0.0.6"]), None, std::future::ready(())).await.unwrap();
+}
+
+#[tokio::test]
+async fn an_address_in_use_is_an_error() {
+    let (_listener, port) = listen("127.0.0.7").await;
+    let _taken = TcpListener::bind(("127.0.0.1", port + 1)).await.unwrap();
+    let ended = hedgerow::run(boot(port, &["127.0.0.7"]), None, std::future::pending()).await;
+    assert!(ended.unwrap_err().to_string().contains(&format!("127.0.0.1:{}", port + 1)));
+}
--- a/crates/rootstock/src/lib.rs
+++ b/crates/rootstock/src/lib.rs
@@ -1,3 +1,6 @@
-//! To be written.
+//! The control plane.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod feed;
+pub mod roster;
--- /dev/null
+++ b/crates/scion/src/client.rs
@@ -0,0 +1,169 @@
+//! The side that pulls: runs a [`Puller`] over TCP and feeds a [`SharedMirror`].
+
+use crate::frames::FrameReader;
+use crate::news::{News, Pull};
+use crate::puller::{Action, Puller, WAIT_MS};
+use crate::shared::SharedMirror;
+use graft::{encode, Addr, Caller, Message, Seat};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::sleep_until;
+
+/// What the rest of the process tells the client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Control {
+    /// The seeds' addresses, as the settings have them now.
+    Seeds(Vec<Addr>),
+    /// The version of the configuration in force that is reported upward.
+    Version(u64),
+}
+
+enum Event {
+    Connected,
+    News(Box<News>),
+    Failed(io::Error),
+}
+
+struct Connection {
+    task: AbortHandle,
+    pulls: mpsc::UnboundedSender<Pull>,
+}
+
+/// A puller with its connections.
+struct Client {
+    hello: Seat,
+    shared: Arc<SharedMirror>,
+    connections: HashMap<u64, Connection>,
+    tasks: JoinSet<()>,
+    events: mpsc::UnboundedSender<(u64, Event)>,
+    caller: Caller,
+}
+
+/// Pulls until it is dropped, or until `control` is closed. `hello` is the first frame on each connection.
+pub async fn run(
+    mut puller: Puller,
+    hello: Seat,
+    caller: Caller,
+    shared: Arc<SharedMirror>,
+    mut control: mpsc::UnboundedReceiver<Control>,
+) {
+    let (events, mut incoming) = mpsc::unbounded_channel();
+    let tasks = JoinSet::new();
+    let mut client =
+        Client { hello, shared: shared.clone(), connections: HashMap::new(), tasks, events, caller };
+    let mut fleet = 0;
+    loop {
+        let (mirror_next, learnt) = shared.update(|mirror, _| {
+            let learnt = (mirror.fleet().mark != fleet).then(|| mirror.fleet().clone());
+            (mirror.next_tick(), learnt)
+        });
+        if let Some(learnt) = learnt {
+            fleet = learnt.mark;
+            puller.set_members(learnt.members.iter().map(|s| s.addr));
+        }
+        client.act(puller.tick(shared.now()));
+        let next = mirror_next.into_iter().chain(puller.next_tick()).min();
+        let at = next.unwrap_or_else(|| shared.now() + Duration::from_secs(60));
+        tokio::select! {
+            Some((link, event)) = incoming.recv() => {
+                let actions = client.take(&mut puller, link, event);
+                client.act(actions);
+            }
+            told = control.recv() => match told {
+                Some(Control::Seeds(seeds)) => puller.set_seeds(&seeds),
+                Some(Control::Version(version)) => client.caller.version = version,
+                None => return,
+            },
+            Some(_) = client.tasks.join_next() => {}
+            () = sleep_until(shared.at(at)) => {
+                shared.update(|mirror, now| mirror.tick(now));
+            }
+        }
+    }
+}
+
+impl Client {
+    fn take(&mut self, puller: &mut Puller, link: u64, event: Event) -> Vec<Action> {
+        let now = self.shared.now();
+        match event {
+            Event::Connected => puller.connected(now, link),
+            Event::Failed(error) => {
+                log::debug!("link {link}: {error}");
+                self.connections.remove(&link);
+                puller.failed(now, link)
+            }
+            Event::News(news) => {
+                let taken = self.shared.update(|mirror, now| mirror.apply(now, &news));
+                puller.answered(now, link, news.member, news.age_ms, taken)
+            }
+        }
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Connect { link, addr } => {
+                    let (pulls, queue) = mpsc::unbounded_channel();
+                    let hello = encode(&Message::Hello { seat: self.hello.clone() });
+                    let events = self.events.clone();
+                    let task = self.tasks.spawn(async move {
+                        let Err(error) = connection(link, addr, hello, queue, &events).await;
+                        let _ = events.send((link, Event::Failed(error)));
+                    });
+                    self.connections.insert(link, Connection { task, pulls });
+                }
+                Action::Pull { link } => {
+                    let pull = self.shared.update(|mirror, _| mirror.pull(&self.caller, WAIT_MS));
+                    if let Some(connection) = self.connections.get(&link) {
+                        let _ = connection.pulls.send(pull);
+                    }
+                }
+                Action::Close { link } => {
+                    if let Some(connection) = self.connections.remove(&link) {
+                        connection.task.abort();
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// One connection: its timeouts are the puller's, which ends this task.
+async fn connection(
+    link: u64,
+    addr: Addr,
+    hello: Vec<u8>,
+    mut pulls: mpsc::UnboundedReceiver<Pull>,
+    events: &mpsc::UnboundedSender<(u64, Event)>,
+) -> io::Result<std::convert::Infallible> {
+    let over = || io::Error::from(io::ErrorKind::BrokenPipe);
+    let stream = TcpStream::connect(SocketAddrV4::from(&addr)).await?;
+    stream.set_nodelay(true)?;
+    let (read, mut write) = stream.into_split();
+    let mut frames = FrameReader::new(read, Vec::new());
+    let mut first = Some(hello);
+    events.send((link, Event::Connected)).map_err(|_| over())?;
+    loop {
+        tokio::select! {
+            pull = pulls.recv() => {
+                let mut frame = first.take().unwrap_or_default();
+                frame.extend(encode(&pull.ok_or_else(over)?.into_message()));
+                write.write_all(&frame).await?;
+            }
+            message = frames.next() => {
+                let message = message?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+                let Ok(news) = News::from_message(message) else {
+                    return Err(io::Error::new(io::ErrorKind::InvalidData, "no news"));
+                };
+                events.send((link, Event::News(Box::new(news)))).map_err(|_| over())?;
+            }
+        }
+    }
+}
--- a/crates/scion/src/lib.rs
+++ b/crates/scion/src/lib.rs
@@ -1,3 +1,75 @@
-//! To be written.
+//! The mirror of what the control plane says ([`Mirror`]), and the pulls that keep it fresh ([`Puller`]);
+//! used by members, agents and proxies alike. [`client`] and [`serve`] are the thin shells round them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod client;
+mod frames;
+mod mirror;
+mod news;
+mod puller;
+mod rendezvous;
+mod serve;
+mod shared;
+
+pub use frames::FrameReader;
+pub use mirror::{Mirror, Snapshot};
+pub use news::{News, Pull};
+pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, STALE_MS, WAIT_MS, WATCHED};
+pub use rendezvous::{ranked, weight};
+pub use serve::{answer, serve};
+pub use shared::SharedMirror;
+
+use almanac::Boot;
+use graft::{Addr, Caller, Seat};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// What [`graft::HostRecord::phase`] may hold.
+pub mod phase {
+    /// Takes requests.
+    pub const READY: u8 = 0;
+    /// Leaving: takes no new requests.
+    pub const DRAINING: u8 = 1;
+    /// Has ended.
+    pub const GONE: u8 = 2;
+    /// The source has nothing more to say of the host: a tombstone.
+    pub const FORGOTTEN: u8 = 3;
+}
+
+/// Where members listen, given the `control` address of one.
+pub fn member_addr(boot: &Boot, control: &SocketAddrV4) -> Addr {
+    Addr { ip: u32::from(*control.ip()), port: boot.port_range.0 }
+}
+
+/// Where the seeds of the settings listen.
+pub fn seed_addrs(boot: &Boot) -> Vec<Addr> {
+    boot.seed_nodes.iter().map(|s| member_addr(boot, s)).collect()
+}
+
+/// Where a machine's agent listens for its proxy.
+pub fn agent_addr(boot: &Boot) -> Addr {
+    Addr { ip: u32::from(Ipv4Addr::LOCALHOST), port: boot.port_range.0.saturating_add(1) }
+}
+
+/// This process as one that pulls; `member` is its identity, or 0 where it is no member.
+pub fn caller(boot: &Boot, member: u64) -> Caller {
+    Caller {
+        name: boot.node_name.clone(),
+        zone: boot.zone.clone(),
+        region: boot.region.clone(),
+        member,
+        version: 0,
+    }
+}
+
+/// The first frame's seat of a process that is no member.
+pub fn no_seat(boot: &Boot) -> Seat {
+    Seat {
+        id: 0,
+        name: boot.node_name.clone(),
+        addr: Addr { ip: u32::from(boot.ip_addr), port: 0 },
+        control: Addr::default(),
+        zone: boot.zone.clone(),
+        region: boot.region.clone(),
+    }
+}
--- /dev/null
+++ b/crates/scion/src/news.rs
@@ -0,0 +1,84 @@
+//! [`Message::Pull`] and [`Message::News`] as values of their own.
+
+use graft::{Caller, ConfigNews, Fleet, Mark, Message, SourceNews};
+
+/// Asks for what the speaker lacks: [`Message::Pull`].
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pull {
+    /// Who pulls.
+    pub caller: Caller,
+    /// How long the answer may wait for news, in ms.
+    pub wait_ms: u32,
+    /// Number of the ledger's last change that the speaker has.
+    pub ledger: u64,
+    /// Version of the configuration that it has.
+    pub version: u64,
+    /// Mark of the fleet that it has.
+    pub fleet: u64,
+    /// What it has of each source. A number of `u64::MAX` says that it wants nothing more of this life.
+    pub sources: Vec<Mark>,
+}
+
+impl Pull {
+    /// As a message.
+    pub fn into_message(self) -> Message {
+        let Self { caller, wait_ms, ledger, version, fleet, sources } = self;
+        Message::Pull { caller, wait_ms, ledger, version, fleet, sources }
+    }
+
+    /// The pull that a message is.
+    ///
+    /// # Errors
+    /// The message back, where it is another one.
+    pub fn from_message(message: Message) -> Result<Self, Box<Message>> {
+        match message {
+            Message::Pull { caller, wait_ms, ledger, version, fleet, sources } => {
+                Ok(Self { caller, wait_ms, ledger, version, fleet, sources })
+            }
+            other => Err(Box::new(other)),
+        }
+    }
+}
+
+/// What a puller lacked: [`Message::News`].
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct News {
+    /// Who speaks; 0 for an agent.
+    pub member: u64,
+    /// Since when, at most, the speaker may have missed what the primary acknowledged, in ms.
+    pub age_ms: u32,
+    /// Configuration and drains.
+    pub config: Option<ConfigNews>,
+    /// Hosts and coordinators.
+    pub sources: Vec<SourceNews>,
+    /// Sources that are no more.
+    pub retired: Vec<u64>,
+    /// The control plane.
+    pub fleet: Option<Fleet>,
+}
+
+impl News {
+    /// Whether it says nothing but its age.
+    pub fn is_empty(&self) -> bool {
+        self.config.is_none() && self.sources.is_empty() && self.retired.is_empty() && self.fleet.is_none()
+    }
+
+    /// As a message.
+    pub fn into_message(self) -> Message {
+        let Self { member, age_ms, config, sources, retired, fleet } = self;
+        Message::News { member, age_ms, config, sources, retired, fleet }
+    }
+
+    /// The news that a message is.
+    ///
+    /// # Errors
+    /// The message back, where it is another one.
+    pub fn from_message(message: Message) -> Result<Self, Box<Message>> {
+        match message {
+            Message::News { member, age_ms, config, sources, retired, fleet } => {
+                Ok(Self { member, age_ms, config, sources, retired, fleet })
+            }
+            other => Err(Box::new(other)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scion/src/puller.rs
@@ -0,0 +1,248 @@
+//! Who is pulled from, and when: a state machine without I/O.
+
+use crate::rendezvous::ranked;
+use graft::Addr;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How many members an agent pulls from.
+pub const WATCHED: usize = 3;
+/// How long a pull waits for news, in ms.
+pub const WAIT_MS: u32 = 1000;
+/// How much longer than [`WAIT_MS`] an answer may take.
+pub const ANSWER_SLACK: Duration = Duration::from_millis(700);
+/// How long a connection may take to come up.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// From this age on a member counts as cut off from the primary, in ms.
+pub const STALE_MS: u32 = 1500;
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(1000);
+/// Pause after an answer that came early and told nothing new.
+const REST: Duration = Duration::from_millis(50);
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Open a connection.
+    Connect {
+        /// The link's number, never used twice.
+        link: u64,
+        /// Where to.
+        addr: Addr,
+    },
+    /// Send a pull.
+    Pull {
+        /// The link.
+        link: u64,
+    },
+    /// Close the connection, or give up opening it.
+    Close {
+        /// The link.
+        link: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// Not connected; tries again at this time.
+    Down(Duration),
+    /// Connecting until this time.
+    Connecting(Duration),
+    /// Waiting for an answer until this time.
+    Polling(Duration),
+    /// Connected; pulls again at this time.
+    Resting(Duration),
+}
+
+#[derive(Debug)]
+struct Link {
+    number: u64,
+    phase: Phase,
+    backoff: Duration,
+    dead: bool,
+    stale: bool,
+    member: u64,
+}
+
+/// Picks the members to pull from and keeps one pull outstanding at each.
+#[derive(Debug)]
+pub struct Puller {
+    name: String,
+    watched: usize,
+    wait: Duration,
+    own: Option<Addr>,
+    fixed: bool,
+    seeds: Vec<Addr>,
+    learnt: Vec<Addr>,
+    order: Vec<Addr>,
+    links: BTreeMap<Addr, Link>,
+    numbers: u64,
+}
+
+impl Puller {
+    /// For the process `name`, which pulls from `watched` members and never from `own`.
+    pub fn new(name: &str, watched: usize, own: Option<Addr>) -> Self {
+        Self {
+            name: name.to_owned(),
+            watched,
+            wait: Duration::from_millis(WAIT_MS.into()),
+            own,
+            fixed: false,
+            seeds: Vec::new(),
+            learnt: Vec::new(),
+            order: Vec::new(),
+            links: BTreeMap::new(),
+            numbers: 0,
+        }
+    }
+
+    /// One that keeps to its seeds, whatever members it hears of: a proxy's, whose seed is its agent.
+    pub fn fixed(mut self) -> Self {
+        self.fixed = true;
+        self
+    }
+
+    /// Takes the seeds' addresses, as the settings have them now; [`Puller::tick`] acts on it.
+    pub fn set_seeds(&mut self, seeds: &[Addr]) {
+        self.seeds = seeds.to_vec();
+        self.reorder();
+    }
+
+    /// Takes the members' addresses, as the fleet has them now; none is taken for no word. [`Puller::tick`]
+    /// acts on it.
+    pub fn set_members(&mut self, members: impl IntoIterator<Item = Addr>) {
+        let members: Vec<Addr> = members.into_iter().filter(|a| a.port != 0).collect();
+        if !self.fixed && !members.is_empty() && members != self.learnt {
+            self.learnt = members;
+            self.reorder();
+        }
+    }
+
+    fn reorder(&mut self) {
+        let all: BTreeSet<Addr> =
+            self.seeds.iter().chain(&self.learnt).copied().filter(|a| Some(*a) != self.own).collect();
+        self.order = ranked(&self.name, all, |a| {
+            let mut bytes = a.ip.to_be_bytes().to_vec();
+            bytes.extend(a.port.to_be_bytes());
+            bytes
+        });
+    }
+
+    /// A connection came up.
+    pub fn connected(&mut self, now: Duration, link: u64) -> Vec<Action> {
+        let wait = self.wait;
+        let Some((_, known)) = self.of(link) else { return Vec::new() };
+        known.phase = Phase::Polling(now + wait + ANSWER_SLACK);
+        vec![Action::Pull { link }]
+    }
+
+    /// A connection failed, or ended.
+    pub fn failed(&mut self, now: Duration, link: u64) -> Vec<Action> {
+        let Some((addr, _)) = self.of(link) else { return Vec::new() };
+        self.fail(now, addr);
+        self.tick(now)
+    }
+
+    /// An answer came from `member`; `taken`: the mirror took something from it.
+    pub fn answered(
+        &mut self,
+        now: Duration,
+        link: u64,
+        member: u64,
+        age_ms: u32,
+        taken: bool,
+    ) -> Vec<Action> {
+        let Some((_, known)) = self.of(link) else { return Vec::new() };
+        let Phase::Polling(until) = known.phase else { return Vec::new() };
+        (known.dead, known.backoff, known.member) = (false, FIRST_BACKOFF, member);
+        known.stale = age_ms > STALE_MS;
+        let early = now + ANSWER_SLACK + REST < until;
+        known.phase = Phase::Resting(if early && !taken { now + REST } else { now });
+        self.tick(now)
+    }
+
+    fn of(&mut self, number: u64) -> Option<(Addr, &mut Link)> {
+        let found =
+            self.links.iter_mut().find(|(_, l)| l.number == number && !matches!(l.phase, Phase::Down(_)));
+        found.map(|(addr, link)| (*addr, link))
+    }
+
+    fn fail(&mut self, now: Duration, addr: Addr) {
+        if let Some(link) = self.links.get_mut(&addr) {
+            link.phase = Phase::Down(now + link.backoff);
+            link.backoff = (link.backoff * 2).min(LONGEST_BACKOFF);
+            link.dead = true;
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let late = |phase: Phase| matches!(phase, Phase::Connecting(t) | Phase::Polling(t) if now >= t);
+        let failed: Vec<Addr> = self.links.iter().filter(|(_, l)| late(l.phase)).map(|(a, _)| *a).collect();
+        for addr in failed {
+            if let Some(link) = self.links.get(&addr) {
+                actions.push(Action::Close { link: link.number });
+            }
+            self.fail(now, addr);
+        }
+        // The first in the order, until enough of them are well.
+        let mut picked = BTreeSet::new();
+        let mut well = 0;
+        for addr in &self.order {
+            if well >= self.watched {
+                break;
+            }
+            picked.insert(*addr);
+            well += usize::from(self.links.get(addr).is_none_or(|l| !l.dead && !l.stale));
+        }
+        self.links.retain(|addr, link| {
+            let keep = picked.contains(addr);
+            if !keep && !matches!(link.phase, Phase::Down(_)) {
+                actions.push(Action::Close { link: link.number });
+            }
+            keep
+        });
+        for addr in picked {
+            let link = self.links.entry(addr).or_insert(Link {
+                number: 0,
+                phase: Phase::Down(now),
+                backoff: FIRST_BACKOFF,
+                dead: false,
+                stale: false,
+                member: 0,
+            });
+            match link.phase {
+                Phase::Down(at) if now >= at => {
+                    self.numbers += 1;
+                    link.number = self.numbers;
+                    link.phase = Phase::Connecting(now + CONNECT_TIMEOUT);
+                    actions.push(Action::Connect { link: link.number, addr });
+                }
+                Phase::Resting(at) if now >= at => {
+                    link.phase = Phase::Polling(now + self.wait + ANSWER_SLACK);
+                    actions.push(Action::Pull { link: link.number });
+                }
+                _ => {}
+            }
+        }
+        actions
+    }
+
+    /// When [`Puller::tick`] next has something to do.
+    pub fn next_tick(&self) -> Option<Duration> {
+        let at = |l: &Link| match l.phase {
+            Phase::Down(t) | Phase::Connecting(t) | Phase::Polling(t) | Phase::Resting(t) => t,
+        };
+        self.links.values().map(at).min()
+    }
+
+    /// Members that answer, by address; the identity is 0 for an agent.
+    pub fn alive(&self) -> impl Iterator<Item = (Addr, u64)> + '_ {
+        let alive = self
+            .links
+            .iter()
+            .filter(|(_, l)| !l.dead && matches!(l.phase, Phase::Polling(_) | Phase::Resting(_)));
+        alive.map(|(addr, link)| (*addr, link.member))
+    }
+}
--- /dev/null
+++ b/crates/scion/src/rendezvous.rs
@@ -0,0 +1,24 @@
+//! Rendezvous hashing: each pair of names has a weight, and who weighs most is picked.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// The weight of `candidate` for `key`: the same in every process.
+pub fn weight(key: &str, candidate: &[u8]) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(key.as_bytes());
+    hasher.write(&[0xff]);
+    hasher.write(candidate);
+    hasher.finish()
+}
+
+/// The candidates, those that weigh most for `key` first.
+pub fn ranked<T: Ord>(
+    key: &str,
+    candidates: impl IntoIterator<Item = T>,
+    bytes: impl Fn(&T) -> Vec<u8>,
+) -> Vec<T> {
+    let mut all: Vec<(u64, T)> = candidates.into_iter().map(|c| (weight(key, &bytes(&c)), c)).collect();
+    all.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+    all.into_iter().map(|(_, c)| c).collect()
+}
--- /dev/null
+++ b/crates/scion/src/serve.rs
@@ -0,0 +1,64 @@
+//! The side that is pulled from.
+
+use crate::frames::FrameReader;
+use crate::news::{News, Pull};
+use crate::shared::SharedMirror;
+use graft::{encode, Caller, Message};
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// Longest wait that a puller may ask for.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// Longest pause before a peer's next message.
+const IDLE: Duration = Duration::from_secs(10);
+/// Longest time that a peer may take to read an answer.
+const SEND: Duration = Duration::from_secs(3);
+
+/// The answer to a pull: at once where there are news, else when there are, or empty after the pull's wait.
+pub async fn answer(shared: &SharedMirror, pull: &Pull) -> News {
+    let mut changes = shared.subscribe();
+    let until = Instant::now() + Duration::from_millis(pull.wait_ms.into()).min(LONGEST_WAIT);
+    loop {
+        changes.borrow_and_update();
+        if let Some(news) = shared.update(|mirror, now| mirror.news_for(now, pull)) {
+            return news;
+        }
+        if !matches!(timeout_at(until, changes.changed()).await, Ok(Ok(()))) {
+            return shared.update(|mirror, now| mirror.no_news(now));
+        }
+    }
+}
+
+/// Answers the pulls on one connection until it ends; `buffer` holds what was read of it already, and
+/// `on_caller` hears of each pull.
+///
+/// # Errors
+/// Where the connection fails, a peer is silent or doesn't read for too long, or sends something else.
+pub async fn serve<S>(
+    stream: S,
+    buffer: Vec<u8>,
+    shared: Arc<SharedMirror>,
+    mut on_caller: impl FnMut(&Caller),
+) -> io::Result<()>
+where
+    S: AsyncRead + AsyncWrite,
+{
+    let (read, mut write) = tokio::io::split(stream);
+    let mut frames = FrameReader::new(Box::pin(read), buffer);
+    loop {
+        let message = match timeout(IDLE, frames.next()).await?? {
+            None => return Ok(()),
+            Some(Message::Hello { .. }) => continue,
+            Some(message) => message,
+        };
+        let Ok(pull) = Pull::from_message(message) else {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "no pull"));
+        };
+        on_caller(&pull.caller);
+        let frame = encode(&answer(&shared, &pull).await.into_message());
+        timeout(SEND, write.write_all(&frame)).await??;
+    }
+}
--- /dev/null
+++ b/crates/scion/src/shared.rs
@@ -0,0 +1,58 @@
+//! A mirror shared by the tasks of one process.
+
+use crate::mirror::{Mirror, Snapshot};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// A [`Mirror`] whose changes are published.
+pub struct SharedMirror {
+    mirror: Mutex<Mirror>,
+    origin: Instant,
+    snapshots: watch::Sender<Arc<Snapshot>>,
+}
+
+impl SharedMirror {
+    /// Shares a mirror; its times are counted from now on.
+    pub fn new(mirror: Mirror) -> Arc<Self> {
+        Self::since(mirror, Instant::now())
+    }
+
+    /// Shares a mirror whose times are counted from `origin`.
+    pub fn since(mirror: Mirror, origin: Instant) -> Arc<Self> {
+        let snapshots = watch::Sender::new(Arc::new(mirror.view()));
+        Arc::new(Self { mirror: Mutex::new(mirror), origin, snapshots })
+    }
+
+    /// The time since the origin.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// The instant that a time since the origin stands for.
+    pub fn at(&self, time: Duration) -> Instant {
+        self.origin + time
+    }
+
+    /// Reads or changes the mirror; a change is published.
+    pub fn update<R>(&self, change: impl FnOnce(&mut Mirror, Duration) -> R) -> R {
+        let mut mirror = self.mirror.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = mirror.generation();
+        let result = change(&mut mirror, self.now());
+        if mirror.generation() != before {
+            self.snapshots.send_replace(Arc::new(mirror.view()));
+        }
+        result
+    }
+
+    /// Each view as it comes; the one of now at once.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Snapshot>> {
+        self.snapshots.subscribe()
+    }
+
+    /// The view of now.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshots.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/scion/tests/mirror.rs
@@ -0,0 +1,388 @@
+//! The mirror: takes only what is newer, hands on exactly what is lacking.
+
+use almanac::Document;
+use graft::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, Seat, SourceNews};
+use rstest::rstest;
+use scion::{phase, Mirror, News, Pull};
+use std::sync::Arc;
+use std::time::Duration;
+
+const BEAT: Duration = Duration::from_millis(1000);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn mirror(member: u64) -> Mirror {
+    Mirror::new(member, BEAT)
+}
+
+/// A configuration whose one route has its version as its deadline, and a route of its own.
+fn document(version: u64) -> Arc<Document> {
+    let route = |name: &str, deadline: u64| {
+        format!(
+            r#"{{"name":"{name}","hostname":"h","path_prefix":"/{name}/","route_class":"pure","deadline_ms":{deadline},
+            "service":"s"}}"#
+        )
+    };
+    let routes = [route("all", version), route(&format!("v{version}"), 5), route("same", 7)].join(",");
+    let text =
+        format!(r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"s"}}],"limits":{{}}}}"#);
+    Arc::new(Document::read(text.as_bytes(), 0).unwrap())
+}
+
+fn host(id: &str, call_seq: u64) -> HostRecord {
+    let addr = Addr { ip: 1, port: id.bytes().map(u16::from).sum() };
+    HostRecord { id: id.into(), service: "s".into(), addr, capacity: 1, call_seq, ..HostRecord::default() }
+}
+
+fn coordinator(name: &str, gone: bool) -> CoordinatorRecord {
+    CoordinatorRecord { name: name.into(), gone, ..CoordinatorRecord::default() }
+}
+
+fn source(id: u64, life: u64, seq: u64, whole: bool, hosts: Vec<HostRecord>) -> SourceNews {
+    SourceNews { mark: Mark { id, life, seq }, whole, hosts, coordinators: vec![] }
+}
+
+fn news(sources: Vec<SourceNews>) -> News {
+    News { sources, ..News::default() }
+}
+
+fn pull(mirror: &Mirror) -> Pull {
+    mirror.pull(&Caller::default(), 1000)
+}
+
+/// `to` pulls from `from` once.
+fn follow(to: &mut Mirror, from: &Mirror, now: Duration) -> Option<News> {
+    let news = from.news_for(now, &pull(to));
+    if let Some(news) = &news {
+        to.apply(now, news);
+    }
+    news
+}
+
+#[test]
+fn a_puller_gets_exactly_what_it_lacks() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    assert_eq!(follow(&mut agent, &member, ms(0)), None, "nothing is known yet");
+    member.set_ledger(1, document(2), &["x".to_owned()]);
+    member.apply(ms(0), &news(vec![source(1, 1, 3, true, vec![host("a", 1), host("b", 1)])]));
+    let first = follow(&mut agent, &member, ms(0)).unwrap();
+    assert_eq!(first.config.as_ref().unwrap().from, 0, "a snapshot first");
+    assert!(first.sources[0].whole);
+    assert_eq!(follow(&mut agent, &member, ms(0)), None);
+
+    member.apply(ms(1), &news(vec![source(1, 1, 4, false, vec![host("b", 9)])]));
+    let change = follow(&mut agent, &member, ms(1)).unwrap();
+    assert_eq!(change.config, None);
+    assert_eq!(change.sources, [source(1, 1, 4, false, vec![host("b", 9)])]);
+
+    member.set_ledger(2, document(5), &[]);
+    let change = follow(&mut agent, &member, ms(2)).unwrap().config.unwrap();
+    assert_eq!((change.from, change.to), (2, 5));
+    assert_eq!(
+        (change.routes.len(), change.gone_routes.as_slice()),
+        (2, &["v2".to_owned()][..]),
+        "the same stays"
+    );
+    let view = agent.view();
+    assert_eq!((view.ledger, view.document.version, view.drains.len()), (2, 5, 0));
+    assert_eq!(view.document.routes.len(), 3);
+    assert_eq!(follow(&mut agent, &member, ms(2)), None);
+}
+
+#[test]
+fn drains_alone_carry_no_configuration() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.set_ledger(1, document(2), &[]);
+    follow(&mut agent, &member, ms(0));
+    member.set_ledger(2, document(2), &["i".to_owned()]);
+    let config = follow(&mut agent, &member, ms(0)).unwrap().config.unwrap();
+    assert_eq!((config.from, config.to, config.routes.len()), (2, 2, 0));
+    assert!(agent.view().drains.contains("i"));
+}
+
+#[test]
+fn drains_come_before_any_configuration() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.set_ledger(1, Arc::default(), &["i".to_owned()]);
+    follow(&mut agent, &member, ms(0));
+    assert_eq!((agent.view().document.version, agent.view().drains.len()), (0, 1));
+}
+
+#[rstest]
+#[case::lower_ledger(3, 9)]
+#[case::same_ledger(4, 9)]
+#[case::lower_version(5, 3)]
+fn it_never_goes_back(#[case] ledger: u64, #[case] version: u64) {
+    let (mut old, mut agent) = (mirror(1), mirror(0));
+    agent.set_ledger(4, document(4), &[]);
+    old.set_ledger(ledger, document(version), &[]);
+    let all = old.news_for(ms(0), &Pull::default()).unwrap();
+    assert!(!agent.apply(ms(0), &all));
+    assert_eq!((agent.ledger(), agent.document().version), (4, 4));
+    assert!(!agent.set_ledger(ledger, document(version), &[]));
+}
+
+#[test]
+fn a_change_on_another_version_is_passed_over_and_asked_for_again() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.set_ledger(1, document(2), &[]);
+    follow(&mut agent, &member, ms(0));
+    let stale = pull(&agent);
+    // Another member is faster.
+    let mut other = mirror(2);
+    other.set_ledger(2, document(3), &[]);
+    follow(&mut agent, &other, ms(0));
+    member.set_ledger(2, document(3), &[]);
+    member.set_ledger(3, document(6), &[]);
+    let late = member.news_for(ms(0), &stale).unwrap();
+    assert_eq!(late.config.as_ref().unwrap().from, 2);
+    assert!(!agent.apply(ms(0), &late));
+    assert_eq!(agent.document().version, 3);
+    follow(&mut agent, &member, ms(0));
+    assert_eq!(agent.document().version, 6);
+}
+
+#[test]
+fn an_unreadable_change_makes_it_ask_for_the_whole() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.set_ledger(1, document(2), &[]);
+    follow(&mut agent, &member, ms(0));
+    member.set_ledger(2, document(3), &[]);
+    let mut bad = member.news_for(ms(0), &pull(&agent)).unwrap();
+    bad.config.as_mut().unwrap().routes[0] = "{".into();
+    assert!(!agent.apply(ms(0), &bad));
+    assert_eq!(pull(&agent).version, 0);
+    assert_eq!(follow(&mut agent, &member, ms(0)).unwrap().config.unwrap().from, 0);
+    assert_eq!((agent.document().version, pull(&agent).version), (3, 3));
+}
+
+#[test]
+fn a_version_out_of_memory_gets_the_whole() {
+    let mut member = mirror(1);
+    for n in 1..=40 {
+        member.set_ledger(n, document(n), &[]);
+    }
+    let config = |version| member.news_for(ms(0), &Pull { ledger: version, version, ..Pull::default() });
+    assert_eq!(config(5).unwrap().config.unwrap().from, 0);
+    assert_eq!(config(20).unwrap().config.unwrap().from, 20);
+    assert_eq!(config(40), None);
+}
+
+#[test]
+fn any_member_brings_all_sources() {
+    let (mut a, mut b, mut agent) = (mirror(1), mirror(2), mirror(0));
+    a.apply(ms(0), &news(vec![source(1, 1, 1, true, vec![host("a", 1)])]));
+    b.apply(ms(0), &news(vec![source(2, 1, 1, true, vec![host("b", 1)])]));
+    follow(&mut a, &b, ms(0));
+    follow(&mut agent, &a, ms(0));
+    assert_eq!(agent.view().hosts.keys().collect::<Vec<_>>(), ["a", "b"]);
+    assert_eq!(follow(&mut agent, &b, ms(0)), None, "it lacks nothing that b has");
+    assert_eq!(agent.vector(), a.vector());
+}
+
+#[test]
+fn an_older_number_or_a_change_of_an_unknown_life_is_passed_over() {
+    let mut agent = mirror(0);
+    agent.apply(ms(0), &news(vec![source(1, 2, 5, true, vec![host("a", 5)])]));
+    assert!(!agent.apply(ms(0), &news(vec![source(1, 2, 4, true, vec![])])));
+    assert!(!agent.apply(ms(0), &news(vec![source(1, 3, 9, false, vec![host("b", 1)])])));
+    assert!(!agent.apply(ms(0), &news(vec![source(9, 1, 9, false, vec![host("b", 1)])])));
+    assert_eq!(agent.view().hosts.len(), 1);
+}
+
+#[test]
+fn a_new_life_keeps_the_hosts_of_the_older_for_four_beats() {
+    let mut agent = mirror(0);
+    agent.apply(ms(0), &news(vec![source(1, 1, 5, true, vec![host("a", 5), host("b", 5)])]));
+    agent.apply(ms(100), &news(vec![source(1, 2, 1, true, vec![])]));
+    assert_eq!(agent.view().hosts.len(), 2, "they stay");
+    agent.apply(ms(900), &news(vec![source(1, 2, 2, false, vec![host("b", 6)])]));
+    assert_eq!(agent.next_tick(), Some(ms(4100)));
+    assert!(!agent.tick(ms(4099)));
+    assert!(agent.tick(ms(4100)));
+    assert_eq!(agent.view().hosts.keys().collect::<Vec<_>>(), ["b"], "who has not called again is dropped");
+    // Who still has the older life doesn't bring it back.
+    let mut slow = mirror(2);
+    slow.apply(ms(0), &news(vec![source(1, 1, 5, true, vec![host("a", 5), host("b", 5)])]));
+    assert_eq!(slow.news_for(ms(4200), &pull(&agent)), None);
+    assert!(!agent.apply(ms(4200), &news(vec![source(1, 1, 6, true, vec![host("a", 5)])])));
+    // And who has the older life is told of the newer.
+    follow(&mut slow, &agent, ms(4200));
+    assert_eq!(slow.view().hosts["b"].call_seq, 6);
+}
+
+#[test]
+fn a_retired_source_goes_after_four_beats_and_others_hear_of_it() {
+    let (mut member, mut agent) = (mirror(2), mirror(0));
+    member.apply(ms(0), &news(vec![source(1, 1, 5, true, vec![host("a", 5)])]));
+    follow(&mut agent, &member, ms(0));
+    member.retire(ms(1000), 1);
+    let told = follow(&mut agent, &member, ms(1500)).unwrap();
+    assert_eq!(told.retired, [1]);
+    assert_eq!(follow(&mut agent, &member, ms(1500)), None, "once");
+    assert_eq!(agent.view().hosts.len(), 1);
+    assert!(agent.tick(ms(5500)));
+    assert_eq!(agent.view().hosts.len(), 0);
+    assert_eq!(follow(&mut agent, &member, ms(5500)), None, "it isn't brought back");
+    assert!(member.tick(ms(5500)));
+    assert_eq!(follow(&mut agent, &member, ms(5600)), None);
+    // The member comes back with a new life.
+    member.apply(ms(6000), &news(vec![source(1, 2, 1, true, vec![host("a", 9)])]));
+    follow(&mut agent, &member, ms(6000));
+    assert_eq!(agent.view().hosts["a"].call_seq, 9);
+}
+
+#[test]
+fn a_retired_source_that_still_speaks_stays() {
+    let mut member = mirror(2);
+    member.apply(ms(0), &news(vec![source(1, 1, 5, true, vec![host("a", 5)])]));
+    member.retire(ms(0), 1);
+    member.apply(ms(100), &news(vec![source(1, 1, 6, false, vec![host("b", 1)])]));
+    assert!(!member.tick(ms(9000)));
+    assert_eq!(member.view().hosts.len(), 2);
+}
+
+#[test]
+fn hosts_are_merged_over_sources() {
+    let mut agent = mirror(0);
+    let with = |id: &str, call_seq, phase, silent| HostRecord { phase, silent, ..host(id, call_seq) };
+    let first = vec![
+        with("moved", 3, phase::READY, true),
+        with("gone", 9, phase::READY, false),
+        with("leaving", 9, phase::READY, false),
+        with("old", 2, phase::FORGOTTEN, false),
+        with("nobody's", 2, phase::FORGOTTEN, false),
+    ];
+    let second = vec![
+        with("moved", 8, phase::READY, false),
+        with("gone", 4, phase::GONE, false),
+        with("leaving", 4, phase::DRAINING, false),
+        with("old", 1, phase::READY, false),
+    ];
+    agent.apply(ms(0), &news(vec![source(1, 1, 1, true, first), source(2, 1, 1, true, second)]));
+    agent.set_ledger(1, document(1), &["moved".to_owned()]);
+    let hosts = agent.view().hosts;
+    assert_eq!((hosts["moved"].call_seq, hosts["moved"].silent), (8, false), "the highest call counts");
+    assert_eq!(hosts["moved"].phase, phase::DRAINING, "so the ledger says");
+    assert_eq!(hosts["gone"].phase, phase::GONE, "gone wins");
+    assert_eq!(hosts["leaving"].phase, phase::DRAINING);
+    assert_eq!(hosts["old"].phase, phase::READY);
+    assert_eq!(hosts.len(), 4);
+}
+
+#[test]
+fn of_two_hosts_at_one_address_the_newest_counts() {
+    let mut agent = mirror(0);
+    let at = |id: &str, call_seq| HostRecord { addr: Addr { ip: 9, port: 9 }, ..host(id, call_seq) };
+    agent.apply(ms(0), &news(vec![source(1, 1, 1, true, vec![at("z", 50)])]));
+    agent.apply(ms(9), &news(vec![source(2, 1, 1, true, vec![at("a", 1)])]));
+    let hosts = agent.view().hosts;
+    assert_eq!((hosts["z"].phase, hosts["a"].phase), (phase::GONE, phase::READY));
+    // Also where both come at once: who has called less often is the younger one.
+    let mut late = mirror(0);
+    follow(&mut late, &agent, ms(9));
+    let mut at_once = mirror(0);
+    at_once.apply(ms(9), &news(vec![source(1, 1, 1, true, vec![at("a", 1), at("z", 50)])]));
+    assert_eq!(at_once.view().hosts["z"].phase, phase::GONE);
+}
+
+#[test]
+fn gone_records_are_forgotten_after_a_minute_and_don_t_come_back() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member
+        .apply(ms(0), &news(vec![source(1, 1, 1, true, vec![host("a", 1)]), source(2, 1, 1, true, vec![])]));
+    follow(&mut agent, &member, ms(0));
+    let end = HostRecord { phase: phase::GONE, ..host("a", 7) };
+    member.apply(ms(500), &news(vec![source(2, 1, 2, false, vec![end])]));
+    let late = pull(&agent);
+    follow(&mut agent, &member, ms(500));
+    assert_eq!(agent.view().hosts["a"].phase, phase::GONE);
+    assert_eq!(member.next_tick(), Some(ms(60_500)));
+    assert!(member.tick(ms(60_500)));
+    assert!(member.view().hosts.is_empty(), "neither source has it any more");
+    assert_eq!(follow(&mut agent, &member, ms(60_500)), None);
+    // Who lacks the change that is forgotten is told all.
+    assert!(member.news_for(ms(60_500), &late).unwrap().sources[0].whole);
+}
+
+#[test]
+fn what_a_whole_leaves_out_is_gone_for_those_behind_too() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.apply(ms(0), &news(vec![source(2, 1, 1, true, vec![host("a", 1), host("b", 1)])]));
+    follow(&mut agent, &member, ms(0));
+    member.apply(ms(0), &news(vec![source(2, 1, 9, true, vec![host("b", 1)])]));
+    follow(&mut agent, &member, ms(0));
+    assert_eq!(agent.view().hosts.keys().collect::<Vec<_>>(), ["b"]);
+}
+
+#[test]
+fn coordinators_are_counted_once_over_all_sources() {
+    let mut agent = mirror(0);
+    let with = |id, names: &[(&str, bool)]| SourceNews {
+        coordinators: names.iter().map(|(n, gone)| coordinator(n, *gone)).collect(),
+        ..source(id, 1, 1, true, vec![])
+    };
+    agent.apply(
+        ms(0),
+        &news(vec![with(1, &[("a", false), ("b", true)]), with(2, &[("a", true), ("c", false)])]),
+    );
+    assert_eq!(agent.view().coordinators.iter().collect::<Vec<_>>(), ["a", "c"]);
+    agent.retire(ms(0), 2);
+    assert_eq!(agent.view().coordinators.iter().collect::<Vec<_>>(), ["a"]);
+}
+
+#[test]
+fn its_age_is_that_of_the_best_proof() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    assert_eq!(agent.age_ms(ms(5000)), u32::MAX, "no word yet");
+    member.proved(ms(1000));
+    agent.apply(ms(1200), &member.no_news(ms(1200)));
+    assert_eq!(agent.age_ms(ms(1300)), 300);
+    agent.apply(ms(1300), &News { age_ms: 900, ..News::default() });
+    assert_eq!(agent.age_ms(ms(1300)), 300, "an older proof takes nothing away");
+}
+
+#[test]
+fn a_change_that_does_not_fit_is_no_proof() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.proved(ms(1000));
+    member.set_ledger(1, document(1), &[]);
+    member.set_ledger(2, document(2), &[]);
+    let news = member.news_for(ms(1000), &Pull { ledger: 1, version: 1, ..Pull::default() }).unwrap();
+    agent.apply(ms(1000), &news);
+    assert_eq!(agent.age_ms(ms(1000)), u32::MAX);
+}
+
+#[test]
+fn the_fleet_only_rises_and_only_the_primary_changes_it_within_an_epoch() {
+    let seat = |id| Seat { id, ..Seat::default() };
+    let (mut primary, mut other, mut agent) = (mirror(1), mirror(2), mirror(0));
+    assert!(primary.set_fleet(3, 1, vec![seat(1)]));
+    assert!(!primary.set_fleet(3, 1, vec![seat(1)]), "no change");
+    assert!(primary.set_fleet(3, 1, vec![seat(1), seat(2)]));
+    assert!(other.set_fleet(3, 1, vec![seat(1)]));
+    assert!(!other.set_fleet(3, 1, vec![seat(2)]));
+    follow(&mut other, &primary, ms(0));
+    assert_eq!(other.fleet(), primary.fleet());
+    follow(&mut agent, &other, ms(0));
+    assert_eq!(agent.fleet().members.len(), 2);
+    assert!(other.set_fleet(4, 2, vec![seat(2)]));
+    follow(&mut agent, &other, ms(0));
+    assert_eq!(follow(&mut agent, &primary, ms(0)), None, "the lower epoch is no news");
+    assert_eq!((agent.fleet().epoch, agent.fleet().primary), (4, 2));
+}
+
+#[test]
+fn what_others_have_of_a_host() {
+    let mut member = mirror(1);
+    let sources = vec![
+        source(1, 1, 1, true, vec![host("a", 9)]),
+        source(2, 1, 1, true, vec![host("a", 4)]),
+        source(3, 1, 1, true, vec![host("a", 6)]),
+    ];
+    member.apply(ms(0), &news(sources));
+    assert_eq!(member.host_elsewhere(1, "a").unwrap().call_seq, 6);
+    assert!(member.host_elsewhere(1, "b").is_none());
+}
--- /dev/null
+++ b/crates/scion/tests/puller.rs
@@ -0,0 +1,261 @@
+//! The puller: whom it pulls from, and when.
+
+use graft::Addr;
+use rstest::rstest;
+use scion::{Action, Puller, WATCHED};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn addr(n: u32) -> Addr {
+    Addr { ip: n, port: 7660 }
+}
+
+/// A puller and its links as a shell would see them.
+struct Bench {
+    puller: Puller,
+    open: BTreeMap<u64, Addr>,
+    pulls: Vec<u64>,
+    connects: Vec<Addr>,
+}
+
+impl Bench {
+    fn new(watched: usize, seeds: &[u32]) -> Self {
+        let mut puller = Puller::new("edge-1", watched, Some(addr(99)));
+        puller.set_seeds(&seeds.iter().map(|n| addr(*n)).collect::<Vec<_>>());
+        Self { puller, open: BTreeMap::new(), pulls: vec![], connects: vec![] }
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Connect { link, addr } => {
+                    assert!(self.open.insert(link, addr).is_none(), "a number is used once");
+                    self.connects.push(addr);
+                }
+                Action::Pull { link } => {
+                    assert!(self.open.contains_key(&link));
+                    assert!(!self.pulls.contains(&link), "one pull at a time");
+                    self.pulls.push(link);
+                }
+                Action::Close { link } => {
+                    assert!(self.open.remove(&link).is_some());
+                    self.pulls.retain(|l| *l != link);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, now: u64) {
+        let actions = self.puller.tick(ms(now));
+        self.act(actions);
+    }
+
+    fn link(&self, n: u32) -> u64 {
+        self.find(n).expect("a link")
+    }
+
+    fn find(&self, n: u32) -> Option<u64> {
+        self.open.iter().find(|(_, a)| **a == addr(n)).map(|(l, _)| *l)
+    }
+
+    fn connected(&mut self, now: u64, n: u32) {
+        let actions = self.puller.connected(ms(now), self.link(n));
+        self.act(actions);
+    }
+
+    fn failed(&mut self, now: u64, n: u32) {
+        let link = self.link(n);
+        self.open.remove(&link);
+        self.pulls.retain(|l| *l != link);
+        let actions = self.puller.failed(ms(now), link);
+        self.act(actions);
+    }
+
+    fn answered(&mut self, now: u64, n: u32, age_ms: u32, taken: bool) {
+        let link = self.link(n);
+        assert!(self.pulls.contains(&link));
+        self.pulls.retain(|l| *l != link);
+        let actions = self.puller.answered(ms(now), link, n.into(), age_ms, taken);
+        self.act(actions);
+    }
+
+    fn to(&self) -> BTreeSet<u32> {
+        self.open.values().map(|a| a.ip).collect()
+    }
+
+    /// The first links all come up at 0, then the order of the others is found by failing them.
+    fn up(&mut self) -> Vec<u32> {
+        self.tick(0);
+        let all: Vec<u32> = self.to().into_iter().collect();
+        for n in &all {
+            self.connected(0, *n);
+        }
+        all
+    }
+}
+
+#[rstest]
+#[case::fewer(&[1, 2], 2)]
+#[case::three(&[1, 2, 3], 3)]
+#[case::more(&[1, 2, 3, 4, 5], 3)]
+fn it_pulls_from_three_or_all(#[case] seeds: &[u32], #[case] links: usize) {
+    let mut bench = Bench::new(WATCHED, seeds);
+    bench.up();
+    assert_eq!((bench.open.len(), bench.pulls.len()), (links, links), "one pull outstanding at each");
+}
+
+#[test]
+fn rendezvous_hashing_picks_by_name_and_is_stable() {
+    let pick = |name: &str, members: std::ops::Range<u32>| {
+        let mut puller = Puller::new(name, WATCHED, None);
+        puller.set_members(members.map(addr));
+        let picked = puller.tick(ms(0)).into_iter().map(|a| match a {
+            Action::Connect { addr, .. } => addr.ip,
+            other => panic!("{other:?}"),
+        });
+        picked.collect::<BTreeSet<u32>>()
+    };
+    assert_eq!(pick("a", 1..10), pick("a", 1..10));
+    let used: BTreeSet<u32> = (0..40).flat_map(|n| pick(&format!("edge-{n}"), 1..10)).collect();
+    assert_eq!(used.len(), 9, "all members are used by some");
+    let (before, after) = (pick("a", 1..10), pick("a", 1..11));
+    assert!(before.intersection(&after).count() >= 2, "one more member moves one at most");
+}
+
+#[test]
+fn it_never_pulls_from_itself() {
+    let mut bench = Bench::new(WATCHED, &[99, 1]);
+    bench.up();
+    assert_eq!(bench.to(), [1].into());
+}
+
+#[test]
+fn an_answer_is_followed_by_the_next_pull() {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.up();
+    bench.answered(1000, 1, 0, false);
+    assert_eq!(bench.pulls.len(), 1, "a wait that is over");
+    bench.answered(1010, 1, 0, true);
+    assert_eq!(bench.pulls.len(), 1, "news");
+    bench.answered(1020, 1, 0, false);
+    assert_eq!(bench.pulls.len(), 0, "an early answer that tells nothing new");
+    assert_eq!(bench.puller.next_tick(), Some(ms(1070)));
+    bench.tick(1070);
+    assert_eq!(bench.pulls.len(), 1);
+}
+
+#[test]
+fn who_doesn_t_answer_is_dead_and_replaced() {
+    let mut bench = Bench::new(WATCHED, &[1, 2, 3, 4]);
+    let first = bench.up();
+    let silent = first[0];
+    for n in &first[1..] {
+        bench.answered(1000, *n, 0, false);
+    }
+    bench.tick(1699);
+    assert_eq!(bench.open.len(), 3);
+    bench.tick(1700);
+    assert_eq!(bench.find(silent), None);
+    assert_eq!(bench.open.len(), 3, "the next in order");
+    let next = *bench.to().difference(&first.iter().copied().collect()).next().unwrap();
+    bench.connected(1701, next);
+    // It is tried again; when it answers, it is back in its place and the other is let go.
+    bench.tick(1800);
+    assert_eq!(bench.open.len(), 4);
+    bench.connected(1801, silent);
+    assert_eq!(bench.open.len(), 4, "connected isn't answered");
+    bench.answered(1802, silent, 0, true);
+    assert_eq!(bench.to(), first.iter().copied().collect());
+}
+
+#[test]
+fn a_connection_that_hangs_is_given_up() {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.tick(0);
+    assert_eq!(bench.puller.next_tick(), Some(ms(700)));
+    bench.tick(700);
+    assert!(bench.open.is_empty());
+    bench.tick(800);
+    assert_eq!(bench.open.len(), 1);
+}
+
+#[test]
+fn pauses_between_tries_grow_to_a_second() {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.tick(0);
+    let mut now = 0;
+    for pause in [100, 200, 400, 800, 1000, 1000] {
+        bench.failed(now, 1);
+        assert_eq!(bench.puller.next_tick(), Some(ms(now + pause)));
+        bench.tick(now + pause - 1);
+        assert!(bench.open.is_empty());
+        now += pause;
+        bench.tick(now);
+        assert_eq!(bench.open.len(), 1);
+    }
+    bench.connected(now, 1);
+    bench.answered(now, 1, 0, true);
+    bench.failed(now, 1);
+    assert_eq!(bench.puller.next_tick(), Some(ms(now + 100)), "an answer makes up for it");
+}
+
+#[test]
+fn to_one_that_is_cut_off_another_is_added() {
+    let mut bench = Bench::new(WATCHED, &[1, 2, 3, 4, 5]);
+    let first = bench.up();
+    for (now, age_ms, links) in [(500, 1500, 3), (1000, 1501, 4), (1500, 10, 3)] {
+        bench.answered(now, first[0], age_ms, true);
+        assert_eq!(bench.open.len(), links, "at an age of {age_ms} ms");
+        assert!(bench.find(first[0]).is_some(), "it is kept");
+    }
+}
+
+#[test]
+fn it_goes_on_with_learnt_members_when_all_seeds_are_dead() {
+    let mut bench = Bench::new(WATCHED, &[1, 2]);
+    bench.up();
+    bench.puller.set_members([addr(1), addr(2), addr(3), addr(4), addr(99)]);
+    bench.tick(10);
+    for n in [1, 2] {
+        bench.failed(20, n);
+    }
+    assert_eq!(bench.to(), [3, 4].into());
+    // No members is no word: those learnt stay.
+    bench.puller.set_members([]);
+    bench.tick(30);
+    assert_eq!(bench.to(), [3, 4].into());
+}
+
+#[test]
+fn other_seeds_are_taken() {
+    let mut bench = Bench::new(WATCHED, &[1, 2]);
+    bench.up();
+    bench.puller.set_seeds(&[addr(2), addr(7)]);
+    bench.tick(10);
+    assert_eq!(bench.to(), [2, 7].into());
+    assert_eq!(bench.connects.iter().filter(|a| **a == addr(2)).count(), 1, "the link to 2 stays");
+}
+
+#[test]
+fn a_fixed_one_keeps_to_its_seeds() {
+    let mut puller = Puller::new("edge-1", 1, None).fixed();
+    puller.set_seeds(&[addr(5)]);
+    puller.set_members([addr(1), addr(2)]);
+    assert_eq!(puller.tick(ms(0)), [Action::Connect { link: 1, addr: addr(5) }]);
+}
+
+#[test]
+fn word_from_a_link_that_is_closed_is_passed_over() {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.up();
+    let old = bench.link(1);
+    bench.tick(1700);
+    assert!(bench.puller.connected(ms(1701), old).is_empty());
+    assert!(bench.puller.failed(ms(1701), old).is_empty());
+    assert!(bench.puller.answered(ms(1701), old, 1, 0, true).is_empty());
+    assert_eq!(bench.puller.alive().count(), 0);
+}
--- /dev/null
+++ b/crates/scion/tests/serve.rs
@@ -0,0 +1,86 @@
+//! One connection that is served, on a paused clock.
+
+use graft::{encode, Addr, Caller, HostRecord, Mark, Message, Seat, SourceNews};
+use scion::{serve, FrameReader, Mirror, News, Pull, SharedMirror};
+use std::io::ErrorKind;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{duplex, split, AsyncWriteExt};
+use tokio::time::Instant;
+
+const BEAT: Duration = Duration::from_millis(1000);
+
+fn pull(name: &str, wait_ms: u32) -> Pull {
+    Pull { caller: Caller { name: name.into(), ..Caller::default() }, wait_ms, ..Pull::default() }
+}
+
+fn one_host() -> News {
+    let host = HostRecord { id: "i".into(), addr: Addr { ip: 1, port: 1 }, ..HostRecord::default() };
+    let mark = Mark { id: 7, life: 1, seq: 1 };
+    let source = SourceNews { mark, whole: true, hosts: vec![host], coordinators: vec![] };
+    News { age_ms: 5, sources: vec![source], ..News::default() }
+}
+
+#[tokio::test(start_paused = true)]
+async fn pulls_are_answered_and_callers_heard() {
+    let shared = SharedMirror::new(Mirror::new(7, BEAT));
+    let (near, far) = duplex(1 << 16);
+    let callers: Arc<Mutex<Vec<String>>> = Arc::default();
+    let heard = callers.clone();
+    // What was read of the connection before is part of it.
+    let hello = encode(&Message::Hello { seat: Seat::default() });
+    let served = tokio::spawn(serve(far, hello, shared.clone(), move |caller| {
+        heard.lock().unwrap().push(caller.name.clone());
+    }));
+    let (read, mut write) = split(near);
+    let mut frames = FrameReader::new(read, Vec::new());
+
+    let asked = Instant::now();
+    write.write_all(&encode(&pull("a", 1000).into_message())).await.unwrap();
+    let empty = News::from_message(frames.next().await.unwrap().unwrap()).unwrap();
+    assert!(empty.is_empty());
+    assert_eq!((empty.member, empty.age_ms, asked.elapsed()), (7, u32::MAX, BEAT), "after the wait");
+
+    let asked = Instant::now();
+    write.write_all(&encode(&pull("b", 1000).into_message())).await.unwrap();
+    tokio::time::advance(Duration::from_millis(300)).await;
+    shared.update(|m, now| m.apply(now, &one_host()));
+    let news = News::from_message(frames.next().await.unwrap().unwrap()).unwrap();
+    assert_eq!(
+        (news.sources.len(), news.age_ms, asked.elapsed()),
+        (1, 5, Duration::from_millis(300)),
+        "at once"
+    );
+
+    drop((frames, write));
+    served.await.unwrap().unwrap();
+    assert_eq!(*callers.lock().unwrap(), ["a", "b"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_peer_is_let_go() {
+    let (_near, far) = duplex(64);
+    let shared = SharedMirror::new(Mirror::new(7, BEAT));
+    let ended = serve(far, Vec::new(), shared, |_| ()).await;
+    assert_eq!(ended.unwrap_err().kind(), ErrorKind::TimedOut);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_peer_that_doesn_t_read_is_let_go() {
+    let (mut near, far) = duplex(64);
+    let shared = SharedMirror::new(Mirror::new(7, BEAT));
+    shared.update(|m, now| m.apply(now, &one_host()));
+    let served = tokio::spawn(serve(far, Vec::new(), shared, |_| ()));
+    near.write_all(&encode(&pull("a", 0).into_message())).await.unwrap();
+    assert_eq!(served.await.unwrap().unwrap_err().kind(), ErrorKind::TimedOut);
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_no_pull_ends_the_connection() {
+    for bytes in [encode(&Message::Yield { epoch: 1 }), vec![255; 16]] {
+        let (_near, far) = duplex(64);
+        let shared = SharedMirror::new(Mirror::new(7, BEAT));
+        let ended = serve(far, bytes, shared, |_| ()).await;
+        assert_eq!(ended.unwrap_err().kind(), ErrorKind::InvalidData);
+    }
+}
