Wire the whole chain: roster and feed in the member, agent, proxy's world

Cause: the programs stood apart. Change: merges the feed; the member's shell serves pulls, pulls from the other members, runs heartbeats against the roster and drains by the ledger; orchard starts agent and proxy; tests of calls, identity, disk thread and of three members on loopback.

--- a/crates/orchard/src/failure.rs
+++ b/crates/orchard/src/failure.rs
@@ -43,6 +43,18 @@
         /// Why.
         source: rootstock::shell::Failure,
     },
+    /// The agent fails.
+    #[snafu(display("hedgerow"))]
+    Hedgerow {
+        /// Why.
+        source: hedgerow::Error,
+    },
+    /// The proxy fails.
+    #[snafu(display("trellis"))]
+    Trellis {
+        /// Why.
+        source: trellis::Error,
+    },
     /// A member can't be asked.
     #[snafu(display("cannot ask {control}"))]
     Ask {
--- a/crates/orchard/src/main.rs
+++ b/crates/orchard/src/main.rs
@@ -8,6 +8,7 @@
 mod options;
 mod roles;
 mod settings;
+mod world;
 
 use options::Verb;
 use std::process::ExitCode;
--- a/crates/orchard/src/roles.rs
+++ b/crates/orchard/src/roles.rs
@@ -1,8 +1,8 @@
 //! The three programs, each on one thread.
 
-use crate::failure::{Failure, RootstockSnafu, StartSnafu};
+use crate::failure::{Failure, HedgerowSnafu, RootstockSnafu, StartSnafu, TrellisSnafu};
 use crate::options::From;
-use crate::settings;
+use crate::{settings, world};
 use snafu::ResultExt;
 use std::future::Future;
 use tokio::runtime::Builder;
@@ -38,18 +38,17 @@
 
 /// A machine's agent.
 pub fn hedgerow(from: &From) -> Result<(), Failure> {
-    let _boot = settings::read(&from.settings)?;
-    run(async {
-        stop()?.await;
-        Ok(())
-    })
+    let boot = settings::read(&from.settings)?;
+    run(async { hedgerow::run(boot, Some(from.settings.clone()), stop()?).await.context(HedgerowSnafu) })
 }
 
 /// A proxy.
 pub fn trellis(from: &From) -> Result<(), Failure> {
-    let _boot = settings::read(&from.settings)?;
+    let boot = settings::read(&from.settings)?;
     run(async {
-        stop()?.await;
+        let world = world::follow(&boot);
+        let counters = trellis::serve(boot, world, stop()?).await.context(TrellisSnafu)?;
+        log::info!("counters {counters:?}");
         Ok(())
     })
 }
--- /dev/null
+++ b/crates/orchard/src/world.rs
@@ -0,0 +1,71 @@
+//! What the agent beside a proxy tells, in the proxy's words.
+
+use almanac::Boot;
+use espalier::HostInfo;
+use graft::HostRecord;
+use scion::client::{self, Control};
+use scion::{phase, Mirror, Puller, SharedMirror, Snapshot};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use trellis::World;
+
+/// Follows the agent of this machine for as long as the world is watched. Runs on a `LocalSet`.
+pub fn follow(boot: &Boot) -> watch::Receiver<Option<Arc<World>>> {
+    let mirror = Mirror::new(0, Duration::from_millis(boot.beat_period_ms)).at_the_end();
+    let shared = SharedMirror::new(mirror);
+    let mut puller = Puller::new(&boot.node_name, 1, None).fixed();
+    puller.set_seeds(&[scion::agent_addr(boot)]);
+    let (control, told) = mpsc::unbounded_channel();
+    let snapshots = shared.subscribe();
+    let pulling = client::run(puller, scion::no_seat(boot), scion::caller(boot, 0), shared, told);
+    tokio::task::spawn_local(pulling);
+    let (world, watcher) = watch::channel(None);
+    tokio::task::spawn_local(translate(snapshots, world, control));
+    watcher
+}
+
+async fn translate(
+    mut snapshots: watch::Receiver<Arc<Snapshot>>,
+    world: watch::Sender<Option<Arc<World>>>,
+    control: mpsc::UnboundedSender<Control>,
+) {
+    let mut version = 0;
+    loop {
+        let snapshot = snapshots.borrow_and_update().clone();
+        if snapshot.document.version > 0 {
+            if snapshot.document.version != version {
+                version = snapshot.document.version;
+                log::info!(version; "configuration in force");
+                // The puller ends with the process.
+                let _ = control.send(Control::Version(version));
+            }
+            world.send_replace(Some(Arc::new(of(&snapshot))));
+        }
+        if snapshots.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn of(snapshot: &Snapshot) -> World {
+    World {
+        document: snapshot.document.clone(),
+        hosts: snapshot.hosts.values().filter(|h| h.phase < phase::GONE).map(host).collect(),
+        coordinators: snapshot.coordinators.len().max(1),
+    }
+}
+
+fn host(record: &HostRecord) -> HostInfo {
+    HostInfo {
+        id: record.id.as_str().into(),
+        service: record.service.as_str().into(),
+        addr: SocketAddrV4::from(&record.addr),
+        zone: record.zone.as_str().into(),
+        capacity: record.capacity,
+        draining: record.phase == phase::DRAINING,
+        silent: record.silent,
+        cold_left: Duration::from_millis(record.cold_left_ms.into()),
+    }
+}
--- a/crates/rootstock/src/lib.rs
+++ b/crates/rootstock/src/lib.rs
@@ -3,6 +3,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod feed;
 pub mod ledger;
 pub mod member;
+pub mod roster;
 pub mod shell;
--- a/crates/rootstock/src/shell/call.rs
+++ b/crates/rootstock/src/shell/call.rs
@@ -1,12 +1,10 @@
 //! Calls of hosts and operators: each is decoded into a [`Call`], which is run elsewhere.
 
+use crate::roster::HostCall;
 use almanac::Code;
 use bytes::Bytes;
 use hyper::Method;
 
-/// Longest identity of a host in bytes.
-const LONGEST_ID: usize = 256;
-
 /// What a path asks for, before the body is read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Head {
@@ -16,16 +14,14 @@
     Amend,
     /// Asks for the configuration.
     Read,
-    /// A host's heartbeat.
-    Heartbeat(String),
-    /// A host's goodbye.
-    Depart(String),
+    /// A host's call, with its path.
+    Host(String),
     /// Asks how this member is.
     Status,
 }
 
 /// A call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Call {
     /// Takes a configuration.
     Configure {
@@ -38,20 +34,8 @@
     },
     /// Asks for the configuration.
     Read,
-    /// A host's heartbeat.
-    Heartbeat {
-        /// The host.
-        host: String,
-        /// What it says.
-        body: Bytes,
-    },
-    /// A host's goodbye.
-    Depart {
-        /// The host.
-        host: String,
-        /// What it says.
-        body: Bytes,
-    },
+    /// A host's call.
+    Host(HostCall),
     /// Asks how this member is.
     Status,
 }
@@ -62,16 +46,12 @@
     /// # Errors
     /// [`Code::NoSuchCall`] and [`Code::OtherMethod`].
     pub fn read(method: &Method, path: &str) -> Result<Head, Code> {
-        let call = path.strip_prefix("/fennelpin/").ok_or(Code::NoSuchCall)?;
-        let (name, argument) = call.split_once('/').map_or((call, None), |(name, rest)| (name, Some(rest)));
-        let host = argument.filter(|id| !id.is_empty() && id.len() <= LONGEST_ID && !id.contains('/'));
-        let head = match (name, argument, host) {
-            ("Configuration.Replace", None, _) => Head::Replace,
-            ("Configuration.Amend", None, _) => Head::Amend,
-            ("Configuration.Read", None, _) => Head::Read,
-            ("status", None, _) => Head::Status,
-            ("Hosts.Heartbeat", _, Some(id)) => Head::Heartbeat(id.into()),
-            ("Hosts.Depart", _, Some(id)) => Head::Depart(id.into()),
+        let head = match path.strip_prefix("/fennelpin/").ok_or(Code::NoSuchCall)? {
+            "Configuration.Replace" => Head::Replace,
+            "Configuration.Amend" => Head::Amend,
+            "Configuration.Read" => Head::Read,
+            "status" => Head::Status,
+            call if call.starts_with("Hosts.") => Head::Host(path.to_owned()),
             _ => return Err(Code::NoSuchCall),
         };
         let wanted = if head.asks() { Method::GET } else { Method::POST };
@@ -95,7 +75,7 @@
     /// The call, with its body and the text of `Fennelpin-Base-Version`.
     ///
     /// # Errors
-    /// [`Code::NoBase`].
+    /// [`Code::NoBase`], and what [`HostCall::decode`] finds.
     pub fn with(self, base: Option<&str>, body: Bytes) -> Result<Call, Code> {
         let amend = self == Head::Amend;
         Ok(match self {
@@ -105,8 +85,7 @@
             }
             Head::Read => Call::Read,
             Head::Status => Call::Status,
-            Head::Heartbeat(host) => Call::Heartbeat { host, body },
-            Head::Depart(host) => Call::Depart { host, body },
+            Head::Host(path) => Call::Host(HostCall::decode(&path, &body)?),
         })
     }
 }
--- a/crates/rootstock/src/shell/control.rs
+++ b/crates/rootstock/src/shell/control.rs
@@ -136,7 +136,7 @@
             return;
         };
         bump(&self.counters.connections);
-        if let Err(e) = crate::shell::frames::ready(&stream) {
+        if let Err(e) = crate::shell::connection::ready(&stream) {
             log::debug!(error:% = e; "socket options");
         }
         let service = service_fn(|request| self.clone().answer(request));
--- a/crates/rootstock/src/shell/desk.rs
+++ b/crates/rootstock/src/shell/desk.rs
@@ -2,17 +2,16 @@
 
 use super::call::Call;
 use super::control::{Desk, Reply};
-use super::frames::Frames;
 use super::links::Links;
 use super::{command, Events, CONFIGURE};
-use almanac::{Boot, Code, Document};
-use graft::{Command, Message, Seat};
-use std::cell::RefCell;
-use std::collections::BTreeSet;
-use std::rc::Rc;
+use crate::feed::Feed;
+use crate::roster::beat_target;
+use almanac::Code;
+use graft::{Command, Seat};
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::watch;
 
 /// Longest time that a host waits for its drain.
 const DRAIN: Duration = Duration::from_millis(800);
@@ -21,37 +20,34 @@
 pub(super) type Answered = (Code, Vec<u8>);
 
 /// What calls are run against.
+#[derive(Clone)]
 pub(super) struct FrontDesk {
-    me: Seat,
-    life: u64,
-    events: Events,
-    links: Links,
-    seq: u64,
-    document: Arc<Document>,
-    drains: BTreeSet<String>,
-    leaving: bool,
+    pub(super) me: Seat,
+    pub(super) life: u64,
+    pub(super) events: Events,
+    pub(super) links: Links,
+    pub(super) feed: Arc<Feed>,
+    /// The process is about to end: nothing new is taken.
+    pub(super) leaving: watch::Receiver<bool>,
 }
 
 impl FrontDesk {
-    pub(super) fn new(_boot: &Boot, me: Seat, life: u64, events: Events, links: Links) -> Rc<RefCell<Self>> {
-        let (document, drains) = Default::default();
-        Rc::new(RefCell::new(Self { me, life, events, links, seq: 0, document, drains, leaving: false }))
-    }
-
-    /// The process is about to end: nothing new is taken.
-    pub(super) fn leave(&mut self) {
-        self.leaving = true;
-    }
-
-    /// Takes note of the newest acknowledged ledger.
-    pub(super) fn publish(&mut self, _now: Duration, seq: u64, document: Arc<Document>, drains: Vec<String>) {
-        self.seq = seq;
-        self.document = document;
-        self.drains = drains.into_iter().collect();
+    /// A host is leaving or gone: acknowledged once that is kept as safely as the configuration is.
+    async fn drain(&self, host: &str) -> Reply {
+        if self.feed.shared().snapshot().drains.contains(host) {
+            return Reply::json("{}");
+        }
+        let asked = Command::Drain { host: host.to_owned() };
+        match command(&self.events, asked, DRAIN).await {
+            (Code::Ok, _) => Reply::json("{}"),
+            (code, text) => Reply::detailed(code, &String::from_utf8_lossy(&text)),
+        }
     }
 
     fn status(&self) -> String {
         let links = self.links.counters();
+        let known = self.feed.shared().snapshot();
+        let (lowest, pulling) = self.feed.in_force();
         let seats: Vec<_> = self
             .links
             .seats()
@@ -64,8 +60,16 @@
             "life": self.life,
             "zone": self.me.zone,
             "region": self.me.region,
-            "leaving": self.leaving,
-            "ledger": {"seq": self.seq, "version": self.document.version, "drains": self.drains.len()},
+            "leaving": *self.leaving.borrow(),
+            "ledger": {"seq": known.ledger, "version": known.document.version, "drains": known.drains.len()},
+            "fleet": {
+                "epoch": known.fleet.epoch,
+                "primary": format!("{:016x}", known.fleet.primary),
+                "members": known.fleet.members.len(),
+            },
+            "hosts": known.hosts.len(),
+            "coordinators": known.coordinators.len(),
+            "in_force": {"lowest_version": lowest, "coordinators_here": pulling},
             "members": seats,
             "links": {"up": links.connected, "down": links.broken, "sent": links.sent, "dropped": links.dropped},
         });
@@ -73,55 +77,37 @@
     }
 }
 
-impl Desk for Rc<RefCell<FrontDesk>> {
+impl Desk for FrontDesk {
     async fn run(&self, call: Call) -> Reply {
-        let events = self.borrow().events.clone();
-        if self.borrow().leaving && call != Call::Status {
+        if *self.leaving.borrow() && call != Call::Status {
             return Reply::of(Code::Leaving);
         }
         match call {
-            Call::Status => Reply::json(self.borrow().status()),
-            Call::Read => match command(events, Command::Read { reserved: 0 }, CONFIGURE).await {
+            Call::Status => Reply::json(self.status()),
+            Call::Read => match command(&self.events, Command::Read { reserved: 0 }, CONFIGURE).await {
                 (Code::Ok, document) => Reply::json(document),
                 (code, text) => Reply::detailed(code, &String::from_utf8_lossy(&text)),
             },
             Call::Configure { base, amend, body } => {
                 let asked = Command::Configure { base, amend, body: body.into() };
-                let (code, text) = command(events, asked, CONFIGURE).await;
+                let (code, text) = command(&self.events, asked, CONFIGURE).await;
                 Reply::detailed(code, &String::from_utf8_lossy(&text))
             }
-            Call::Heartbeat { host, body } => {
-                let body: serde_json::Value = match serde_json::from_slice(&body) {
-                    Ok(body) => body,
-                    Err(e) => return Reply::detailed(Code::Unreadable, &e.to_string()),
-                };
-                match body["phase"] == "draining" {
-                    true => drain(self, events, host).await,
-                    false => Reply::json("{}"),
+            Call::Host(call) => {
+                let (feed, links) = (self.feed.clone(), self.links.clone());
+                // Proxies hear of a drain at once, whatever becomes of it in the ledger.
+                feed.call(&call);
+                if call.leaves() {
+                    return self.drain(call.host()).await;
+                }
+                match beat_target(call.host(), self.me.id, &links.seats()) {
+                    Some(seat) => {
+                        let target = SocketAddrV4::from(&seat.control);
+                        Reply::json(serde_json::json!({"beat_target": target.to_string()}).to_string())
+                    }
+                    None => Reply::json("{}"),
                 }
             }
-            Call::Depart { host, .. } => drain(self, events, host).await,
         }
     }
 }
-
-/// A host is leaving or gone: acknowledged once that is kept as safely as the configuration is.
-async fn drain(desk: &RefCell<FrontDesk>, events: Events, host: String) -> Reply {
-    if desk.borrow().drains.contains(&host) {
-        return Reply::json("{}");
-    }
-    match command(events, Command::Drain { host }, DRAIN).await {
-        (Code::Ok, _) => Reply::json("{}"),
-        (code, text) => Reply::detailed(code, &String::from_utf8_lossy(&text)),
-    }
-}
-
-/// Serves a connection that pulls, whose first pull has been read.
-pub(super) async fn serve_pulls(
-    _desk: Rc<RefCell<FrontDesk>>,
-    _pull: Message,
-    _frames: Frames<impl AsyncRead + Unpin>,
-    _output: impl AsyncWrite + Unpin,
-) -> std::io::Result<()> {
-    Ok(())
-}
--- a/crates/rootstock/src/shell/links.rs
+++ b/crates/rootstock/src/shell/links.rs
@@ -1,8 +1,9 @@
 //! Links between members. Each member dials every member that it knows and speaks over the connections that it
 //! dialled; what others say comes in over theirs.
 
-use crate::shell::frames::{ready, write_all, Frames};
+use crate::shell::connection::{ready, write_all};
 use graft::{Addr, Message, Seat};
+use scion::FrameReader;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, SocketAddrV4};
@@ -149,7 +150,7 @@
         &self,
         seat: Seat,
         first: Message,
-        mut frames: Frames<impl tokio::io::AsyncRead + Unpin>,
+        mut frames: FrameReader<impl tokio::io::AsyncRead + Unpin>,
         mut output: impl tokio::io::AsyncWrite + Unpin,
     ) -> std::io::Result<()> {
         write_all(&mut output, &graft::encode(&Message::Hello { seat: self.inner.me.clone() })).await?;
@@ -240,8 +241,11 @@
                     break;
                 }
             }
-            pause = if was_up { PAUSE.0 } else { (pause * 2).min(PAUSE.1) };
+            if was_up {
+                pause = PAUSE.0;
+            }
             sleep(pause).await;
+            pause = (pause * 2).min(PAUSE.1);
         }
         self.inner.peers.borrow_mut().remove(&peer.addr);
     }
@@ -254,7 +258,7 @@
             log::debug!(error:% = e; "socket options");
         }
         let (input, mut output) = stream.into_split();
-        let mut frames = Frames::new(input);
+        let mut frames = FrameReader::new(input, Vec::new());
         let hello = graft::encode(&Message::Hello { seat: self.inner.me.clone() });
         let peers = graft::encode(&Message::Peers { seats: self.seats() });
         if write_all(&mut output, &[hello, peers].concat()).await.is_err() {
--- a/crates/rootstock/src/shell/mod.rs
+++ b/crates/rootstock/src/shell/mod.rs
@@ -1,33 +1,35 @@
 //! The member's process: all I/O round the state machine, on one thread, with a second one for the disk.
 
 pub mod call;
+pub mod connection;
 pub mod control;
 mod desk;
 pub mod disk;
-pub mod frames;
 pub mod identity;
 pub mod links;
 
+use crate::feed::Feed;
 use crate::member::{Config, Input, Member, Output};
 use almanac::{Boot, Code};
 use control::{Control, ControlCounters};
 use desk::{Answered, FrontDesk};
 use disk::Told;
-use frames::Frames;
 use graft::{Command, Message, Seat};
 use identity::{inner, Birth, Identity};
 use links::{Heard, Links};
+use scion::{client, FrameReader, Mirror, Puller, SharedMirror};
 use snafu::{OptionExt, ResultExt, Snafu};
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddrV4;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
+use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Length of a primary's lease.
@@ -87,7 +89,7 @@
 }
 
 /// Runs a member until `stop` is done and all is handed over. `seeds` brings the seeds' `control` addresses
-/// whenever they change. Runs on a `LocalSet` of a current-thread runtime.
+/// whenever they change. For a current-thread runtime; all that was started ends with it.
 ///
 /// # Errors
 /// Where the settings don't fit, or an address or the disk's thread can't be had.
@@ -95,6 +97,15 @@
     boot: Boot,
     seeds: watch::Receiver<Vec<SocketAddrV4>>,
     stop: impl Future<Output = ()>,
+) -> Result<(), Failure> {
+    let tasks = LocalSet::new();
+    tasks.run_until(work(boot, seeds, stop)).await
+}
+
+async fn work(
+    boot: Boot,
+    seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    stop: impl Future<Output = ()>,
 ) -> Result<(), Failure> {
     let origin = Instant::now();
     let control = boot.bind.control.context(NoControlSnafu)?;
@@ -136,15 +147,35 @@
         let events = events.clone();
         move |heard| drop(events.send(Event::Heard(heard)))
     });
+    let beat = Duration::from_millis(boot.beat_period_ms);
+    let mirror = SharedMirror::since(Mirror::new(identity.id, beat), origin);
+    let feed = Feed::new(identity.id, identity.life, beat, mirror.clone());
     let counters = Rc::new(ControlCounters::default());
-    let (stopping, stopped) = watch::channel(false);
-    let desk = FrontDesk::new(&boot, me.clone(), identity.life, events, links.clone());
+    let (leave, leaving) = watch::channel(false);
+    let desk = FrontDesk {
+        me: me.clone(),
+        life: identity.life,
+        events,
+        links: links.clone(),
+        feed: feed.clone(),
+        leaving: leaving.clone(),
+    };
     let most = (boot.limits.fd_limit.saturating_sub(400) as usize).clamp(64, 2048);
-    let api = Control::new(desk.clone(), most, counters.clone(), stopped);
-    tokio::task::spawn_local(api.listen(listen(control).await?));
-    let inside = listen(SocketAddrV4::new(boot.ip_addr, boot.port_range.0)).await?;
-    tokio::task::spawn_local(accept(inside, links.clone(), desk.clone()));
-    tokio::task::spawn_local(follow_seeds(links.clone(), seeds, boot.port_range.0));
+    let (api, inside) = (listen(control).await?, listen(SocketAddrV4::from(&me.addr)).await?);
+    spawn_local(Control::new(desk, most, counters.clone(), leaving).listen(api));
+    spawn_local(accept(inside, links.clone(), feed.clone()));
+    spawn_local(async move {
+        loop {
+            sleep(beat / 4).await;
+            feed.tick();
+        }
+    });
+    // What other members were told comes by pulls, like an agent's.
+    let (pulls, told) = unbounded_channel();
+    let puller = Puller::new(&boot.node_name, scion::WATCHED, Some(me.addr));
+    let caller = scion::caller(&boot, identity.id);
+    spawn_local(client::run(puller, me.clone(), caller, mirror.clone(), told));
+    spawn_local(follow_seeds(links.clone(), pulls, seeds, boot.port_range.0));
 
     let config = Config {
         me,
@@ -164,12 +195,14 @@
         tickets: 0,
         left: false,
         steps: 0,
+        committed: 0,
+        known: Known::default(),
         disk,
         links,
-        desk,
+        mirror,
+        leave,
     };
     shell.run(&mut queue, stop, &counters).await;
-    let _ = stopping.send(true);
     sleep(LAST_ANSWERS).await;
     shell.count(&counters);
     Ok(())
@@ -184,9 +217,21 @@
     tickets: u64,
     left: bool,
     steps: u64,
+    /// Number of the last change that the primary told to be acknowledged.
+    committed: u64,
+    /// What the mirror was told of the control plane.
+    known: Known,
     disk: std::sync::mpsc::Sender<disk::Write>,
     links: Links,
-    desk: Rc<RefCell<FrontDesk>>,
+    mirror: Arc<SharedMirror>,
+    leave: watch::Sender<bool>,
+}
+
+#[derive(Default, PartialEq)]
+struct Known {
+    epoch: u64,
+    primary: u64,
+    members: Vec<Seat>,
 }
 
 impl Shell {
@@ -206,7 +251,7 @@
                 () = &mut stop, if end.is_none() => {
                     log::info!("member leaves");
                     end = Some(Instant::now() + LEAVE);
-                    self.desk.borrow_mut().leave();
+                    self.leave.send_replace(true);
                     self.step(Input::Leave);
                 }
                 event = queue.recv() => {
@@ -217,6 +262,7 @@
                         let Ok(event) = queue.try_recv() else { break };
                         self.take(event);
                     }
+                    self.show();
                 }
                 () = sleep_until(wake) => {
                     if line <= Instant::now() {
@@ -236,7 +282,12 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Heard(Heard::Hello(seat)) => self.step(Input::Reachable { seat }),
-            Event::Heard(Heard::Message(from, message)) => self.step(Input::Message { from, message }),
+            Event::Heard(Heard::Message(from, message)) => {
+                if let Message::Renew { committed, .. } = &message {
+                    self.committed = self.committed.max(*committed);
+                }
+                self.step(Input::Message { from, message });
+            }
             Event::Disk(Told::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
             Event::Disk(Told::Open { .. } | Told::NotOpen { .. }) => {}
             Event::Command(command, caller) => {
@@ -267,7 +318,7 @@
                     }
                 }
                 Output::Publish { seq, document, drains } => {
-                    self.desk.borrow_mut().publish(self.origin.elapsed(), seq, document, drains);
+                    self.mirror.update(|mirror, _| mirror.set_ledger(seq, document, &drains));
                 }
                 Output::Wake { at } => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
                 Output::Left => self.left = true,
@@ -276,6 +327,30 @@
         self.outputs = outputs;
     }
 
+    /// Tells the mirror who is in the control plane, and how fresh what it has is.
+    fn show(&mut self) {
+        let now = self.origin.elapsed();
+        let age = self.member.age(now);
+        let committed = self.committed;
+        let Some(view) = self.member.view().filter(|v| v.epoch > 0) else { return };
+        let reached = self.links.seats();
+        let seat = |voter: &Seat| reached.iter().find(|s| s.id == voter.id).unwrap_or(voter).clone();
+        let others = reached.iter().filter(|s| view.seat(s.id).is_none()).cloned();
+        let members = view.voters.iter().map(seat).chain(others).collect();
+        let known = Known { epoch: view.epoch, primary: view.primary, members };
+        let news = known != self.known;
+        self.mirror.update(|mirror, _| {
+            if news {
+                mirror.set_fleet(known.epoch, known.primary, known.members.clone());
+            }
+            // A lease granted lately proves nothing about changes that haven't come yet.
+            if let Some(at) = now.checked_sub(age).filter(|_| mirror.ledger() >= committed) {
+                mirror.proved(at);
+            }
+        });
+        self.known = known;
+    }
+
     fn count(&self, control: &ControlCounters) {
         let links = self.links.counters();
         log::info!(
@@ -327,13 +402,13 @@
     }
 }
 
-async fn accept(listener: TcpListener, links: Links, desk: Rc<RefCell<FrontDesk>>) {
+async fn accept(listener: TcpListener, links: Links, feed: Arc<Feed>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let (links, desk) = (links.clone(), desk.clone());
-                tokio::task::spawn_local(async move {
-                    if let Err(e) = inbound(stream, links, desk).await {
+                let (links, feed) = (links.clone(), feed.clone());
+                spawn_local(async move {
+                    if let Err(e) = inbound(stream, links, feed).await {
                         log::debug!(error:% = e; "inbound connection ended");
                     }
                 });
@@ -348,10 +423,9 @@
 }
 
 /// A connection from another process: its first messages tell what it is for.
-async fn inbound(stream: TcpStream, links: Links, desk: Rc<RefCell<FrontDesk>>) -> std::io::Result<()> {
-    frames::ready(&stream)?;
-    let (input, output) = stream.into_split();
-    let mut frames = Frames::new(input);
+async fn inbound(stream: TcpStream, links: Links, feed: Arc<Feed>) -> std::io::Result<()> {
+    connection::ready(&stream)?;
+    let mut frames = FrameReader::new(stream, Vec::new());
     let Some(first) = timeout(FIRST, frames.next()).await?? else { return Ok(()) };
     let (seat, first) = match first {
         Message::Hello { seat } => match timeout(FIRST, frames.next()).await?? {
@@ -360,19 +434,33 @@
         },
         first => (Seat::default(), first),
     };
+    let (stream, rest) = frames.into_parts();
     match first {
-        pull @ Message::Pull { .. } => desk::serve_pulls(desk, pull, frames, output).await,
-        first if seat.id != 0 => links.serve(seat, first, frames, output).await,
+        pull @ Message::Pull { .. } => {
+            let buffer = [graft::encode(&pull), rest].concat();
+            scion::serve(stream, buffer, feed.shared().clone(), |caller| feed.pulled(caller)).await
+        }
+        first if seat.id != 0 => {
+            let (input, output) = stream.into_split();
+            links.serve(seat, first, FrameReader::new(input, rest), output).await
+        }
         _ => Ok(()),
     }
 }
 
-async fn follow_seeds(links: Links, mut seeds: watch::Receiver<Vec<SocketAddrV4>>, port: u16) {
+async fn follow_seeds(
+    links: Links,
+    pulls: UnboundedSender<client::Control>,
+    mut seeds: watch::Receiver<Vec<SocketAddrV4>>,
+    port: u16,
+) {
     loop {
         let now: Vec<SocketAddrV4> = seeds.borrow_and_update().iter().map(|s| inner(*s, port)).collect();
         links.set_seeds(&now);
+        // The puller ends with the process.
+        let _ = pulls.send(client::Control::Seeds(now.iter().map(|s| (*s).into()).collect()));
         if seeds.changed().await.is_err() {
-            return;
+            return std::future::pending().await;
         }
     }
 }
@@ -380,7 +468,7 @@
 type Events = UnboundedSender<Event>;
 
 /// Hands a command to the member and waits for its answer.
-async fn command(events: Events, command: Command, wait: Duration) -> Answered {
+async fn command(events: &Events, command: Command, wait: Duration) -> Answered {
     let (caller, answer) = oneshot::channel();
     if events.send(Event::Command(command, caller)).is_err() {
         return (Code::Leaving, Vec::new());
--- /dev/null
+++ b/crates/rootstock/tests/members.rs
@@ -0,0 +1,144 @@
+//! Three members on loopback, with real sockets and folders: calls go in at any of them.
+
+mod client;
+
+use almanac::Boot;
+use client::{call, call_until, Answer};
+use rootstock::shell::run;
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::time::timeout;
+
+const CONFIGURATION: &str = r#"{"version":3,"routes":[{"name":"r","hostname":"h.example","path_prefix":"/a/","route_class":"pure","deadline_ms":1000,"service":"s"}],"services":[{"name":"s","health_path":"/health","conn_limit":10}],"limits":{}}"#;
+
+/// A core of three machines.
+struct Core {
+    dirs: Vec<PathBuf>,
+    ips: Vec<Ipv4Addr>,
+    ports: (u16, u16),
+    running: Vec<Option<(oneshot::Sender<()>, JoinHandle<()>)>>,
+}
+
+impl Core {
+    fn new(net: u8, root: &Path) -> Self {
+        let ips: Vec<Ipv4Addr> = (1..=3).map(|n| Ipv4Addr::new(127, 0, net, n)).collect();
+        let free = || TcpListener::bind((ips[0], 0)).unwrap().local_addr().unwrap().port();
+        let dirs = (1..=3).map(|n| root.join(n.to_string())).collect();
+        let ports = (free(), free());
+        Self { dirs, ips, ports, running: vec![None, None, None] }
+    }
+
+    fn control(&self, n: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ips[n], self.ports.1)
+    }
+
+    fn start(&mut self, n: usize, bootstrap: bool) {
+        std::fs::create_dir_all(&self.dirs[n]).unwrap();
+        let seeds: Vec<_> = (0..3).map(|n| self.control(n).to_string()).collect();
+        let boot = serde_json::json!({
+            "node_name": format!("core-{n}"), "role": "core", "ip_addr": self.ips[n], "zone": format!("z{n}"),
+            "region": "r", "bind": {"control": self.control(n).to_string()},
+            "port_range": [self.ports.0, self.ports.0], "seed_nodes": seeds, "bootstrap": bootstrap,
+            "state_dir": self.dirs[n], "fault_budget": {"machine_losses": 1},
+        });
+        let boot = Boot::read(&boot.to_string()).unwrap();
+        let (stop, stopped) = oneshot::channel();
+        let done = spawn_local(async move {
+            let (_seeds, following) = watch::channel(boot.seed_nodes.clone());
+            run(boot, following, async { drop(stopped.await) }).await.unwrap();
+        });
+        self.running[n] = Some((stop, done));
+    }
+
+    async fn stop(&mut self, n: usize) {
+        let (stop, done) = self.running[n].take().unwrap();
+        drop(stop);
+        done.await.unwrap();
+    }
+
+    async fn identity(&self, n: usize) -> serde_json::Value {
+        let status = call(self.control(n), "GET", "/fennelpin/status", &[], "").await.unwrap();
+        serde_json::from_str::<serde_json::Value>(&status.body).unwrap()["id"].clone()
+    }
+}
+
+async fn on_core<F: std::future::Future<Output = ()>>(net: u8, test: impl FnOnce(Core) -> F) {
+    let root = tempfile::tempdir().unwrap();
+    let core = Core::new(net, root.path());
+    let tasks = LocalSet::new();
+    timeout(Duration::from_secs(60), tasks.run_until(test(core))).await.expect("the test hangs");
+}
+
+async fn replace(to: SocketAddrV4, base: &str, body: &str) -> Answer {
+    let headers = [("Fennelpin-Base-Version", base)];
+    call_until(to, "POST", "/fennelpin/Configuration.Replace", &headers, body, |a| a.status < 500).await
+}
+
+async fn read(from: SocketAddrV4) -> Answer {
+    call_until(from, "GET", "/fennelpin/Configuration.Read", &[], "", |a| a.status == 200).await
+}
+
+#[tokio::test]
+async fn a_configuration_is_taken_anywhere_and_outlives_the_core() {
+    on_core(61, |mut core| async move {
+        (0..3).for_each(|n| core.start(n, true));
+        let taken = replace(core.control(1), "0", CONFIGURATION).await;
+        assert_eq!((taken.status, &*taken.body), (200, r#"{"code":0,"reason":"done"}"#));
+        assert_eq!(replace(core.control(2), "0", CONFIGURATION).await.status, 200, "the same call again");
+        let other = CONFIGURATION.replace(":3,", ":4,");
+        assert_eq!(replace(core.control(0), "1", &other).await.status, 412);
+        assert_eq!(replace(core.control(0), "3", "{").await.status, 400);
+        for n in 0..3 {
+            assert_eq!(read(core.control(n)).await.body, CONFIGURATION);
+        }
+        let before = core.identity(1).await;
+        for n in 0..3 {
+            core.stop(n).await;
+        }
+        (0..3).for_each(|n| core.start(n, false));
+        assert_eq!(read(core.control(2)).await.body, CONFIGURATION);
+        assert_eq!(core.identity(1).await, before);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn one_member_may_leave_at_any_time() {
+    on_core(62, |mut core| async move {
+        (0..3).for_each(|n| core.start(n, true));
+        assert_eq!(replace(core.control(0), "0", CONFIGURATION).await.status, 200);
+        for n in 0..3 {
+            core.stop(n).await;
+            assert_eq!(read(core.control((n + 1) % 3)).await.body, CONFIGURATION);
+            core.start(n, false);
+            assert_eq!(read(core.control(n)).await.body, CONFIGURATION);
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_host_is_acknowledged() {
+    on_core(63, |mut core| async move {
+        (0..3).for_each(|n| core.start(n, true));
+        let beat = |phase: &str, seq: u32| {
+            serde_json::json!({"service": "s", "address": "10.0.0.9:80", "zone": "z0", "version": "v1",
+                "capacity": 4, "phase": phase, "cold_left_ms": 0, "call_seq": seq})
+            .to_string()
+        };
+        let at = "/fennelpin/Hosts.Heartbeat/i-1";
+        // A ready beat needs nobody but the member that takes it.
+        let ready = call_until(core.control(0), "POST", at, &[], &beat("ready", 1), |_| true).await;
+        assert_eq!(ready.status, 200);
+        // A drain has to be kept by others, too.
+        call_until(core.control(1), "POST", at, &[], &beat("draining", 2), |a| a.status == 200).await;
+        let gone = "/fennelpin/Hosts.Depart/i-1";
+        call_until(core.control(2), "POST", gone, &[], "{}", |a| a.status == 200).await;
+        let bad = call(core.control(0), "POST", at, &[], "{}").await.unwrap();
+        assert_eq!(bad.status, 400);
+    })
+    .await;
+}
