--- a/crates/furrow/src/file.rs
+++ b/crates/furrow/src/file.rs
@@ -75,14 +75,17 @@
         let mut records = Vec::new();
         let (mut length, mut cut, mut state) = (0, None, State::Missing);
         if let Some(mut file) = disk.open(name).map_err(failed("open"))? {
-            let end;
-            (length, end) = read(&mut file, name, &mut records)?;
-            if length < end {
-                cut = Some(Cut { offset: length, bytes: end - length });
+            let found = read(&mut file, name, &mut records)?;
+            length = found.length;
+            if length < found.end {
+                cut = Some(Cut { offset: length, bytes: found.end - length });
             }
             // A disk that takes no writes may refuse the cut; the file is readable all the same.
             let is_cut = cut.is_none() || file.cut(length).is_ok();
-            // The process before may have been killed between write and sync, or between rename and sync.
+            // The process before may have been killed between write and sync, or after a sync that failed: what it
+            // wrote then counts as clean and no sync brings it to the disk. So the last batch is written once more,
+            // the same bytes, where the disk takes writes.
+            let _ = write_again(&mut file, found.batch, length);
             file.sync().map_err(failed("sync"))?;
             state = if is_cut { State::Sound(file) } else { State::Overhang(file) };
         }
@@ -272,8 +275,18 @@
     }
 }
 
-/// Reads the records of a file; how many bytes of it are good, and how many there are.
-fn read<F: DiskFile>(file: &mut F, name: &str, records: &mut Vec<Vec<u8>>) -> Result<(u64, u64), Error> {
+/// What there is of a file.
+struct Found {
+    /// How many bytes are good.
+    length: u64,
+    /// How many there are.
+    end: u64,
+    /// Where the last good batch begins.
+    batch: u64,
+}
+
+/// Reads the records of a file.
+fn read<F: DiskFile>(file: &mut F, name: &str, records: &mut Vec<Vec<u8>>) -> Result<Found, Error> {
     let failed = |error| Error::of("read", name, error);
     let mut pieces = Pieces::of(file).map_err(failed)?;
     match pieces.version().map_err(failed)? {
@@ -283,10 +296,13 @@
         }
         _ => return Err(Error::Header { name: name.to_owned() }),
     }
-    let mut gap = None;
+    let (mut gap, mut last) = (None, HEADER as u64);
     while let Some(piece) = pieces.next_piece().map_err(failed)? {
         match (piece, gap) {
-            (Piece::Record { body, .. }, None) => records.push(body),
+            (Piece::Record { batch, body, .. }, None) => {
+                last = batch;
+                records.push(body);
+            }
             (Piece::Record { offset: whole_at, batch, .. }, Some(offset)) if batch > offset => {
                 let (name, record) = (name.to_owned(), records.len() as u64);
                 return Err(Error::Damaged { name, record, offset, whole_at });
@@ -295,5 +311,21 @@
             (Piece::Gap { offset, .. }, None) => gap = Some(offset),
         }
     }
-    Ok((gap.unwrap_or(pieces.end()), pieces.end()))
+    let end = pieces.end();
+    Ok(Found { length: gap.unwrap_or(end), end, batch: last })
+}
+
+/// Writes these bytes of the file over themselves.
+fn write_again<F: DiskFile>(file: &mut F, mut from: u64, to: u64) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK.min(to.saturating_sub(from) as usize)];
+    while from < to {
+        let part = (to - from).min(CHUNK as u64) as usize;
+        let read = format::read_fully(file, from, &mut chunk[..part])?;
+        format::write_fully(file, from, &chunk[..read])?;
+        if read < part {
+            break;
+        }
+        from += part as u64;
+    }
+    Ok(())
 }
