--- a/crates/rootstock/src/shell/links.rs
+++ b/crates/rootstock/src/shell/links.rs
@@ -36,7 +36,7 @@
     /// A member said who it is.
     Hello(Seat),
     /// A member spoke.
-    Message(Seat, Message),
+    Message(Seat, Box<Message>),
 }
 
 /// Plain counts since the start.
@@ -164,7 +164,7 @@
                     let answer = Message::Peers { seats: self.seats() };
                     write_all(&mut output, &graft::encode(&answer)).await?;
                 }
-                message => self.tell(Heard::Message(seat.clone(), message)),
+                message => self.tell(Heard::Message(seat.clone(), Box::new(message))),
             }
             // The dialler probes at the latest then.
             next = timeout(2 * SILENCE, frames.next()).await??;
@@ -274,7 +274,7 @@
                 *heard.borrow_mut() = Instant::now();
                 match message {
                     Message::Peers { seats } => self.learn(&seats),
-                    message => self.tell(Heard::Message(seat.clone(), message)),
+                    message => self.tell(Heard::Message(seat.clone(), Box::new(message))),
                 }
             }
         };
--- a/crates/rootstock/src/shell/mod.rs
+++ b/crates/rootstock/src/shell/mod.rs
@@ -283,10 +283,10 @@
         match event {
             Event::Heard(Heard::Hello(seat)) => self.step(Input::Reachable { seat }),
             Event::Heard(Heard::Message(from, message)) => {
-                if let Message::Renew { committed, .. } = &message {
+                if let Message::Renew { committed, .. } = &*message {
                     self.committed = self.committed.max(*committed);
                 }
-                self.step(Input::Message { from, message });
+                self.step(Input::Message { from, message: *message });
             }
             Event::Disk(Told::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
             Event::Disk(Told::Open { .. } | Told::NotOpen { .. }) => {}
