--- a/crates/orchard/src/roles.rs
+++ b/crates/orchard/src/roles.rs
@@ -46,6 +46,8 @@
 pub fn trellis(from: &From) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
     run(async {
+        // Nothing of what a proxy uses changes in the file; the signal is taken so that it doesn't end the process.
+        let _seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
         let world = world::follow(&boot);
         let counters = trellis::serve(boot, world, stop()?).await.context(TrellisSnafu)?;
         log::info!("counters {counters:?}");
