--- a/crates/espalier/src/idle.rs
+++ b/crates/espalier/src/idle.rs
@@ -8,9 +8,11 @@
 
 /// A model host counts as idle while what it still has to read is below this, in ms: with more, a short
 /// prompt would wait through much of its aim.
-const READING_MS: f64 = 160.0;
+const READING_MS: f64 = 600.0;
+/// A model host is busy with more than one in so many of its slots waiting.
+const QUEUED: u32 = 8;
 /// Entries that a model host with nothing to read is worth.
-const MODEL_ENTRIES: f64 = 4.0;
+const MODEL_ENTRIES: f64 = 10.0;
 /// A host that came while others were there gets one request at a time for so long.
 const RUN_IN: Duration = Duration::from_secs(2);
 /// Answers later than usual by this factor show a host busy, where it runs no model.
@@ -63,9 +65,11 @@
     /// A report on a host's load came.
     pub(crate) fn loaded(&mut self, now: Duration, key: usize, load: Load) {
         let Some(host) = self.hosts.get_mut(key) else { return };
-        let busy = load.waiting > 0 || load.running > share(load.slots);
-        host.told_busy = busy.then_some(now);
         let model = self.services.get(host.service).is_some_and(|s| s.model());
+        // A prompt or two always wait for their turn to be read where batches run.
+        let waiting = if model { load.slots / QUEUED } else { 0 };
+        let busy = load.waiting > waiting || load.running > share(load.slots);
+        host.told_busy = busy.then_some(now);
         let mut entries = self.worth(now, key);
         if !model {
             entries = entries.min(share(load.slots).saturating_sub(load.running));
