--- a/crates/espalier/src/policy.rs
+++ b/crates/espalier/src/policy.rs
@@ -17,11 +17,9 @@
 /// A full host is left alone for so long.
 const FULL: Duration = Duration::from_millis(100);
 /// Shortest and longest patience with an attempt that has shown nothing, in ms.
-const PATIENCE_MS: (f64, f64) = (250.0, 2000.0);
+const PATIENCE_MS: (f64, f64) = (600.0, 2500.0);
 /// Patience over the time within which nearly all answers come.
 const PATIENCE: f64 = 1.5;
-/// The same where the host shows signs of life on other connections.
-const ALIVE: f64 = 2.0;
 /// Share of the time left that may be waited, so that another host still has time.
 const LEFT: f64 = 0.4;
 /// A client that left after so long without a byte shows a host dark.
@@ -436,9 +434,9 @@
         }
         let alive = host.heard.is_some_and(|h| h > out.sent && now.saturating_sub(h) < STALL);
         let usual = PATIENCE * service.spread.value().max(1.0) * out.reckoned;
-        let usual = usual * if alive { ALIVE } else { 1.0 };
         let most = most.min(LEFT * ms(out.left)).max(least);
-        Some(from_ms(usual.clamp(least, most)))
+        // A host that shows itself alive reads what it was sent: elsewhere it would all be read again.
+        Some(from_ms(if alive { most } else { usual.clamp(least, most) }))
     }
 }
 
