Proxies tell each other where they send prompts

Change: datagrams between proxies (addresses by the roster) with host, shared parts and tokens to be read; a proxy that starts asks two others for what is kept.

--- a/crates/espalier/src/choice.rs
+++ b/crates/espalier/src/choice.rs
@@ -61,11 +61,11 @@
 
     /// Tokens that a host has to read, by what was sent there; the home keeps the shared parts, as all proxies
     /// send them there.
-    fn unread(&self, host: &Host, home: bool, ask: &Ask) -> u32 {
+    fn unread(&self, now: Duration, host: &Host, home: bool, ask: &Ask) -> u32 {
         let all: u32 = ask.parts.iter().map(|p| p.1).fold(0, u32::saturating_add);
         let all = if ask.parts.is_empty() { ask.tokens.0 } else { all };
         let shared = match ask.parts {
-            [shared @ .., _own] if home => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
+            [shared @ .., _own] if home && !self.told(now) => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
             _ => 0,
         };
         all.saturating_sub(host.kept.prefix(ask.parts).max(shared))
@@ -94,7 +94,7 @@
                 tokens: 0,
             });
         }
-        let tokens = self.unread(host, home == Some(key), ask);
+        let tokens = self.unread(now, host, home == Some(key), ask);
         let weight = if prompt.is_some() { weight } else { 0 };
         Some(Candidate { key, cost: wait + READ_AGAIN * service.reading(tokens), weight, near, tokens })
     }
@@ -125,7 +125,7 @@
         let due = opens.iter().filter(|(_, h)| h.health.trial_due(now, h.info.silent));
         if let Some((key, host)) = due.min_by_key(|(_, h)| h.health.back()) {
             let waited = host.health.back().map_or(Duration::ZERO, |b| now.saturating_sub(b));
-            let tokens = self.unread(host, false, ask);
+            let tokens = self.unread(now, host, false, ask);
             let fits =
                 ask.idempotent && (tokens <= SMALL || waited >= TRIAL_WAIT) || host.health.overdue(now);
             if fits {
--- a/crates/espalier/src/host.rs
+++ b/crates/espalier/src/host.rs
@@ -4,13 +4,15 @@
 use crate::order::place;
 use crate::types::HostInfo;
 use crate::window::ms;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 /// Parts of prompts that a host was sent, the latest first to stay.
 #[derive(Debug, Default)]
 pub(crate) struct Kept {
     parts: HashMap<u64, (u32, u64)>,
+    /// Those of them that others may ask for too.
+    shared: HashSet<u64>,
     uses: BTreeMap<u64, u64>,
     tokens: f64,
     next: u64,
@@ -39,8 +41,20 @@
             if let Some((tokens, _)) = self.parts.remove(&id) {
                 self.tokens -= f64::from(tokens);
             }
+            self.shared.remove(&id);
         }
     }
+
+    /// Notes parts that others may ask for too; whether any of them is new here.
+    pub(crate) fn share(&mut self, parts: &[(u64, u32)]) -> bool {
+        parts.iter().fold(false, |new, p| (self.parts.contains_key(&p.0) && self.shared.insert(p.0)) | new)
+    }
+
+    /// Shared parts that are kept, those used latest first.
+    pub(crate) fn shared(&self) -> Vec<(u64, u32)> {
+        let latest = self.uses.values().rev().filter(|id| self.shared.contains(id));
+        latest.filter_map(|id| Some((*id, self.parts.get(id)?.0))).collect()
+    }
 }
 
 /// A host and what is believed of it.
@@ -56,6 +70,8 @@
     pub(crate) out: Vec<usize>,
     /// When it will have read what we sent, by our reckoning.
     pub(crate) busy_until: Duration,
+    /// When it will have read what other proxies sent, by what they tell.
+    pub(crate) others_until: Duration,
     /// How much later than reckoned its answers are, in ms, and when that was learned.
     excess: f64,
     excess_at: Duration,
@@ -92,6 +108,7 @@
             kept: Kept::default(),
             out: Vec::new(),
             busy_until: now,
+            others_until: now,
             excess: 0.0,
             excess_at: now,
             heard: None,
@@ -113,9 +130,9 @@
         self.excess_at = now;
     }
 
-    /// What is left to be read of what we sent, in ms.
+    /// What is left to be read of what was sent, as far as known, in ms.
     pub(crate) fn backlog(&self, now: Duration) -> f64 {
-        ms(self.busy_until.saturating_sub(now))
+        ms(self.busy_until.saturating_sub(now)) + ms(self.others_until.saturating_sub(now))
     }
 
     /// Whether it may get requests at all.
--- a/crates/espalier/src/lib.rs
+++ b/crates/espalier/src/lib.rs
@@ -19,4 +19,4 @@
 mod window;
 
 pub use policy::Policy;
-pub use types::{Ask, Attempt, Choice, HostInfo, Load, Outcome, ServiceInfo, Settings};
+pub use types::{Ask, Attempt, Choice, HostInfo, Load, Outcome, Placement, ServiceInfo, Settings};
--- a/crates/espalier/src/policy.rs
+++ b/crates/espalier/src/policy.rs
@@ -5,7 +5,7 @@
 use crate::host::Host;
 use crate::random::Random;
 use crate::service::Service;
-use crate::types::{Ask, Attempt, Choice, HostInfo, Load, Outcome, ServiceInfo, Settings};
+use crate::types::{Ask, Attempt, Choice, HostInfo, Load, Outcome, Placement, ServiceInfo, Settings};
 use crate::window::{from_ms, ms};
 use slab::Slab;
 use std::collections::{HashMap, HashSet};
@@ -25,6 +25,11 @@
 /// A client that left after so long without a byte shows a host dark.
 const LEFT_DARK: Duration = Duration::from_millis(800);
 
+/// Prompts with so many tokens to be read are told to the other proxies.
+const TOLD_TOKENS: u32 = 500;
+/// What is heard stands for all only after so long.
+const HEARD_ALL: Duration = Duration::from_secs(1);
+
 /// An attempt that is out.
 #[derive(Debug)]
 pub(crate) struct Out {
@@ -51,6 +56,9 @@
     pub(crate) hosts: Slab<Host>,
     pub(crate) attempts: Slab<Out>,
     terms: Terms,
+    /// Since when all proxies tell each other where they send prompts.
+    told_since: Option<Duration>,
+    placed: Option<Placement>,
     /// The latest call, and when this process last woke from a stall.
     called: Option<Duration>,
     pub(crate) woke: Duration,
@@ -80,6 +88,8 @@
             hosts: Slab::new(),
             attempts: Slab::new(),
             terms,
+            told_since: None,
+            placed: None,
             called: None,
             woke: Duration::ZERO,
         };
@@ -124,6 +134,34 @@
         self.state.terms.proxies = (count > 0).then_some(count);
     }
 
+    /// Whether all proxies tell each other where they send prompts.
+    pub fn set_told(&mut self, now: Duration, all: bool) {
+        self.state.told_since = if all { self.state.told_since.or(Some(now)) } else { None };
+    }
+
+    /// What the latest choice means for the other proxies, where it is worth telling.
+    pub fn take_placement(&mut self) -> Option<Placement> {
+        self.state.placed.take()
+    }
+
+    /// Another proxy has sent a prompt to a host.
+    pub fn overheard(&mut self, now: Duration, host: &str, parts: &[(u64, u32)], unread: u32) {
+        let state = &mut self.state;
+        let Some(host) = state.ids.get(host).and_then(|k| state.hosts.get_mut(*k)) else { return };
+        let Some(service) = state.services.get(host.service) else { return };
+        let Some(room) = service.info.as_ref().and_then(|i| i.cache_tokens) else { return };
+        host.kept.touch(parts, room);
+        host.kept.share(parts);
+        host.others_until = host.others_until.max(now) + from_ms(service.reading(unread));
+    }
+
+    /// What hosts keep that others may ask for too, by our reckoning.
+    pub fn kept(&self) -> Vec<Placement> {
+        let hosts = self.state.hosts.iter().map(|(_, h)| h).filter(|h| h.usable());
+        let all = hosts.map(|h| Placement { host: h.info.id.clone(), parts: h.kept.shared(), unread: 0 });
+        all.filter(|p| !p.parts.is_empty()).collect()
+    }
+
     /// Time passes. Called every 100 ms or so while attempts are out, a stall of this process shows in the gap between two calls.
     pub fn tick(&mut self, now: Duration) {
         self.state.wake(now);
@@ -201,6 +239,11 @@
 }
 
 impl State {
+    /// Whether what is known of the hosts' memory comes from all proxies.
+    pub(crate) fn told(&self, now: Duration) -> bool {
+        self.told_since.is_some_and(|t| now >= t + HEARD_ALL)
+    }
+
     /// Notes a call; after a stall, drops what was known before it.
     fn wake(&mut self, now: Duration) {
         self.terms.born.get_or_insert(now);
@@ -298,6 +341,7 @@
     fn send(&mut self, now: Duration, ask: &Ask, key: usize, tokens: u32, trial: bool) -> Choice {
         let none = Choice::None { retry_after: FULL };
         let proxies = self.terms.proxies.unwrap_or(1).max(1) as f64;
+        let all_told = self.told(now);
         let Some(waited) = self.hosts.get(key).map(|h| self.wait(now, h)) else { return none };
         let Some(host) = self.hosts.get_mut(key) else { return none };
         let Some(service) = self.services.get(host.service) else { return none };
@@ -319,7 +363,12 @@
         if let Some(room) = service.info.as_ref().and_then(|i| i.cache_tokens) {
             host.busy_until = host.busy_until.max(now) + from_ms(reading);
             // The others fill the host's memory as fast as we do.
-            host.kept.touch(ask.parts, room / proxies);
+            host.kept.touch(ask.parts, if all_told { room } else { room / proxies });
+            let shared = ask.parts.split_last().map_or(&[][..], |p| p.1);
+            if host.kept.share(shared) || tokens >= TOLD_TOKENS {
+                let (host, parts) = (host.info.id.clone(), shared.to_vec());
+                self.placed = Some(Placement { host, parts, unread: tokens });
+            }
             priority = Some(priority_of(ask.rank));
         }
         if trial {
--- a/crates/espalier/src/types.rs
+++ b/crates/espalier/src/types.rs
@@ -134,3 +134,14 @@
     /// The client left or the request was given up by the proxy.
     Cancelled,
 }
+
+/// What a host was sent, for the other proxies.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The host.
+    pub host: Arc<str>,
+    /// Parts of prompts that others may ask for too, in order: identity and tokens.
+    pub parts: Vec<(u64, u32)>,
+    /// Tokens that the host has to read.
+    pub unread: u32,
+}
--- a/crates/graft/src/message.rs
+++ b/crates/graft/src/message.rs
@@ -157,6 +157,8 @@
     #[br(parse_with = text)]
     #[bw(write_with = put_text)]
     pub region: String,
+    /// Where its proxy takes the other proxies' hints; port 0 where it takes none.
+    pub addr: Addr,
     /// Whether it has stopped pulling.
     #[br(parse_with = flag)]
     #[bw(write_with = put_flag)]
@@ -270,12 +272,40 @@
     #[br(parse_with = text)]
     #[bw(write_with = put_text)]
     pub region: String,
+    /// Where its proxy takes the other proxies' hints; port 0 where it takes none.
+    pub addr: Addr,
     /// Its identity where it is a member, else 0.
     pub member: u64,
     /// Version of the configuration that it has in force.
     pub version: u64,
 }
 
+/// A part of a prompt.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Part {
+    /// Its identity.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What a host was sent and so keeps.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Placement {
+    /// The host.
+    #[br(parse_with = text)]
+    #[bw(write_with = put_text)]
+    pub host: String,
+    /// Parts of prompts that others may ask for too, in order.
+    #[br(parse_with = list)]
+    #[bw(write_with = put_list)]
+    pub parts: Vec<Part>,
+}
+
 /// A change of the ledger.
 #[binrw]
 #[brw(little)]
@@ -564,6 +594,28 @@
         #[bw(write_with = put_bytes)]
         text: Vec<u8>,
     },
+    /// A proxy has sent a prompt to a host. In datagrams, like the next two: they may be lost.
+    #[brw(magic(50u8))]
+    Placed {
+        /// What the host keeps from now on.
+        placement: Placement,
+        /// Tokens that it has to read for it.
+        unread: u32,
+    },
+    /// A proxy that has just started asks what hosts keep.
+    #[brw(magic(51u8))]
+    Recall {
+        /// 0.
+        reserved: u8,
+    },
+    /// The answer to [`Message::Recall`], in several datagrams.
+    #[brw(magic(52u8))]
+    Recalled {
+        /// What hosts keep.
+        #[br(parse_with = list)]
+        #[bw(write_with = put_list)]
+        placements: Vec<Placement>,
+    },
     /// Asks for what the speaker lacks.
     #[brw(magic(40u8))]
     Pull {
--- a/crates/orchard/src/world.rs
+++ b/crates/orchard/src/world.rs
@@ -22,11 +22,12 @@
     let pulling = client::run(puller, scion::no_seat(boot), scion::caller(boot, 0), shared, told);
     tokio::task::spawn_local(pulling);
     let (world, watcher) = watch::channel(None);
-    tokio::task::spawn_local(translate(snapshots, world, control));
+    tokio::task::spawn_local(translate(boot.node_name.clone(), snapshots, world, control));
     watcher
 }
 
 async fn translate(
+    name: String,
     mut snapshots: watch::Receiver<Arc<Snapshot>>,
     world: watch::Sender<Option<Arc<World>>>,
     control: mpsc::UnboundedSender<Control>,
@@ -41,7 +42,7 @@
                 // The puller ends with the process.
                 let _ = control.send(Control::Version(version));
             }
-            world.send_replace(Some(Arc::new(of(&snapshot))));
+            world.send_replace(Some(Arc::new(of(&name, &snapshot))));
         }
         if snapshots.changed().await.is_err() {
             return;
@@ -49,11 +50,12 @@
     }
 }
 
-fn of(snapshot: &Snapshot) -> World {
+fn of(name: &str, snapshot: &Snapshot) -> World {
     World {
         document: snapshot.document.clone(),
         hosts: snapshot.hosts.values().filter(|h| h.phase < phase::GONE).map(host).collect(),
         coordinators: snapshot.coordinators.len().max(1),
+        others: snapshot.hints.iter().filter(|h| h.0 != name).map(|h| SocketAddrV4::from(h.1)).collect(),
     }
 }
 
--- a/crates/rootstock/src/member/mod.rs
+++ b/crates/rootstock/src/member/mod.rs
@@ -293,7 +293,13 @@
             }
             Message::Ask { id, command } => self.on_ask(from, id, command),
             Message::Answer { id, code, text } => self.on_answer(id, code, text, out),
-            Message::Hello { .. } | Message::Peers { .. } | Message::Pull { .. } | Message::News { .. } => {}
+            Message::Hello { .. }
+            | Message::Peers { .. }
+            | Message::Pull { .. }
+            | Message::News { .. }
+            | Message::Placed { .. }
+            | Message::Recall { .. }
+            | Message::Recalled { .. } => {}
         }
     }
 
--- a/crates/rootstock/src/roster.rs
+++ b/crates/rootstock/src/roster.rs
@@ -254,14 +254,15 @@
             name: caller.name.clone(),
             zone: caller.zone.clone(),
             region: caller.region.clone(),
+            addr: caller.addr,
             gone: false,
             version: caller.version,
         };
+        let place = |r: &CoordinatorRecord| (r.zone.clone(), r.region.clone(), r.addr);
+        let here = place(&shown);
         let known = self.coordinators.insert(caller.name.clone(), Coordinator { shown, at: now });
         // Its version alone is no news: all of them would be told of each other at each configuration.
-        if known
-            .is_some_and(|k| !k.shown.gone && k.shown.zone == caller.zone && k.shown.region == caller.region)
-        {
+        if known.is_some_and(|k| !k.shown.gone && place(&k.shown) == here) {
             return false;
         }
         self.mark.seq += 1;
--- a/crates/scion/src/lib.rs
+++ b/crates/scion/src/lib.rs
@@ -51,12 +51,19 @@
     Addr { ip: u32::from(Ipv4Addr::LOCALHOST), port: boot.port_range.0.saturating_add(1) }
 }
 
+/// Where a machine's proxy takes the other proxies' hints; without enough ports, nowhere (port 0).
+pub fn hints_addr(boot: &Boot) -> Addr {
+    let port = boot.port_range.0.saturating_add(2);
+    Addr { ip: u32::from(boot.ip_addr), port: if port <= boot.port_range.1 { port } else { 0 } }
+}
+
 /// This process as one that pulls; `member` is its identity, or 0 where it is no member.
 pub fn caller(boot: &Boot, member: u64) -> Caller {
     Caller {
         name: boot.node_name.clone(),
         zone: boot.zone.clone(),
         region: boot.region.clone(),
+        addr: hints_addr(boot),
         member,
         version: 0,
     }
--- a/crates/scion/src/mirror.rs
+++ b/crates/scion/src/mirror.rs
@@ -49,6 +49,8 @@
     pub hosts: BTreeMap<String, HostRecord>,
     /// Names of the coordinators that pull now, over all sources.
     pub coordinators: BTreeSet<String>,
+    /// Where their proxies take hints, by the machines' names.
+    pub hints: BTreeMap<String, Addr>,
     /// Hosts that the ledger has as leaving or gone.
     pub drains: Arc<BTreeSet<String>>,
     /// The control plane.
@@ -501,11 +503,13 @@
         self.one_at_each_address(&mut hosts);
         let live = self.sources.values().filter(|s| s.closing.is_none());
         let pulling = live.flat_map(|s| s.coordinators.values()).filter(|k| !k.record.gone);
+        let pulling: Vec<&CoordinatorRecord> = pulling.map(|k| &k.record).collect();
         Snapshot {
             ledger: self.ledger,
             document: self.document.clone(),
             hosts,
-            coordinators: pulling.map(|k| k.record.name.clone()).collect(),
+            hints: pulling.iter().filter(|r| r.addr.port > 0).map(|r| (r.name.clone(), r.addr)).collect(),
+            coordinators: pulling.iter().map(|r| r.name.clone()).collect(),
             drains: self.drains.clone(),
             fleet: self.fleet.clone(),
         }
--- a/crates/trellis/src/core.rs
+++ b/crates/trellis/src/core.rs
@@ -1,6 +1,7 @@
 //! What all connections share.
 
 use crate::counters::Tally;
+use crate::hints::Hints;
 use crate::hostlink::Link;
 use crate::pool::Pool;
 use crate::routes::Routes;
@@ -39,6 +40,7 @@
     known: RefCell<Option<Rc<Known>>>,
     pub(crate) pool: RefCell<Pool<Link>>,
     pub(crate) tally: Tally,
+    pub(crate) hints: RefCell<Hints>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) most_clients: usize,
     most_bodies: usize,
@@ -68,6 +70,7 @@
             known: RefCell::default(),
             pool: RefCell::new(Pool::new((fds * (1.0 - CLIENTS_SHARE)) as usize)),
             tally: Tally::default(),
+            hints: RefCell::default(),
             stopping: Cell::new(false),
             most_clients: (fds * CLIENTS_SHARE) as usize,
             most_bodies: (memory * BODIES_SHARE) as usize,
@@ -134,6 +137,8 @@
             policy.set_services(now, &services);
             log::info!("configuration {}: {} routes", document.version, document.routes.len());
         }
+        let all_told = self.hints.borrow_mut().set_others(&world.others);
+        policy.set_told(now, all_told);
         policy.set_coordinators(now, world.coordinators);
         policy.set_hosts(now, &world.hosts);
         let ids: HashSet<&str> = world.hosts.iter().map(|h| &*h.id).collect();
--- a/crates/trellis/src/counters.rs
+++ b/crates/trellis/src/counters.rs
@@ -44,6 +44,8 @@
     strays;
     /// Bytes of hosts that were no answer, and answers cut off.
     broken;
+    /// Datagrams that were no hints.
+    bad_hints;
     /// Requests moved to another host as the first was silent.
     moved;
 }
--- a/crates/trellis/src/exchange.rs
+++ b/crates/trellis/src/exchange.rs
@@ -302,6 +302,9 @@
         );
         match choice {
             Choice::Host { attempt, id, addr, priority } => {
+                if let Some(placement) = policy.take_placement() {
+                    self.core.hints.borrow().tell(&placement);
+                }
                 Ok(Picked { out: Out::new(self.core, attempt), id, addr, priority })
             }
             Choice::None { retry_after } => Err((self.trial.refusal(Code::NoHost), Some(retry_after))),
--- /dev/null
+++ b/crates/trellis/src/hints.rs
@@ -0,0 +1,141 @@
+//! Hints between proxies: where prompts were sent, so that others know what hosts keep and still have to read.
+//! Datagrams that may be lost; nothing rests on them but what is read again. Nobody is asked when a request
+//! is sent.
+
+use crate::core::Core;
+use almanac::Boot;
+use espalier::Placement;
+use graft::{Message, Part};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+/// Most proxies that are told of every prompt; in a larger fleet each tells those that follow it in the order of
+/// their addresses, and nobody takes what is heard for the whole.
+const MOST: usize = 16;
+/// Longest datagram, in bytes.
+const DATAGRAM: usize = 1200;
+/// Proxies that are asked for what they know.
+const ASKED: usize = 2;
+
+/// Who is told.
+#[derive(Default)]
+pub(crate) struct Hints {
+    pub(crate) socket: Option<Rc<UdpSocket>>,
+    others: Vec<SocketAddrV4>,
+    asked: bool,
+}
+
+impl Hints {
+    /// The other proxies as the roster has them now. Whether all of them tell each other.
+    pub(crate) fn set_others(&mut self, others: &[SocketAddrV4]) -> bool {
+        let Some(socket) = &self.socket else { return false };
+        let me = match socket.local_addr() {
+            Ok(SocketAddr::V4(me)) => me,
+            _ => return false,
+        };
+        let mut ring: Vec<SocketAddrV4> = others.to_vec();
+        ring.sort_unstable();
+        let after = ring.partition_point(|o| *o < me);
+        ring.rotate_left(after);
+        let all = ring.len() <= MOST;
+        ring.truncate(MOST);
+        self.others = ring;
+        if !self.asked && !self.others.is_empty() {
+            self.asked = true;
+            let message = graft::encode(&Message::Recall { reserved: 0 });
+            for other in self.others.iter().take(ASKED) {
+                let _ = socket.try_send_to(&message, SocketAddr::V4(*other));
+            }
+        }
+        all
+    }
+
+    /// Tells the others of a prompt that was sent.
+    pub(crate) fn tell(&self, placement: &Placement) {
+        let Some(socket) = self.socket.as_ref().filter(|_| !self.others.is_empty()) else { return };
+        let message = graft::encode(&Message::Placed { placement: of(placement), unread: placement.unread });
+        if message.len() > DATAGRAM {
+            return;
+        }
+        for other in &self.others {
+            // What can't be sent now is lost, as any datagram may be.
+            let _ = socket.try_send_to(&message, SocketAddr::V4(*other));
+        }
+    }
+}
+
+fn of(placement: &Placement) -> graft::Placement {
+    let part = |p: &(u64, u32)| Part { id: p.0, tokens: p.1 };
+    graft::Placement { host: placement.host.to_string(), parts: placement.parts.iter().map(part).collect() }
+}
+
+fn parts(placement: &graft::Placement) -> Vec<(u64, u32)> {
+    placement.parts.iter().map(|p| (p.id, p.tokens)).collect()
+}
+
+/// Where this proxy takes hints; `None` where it can't.
+pub(crate) async fn listen(boot: &Boot) -> Option<Rc<UdpSocket>> {
+    let port = boot.port_range.0.checked_add(2).filter(|p| *p <= boot.port_range.1)?;
+    match UdpSocket::bind(SocketAddrV4::new(boot.ip_addr, port)).await {
+        Ok(socket) => Some(Rc::new(socket)),
+        Err(e) => {
+            log::warn!("no hints are taken: {e}");
+            None
+        }
+    }
+}
+
+/// Takes hints for as long as the process lives.
+pub(crate) async fn hear(core: Rc<Core>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 2 * DATAGRAM];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            // An answer to what was sent to a proxy that is gone.
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let Ok(Some((message, _))) = graft::decode(&buffer[..length]) else {
+            core.tally.add(|c| c.bad_hints += 1);
+            continue;
+        };
+        match message {
+            Message::Placed { placement, unread } => {
+                let mut policy = core.policy.borrow_mut();
+                policy.overheard(core.now(), &placement.host, &parts(&placement), unread);
+            }
+            Message::Recalled { placements } => {
+                let mut policy = core.policy.borrow_mut();
+                placements.iter().for_each(|p| policy.overheard(core.now(), &p.host, &parts(p), 0));
+            }
+            Message::Recall { .. } => recall(&core, &socket, from),
+            _ => core.tally.add(|c| c.bad_hints += 1),
+        }
+    }
+}
+
+fn recall(core: &Core, socket: &UdpSocket, to: SocketAddr) {
+    let kept = core.policy.borrow().kept();
+    let mut placements: Vec<graft::Placement> = Vec::new();
+    let mut size = 0;
+    let send = |placements: &mut Vec<graft::Placement>| {
+        let message = Message::Recalled { placements: std::mem::take(placements) };
+        let _ = socket.try_send_to(&graft::encode(&message), to);
+    };
+    for Placement { host, parts: all, .. } in kept {
+        for some in all.chunks(40) {
+            let one = of(&Placement { host: Arc::clone(&host), parts: some.to_vec(), unread: 0 });
+            let length = 8 + one.host.len() + 12 * one.parts.len();
+            if size + length > DATAGRAM - 32 {
+                send(&mut placements);
+                size = 0;
+            }
+            size += length;
+            placements.push(one);
+        }
+    }
+    if !placements.is_empty() {
+        send(&mut placements);
+    }
+}
--- a/crates/trellis/src/lib.rs
+++ b/crates/trellis/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod events;
 mod exchange;
 mod front;
+mod hints;
 mod hostlink;
 pub mod http1;
 pub mod pool;
--- a/crates/trellis/src/serve.rs
+++ b/crates/trellis/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::core::Core;
 use crate::counters::Counters;
-use crate::{front, readiness};
+use crate::{front, hints, readiness};
 use almanac::{Boot, Document};
 use espalier::HostInfo;
 use snafu::{ResultExt, Snafu};
@@ -25,6 +25,8 @@
     pub hosts: Vec<HostInfo>,
     /// Proxies that share the budget for repeats, this one among them.
     pub coordinators: usize,
+    /// Where the other proxies take hints.
+    pub others: Vec<SocketAddrV4>,
 }
 
 /// Why the proxy can't start.
@@ -104,6 +106,11 @@
     let core = Rc::new(Core::new(&boot));
     let front = listen("front", boot.bind.front).await?;
     let readiness = listen("readiness", boot.bind.readiness).await?;
+    let hints = hints::listen(&boot).await;
+    if let Some(socket) = &hints {
+        core.hints.borrow_mut().socket = Some(socket.clone());
+    }
+    let _hints = hints.map(|socket| task(hints::hear(core.clone(), socket)));
     let _tasks = [
         task(follow(core.clone(), world)),
         task(readiness::listen(core.clone(), readiness)),
--- a/crates/trellis/tests/common/mod.rs
+++ b/crates/trellis/tests/common/mod.rs
@@ -334,7 +334,7 @@
     }
 
     pub async fn know(&self, document: Arc<Document>, hosts: Vec<HostInfo>) {
-        self.world.send(Some(Arc::new(World { document, hosts, coordinators: 2 }))).unwrap();
+        self.world.send(Some(Arc::new(World { document, hosts, coordinators: 2, others: vec![] }))).unwrap();
         for _ in 0..4 {
             tokio::task::yield_now().await;
         }
