New prompts go home unless others are far better; homes are assumed after a restart

Cause: after a loss of what all proxies knew prompts were sought where hashing puts them, but the least busy host had them. Change: a new prompt's home is preferred by half the time of reading its shared parts; for 30 s after a start that isn't the system's first, a home is taken to keep what nobody tells of.

--- a/crates/espalier/src/choice.rs
+++ b/crates/espalier/src/choice.rs
@@ -10,6 +10,11 @@
 
 /// What reading a token again counts over waiting for as long: it holds up all on the host, and is priced.
 const READ_AGAIN: f64 = 4.0;
+/// A prompt that is new to all goes to its home unless others are better by more than this share of reading its
+/// shared parts: after a loss of what the proxies know it is sought there.
+const HOME: f64 = 0.5;
+/// What was sent before all proxies were started again is in hosts' memory for so long at least.
+const REMEMBERED: Duration = Duration::from_secs(30);
 /// Costs that differ by less count as equal, in ms: then the home order or the zone decides.
 const EQUAL_MS: f64 = 4.0;
 /// With none listed, hosts are drawn among those within this factor, and so many ms, of the best.
@@ -59,13 +64,20 @@
         host.backlog(now) + host.excess(now) + late.max(0.0)
     }
 
+    /// Whether a home is taken to keep its prompts: where not all is told, or was forgotten with a restart.
+    fn assumes(&self, now: Duration, ask: &Ask) -> bool {
+        let restarted = !self.first_start && now < self.born() + REMEMBERED;
+        let known = || order::key(ask.parts).is_some_and(|k| self.hosts.iter().any(|(_, h)| h.kept.has(k)));
+        !self.told(now) || (restarted && !known())
+    }
+
     /// Tokens that a host has to read, by what was sent there; the home keeps the shared parts, as all proxies
     /// send them there.
     fn unread(&self, now: Duration, host: &Host, home: bool, ask: &Ask) -> u32 {
         let all: u32 = ask.parts.iter().map(|p| p.1).fold(0, u32::saturating_add);
         let all = if ask.parts.is_empty() { ask.tokens.0 } else { all };
         let shared = match ask.parts {
-            [shared @ .., _own] if home && !self.told(now) => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
+            [shared @ .., _own] if home && self.assumes(now, ask) => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
             _ => 0,
         };
         all.saturating_sub(host.kept.prefix(ask.parts).max(shared))
@@ -96,7 +108,10 @@
         }
         let tokens = self.unread(now, host, home == Some(key), ask);
         let weight = if prompt.is_some() { weight } else { 0 };
-        Some(Candidate { key, cost: wait + READ_AGAIN * service.reading(tokens), weight, near, tokens })
+        let shared = ask.parts.split_last().map_or(0, |p| p.1.iter().map(|p| p.1).sum());
+        let at_home = if home == Some(key) { HOME * service.reading(shared) } else { 0.0 };
+        let cost = wait + READ_AGAIN * service.reading(tokens) - at_home;
+        Some(Candidate { key, cost, weight, near, tokens })
     }
 
     /// Picks a host for a request, or says when to come back.
--- a/crates/espalier/src/host.rs
+++ b/crates/espalier/src/host.rs
@@ -19,6 +19,11 @@
 }
 
 impl Kept {
+    /// Whether a part is kept.
+    pub(crate) fn has(&self, part: u64) -> bool {
+        self.parts.contains_key(&part)
+    }
+
     /// Tokens from the front on that are kept.
     pub(crate) fn prefix(&self, parts: &[(u64, u32)]) -> u32 {
         parts.iter().take_while(|p| self.parts.contains_key(&p.0)).map(|p| p.1).sum()
--- a/crates/espalier/src/policy.rs
+++ b/crates/espalier/src/policy.rs
@@ -59,6 +59,8 @@
     /// Since when all proxies tell each other where they send prompts.
     told_since: Option<Duration>,
     placed: Option<Placement>,
+    /// Whether the whole system has started for the first time.
+    pub(crate) first_start: bool,
     /// The latest call, and when this process last woke from a stall.
     called: Option<Duration>,
     pub(crate) woke: Duration,
@@ -90,6 +92,7 @@
             terms,
             told_since: None,
             placed: None,
+            first_start: false,
             called: None,
             woke: Duration::ZERO,
         };
@@ -134,6 +137,11 @@
         self.state.terms.proxies = (count > 0).then_some(count);
     }
 
+    /// Says that the whole system starts for the first time: hosts keep nothing yet.
+    pub fn set_first_start(&mut self) {
+        self.state.first_start = true;
+    }
+
     /// Whether all proxies tell each other where they send prompts.
     pub fn set_told(&mut self, now: Duration, all: bool) {
         self.state.told_since = if all { self.state.told_since.or(Some(now)) } else { None };
@@ -239,6 +247,11 @@
 }
 
 impl State {
+    /// When this process began.
+    pub(crate) fn born(&self) -> Duration {
+        self.terms.born.unwrap_or_default()
+    }
+
     /// Whether what is known of the hosts' memory comes from all proxies.
     pub(crate) fn told(&self, now: Duration) -> bool {
         self.told_since.is_some_and(|t| now >= t + HEARD_ALL)
--- a/crates/trellis/src/core.rs
+++ b/crates/trellis/src/core.rs
@@ -64,9 +64,13 @@
         };
         let fds = boot.limits.fd_limit.saturating_sub(SPARE_FDS).max(16) as f64;
         let memory = boot.limits.memory_mb as f64 * 1024.0 * 1024.0;
+        let mut policy = Policy::new(settings);
+        if boot.bootstrap {
+            policy.set_first_start();
+        }
         Self {
             origin: Instant::now(),
-            policy: RefCell::new(Policy::new(settings)),
+            policy: RefCell::new(policy),
             known: RefCell::default(),
             pool: RefCell::new(Pool::new((fds * (1.0 - CLIENTS_SHARE)) as usize)),
             tally: Tally::default(),
