After a start of the whole core the acknowledged ledger and the hosts are shown at once

Change: copies note on disk what is known to be acknowledged (Record::Committed) and show it at their start (Output::Restore); the hosts as last known are kept in a file of their own; members pull from all members, or one that nobody watches would tell nobody.

--- a/crates/espalier/src/choice.rs
+++ b/crates/espalier/src/choice.rs
@@ -77,7 +77,9 @@
         let all: u32 = ask.parts.iter().map(|p| p.1).fold(0, u32::saturating_add);
         let all = if ask.parts.is_empty() { ask.tokens.0 } else { all };
         let shared = match ask.parts {
-            [shared @ .., _own] if home && self.assumes(now, ask) => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
+            [shared @ .., _own] if home && self.assumes(now, ask) => {
+                shared.iter().map(|p| p.1).fold(0, u32::saturating_add)
+            }
             _ => 0,
         };
         all.saturating_sub(host.kept.prefix(ask.parts).max(shared))
--- a/crates/graft/src/message.rs
+++ b/crates/graft/src/message.rs
@@ -409,6 +409,12 @@
         /// The change.
         change: Change,
     },
+    /// All changes up to this one were acknowledged.
+    #[brw(magic(4u8))]
+    Committed {
+        /// Number of the change.
+        seq: u64,
+    },
 }
 
 /// A message.
--- a/crates/rootstock/src/member/candidate.rs
+++ b/crates/rootstock/src/member/candidate.rs
@@ -289,6 +289,7 @@
             self.grant = None;
             self.role = Role::Primary(Box::new(Acting::new(epoch, self.now, ledger, &view, lacking)));
             self.publish(out);
+            self.know_own();
             self.run_primary(out);
         }
     }
--- a/crates/rootstock/src/member/disk.rs
+++ b/crates/rootstock/src/member/disk.rs
@@ -77,7 +77,10 @@
                 self.write(&Record::Promised { epoch: self.promised }, After::Nothing);
             }
         }
-        let long = self.disk.length > LONG && self.disk.queue.is_empty() && self.disk.refused.is_none();
+        // What is known to be acknowledged stays known.
+        let known = self.held.as_ref().is_none_or(|h| h.disk.seq == self.committed);
+        let long =
+            self.disk.length > LONG && known && self.disk.queue.is_empty() && self.disk.refused.is_none();
         let whole = if long { self.whole() } else { Vec::new() };
         let least: usize = whole.iter().map(Vec::len).sum();
         let rewrite = !whole.is_empty() && self.disk.length > TIMES * least;
@@ -98,7 +101,9 @@
         let view = self.view.clone().filter(|v| v.epoch > 0);
         let accepted = view.map(|view| graft::write_one(&Record::Accepted { view, snapshot }));
         let promised = graft::write_one(&Record::Promised { epoch: self.promised });
-        accepted.into_iter().chain([promised]).collect()
+        let seq = self.committed;
+        let committed = self.held.as_ref().map(|_| graft::write_one(&Record::Committed { seq }));
+        accepted.into_iter().chain([promised]).chain(committed).collect()
     }
 
     pub(super) fn on_wrote(&mut self, ticket: u64, result: Result<(), DiskError>, out: &mut Vec<Output>) {
--- a/crates/rootstock/src/member/mod.rs
+++ b/crates/rootstock/src/member/mod.rs
@@ -14,10 +14,10 @@
 use almanac::{Code, Document, FaultBudget};
 use candidate::Candidacy;
 use commands::Local;
-use disk::Disk;
+use disk::{After, Disk};
 use graft::{Command, Message, Record, Seat, View};
 use primary::Acting;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -120,6 +120,16 @@
         /// Hosts that are leaving or gone.
         drains: Vec<String>,
     },
+    /// The ledger that was known to be acknowledged when the process last ended: good until a primary shows a
+    /// newer one.
+    Restore {
+        /// Number of its last change.
+        seq: u64,
+        /// The configuration.
+        document: Arc<Document>,
+        /// Hosts that are leaving or gone.
+        drains: Vec<String>,
+    },
     /// Come back with a [`Input::Tick`] at this time at the latest.
     Wake {
         /// The time.
@@ -175,6 +185,12 @@
     seen: u64,
     view: Option<View>,
     held: Option<Held>,
+    /// Number of the last change that this disk knows to be acknowledged.
+    committed: u64,
+    /// While records are read: the ledger after each change since the last that is known to be acknowledged.
+    history: VecDeque<Ledger>,
+    /// What is to be shown at the first step.
+    restored: Option<Ledger>,
     grant: Option<Grant>,
     peers: BTreeMap<u64, Peer>,
     role: Role,
@@ -197,6 +213,9 @@
             seen: 0,
             view: None,
             held: None,
+            committed: 0,
+            history: VecDeque::new(),
+            restored: None,
             grant: None,
             peers: BTreeMap::new(),
             role: Role::Idle,
@@ -211,6 +230,7 @@
             member.view = Some(View { epoch: 0, primary: 0, copies: vec![], voters, before });
         }
         records.iter().filter_map(|r| graft::read_one(r).ok()).for_each(|r| member.recover(r));
+        member.history.clear();
         member.disk.kept(records.iter().map(Vec::len).sum());
         let start = if member.restarted { member.config.lease } else { Duration::ZERO };
         member.stand_at = now + start + member.stagger();
@@ -223,15 +243,26 @@
             Record::Accepted { view, snapshot } => {
                 self.promised = self.promised.max(view.epoch);
                 let ledger = snapshot.and_then(|s| Ledger::of(&s).ok());
+                // Whether the view was agreed on is not known yet.
+                self.history = ledger.iter().cloned().collect();
                 self.held = ledger.map(|l| Held { head: l.clone(), disk: l });
                 self.view = Some(view);
             }
             Record::Change { seq, change, .. } => {
                 let next = self.held.as_ref().filter(|h| h.head.seq + 1 == seq);
                 if let Some(next) = next.and_then(|h| h.head.after(&change).ok()) {
+                    self.history.push_back(next.clone());
                     self.held = Some(Held { head: next.clone(), disk: next });
                 }
             }
+            Record::Committed { seq } => {
+                self.committed = seq;
+                while self.history.front().is_some_and(|l| l.seq < seq) {
+                    self.history.pop_front();
+                }
+                let known = self.history.front().filter(|l| l.seq == seq).cloned();
+                self.restored = known.or_else(|| self.restored.take());
+            }
         }
         self.seen = self.seen.max(self.promised);
     }
@@ -239,6 +270,10 @@
     /// Takes one input; what has to be done is added to `out`, which ends with the next time to wake.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
+        if let Some(ledger) = self.restored.take() {
+            let drains = ledger.drains.into_iter().collect();
+            out.push(Output::Restore { seq: ledger.seq, document: ledger.document, drains });
+        }
         match input {
             Input::Tick => {}
             Input::Message { from, message } => {
@@ -268,7 +303,10 @@
             Message::Prepare { epoch, candidate } => self.on_prepare(from, epoch, candidate, out),
             Message::Install { view, snapshot } => self.on_install(from, view, snapshot, out),
             Message::Append { epoch, seq, change } => self.on_append(from, epoch, seq, change, out),
-            Message::Renew { epoch, stamp, .. } => self.on_renew(from, epoch, stamp, out),
+            Message::Renew { epoch, stamp, committed } => {
+                self.on_renew(from, epoch, stamp, out);
+                self.know_committed(epoch, committed);
+            }
             Message::Fetch { epoch } => self.on_fetch(from, epoch, out),
             Message::Yield { epoch } => self.on_yield(epoch),
             Message::Canvassed { willing, seen, wait_ms } => {
@@ -329,6 +367,16 @@
         self.view.as_ref().is_some_and(|v| v.seat(self.me()).is_some())
     }
 
+    /// A copy notes what the primary of its view has acknowledged, for its next life.
+    fn know_committed(&mut self, epoch: u64, seq: u64) {
+        let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
+        let has = self.held.as_ref().is_some_and(|h| h.disk.seq >= seq);
+        if follows && has && seq > self.committed {
+            self.committed = seq;
+            self.write(&Record::Committed { seq }, After::Nothing);
+        }
+    }
+
     /// The freshest word on where a seat is.
     fn fresh(&self, seat: &Seat) -> Seat {
         match seat.id {
--- a/crates/rootstock/src/member/primary.rs
+++ b/crates/rootstock/src/member/primary.rs
@@ -301,10 +301,21 @@
         }
         if acting.committed.seq > before {
             self.publish(out);
+            self.know_own();
         }
         answers.into_iter().for_each(|(to, code, body)| self.answer(to, code, body, out));
     }
 
+    /// The primary notes what it has acknowledged, unless more is about to follow.
+    pub(super) fn know_own(&mut self) {
+        if let Role::Primary(acting) = &self.role {
+            let (epoch, seq, more) = (acting.epoch, acting.committed.seq, !acting.pending.is_empty());
+            if !more {
+                self.know_committed(epoch, seq);
+            }
+        }
+    }
+
     pub(super) fn publish(&self, out: &mut Vec<Output>) {
         let Role::Primary(acting) = &self.role else { return };
         let ledger = &acting.committed;
--- a/crates/rootstock/src/shell/disk.rs
+++ b/crates/rootstock/src/shell/disk.rs
@@ -20,6 +20,17 @@
     pub records: Vec<Vec<u8>>,
     /// Whether they stand for all that was there.
     pub rewrite: bool,
+    /// Which file they are for.
+    pub file: File,
+}
+
+/// The files that are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum File {
+    /// What the member has promised, accepted and taken.
+    Ledger,
+    /// The hosts as last known, so that a start of the whole core doesn't wait for heartbeats.
+    Roster,
 }
 
 /// What the thread tells.
@@ -31,6 +42,8 @@
         identity: Identity,
         /// The member's records.
         records: Vec<Vec<u8>>,
+        /// The hosts as last known, where that is kept.
+        roster: Option<Vec<u8>>,
     },
     /// The files can't be opened (yet); the thread tries again.
     NotOpen {
@@ -61,11 +74,19 @@
 }
 
 fn work(dir: &std::path::Path, birth: &Birth, tell: &dyn Fn(Told), queue: &mpsc::Receiver<Write>) {
-    let (mut who, mut file, identity) = loop {
+    let (mut who, mut file, mut hosts, identity) = loop {
         match open(dir, birth) {
             Ok((who, file, identity, records)) => {
-                tell(Told::Open { identity: identity.clone(), records });
-                break (who, file, identity);
+                // What can't be read here is told anew by the hosts.
+                let (hosts, roster) = match Furrow::open(dir, "roster") {
+                    Ok((hosts, mut kept)) => (Some(hosts), kept.pop()),
+                    Err(e) => {
+                        log::warn!(error:% = e; "no roster is kept");
+                        (None, None)
+                    }
+                };
+                tell(Told::Open { identity: identity.clone(), records, roster });
+                break (who, file, hosts, identity);
             }
             Err(detail) => tell(Told::NotOpen { detail }),
         }
@@ -84,9 +105,17 @@
         let mut rest = batch.as_slice();
         while let Some(head) = rest.first() {
             // What is rewritten stands by itself; what is added goes together.
+            if head.file == File::Roster {
+                let records: Vec<&[u8]> = head.records.iter().map(Vec::as_slice).collect();
+                if let Some(Err(e)) = hosts.as_mut().map(|h| h.rewrite(&records)) {
+                    log::debug!(error:% = e; "roster not kept");
+                }
+                rest = &rest[1..];
+                continue;
+            }
             let count = match head.rewrite {
                 true => 1,
-                false => rest.iter().take_while(|w| !w.rewrite).count(),
+                false => rest.iter().take_while(|w| !w.rewrite && w.file == File::Ledger).count(),
             };
             let (now, later) = rest.split_at(count);
             let kept = who.keep(&identity);
--- a/crates/rootstock/src/shell/mod.rs
+++ b/crates/rootstock/src/shell/mod.rs
@@ -7,6 +7,7 @@
 pub mod disk;
 pub mod identity;
 pub mod links;
+mod roster;
 
 use crate::feed::Feed;
 use crate::member::{Config, Input, Member, Output};
@@ -130,7 +131,7 @@
         opened = open(&mut queue) => opened,
         () = stop.as_mut() => return Ok(()),
     };
-    let Some((identity, records)) = opened else {
+    let Some((identity, records, roster)) = opened else {
         return Err(std::io::Error::from(std::io::ErrorKind::BrokenPipe)).context(ThreadSnafu);
     };
     let me = Seat {
@@ -149,6 +150,7 @@
     });
     let beat = Duration::from_millis(boot.beat_period_ms);
     let mirror = SharedMirror::since(Mirror::new(identity.id, beat), origin);
+    roster::recall(&mirror, &identity, roster);
     let feed = Feed::new(identity.id, identity.life, beat, mirror.clone());
     let counters = Rc::new(ControlCounters::default());
     let (leave, leaving) = watch::channel(false);
@@ -172,9 +174,10 @@
     });
     // What other members were told comes by pulls, like an agent's.
     let (pulls, told) = unbounded_channel();
-    let puller = Puller::new(&boot.node_name, scion::WATCHED, Some(me.addr));
+    let puller = Puller::new(&boot.node_name, usize::MAX, Some(me.addr));
     let caller = scion::caller(&boot, identity.id);
     spawn_local(client::run(puller, me.clone(), caller, mirror.clone(), told));
+    spawn_local(roster::keep(mirror.clone(), disk.clone()));
     spawn_local(follow_seeds(links.clone(), pulls, seeds, boot.port_range.0));
 
     let config = Config {
@@ -309,7 +312,8 @@
                 Output::Send { to, message } => self.links.send(&to, &message),
                 Output::Write { ticket, records, rewrite } => {
                     // The thread ends with the process only.
-                    let _ = self.disk.send(disk::Write { ticket, records, rewrite });
+                    let _ =
+                        self.disk.send(disk::Write { ticket, records, rewrite, file: disk::File::Ledger });
                 }
                 Output::Answer { ticket, code, body } => {
                     if let Some(caller) = self.callers.remove(&ticket) {
@@ -317,7 +321,7 @@
                         let _ = caller.send((code, body));
                     }
                 }
-                Output::Publish { seq, document, drains } => {
+                Output::Publish { seq, document, drains } | Output::Restore { seq, document, drains } => {
                     self.mirror.update(|mirror, _| mirror.set_ledger(seq, document, &drains));
                 }
                 Output::Wake { at } => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
@@ -375,11 +379,13 @@
     getrandom::u64().map_err(|e| Failure::Random { detail: e.to_string() })
 }
 
-async fn open(queue: &mut UnboundedReceiver<Event>) -> Option<(Identity, Vec<Vec<u8>>)> {
+async fn open(queue: &mut UnboundedReceiver<Event>) -> Option<(Identity, Vec<Vec<u8>>, Option<Vec<u8>>)> {
     let mut refused = false;
     loop {
         match queue.recv().await? {
-            Event::Disk(Told::Open { identity, records }) => return Some((identity, records)),
+            Event::Disk(Told::Open { identity, records, roster }) => {
+                return Some((identity, records, roster));
+            }
             Event::Disk(Told::NotOpen { detail }) if !refused => {
                 refused = true;
                 log::error!(detail; "the disk's files can't be opened yet");
--- a/crates/windfall/src/world.rs
+++ b/crates/windfall/src/world.rs
@@ -323,6 +323,12 @@
                     self.breach(n, format!("drain of {lost} lost"));
                 }
             }
+            Output::Restore { seq, document, .. } => {
+                // Perhaps not the newest, but never what nobody acknowledged.
+                if self.published.get(&seq) != Some(&document.version) {
+                    self.breach(n, format!("change {seq} to {} was not acknowledged", document.version));
+                }
+            }
             Output::Wake { at } => {
                 self.nodes[n].wake = at;
                 self.at(at, n, What::Wake);
