--- a/crates/graft/src/message.rs
+++ b/crates/graft/src/message.rs
@@ -441,6 +441,8 @@
     Canvass {
         /// The highest epoch that the speaker knows.
         seen: u64,
+        /// Epoch of the latest view that it accepted.
+        view: u64,
     },
     /// The answer to [`Message::Canvass`].
     #[brw(magic(9u8))]
--- a/crates/rootstock/src/member/candidate.rs
+++ b/crates/rootstock/src/member/candidate.rs
@@ -84,8 +84,9 @@
         self.stand_at = self.now + self.config.lease / 2 + self.stagger();
         self.role = Role::Candidate(Box::new(Candidacy::new(self.now, ViewChange::default(), None)));
         let others = self.view.as_ref().map(electors).unwrap_or_default();
+        let view = self.view.as_ref().map_or(0, |v| v.epoch);
         for id in others.into_iter().filter(|id| *id != self.me()) {
-            self.send(id, Message::Canvass { seen: self.seen }, out);
+            self.send(id, Message::Canvass { seen: self.seen, view }, out);
         }
         self.canvassed(out);
     }
--- a/crates/rootstock/src/member/mod.rs
+++ b/crates/rootstock/src/member/mod.rs
@@ -274,6 +274,8 @@
             let drains = ledger.drains.into_iter().collect();
             out.push(Output::Restore { seq: ledger.seq, document: ledger.document, drains });
         }
+        // After a standstill the lease may have ended: others act, and nothing more is acknowledged here.
+        self.end_of_lease();
         match input {
             Input::Tick => {}
             Input::Message { from, message } => {
@@ -299,7 +301,7 @@
 
     fn on_message(&mut self, from: Seat, message: Message, out: &mut Vec<Output>) {
         match message {
-            Message::Canvass { seen } => self.on_canvass(from, seen, out),
+            Message::Canvass { seen, view } => self.on_canvass(from, seen, view, out),
             Message::Prepare { epoch, candidate } => self.on_prepare(from, epoch, candidate, out),
             Message::Install { view, snapshot } => self.on_install(from, view, snapshot, out),
             Message::Append { epoch, seq, change } => self.on_append(from, epoch, seq, change, out),
--- a/crates/rootstock/src/member/primary.rs
+++ b/crates/rootstock/src/member/primary.rs
@@ -99,6 +99,15 @@
         asked + self.config.lease.mul_f64(COUNTS)
     }
 
+    /// A primary whose lease has ended stops acting.
+    pub(super) fn end_of_lease(&mut self) {
+        let Role::Primary(acting) = &self.role else { return };
+        if self.now >= self.lease_end(acting) && self.now >= acting.since + self.config.lease {
+            self.step_down();
+            self.stand_at = self.now + self.stagger();
+        }
+    }
+
     pub(super) fn run_primary(&mut self, out: &mut Vec<Output>) {
         let (now, lease, fit) = (self.now, self.config.lease, self.fit());
         let Role::Primary(acting) = &self.role else { return };
@@ -106,11 +115,6 @@
         if !fit && !alone {
             return self.yield_lease(out);
         }
-        if now >= self.lease_end(acting) && now >= acting.since + lease {
-            self.step_down();
-            self.stand_at = now + self.stagger();
-            return;
-        }
         if now >= acting.since + lease.mul_f64(LEAST_AGE) {
             if let Some(change) = self.wanted(acting) {
                 let agreed = Some(acting.epoch);
@@ -154,7 +158,9 @@
     /// How the view has to change, if it has to.
     fn wanted(&self, acting: &Acting) -> Option<ViewChange> {
         let (view, now, lease) = (self.view.as_ref()?, self.now, self.config.lease);
-        let silence = |id: u64| now.saturating_sub(acting.stamps.get(&id).copied().unwrap_or(acting.since));
+        // Since the last lease that it granted; since anything came from it, in whichever view.
+        let unsigned = |id: u64| now.saturating_sub(acting.stamps.get(&id).copied().unwrap_or(acting.since));
+        let silence = |id: u64| now.saturating_sub(self.peers.get(&id).map_or(acting.since, |p| p.heard));
         let fit = |id: u64| self.peers.get(&id).is_none_or(|p| p.fit);
         let me = self.me();
         let late = |copy: u64| {
@@ -162,14 +168,14 @@
                 now >= p.at + lease.mul_f64(SILENT)
                     && acting.acked.get(&copy).is_none_or(|a| *a < p.ledger.seq)
             });
-            waits || silence(copy) > lease.mul_f64(SILENT) || !fit(copy) || acting.broken.contains(&copy)
+            waits || unsigned(copy) > lease.mul_f64(SILENT) || !fit(copy) || acting.broken.contains(&copy)
         };
         let mut change = ViewChange::default();
         let bad: BTreeSet<u64> = view.copies.iter().copied().filter(|c| *c != me && late(*c)).collect();
-        let mut needed = acting.broken.iter().any(|b| silence(*b) < lease.mul_f64(SILENT));
+        let mut needed = acting.broken.iter().any(|b| unsigned(*b) < lease.mul_f64(SILENT));
         if !bad.is_empty() {
             let well = |id: u64| {
-                id == me || (!bad.contains(&id) && fit(id) && silence(id) < lease.mul_f64(2.0 * RENEW))
+                id == me || (!bad.contains(&id) && fit(id) && unsigned(id) < lease.mul_f64(2.0 * RENEW))
             };
             let seats: Vec<&Seat> = view.voters.iter().filter(|s| well(s.id)).collect();
             if choose_copies(&self.config.budget, &seats).is_some() {
--- a/crates/rootstock/src/member/voter.rs
+++ b/crates/rootstock/src/member/voter.rs
@@ -27,9 +27,14 @@
         }
     }
 
-    pub(super) fn on_canvass(&mut self, from: Seat, seen: u64, out: &mut Vec<Output>) {
+    pub(super) fn on_canvass(&mut self, from: Seat, seen: u64, view: u64, out: &mut Vec<Output>) {
         self.see(seen);
-        let may = self.may_promise(from.id);
+        // Whoever has been left out since can't win, it would only hold the others up.
+        let left_out = |v: &View| v.epoch > view && v.seat(from.id).is_none();
+        let may = match self.view.as_ref().is_some_and(left_out) {
+            true => Err(4 * self.config.lease),
+            false => self.may_promise(from.id),
+        };
         let wait_ms = may.err().map_or(0, |w| w.as_millis() as u32);
         let message = Message::Canvassed { willing: may.is_ok(), seen: self.promised, wait_ms };
         out.push(Output::Send { to: from, message });
--- a/crates/windfall/src/world.rs
+++ b/crates/windfall/src/world.rs
@@ -242,6 +242,20 @@
         member.step(now, input, &mut out);
         self.report.epoch = self.report.epoch.max(member.promised());
         self.report.steps += 1;
+        if std::env::var("TRACE").is_ok() {
+            for o in &out {
+                if let Output::Send { message: Message::Install { view, .. }, to } = o {
+                    println!(
+                        "{now:?} node {n} install {} -> {} copies {:?} voters {:?} before {:?}",
+                        view.epoch,
+                        to.id,
+                        view.copies,
+                        view.voters.iter().map(|s| s.id).collect::<Vec<_>>(),
+                        view.before.iter().map(|s| s.id).collect::<Vec<_>>()
+                    );
+                }
+            }
+        }
         for output in out {
             self.perform(n, output);
         }
@@ -544,7 +558,9 @@
         let acting: Vec<usize> = (0..self.nodes.len())
             .filter(|n| self.nodes[*n].member.as_ref().is_some_and(Member::acts))
             .collect();
-        if acting.is_empty() && self.report.breaches.is_empty() {
+        // A view may just be changing.
+        let long = self.gap_from.is_some_and(|from| end > from + ms(2000));
+        if acting.is_empty() && long && self.report.breaches.is_empty() {
             let ids = |seats: &[Seat]| seats.iter().map(|s| s.id).collect::<Vec<_>>();
             let views: Vec<_> = self
                 .nodes
