Proxy: ticks, later events and loads told to the policy; a paid repeat is kept

Change: a tick every 100 ms while attempts are out; heard for pieces after the first, told for a load in the head of an answer that goes on; patience is asked for again every 250 ms and ends with the first byte; resumable streams that fall silent for half of what their client bears go on elsewhere; connections come up within 250 ms or another host is taken; a refusal without an id counts only on a new connection; a second Host is refused; a cut answer without length or chunks ends with a reset; idle clients make room; large answers after strays don't keep their connection; counters can be read live (serve_counted). The new cases have no tests yet.

--- a/crates/trellis/src/attempt.rs
+++ b/crates/trellis/src/attempt.rs
@@ -22,11 +22,8 @@
 /// What comes next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// Another host; `repeat` says that the budget has to be asked.
-    Again {
-        /// A host has heard of it before.
-        repeat: bool,
-    },
+    /// Another host; the budget is asked first where [`Trial::owes`] says so.
+    Again,
     /// The end: with the host's own answer where there is one, else with this code.
     GiveUp(Code),
 }
@@ -39,13 +36,23 @@
     deadline: Duration,
     sent: u32,
     unreached: u32,
+    /// A repeat was taken from the budget, and no host has heard of it yet.
+    paid: bool,
     may_have_run: bool,
 }
 
 impl Trial {
     /// A try that no host has seen yet, to end by `deadline`.
     pub fn new(idempotent: bool, max_tries: u32, deadline: Duration) -> Self {
-        Self { idempotent, max_tries: max_tries.max(1), deadline, sent: 0, unreached: 0, may_have_run: false }
+        Self {
+            idempotent,
+            max_tries: max_tries.max(1),
+            deadline,
+            sent: 0,
+            unreached: 0,
+            paid: false,
+            may_have_run: false,
+        }
     }
 
     /// When it has to end.
@@ -61,6 +68,23 @@
     /// Its first byte goes to a host.
     pub fn sent(&mut self) {
         self.sent += 1;
+        self.paid = false;
+    }
+
+    /// Whether the budget has to be asked before it goes to one more host. What was taken for a host that could
+    /// not be reached is still there.
+    pub fn owes(&self) -> bool {
+        self.sent > 0 && !self.paid
+    }
+
+    /// A repeat was taken from the budget.
+    pub fn paid(&mut self) {
+        self.paid = true;
+    }
+
+    /// It moves away from a host that was silent and may have run it.
+    pub fn moved(&mut self) {
+        self.may_have_run = true;
     }
 
     /// Whether some host has heard of it.
@@ -90,7 +114,7 @@
         }
         let free = self.idempotent || !self.may_have_run;
         if free && self.sent < self.max_tries && self.unreached < MOST_UNREACHED {
-            Next::Again { repeat: self.sent > 0 }
+            Next::Again
         } else {
             Next::GiveUp(self.refusal(Code::NoHost))
         }
--- a/crates/trellis/src/core.rs
+++ b/crates/trellis/src/core.rs
@@ -4,6 +4,7 @@
 use crate::hostlink::Link;
 use crate::pool::Pool;
 use crate::routes::Routes;
+use crate::seats::Seats;
 use crate::serve::World;
 use almanac::{Boot, Document, Limits};
 use espalier::{Attempt, Load, Outcome, Policy, ServiceInfo, Settings};
@@ -13,6 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Descriptors left for listeners, the link to the agent and what is opened for a moment.
@@ -21,6 +23,8 @@
 const CLIENTS_SHARE: f64 = 0.6;
 /// Share of the memory for bodies that are held.
 const BODIES_SHARE: f64 = 0.3;
+/// Time between two calls of the policy at least, while attempts are out.
+const TICK: Duration = Duration::from_millis(100);
 
 /// What is known since the last news.
 pub(crate) struct Known {
@@ -38,8 +42,12 @@
     pub(crate) policy: RefCell<Policy>,
     known: RefCell<Option<Rc<Known>>>,
     pub(crate) pool: RefCell<Pool<Link>>,
-    pub(crate) tally: Tally,
+    pub(crate) tally: Rc<Tally>,
+    outs: Cell<usize>,
+    /// Told when the first attempt goes out.
+    began: Notify,
     pub(crate) stopping: Cell<bool>,
+    pub(crate) seats: RefCell<Seats>,
     pub(crate) most_clients: usize,
     most_bodies: usize,
     bodies: Cell<usize>,
@@ -47,7 +55,7 @@
 }
 
 impl Core {
-    pub(crate) fn new(boot: &Boot) -> Self {
+    pub(crate) fn new(boot: &Boot, tally: Rc<Tally>) -> Self {
         let seed = std::collections::hash_map::RandomState::new().build_hasher().finish();
         let bounds = &boot.bounds;
         let seconds = |s: f64| Duration::try_from_secs_f64(s).unwrap_or_default();
@@ -67,8 +75,11 @@
             policy: RefCell::new(Policy::new(settings)),
             known: RefCell::default(),
             pool: RefCell::new(Pool::new((fds * (1.0 - CLIENTS_SHARE)) as usize)),
-            tally: Tally::default(),
+            tally,
+            outs: Cell::new(0),
+            began: Notify::new(),
             stopping: Cell::new(false),
+            seats: RefCell::default(),
             most_clients: (fds * CLIENTS_SHARE) as usize,
             most_bodies: (memory * BODIES_SHARE) as usize,
             bodies: Cell::new(0),
@@ -118,6 +129,17 @@
         self.known.borrow().as_ref().and_then(|k| k.conns.get(service).copied()).unwrap_or(4)
     }
 
+    /// While attempts are out, tells the policy that time passes: a stall of this process shows in a gap.
+    pub(crate) async fn tick(&self) {
+        loop {
+            while self.outs.get() == 0 {
+                self.began.notified().await;
+            }
+            tokio::time::sleep(TICK).await;
+            self.policy.borrow_mut().tick(self.now());
+        }
+    }
+
     /// Takes news in. A configuration that is older than the known one is passed over.
     pub(crate) fn learn(&self, world: &World) {
         let now = self.now();
@@ -210,6 +232,8 @@
 
 impl Out {
     pub(crate) fn new(core: &Rc<Core>, attempt: Attempt) -> Self {
+        core.outs.set(core.outs.get() + 1);
+        core.began.notify_one();
         Self { core: core.clone(), attempt, over: false }
     }
 
@@ -217,6 +241,18 @@
         self.core.policy.borrow_mut().first(self.core.now(), self.attempt);
     }
 
+    /// More came of an answer that has begun.
+    pub(crate) fn heard(&self) {
+        self.core.policy.borrow_mut().heard(self.core.now(), self.attempt);
+    }
+
+    /// The head of an answer that goes on told this load.
+    pub(crate) fn told(&self, load: Option<Load>) {
+        if let Some(load) = load {
+            self.core.policy.borrow_mut().told(self.core.now(), self.attempt, load);
+        }
+    }
+
     pub(crate) fn patience(&self) -> Option<Duration> {
         self.core.policy.borrow().patience(self.core.now(), self.attempt)
     }
@@ -227,6 +263,7 @@
 
     fn close(&mut self, outcome: Outcome, load: Option<Load>) {
         if !std::mem::replace(&mut self.over, true) {
+            self.core.outs.set(self.core.outs.get().saturating_sub(1));
             self.core.policy.borrow_mut().ended(self.core.now(), self.attempt, outcome, load);
         }
     }
--- a/crates/trellis/src/counters.rs
+++ b/crates/trellis/src/counters.rs
@@ -48,9 +48,14 @@
     moved;
 }
 
-/// Counters that one thread counts up.
+/// Counters that one thread counts up; shared by `Rc`, they can be read while the proxy serves.
+///
+/// ```
+/// let tally = std::rc::Rc::new(trellis::counters::Tally::default());
+/// assert_eq!(tally.get().pairs()[0], ("clients", 0));
+/// ```
 #[derive(Debug, Default)]
-pub(crate) struct Tally(Cell<Counters>);
+pub struct Tally(Cell<Counters>);
 
 impl Tally {
     pub(crate) fn add(&self, change: impl FnOnce(&mut Counters)) {
@@ -59,7 +64,8 @@
         self.0.set(counters);
     }
 
-    pub(crate) fn get(&self) -> Counters {
+    /// The numbers as they stand now.
+    pub fn get(&self) -> Counters {
         self.0.get()
     }
 }
--- a/crates/trellis/src/exchange.rs
+++ b/crates/trellis/src/exchange.rs
@@ -28,6 +28,8 @@
 const EVENT: usize = 1024 * 1024;
 /// Answers to others that are passed over in one place.
 const STRAYS: u32 = 4;
+/// While a host is silent the policy's patience is asked for again after this.
+const LOOK: Duration = Duration::from_millis(250);
 /// After its deadline a host is given this long to say so itself.
 const SLACK: Duration = Duration::from_millis(50);
 /// Least time for a client to take an answer.
@@ -53,6 +55,7 @@
 pub(crate) struct Stage {
     started: Cell<bool>,
     out: Cell<bool>,
+    until_end: Cell<bool>,
 }
 
 impl Stage {
@@ -61,6 +64,11 @@
         self.started.get()
     }
 
+    /// Whether the end of the connection would make a cut answer look whole.
+    pub(crate) fn looks_whole(&self) -> bool {
+        self.started.get() && self.until_end.get()
+    }
+
     /// The code to end with: a promise only where it has not run.
     pub(crate) fn refusal(&self, code: Code) -> Code {
         if self.out.get() {
@@ -214,6 +222,18 @@
     Some(Load { running: next()?, waiting: next()?, slots: next()? })
 }
 
+/// A stream that has been silent for so long is taken up at another host: half of what its client bears (the
+/// longest of two seconds, four times the target and eight times the pause in time).
+fn stall(route: &Route) -> Duration {
+    let ms = (2.0 * route.target_ms.unwrap_or(0.0)).max(4.0 * route.gap_aim_ms.unwrap_or(0.0)).max(1000.0);
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX / 4)
+}
+
+/// Whether the host says that it has not run the request. No other status says so.
+fn refuses(head: &ResponseHead) -> bool {
+    head.status == 421 || head.fields.get("fennelpin-not-executed").is_some()
+}
+
 /// A host that was chosen.
 struct Picked {
     out: Out,
@@ -253,13 +273,15 @@
 
 impl Exchange<'_> {
     async fn go(&mut self) -> Result<Done, GiveUp> {
-        let mut picked = self.pick(false)?;
+        let mut picked = self.pick()?;
         loop {
             self.tried.push(picked.id.clone());
             let end = match self.attempt(picked).await {
                 Went::Answered(done) => return Ok(done),
                 Went::Moved(next) => {
                     self.core.tally.add(|c| c.moved += 1);
+                    self.trial.moved();
+                    self.stage.out.set(true);
                     picked = next;
                     continue;
                 }
@@ -268,22 +290,25 @@
             let next = self.trial.ended(self.core.now(), end);
             self.stage.out.set(self.trial.may_have_run());
             picked = match next {
-                Next::Again { repeat } => self.pick(repeat)?,
+                Next::Again => self.pick()?,
                 Next::GiveUp(code) => return Err((code, None)),
             };
         }
     }
 
     /// The next host; for a repeat the budget is asked first.
-    fn pick(&mut self, repeat: bool) -> Result<Picked, GiveUp> {
+    fn pick(&mut self) -> Result<Picked, GiveUp> {
         let now = self.core.now();
         let left = self.trial.deadline().saturating_sub(now);
         if left < Duration::from_millis(1) {
             return Err((self.trial.overdue(), None));
         }
         let mut policy = self.core.policy.borrow_mut();
-        if repeat && !policy.take_repeat(now, self.service) {
-            return Err((self.trial.refusal(Code::BudgetSpent), None));
+        if self.trial.owes() {
+            if !policy.take_repeat(now, self.service) {
+                return Err((self.trial.refusal(Code::BudgetSpent), None));
+            }
+            self.trial.paid();
         }
         let target =
             Duration::try_from_secs_f64(self.route.target_ms.unwrap_or(self.route.deadline_ms) / 1e3);
@@ -397,14 +422,13 @@
                 return Went::Ended(end);
             }
         };
-        let mut watch = Watch::new(self, &picked);
-        let (head, stray) = match self.answer(&mut link, &mut watch).await {
+        let mut watch = Watch::new(self);
+        let (head, stray) = match self.answer(&mut link, &picked.out, &mut watch).await {
             Ok(answer) => answer,
             Err(stop) => return self.stopped(stop, picked.out),
         };
         let load = load(&head.fields);
-        let not_run = head.fields.get("fennelpin-not-executed").is_some() || head.status == 421;
-        if not_run {
+        if refuses(&head) {
             self.drain(link, &picked.id, &head, stray).await;
             let outcome = match head.status {
                 421 => Outcome::OtherHost,
@@ -459,22 +483,26 @@
     }
 
     /// The head of the answer to this request, past answers to others; whether there were any.
-    async fn answer(&mut self, link: &mut Link, watch: &mut Watch) -> Result<(ResponseHead, bool), Stop> {
+    async fn answer(
+        &mut self,
+        link: &mut Link,
+        out: &Out,
+        watch: &mut Watch,
+    ) -> Result<(ResponseHead, bool), Stop> {
         let to_head = self.request.head.method() == b"HEAD";
         let mark = self.request.head.fields.get(MARK).unwrap_or_default();
         for strays in 0..=STRAYS {
-            let head = watch.guard(self, link, async |l: &mut Link| l.head(to_head).await).await?;
+            let head = watch.guard(self, link, out, async |l: &mut Link| l.head(to_head).await).await?;
             match head.fields.get(MARK) {
                 Some(id) if id == mark => return Ok((head, strays > 0)),
-                None if head.status == 421 || head.fields.get("fennelpin-not-executed").is_some() => {
-                    return Ok((head, strays > 0))
-                }
+                // Without an id it can only be ours where nobody was answered on this connection before.
+                None if refuses(&head) && strays == 0 && !link.used => return Ok((head, false)),
                 _ => {}
             }
             self.core.tally.add(|c| c.strays += 1);
-            let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
-            let whole = async |l: &mut Link| l.whole(&mut body, &mut out, WHOLE).await;
-            if !watch.guard(self, link, whole).await? {
+            let (mut body, mut bytes) = (Body::new(head.framing), BytesMut::new());
+            let whole = async |l: &mut Link| l.whole(&mut body, &mut bytes, WHOLE).await;
+            if !watch.guard(self, link, out, whole).await? {
                 break;
             }
         }
@@ -503,11 +531,15 @@
         mut watch: Watch,
     ) -> Went {
         picked.out.first();
+        watch.patience_over();
         let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
         let read = async |l: &mut Link| l.whole(&mut body, &mut out, WHOLE).await;
-        match watch.guard(self, &mut link, read).await {
+        match watch.guard(self, &mut link, &picked.out, read).await {
             Err(stop) => return self.stopped(stop, picked.out),
-            Ok(false) => return self.large(link, picked, head, load, body, out).await,
+            Ok(false) => {
+                picked.out.told(load);
+                return self.large(link, picked, head, stray, body, out).await;
+            }
             Ok(true) => {}
         }
         if !stray {
@@ -549,7 +581,7 @@
         mut link: Link,
         picked: Picked,
         head: ResponseHead,
-        load: Option<Load>,
+        stray: bool,
         mut body: Body,
         start: BytesMut,
     ) -> Went {
@@ -560,16 +592,26 @@
                 return Went::Answered(Done::Cut);
             }
             match timeout_at(self.end() + SLACK, link.piece(&mut body)).await {
-                Ok(Ok(Some(data))) => sent = writer.write(self, &head, &data).await,
+                Ok(Ok(Some(data))) => {
+                    picked.out.heard();
+                    sent = writer.write(self, &head, &data).await;
+                }
                 Ok(Ok(None)) => break,
-                Ok(Err(_)) | Err(_) => {
-                    picked.out.end(Outcome::Broken, load);
+                Ok(Err(_)) => {
+                    self.core.tally.add(|c| c.broken += 1);
+                    picked.out.end(Outcome::Broken, None);
+                    return Went::Answered(Done::Cut);
+                }
+                Err(_) => {
+                    picked.out.end(Outcome::Silent, None);
                     return Went::Answered(Done::Cut);
                 }
             }
         }
-        link.keep(self.core, &picked.id, &head);
-        picked.out.end(if head.status < 400 { Outcome::Done } else { Outcome::Failed }, load);
+        if !stray {
+            link.keep(self.core, &picked.id, &head);
+        }
+        picked.out.end(if head.status < 400 { Outcome::Done } else { Outcome::Failed }, None);
         Went::Answered(writer.finish(self, &head).await)
     }
 
@@ -583,18 +625,22 @@
         load: Option<Load>,
         mut watch: Watch,
     ) -> Went {
+        picked.out.told(load);
         let resumable = self.route.resumable;
+        if self.stage.started() {
+            self.core.tally.add(|c| c.resumed += 1);
+        }
         let mut writer = Writer::new(self, &head);
         let mut splitter = Splitter::new(EVENT);
         let mut body = Body::new(head.framing);
         let mut begun = false;
         loop {
             let next = match begun {
-                false => watch.guard(self, &mut link, async |l: &mut Link| l.piece(&mut body).await).await,
-                true => match timeout_at(self.end() + SLACK, link.piece(&mut body)).await {
-                    Ok(next) => next.map_err(|_| Stop::Lost),
-                    Err(_) => Err(Stop::Late),
-                },
+                false => {
+                    let piece = async |l: &mut Link| l.piece(&mut body).await;
+                    watch.guard(self, &mut link, &picked.out, piece).await
+                }
+                true => self.later_piece(&mut link, &mut body).await,
             };
             let data = match next {
                 Ok(Some(data)) => data,
@@ -618,8 +664,9 @@
             if data.is_empty() {
                 continue;
             }
-            if !begun {
-                begun = true;
+            if std::mem::replace(&mut begun, true) {
+                picked.out.heard();
+            } else {
                 picked.out.first();
             }
             if !writer.write(self, &head, &data).await {
@@ -629,7 +676,7 @@
         if !stray {
             link.keep(self.core, &picked.id, &head);
         }
-        picked.out.end(Outcome::Done, load);
+        picked.out.end(Outcome::Done, None);
         let rest = splitter.rest();
         if !rest.is_empty() && !writer.write(self, &head, &rest).await {
             return Went::Answered(Done::Cut);
@@ -637,6 +684,29 @@
         Went::Answered(writer.finish(self, &head).await)
     }
 
+    /// What comes next of a stream that has begun. One that may go on elsewhere is not waited for until its
+    /// client gives up.
+    async fn later_piece(&mut self, link: &mut Link, body: &mut Body) -> Result<Option<Bytes>, Stop> {
+        let end = self.end() + SLACK;
+        let until = match self.route.resumable {
+            true => end.min(Instant::now() + stall(self.route)),
+            false => end,
+        };
+        match timeout_at(until, link.piece(body)).await {
+            Ok(next) => return next.map_err(|_| Stop::Lost),
+            Err(_) if until >= end || !self.trial.may_move(self.core.now()) => {}
+            Err(_) => {
+                if let Ok(next) = self.pick() {
+                    return Err(Stop::Moved(next));
+                }
+            }
+        }
+        match timeout_at(end, link.piece(body)).await {
+            Ok(next) => next.map_err(|_| Stop::Lost),
+            Err(_) => Err(Stop::Late),
+        }
+    }
+
     /// The whole events that have come and are new.
     fn admitted(&mut self, splitter: &mut Splitter) -> Bytes {
         let mut first = Bytes::new();
@@ -708,39 +778,52 @@
 /// Waits for a host: up to the deadline, and where the policy says so until another one is worth asking.
 struct Watch {
     sent: Instant,
-    patience: Option<Duration>,
+    /// Nothing has come yet, and the request may move.
+    waits: bool,
 }
 
 impl Watch {
-    fn new(exchange: &Exchange, picked: &Picked) -> Self {
-        let patience = if exchange.trial.idempotent() { picked.out.patience() } else { None };
-        Self { sent: Instant::now(), patience }
+    fn new(exchange: &Exchange) -> Self {
+        Self { sent: Instant::now(), waits: exchange.trial.idempotent() }
+    }
+
+    /// Something has come.
+    fn patience_over(&mut self) {
+        self.waits = false;
     }
 
     async fn guard<T>(
         &mut self,
         exchange: &mut Exchange<'_>,
         link: &mut Link,
+        out: &Out,
         mut step: impl AsyncFnMut(&mut Link) -> Result<T, Lost>,
     ) -> Result<T, Stop> {
         let end = exchange.end() + SLACK;
         loop {
-            let until = self.patience.map_or(end, |p| end.min(self.sent + p));
+            let now = Instant::now();
+            let over = if self.waits { out.patience().map(|p| self.sent + p) } else { None };
+            if over.is_some_and(|over| over <= now) {
+                self.waits = exchange.trial.may_move(exchange.core.now());
+                if let Some(next) = self.waits.then(|| exchange.pick().ok()).flatten() {
+                    return Err(Stop::Moved(next));
+                }
+            }
+            // Asked again from time to time: others may find the host dark meanwhile, or alive.
+            let look = now + LOOK;
+            let until = match over {
+                Some(over) if self.waits && over > now => over.min(look).min(end),
+                Some(_) if self.waits => look.min(end),
+                _ => end,
+            };
             match timeout_at(until, step(link)).await {
                 Ok(Ok(done)) => return Ok(done),
                 Ok(Err(lost)) => {
                     log::debug!("host: {lost}");
                     return Err(Stop::Lost);
                 }
-                Err(_) if until >= end => return Err(Stop::Late),
-                Err(_) => {
-                    self.patience = None;
-                    if exchange.trial.may_move(exchange.core.now()) {
-                        if let Ok(next) = exchange.pick(true) {
-                            return Err(Stop::Moved(next));
-                        }
-                    }
-                }
+                Err(_) if Instant::now() >= end => return Err(Stop::Late),
+                Err(_) => {}
             }
         }
     }
@@ -757,11 +840,14 @@
     fn new(exchange: &Exchange, head: &ResponseHead) -> Self {
         let old = exchange.request.head.minor == 0;
         let framing = match head.framing {
+            // Where its end can't be told from a cut, neither can ours.
+            Framing::UntilEnd => Framing::UntilEnd,
             _ if exchange.route.resumable && old => Framing::UntilEnd,
             _ if exchange.route.resumable => Framing::Chunked,
             Framing::Chunked if old => Framing::UntilEnd,
             framing => framing,
         };
+        exchange.stage.until_end.set(framing == Framing::UntilEnd);
         Self { framing, close: closes(exchange.core, exchange.request) || framing == Framing::UntilEnd }
     }
 
--- a/crates/trellis/src/front.rs
+++ b/crates/trellis/src/front.rs
@@ -3,6 +3,7 @@
 use crate::core::{Core, Held};
 use crate::exchange::{self, Answer, Done, Stage};
 use crate::http1::{Body, Framing, Malformed, Piece, RequestHead};
+use crate::seats::Seats;
 use crate::wire;
 use almanac::{Code, Limits};
 use bytes::{Bytes, BytesMut};
@@ -10,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Connections beyond the cap that are still told so.
@@ -72,10 +73,12 @@
     closing: &watch::Receiver<Phase>,
 ) {
     core.tally.add(|c| c.clients += 1);
+    let full = open.get() >= core.most_clients;
+    // One that stands idle goes first: its client can come back, one turned away is not served.
+    let crowded = full && !core.seats.borrow_mut().make_room();
     if open.get() >= core.most_clients + TOLD {
         return;
     }
-    let crowded = open.get() >= core.most_clients;
     open.set(open.get() + 1);
     let count = Count(open.clone());
     let (core, closing) = (core.clone(), closing.clone());
@@ -88,6 +91,7 @@
 
 async fn client(core: &Rc<Core>, stream: &TcpStream, crowded: bool, mut closing: watch::Receiver<Phase>) {
     let mut buf = BytesMut::new();
+    let leave = Rc::new(Notify::new());
     loop {
         if buf.is_empty() {
             // Nothing is held for a connection that stands idle.
@@ -97,10 +101,12 @@
                 let _ = closing.wait_for(|p| *p >= Phase::Leaving).await;
                 sleep(LEAVING_IDLE).await;
             };
+            let _seat = Seats::stand(&core.seats, &leave);
             tokio::select! {
                 biased;
                 got = wire::fill(stream, &mut buf) => if !matches!(got, Ok(n) if n > 0) { return },
                 () = leaving => return,
+                () = leave.notified() => return,
                 () = sleep(idle) => return,
             }
         }
@@ -157,6 +163,8 @@
                 let code = stage.refusal(Code::Leaving);
                 let id = request.head.fields.get("fennelpin-attempt-id");
                 Answer::own(code, id, Some(CROWDED)).write(core, stream, true).await;
+            } else if stage.looks_whole() {
+                reset(stream);
             }
             return false;
         }
@@ -169,11 +177,19 @@
         }
         Done::Cut => {
             core.tally.add(|c| c.cut += 1);
+            if stage.looks_whole() {
+                reset(stream);
+            }
             false
         }
     }
 }
 
+/// Lets the connection end with a reset: an end in order would make what was cut look whole.
+fn reset(stream: &TcpStream) {
+    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+}
+
 /// Reads a request whole; beside it the identity of the attempt, as far as it is known.
 async fn read(
     core: &Rc<Core>,
--- a/crates/trellis/src/hostlink.rs
+++ b/crates/trellis/src/hostlink.rs
@@ -12,8 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
-/// Longest time for a connection to come up.
-const CONNECT: Duration = Duration::from_secs(1);
+/// Longest time for a connection to come up. A lost opening packet is sent again only after a second: another
+/// host is the better choice, and nothing has run here.
+const CONNECT: Duration = Duration::from_millis(250);
 /// Longest time that a connection stands idle, whatever the host allows.
 const IDLE: Duration = Duration::from_secs(10);
 /// Largest head of an answer.
--- a/crates/trellis/src/http1.rs
+++ b/crates/trellis/src/http1.rs
@@ -165,6 +165,10 @@
         let spans = spans(buf, head.headers);
         let fields = Fields { raw: buf.split_to(n).freeze(), spans };
         let framing = framing(&fields)?;
+        // A second host is how requests are led past a route.
+        if fields.all("host").nth(1).is_some() {
+            return syntax("host");
+        }
         if minor == 0 && framing == Some(Framing::Chunked) {
             return syntax("transfer-encoding");
         }
--- a/crates/trellis/src/lib.rs
+++ b/crates/trellis/src/lib.rs
@@ -19,7 +19,8 @@
 pub mod pool;
 mod readiness;
 pub mod routes;
+mod seats;
 mod serve;
 mod wire;
 
-pub use serve::{serve, Error, World};
+pub use serve::{serve, serve_counted, Error, World};
--- a/crates/trellis/src/serve.rs
+++ b/crates/trellis/src/serve.rs
@@ -1,7 +1,7 @@
 //! The process: its listeners, its news, its end.
 
 use crate::core::Core;
-use crate::counters::Counters;
+use crate::counters::{Counters, Tally};
 use crate::{front, readiness};
 use almanac::{Boot, Document};
 use espalier::HostInfo;
@@ -91,6 +91,10 @@
     }
 }
 
+async fn tick(core: Rc<Core>) {
+    core.tick().await;
+}
+
 /// Serves until `stop` resolves, and then until all that was taken is answered. Has to run inside a
 /// [`tokio::task::LocalSet`] on a `current_thread` runtime. Gives what was counted.
 ///
@@ -101,13 +105,27 @@
     world: watch::Receiver<Option<Arc<World>>>,
     stop: impl Future<Output = ()>,
 ) -> Result<Counters, Error> {
-    let core = Rc::new(Core::new(&boot));
+    serve_counted(boot, world, Rc::default(), stop).await
+}
+
+/// As [`serve`], counting in `tally`, which the caller can read meanwhile.
+///
+/// # Errors
+/// As [`serve`].
+pub async fn serve_counted(
+    boot: Boot,
+    world: watch::Receiver<Option<Arc<World>>>,
+    tally: Rc<Tally>,
+    stop: impl Future<Output = ()>,
+) -> Result<Counters, Error> {
+    let core = Rc::new(Core::new(&boot, tally));
     let front = listen("front", boot.bind.front).await?;
     let readiness = listen("readiness", boot.bind.readiness).await?;
     let _tasks = [
         task(follow(core.clone(), world)),
         task(readiness::listen(core.clone(), readiness)),
         task(sweep(core.clone())),
+        task(tick(core.clone())),
     ];
     let (close, closing) = watch::channel(front::Phase::Open);
     let open = Rc::new(std::cell::Cell::new(0));
