--- /dev/null
+++ b/crates/trellis/tests/attempt.rs
@@ -0,0 +1,108 @@
+//! Whether a request goes to another host, and how it ends if not.
+
+use almanac::Code;
+use rstest::rstest;
+use std::time::Duration;
+use trellis::attempt::{End, Next, Trial};
+
+const NOW: Duration = Duration::from_secs(1);
+const DEADLINE: Duration = Duration::from_secs(9);
+const LATE: Duration = DEADLINE;
+
+fn trial(idempotent: bool, tries: u32) -> Trial {
+    Trial::new(idempotent, tries, DEADLINE)
+}
+
+#[rstest]
+#[case(true, End::NotRun, Next::Again)]
+#[case(true, End::Broke, Next::Again)]
+#[case(true, End::HostFailed, Next::Again)]
+#[case(false, End::NotRun, Next::Again)]
+#[case(false, End::Broke, Next::GiveUp(Code::HostBroke))]
+#[case(false, End::HostFailed, Next::GiveUp(Code::HostBroke))]
+fn after_an_attempt_that_was_sent(#[case] idempotent: bool, #[case] end: End, #[case] next: Next) {
+    let mut trial = trial(idempotent, 2);
+    trial.sent();
+    assert_eq!(trial.ended(NOW, end), next);
+}
+
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn what_was_not_sent_goes_on(#[case] idempotent: bool) {
+    let mut trial = trial(idempotent, 1);
+    assert_eq!(trial.ended(NOW, End::Unreached), Next::Again);
+    assert!(!trial.heard() && !trial.owes());
+}
+
+#[test]
+fn hosts_that_can_not_be_reached_have_a_limit() {
+    let mut trial = trial(true, 9);
+    let ends: Vec<_> = (0..6).map(|_| trial.ended(NOW, End::Unreached)).collect();
+    assert_eq!(ends[..5], [Next::Again; 5]);
+    assert_eq!(ends[5], Next::GiveUp(Code::NoHost));
+}
+
+#[rstest]
+#[case(End::NotRun, Code::NoHost)]
+#[case(End::Broke, Code::HostBroke)]
+fn the_last_try_ends_it(#[case] end: End, #[case] code: Code) {
+    let mut trial = trial(true, 1);
+    trial.sent();
+    assert_eq!(trial.ended(NOW, end), Next::GiveUp(code));
+}
+
+#[rstest]
+#[case(End::NotRun, Code::LateNotRun)]
+#[case(End::Broke, Code::LateMayHaveRun)]
+fn with_the_time_over_it_ends(#[case] end: End, #[case] code: Code) {
+    let mut trial = trial(true, 3);
+    trial.sent();
+    assert_eq!(trial.ended(LATE, end), Next::GiveUp(code));
+}
+
+#[test]
+fn a_broken_attempt_stays_in_what_may_be_promised() {
+    let mut trial = trial(true, 3);
+    trial.sent();
+    trial.ended(NOW, End::Broke);
+    trial.sent();
+    trial.ended(NOW, End::NotRun);
+    assert_eq!(trial.refusal(Code::BudgetSpent), Code::HostBroke);
+    assert_eq!(trial.overdue(), Code::LateMayHaveRun);
+}
+
+#[test]
+fn one_that_moved_away_may_have_run() {
+    let mut trial = trial(true, 2);
+    trial.sent();
+    assert!(trial.may_move(NOW));
+    trial.moved();
+    trial.sent();
+    assert!(!trial.may_move(NOW), "that was the last host it may go to");
+    assert_eq!(trial.ended(NOW, End::NotRun), Next::GiveUp(Code::HostBroke));
+}
+
+#[test]
+fn only_what_may_run_twice_moves() {
+    let mut once = trial(false, 3);
+    once.sent();
+    assert!(!once.may_move(NOW));
+    let mut pure = trial(true, 3);
+    pure.sent();
+    assert!(!pure.may_move(LATE));
+}
+
+#[test]
+fn a_repeat_is_paid_once_a_host_hears_of_it() {
+    let mut trial = trial(true, 9);
+    assert!(!trial.owes(), "the first is free");
+    trial.sent();
+    trial.ended(NOW, End::NotRun);
+    assert!(trial.owes());
+    trial.paid();
+    trial.ended(NOW, End::Unreached);
+    assert!(!trial.owes(), "what was taken for a host that could not be reached is still there");
+    trial.sent();
+    assert!(trial.owes());
+}
--- a/crates/trellis/tests/common/mod.rs
+++ b/crates/trellis/tests/common/mod.rs
@@ -3,7 +3,6 @@
 
 use almanac::{Boot, Document};
 use espalier::HostInfo;
-use std::cell::RefCell;
 use std::future::Future;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -13,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use trellis::counters::Counters;
+use trellis::counters::{Counters, Tally};
 use trellis::{Error, World};
 
 /// Runs a test's story on one thread.
@@ -214,6 +213,14 @@
         Some(String::from_utf8(self.buf.drain(..n).collect()).unwrap())
     }
 
+    /// Reads a request and answers it with these lines of a head, its id beside them, and a body.
+    pub async fn reply(&mut self, lines: &str, body: &str) -> Message {
+        let request = self.message().await.expect("a request");
+        let id = request.field("fennelpin-attempt-id").unwrap_or("none").to_owned();
+        self.send(&format!("HTTP/1.1 {lines}\r\nFennelpin-Attempt-Id: {id}\r\n\r\n{body}")).await;
+        request
+    }
+
     /// Reads a request and answers it with a body.
     pub async fn answer(&mut self, body: &str) -> Message {
         let request = self.message().await.expect("a request");
@@ -285,6 +292,7 @@
     pub world: watch::Sender<Option<Arc<World>>>,
     pub stop: Option<oneshot::Sender<()>>,
     pub done: JoinHandle<Result<Counters, Error>>,
+    pub tally: Rc<Tally>,
 }
 
 pub const ROUTES: &str = r#"
@@ -302,14 +310,34 @@
     Arc::new(Document::read(text.as_bytes(), version - 1).unwrap())
 }
 
+/// Settings of the process that a story may change.
+pub struct Setup {
+    pub grace_s: f64,
+    pub retry_slack: f64,
+    pub fd_limit: u64,
+    pub memory_mb: u64,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self { grace_s: 8.0, retry_slack: 1000.0, fd_limit: 1024, memory_mb: 256 }
+    }
+}
+
 impl Proxy {
     /// A proxy that knows nothing yet.
     pub async fn blank() -> Self {
+        Self::set_up(Setup::default()).await
+    }
+
+    /// A proxy with other settings that knows nothing yet.
+    pub async fn set_up(setup: Setup) -> Self {
+        let Setup { grace_s, retry_slack, fd_limit, memory_mb } = setup;
         let (front, readiness) = (free_addr().await, free_addr().await);
         let text = format!(
             r#"{{"node_name":"n","role":"r","ip_addr":"127.0.0.1","zone":"a","port_range":[7000,7001],
-                "bind":{{"front":"{front}","readiness":"{readiness}"}},"bounds":{{"grace_s":8,"retry_slack":1000}},
-                "limits":{{"memory_mb":256,"fd_limit":1024}}}}"#
+                "bind":{{"front":"{front}","readiness":"{readiness}"}},"bounds":{{"grace_s":{grace_s},"retry_slack":{retry_slack}}},
+                "limits":{{"memory_mb":{memory_mb},"fd_limit":{fd_limit}}}}}"#
         );
         let boot = Boot::read(&text).unwrap();
         let (world, news) = watch::channel(None);
@@ -319,12 +347,13 @@
                 std::future::pending::<()>().await;
             }
         };
-        let done = tokio::task::spawn_local(trellis::serve(boot, news, stopped));
+        let tally = Rc::new(Tally::default());
+        let done = tokio::task::spawn_local(trellis::serve_counted(boot, news, tally.clone(), stopped));
         // The listeners are bound once the task has run.
         while !done.is_finished() && TcpStream::connect(SocketAddr::V4(readiness)).await.is_err() {
             tokio::task::yield_now().await;
         }
-        Self { front, readiness, world, stop: Some(stop), done }
+        Self { front, readiness, world, stop: Some(stop), done, tally }
     }
 
     pub async fn new(hosts: &[&Host]) -> Self {
@@ -350,6 +379,18 @@
         peer.message().await.unwrap().status()
     }
 
+    /// Sends a request on a connection of its own.
+    pub async fn ask(&self, path: &str) -> Peer {
+        let mut client = self.client().await;
+        client.send(&request(path, "one", "")).await;
+        client
+    }
+
+    /// Tells it to end.
+    pub fn tell_to_stop(&mut self) {
+        self.stop.take().unwrap().send(()).unwrap();
+    }
+
     /// Ends it and gives what it counted.
     pub async fn stop(mut self) -> Counters {
         self.stop.take().unwrap().send(()).unwrap();
@@ -357,5 +398,10 @@
     }
 }
 
-/// Something that is set once in a story.
-pub type Slot<T> = Rc<RefCell<Option<T>>>;
+/// The connection of whichever host is asked first, and the other host.
+pub async fn first_of<'a>(one: &'a mut Host, two: &'a mut Host) -> (Peer, &'a mut Host) {
+    tokio::select! {
+        stream = one.conns.recv() => (Peer::new(stream.unwrap()), two),
+        stream = two.conns.recv() => (Peer::new(stream.unwrap()), one),
+    }
+}
--- /dev/null
+++ b/crates/trellis/tests/events.rs
@@ -0,0 +1,82 @@
+//! Events of a stream: whole ones, in order, none twice.
+
+use rstest::rstest;
+use trellis::events::{Event, Place, Splitter};
+
+fn all(splitter: &mut Splitter) -> Vec<(String, Option<String>)> {
+    std::iter::from_fn(|| splitter.take())
+        .map(|e| (String::from_utf8(e.bytes.to_vec()).unwrap(), e.id))
+        .collect()
+}
+
+#[rstest]
+#[case("id: 1\ndata: a\n\n", Some("1"))]
+#[case("id:1\r\ndata: a\r\n\r\n", Some("1"))]
+#[case("data: a\nid: 7\n\n", Some("7"))]
+#[case("versions: 4\nid: 2\ndata: a\n\n", Some("2"))]
+#[case("data: id: 3\n\n", None)]
+#[case(": only a remark\n\n", None)]
+#[case("id: 1\ndata: a\ndata: b\n\n", Some("1"))]
+fn an_event_is_the_same_however_it_is_cut(#[case] text: &str, #[case] id: Option<&str>) {
+    let whole = [(text.to_owned(), id.map(str::to_owned))];
+    for cut in 0..=text.len() {
+        let mut splitter = Splitter::new(1024);
+        let mut got = Vec::new();
+        for part in [&text[..cut], &text[cut..]] {
+            assert!(splitter.push(part.as_bytes()));
+            got.extend(all(&mut splitter));
+        }
+        assert_eq!(got, whole, "cut at {cut}");
+        assert!(splitter.rest().is_empty());
+    }
+}
+
+#[test]
+fn several_events_in_one_piece_and_the_rest() {
+    let mut splitter = Splitter::new(1024);
+    splitter.push(b"id: 1\n\nid: 2\ndata: x\n\nid: 3\nda");
+    let ids: Vec<_> = all(&mut splitter).into_iter().filter_map(|e| e.1).collect();
+    assert_eq!(ids, ["1", "2"]);
+    assert_eq!(&splitter.rest()[..], b"id: 3\nda");
+    splitter.push(b"data: y\n\n");
+    assert_eq!(splitter.take().unwrap().id, None, "nothing of the event before stays");
+}
+
+#[test]
+fn lines_that_end_with_cr_alone() {
+    let mut splitter = Splitter::new(1024);
+    splitter.push(b"id: 1\rdata: a\r\r");
+    assert!(splitter.take().is_none(), "an LF may still belong to the last line");
+    splitter.push(b"id: 2\r\r:");
+    assert_eq!(all(&mut splitter).into_iter().filter_map(|e| e.1).collect::<Vec<_>>(), ["1", "2"]);
+}
+
+#[test]
+fn an_event_that_grows_too_large_is_an_error() {
+    let mut splitter = Splitter::new(8);
+    assert!(splitter.push(b"data: 12"));
+    assert!(splitter.take().is_none());
+    assert!(!splitter.push(b"3"));
+}
+
+fn event(id: Option<&str>) -> Event {
+    Event { bytes: Default::default(), id: id.map(str::to_owned) }
+}
+
+#[rstest]
+#[case(None, Some("1"), true)]
+#[case(Some("4"), Some("5"), true)]
+#[case(Some("4"), Some("9"), true)]
+#[case(Some("4"), Some("4"), false)]
+#[case(Some("10"), Some("9"), false)]
+#[case(Some("9"), Some("10"), true)]
+#[case(Some("4"), None, true)]
+fn what_was_passed_on_before_is_not_again(
+    #[case] last: Option<&str>,
+    #[case] id: Option<&str>,
+    #[case] admitted: bool,
+) {
+    let mut place = Place::after(last);
+    assert_eq!(place.admit(&event(id)), admitted);
+    assert_eq!(place.last(), if admitted { id.or(last) } else { last });
+}
--- /dev/null
+++ b/crates/trellis/tests/http1.rs
@@ -0,0 +1,194 @@
+//! Heads, framing and bodies of HTTP/1.1.
+
+use bytes::BytesMut;
+use rstest::rstest;
+use trellis::http1::{Body, Framing, Malformed, Piece, RequestHead, ResponseHead};
+
+fn request(text: &str) -> Result<Option<RequestHead>, Malformed> {
+    RequestHead::take(&mut BytesMut::from(text), 1024)
+}
+
+fn good(text: &str) -> RequestHead {
+    request(text).unwrap().unwrap()
+}
+
+#[rstest]
+#[case("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n")]
+#[case("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n")]
+#[case("Content-Length: 3\r\nContent-Length: 4\r\n")]
+#[case("Content-Length: +3\r\n")]
+#[case("Content-Length: -3\r\n")]
+#[case("Content-Length: 3, 3\r\n")]
+#[case("Content-Length: 0x3\r\n")]
+#[case("Content-Length:\r\n")]
+#[case("Transfer-Encoding: gzip, chunked\r\n")]
+#[case("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n")]
+#[case("Transfer-Encoding: identity\r\n")]
+#[case("Host: b\r\n")]
+fn what_could_be_read_in_two_ways_is_refused(#[case] fields: &str) {
+    let text = format!("POST / HTTP/1.1\r\nHost: a\r\n{fields}\r\n");
+    assert!(matches!(request(&text), Err(Malformed::Syntax { .. })));
+}
+
+#[rstest]
+#[case("GET / HTTP/1.1\nHost: a b\x00\r\n\r\n")]
+#[case("GET  / HTTP/1.1\r\n\r\n")]
+#[case("GET / HTTP/2.0\r\n\r\n")]
+#[case("GET a/b HTTP/1.1\r\n\r\n")]
+#[case("GET / HTTP/1.1\r\nHost : a\r\n\r\n")]
+#[case("GET / HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n")]
+#[case("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n")]
+fn what_is_no_request_is_refused(#[case] text: &str) {
+    assert!(matches!(request(text), Err(Malformed::Syntax { .. })), "{:?}", request(text));
+}
+
+#[test]
+fn a_head_may_come_in_parts_and_has_a_limit() {
+    let text = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    for n in 0..text.len() {
+        assert!(request(&text[..n]).unwrap().is_none());
+    }
+    let mut buf = BytesMut::from(format!("{text}GET").as_str());
+    assert!(RequestHead::take(&mut buf, 1024).unwrap().is_some());
+    assert_eq!(&buf[..], b"GET", "what follows stays");
+    assert_eq!(request(&format!("GET /{} ", "a".repeat(1024))).unwrap_err(), Malformed::TooLarge);
+    let many = "X: 1\r\n".repeat(120);
+    assert_eq!(request(&format!("GET / HTTP/1.1\r\n{many}\r\n")).unwrap_err(), Malformed::TooLarge);
+    let huge = "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n";
+    assert_eq!(request(huge).unwrap_err(), Malformed::TooLarge);
+}
+
+#[rstest]
+#[case("GET /a/b?c=/d HTTP/1.1\r\nHost: x:80\r\n\r\n", "/a/b?c=/d", "/a/b", Some("x"))]
+#[case("GET http://y:1/a?b HTTP/1.1\r\nHost: x\r\n\r\n", "/a?b", "/a", Some("y"))]
+#[case("GET http://y HTTP/1.1\r\nHost: x\r\n\r\n", "/", "/", Some("y"))]
+#[case("GET / HTTP/1.1\r\n\r\n", "/", "/", None)]
+fn target_path_and_host(
+    #[case] text: &str,
+    #[case] target: &str,
+    #[case] path: &str,
+    #[case] host: Option<&str>,
+) {
+    let absolute = request(text);
+    // Absolute form is only taken where the target begins so.
+    let head = absolute.unwrap().unwrap();
+    assert_eq!((head.target(), head.path(), head.host()), (target.as_bytes(), path.as_bytes(), host));
+}
+
+#[rstest]
+#[case("1.1", "", true)]
+#[case("1.1", "Connection: x, Close\r\n", false)]
+#[case("1.0", "", false)]
+#[case("1.0", "Connection: keep-alive\r\n", true)]
+fn whether_the_connection_stays(#[case] version: &str, #[case] fields: &str, #[case] stays: bool) {
+    assert_eq!(good(&format!("GET / HTTP/{version}\r\n{fields}\r\n")).keeps_alive(), stays);
+    let answer = format!("HTTP/{version} 200 OK\r\nContent-Length: 0\r\n{fields}\r\n");
+    let answer = ResponseHead::take(&mut BytesMut::from(answer.as_str()), 1024, false).unwrap().unwrap();
+    assert_eq!(answer.keeps_alive(), stays);
+}
+
+#[test]
+fn fields_of_one_connection() {
+    let head = good("GET / HTTP/1.1\r\nConnection: keep-alive, X-Own\r\nx-own: 1\r\nOther: 2\r\n\r\n");
+    let hop = |n: &str| head.fields.hop_by_hop(n.as_bytes());
+    assert!(hop("connection") && hop("X-OWN") && hop("TE") && hop("Transfer-Encoding"));
+    assert!(!hop("Other") && !hop("Host"));
+    assert_eq!(head.fields.text("OTHER"), Some("2"));
+}
+
+#[rstest]
+#[case("200 OK\r\nContent-Length: 4\r\n", false, Framing::Length(4))]
+#[case("200 OK\r\nTransfer-Encoding: Chunked\r\n", false, Framing::Chunked)]
+#[case("200 OK\r\n", false, Framing::UntilEnd)]
+#[case("200 OK\r\nContent-Length: 4\r\n", true, Framing::Length(0))]
+#[case("204 No Content\r\n", false, Framing::Length(0))]
+#[case("304 Not Modified\r\nContent-Length: 4\r\n", false, Framing::Length(0))]
+#[case("100 Continue\r\n", false, Framing::Length(0))]
+fn how_an_answer_is_framed(#[case] text: &str, #[case] to_head: bool, #[case] framing: Framing) {
+    let mut buf = BytesMut::from(format!("HTTP/1.1 {text}\r\n").as_str());
+    assert_eq!(ResponseHead::take(&mut buf, 1024, to_head).unwrap().unwrap().framing, framing);
+}
+
+#[rstest]
+#[case("\u{1}\u{2}garbage\r\n\r\n")]
+#[case("HTTP/1.1 2000 OK\r\n\r\n")]
+#[case("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")]
+fn what_is_no_answer(#[case] text: &str) {
+    assert!(ResponseHead::take(&mut BytesMut::from(text), 1024, false).is_err());
+}
+
+/// A whole body, and what follows it.
+type Decoded = (Vec<u8>, Vec<u8>);
+
+/// All of a body, whatever pieces it comes in; `None` where it isn't whole.
+fn decode(framing: Framing, parts: &[&[u8]]) -> Result<Option<Decoded>, Malformed> {
+    let (mut body, mut buf, mut out) = (Body::new(framing), BytesMut::new(), Vec::new());
+    let mut parts = parts.iter();
+    loop {
+        match body.take(&mut buf)? {
+            Piece::Data(data) => out.extend_from_slice(&data),
+            Piece::End => {
+                buf.extend_from_slice(&parts.copied().collect::<Vec<_>>().concat());
+                return Ok(Some((out, buf.to_vec())));
+            }
+            Piece::More => match parts.next() {
+                Some(part) => buf.extend_from_slice(part),
+                None => return Ok(None),
+            },
+        }
+    }
+}
+
+#[rstest]
+#[case(Framing::Length(5), "helloNEXT", "hello", "NEXT")]
+#[case(Framing::Length(0), "NEXT", "", "NEXT")]
+#[case(Framing::Chunked, "5\r\nhello\r\n0\r\n\r\nNEXT", "hello", "NEXT")]
+#[case(
+    Framing::Chunked,
+    "2;x=y\r\nhe\r\nA\r\nllo, world\r\n0\r\nT: 1\r\nU: 2\r\n\r\nNEXT",
+    "hello, world",
+    "NEXT"
+)]
+#[case(Framing::Chunked, "0\r\n\r\n", "", "")]
+fn a_body_is_the_same_however_it_is_cut(
+    #[case] framing: Framing,
+    #[case] text: &str,
+    #[case] body: &str,
+    #[case] rest: &str,
+) {
+    for cut in 0..=text.len() {
+        let (a, b) = text.as_bytes().split_at(cut);
+        let got = decode(framing, &[a, b]).unwrap().unwrap();
+        assert_eq!(got, (body.as_bytes().to_vec(), rest.as_bytes().to_vec()), "cut at {cut}");
+    }
+    let whole = text.len() - rest.len();
+    for n in 0..whole {
+        assert_eq!(decode(framing, &[&text.as_bytes()[..n]]).unwrap(), None, "cut short at {n}");
+    }
+}
+
+#[rstest]
+#[case("x\r\n")]
+#[case("5\r\nhelloXX")]
+#[case("-1\r\n")]
+#[case("fffffffffffffffff\r\n")]
+fn chunks_that_are_none(#[case] text: &str) {
+    assert!(matches!(decode(Framing::Chunked, &[text.as_bytes()]), Err(Malformed::Syntax { .. })));
+}
+
+#[test]
+fn lines_of_chunks_and_trailers_have_a_limit() {
+    let long = "x".repeat(5000);
+    for text in [format!("1;{long}"), format!("0\r\nT: {long}"), "0\r\n".to_owned() + &"T: 1\r\n".repeat(900)]
+    {
+        assert!(decode(Framing::Chunked, &[text.as_bytes()]).is_err());
+    }
+}
+
+#[test]
+fn a_body_that_ends_with_its_connection() {
+    let mut body = Body::new(Framing::UntilEnd);
+    assert!(body.ends_with_connection());
+    assert_eq!(body.take(&mut BytesMut::from("abc")).unwrap(), Piece::Data("abc".into()));
+    assert_eq!(body.take(&mut BytesMut::new()).unwrap(), Piece::More);
+}
--- /dev/null
+++ b/crates/trellis/tests/pool.rs
@@ -0,0 +1,82 @@
+//! Connections that stand idle.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use trellis::pool::{Pool, Ticket};
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[derive(Debug)]
+struct Conn(u32, #[allow(dead_code)] Ticket);
+
+fn host(name: &str) -> Arc<str> {
+    name.into()
+}
+
+fn put(pool: &mut Pool<Conn>, name: &str, number: u32, until: u64) {
+    let ticket = pool.room(&host(name), 9).unwrap();
+    pool.put(name, Conn(number, ticket), s(until));
+}
+
+#[test]
+fn the_one_used_last_is_taken_and_none_beyond_its_time() {
+    let mut pool = Pool::new(9);
+    put(&mut pool, "a", 1, 10);
+    put(&mut pool, "a", 2, 3);
+    put(&mut pool, "a", 3, 10);
+    assert_eq!(pool.take(s(1), "a").unwrap().0, 3);
+    assert_eq!(pool.take(s(5), "a").unwrap().0, 1, "the second had stood for too long");
+    assert!(pool.take(s(5), "a").is_none() && pool.take(s(5), "b").is_none());
+    assert_eq!(pool.open(), 0);
+}
+
+#[test]
+fn a_host_takes_no_more_than_its_share() {
+    let mut pool: Pool<Conn> = Pool::new(9);
+    let first = pool.room(&host("a"), 2).unwrap();
+    let second = pool.room(&host("a"), 2).unwrap();
+    assert!(pool.room(&host("a"), 2).is_none());
+    assert!(pool.room(&host("b"), 2).is_some());
+    drop(first);
+    assert!(pool.room(&host("a"), 2).is_some());
+    drop(second);
+    assert_eq!(pool.open(), 0);
+}
+
+#[test]
+fn idle_connections_make_room_for_new_ones() {
+    let mut pool = Pool::new(2);
+    put(&mut pool, "a", 1, 10);
+    let _used = pool.room(&host("b"), 9).unwrap();
+    let _new = pool.room(&host("b"), 9).expect("the idle one has gone");
+    assert!(pool.take(s(1), "a").is_none());
+    assert!(pool.room(&host("b"), 9).is_none(), "nothing is idle");
+    assert_eq!(pool.open(), 2);
+}
+
+#[test]
+fn hosts_that_are_gone_take_their_connections_along() {
+    let mut pool = Pool::new(9);
+    put(&mut pool, "a", 1, 10);
+    put(&mut pool, "b", 2, 10);
+    let late = Conn(3, pool.room(&host("a"), 9).unwrap());
+    pool.keep(&HashSet::from(["b"]));
+    assert_eq!(pool.open(), 2);
+    pool.put("a", late, s(10));
+    assert!(pool.take(s(1), "a").is_none(), "one that comes back later is dropped as well");
+    pool.forget("b");
+    assert!(pool.take(s(1), "b").is_none());
+    assert_eq!(pool.open(), 0);
+}
+
+#[test]
+fn what_has_stood_for_too_long_is_swept() {
+    let mut pool = Pool::new(9);
+    put(&mut pool, "a", 1, 2);
+    put(&mut pool, "a", 2, 10);
+    pool.sweep(s(5));
+    assert_eq!(pool.open(), 1);
+}
