Proxy: stories of hosts that refuse, fail, break off or fall silent; early answers are read

Cause: a host that answers before it has read the whole request, and reads no more of it, was waited for until the deadline (504 in place of its 413): nothing was read while the write was stuck. Change: what comes is read while a request is written; our answer ends the write, an answer to another request does not; such a connection is not used again. 74 stories of hosts: what is no answer, refusals, own failures, dead, drained and stray connections, cut and large answers, deadlines, patience, budget, hosts that can't be reached.

--- a/crates/trellis/src/exchange.rs
+++ b/crates/trellis/src/exchange.rs
@@ -387,7 +387,9 @@
         let (mut written, mut again) = (0, false);
         loop {
             let head = self.head(picked);
-            let send = link.send(&head, &self.request.body, &mut written);
+            let mark = self.request.head.fields.get(MARK);
+            let ours = |answer: &ResponseHead| answer.fields.get(MARK) == mark;
+            let send = link.send(&head, &self.request.body, &mut written, ours);
             let sent = timeout_at(self.end() + SLACK, send).await;
             match sent {
                 _ if written == 0 && link.used && !again => {
--- a/crates/trellis/src/hostlink.rs
+++ b/crates/trellis/src/hostlink.rs
@@ -47,6 +47,8 @@
     buf: BytesMut,
     /// Whether it was used before.
     pub(crate) used: bool,
+    /// A request was written in part only.
+    partial: bool,
     _ticket: Ticket,
 }
 
@@ -92,7 +94,7 @@
         match timeout_at(until, TcpStream::connect(std::net::SocketAddr::V4(addr))).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                Ok(Self { stream, buf: BytesMut::new(), used: false, _ticket: ticket })
+                Ok(Self { stream, buf: BytesMut::new(), used: false, partial: false, _ticket: ticket })
             }
             _ => {
                 core.tally.add(|c| c.unreached += 1);
@@ -101,9 +103,36 @@
         }
     }
 
-    /// Writes a request. `written` counts what the system took, also where this fails.
-    pub(crate) async fn send(&self, head: &[u8], body: &[u8], written: &mut usize) -> std::io::Result<()> {
-        wire::write_all(&self.stream, head, body, written).await
+    /// Writes a request, and stops where its answer is there before all is written: a host may refuse a large
+    /// body and read no more of it. `written` counts what the system took, also where this fails.
+    pub(crate) async fn send(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+        written: &mut usize,
+        ours: impl Fn(&ResponseHead) -> bool,
+    ) -> std::io::Result<()> {
+        // Until it is written to its end, no other request may follow.
+        self.partial = true;
+        loop {
+            tokio::select! {
+                biased;
+                done = wire::write_all(&self.stream, head, body, written) => {
+                    self.partial = done.is_err();
+                    return done;
+                }
+                got = wire::fill(&self.stream, &mut self.buf), if self.buf.len() < MOST_HEAD => {
+                    if got? == 0 {
+                        return Ok(());
+                    }
+                    if let Ok(Some(head)) = ResponseHead::take(&mut self.buf.clone(), MOST_HEAD, false) {
+                        if ours(&head) {
+                            return Ok(());
+                        }
+                    }
+                }
+            }
+        }
     }
 
     async fn more(&mut self) -> Result<(), Lost> {
@@ -161,7 +190,7 @@
     /// Keeps the connection for the next request, after a whole answer with this head.
     pub(crate) fn keep(mut self, core: &Core, id: &str, head: &ResponseHead) {
         // More after a whole answer belongs to no request.
-        if !head.keeps_alive() || !self.buf.is_empty() {
+        if !head.keeps_alive() || self.partial || !self.buf.is_empty() {
             return;
         }
         let until = core.now() + idle(head.fields.text("keep-alive"));
--- a/crates/trellis/tests/common/mod.rs
+++ b/crates/trellis/tests/common/mod.rs
@@ -4,8 +4,9 @@
 use almanac::{Boot, Document};
 use espalier::HostInfo;
 use std::future::Future;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -29,8 +30,13 @@
     }
 }
 
+/// An address on which nothing listens, and nothing else will: each has an IP number of its own, so that no
+/// other test's port can fall on it before it is used.
 pub async fn free_addr() -> SocketAddrV4 {
-    v4(TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap())
+    static NEXT: AtomicU8 = AtomicU8::new(0);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, high | 128, low, 1 + NEXT.fetch_add(1, Ordering::Relaxed) % 254);
+    v4(TcpListener::bind((ip, 0)).await.unwrap().local_addr().unwrap())
 }
 
 /// A host: its connections are handed to the test, which plays it.
@@ -204,6 +210,11 @@
         }
     }
 
+    /// The next bytes of a body.
+    pub async fn take_body(&mut self, n: usize) -> String {
+        self.take(n).await.expect("so many bytes")
+    }
+
     async fn take(&mut self, n: usize) -> Option<String> {
         while self.buf.len() < n {
             if !self.more().await {
--- /dev/null
+++ b/crates/trellis/tests/hosts.rs
@@ -0,0 +1,459 @@
+//! Hosts that refuse, fail, break off, fall silent or send what is no answer.
+
+mod common;
+use common::*;
+use rstest::rstest;
+
+const SEAL: &str = "Fennelpin-Host-Seal: seal";
+
+/// What is sent to the first host is followed by the second: how often it is asked, and what the client gets.
+async fn two(path: &str, play: impl AsyncFnOnce(Peer), answers: bool) -> Message {
+    let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+    let proxy = Proxy::new(&[&one, &two]).await;
+    let mut client = proxy.ask(path).await;
+    let (first, other) = first_of(&mut one, &mut two).await;
+    play(first).await;
+    if answers {
+        other.conn().await.answer("second").await;
+    }
+    let answer = client.message().await.expect("an answer");
+    assert!(other.unasked());
+    answer
+}
+
+/// What no answer is: for a request that may run twice the next host is asked, for another it is the end.
+#[rstest]
+#[case::no_seal("200 OK\r\nContent-Length: 2", "ok")]
+#[case::encoded("200 OK\r\nFennelpin-Host-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2", "ok")]
+#[case::bare_408("408 Request Timeout\r\nContent-Length: 0", "")]
+#[case::bare_429("429 Too Many Requests\r\nContent-Length: 0", "")]
+#[case::bare_503("503 Service Unavailable\r\nContent-Length: 0", "")]
+#[case::cut_length("200 OK\r\nFennelpin-Host-Seal: s\r\nContent-Length: 9", "ok")]
+#[case::cut_chunks("200 OK\r\nFennelpin-Host-Seal: s\r\nTransfer-Encoding: chunked", "2\r\nok\r\n")]
+#[case::bad_chunks("200 OK\r\nFennelpin-Host-Seal: s\r\nTransfer-Encoding: chunked", "zz\r\n")]
+#[case::two_framings(
+    "200 OK\r\nFennelpin-Host-Seal: s\r\nContent-Length: 2\r\nTransfer-Encoding: chunked",
+    "ok"
+)]
+#[case::garbage("\u{1}\u{2}\u{3}", "")]
+fn what_is_no_answer(#[case] lines: &str, #[case] body: &str, #[values("/pure/a", "/once/a")] path: &str) {
+    story(async {
+        let pure = path == "/pure/a";
+        let play = async |mut conn: Peer| {
+            conn.reply(lines, body).await;
+        };
+        let answer = two(path, play, pure).await;
+        assert!(answer.whole);
+        assert_eq!(answer.field("content-encoding"), None);
+        match pure {
+            true => assert_eq!((answer.status(), answer.body.as_str()), (200, "second")),
+            false => assert_eq!(answer.status(), 502),
+        }
+    });
+}
+
+#[rstest]
+fn a_connection_that_ends_without_an_answer(#[values("/pure/a", "/once/a", "/live/a")] path: &str) {
+    story(async {
+        let pure = path == "/pure/a";
+        let play = async |mut conn: Peer| {
+            conn.message().await.unwrap();
+        };
+        let answer = two(path, play, pure).await;
+        assert_eq!(answer.status(), if pure { 200 } else { 502 });
+        assert_eq!(answer.field("retry-after"), None, "no promise, so nothing to come back for");
+    });
+}
+
+/// A host's words that it has not run it let any request go on.
+#[rstest]
+#[case("503 Service Unavailable\r\nFennelpin-Not-Executed: full\r\nContent-Length: 2", "no")]
+#[case("429 Too Many Requests\r\nFennelpin-Not-Executed: rate\r\nContent-Length: 0", "")]
+#[case("421 Misdirected Request\r\nContent-Length: 0", "")]
+#[case("400 Bad Request\r\nFennelpin-Not-Executed: id\r\nTransfer-Encoding: chunked", "0\r\n\r\n")]
+fn a_refusal_goes_on(
+    #[case] lines: &str,
+    #[case] body: &str,
+    #[values("/pure/a", "/once/a", "/live/a")] path: &str,
+) {
+    story(async {
+        let play = async |mut conn: Peer| {
+            conn.reply(lines, body).await;
+        };
+        let answer = two(path, play, true).await;
+        assert_eq!((answer.status(), answer.body.as_str()), (200, "second"));
+    });
+}
+
+#[test]
+fn refused_by_all_the_client_is_told_when_to_come_back() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.ask("/once/a").await;
+        let (mut first, other) = first_of(&mut one, &mut two).await;
+        first.refuse().await;
+        other.conn().await.refuse().await;
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.status(), answer.field("fennelpin-attempt-id")), (503, Some("one")));
+        assert!(answer.field("retry-after").is_some());
+    });
+}
+
+#[test]
+fn max_tries_is_the_most_hosts_that_hear_of_a_try() {
+    story(async {
+        let mut hosts = [Host::new("h1", "s").await, Host::new("h2", "s").await];
+        let proxy = Proxy::blank().await;
+        let routes = ROUTES.replace("\"max_tries\":3", "\"max_tries\":1");
+        proxy.know(document(1, &routes), hosts.iter().map(|h| h.info.clone()).collect()).await;
+        let mut client = proxy.ask("/pure/a").await;
+        let [one, two] = &mut hosts;
+        let (mut conn, other) = first_of(one, two).await;
+        conn.refuse().await;
+        assert_eq!(client.message().await.unwrap().status(), 503);
+        assert!(other.unasked());
+    });
+}
+
+#[test]
+fn without_budget_nothing_goes_to_a_second_host() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::set_up(Setup { retry_slack: 0.0, ..Setup::default() }).await;
+        proxy.know(document(1, ROUTES), vec![one.info.clone(), two.info.clone()]).await;
+        let mut client = proxy.ask("/pure/a").await;
+        let (mut conn, other) = first_of(&mut one, &mut two).await;
+        conn.refuse().await;
+        let answer = client.message().await.unwrap();
+        assert!(answer.body.starts_with("402 "), "{}", answer.body);
+        assert!(answer.field("retry-after").is_some() && other.unasked());
+    });
+}
+
+#[rstest]
+fn hosts_that_can_not_be_reached_cost_no_budget(#[values("/pure/a", "/once/a", "/live/a")] path: &str) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::set_up(Setup { retry_slack: 0.0, ..Setup::default() }).await;
+        let dead = [info("d1", "s", free_addr().await), info("d2", "s", free_addr().await)];
+        proxy.know(document(1, ROUTES), [&dead[..], &[host.info.clone()]].concat()).await;
+        for _ in 0..4 {
+            let mut client = proxy.ask(path).await;
+            host.conn()
+                .await
+                .reply(&format!("200 OK\r\n{SEAL}\r\nConnection: close\r\nContent-Length: 1"), "x")
+                .await;
+            assert_eq!(client.message().await.unwrap().body, "x");
+        }
+        assert_eq!((proxy.tally.get().sent, proxy.tally.get().repeats), (4, 0));
+    });
+}
+
+#[rstest]
+fn a_host_s_own_failure(#[values("/pure/a", "/once/a")] path: &str, #[values(500, 504, 507)] status: u16) {
+    story(async {
+        let pure = path == "/pure/a";
+        let play = async |mut conn: Peer| {
+            conn.reply(&format!("{status} Own\r\n{SEAL}\r\nX-Own: 1\r\nContent-Length: 4"), "oops").await;
+        };
+        let answer = two(path, play, pure).await;
+        match pure {
+            true => assert_eq!((answer.status(), answer.body.as_str()), (200, "second")),
+            false => {
+                assert_eq!((answer.status(), answer.body.as_str()), (status, "oops"));
+                assert_eq!(
+                    (answer.field("x-own"), answer.field("fennelpin-host-seal")),
+                    (Some("1"), Some("seal"))
+                );
+            }
+        }
+    });
+}
+
+#[test]
+fn failed_everywhere_the_last_failure_is_passed_on() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.ask("/pure/a").await;
+        let (mut first, other) = first_of(&mut one, &mut two).await;
+        first.reply("500 Own\r\nContent-Length: 5", "first").await;
+        other.conn().await.reply("500 Own\r\nContent-Length: 4", "last").await;
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.status(), answer.body.as_str()), (500, "last"));
+    });
+}
+
+#[rstest]
+#[case("404 Not Found\r\nContent-Length: 2", "no")]
+#[case("400 Bad Request\r\nTransfer-Encoding: chunked", "2\r\nno\r\n0\r\n\r\n")]
+#[case("302 Found\r\nLocation: /x\r\nContent-Length: 2", "no")]
+fn other_answers_are_passed_on(#[case] lines: &str, #[case] body: &str) {
+    story(async {
+        let play = async |mut conn: Peer| {
+            conn.reply(lines, body).await;
+        };
+        let answer = two("/pure/a", play, false).await;
+        assert_eq!((&answer.head[9..12], answer.body.as_str()), (&lines[..3], "no"));
+    });
+}
+
+/// One host with one connection that has been used once.
+async fn used(lines: &str) -> (Host, Proxy, Peer, Peer) {
+    let mut host = Host::new("h1", "s").await;
+    let proxy = Proxy::new(&[&host]).await;
+    let mut client = proxy.ask("/once/a").await;
+    let mut conn = host.conn().await;
+    conn.reply(&format!("200 OK\r\n{SEAL}\r\nContent-Length: 1{lines}"), "1").await;
+    assert_eq!(client.message().await.unwrap().body, "1");
+    (host, proxy, client, conn)
+}
+
+async fn ask_again(client: &mut Peer) {
+    client.send(&request("/once/b", "two", "")).await;
+}
+
+#[test]
+fn a_connection_that_the_host_has_closed_is_not_used_again() {
+    story(async {
+        let (mut host, _proxy, mut client, conn) = used("").await;
+        drop(conn);
+        ask_again(&mut client).await;
+        host.conn().await.answer("2").await;
+        assert_eq!(client.message().await.unwrap().body, "2");
+    });
+}
+
+#[test]
+fn a_connection_with_stray_bytes_is_not_used_again() {
+    story(async {
+        let (mut host, _proxy, mut client, mut conn) = used("").await;
+        conn.send(&good("two", "stray")).await;
+        ask_again(&mut client).await;
+        host.conn().await.answer("2").await;
+        assert_eq!(client.message().await.unwrap().body, "2");
+        conn.closed().await;
+    });
+}
+
+#[rstest]
+#[case("\r\nConnection: close")]
+#[case("\r\nKeep-Alive: timeout=0")]
+fn a_connection_that_is_not_to_be_used_again(#[case] lines: &str) {
+    story(async {
+        let (mut host, _proxy, mut client, mut conn) = used(lines).await;
+        ask_again(&mut client).await;
+        host.conn().await.answer("2").await;
+        assert_eq!(client.message().await.unwrap().body, "2");
+        conn.closed().await;
+    });
+}
+
+#[test]
+fn a_drained_host_s_connections_are_closed() {
+    story(async {
+        let (host, proxy, mut client, mut conn) = used("").await;
+        let mut next = Host::new("h2", "s").await;
+        let leaving = espalier::HostInfo { draining: true, ..host.info.clone() };
+        proxy.know(document(1, ROUTES), vec![leaving, next.info.clone()]).await;
+        conn.closed().await;
+        ask_again(&mut client).await;
+        next.conn().await.answer("2").await;
+        assert_eq!(client.message().await.unwrap().body, "2");
+    });
+}
+
+#[rstest]
+#[case("good", "200 OK\r\nFennelpin-Host-Seal: seal\r\nContent-Length: 5", "stray")]
+#[case("refusal", "503 Service Unavailable\r\nFennelpin-Not-Executed: full\r\nContent-Length: 0", "")]
+#[case("other host", "421 Misdirected Request\r\nContent-Length: 0", "")]
+#[case("failure", "500 Own\r\nTransfer-Encoding: chunked", "2\r\nno\r\n0\r\n\r\n")]
+fn an_answer_to_another_request_is_passed_over(#[case] what: &str, #[case] lines: &str, #[case] body: &str) {
+    story(async {
+        let (mut host, proxy, mut client, mut conn) = used("").await;
+        ask_again(&mut client).await;
+        conn.message().await.unwrap();
+        conn.send(&format!("HTTP/1.1 {lines}\r\nFennelpin-Attempt-Id: one\r\n\r\n{body}")).await;
+        conn.send(&good("two", "ours")).await;
+        assert_eq!(client.message().await.unwrap().body, "ours", "after a {what}");
+        assert_eq!(proxy.tally.get().strays, 1);
+        // One more may still come: the connection isn't used again.
+        conn.closed().await;
+        client.send(&request("/once/c", "three", "")).await;
+        host.conn().await.answer("3").await;
+        assert_eq!(client.message().await.unwrap().body, "3");
+    });
+}
+
+#[test]
+fn a_refusal_without_an_id_may_belong_to_another_request() {
+    story(async {
+        let (_host, _proxy, mut client, mut conn) = used("").await;
+        ask_again(&mut client).await;
+        conn.message().await.unwrap();
+        conn.send("HTTP/1.1 503 No\r\nFennelpin-Not-Executed: full\r\nContent-Length: 0\r\n\r\n").await;
+        drop(conn);
+        assert_eq!(client.message().await.unwrap().status(), 502);
+    });
+}
+
+#[rstest]
+fn an_answer_that_is_there_before_the_request_is_all_written_counts(
+    #[values("", "closes", "stray")] more: &str,
+) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::blank().await;
+        let text = format!(
+            r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s"}}],"limits":{{"max_body_bytes":9000000}}}}"#
+        );
+        let document = almanac::Document::read(text.as_bytes(), 0).unwrap();
+        proxy.know(document.into(), vec![host.info.clone()]).await;
+        let mut client = proxy.client().await;
+        let body = "a".repeat(8_000_000);
+        let head = format!(
+            "POST /once/a HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: one\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        client.send(&(head + &body)).await;
+        let mut conn = host.conn().await;
+        conn.head().await.unwrap();
+        if more == "stray" {
+            // Not ours: the rest of the request still has to go out.
+            conn.send(&good("zero", "stray")).await;
+            assert_eq!(conn.take_body(body.len()).await, body);
+        }
+        conn.send(
+            "HTTP/1.1 413 Content Too Large\r\nFennelpin-Attempt-Id: one\r\nContent-Length: 3\r\n\r\nbig",
+        )
+        .await;
+        let conn = (more != "closes").then_some(conn);
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.status(), answer.body.as_str()), (413, "big"));
+        if let Some(mut conn) = conn {
+            conn.closed().await;
+        }
+    });
+}
+
+#[test]
+fn a_large_answer_passes_through() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let body = "0123456789".repeat(100_000);
+        for _ in 0..2 {
+            let mut client = proxy.ask("/pure/a").await;
+            let play = async {
+                let mut conn = host.conn().await;
+                let lines =
+                    format!("200 OK\r\n{SEAL}\r\nConnection: close\r\nContent-Length: {}", body.len());
+                conn.reply(&lines, &body).await;
+            };
+            let (answer, ()) = tokio::join!(client.message(), play);
+            let answer = answer.unwrap();
+            assert!(answer.whole && answer.body == body);
+        }
+    });
+}
+
+#[rstest]
+#[case::length("Content-Length: 900000", "")]
+#[case::chunks("Transfer-Encoding: chunked", "80e80\r\n")]
+fn a_large_answer_that_is_cut_does_not_look_whole(#[case] framing: &str, #[case] start: &str) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.ask("/pure/a").await;
+        let body = start.to_owned() + &"0123456789".repeat(40_000);
+        let play = async {
+            let mut conn = host.conn().await;
+            conn.reply(&format!("200 OK\r\n{SEAL}\r\n{framing}"), &body).await;
+        };
+        let (answer, ()) = tokio::join!(client.message(), play);
+        assert!(!answer.unwrap().whole);
+        assert_eq!(proxy.tally.get().cut, 1);
+    });
+}
+
+#[rstest]
+#[case::not_sent("/quick/once/a", false, 503)]
+#[case::once("/quick/once/a", true, 504)]
+#[case::pure("/quick/a", true, 504)]
+fn with_the_time_over_the_answer_says_whether_it_may_have_run(
+    #[case] path: &str,
+    #[case] sent: bool,
+    #[case] status: u16,
+) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.client().await;
+        let deadline = if sent { "" } else { "Fennelpin-Deadline-Ms: 0\r\n" };
+        client.send(&request(path, "one", deadline)).await;
+        let conn = if sent { Some(host.conn().await) } else { None };
+        let answer = client.message().await.unwrap();
+        assert_eq!(answer.status(), status);
+        assert!(host.unasked());
+        if let Some(mut conn) = conn {
+            conn.closed().await;
+        }
+    });
+}
+
+#[test]
+fn the_host_s_answer_at_the_deadline_still_counts() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.ask("/quick/once/a").await;
+        let mut conn = host.conn().await;
+        let asked = conn.message().await.unwrap();
+        let left: u64 = asked.field("fennelpin-deadline-ms").unwrap().parse().unwrap();
+        assert!(left <= 150);
+        conn.send("HTTP/1.1 504 Own\r\nFennelpin-Attempt-Id: one\r\nContent-Length: 4\r\n\r\nlate").await;
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.status(), answer.body.as_str()), (504, "late"));
+    });
+}
+
+#[rstest]
+fn a_silent_host_is_left_for_another(#[values("/pure/a", "/more/a")] path: &str) {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.ask(path).await;
+        let (mut silent, other) = first_of(&mut one, &mut two).await;
+        silent.message().await.unwrap();
+        let mut conn = other.conn().await;
+        silent.closed().await;
+        match path {
+            "/pure/a" => {
+                conn.answer("second").await;
+                assert_eq!(client.message().await.unwrap().body, "second");
+            }
+            _ => {
+                conn.begin("seal", &[1]).await;
+                conn.send("0\r\n\r\n").await;
+                assert_eq!(client.message().await.unwrap().body, events([1]));
+            }
+        }
+        assert_eq!((proxy.tally.get().moved, proxy.tally.get().repeats), (1, 1));
+    });
+}
+
+#[test]
+fn what_may_run_once_waits_for_a_silent_host() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("/once/a", "one", "Fennelpin-Deadline-Ms: 900\r\n")).await;
+        let (mut silent, other) = first_of(&mut one, &mut two).await;
+        silent.message().await.unwrap();
+        let answer = client.message().await.unwrap();
+        assert_eq!(answer.status(), 504);
+        assert!(other.unasked());
+    });
+}
