--- /dev/null
+++ b/crates/trellis/tests/ending.rs
@@ -0,0 +1,102 @@
+//! The end of the process: what it has taken is answered, and clients learn in time.
+
+mod common;
+use common::*;
+
+fn short() -> Setup {
+    Setup { grace_s: 1.7, ..Setup::default() }
+}
+
+async fn proxy(setup: Setup, host: &Host) -> Proxy {
+    let proxy = Proxy::set_up(setup).await;
+    proxy.know(document(1, ROUTES), vec![host.info.clone()]).await;
+    proxy
+}
+
+#[test]
+fn told_to_stop_it_is_not_ready_and_serves_on() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let mut proxy = proxy(short(), &host).await;
+        let mut old = proxy.ask("/pure/a").await;
+        let mut conn = host.conn().await;
+        conn.answer("before").await;
+        assert_eq!(old.message().await.unwrap().field("connection"), None);
+        proxy.tell_to_stop();
+        while proxy.ready().await == 200 {}
+        // The platform still sends connections, and old ones may still ask: each gets its answer, the last there.
+        let mut new = proxy.ask("/once/a").await;
+        conn.answer("new").await;
+        let answer = new.message().await.unwrap();
+        assert_eq!((answer.body.as_str(), answer.field("connection")), ("new", Some("close")));
+        new.closed().await;
+        old.send(&request("/once/a", "two", "")).await;
+        conn.answer("old").await;
+        let answer = old.message().await.unwrap();
+        assert_eq!((answer.body.as_str(), answer.field("connection")), ("old", Some("close")));
+        old.closed().await;
+    });
+}
+
+#[test]
+fn what_runs_is_answered_before_the_process_ends() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let mut proxy = proxy(Setup { grace_s: 4.5, ..Setup::default() }, &host).await;
+        let mut idle = proxy.client().await;
+        let mut busy = proxy.ask("/live/a").await;
+        let mut conn = host.conn().await;
+        conn.begin("seal", &[1]).await;
+        busy.until("piece 1\n\n").await;
+        let told = std::time::Instant::now();
+        proxy.tell_to_stop();
+        // The idle connection goes once the platform has noticed; the stream stays.
+        idle.closed().await;
+        let waited = told.elapsed().as_millis();
+        assert!((2000..3600).contains(&waited), "{waited} ms");
+        conn.events(&[2]).await;
+        conn.send("0\r\n\r\n").await;
+        let answer = busy.message().await.unwrap();
+        assert_eq!((answer.whole, answer.body), (true, events([1, 2])));
+        let counted = proxy.done.await.unwrap().unwrap();
+        assert_eq!((counted.passed, counted.cut), (1, 0));
+        assert!(told.elapsed().as_millis() < 4000, "nothing is left to wait for");
+    });
+}
+
+#[test]
+fn what_is_still_out_at_the_end_is_told_the_truth() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let mut proxy = proxy(short(), &host).await;
+        let mut sent = proxy.ask("/once/a").await;
+        let mut conn = host.conn().await;
+        conn.message().await.unwrap();
+        let mut half = proxy.client().await;
+        half.send("POST /once/a HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: two\r\n").await;
+        let told = std::time::Instant::now();
+        proxy.tell_to_stop();
+        let answer = sent.message().await.unwrap();
+        assert_eq!((answer.status(), answer.field("connection")), (502, Some("close")), "it may have run");
+        conn.closed().await;
+        proxy.done.await.unwrap().unwrap();
+        assert!(told.elapsed().as_millis() < 1700, "before the grace is over: {:?}", told.elapsed());
+        half.closed().await;
+    });
+}
+
+#[test]
+fn the_end_is_counted() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = proxy(Setup { grace_s: 0.8, ..Setup::default() }, &host).await;
+        let mut client = proxy.ask("/pure/a").await;
+        let mut conn = host.conn().await;
+        conn.answer("done").await;
+        client.message().await.unwrap();
+        let tally = proxy.tally.clone();
+        let counted = proxy.stop().await;
+        assert_eq!(counted, tally.get());
+        assert_eq!((counted.requests, counted.sent, counted.passed, counted.connects), (1, 1, 1, 1));
+    });
+}
