Proxy: the body of a host's refusal is read beside the request's way to the next host

Cause: up to 50 ms went by before the next host was asked where a refusal's body was late. Change: a task of its own reads it and keeps the connection.

--- a/crates/trellis/src/exchange.rs
+++ b/crates/trellis/src/exchange.rs
@@ -431,7 +431,6 @@
         };
         let load = load(&head.fields);
         if refuses(&head) {
-            self.drain(link, &picked.id, &head, stray).await;
             let outcome = match head.status {
                 421 => Outcome::OtherHost,
                 429 | 503 => Outcome::Full,
@@ -439,6 +438,8 @@
             };
             if outcome == Outcome::OtherHost {
                 self.core.pool.borrow_mut().forget(&picked.id);
+            } else {
+                self.drain(link, picked.id.clone(), head, stray);
             }
             picked.out.end(outcome, load);
             return Went::Ended(End::NotRun);
@@ -511,15 +512,18 @@
         Err(Stop::Lost)
     }
 
-    /// Reads the rest of an answer that isn't passed on, to use the connection again.
-    async fn drain(&self, mut link: Link, id: &str, head: &ResponseHead, stray: bool) {
-        let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
+    /// Reads the rest of an answer that isn't passed on, to use the connection again; the request doesn't wait.
+    fn drain(&self, mut link: Link, id: Arc<str>, head: ResponseHead, stray: bool) {
         if stray || !head.keeps_alive() {
             return;
         }
-        if let Ok(Ok(true)) = timeout(REFUSAL_TIME, link.whole(&mut body, &mut out, REFUSAL)).await {
-            link.keep(self.core, id, head);
-        }
+        let core = self.core.clone();
+        tokio::task::spawn_local(async move {
+            let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
+            if let Ok(Ok(true)) = timeout(REFUSAL_TIME, link.whole(&mut body, &mut out, REFUSAL)).await {
+                link.keep(&core, &id, &head);
+            }
+        });
     }
 
     /// An answer that is read whole before it is passed on, unless it is large.
--- a/crates/trellis/tests/hosts.rs
+++ b/crates/trellis/tests/hosts.rs
@@ -100,6 +100,20 @@
     });
 }
 
+#[test]
+fn the_body_of_a_refusal_is_not_waited_for() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("/once/a", "one", "Fennelpin-Deadline-Ms: 40\r\n")).await;
+        let (mut first, other) = first_of(&mut one, &mut two).await;
+        first.reply("503 Full\r\nFennelpin-Not-Executed: full\r\nContent-Length: 9", "part").await;
+        other.conn().await.answer("second").await;
+        assert_eq!(client.message().await.unwrap().body, "second");
+    });
+}
+
 #[test]
 fn max_tries_is_the_most_hosts_that_hear_of_a_try() {
     story(async {
