HTTP/1.1 without I/O as a crate (windrow); the proxy dials for less, fails without looking well

Cause: heads and bodies stood in the proxy though the program in service reads them too; a length that can't be counted was answered 431; a host that says nothing to a new connection held a request for a second, and for more than half of its time with three such hosts; the head of a host's own failure was told to the policy as a good answer, which clears its record of errors; answers of ours to HEAD had a body. Change: windrow holds heads, framing and chunks, with their tests; a connection has half of the target to come up, between 100 and 250 ms; only answers below 400 count as good; 413 for such a length; no body after HEAD. The policy's view of quick failures has no test here.

--- a/crates/trellis/src/exchange.rs
+++ b/crates/trellis/src/exchange.rs
@@ -5,7 +5,6 @@
 use crate::events::{Place, Splitter};
 use crate::front::Request;
 use crate::hostlink::{Link, Lost, NoLink};
-use crate::http1::{Body, Fields, Framing, ResponseHead};
 use crate::routes;
 use crate::wire;
 use almanac::{Code, Kind, Route};
@@ -18,6 +17,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
+use windrow::{Body, Fields, Framing, RequestHead, ResponseHead};
 
 /// An answer up to this size is read whole before it is passed on, so that a cut one can be asked for again.
 const WHOLE: usize = 256 * 1024;
@@ -30,6 +30,8 @@
 const STRAYS: u32 = 4;
 /// While a host is silent the policy's patience is asked for again after this.
 const LOOK: Duration = Duration::from_millis(250);
+/// Least and longest time for a connection to come up.
+const DIAL: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(250));
 /// After its deadline a host is given this long to say so itself.
 const SLACK: Duration = Duration::from_millis(50);
 /// Least time for a client to take an answer.
@@ -83,6 +85,7 @@
 pub(crate) struct Answer {
     code: Code,
     text: Vec<u8>,
+    bare: bool,
 }
 
 impl Answer {
@@ -92,7 +95,7 @@
         let mut text = format!(
             "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
             code.status(),
-            reason(code.status()),
+            windrow::reason(code.status()),
             body.len()
         )
         .into_bytes();
@@ -103,7 +106,13 @@
             field(&mut text, b"Retry-After", format!("{:.3}", after.as_secs_f64()).as_bytes());
         }
         text.extend_from_slice(body.as_bytes());
-        Self { code, text }
+        Self { code, text, bare: false }
+    }
+
+    /// The answer to a `HEAD` tells of a body and has none.
+    pub(crate) fn to(mut self, request: &RequestHead) -> Self {
+        self.bare = request.method() == b"HEAD";
+        self
     }
 
     /// Writes it; false where the client doesn't take it.
@@ -115,7 +124,9 @@
         let end = self.text.len() - body_of(self.code);
         let mut text = self.text[..end].to_vec();
         text.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
-        text.extend_from_slice(&self.text[end..]);
+        if !self.bare {
+            text.extend_from_slice(&self.text[end..]);
+        }
         matches!(timeout(TAKE, wire::write_all(stream, &text, b"", &mut 0)).await, Ok(Ok(())))
     }
 }
@@ -124,20 +135,6 @@
     code.number().to_string().len() + code.text().len() + 2
 }
 
-fn reason(status: u16) -> &'static str {
-    match status {
-        400 => "Bad Request",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Error",
-    }
-}
-
 fn field(out: &mut Vec<u8>, name: &[u8], value: &[u8]) {
     out.extend_from_slice(name);
     out.extend_from_slice(b": ");
@@ -150,7 +147,8 @@
     let fields = &request.head.fields;
     let refuse = |code, after| async move {
         let close = closes(core, request);
-        let taken = Answer::own(code, fields.get(MARK), after).write(core, client, close).await;
+        let taken =
+            Answer::own(code, fields.get(MARK), after).to(&request.head).write(core, client, close).await;
         match (taken, close) {
             (true, false) => Done::Keep,
             (true, true) => Done::Close,
@@ -222,6 +220,14 @@
     Some(Load { running: next()?, waiting: next()?, slots: next()? })
 }
 
+/// Longest time for a connection to come up. A lost opening packet is sent again only after a second: another
+/// host is the better choice, and nothing has run here.
+fn dial(route: &Route) -> Duration {
+    Duration::try_from_secs_f64(route.target_ms.unwrap_or(1000.0) / 2e3)
+        .unwrap_or(DIAL.1)
+        .clamp(DIAL.0, DIAL.1)
+}
+
 /// A stream that has been silent for so long is taken up at another host: half of what its client bears (the
 /// longest of two seconds, four times the target and eight times the pause in time).
 fn stall(route: &Route) -> Duration {
@@ -383,7 +389,8 @@
             NoLink::Full => (End::Unreached, Outcome::TurnedAway),
             NoLink::Unreached => (End::Unreached, Outcome::Unreached),
         };
-        let mut link = Link::get(core, &picked.id, picked.addr, most, self.end()).await.map_err(no_link)?;
+        let until = self.end().min(Instant::now() + dial(self.route));
+        let mut link = Link::get(core, &picked.id, picked.addr, most, until).await.map_err(no_link)?;
         let (mut written, mut again) = (0, false);
         loop {
             let head = self.head(picked);
@@ -394,8 +401,7 @@
             match sent {
                 _ if written == 0 && link.used && !again => {
                     again = true;
-                    link =
-                        Link::open(core, &picked.id, picked.addr, most, self.end()).await.map_err(no_link)?;
+                    link = Link::open(core, &picked.id, picked.addr, most, until).await.map_err(no_link)?;
                     continue;
                 }
                 _ if written == 0 => return Err((End::Unreached, Outcome::Unreached)),
@@ -536,7 +542,10 @@
         load: Option<Load>,
         mut watch: Watch,
     ) -> Went {
-        picked.out.first();
+        // Quick failures must not make a host look well.
+        if head.status < 400 {
+            picked.out.first();
+        }
         watch.patience_over();
         let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
         let read = async |l: &mut Link| l.whole(&mut body, &mut out, WHOLE).await;
--- a/crates/trellis/src/front.rs
+++ b/crates/trellis/src/front.rs
@@ -2,7 +2,6 @@
 
 use crate::core::{Core, Held};
 use crate::exchange::{self, Answer, Done, Stage};
-use crate::http1::{Body, Framing, Malformed, Piece, RequestHead};
 use crate::seats::Seats;
 use crate::wire;
 use almanac::{Code, Limits};
@@ -13,6 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
+use windrow::{Body, Framing, Malformed, Most, Piece, RequestHead};
 
 /// Connections beyond the cap that are still told so.
 const TOLD: usize = 200;
@@ -219,10 +219,11 @@
 
 async fn read_head(stream: &TcpStream, buf: &mut BytesMut, most: usize) -> Result<RequestHead, Refused> {
     loop {
-        match RequestHead::take(buf, most) {
+        match RequestHead::take(buf, Most::bytes(most)) {
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(Malformed::TooLarge) => return Err(Refused::Because(Code::HeadTooLarge)),
+            Err(Malformed::LengthTooLarge) => return Err(Refused::Because(Code::TooLarge)),
             Err(Malformed::Syntax { .. }) => return Err(Refused::Because(Code::BadRequest)),
         }
         if wire::fill(stream, buf).await? == 0 {
--- a/crates/trellis/src/hostlink.rs
+++ b/crates/trellis/src/hostlink.rs
@@ -1,24 +1,18 @@
 //! Connections to hosts: one request at a time on each, kept for the next where both sides agree.
 
 use crate::core::Core;
-use crate::http1::{Body, Malformed, Piece, ResponseHead};
-use crate::pool::Ticket;
+use crate::pool::{self, Ticket};
 use crate::wire;
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
+use windrow::{Body, Malformed, Most, Piece, ResponseHead};
 
-/// Longest time for a connection to come up. A lost opening packet is sent again only after a second: another
-/// host is the better choice, and nothing has run here.
-const CONNECT: Duration = Duration::from_millis(250);
-/// Longest time that a connection stands idle, whatever the host allows.
-const IDLE: Duration = Duration::from_secs(10);
 /// Largest head of an answer.
-const MOST_HEAD: usize = 32 * 1024;
+const MOST_HEAD: Most = Most::bytes(32 * 1024);
 
 /// Why there is no (further) part of an answer.
 #[derive(Debug, Snafu)]
@@ -90,7 +84,6 @@
     ) -> Result<Self, NoLink> {
         let ticket = core.pool.borrow_mut().room(id, most).ok_or(NoLink::Full)?;
         core.tally.add(|c| c.connects += 1);
-        let until = until.min(Instant::now() + CONNECT);
         match timeout_at(until, TcpStream::connect(std::net::SocketAddr::V4(addr))).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
@@ -121,7 +114,7 @@
                     self.partial = done.is_err();
                     return done;
                 }
-                got = wire::fill(&self.stream, &mut self.buf), if self.buf.len() < MOST_HEAD => {
+                got = wire::fill(&self.stream, &mut self.buf), if self.buf.len() < MOST_HEAD.bytes => {
                     if got? == 0 {
                         return Ok(());
                     }
@@ -193,20 +186,9 @@
         if !head.keeps_alive() || self.partial || !self.buf.is_empty() {
             return;
         }
-        let until = core.now() + idle(head.fields.text("keep-alive"));
+        let until = core.now() + pool::idle(head.fields.text("keep-alive"));
         self.used = true;
         self.buf = BytesMut::new();
         core.pool.borrow_mut().put(id, self, until);
     }
 }
-
-/// How long a connection may stand idle: less than the host says, so that it isn't closed under a request.
-fn idle(keep_alive: Option<&str>) -> Duration {
-    let given = keep_alive.into_iter().flat_map(|v| v.split(',')).find_map(|p| {
-        let (name, value) = p.trim().split_once('=')?;
-        let seconds: u64 = value.trim().parse().ok()?;
-        name.trim().eq_ignore_ascii_case("timeout").then_some(Duration::from_secs(seconds.min(3600)))
-    });
-    let margin = |d: Duration| d.saturating_sub(Duration::from_secs(1)).max(d / 2);
-    given.map_or(IDLE, |d| margin(d).min(IDLE))
-}
--- a/crates/trellis/src/lib.rs
+++ b/crates/trellis/src/lib.rs
@@ -3,8 +3,8 @@
 //! [`serve`] has to run inside a `LocalSet`.
 //!
 //! What must hold is decided in parts without I/O: [`attempt`] (whether a request goes out again),
-//! [`events`] (whole events of a stream), [`http1`] (heads and bodies), [`pool`] (connections that stand
-//! idle), [`routes`]. The rest moves bytes.
+//! [`events`] (whole events of a stream), [`pool`] (connections that stand idle), [`routes`]; heads and bodies
+//! by [`windrow`]. The rest moves bytes.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -15,7 +15,6 @@
 mod exchange;
 mod front;
 mod hostlink;
-pub mod http1;
 pub mod pool;
 mod readiness;
 pub mod routes;
--- a/crates/trellis/src/pool.rs
+++ b/crates/trellis/src/pool.rs
@@ -6,6 +6,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Longest time that a connection stands idle, whatever the host allows.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// How long a connection may stand idle, by a host's `Keep-Alive`: less than the host says, so that it isn't
+/// closed under a request.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(trellis::pool::idle(Some("timeout=5, max=9")), Duration::from_secs(4));
+/// ```
+pub fn idle(keep_alive: Option<&str>) -> Duration {
+    let given = keep_alive.into_iter().flat_map(|v| v.split(',')).find_map(|p| {
+        let (name, value) = p.trim().split_once('=')?;
+        let seconds: u64 = value.trim().parse().ok()?;
+        name.trim().eq_ignore_ascii_case("timeout").then_some(Duration::from_secs(seconds.min(3600)))
+    });
+    let margin = |d: Duration| d.saturating_sub(Duration::from_secs(1)).max(d / 2);
+    given.map_or(IDLE, |d| margin(d).min(IDLE))
+}
+
 #[derive(Debug)]
 struct Idle<C> {
     conn: C,
--- a/crates/trellis/src/readiness.rs
+++ b/crates/trellis/src/readiness.rs
@@ -1,16 +1,16 @@
 //! The platform's question whether requests are to come here.
 
 use crate::core::Core;
-use crate::http1::RequestHead;
 use crate::wire;
 use bytes::BytesMut;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
+use windrow::{Most, RequestHead};
 
 const PATH: &[u8] = b"/fennelpin/readiness";
-const MOST_HEAD: usize = 8 * 1024;
+const MOST_HEAD: Most = Most::bytes(8 * 1024);
 /// Who asks once a second is kept; who says nothing for longer is let go.
 const IDLE: Duration = Duration::from_secs(10);
 
--- a/crates/trellis/tests/clients.rs
+++ b/crates/trellis/tests/clients.rs
@@ -23,6 +23,7 @@
 #[case::bad_chunk(head("Transfer-Encoding: chunked\r\n") + "zz\r\n", 400)]
 #[case::no_id("GET /pure/ HTTP/1.1\r\nHost: x.example\r\n\r\n".into(), 400)]
 #[case::long_body(head("Content-Length: 101\r\n"), 413)]
+#[case::endless_body(head("Content-Length: 99999999999999999999999\r\n"), 413)]
 #[case::long_chunks(head("Transfer-Encoding: chunked\r\n") + "65\r\n" + &"a".repeat(101), 413)]
 #[case::long_head(head(&format!("X: {}\r\n", "a".repeat(1100))), 431)]
 #[case::slow_head("GET /pure/ HTTP/1.1\r\nHost:".into(), 408)]
@@ -246,3 +247,23 @@
         assert_eq!((answer.status(), answer.field("fennelpin-attempt-id")), (503, Some("one")));
     });
 }
+
+#[test]
+fn an_answer_to_head_has_no_body() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.client().await;
+        let head = |path: &str| {
+            format!("HEAD {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: one\r\n\r\n")
+        };
+        client.send(&(head("/nowhere/") + &head("/pure/a") + &request("/once/a", "two", ""))).await;
+        assert!(client.head().await.unwrap().starts_with("HTTP/1.1 404 "));
+        let mut conn = host.conn().await;
+        conn.reply("200 OK\r\nFennelpin-Host-Seal: s\r\nContent-Length: 7", "").await;
+        let answer = client.head().await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("Content-Length: 7\r\n"), "{answer}");
+        conn.answer("body").await;
+        assert_eq!(client.message().await.unwrap().body, "body");
+    });
+}
--- a/crates/trellis/tests/common/mod.rs
+++ b/crates/trellis/tests/common/mod.rs
@@ -138,6 +138,17 @@
         }
     }
 
+    /// Reads on; whether the connection then ends in order, and not with a reset.
+    pub async fn ends_in_order(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.stream.read_to_end(&mut rest).await.is_ok()
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).unwrap();
+    }
+
     /// Resolves once the other side has closed; what it sent before stays.
     pub async fn closed(&mut self) {
         while self.more().await {}
--- a/crates/trellis/tests/hosts.rs
+++ b/crates/trellis/tests/hosts.rs
@@ -3,6 +3,8 @@
 mod common;
 use common::*;
 use rstest::rstest;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
 
 const SEAL: &str = "Fennelpin-Host-Seal: seal";
 
@@ -164,6 +166,35 @@
     });
 }
 
+/// A place that takes no connection and says nothing: its queue of new ones is full.
+async fn dark() -> (SocketAddrV4, tokio::net::TcpListener, Vec<std::net::TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let SocketAddr::V4(addr) = listener.local_addr().unwrap() else { unreachable!("only IPv4 here") };
+    let connect = || std::net::TcpStream::connect_timeout(&SocketAddr::V4(addr), Duration::from_millis(60));
+    let waiting = std::iter::from_fn(|| connect().ok()).collect();
+    (addr, listener, waiting)
+}
+
+#[rstest]
+fn a_host_that_says_nothing_to_a_connection_is_left_for_another(#[values("/pure/a", "/once/a")] path: &str) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::blank().await;
+        let (addr, _listener, _waiting) = dark().await;
+        let far = espalier::HostInfo { zone: "b".into(), ..host.info.clone() };
+        proxy.know(document(1, ROUTES), vec![info("dark", "s", addr), far]).await;
+        let asked = tokio::time::Instant::now();
+        let mut client = proxy.ask(path).await;
+        host.conn().await.answer("done").await;
+        assert_eq!(client.message().await.unwrap().body, "done");
+        assert!(asked.elapsed() < Duration::from_millis(900), "{:?}", asked.elapsed());
+        let counted = proxy.tally.get();
+        assert_eq!((counted.unreached, counted.sent, counted.repeats), (1, 1, 0));
+    });
+}
+
 #[rstest]
 fn a_host_s_own_failure(#[values("/pure/a", "/once/a")] path: &str, #[values(500, 504, 507)] status: u16) {
     story(async {
@@ -391,6 +422,54 @@
     });
 }
 
+#[rstest]
+fn a_cut_answer_whose_end_is_the_connection_s_ends_with_a_reset(#[values(true, false)] cut: bool) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.ask("/once/a").await;
+        let mut conn = host.conn().await;
+        let body = "0123456789".repeat(40_000);
+        let play = async {
+            conn.reply(&format!("200 OK\r\n{SEAL}"), &body).await;
+            conn
+        };
+        let (_, conn) = tokio::join!(client.until(&body), play);
+        match cut {
+            true => conn.reset(),
+            false => drop(conn),
+        }
+        assert_eq!(client.ends_in_order().await, !cut);
+    });
+}
+
+#[test]
+fn a_host_gets_no_more_connections_than_its_share() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::blank().await;
+        // Of a host's eight connections four are this proxy's, as there are two.
+        let text =
+            format!(r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s","conn_limit":8}}]}}"#);
+        let document = almanac::Document::read(text.as_bytes(), 0).unwrap();
+        let info = |h: &Host| espalier::HostInfo { capacity: 99, ..h.info.clone() };
+        proxy.know(document.into(), vec![info(&one), info(&two)]).await;
+        let (mut clients, mut conns) = (Vec::new(), Vec::new());
+        for _ in 0..8 {
+            clients.push(proxy.ask("/once/a").await);
+            let (mut conn, _) = first_of(&mut one, &mut two).await;
+            conn.message().await.unwrap();
+            conns.push(conn);
+        }
+        let answer = proxy.ask("/once/a").await.message().await.unwrap();
+        assert_eq!((answer.status(), proxy.tally.get().connects), (503, 8));
+        drop(conns);
+        for mut client in clients {
+            assert_eq!(client.message().await.unwrap().status(), 502);
+        }
+    });
+}
+
 #[rstest]
 #[case::not_sent("/quick/once/a", false, 503)]
 #[case::once("/quick/once/a", true, 504)]
--- a/crates/trellis/tests/pool.rs
+++ b/crates/trellis/tests/pool.rs
@@ -1,9 +1,10 @@
 //! Connections that stand idle.
 
+use rstest::rstest;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use trellis::pool::{Pool, Ticket};
+use trellis::pool::{idle, Pool, Ticket};
 
 fn s(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
@@ -80,3 +81,16 @@
     pool.sweep(s(5));
     assert_eq!(pool.open(), 1);
 }
+
+#[rstest]
+#[case(None, 10_000)]
+#[case(Some("timeout=5"), 4_000)]
+#[case(Some("max=7, Timeout = 5"), 4_000)]
+#[case(Some("timeout=1"), 500)]
+#[case(Some("timeout=0"), 0)]
+#[case(Some("timeout=60"), 10_000)]
+#[case(Some("timeout=99999999999"), 10_000)]
+#[case(Some("timeout=soon"), 10_000)]
+fn a_connection_stands_idle_for_less_than_its_host_says(#[case] keep_alive: Option<&str>, #[case] ms: u64) {
+    assert_eq!(idle(keep_alive), Duration::from_millis(ms));
+}
--- a/crates/trellis/tests/http1.rs
+++ b/crates/windrow/tests/http1.rs
@@ -2,10 +2,12 @@
 
 use bytes::BytesMut;
 use rstest::rstest;
-use trellis::http1::{Body, Framing, Malformed, Piece, RequestHead, ResponseHead};
+use windrow::{Body, Framing, Malformed, Most, Piece, RequestHead, ResponseHead};
+
+const MOST: Most = Most::bytes(1024);
 
 fn request(text: &str) -> Result<Option<RequestHead>, Malformed> {
-    RequestHead::take(&mut BytesMut::from(text), 1024)
+    RequestHead::take(&mut BytesMut::from(text), MOST)
 }
 
 fn good(text: &str) -> RequestHead {
@@ -49,13 +51,13 @@
         assert!(request(&text[..n]).unwrap().is_none());
     }
     let mut buf = BytesMut::from(format!("{text}GET").as_str());
-    assert!(RequestHead::take(&mut buf, 1024).unwrap().is_some());
+    assert!(RequestHead::take(&mut buf, MOST).unwrap().is_some());
     assert_eq!(&buf[..], b"GET", "what follows stays");
     assert_eq!(request(&format!("GET /{} ", "a".repeat(1024))).unwrap_err(), Malformed::TooLarge);
     let many = "X: 1\r\n".repeat(120);
     assert_eq!(request(&format!("GET / HTTP/1.1\r\n{many}\r\n")).unwrap_err(), Malformed::TooLarge);
     let huge = "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n";
-    assert_eq!(request(huge).unwrap_err(), Malformed::TooLarge);
+    assert_eq!(request(huge).unwrap_err(), Malformed::LengthTooLarge);
 }
 
 #[rstest]
@@ -83,7 +85,7 @@
 fn whether_the_connection_stays(#[case] version: &str, #[case] fields: &str, #[case] stays: bool) {
     assert_eq!(good(&format!("GET / HTTP/{version}\r\n{fields}\r\n")).keeps_alive(), stays);
     let answer = format!("HTTP/{version} 200 OK\r\nContent-Length: 0\r\n{fields}\r\n");
-    let answer = ResponseHead::take(&mut BytesMut::from(answer.as_str()), 1024, false).unwrap().unwrap();
+    let answer = ResponseHead::take(&mut BytesMut::from(answer.as_str()), MOST, false).unwrap().unwrap();
     assert_eq!(answer.keeps_alive(), stays);
 }
 
@@ -106,7 +108,7 @@
 #[case("100 Continue\r\n", false, Framing::Length(0))]
 fn how_an_answer_is_framed(#[case] text: &str, #[case] to_head: bool, #[case] framing: Framing) {
     let mut buf = BytesMut::from(format!("HTTP/1.1 {text}\r\n").as_str());
-    assert_eq!(ResponseHead::take(&mut buf, 1024, to_head).unwrap().unwrap().framing, framing);
+    assert_eq!(ResponseHead::take(&mut buf, MOST, to_head).unwrap().unwrap().framing, framing);
 }
 
 #[rstest]
@@ -114,7 +116,7 @@
 #[case("HTTP/1.1 2000 OK\r\n\r\n")]
 #[case("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")]
 fn what_is_no_answer(#[case] text: &str) {
-    assert!(ResponseHead::take(&mut BytesMut::from(text), 1024, false).is_err());
+    assert!(ResponseHead::take(&mut BytesMut::from(text), MOST, false).is_err());
 }
 
 /// A whole body, and what follows it.
