The program in service reads HTTP/1.1 by windrow, as the system's proxy does

Cause: heads, framing and chunks were written twice, in src/net/http.rs and in the proxy. Seen by users: a line of a chunk's size and all trailers have 4 KiB, a chunk must end with CR LF, a target in absolute form is read by its path.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,5 +1,5 @@
-//! HTTP/1.1 over a [`Conn`]: heads, bodies by length or in chunks, a server for the fronts, and what
-//! clients of this program need to read.
+//! HTTP/1.1 over a [`Conn`], as [`windrow`] reads it: a server for the fronts, and what clients of this program
+//! need to read.
 
 use super::conn::Conn;
 use crate::counters::{Counters, End};
@@ -15,13 +15,14 @@
 use tokio::io::{AsyncWriteExt, Interest, Ready};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
+use windrow::{Fields, Framing, Malformed, Most, RequestHead, ResponseHead, Step};
 
 /// Largest body that is taken.
 pub const MOST_BODY: usize = 64 * 1024;
 /// Ring for what comes in; a head must fit into it.
 pub const INPUT: usize = 16 * 1024;
 const OUTPUT: usize = 16 * 1024;
-const MOST_HEADERS: usize = 64;
+const MOST_HEAD: Most = Most { bytes: INPUT, fields: 64 };
 /// A client must have sent its first request whole in this time from connecting, and any later one from
 /// its first byte: whoever says nothing, or half of something, is let go while it still counts as prompt.
 const SLOW_REQUEST: Duration = Duration::from_secs(2);
@@ -74,6 +75,16 @@
     Io(#[from] std::io::Error),
 }
 
+impl From<Malformed> for HttpError {
+    fn from(malformed: Malformed) -> Self {
+        match malformed {
+            Malformed::Syntax { what } => Self::Malformed(what),
+            Malformed::TooLarge => Self::HeadTooLarge,
+            Malformed::LengthTooLarge => Self::BodyTooLarge,
+        }
+    }
+}
+
 impl HttpError {
     /// The reason code in the log.
     pub fn code(&self) -> &'static str {
@@ -99,30 +110,19 @@
     }
 }
 
-/// Headers of a message.
+/// Headers of a message; all of them are text.
 #[derive(Debug, Default, Clone)]
-pub struct Headers(Vec<(String, String)>);
+pub struct Headers(Fields);
 
 impl Headers {
-    /// The value of the first header of this name, whatever its case.
-    pub fn get(&self, name: &str) -> Option<&str> {
-        self.0.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    fn of(fields: Fields) -> Result<Self, HttpError> {
+        let text = fields.iter().all(|(_, value)| std::str::from_utf8(value).is_ok());
+        text.then_some(Self(fields)).ok_or(HttpError::Malformed("header"))
     }
 
-    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
-        self.0.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
-    }
-
-    fn has_token(&self, name: &str, token: &str) -> bool {
-        self.all(name).flat_map(|v| v.split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
-    }
-
-    fn parse(headers: &[httparse::Header]) -> Result<Self, HttpError> {
-        let value = |h: &httparse::Header| {
-            let v = std::str::from_utf8(h.value).map_err(|_| HttpError::Malformed("header"))?;
-            Ok((h.name.to_owned(), v.trim().to_owned()))
-        };
-        headers.iter().map(value).collect::<Result<_, _>>().map(Self)
+    /// The value of the first header of this name, whatever its case.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.text(name)
     }
 }
 
@@ -201,20 +201,7 @@
     }
 
     fn head(&self, close: bool) -> String {
-        let reason = match self.status {
-            200 => "OK",
-            400 => "Bad Request",
-            404 => "Not Found",
-            405 => "Method Not Allowed",
-            408 => "Request Timeout",
-            409 => "Conflict",
-            413 => "Content Too Large",
-            429 => "Too Many Requests",
-            431 => "Request Header Fields Too Large",
-            503 => "Service Unavailable",
-            504 => "Gateway Timeout",
-            _ => "Error",
-        };
+        let reason = windrow::reason(self.status);
         let mut head =
             format!("HTTP/1.1 {} {reason}\r\nContent-Length: {}\r\n", self.status, self.body.len());
         for (name, value) in &self.headers {
@@ -225,43 +212,6 @@
     }
 }
 
-/// How a body is framed.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Framing {
-    /// So many bytes.
-    Length(usize),
-    /// In chunks.
-    Chunked,
-    /// Until the connection ends.
-    UntilEnd,
-}
-
-fn framing(headers: &Headers, request: bool) -> Result<Framing, HttpError> {
-    let mut lengths = headers.all("Content-Length");
-    let length = lengths.next();
-    // Two lengths, or a length beside chunks, are how requests are smuggled past a front.
-    if lengths.any(|l| Some(l) != length) {
-        return Err(HttpError::Malformed("content-length"));
-    }
-    let codings: Vec<&str> = headers.all("Transfer-Encoding").collect();
-    match codings[..] {
-        [] => {}
-        [coding] if length.is_none() && coding.eq_ignore_ascii_case("chunked") => {
-            return Ok(Framing::Chunked)
-        }
-        _ => return Err(HttpError::Malformed("transfer-encoding")),
-    }
-    match length {
-        Some(l) if !l.is_empty() && l.bytes().all(|b| b.is_ascii_digit()) => match l.parse() {
-            Ok(n) => Ok(Framing::Length(n)),
-            Err(_) => Err(HttpError::BodyTooLarge),
-        },
-        Some(_) => Err(HttpError::Malformed("content-length")),
-        None if request => Ok(Framing::Length(0)),
-        None => Ok(Framing::UntilEnd),
-    }
-}
-
 async fn more(conn: &mut Conn, started: bool) -> Result<(), HttpError> {
     match conn.fill().await? {
         0 if started => Err(HttpError::Cut),
@@ -270,142 +220,71 @@
     }
 }
 
-struct Head {
-    method: String,
-    target: String,
-    headers: Headers,
-    keep: bool,
-}
-
-fn request_head(conn: &mut Conn) -> Result<Option<Head>, HttpError> {
-    let mut slots = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let mut head = httparse::Request::new(&mut slots);
-    let n = match head.parse(conn.input.contiguous()) {
-        Ok(httparse::Status::Complete(n)) => n,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLarge),
-        Err(_) => return Err(HttpError::Malformed("request")),
-    };
-    let headers = Headers::parse(head.headers)?;
-    let close = headers.has_token("Connection", "close");
-    let keep = if head.version == Some(0) { headers.has_token("Connection", "keep-alive") } else { !close };
-    let (method, target) =
-        (head.method.unwrap_or_default().to_owned(), head.path.unwrap_or_default().to_owned());
+fn request_head(conn: &mut Conn) -> Result<Option<RequestHead>, HttpError> {
+    let Some((head, n)) = RequestHead::read(conn.input.contiguous(), MOST_HEAD)? else { return Ok(None) };
     conn.input.consume(n);
-    Ok(Some(Head { method, target, headers, keep }))
+    Ok(Some(head))
 }
 
 /// Reads a response's head: its status and headers.
 pub async fn response_head(conn: &mut Conn) -> Result<(u16, Headers), HttpError> {
     loop {
-        let mut slots = [httparse::EMPTY_HEADER; MOST_HEADERS];
-        let mut head = httparse::Response::new(&mut slots);
-        match head.parse(conn.input.contiguous()) {
-            Ok(httparse::Status::Complete(n)) => {
-                let (status, headers) = (head.code.unwrap_or(0), Headers::parse(head.headers)?);
-                conn.input.consume(n);
-                return Ok((status, headers));
-            }
-            Ok(httparse::Status::Partial) if conn.input.free() == 0 => return Err(HttpError::HeadTooLarge),
-            Ok(httparse::Status::Partial) => more(conn, !conn.input.is_empty()).await?,
-            Err(_) => return Err(HttpError::Malformed("response")),
+        if let Some((head, n)) = ResponseHead::read(conn.input.contiguous(), MOST_HEAD, false)? {
+            conn.input.consume(n);
+            return Ok((head.status, Headers::of(head.fields)?));
         }
+        if conn.input.free() == 0 {
+            return Err(HttpError::HeadTooLarge);
+        }
+        more(conn, !conn.input.is_empty()).await?;
     }
 }
 
 /// A body on its way in.
 pub struct Body {
     framing: Framing,
-    /// Bytes left of the length or of the present chunk.
-    left: usize,
-    in_chunk: bool,
-    done: bool,
+    body: windrow::Body,
 }
 
 impl Body {
     fn new(framing: Framing) -> Self {
-        let left = if let Framing::Length(n) = framing { n } else { 0 };
-        Self { framing, left, in_chunk: false, done: framing == Framing::Length(0) }
+        Self { framing, body: windrow::Body::new(framing) }
     }
 
     /// The body of a response with these headers.
     pub fn of_response(headers: &Headers) -> Result<Self, HttpError> {
-        Ok(Self::new(framing(headers, false)?))
+        Ok(Self::new(Framing::of(&headers.0)?.unwrap_or(Framing::UntilEnd)))
     }
 
-    /// Appends what comes next to `out`; false at the end.
-    pub async fn next(&mut self, conn: &mut Conn, out: &mut BytesMut) -> Result<bool, HttpError> {
-        loop {
-            if self.done {
-                return Ok(false);
-            }
-            if self.framing == Framing::Chunked && self.left == 0 && !self.chunk_line(conn).await? {
-                continue;
-            }
-            if conn.input.is_empty() {
-                match more(conn, true).await {
-                    Err(HttpError::Cut) if self.framing == Framing::UntilEnd => {
-                        self.done = true;
-                        return Ok(false);
-                    }
-                    step => step?,
-                }
-            }
-            let run = conn.input.first();
-            let n = if self.framing == Framing::UntilEnd { run.len() } else { run.len().min(self.left) };
-            out.extend_from_slice(&run[..n]);
-            conn.input.consume(n);
-            self.left = self.left.saturating_sub(n);
-            self.done = self.left == 0 && matches!(self.framing, Framing::Length(_));
-            return Ok(true);
-        }
+    /// Whether its length is told and beyond a limit.
+    fn beyond(&self, most: usize) -> bool {
+        matches!(self.framing, Framing::Length(n) if n > most as u64)
     }
 
-    /// Reads up to a chunk's data; false if that was the last one.
-    async fn chunk_line(&mut self, conn: &mut Conn) -> Result<bool, HttpError> {
-        if self.in_chunk {
-            self.line(conn, 0).await?;
-            self.in_chunk = false;
-        }
+    /// Appends what comes next to `out`; false at the end.
+    pub async fn next(&mut self, conn: &mut Conn, out: &mut BytesMut) -> Result<bool, HttpError> {
         loop {
-            match httparse::parse_chunk_size(conn.input.contiguous()) {
-                Ok(httparse::Status::Complete((n, size))) => {
+            let input = if self.body.in_data() { conn.input.first() } else { conn.input.contiguous() };
+            match self.body.step(input)? {
+                Step::Data(n) => {
+                    out.extend_from_slice(input.get(..n).unwrap_or_default());
                     conn.input.consume(n);
-                    if size == 0 {
-                        // Trailers, up to the empty line.
-                        while self.line(conn, INPUT).await? > 0 {}
-                        self.done = true;
-                        return Ok(false);
-                    }
-                    self.left = usize::try_from(size).map_err(|_| HttpError::BodyTooLarge)?;
-                    self.in_chunk = true;
                     return Ok(true);
                 }
-                Ok(httparse::Status::Partial) => more(conn, true).await?,
-                Err(_) => return Err(HttpError::Malformed("chunk")),
-            }
-        }
-    }
-
-    async fn line(&mut self, conn: &mut Conn, most: usize) -> Result<usize, HttpError> {
-        loop {
-            let bytes = conn.input.contiguous();
-            if let Some(n) = bytes.iter().position(|b| *b == b'\n') {
-                let text = bytes[..n].strip_suffix(b"\r").unwrap_or(&bytes[..n]).len();
-                conn.input.consume(n + 1);
-                return if text > most { Err(HttpError::Malformed("chunk")) } else { Ok(text) };
-            }
-            if bytes.len() > most + 2 {
-                return Err(HttpError::Malformed("chunk"));
+                Step::Frame(n) => conn.input.consume(n),
+                Step::End => return Ok(false),
+                Step::More => match more(conn, true).await {
+                    Err(HttpError::Cut) if self.body.ends_with_connection() => return Ok(false),
+                    step => step?,
+                },
             }
-            more(conn, true).await?;
         }
     }
 
     /// Reads the whole body, up to a limit.
     pub async fn whole(mut self, conn: &mut Conn, most: usize) -> Result<Bytes, HttpError> {
         let mut out = BytesMut::new();
-        if self.left > most {
+        if self.beyond(most) {
             return Err(HttpError::BodyTooLarge);
         }
         while self.next(conn, &mut out).await? {
@@ -429,17 +308,19 @@
         }
         more(conn, !conn.input.is_empty()).await?;
     };
-    let body = Body::new(framing(&head.headers, true)?);
-    if body.left > most {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let (method, target, keep) = (text(head.method()), text(head.target()), head.keeps_alive());
+    let body = Body::new(head.framing.unwrap_or(Framing::Length(0)));
+    let headers = Headers::of(head.fields)?;
+    if body.beyond(most) {
         return Err(HttpError::BodyTooLarge);
     }
-    if head.headers.has_token("Expect", "100-continue") {
+    if headers.0.has_token("Expect", "100-continue") {
         conn.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
     }
     let body = body.whole(conn, most).await?;
-    let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let (path, query) = (path.to_owned(), query.to_owned());
-    let Head { method, headers, keep, .. } = head;
     let (arrived, latest) = (Instant::now(), None);
     Ok((Request { method, path, query, headers, body, arrived, latest }, keep))
 }
