--- a/crates/espalier/src/choice.rs
+++ b/crates/espalier/src/choice.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// What reading a token again counts over waiting for as long: it holds up all on the host, and is priced.
-const READ_AGAIN: f64 = 1.5;
+const READ_AGAIN: f64 = 4.0;
 /// Costs that differ by less count as equal, in ms: then the home order or the zone decides.
 const EQUAL_MS: f64 = 4.0;
 /// With none listed, hosts are drawn among those within this factor, and so many ms, of the best.
@@ -61,11 +61,11 @@
 
     /// Tokens that a host has to read, by what was sent there; the home keeps the shared parts, as all proxies
     /// send them there.
-    fn unread(&self, host: &Host, home: bool, ask: &Ask) -> u32 {
+    fn unread(&self, now: Duration, host: &Host, home: bool, ask: &Ask) -> u32 {
         let all: u32 = ask.parts.iter().map(|p| p.1).fold(0, u32::saturating_add);
         let all = if ask.parts.is_empty() { ask.tokens.0 } else { all };
         let shared = match ask.parts {
-            [shared @ .., _own] if home => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
+            [shared @ .., _own] if home && !self.told(now) => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
             _ => 0,
         };
         all.saturating_sub(host.kept.prefix(ask.parts).max(shared))
@@ -94,7 +94,7 @@
                 tokens: 0,
             });
         }
-        let tokens = self.unread(host, home == Some(key), ask);
+        let tokens = self.unread(now, host, home == Some(key), ask);
         let weight = if prompt.is_some() { weight } else { 0 };
         Some(Candidate { key, cost: wait + READ_AGAIN * service.reading(tokens), weight, near, tokens })
     }
@@ -125,7 +125,7 @@
         let due = opens.iter().filter(|(_, h)| h.health.trial_due(now, h.info.silent));
         if let Some((key, host)) = due.min_by_key(|(_, h)| h.health.back()) {
             let waited = host.health.back().map_or(Duration::ZERO, |b| now.saturating_sub(b));
-            let tokens = self.unread(host, false, ask);
+            let tokens = self.unread(now, host, false, ask);
             let fits =
                 ask.idempotent && (tokens <= SMALL || waited >= TRIAL_WAIT) || host.health.overdue(now);
             if fits {
--- a/crates/trellis/src/core.rs
+++ b/crates/trellis/src/core.rs
@@ -1,6 +1,7 @@
 //! What all connections share.
 
 use crate::counters::Tally;
+use crate::hints::Hints;
 use crate::hostlink::Link;
 use crate::pool::Pool;
 use crate::routes::Routes;
@@ -46,6 +47,7 @@
     outs: Cell<usize>,
     /// Told when the first attempt goes out.
     began: Notify,
+    pub(crate) hints: RefCell<Hints>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) seats: RefCell<Seats>,
     pub(crate) most_clients: usize,
@@ -78,6 +80,7 @@
             tally,
             outs: Cell::new(0),
             began: Notify::new(),
+            hints: RefCell::default(),
             stopping: Cell::new(false),
             seats: RefCell::default(),
             most_clients: (fds * CLIENTS_SHARE) as usize,
@@ -156,6 +159,8 @@
             policy.set_services(now, &services);
             log::info!("configuration {}: {} routes", document.version, document.routes.len());
         }
+        let all_told = self.hints.borrow_mut().set_others(&world.others);
+        policy.set_told(now, all_told);
         policy.set_coordinators(now, world.coordinators);
         policy.set_hosts(now, &world.hosts);
         let ids: HashSet<&str> = world.hosts.iter().map(|h| &*h.id).collect();
