Proxy: a silent stream is waited for while its host shows itself alive

Cause: a resumable stream that paused for half of what its client bears went to another host even where its host only held it back (preempted, a long prompt beside it): prompts read again and the budget spent in the very crowd that made the pause. Change: connections of one host share when it was last heard; a stream moves only off a host that has been silent on all of them.

--- a/crates/trellis/src/exchange.rs
+++ b/crates/trellis/src/exchange.rs
@@ -703,26 +703,25 @@
     }
 
     /// What comes next of a stream that has begun. One that may go on elsewhere is not waited for until its
-    /// client gives up.
+    /// client gives up, unless the host shows itself alive on other connections: there it will go on.
     async fn later_piece(&mut self, link: &mut Link, body: &mut Body) -> Result<Option<Bytes>, Stop> {
         let end = self.end() + SLACK;
-        let until = match self.route.resumable {
-            true => end.min(Instant::now() + stall(self.route)),
-            false => end,
-        };
-        match timeout_at(until, link.piece(body)).await {
-            Ok(next) => return next.map_err(|_| Stop::Lost),
-            Err(_) if until >= end || !self.trial.may_move(self.core.now()) => {}
-            Err(_) => {
-                if let Ok(next) = self.pick() {
-                    return Err(Stop::Moved(next));
+        let mut waits = self.route.resumable;
+        loop {
+            let since = Instant::now();
+            let until = if waits { end.min(since + stall(self.route)) } else { end };
+            match timeout_at(until, link.piece(body)).await {
+                Ok(next) => return next.map_err(|_| Stop::Lost),
+                Err(_) if until >= end => return Err(Stop::Late),
+                Err(_) if link.heard_since(since) => {}
+                Err(_) => {
+                    waits = self.trial.may_move(self.core.now());
+                    if let Some(next) = waits.then(|| self.pick().ok()).flatten() {
+                        return Err(Stop::Moved(next));
+                    }
                 }
             }
         }
-        match timeout_at(end, link.piece(body)).await {
-            Ok(next) => next.map_err(|_| Stop::Lost),
-            Err(_) => Err(Stop::Late),
-        }
     }
 
     /// The whole events that have come and are new.
--- a/crates/trellis/src/hostlink.rs
+++ b/crates/trellis/src/hostlink.rs
@@ -7,6 +7,7 @@
 use snafu::Snafu;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 use windrow::{Body, Malformed, Most, Piece, ResponseHead};
@@ -43,7 +44,8 @@
     pub(crate) used: bool,
     /// A request was written in part only.
     partial: bool,
-    _ticket: Ticket,
+    ticket: Ticket,
+    origin: Instant,
 }
 
 /// Why no connection could be had.
@@ -87,7 +89,14 @@
         match timeout_at(until, TcpStream::connect(std::net::SocketAddr::V4(addr))).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                Ok(Self { stream, buf: BytesMut::new(), used: false, partial: false, _ticket: ticket })
+                Ok(Self {
+                    stream,
+                    buf: BytesMut::new(),
+                    used: false,
+                    partial: false,
+                    ticket,
+                    origin: core.at(Duration::ZERO),
+                })
             }
             _ => {
                 core.tally.add(|c| c.unreached += 1);
@@ -131,7 +140,10 @@
     async fn more(&mut self) -> Result<(), Lost> {
         match wire::fill(&self.stream, &mut self.buf).await? {
             0 => ClosedSnafu.fail(),
-            _ => Ok(()),
+            _ => {
+                self.ticket.hear(self.origin.elapsed());
+                Ok(())
+            }
         }
     }
 
@@ -180,6 +192,11 @@
         Ok(false)
     }
 
+    /// Whether the host has been heard since a time, on this connection or another.
+    pub(crate) fn heard_since(&self, time: Instant) -> bool {
+        self.origin + self.ticket.heard() > time
+    }
+
     /// Keeps the connection for the next request, after a whole answer with this head.
     pub(crate) fn keep(mut self, core: &Core, id: &str, head: &ResponseHead) {
         // More after a whole answer belongs to no request.
--- a/crates/trellis/src/pool.rs
+++ b/crates/trellis/src/pool.rs
@@ -36,16 +36,33 @@
 struct Shelf<C> {
     idle: Vec<Idle<C>>,
     open: Rc<Cell<usize>>,
+    heard: Rc<Cell<Duration>>,
 }
 
-/// Counts a connection as open for as long as it lives.
+/// Counts a connection as open for as long as it lives, and knows when its host was last heard on any.
 #[derive(Debug)]
-pub struct Ticket(Rc<Cell<usize>>, Rc<Cell<usize>>);
+pub struct Ticket {
+    to_host: Rc<Cell<usize>>,
+    all: Rc<Cell<usize>>,
+    heard: Rc<Cell<Duration>>,
+}
+
+impl Ticket {
+    /// Something came from the host.
+    pub fn hear(&self, now: Duration) {
+        self.heard.set(now);
+    }
+
+    /// When something last came from the host, on this connection or another.
+    pub fn heard(&self) -> Duration {
+        self.heard.get()
+    }
+}
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-        self.1.set(self.1.get().saturating_sub(1));
+        self.to_host.set(self.to_host.get().saturating_sub(1));
+        self.all.set(self.all.get().saturating_sub(1));
     }
 }
 
@@ -84,16 +101,18 @@
         if self.open.get() >= self.most {
             self.shelves.values_mut().find(|s| !s.idle.is_empty())?.idle.remove(0);
         }
-        let shelf = self
-            .shelves
-            .entry(host.clone())
-            .or_insert_with(|| Shelf { idle: Vec::new(), open: Rc::default() });
+        let shelf = self.shelves.entry(host.clone()).or_insert_with(|| Shelf {
+            idle: Vec::new(),
+            open: Rc::default(),
+            heard: Rc::default(),
+        });
         if shelf.open.get() >= most.max(1) {
             return None;
         }
         shelf.open.set(shelf.open.get() + 1);
         self.open.set(self.open.get() + 1);
-        Some(Ticket(shelf.open.clone(), self.open.clone()))
+        let heard = shelf.heard.clone();
+        Some(Ticket { to_host: shelf.open.clone(), all: self.open.clone(), heard })
     }
 
     /// A connection that may be used again until a time; it is dropped where its host is no longer known.
--- a/crates/trellis/tests/streams.rs
+++ b/crates/trellis/tests/streams.rs
@@ -143,6 +143,38 @@
     });
 }
 
+#[test]
+fn a_silent_stream_is_waited_for_while_its_host_is_alive() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one]).await;
+        let (mut still, mut going) = (proxy.ask("/more/a").await, proxy.ask("/more/b").await);
+        let (mut still_conn, mut going_conn) = (one.conn().await, one.conn().await);
+        still_conn.begin("first", &[1]).await;
+        going_conn.begin("first", &[1]).await;
+        still.until("piece 1\n\n").await;
+        let silent = tokio::time::Instant::now();
+        proxy.know(document(1, ROUTES), vec![one.info.clone(), two.info.clone()]).await;
+        for n in 2.. {
+            going_conn.events(&[n]).await;
+            going.until(&format!("piece {n}\n\n")).await;
+            if silent.elapsed().as_millis() > 1500 {
+                break;
+            }
+        }
+        assert!(two.unasked());
+        // With the host silent on all connections, both streams go on elsewhere.
+        let mut next = two.conn().await;
+        next.begin("second", &[9_999_999]).await;
+        let mut last = two.conn().await;
+        last.begin("second", &[9_999_999]).await;
+        for (client, conn) in [(&mut still, &mut next), (&mut going, &mut last)] {
+            conn.send("0\r\n\r\n").await;
+            client.until("piece 9999999\n\n").await;
+        }
+    });
+}
+
 #[test]
 fn with_nobody_else_a_silent_stream_is_waited_for() {
     story(async {
