--- a/crates/trellis/src/exchange.rs
+++ b/crates/trellis/src/exchange.rs
@@ -5,7 +5,6 @@
 use crate::events::{Place, Splitter};
 use crate::front::Request;
 use crate::hostlink::{Link, Lost, NoLink};
-use crate::http1::{Body, Fields, Framing, ResponseHead};
 use crate::routes;
 use crate::wire;
 use almanac::{Code, Kind, Route};
@@ -18,6 +17,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
+use windrow::{Body, Fields, Framing, RequestHead, ResponseHead};
 
 /// An answer up to this size is read whole before it is passed on, so that a cut one can be asked for again.
 const WHOLE: usize = 256 * 1024;
@@ -28,6 +28,10 @@
 const EVENT: usize = 1024 * 1024;
 /// Answers to others that are passed over in one place.
 const STRAYS: u32 = 4;
+/// While a host is silent the policy's patience is asked for again after this.
+const LOOK: Duration = Duration::from_millis(250);
+/// Least and longest time for a connection to come up.
+const DIAL: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(250));
 /// After its deadline a host is given this long to say so itself.
 const SLACK: Duration = Duration::from_millis(50);
 /// Least time for a client to take an answer.
@@ -53,6 +57,7 @@
 pub(crate) struct Stage {
     started: Cell<bool>,
     out: Cell<bool>,
+    until_end: Cell<bool>,
 }
 
 impl Stage {
@@ -61,6 +66,11 @@
         self.started.get()
     }
 
+    /// Whether the end of the connection would make a cut answer look whole.
+    pub(crate) fn looks_whole(&self) -> bool {
+        self.started.get() && self.until_end.get()
+    }
+
     /// The code to end with: a promise only where it has not run.
     pub(crate) fn refusal(&self, code: Code) -> Code {
         if self.out.get() {
@@ -75,6 +85,7 @@
 pub(crate) struct Answer {
     code: Code,
     text: Vec<u8>,
+    bare: bool,
 }
 
 impl Answer {
@@ -84,7 +95,7 @@
         let mut text = format!(
             "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
             code.status(),
-            reason(code.status()),
+            windrow::reason(code.status()),
             body.len()
         )
         .into_bytes();
@@ -95,7 +106,13 @@
             field(&mut text, b"Retry-After", format!("{:.3}", after.as_secs_f64()).as_bytes());
         }
         text.extend_from_slice(body.as_bytes());
-        Self { code, text }
+        Self { code, text, bare: false }
+    }
+
+    /// The answer to a `HEAD` tells of a body and has none.
+    pub(crate) fn to(mut self, request: &RequestHead) -> Self {
+        self.bare = request.method() == b"HEAD";
+        self
     }
 
     /// Writes it; false where the client doesn't take it.
@@ -107,7 +124,9 @@
         let end = self.text.len() - body_of(self.code);
         let mut text = self.text[..end].to_vec();
         text.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
-        text.extend_from_slice(&self.text[end..]);
+        if !self.bare {
+            text.extend_from_slice(&self.text[end..]);
+        }
         matches!(timeout(TAKE, wire::write_all(stream, &text, b"", &mut 0)).await, Ok(Ok(())))
     }
 }
@@ -116,20 +135,6 @@
     code.number().to_string().len() + code.text().len() + 2
 }
 
-fn reason(status: u16) -> &'static str {
-    match status {
-        400 => "Bad Request",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Error",
-    }
-}
-
 fn field(out: &mut Vec<u8>, name: &[u8], value: &[u8]) {
     out.extend_from_slice(name);
     out.extend_from_slice(b": ");
@@ -142,7 +147,8 @@
     let fields = &request.head.fields;
     let refuse = |code, after| async move {
         let close = closes(core, request);
-        let taken = Answer::own(code, fields.get(MARK), after).write(core, client, close).await;
+        let taken =
+            Answer::own(code, fields.get(MARK), after).to(&request.head).write(core, client, close).await;
         match (taken, close) {
             (true, false) => Done::Keep,
             (true, true) => Done::Close,
@@ -214,6 +220,26 @@
     Some(Load { running: next()?, waiting: next()?, slots: next()? })
 }
 
+/// Longest time for a connection to come up. A lost opening packet is sent again only after a second: another
+/// host is the better choice, and nothing has run here.
+fn dial(route: &Route) -> Duration {
+    Duration::try_from_secs_f64(route.target_ms.unwrap_or(1000.0) / 2e3)
+        .unwrap_or(DIAL.1)
+        .clamp(DIAL.0, DIAL.1)
+}
+
+/// A stream that has been silent for so long is taken up at another host: half of what its client bears (the
+/// longest of two seconds, four times the target and eight times the pause in time).
+fn stall(route: &Route) -> Duration {
+    let ms = (2.0 * route.target_ms.unwrap_or(0.0)).max(4.0 * route.gap_aim_ms.unwrap_or(0.0)).max(1000.0);
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX / 4)
+}
+
+/// Whether the host says that it has not run the request. No other status says so.
+fn refuses(head: &ResponseHead) -> bool {
+    head.status == 421 || head.fields.get("fennelpin-not-executed").is_some()
+}
+
 /// A host that was chosen.
 struct Picked {
     out: Out,
@@ -253,13 +279,15 @@
 
 impl Exchange<'_> {
     async fn go(&mut self) -> Result<Done, GiveUp> {
-        let mut picked = self.pick(false)?;
+        let mut picked = self.pick()?;
         loop {
             self.tried.push(picked.id.clone());
             let end = match self.attempt(picked).await {
                 Went::Answered(done) => return Ok(done),
                 Went::Moved(next) => {
                     self.core.tally.add(|c| c.moved += 1);
+                    self.trial.moved();
+                    self.stage.out.set(true);
                     picked = next;
                     continue;
                 }
@@ -268,22 +296,25 @@
             let next = self.trial.ended(self.core.now(), end);
             self.stage.out.set(self.trial.may_have_run());
             picked = match next {
-                Next::Again { repeat } => self.pick(repeat)?,
+                Next::Again => self.pick()?,
                 Next::GiveUp(code) => return Err((code, None)),
             };
         }
     }
 
     /// The next host; for a repeat the budget is asked first.
-    fn pick(&mut self, repeat: bool) -> Result<Picked, GiveUp> {
+    fn pick(&mut self) -> Result<Picked, GiveUp> {
         let now = self.core.now();
         let left = self.trial.deadline().saturating_sub(now);
         if left < Duration::from_millis(1) {
             return Err((self.trial.overdue(), None));
         }
         let mut policy = self.core.policy.borrow_mut();
-        if repeat && !policy.take_repeat(now, self.service) {
-            return Err((self.trial.refusal(Code::BudgetSpent), None));
+        if self.trial.owes() {
+            if !policy.take_repeat(now, self.service) {
+                return Err((self.trial.refusal(Code::BudgetSpent), None));
+            }
+            self.trial.paid();
         }
         let target =
             Duration::try_from_secs_f64(self.route.target_ms.unwrap_or(self.route.deadline_ms) / 1e3);
@@ -361,17 +392,19 @@
             NoLink::Full => (End::Unreached, Outcome::TurnedAway),
             NoLink::Unreached => (End::Unreached, Outcome::Unreached),
         };
-        let mut link = Link::get(core, &picked.id, picked.addr, most, self.end()).await.map_err(no_link)?;
+        let until = self.end().min(Instant::now() + dial(self.route));
+        let mut link = Link::get(core, &picked.id, picked.addr, most, until).await.map_err(no_link)?;
         let (mut written, mut again) = (0, false);
         loop {
             let head = self.head(picked);
-            let send = link.send(&head, &self.request.body, &mut written);
+            let mark = self.request.head.fields.get(MARK);
+            let ours = |answer: &ResponseHead| answer.fields.get(MARK) == mark;
+            let send = link.send(&head, &self.request.body, &mut written, ours);
             let sent = timeout_at(self.end() + SLACK, send).await;
             match sent {
                 _ if written == 0 && link.used && !again => {
                     again = true;
-                    link =
-                        Link::open(core, &picked.id, picked.addr, most, self.end()).await.map_err(no_link)?;
+                    link = Link::open(core, &picked.id, picked.addr, most, until).await.map_err(no_link)?;
                     continue;
                 }
                 _ if written == 0 => return Err((End::Unreached, Outcome::Unreached)),
@@ -400,15 +433,13 @@
                 return Went::Ended(end);
             }
         };
-        let mut watch = Watch::new(self, &picked);
-        let (head, stray) = match self.answer(&mut link, &mut watch).await {
+        let mut watch = Watch::new(self);
+        let (head, stray) = match self.answer(&mut link, &picked.out, &mut watch).await {
             Ok(answer) => answer,
             Err(stop) => return self.stopped(stop, picked.out),
         };
         let load = load(&head.fields);
-        let not_run = head.fields.get("fennelpin-not-executed").is_some() || head.status == 421;
-        if not_run {
-            self.drain(link, &picked.id, &head, stray).await;
+        if refuses(&head) {
             let outcome = match head.status {
                 421 => Outcome::OtherHost,
                 429 | 503 => Outcome::Full,
@@ -416,6 +447,8 @@
             };
             if outcome == Outcome::OtherHost {
                 self.core.pool.borrow_mut().forget(&picked.id);
+            } else {
+                self.drain(link, picked.id.clone(), head, stray);
             }
             picked.out.end(outcome, load);
             return Went::Ended(End::NotRun);
@@ -462,37 +495,44 @@
     }
 
     /// The head of the answer to this request, past answers to others; whether there were any.
-    async fn answer(&mut self, link: &mut Link, watch: &mut Watch) -> Result<(ResponseHead, bool), Stop> {
+    async fn answer(
+        &mut self,
+        link: &mut Link,
+        out: &Out,
+        watch: &mut Watch,
+    ) -> Result<(ResponseHead, bool), Stop> {
         let to_head = self.request.head.method() == b"HEAD";
         let mark = self.request.head.fields.get(MARK).unwrap_or_default();
         for strays in 0..=STRAYS {
-            let head = watch.guard(self, link, async |l: &mut Link| l.head(to_head).await).await?;
+            let head = watch.guard(self, link, out, async |l: &mut Link| l.head(to_head).await).await?;
             match head.fields.get(MARK) {
                 Some(id) if id == mark => return Ok((head, strays > 0)),
-                None if head.status == 421 || head.fields.get("fennelpin-not-executed").is_some() => {
-                    return Ok((head, strays > 0))
-                }
+                // Without an id it can only be ours where nobody was answered on this connection before.
+                None if refuses(&head) && strays == 0 && !link.used => return Ok((head, false)),
                 _ => {}
             }
             self.core.tally.add(|c| c.strays += 1);
-            let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
-            let whole = async |l: &mut Link| l.whole(&mut body, &mut out, WHOLE).await;
-            if !watch.guard(self, link, whole).await? {
+            let (mut body, mut bytes) = (Body::new(head.framing), BytesMut::new());
+            let whole = async |l: &mut Link| l.whole(&mut body, &mut bytes, WHOLE).await;
+            if !watch.guard(self, link, out, whole).await? {
                 break;
             }
         }
         Err(Stop::Lost)
     }
 
-    /// Reads the rest of an answer that isn't passed on, to use the connection again.
-    async fn drain(&self, mut link: Link, id: &str, head: &ResponseHead, stray: bool) {
-        let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
+    /// Reads the rest of an answer that isn't passed on, to use the connection again; the request doesn't wait.
+    fn drain(&self, mut link: Link, id: Arc<str>, head: ResponseHead, stray: bool) {
         if stray || !head.keeps_alive() {
             return;
         }
-        if let Ok(Ok(true)) = timeout(REFUSAL_TIME, link.whole(&mut body, &mut out, REFUSAL)).await {
-            link.keep(self.core, id, head);
-        }
+        let core = self.core.clone();
+        tokio::task::spawn_local(async move {
+            let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
+            if let Ok(Ok(true)) = timeout(REFUSAL_TIME, link.whole(&mut body, &mut out, REFUSAL)).await {
+                link.keep(&core, &id, &head);
+            }
+        });
     }
 
     /// An answer that is read whole before it is passed on, unless it is large.
@@ -505,12 +545,19 @@
         load: Option<Load>,
         mut watch: Watch,
     ) -> Went {
-        picked.out.first();
+        // Quick failures must not make a host look well.
+        if head.status < 400 {
+            picked.out.first();
+        }
+        watch.patience_over();
         let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
         let read = async |l: &mut Link| l.whole(&mut body, &mut out, WHOLE).await;
-        match watch.guard(self, &mut link, read).await {
+        match watch.guard(self, &mut link, &picked.out, read).await {
             Err(stop) => return self.stopped(stop, picked.out),
-            Ok(false) => return self.large(link, picked, head, load, body, out).await,
+            Ok(false) => {
+                picked.out.told(load);
+                return self.large(link, picked, head, stray, body, out).await;
+            }
             Ok(true) => {}
         }
         if !stray {
@@ -552,7 +599,7 @@
         mut link: Link,
         picked: Picked,
         head: ResponseHead,
-        load: Option<Load>,
+        stray: bool,
         mut body: Body,
         start: BytesMut,
     ) -> Went {
@@ -563,16 +610,26 @@
                 return Went::Answered(Done::Cut);
             }
             match timeout_at(self.end() + SLACK, link.piece(&mut body)).await {
-                Ok(Ok(Some(data))) => sent = writer.write(self, &head, &data).await,
+                Ok(Ok(Some(data))) => {
+                    picked.out.heard();
+                    sent = writer.write(self, &head, &data).await;
+                }
                 Ok(Ok(None)) => break,
-                Ok(Err(_)) | Err(_) => {
-                    picked.out.end(Outcome::Broken, load);
+                Ok(Err(_)) => {
+                    self.core.tally.add(|c| c.broken += 1);
+                    picked.out.end(Outcome::Broken, None);
+                    return Went::Answered(Done::Cut);
+                }
+                Err(_) => {
+                    picked.out.end(Outcome::Silent, None);
                     return Went::Answered(Done::Cut);
                 }
             }
         }
-        link.keep(self.core, &picked.id, &head);
-        picked.out.end(if head.status < 400 { Outcome::Done } else { Outcome::Failed }, load);
+        if !stray {
+            link.keep(self.core, &picked.id, &head);
+        }
+        picked.out.end(if head.status < 400 { Outcome::Done } else { Outcome::Failed }, None);
         Went::Answered(writer.finish(self, &head).await)
     }
 
@@ -586,18 +643,22 @@
         load: Option<Load>,
         mut watch: Watch,
     ) -> Went {
+        picked.out.told(load);
         let resumable = self.route.resumable;
+        if self.stage.started() {
+            self.core.tally.add(|c| c.resumed += 1);
+        }
         let mut writer = Writer::new(self, &head);
         let mut splitter = Splitter::new(EVENT);
         let mut body = Body::new(head.framing);
         let mut begun = false;
         loop {
             let next = match begun {
-                false => watch.guard(self, &mut link, async |l: &mut Link| l.piece(&mut body).await).await,
-                true => match timeout_at(self.end() + SLACK, link.piece(&mut body)).await {
-                    Ok(next) => next.map_err(|_| Stop::Lost),
-                    Err(_) => Err(Stop::Late),
-                },
+                false => {
+                    let piece = async |l: &mut Link| l.piece(&mut body).await;
+                    watch.guard(self, &mut link, &picked.out, piece).await
+                }
+                true => self.later_piece(&mut link, &mut body).await,
             };
             let data = match next {
                 Ok(Some(data)) => data,
@@ -621,8 +682,9 @@
             if data.is_empty() {
                 continue;
             }
-            if !begun {
-                begun = true;
+            if std::mem::replace(&mut begun, true) {
+                picked.out.heard();
+            } else {
                 picked.out.first();
             }
             if !writer.write(self, &head, &data).await {
@@ -632,7 +694,7 @@
         if !stray {
             link.keep(self.core, &picked.id, &head);
         }
-        picked.out.end(Outcome::Done, load);
+        picked.out.end(Outcome::Done, None);
         let rest = splitter.rest();
         if !rest.is_empty() && !writer.write(self, &head, &rest).await {
             return Went::Answered(Done::Cut);
@@ -640,6 +702,28 @@
         Went::Answered(writer.finish(self, &head).await)
     }
 
+    /// What comes next of a stream that has begun. One that may go on elsewhere is not waited for until its
+    /// client gives up, unless the host shows itself alive on other connections: there it will go on.
+    async fn later_piece(&mut self, link: &mut Link, body: &mut Body) -> Result<Option<Bytes>, Stop> {
+        let end = self.end() + SLACK;
+        let mut waits = self.route.resumable;
+        loop {
+            let since = Instant::now();
+            let until = if waits { end.min(since + stall(self.route)) } else { end };
+            match timeout_at(until, link.piece(body)).await {
+                Ok(next) => return next.map_err(|_| Stop::Lost),
+                Err(_) if until >= end => return Err(Stop::Late),
+                Err(_) if link.heard_since(since) => {}
+                Err(_) => {
+                    waits = self.trial.may_move(self.core.now());
+                    if let Some(next) = waits.then(|| self.pick().ok()).flatten() {
+                        return Err(Stop::Moved(next));
+                    }
+                }
+            }
+        }
+    }
+
     /// The whole events that have come and are new.
     fn admitted(&mut self, splitter: &mut Splitter) -> Bytes {
         let mut first = Bytes::new();
@@ -711,39 +795,52 @@
 /// Waits for a host: up to the deadline, and where the policy says so until another one is worth asking.
 struct Watch {
     sent: Instant,
-    patience: Option<Duration>,
+    /// Nothing has come yet, and the request may move.
+    waits: bool,
 }
 
 impl Watch {
-    fn new(exchange: &Exchange, picked: &Picked) -> Self {
-        let patience = if exchange.trial.idempotent() { picked.out.patience() } else { None };
-        Self { sent: Instant::now(), patience }
+    fn new(exchange: &Exchange) -> Self {
+        Self { sent: Instant::now(), waits: exchange.trial.idempotent() }
+    }
+
+    /// Something has come.
+    fn patience_over(&mut self) {
+        self.waits = false;
     }
 
     async fn guard<T>(
         &mut self,
         exchange: &mut Exchange<'_>,
         link: &mut Link,
+        out: &Out,
         mut step: impl AsyncFnMut(&mut Link) -> Result<T, Lost>,
     ) -> Result<T, Stop> {
         let end = exchange.end() + SLACK;
         loop {
-            let until = self.patience.map_or(end, |p| end.min(self.sent + p));
+            let now = Instant::now();
+            let over = if self.waits { out.patience().map(|p| self.sent + p) } else { None };
+            if over.is_some_and(|over| over <= now) {
+                self.waits = exchange.trial.may_move(exchange.core.now());
+                if let Some(next) = self.waits.then(|| exchange.pick().ok()).flatten() {
+                    return Err(Stop::Moved(next));
+                }
+            }
+            // Asked again from time to time: others may find the host dark meanwhile, or alive.
+            let look = now + LOOK;
+            let until = match over {
+                Some(over) if self.waits && over > now => over.min(look).min(end),
+                Some(_) if self.waits => look.min(end),
+                _ => end,
+            };
             match timeout_at(until, step(link)).await {
                 Ok(Ok(done)) => return Ok(done),
                 Ok(Err(lost)) => {
                     log::debug!("host: {lost}");
                     return Err(Stop::Lost);
                 }
-                Err(_) if until >= end => return Err(Stop::Late),
-                Err(_) => {
-                    self.patience = None;
-                    if exchange.trial.may_move(exchange.core.now()) {
-                        if let Ok(next) = exchange.pick(true) {
-                            return Err(Stop::Moved(next));
-                        }
-                    }
-                }
+                Err(_) if Instant::now() >= end => return Err(Stop::Late),
+                Err(_) => {}
             }
         }
     }
@@ -760,11 +857,14 @@
     fn new(exchange: &Exchange, head: &ResponseHead) -> Self {
         let old = exchange.request.head.minor == 0;
         let framing = match head.framing {
+            // Where its end can't be told from a cut, neither can ours.
+            Framing::UntilEnd => Framing::UntilEnd,
             _ if exchange.route.resumable && old => Framing::UntilEnd,
             _ if exchange.route.resumable => Framing::Chunked,
             Framing::Chunked if old => Framing::UntilEnd,
             framing => framing,
         };
+        exchange.stage.until_end.set(framing == Framing::UntilEnd);
         Self { framing, close: closes(exchange.core, exchange.request) || framing == Framing::UntilEnd }
     }
 
--- a/crates/trellis/src/lib.rs
+++ b/crates/trellis/src/lib.rs
@@ -3,8 +3,8 @@
 //! [`serve`] has to run inside a `LocalSet`.
 //!
 //! What must hold is decided in parts without I/O: [`attempt`] (whether a request goes out again),
-//! [`events`] (whole events of a stream), [`http1`] (heads and bodies), [`pool`] (connections that stand
-//! idle), [`routes`]. The rest moves bytes.
+//! [`events`] (whole events of a stream), [`pool`] (connections that stand idle), [`routes`]; heads and bodies
+//! by [`windrow`]. The rest moves bytes.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -16,11 +16,11 @@
 mod front;
 mod hints;
 mod hostlink;
-pub mod http1;
 pub mod pool;
 mod readiness;
 pub mod routes;
+mod seats;
 mod serve;
 mod wire;
 
-pub use serve::{serve, Error, World};
+pub use serve::{serve, serve_counted, Error, World};
