--- /dev/null
+++ b/crates/espalier/tests/model/router.rs
@@ -0,0 +1,159 @@
+//! What picks hosts: the policy, or one of two baselines.
+
+use super::Time;
+use espalier::{Ask, Attempt, Choice, HostInfo, Load, Outcome, Policy, ServiceInfo, Settings};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Random;
+
+fn at(t: Time) -> Duration {
+    Duration::from_micros(t)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Policy,
+    /// Any host at random.
+    Random,
+    /// The host with the fewest of this proxy's own requests.
+    LeastLoaded,
+}
+
+pub enum Router {
+    Policy(Box<Policy>),
+    Plain(Plain),
+}
+
+#[derive(Default)]
+pub struct Plain {
+    least: bool,
+    hosts: Vec<HostInfo>,
+    out: HashMap<Arc<str>, u32>,
+    attempts: Vec<Arc<str>>,
+    seed: u64,
+}
+
+pub struct Sent {
+    pub attempt: usize,
+    pub id: Arc<str>,
+    pub priority: u8,
+}
+
+pub const SERVICE: &str = "model";
+
+impl Router {
+    pub fn new(way: Way, number: usize, proxies: usize, memory: u64, now: Time) -> Self {
+        let seed = 1000 + number as u64 + now;
+        if way != Way::Policy {
+            return Self::Plain(Plain { least: way == Way::LeastLoaded, seed, ..Plain::default() });
+        }
+        let mut policy = Policy::new(Settings {
+            zone: format!("z{}", number % 3).into(),
+            retry_ratio: 0.2,
+            retry_window: Duration::from_secs(10),
+            retry_slack: 54.0,
+            drain: Duration::from_secs(2),
+            beat: Duration::from_millis(1200),
+            seed,
+        });
+        let info = ServiceInfo { name: SERVICE.into(), conn_limit: 620, cache_tokens: Some(memory as f64) };
+        policy.set_services(at(now), &[info]);
+        policy.set_coordinators(at(now), proxies);
+        Self::Policy(Box::new(policy))
+    }
+
+    pub fn set_hosts(&mut self, now: Time, hosts: &[HostInfo]) {
+        match self {
+            Self::Policy(p) => p.set_hosts(at(now), hosts),
+            Self::Plain(p) => p.hosts = hosts.to_vec(),
+        }
+    }
+
+    pub fn arrived(&mut self, now: Time) {
+        if let Self::Policy(p) = self {
+            p.arrived(at(now), SERVICE);
+        }
+    }
+
+    pub fn take_repeat(&mut self, now: Time) -> bool {
+        match self {
+            Self::Policy(p) => p.take_repeat(at(now), SERVICE),
+            Self::Plain(_) => true,
+        }
+    }
+
+    pub fn choose(&mut self, now: Time, ask: &Ask) -> Result<Sent, Duration> {
+        match self {
+            Self::Policy(p) => match p.choose(at(now), ask) {
+                Choice::Host { attempt, id, priority, .. } => {
+                    Ok(Sent { attempt: attempt.0, id, priority: priority.unwrap_or(5) })
+                }
+                Choice::None { retry_after } => Err(retry_after),
+            },
+            Self::Plain(p) => p.choose(ask).ok_or(Duration::from_millis(500)),
+        }
+    }
+
+    pub fn first(&mut self, now: Time, attempt: usize, load: Option<Load>) {
+        if let Self::Policy(p) = self {
+            p.first(at(now), Attempt(attempt));
+            if let Some(load) = load {
+                p.told(at(now), Attempt(attempt), load);
+            }
+        }
+    }
+
+    pub fn heard(&mut self, now: Time, attempt: usize) {
+        if let Self::Policy(p) = self {
+            p.heard(at(now), Attempt(attempt));
+        }
+    }
+
+    pub fn ended(&mut self, now: Time, attempt: usize, outcome: Outcome) {
+        match self {
+            Self::Policy(p) => p.ended(at(now), Attempt(attempt), outcome, None),
+            Self::Plain(p) => {
+                let id = p.attempts[attempt].clone();
+                p.out.entry(id).and_modify(|n| *n = n.saturating_sub(1));
+            }
+        }
+    }
+
+    /// The baselines ask another host after a second.
+    pub fn patience(&self, now: Time, attempt: usize) -> Option<Duration> {
+        match self {
+            Self::Policy(p) => p.patience(at(now), Attempt(attempt)),
+            Self::Plain(_) => Some(Duration::from_secs(1)),
+        }
+    }
+
+    pub fn tick(&mut self, now: Time) {
+        if let Self::Policy(p) = self {
+            p.tick(at(now));
+        }
+    }
+}
+
+impl Plain {
+    fn choose(&mut self, ask: &Ask) -> Option<Sent> {
+        let mut fit: Vec<&HostInfo> = self.hosts.iter().filter(|h| !h.draining).collect();
+        fit.retain(|h| !ask.tried.contains(&h.id));
+        if fit.iter().any(|h| !h.silent) {
+            fit.retain(|h| !h.silent);
+        }
+        if self.least {
+            let own = |h: &HostInfo| self.out.get(&h.id).copied().unwrap_or(0);
+            let least = fit.iter().map(|h| own(h)).min()?;
+            fit.retain(|h| own(h) == least);
+        }
+        let mut random = Random(self.seed);
+        let n = random.below(fit.len());
+        let id = fit.get(n)?.id.clone();
+        self.seed = random.next();
+        *self.out.entry(id.clone()).or_default() += 1;
+        self.attempts.push(id.clone());
+        Some(Sent { attempt: self.attempts.len() - 1, id, priority: 2 + 2 * ask.rank as u8 })
+    }
+}
