Policy: a model host counts as idle up to a wait of 600 ms, not 160

Cause: in the queueing model the list ran empty under load; requests then went to hosts drawn at random, which read again what the home keeps, and that load kept the list empty. Change: the wait up to which a model host is listed.

--- a/crates/espalier/src/idle.rs
+++ b/crates/espalier/src/idle.rs
@@ -6,9 +6,9 @@
 use fallow::ENTRY_AGE;
 use std::time::Duration;
 
-/// A model host counts as idle while what it still has to read is below this, in ms: with more, a short
-/// prompt would wait through much of its aim.
-const READING_MS: f64 = 160.0;
+/// A model host counts as idle while a request would wait there for less than this, in ms: about as long as
+/// requests aim at. With less the list runs empty under load, and hosts drawn at random read what homes keep.
+const READING_MS: f64 = 600.0;
 /// Entries that a model host with nothing to read is worth.
 const MODEL_ENTRIES: f64 = 4.0;
 /// A host that came while others were there gets one request at a time for so long.
