Policy: reading again counts three times a wait, not 1.5 times

Cause: what is read again holds up all that runs on the host and is priced besides; in the model a busy home was left too soon.

--- a/crates/espalier/src/choice.rs
+++ b/crates/espalier/src/choice.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// What reading a token again counts over waiting for as long: it holds up all on the host, and is priced.
-const READ_AGAIN: f64 = 1.5;
+const READ_AGAIN: f64 = 3.0;
 /// Costs that differ by less count as equal, in ms: then the home order or the zone decides.
 const EQUAL_MS: f64 = 4.0;
 /// With none listed, hosts are drawn among those within this factor, and so many ms, of the best.
