Policy: the second of a prompt's homes is taken to keep three tenths of its shared parts

Cause: when a home is busy every proxy leaves it for the least loaded host of its own view, so a subject was read at many hosts; the next in the home order is where they can meet without talk. Change: that host's expected reading is smaller by three tenths of the shared parts.

--- a/crates/espalier/src/choice.rs
+++ b/crates/espalier/src/choice.rs
@@ -10,6 +10,9 @@
 
 /// What reading a token again counts over waiting for as long: it holds up all on the host, and is priced.
 const READ_AGAIN: f64 = 3.0;
+/// Share of a prompt's shared parts that its home is taken to keep, and the next in its order: all proxies go
+/// there when the home is busy, but none knows what the others sent.
+const HOMES: [f64; 2] = [1.0, 0.3];
 /// Costs that differ by less count as equal, in ms: then the home order or the zone decides.
 const EQUAL_MS: f64 = 4.0;
 /// With none listed, hosts are drawn among those within this factor, and so many ms, of the best.
@@ -59,16 +62,16 @@
         host.backlog(now) + host.excess(now) + late.max(0.0)
     }
 
-    /// Tokens that a host has to read, by what was sent there; the home keeps the shared parts, as all proxies
-    /// send them there.
-    fn unread(&self, host: &Host, home: bool, ask: &Ask) -> u32 {
+    /// Tokens that a host has to read, by what was sent there; a home keeps the shared parts or some of them, as
+    /// all proxies send them there.
+    fn unread(&self, host: &Host, home: f64, ask: &Ask) -> u32 {
         let all: u32 = ask.parts.iter().map(|p| p.1).fold(0, u32::saturating_add);
         let all = if ask.parts.is_empty() { ask.tokens.0 } else { all };
         let shared = match ask.parts {
-            [shared @ .., _own] if home => shared.iter().map(|p| p.1).fold(0, u32::saturating_add),
-            _ => 0,
+            [shared @ .., _own] => home * f64::from(shared.iter().map(|p| p.1).fold(0, u32::saturating_add)),
+            _ => 0.0,
         };
-        all.saturating_sub(host.kept.prefix(ask.parts).max(shared))
+        all.saturating_sub(host.kept.prefix(ask.parts).max(shared as u32))
     }
 
     fn candidate(
@@ -76,7 +79,7 @@
         now: Duration,
         key: usize,
         service: &Service,
-        home: Option<usize>,
+        homes: &[usize],
         ask: &Ask,
     ) -> Option<Candidate> {
         let host = self.hosts.get(key)?;
@@ -94,7 +97,8 @@
                 tokens: 0,
             });
         }
-        let tokens = self.unread(host, home == Some(key), ask);
+        let home = homes.iter().zip(HOMES).find(|(h, _)| **h == key).map_or(0.0, |(_, share)| share);
+        let tokens = self.unread(host, home, ask);
         let weight = if prompt.is_some() { weight } else { 0 };
         Some(Candidate { key, cost: wait + READ_AGAIN * service.reading(tokens), weight, near, tokens })
     }
@@ -112,20 +116,24 @@
             return Err(UNKNOWN);
         }
         let opens: Vec<(usize, &Host)> = hosts.iter().filter(|(_, h)| open(h)).copied().collect();
-        // The home is the same whatever was tried: it is where others send such prompts.
+        // The homes are the same whatever was tried: they are where others send such prompts.
         let prompt = order::key(ask.parts);
-        let home = prompt.filter(|_| service.model()).and_then(|p| {
-            let well = hosts.iter().filter(|(_, h)| h.usable() && !h.health.out() && !h.info.silent);
-            well.max_by_key(|(_, h)| order::weight(p, h.place)).map(|(k, _)| *k)
-        });
+        let mut homes: Vec<usize> = Vec::new();
+        if let Some(p) = prompt.filter(|_| service.model()) {
+            let well = || hosts.iter().filter(|(_, h)| h.usable() && !h.health.out() && !h.info.silent);
+            for _ in HOMES {
+                let left = well().filter(|(k, _)| !homes.contains(k));
+                homes.extend(left.max_by_key(|(_, h)| order::weight(p, h.place)).map(|(k, _)| *k));
+            }
+        }
         let cost = |keys: &[usize]| -> Vec<Candidate> {
-            keys.iter().filter_map(|k| self.candidate(now, *k, service, home, ask)).collect()
+            keys.iter().filter_map(|k| self.candidate(now, *k, service, &homes, ask)).collect()
         };
 
         let due = opens.iter().filter(|(_, h)| h.health.trial_due(now, h.info.silent));
         if let Some((key, host)) = due.min_by_key(|(_, h)| h.health.back()) {
             let waited = host.health.back().map_or(Duration::ZERO, |b| now.saturating_sub(b));
-            let tokens = self.unread(host, false, ask);
+            let tokens = self.unread(host, 0.0, ask);
             let fits =
                 ask.idempotent && (tokens <= SMALL || waited >= TRIAL_WAIT) || host.health.overdue(now);
             if fits {
