Agents wait for news at one member and look at the others every 700 ms

Cause: an agent kept a waiting pull at each of the three members that it watches, so every change came three times, and each copy was encoded, sent between zones and decoded.

Change: Puller::led. The first member in the order that answers and isn't cut off leads; the others are asked without waiting every 700 ms. A frozen or stale leading member is passed over within that time. Bytes of pulls and answers are counted by the mirror. An agent whose machine has a loopback address of its own listens there, so that several machines can be played on one; the test of an address in use names that address now.

--- a/crates/hedgerow/src/lib.rs
+++ b/crates/hedgerow/src/lib.rs
@@ -52,9 +52,7 @@
     let listener = TcpListener::bind(addr).await.context(ListenSnafu { addr })?;
     let shared = SharedMirror::new(Mirror::new(0, Duration::from_millis(boot.beat_period_ms)));
     let (control, told) = mpsc::unbounded_channel();
-    let mut puller = Puller::new(&boot.node_name, WATCHED, None);
-    puller.set_seeds(&seed_addrs(&boot));
-    let pulling = client::run(puller, no_seat(&boot), caller(&boot, 0), shared.clone(), told);
+    let pulling = client::run(puller(&boot), no_seat(&boot), caller(&boot, 0), shared.clone(), told);
     let watching = watch_settings(settings.as_deref(), seed_addrs(&boot), &mut hangup, &control);
     let serving = async {
         let mut tasks = JoinSet::new();
@@ -84,6 +82,13 @@
     Ok(())
 }
 
+/// Whom an agent pulls from: a few members, one of which tells it the news.
+pub fn puller(boot: &Boot) -> Puller {
+    let mut puller = Puller::new(&boot.node_name, WATCHED, None).led();
+    puller.set_seeds(&seed_addrs(boot));
+    puller
+}
+
 /// Serves the proxy, and reports upward what it has in force.
 async fn feed(stream: TcpStream, shared: std::sync::Arc<SharedMirror>, control: UnboundedSender<Control>) {
     let _ = stream.set_nodelay(true);
--- a/crates/hedgerow/tests/chain.rs
+++ b/crates/hedgerow/tests/chain.rs
@@ -191,7 +191,7 @@
 #[tokio::test]
 async fn an_address_in_use_is_an_error() {
     let (_listener, port) = listen("127.0.0.7").await;
-    let _taken = TcpListener::bind(("127.0.0.1", port + 1)).await.unwrap();
+    let _taken = TcpListener::bind(("127.0.0.9", port + 1)).await.unwrap();
     let ended = hedgerow::run(boot(port, &["127.0.0.7"]), None, std::future::pending()).await;
-    assert!(ended.unwrap_err().to_string().contains(&format!("127.0.0.1:{}", port + 1)));
+    assert!(ended.unwrap_err().to_string().contains(&format!("127.0.0.9:{}", port + 1)));
 }
--- a/crates/scion/src/client.rs
+++ b/crates/scion/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::frames::FrameReader;
 use crate::news::{News, Pull};
-use crate::puller::{Action, Puller, WAIT_MS};
+use crate::puller::{Action, Puller};
 use crate::shared::SharedMirror;
 use graft::{encode, Addr, Caller, Message, Seat};
 use std::collections::HashMap;
@@ -112,15 +112,15 @@
                 Action::Connect { link, addr } => {
                     let (pulls, queue) = mpsc::unbounded_channel();
                     let hello = encode(&Message::Hello { seat: self.hello.clone() });
-                    let events = self.events.clone();
+                    let (events, shared) = (self.events.clone(), self.shared.clone());
                     let task = self.tasks.spawn(async move {
-                        let Err(error) = connection(link, addr, hello, queue, &events).await;
+                        let Err(error) = connection(link, addr, hello, queue, &events, &shared).await;
                         let _ = events.send((link, Event::Failed(error)));
                     });
                     self.connections.insert(link, Connection { task, pulls });
                 }
-                Action::Pull { link } => {
-                    let pull = self.shared.update(|mirror, _| mirror.pull(&self.caller, WAIT_MS));
+                Action::Pull { link, wait_ms } => {
+                    let pull = self.shared.update(|mirror, _| mirror.pull(&self.caller, wait_ms));
                     if let Some(connection) = self.connections.get(&link) {
                         let _ = connection.pulls.send(pull);
                     }
@@ -142,6 +142,7 @@
     hello: Vec<u8>,
     mut pulls: mpsc::UnboundedReceiver<Pull>,
     events: &mpsc::UnboundedSender<(u64, Event)>,
+    shared: &SharedMirror,
 ) -> io::Result<std::convert::Infallible> {
     let over = || io::Error::from(io::ErrorKind::BrokenPipe);
     let stream = TcpStream::connect(SocketAddrV4::from(&addr)).await?;
@@ -149,6 +150,7 @@
     let (read, mut write) = stream.into_split();
     let mut frames = FrameReader::new(read, Vec::new());
     let mut first = Some(hello);
+    let mut counted = 0;
     events.send((link, Event::Connected)).map_err(|_| over())?;
     loop {
         tokio::select! {
@@ -156,8 +158,11 @@
                 let mut frame = first.take().unwrap_or_default();
                 frame.extend(encode(&pull.ok_or_else(over)?.into_message()));
                 write.write_all(&frame).await?;
+                shared.count(frame.len() as u64, 0);
             }
             message = frames.next() => {
+                shared.count(0, frames.received() - counted);
+                counted = frames.received();
                 let message = message?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
                 let Ok(news) = News::from_message(message) else {
                     return Err(io::Error::new(io::ErrorKind::InvalidData, "no news"));
--- a/crates/scion/src/frames.rs
+++ b/crates/scion/src/frames.rs
@@ -8,12 +8,13 @@
 pub struct FrameReader<R> {
     stream: R,
     buffer: Vec<u8>,
+    received: u64,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
     /// Reads from `stream`, after the bytes that `buffer` already holds.
     pub fn new(stream: R, buffer: Vec<u8>) -> Self {
-        Self { stream, buffer }
+        Self { stream, buffer, received: 0 }
     }
 
     /// The next message; `None` at the end of the stream.
@@ -34,7 +35,9 @@
                 Err(e) => return Err(io::Error::new(io::ErrorKind::InvalidData, e.to_string())),
             }
             self.buffer.reserve(4096);
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            let read = self.stream.read_buf(&mut self.buffer).await?;
+            self.received += read as u64;
+            if read == 0 {
                 return if self.buffer.is_empty() {
                     Ok(None)
                 } else {
@@ -44,6 +47,11 @@
         }
     }
 
+    /// Bytes read from the stream so far.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// The stream and the bytes that aren't decoded yet.
     pub fn into_parts(self) -> (R, Vec<u8>) {
         (self.stream, self.buffer)
--- a/crates/scion/src/lib.rs
+++ b/crates/scion/src/lib.rs
@@ -15,10 +15,10 @@
 pub use frames::FrameReader;
 pub use mirror::{Mirror, Snapshot};
 pub use news::{News, Pull};
-pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, STALE_MS, WAIT_MS, WATCHED};
+pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, LOOK, STALE_MS, WAIT_MS, WATCHED};
 pub use rendezvous::{ranked, weight};
 pub use serve::{answer, serve};
-pub use shared::SharedMirror;
+pub use shared::{SharedMirror, Traffic};
 
 use almanac::Boot;
 use graft::{Addr, Caller, Seat};
@@ -46,9 +46,11 @@
     boot.seed_nodes.iter().map(|s| member_addr(boot, s)).collect()
 }
 
-/// Where a machine's agent listens for its proxy.
+/// Where a machine's agent listens for its proxy: on the loopback address; several machines that are played on
+/// one have addresses of their own there.
 pub fn agent_addr(boot: &Boot) -> Addr {
-    Addr { ip: u32::from(Ipv4Addr::LOCALHOST), port: boot.port_range.0.saturating_add(1) }
+    let ip = if boot.ip_addr.is_loopback() { boot.ip_addr } else { Ipv4Addr::LOCALHOST };
+    Addr { ip: u32::from(ip), port: boot.port_range.0.saturating_add(1) }
 }
 
 /// This process as one that pulls; `member` is its identity, or 0 where it is no member.
--- a/crates/scion/src/puller.rs
+++ b/crates/scion/src/puller.rs
@@ -9,6 +9,8 @@
 pub const WATCHED: usize = 3;
 /// How long a pull waits for news, in ms.
 pub const WAIT_MS: u32 = 1000;
+/// How often the members beside the leading one are asked what that one hasn't told.
+pub const LOOK: Duration = Duration::from_millis(700);
 /// How much longer than [`WAIT_MS`] an answer may take.
 pub const ANSWER_SLACK: Duration = Duration::from_millis(700);
 /// How long a connection may take to come up.
@@ -34,6 +36,8 @@
     Pull {
         /// The link.
         link: u64,
+        /// How long its answer may wait for news, in ms.
+        wait_ms: u32,
     },
     /// Close the connection, or give up opening it.
     Close {
@@ -59,12 +63,20 @@
     number: u64,
     phase: Phase,
     backoff: Duration,
+    /// Whether it has answered since it came up.
+    heard: bool,
     dead: bool,
     stale: bool,
     member: u64,
 }
 
-/// Picks the members to pull from and keeps one pull outstanding at each.
+impl Link {
+    fn leads(&self) -> bool {
+        self.heard && !self.dead && !self.stale && matches!(self.phase, Phase::Polling(_) | Phase::Resting(_))
+    }
+}
+
+/// Picks the members to pull from and keeps one pull outstanding at each; see [`Puller::led`] for fewer.
 #[derive(Debug)]
 pub struct Puller {
     name: String,
@@ -72,6 +84,7 @@
     wait: Duration,
     own: Option<Addr>,
     fixed: bool,
+    led: bool,
     seeds: Vec<Addr>,
     learnt: Vec<Addr>,
     order: Vec<Addr>,
@@ -88,6 +101,7 @@
             wait: Duration::from_millis(WAIT_MS.into()),
             own,
             fixed: false,
+            led: false,
             seeds: Vec::new(),
             learnt: Vec::new(),
             order: Vec::new(),
@@ -102,6 +116,27 @@
         self
     }
 
+    /// One that waits for news at one member only, the leading one: the first in its order that answers and
+    /// isn't cut off. The others are asked every [`LOOK`] what the leading one hasn't told yet, so that news come
+    /// once, and a leading one that is frozen or behind holds nobody back for longer.
+    pub fn led(mut self) -> Self {
+        self.led = true;
+        self
+    }
+
+    /// The leading member's address; none where news are waited for at all members.
+    fn leader(&self) -> Option<Addr> {
+        let mut order = self.order.iter().filter(|_| self.led);
+        order.find(|a| self.links.get(a).is_some_and(Link::leads)).copied()
+    }
+
+    fn pull(&mut self, now: Duration, addr: Addr, waits: bool) -> Option<Action> {
+        let wait = if waits { self.wait } else { Duration::ZERO };
+        let link = self.links.get_mut(&addr)?;
+        link.phase = Phase::Polling(now + wait + ANSWER_SLACK);
+        Some(Action::Pull { link: link.number, wait_ms: wait.as_millis() as u32 })
+    }
+
     /// Takes the seeds' addresses, as the settings have them now; [`Puller::tick`] acts on it.
     pub fn set_seeds(&mut self, seeds: &[Addr]) {
         self.seeds = seeds.to_vec();
@@ -130,10 +165,10 @@
 
     /// A connection came up.
     pub fn connected(&mut self, now: Duration, link: u64) -> Vec<Action> {
-        let wait = self.wait;
-        let Some((_, known)) = self.of(link) else { return Vec::new() };
-        known.phase = Phase::Polling(now + wait + ANSWER_SLACK);
-        vec![Action::Pull { link }]
+        let Some((addr, known)) = self.of(link) else { return Vec::new() };
+        known.heard = false;
+        let waits = self.leader().is_none();
+        self.pull(now, addr, waits).into_iter().collect()
     }
 
     /// A connection failed, or ended.
@@ -152,15 +187,25 @@
         age_ms: u32,
         taken: bool,
     ) -> Vec<Action> {
-        let Some((_, known)) = self.of(link) else { return Vec::new() };
+        let Some((addr, known)) = self.of(link) else { return Vec::new() };
         let Phase::Polling(until) = known.phase else { return Vec::new() };
-        (known.dead, known.backoff, known.member) = (false, FIRST_BACKOFF, member);
+        (known.dead, known.heard, known.backoff, known.member) = (false, true, FIRST_BACKOFF, member);
         known.stale = age_ms > STALE_MS;
         let early = now + ANSWER_SLACK + REST < until;
-        known.phase = Phase::Resting(if early && !taken { now + REST } else { now });
+        let rest = if early && !taken { REST } else { Duration::ZERO };
+        known.phase = Phase::Resting(now + rest);
+        if self.leader().is_some_and(|leader| leader != addr) {
+            self.rest(addr, now + LOOK);
+        }
         self.tick(now)
     }
 
+    fn rest(&mut self, addr: Addr, until: Duration) {
+        if let Some(link) = self.links.get_mut(&addr) {
+            link.phase = Phase::Resting(until);
+        }
+    }
+
     fn of(&mut self, number: u64) -> Option<(Addr, &mut Link)> {
         let found =
             self.links.iter_mut().find(|(_, l)| l.number == number && !matches!(l.phase, Phase::Down(_)));
@@ -203,11 +248,15 @@
             }
             keep
         });
+        let (leader, mut due) = (self.leader(), Vec::new());
+        // One that has just come to lead waits for news from now on.
+        let takes_over = |addr, at| Some(addr) == leader && at > now + REST;
         for addr in picked {
             let link = self.links.entry(addr).or_insert(Link {
                 number: 0,
                 phase: Phase::Down(now),
                 backoff: FIRST_BACKOFF,
+                heard: false,
                 dead: false,
                 stale: false,
                 member: 0,
@@ -219,13 +268,14 @@
                     link.phase = Phase::Connecting(now + CONNECT_TIMEOUT);
                     actions.push(Action::Connect { link: link.number, addr });
                 }
-                Phase::Resting(at) if now >= at => {
-                    link.phase = Phase::Polling(now + self.wait + ANSWER_SLACK);
-                    actions.push(Action::Pull { link: link.number });
-                }
+                Phase::Resting(at) if now >= at || takes_over(addr, at) => due.push(addr),
                 _ => {}
             }
         }
+        for addr in due {
+            let waits = leader.is_none_or(|leader| leader == addr);
+            actions.extend(self.pull(now, addr, waits));
+        }
         actions
     }
 
--- a/crates/scion/tests/puller.rs
+++ b/crates/scion/tests/puller.rs
@@ -2,7 +2,7 @@
 
 use graft::Addr;
 use rstest::rstest;
-use scion::{Action, Puller, WATCHED};
+use scion::{Action, Puller, LOOK, WAIT_MS, WATCHED};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -20,13 +20,14 @@
     open: BTreeMap<u64, Addr>,
     pulls: Vec<u64>,
     connects: Vec<Addr>,
+    waits: BTreeMap<u64, u32>,
 }
 
 impl Bench {
     fn new(watched: usize, seeds: &[u32]) -> Self {
         let mut puller = Puller::new("edge-1", watched, Some(addr(99)));
         puller.set_seeds(&seeds.iter().map(|n| addr(*n)).collect::<Vec<_>>());
-        Self { puller, open: BTreeMap::new(), pulls: vec![], connects: vec![] }
+        Self { puller, open: BTreeMap::new(), pulls: vec![], connects: vec![], waits: BTreeMap::new() }
     }
 
     fn act(&mut self, actions: Vec<Action>) {
@@ -36,7 +37,8 @@
                     assert!(self.open.insert(link, addr).is_none(), "a number is used once");
                     self.connects.push(addr);
                 }
-                Action::Pull { link } => {
+                Action::Pull { link, wait_ms } => {
+                    self.waits.insert(link, wait_ms);
                     assert!(self.open.contains_key(&link));
                     assert!(!self.pulls.contains(&link), "one pull at a time");
                     self.pulls.push(link);
@@ -259,3 +261,84 @@
     assert!(bench.puller.answered(ms(1701), old, 1, 0, true).is_empty());
     assert_eq!(bench.puller.alive().count(), 0);
 }
+
+/// A led puller whose three members have answered; the leading one first.
+fn led() -> (Bench, Vec<u32>) {
+    let mut bench = Bench::new(WATCHED, &[1, 2, 3]);
+    bench.puller = Puller::new("edge-1", WATCHED, Some(addr(99))).led();
+    bench.puller.set_seeds(&[addr(1), addr(2), addr(3)]);
+    let mut order: Vec<u32> = bench.up();
+    let waits: Vec<u32> = bench.waits.values().copied().collect();
+    assert_eq!(waits, [WAIT_MS; 3], "until one leads, news are waited for at all");
+    // Whoever answered before the first in the order may have led until then.
+    for _ in 0..2 {
+        for n in order.clone() {
+            if bench.pulls.contains(&bench.link(n)) {
+                bench.answered(10, n, 0, true);
+            }
+        }
+    }
+    assert_eq!(bench.pulls.len(), 1);
+    let leading = *order.iter().find(|n| bench.pulls.contains(&bench.link(**n))).unwrap();
+    order.sort_by_key(|n| *n != leading);
+    (bench, order)
+}
+
+#[test]
+fn a_led_one_waits_for_news_at_one_member_and_looks_at_the_others() {
+    let (mut bench, order) = led();
+    let look = 10 + LOOK.as_millis() as u64;
+    bench.answered(100, order[0], 0, true);
+    assert_eq!(bench.pulls, [bench.link(order[0])], "news come once");
+    bench.tick(look - 1);
+    assert_eq!(bench.pulls.len(), 1);
+    bench.tick(look);
+    assert_eq!(bench.pulls.len(), 3);
+    let waits: Vec<u32> = order.iter().map(|n| bench.waits[&bench.link(*n)]).collect();
+    assert_eq!(waits, [WAIT_MS, 0, 0], "the others are asked what the leading one hasn't told");
+    bench.answered(look + 1, order[1], 0, true);
+    assert_eq!(bench.pulls.len(), 2, "news from one that doesn't lead change nothing");
+}
+
+#[rstest]
+#[case::cut_off(true)]
+#[case::ended(false)]
+fn another_leads_when_the_first_is_cut_off_or_ends(#[case] cut_off: bool) {
+    let (mut bench, order) = led();
+    match cut_off {
+        true => bench.answered(100, order[0], 1501, true),
+        false => bench.failed(100, order[0]),
+    }
+    let waiting = |bench: &Bench| -> Vec<u32> {
+        let pulls = bench.pulls.iter().filter(|l| bench.waits[l] == WAIT_MS);
+        pulls.map(|l| bench.open[l].ip).collect()
+    };
+    let next = waiting(&bench);
+    assert_eq!(next.len(), 1);
+    assert_ne!(next, [order[0]], "at once");
+    // It is back: it is asked, answers that it isn't cut off, and leads again.
+    let back = 100 + LOOK.as_millis() as u64;
+    bench.tick(back);
+    if !cut_off {
+        bench.connected(back, order[0]);
+        assert_eq!(bench.waits[&bench.link(order[0])], 0);
+    }
+    bench.answered(back + 1, order[0], 5, true);
+    assert!(waiting(&bench).contains(&order[0]));
+}
+
+#[test]
+fn a_leading_one_that_is_frozen_holds_nobody_back() {
+    let (mut bench, order) = led();
+    // It answers nothing more; the others are asked all the same, at the latest a look after the last answer.
+    let mut now = 10;
+    for _ in 0..2 {
+        now += LOOK.as_millis() as u64;
+        bench.tick(now);
+        bench.answered(now, order[1], 0, true);
+        bench.answered(now, order[2], 0, true);
+    }
+    bench.tick(1710);
+    assert_eq!(bench.find(order[0]), None, "given up");
+    assert!(bench.pulls.iter().any(|l| bench.waits[l] == WAIT_MS), "another leads");
+}
