News of drains carry what changed, not the whole list

Cause: each change of the ledger sent all hosts that are leaving or gone (kept for 120 s) to every puller: during a roll-out of hosts the bytes grow with the square of its pace.

Change: a mirror keeps what its latest changes did to the drains. A puller whose number is known there gets what was added and what went; else, and first, all of them. Changes are taken only on top of the number they name.

--- a/crates/graft/src/message.rs
+++ b/crates/graft/src/message.rs
@@ -230,10 +230,16 @@
     #[br(parse_with = texts)]
     #[bw(write_with = put_texts)]
     pub limits: Vec<String>,
-    /// All hosts that are leaving or gone.
+    /// Number of the ledger's change that the drains add to; 0 where they are all of them.
+    pub drains_from: u64,
+    /// Hosts that are leaving or gone.
     #[br(parse_with = texts)]
     #[bw(write_with = put_texts)]
     pub drains: Vec<String>,
+    /// Hosts that were leaving or gone and are no longer spoken of.
+    #[br(parse_with = texts)]
+    #[bw(write_with = put_texts)]
+    pub gone_drains: Vec<String>,
 }
 
 /// The control plane as a member sees it.
--- a/crates/scion/src/mirror.rs
+++ b/crates/scion/src/mirror.rs
@@ -10,6 +10,8 @@
 
 /// Documents kept to tell what changed since.
 const HISTORY: usize = 32;
+/// Changes of the drains kept, for each document kept.
+const DRAIN_CHANGES: usize = 8;
 /// How long tombstones and gone records are kept.
 const TOMBSTONE: Duration = Duration::from_secs(60);
 /// How many beat periods a source that is no more keeps its hosts.
@@ -26,6 +28,14 @@
     over: Option<Duration>,
 }
 
+/// What a change of the ledger, or several, did to the drains.
+struct DrainChange {
+    /// Number of the change that it leads to.
+    seq: u64,
+    added: Vec<String>,
+    gone: Vec<String>,
+}
+
 /// One life of a source.
 #[derive(Default)]
 struct Source {
@@ -68,6 +78,10 @@
     /// A change couldn't be applied: the whole configuration is asked for.
     unsure: bool,
     drains: Arc<BTreeSet<String>>,
+    /// The latest changes of the drains, each from where the one before leads to.
+    drain_changes: VecDeque<DrainChange>,
+    /// Number of the ledger's change from which the first of them leads on.
+    drain_floor: u64,
     sources: BTreeMap<(u64, u64), Source>,
     /// Retired sources: life up to which, whose pullers are told.
     retired: BTreeMap<u64, u64>,
@@ -94,6 +108,8 @@
             depth: HISTORY,
             unsure: false,
             drains: Arc::default(),
+            drain_changes: VecDeque::new(),
+            drain_floor: 0,
             sources: BTreeMap::new(),
             retired: BTreeMap::new(),
             buried: BTreeMap::new(),
@@ -160,11 +176,33 @@
         }
         self.ledger = seq;
         self.remember(document);
-        self.drains = Arc::new(drains.into_iter().cloned().collect());
+        let drains: BTreeSet<String> = drains.into_iter().cloned().collect();
+        let added = drains.difference(&self.drains).cloned().collect();
+        let gone = self.drains.difference(&drains).cloned().collect();
+        self.drain_changes.push_back(DrainChange { seq, added, gone });
+        while self.drain_changes.len() > self.depth * DRAIN_CHANGES {
+            self.drain_floor = self.drain_changes.pop_front().map_or(seq, |c| c.seq);
+        }
+        self.drains = Arc::new(drains);
         self.generation += 1;
         true
     }
 
+    /// What became of the drains since the ledger's change `since`: number to add to, those added, those gone.
+    fn drains_since(&self, since: u64) -> (u64, Vec<String>, Vec<String>) {
+        // Between two places that are known here, hosts may have come and gone that aren't.
+        let known = since == self.drain_floor || self.drain_changes.iter().any(|c| c.seq == since);
+        if since == 0 || !known {
+            return (0, self.drains.iter().cloned().collect(), Vec::new());
+        }
+        let later = || self.drain_changes.iter().filter(|c| c.seq > since);
+        let added: BTreeSet<&String> =
+            later().flat_map(|c| &c.added).filter(|d| self.drains.contains(*d)).collect();
+        let gone: BTreeSet<&String> =
+            later().flat_map(|c| &c.gone).filter(|d| !self.drains.contains(*d)).collect();
+        (since, added.into_iter().cloned().collect(), gone.into_iter().cloned().collect())
+    }
+
     fn remember(&mut self, document: Arc<Document>) {
         self.unsure = false;
         if document.version > self.document.version {
@@ -221,6 +259,15 @@
         if news.seq <= self.ledger || news.to < current.version {
             return true;
         }
+        let mut drains: BTreeSet<String> = match news.drains_from {
+            0 => BTreeSet::new(),
+            from if from == self.ledger => (*self.drains).clone(),
+            _ => return false,
+        };
+        drains.extend(news.drains.iter().cloned());
+        for gone in &news.gone_drains {
+            drains.remove(gone);
+        }
         let document = if news.to == current.version {
             Some(current)
         } else {
@@ -240,7 +287,7 @@
             base.patched(&delta).ok().map(Arc::new)
         };
         match document {
-            Some(document) => self.set_ledger(news.seq, document, &news.drains),
+            Some(document) => self.set_ledger(news.seq, document, &drains),
             None => {
                 self.unsure = true;
                 false
@@ -418,7 +465,7 @@
     pub fn news_for(&self, now: Duration, pull: &Pull) -> Option<News> {
         let mut news = self.no_news(now);
         if self.ledger > pull.ledger {
-            news.config = Some(self.config_for(pull.version));
+            news.config = Some(self.config_for(pull.version, pull.ledger));
         }
         if self.fleet.mark > pull.fleet {
             news.fleet = Some(self.fleet.clone());
@@ -452,7 +499,8 @@
         (!news.is_empty()).then_some(news)
     }
 
-    fn config_for(&self, version: u64) -> ConfigNews {
+    fn config_for(&self, version: u64, ledger: u64) -> ConfigNews {
+        let (drains_from, drains, gone_drains) = self.drains_since(ledger);
         let newest = &self.document;
         let none = Document::default();
         let base = self.history.iter().find(|d| d.version == version).map_or(&none, |d| d);
@@ -466,7 +514,9 @@
             gone_routes: delta.gone_routes,
             gone_services: delta.gone_services,
             limits: delta.limits.into_iter().collect(),
-            drains: self.drains.iter().cloned().collect(),
+            drains_from,
+            drains,
+            gone_drains,
         }
     }
 
--- a/crates/scion/tests/mirror.rs
+++ b/crates/scion/tests/mirror.rs
@@ -102,6 +102,73 @@
     assert!(agent.view().drains.contains("i"));
 }
 
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|n| (*n).to_owned()).collect()
+}
+
+#[test]
+fn of_drains_only_what_changed_is_told() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.set_ledger(1, document(2), &names(&["a", "b", "c"]));
+    let config = follow(&mut agent, &member, ms(0)).unwrap().config.unwrap();
+    assert_eq!((config.drains_from, config.drains), (0, names(&["a", "b", "c"])));
+    member.set_ledger(2, document(2), &names(&["a", "b", "c", "d"]));
+    member.set_ledger(3, document(2), &names(&["b", "c", "d", "e"]));
+    let config = follow(&mut agent, &member, ms(0)).unwrap().config.unwrap();
+    assert_eq!(config.drains_from, 1);
+    assert_eq!((config.drains, config.gone_drains), (names(&["d", "e"]), names(&["a"])));
+    assert_eq!(agent.view().drains, member.view().drains);
+    member.set_ledger(4, document(5), &names(&["b", "c", "d", "e"]));
+    let config = follow(&mut agent, &member, ms(0)).unwrap().config.unwrap();
+    assert_eq!((config.drains, config.gone_drains), (names(&[]), names(&[])), "a configuration alone");
+    assert_eq!(agent.view().drains.len(), 4);
+}
+
+#[test]
+fn who_is_at_a_change_that_was_jumped_over_here_gets_all_drains() {
+    let (mut far, mut near, mut agent) = (mirror(1), mirror(2), mirror(0));
+    far.set_ledger(1, document(2), &names(&["a"]));
+    follow(&mut near, &far, ms(0));
+    far.set_ledger(2, document(2), &names(&["a", "b"]));
+    follow(&mut agent, &far, ms(0));
+    far.set_ledger(3, document(2), &names(&["c"]));
+    follow(&mut near, &far, ms(0));
+    let config = follow(&mut agent, &near, ms(0)).unwrap().config.unwrap();
+    assert_eq!(config.drains_from, 0, "that b came and went isn't known there");
+    assert_eq!(agent.view().drains, far.view().drains);
+}
+
+#[test]
+fn changes_of_drains_are_taken_on_top_of_what_they_add_to_only() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.set_ledger(1, document(2), &names(&["a"]));
+    follow(&mut agent, &member, ms(0));
+    let asked = pull(&agent);
+    member.set_ledger(2, document(2), &names(&["b"]));
+    follow(&mut agent, &member, ms(0));
+    // The answer to the earlier pull comes late.
+    member.set_ledger(3, document(2), &names(&["b", "c"]));
+    let late = member.news_for(ms(0), &asked).unwrap();
+    assert_eq!(late.config.as_ref().unwrap().drains_from, 1);
+    assert!(!agent.apply(ms(0), &late));
+    assert_eq!(agent.ledger(), 2);
+    follow(&mut agent, &member, ms(0));
+    assert_eq!(agent.view().drains, member.view().drains);
+}
+
+#[test]
+fn who_is_far_behind_gets_all_drains() {
+    let (mut member, mut agent) = (mirror(1), mirror(0));
+    member.set_ledger(1, document(2), &names(&["a"]));
+    follow(&mut agent, &member, ms(0));
+    for seq in 2..1000 {
+        member.set_ledger(seq, document(2), &[format!("i-{seq}")]);
+    }
+    let config = follow(&mut agent, &member, ms(0)).unwrap().config.unwrap();
+    assert_eq!((config.drains_from, config.drains), (0, names(&["i-999"])));
+    assert_eq!(agent.view().drains, member.view().drains);
+}
+
 #[test]
 fn drains_come_before_any_configuration() {
     let (mut member, mut agent) = (mirror(1), mirror(0));
