News come in batches, slow answers are waited for, merged views are made on demand

In a trial of the scale run with 100 coordinators, 1,500 routes and 744 hosts not all had the first configuration after 120 s: an answer of 345 KB had to come whole within 0.7 s of its wait's end, and was given up and asked for again.

Change: after news a puller pauses 1 ms for each coordinator that pulls, 200 ms at most, so that what comes meanwhile comes together. An answer of which bytes still come is waited for; what has come is taken before what hasn't come is given up. A shared mirror makes its merged view only where somebody looks at it. The scale run spreads its hollow coordinators over four threads, and its operator waits longer for large bodies.

Measured: tests of scion (54, 5 of them new), hedgerow (5), rootstock (65) pass.

--- a/crates/scion/src/client.rs
+++ b/crates/scion/src/client.rs
@@ -1,6 +1,6 @@
 //! The side that pulls: runs a [`Puller`] over TCP and feeds a [`SharedMirror`].
 
-use crate::frames::FrameReader;
+use crate::frames::{FrameReader, Step};
 use crate::news::{News, Pull};
 use crate::puller::{Action, Puller};
 use crate::shared::SharedMirror;
@@ -27,6 +27,8 @@
 
 enum Event {
     Connected,
+    /// Some bytes of an answer came.
+    Part,
     News(Box<News>),
     Failed(io::Error),
 }
@@ -60,10 +62,16 @@
         Client { hello, shared: shared.clone(), connections: HashMap::new(), tasks, events, caller };
     let mut fleet = 0;
     loop {
-        let (mirror_next, learnt) = shared.update(|mirror, _| {
+        // What has come counts before what hasn't come in time.
+        while let Ok((link, event)) = incoming.try_recv() {
+            let actions = client.take(&mut puller, link, event);
+            client.act(actions);
+        }
+        let (mirror_next, learnt, coordinators) = shared.update(|mirror, _| {
             let learnt = (mirror.fleet().mark != fleet).then(|| mirror.fleet().clone());
-            (mirror.next_tick(), learnt)
+            (mirror.next_tick(), learnt, mirror.coordinators())
         });
+        puller.set_coordinators(coordinators);
         if let Some(learnt) = learnt {
             fleet = learnt.mark;
             puller.set_members(learnt.members.iter().map(|s| s.addr));
@@ -94,6 +102,10 @@
         let now = self.shared.now();
         match event {
             Event::Connected => puller.connected(now, link),
+            Event::Part => {
+                puller.part(now, link);
+                Vec::new()
+            }
             Event::Failed(error) => {
                 log::debug!("link {link}: {error}");
                 self.connections.remove(&link);
@@ -160,11 +172,18 @@
                 write.write_all(&frame).await?;
                 shared.count(frame.len() as u64, 0);
             }
-            message = frames.next() => {
+            step = frames.step() => {
                 shared.count(0, frames.received() - counted);
                 counted = frames.received();
-                let message = message?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
-                let Ok(news) = News::from_message(message) else {
+                let message = match step? {
+                    Step::Message(message) => message,
+                    Step::Part => {
+                        events.send((link, Event::Part)).map_err(|_| over())?;
+                        continue;
+                    }
+                    Step::End => return Err(io::ErrorKind::UnexpectedEof.into()),
+                };
+                let Ok(news) = News::from_message(*message) else {
                     return Err(io::Error::new(io::ErrorKind::InvalidData, "no news"));
                 };
                 events.send((link, Event::News(Box::new(news)))).map_err(|_| over())?;
--- a/crates/scion/src/lib.rs
+++ b/crates/scion/src/lib.rs
@@ -12,10 +12,10 @@
 mod serve;
 mod shared;
 
-pub use frames::FrameReader;
+pub use frames::{FrameReader, Step};
 pub use mirror::{Mirror, Snapshot};
 pub use news::{News, Pull};
-pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, LOOK, STALE_MS, WAIT_MS, WATCHED};
+pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, LOOK, PACE, STALE_MS, WAIT_MS, WATCHED};
 pub use rendezvous::{ranked, weight};
 pub use serve::{answer, serve};
 pub use shared::{SharedMirror, Traffic};
--- a/crates/scion/src/mirror.rs
+++ b/crates/scion/src/mirror.rs
@@ -151,6 +151,13 @@
         &self.fleet
     }
 
+    /// About how many coordinators pull now, by number alone: each is counted by as many members as it pulls from.
+    pub fn coordinators(&self) -> usize {
+        let live = || self.sources.values().filter(|s| s.closing.is_none());
+        let told: usize = live().map(|s| s.coordinators.len()).sum();
+        told / live().count().clamp(1, crate::WATCHED)
+    }
+
     /// Since when, at most, this process may have missed what the primary acknowledged, in ms.
     pub fn age_ms(&self, now: Duration) -> u32 {
         match self.fresh {
--- a/crates/scion/src/puller.rs
+++ b/crates/scion/src/puller.rs
@@ -11,6 +11,9 @@
 pub const WAIT_MS: u32 = 1000;
 /// How often the members beside the leading one are asked what that one hasn't told.
 pub const LOOK: Duration = Duration::from_millis(700);
+/// Pause after news for each coordinator that pulls, and the longest: what comes meanwhile comes together, so that
+/// the members' work grows as the coordinators and not as these times what changes.
+pub const PACE: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(200));
 /// How much longer than [`WAIT_MS`] an answer may take.
 pub const ANSWER_SLACK: Duration = Duration::from_millis(700);
 /// How long a connection may take to come up.
@@ -85,6 +88,7 @@
     own: Option<Addr>,
     fixed: bool,
     led: bool,
+    pace: Duration,
     seeds: Vec<Addr>,
     learnt: Vec<Addr>,
     order: Vec<Addr>,
@@ -102,6 +106,7 @@
             own,
             fixed: false,
             led: false,
+            pace: Duration::ZERO,
             seeds: Vec::new(),
             learnt: Vec::new(),
             order: Vec::new(),
@@ -124,6 +129,23 @@
         self
     }
 
+    /// Takes how many coordinators pull now.
+    pub fn set_coordinators(&mut self, coordinators: usize) {
+        if !self.fixed {
+            let coordinators = u32::try_from(coordinators).unwrap_or(u32::MAX);
+            self.pace = PACE.0.saturating_mul(coordinators).min(PACE.1);
+        }
+    }
+
+    /// Some bytes of an answer came: who is slow isn't silent.
+    pub fn part(&mut self, now: Duration, link: u64) {
+        if let Some((_, known)) = self.of(link) {
+            if let Phase::Polling(until) = &mut known.phase {
+                *until = (*until).max(now + ANSWER_SLACK);
+            }
+        }
+    }
+
     /// The leading member's address; none where news are waited for at all members.
     fn leader(&self) -> Option<Addr> {
         let mut order = self.order.iter().filter(|_| self.led);
@@ -187,13 +209,21 @@
         age_ms: u32,
         taken: bool,
     ) -> Vec<Action> {
+        let pace = self.pace;
         let Some((addr, known)) = self.of(link) else { return Vec::new() };
         let Phase::Polling(until) = known.phase else { return Vec::new() };
         (known.dead, known.heard, known.backoff, known.member) = (false, true, FIRST_BACKOFF, member);
         known.stale = age_ms > STALE_MS;
         let early = now + ANSWER_SLACK + REST < until;
-        let rest = if early && !taken { REST } else { Duration::ZERO };
-        known.phase = Phase::Resting(now + rest);
+        known.phase = Phase::Resting(
+            now + if early && !taken {
+                REST.max(pace)
+            } else if taken {
+                pace
+            } else {
+                Duration::ZERO
+            },
+        );
         if self.leader().is_some_and(|leader| leader != addr) {
             self.rest(addr, now + LOOK);
         }
@@ -250,7 +280,7 @@
         });
         let (leader, mut due) = (self.leader(), Vec::new());
         // One that has just come to lead waits for news from now on.
-        let takes_over = |addr, at| Some(addr) == leader && at > now + REST;
+        let takes_over = |addr, at| Some(addr) == leader && at > now + REST.max(self.pace);
         for addr in picked {
             let link = self.links.entry(addr).or_insert(Link {
                 number: 0,
--- a/crates/scion/src/serve.rs
+++ b/crates/scion/src/serve.rs
@@ -19,7 +19,7 @@
 
 /// The answer to a pull: at once where there are news, else when there are, or empty after the pull's wait.
 pub async fn answer(shared: &SharedMirror, pull: &Pull) -> News {
-    let mut changes = shared.subscribe();
+    let mut changes = shared.changes();
     let until = Instant::now() + Duration::from_millis(pull.wait_ms.into()).min(LONGEST_WAIT);
     loop {
         changes.borrow_and_update();
--- a/crates/scion/src/shared.rs
+++ b/crates/scion/src/shared.rs
@@ -16,10 +16,17 @@
     pub received: u64,
 }
 
+struct State {
+    mirror: Mirror,
+    /// Generation that the latest snapshot shows.
+    shown: u64,
+}
+
 /// A [`Mirror`] whose changes are published.
 pub struct SharedMirror {
-    mirror: Mutex<Mirror>,
+    state: Mutex<State>,
     origin: Instant,
+    changes: watch::Sender<u64>,
     snapshots: watch::Sender<Arc<Snapshot>>,
     sent: AtomicU64,
     received: AtomicU64,
@@ -33,9 +40,11 @@
 
     /// Shares a mirror whose times are counted from `origin`.
     pub fn since(mirror: Mirror, origin: Instant) -> Arc<Self> {
-        let snapshots = watch::Sender::new(Arc::new(mirror.view()));
+        let shown = mirror.generation();
+        let (changes, snapshots) = (watch::Sender::new(shown), watch::Sender::new(Arc::new(mirror.view())));
+        let state = Mutex::new(State { mirror, shown });
         let (sent, received) = Default::default();
-        Arc::new(Self { mirror: Mutex::new(mirror), origin, snapshots, sent, received })
+        Arc::new(Self { state, origin, changes, snapshots, sent, received })
     }
 
     /// The time since the origin.
@@ -50,15 +59,36 @@
 
     /// Reads or changes the mirror; a change is published.
     pub fn update<R>(&self, change: impl FnOnce(&mut Mirror, Duration) -> R) -> R {
-        let mut mirror = self.mirror.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = mirror.generation();
-        let result = change(&mut mirror, self.now());
-        if mirror.generation() != before {
-            self.snapshots.send_replace(Arc::new(mirror.view()));
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = state.mirror.generation();
+        let result = change(&mut state.mirror, self.now());
+        let after = state.mirror.generation();
+        if after != before {
+            // The merged truth costs as much as all hosts together: only where somebody looks at each.
+            if self.snapshots.receiver_count() > 0 {
+                self.show(&mut state);
+            }
+            self.changes.send_replace(after);
         }
         result
     }
 
+    fn show(&self, state: &mut State) {
+        if state.shown != state.mirror.generation() {
+            state.shown = state.mirror.generation();
+            self.snapshots.send_replace(Arc::new(state.mirror.view()));
+        }
+    }
+
+    fn up_to_date(&self) {
+        self.show(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// The mirror's generation, as it rises.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
     /// Bytes that the pulls for this mirror have cost since its start.
     pub fn traffic(&self) -> Traffic {
         let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
@@ -72,11 +102,14 @@
 
     /// Each view as it comes; the one of now at once.
     pub fn subscribe(&self) -> watch::Receiver<Arc<Snapshot>> {
-        self.snapshots.subscribe()
+        let views = self.snapshots.subscribe();
+        self.up_to_date();
+        views
     }
 
     /// The view of now.
     pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.up_to_date();
         self.snapshots.borrow().clone()
     }
 }
--- a/crates/scion/tests/mirror.rs
+++ b/crates/scion/tests/mirror.rs
@@ -453,3 +453,15 @@
     assert_eq!(member.host_elsewhere(1, "a").unwrap().call_seq, 6);
     assert!(member.host_elsewhere(1, "b").is_none());
 }
+
+#[test]
+fn coordinators_are_counted_once_though_several_members_tell_of_them() {
+    let mut agent = mirror(0);
+    assert_eq!(agent.coordinators(), 0);
+    for id in 1..=5 {
+        let mut told = source(id, 1, 1, true, vec![]);
+        told.coordinators = (0..6).map(|n| coordinator(&format!("edge-{id}-{n}"), false)).collect();
+        agent.apply(ms(0), &news(vec![told]));
+    }
+    assert_eq!(agent.coordinators(), 10, "five members, three of which each pulls from");
+}
--- a/crates/scion/tests/puller.rs
+++ b/crates/scion/tests/puller.rs
@@ -2,7 +2,7 @@
 
 use graft::Addr;
 use rstest::rstest;
-use scion::{Action, Puller, LOOK, WAIT_MS, WATCHED};
+use scion::{Action, Puller, LOOK, PACE, WAIT_MS, WATCHED};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -342,3 +342,37 @@
     assert_eq!(bench.find(order[0]), None, "given up");
     assert!(bench.pulls.iter().any(|l| bench.waits[l] == WAIT_MS), "another leads");
 }
+
+#[rstest]
+#[case::few(7, 7)]
+#[case::many(100, 100)]
+#[case::the_longest(1000, PACE.1.as_millis() as u64)]
+fn after_news_it_pauses_for_each_coordinator(#[case] coordinators: usize, #[case] pause: u64) {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.puller.set_coordinators(coordinators);
+    bench.up();
+    bench.answered(10, 1, 0, true);
+    assert!(bench.pulls.is_empty());
+    bench.tick(10 + pause - 1);
+    assert!(bench.pulls.is_empty());
+    bench.tick(10 + pause);
+    assert_eq!(bench.pulls.len(), 1);
+    bench.answered(10 + pause + 1000, 1, 0, false);
+    assert_eq!(bench.pulls.len(), 1, "after a wait that is over it asks at once");
+}
+
+#[test]
+fn an_answer_that_is_still_coming_is_waited_for() {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.up();
+    let link = bench.link(1);
+    for now in [1000, 1600, 2200] {
+        bench.puller.part(ms(now), link);
+        bench.tick(now + 600);
+        assert!(bench.find(1).is_some(), "at {now}");
+    }
+    bench.tick(2899);
+    assert!(bench.find(1).is_some());
+    bench.tick(2900);
+    assert!(bench.find(1).is_none(), "nothing more came");
+}
--- a/crates/threshing/src/coordinators.rs
+++ b/crates/threshing/src/coordinators.rs
@@ -43,7 +43,7 @@
 fn start(number: usize, log: &Log, boot: &Boot, puller: Puller) -> Running {
     let shared = SharedMirror::new(Mirror::new(0, std::time::Duration::from_millis(boot.beat_period_ms)));
     let (control, told) = unbounded_channel();
-    let mut views = shared.subscribe();
+    let (mut changes, seen) = (shared.changes(), shared.clone());
     {
         let mut all = log.lock().unwrap_or_else(PoisonError::into_inner);
         all[number].since = Some(Instant::now());
@@ -53,14 +53,15 @@
     let watching = async move {
         let mut version = 0;
         loop {
-            let now = views.borrow_and_update().document.version;
+            changes.borrow_and_update();
+            let now = seen.update(|mirror, _| mirror.document().version);
             if now > version {
                 version = now;
                 let mut all = log.lock().unwrap_or_else(PoisonError::into_inner);
                 all[number].versions.push((now, Instant::now()));
                 let _ = in_force.send(client::Control::Version(now));
             }
-            if views.changed().await.is_err() {
+            if changes.changed().await.is_err() {
                 return;
             }
         }
--- a/crates/threshing/src/operator.rs
+++ b/crates/threshing/src/operator.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, sleep_until, timeout};
 
-/// How long the operator waits for an answer before it asks another member.
-const WAIT: Duration = Duration::from_secs(1);
+/// How long the operator waits for an answer before it asks another member, and how much longer for each KB.
+const WAIT: (Duration, Duration) = (Duration::from_secs(1), Duration::from_millis(10));
 
 /// A change that was acknowledged.
 #[derive(Clone, Copy, Debug)]
@@ -49,7 +49,8 @@
                 let controls = controls.lock().unwrap_or_else(PoisonError::into_inner);
                 controls[next % controls.len()]
             };
-            match timeout(WAIT, connection.call(to, path, &headers, body.as_bytes())).await {
+            let wait = WAIT.0 + WAIT.1 * (body.len() / 1024) as u32;
+            match timeout(wait, connection.call(to, path, &headers, body.as_bytes())).await {
                 Ok(Ok(answer)) if answer.status == 200 => break,
                 Ok(Ok(answer)) if answer.status < 500 => {
                     log::error!(status = answer.status, body:% = String::from_utf8_lossy(&answer.body); "refused");
--- a/crates/threshing/src/run.rs
+++ b/crates/threshing/src/run.rs
@@ -14,6 +14,8 @@
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::time::sleep;
 
+/// Threads that the hollow coordinators share.
+const THREADS: usize = 4;
 /// Longest wait for all to have the first configuration.
 const START: Duration = Duration::from_secs(120);
 /// After the last change, the time that it is given to be in force everywhere.
@@ -49,7 +51,7 @@
     tally: Arc<Mutex<hosts::Tally>>,
     acked: Arc<Mutex<Vec<Acked>>>,
     hosts: UnboundedSender<hosts::Order>,
-    coordinators: UnboundedSender<coordinators::Order>,
+    coordinators: Vec<UnboundedSender<coordinators::Order>>,
 }
 
 struct Sample {
@@ -94,10 +96,11 @@
         let (plan, controls, tally) = (plan.clone(), controls.clone(), tally.clone());
         thread("hosts", move |told| hosts::play(plan, controls, tally, told))?
     };
-    let coordinators = {
+    let mut coordinators = Vec::new();
+    for _ in 0..THREADS {
         let (plan, log) = (plan.clone(), log.clone());
-        thread("coordinators", move |told| coordinators::play(plan, log, told))?
-    };
+        coordinators.push(thread("coordinators", move |told| coordinators::play(plan, log, told))?);
+    }
     let (members, agents) = Default::default();
     let mut troupe = Troupe { plan, members, agents, controls, log, tally, acked, hosts, coordinators };
     for n in 0..troupe.plan.members {
@@ -111,7 +114,7 @@
     }
     // The threads end with the troupe.
     let all: Vec<usize> = (0..troupe.plan.coordinators + troupe.plan.agents).collect();
-    let _ = troupe.coordinators.send(coordinators::Order::Start(all));
+    troupe.order(all, coordinators::Order::Start);
     let _ = troupe.hosts.send(hosts::Order::Start((0..troupe.plan.hosts).collect()));
     let operator = operator::play(troupe.plan.clone(), troupe.controls.clone(), troupe.acked.clone());
     tokio::select! {
@@ -129,6 +132,15 @@
         Ok(())
     }
 
+    /// Each hollow coordinator stays on one thread.
+    fn order(&self, numbers: Vec<usize>, order: impl Fn(Vec<usize>) -> coordinators::Order) {
+        for (thread, orders) in self.coordinators.iter().enumerate() {
+            let own = numbers.iter().copied().filter(|n| n % self.coordinators.len() == thread);
+            // The thread ends with this.
+            let _ = orders.send(order(own.collect()));
+        }
+    }
+
     async fn phases(&mut self, told: &mut impl FnMut(&Row)) -> Result<Vec<Row>, Failure> {
         let mut rows = Vec::new();
         let length = self.plan.phase;
@@ -163,7 +175,7 @@
         for n in &lost {
             self.members.remove(n);
         }
-        let _ = self.coordinators.send(coordinators::Order::Stop(edge.clone()));
+        self.order(edge.clone(), coordinators::Order::Stop);
         let _ = self.hosts.send(hosts::Order::Crash(there.clone()));
         self.pass(length).await;
         end(self.row("zone lost", &before));
@@ -172,7 +184,7 @@
         for n in lost {
             self.member(n, false)?;
         }
-        let _ = self.coordinators.send(coordinators::Order::Start(edge));
+        self.order(edge, coordinators::Order::Start);
         let _ = self.hosts.send(hosts::Order::Start(there));
         self.pass(length).await;
         end(self.row("zone back", &before));
