--- a/crates/scion/src/client.rs
+++ b/crates/scion/src/client.rs
@@ -1,8 +1,8 @@
 //! The side that pulls: runs a [`Puller`] over TCP and feeds a [`SharedMirror`].
 
-use crate::frames::FrameReader;
+use crate::frames::{FrameReader, Step};
 use crate::news::{News, Pull};
-use crate::puller::{Action, Puller, WAIT_MS};
+use crate::puller::{Action, Puller};
 use crate::shared::SharedMirror;
 use graft::{encode, Addr, Caller, Message, Seat};
 use std::collections::HashMap;
@@ -27,6 +27,8 @@
 
 enum Event {
     Connected,
+    /// Some bytes of an answer came.
+    Part,
     News(Box<News>),
     Failed(io::Error),
 }
@@ -60,10 +62,16 @@
         Client { hello, shared: shared.clone(), connections: HashMap::new(), tasks, events, caller };
     let mut fleet = 0;
     loop {
-        let (mirror_next, learnt) = shared.update(|mirror, _| {
+        // What has come counts before what hasn't come in time.
+        while let Ok((link, event)) = incoming.try_recv() {
+            let actions = client.take(&mut puller, link, event);
+            client.act(actions);
+        }
+        let (mirror_next, learnt, coordinators) = shared.update(|mirror, _| {
             let learnt = (mirror.fleet().mark != fleet).then(|| mirror.fleet().clone());
-            (mirror.next_tick(), learnt)
+            (mirror.next_tick(), learnt, mirror.coordinators())
         });
+        puller.set_coordinators(coordinators);
         if let Some(learnt) = learnt {
             fleet = learnt.mark;
             puller.set_members(learnt.members.iter().map(|s| s.addr));
@@ -94,6 +102,10 @@
         let now = self.shared.now();
         match event {
             Event::Connected => puller.connected(now, link),
+            Event::Part => {
+                puller.part(now, link);
+                Vec::new()
+            }
             Event::Failed(error) => {
                 log::debug!("link {link}: {error}");
                 self.connections.remove(&link);
@@ -112,15 +124,15 @@
                 Action::Connect { link, addr } => {
                     let (pulls, queue) = mpsc::unbounded_channel();
                     let hello = encode(&Message::Hello { seat: self.hello.clone() });
-                    let events = self.events.clone();
+                    let (events, shared) = (self.events.clone(), self.shared.clone());
                     let task = self.tasks.spawn(async move {
-                        let Err(error) = connection(link, addr, hello, queue, &events).await;
+                        let Err(error) = connection(link, addr, hello, queue, &events, &shared).await;
                         let _ = events.send((link, Event::Failed(error)));
                     });
                     self.connections.insert(link, Connection { task, pulls });
                 }
-                Action::Pull { link } => {
-                    let pull = self.shared.update(|mirror, _| mirror.pull(&self.caller, WAIT_MS));
+                Action::Pull { link, wait_ms } => {
+                    let pull = self.shared.update(|mirror, _| mirror.pull(&self.caller, wait_ms));
                     if let Some(connection) = self.connections.get(&link) {
                         let _ = connection.pulls.send(pull);
                     }
@@ -142,6 +154,7 @@
     hello: Vec<u8>,
     mut pulls: mpsc::UnboundedReceiver<Pull>,
     events: &mpsc::UnboundedSender<(u64, Event)>,
+    shared: &SharedMirror,
 ) -> io::Result<std::convert::Infallible> {
     let over = || io::Error::from(io::ErrorKind::BrokenPipe);
     let stream = TcpStream::connect(SocketAddrV4::from(&addr)).await?;
@@ -149,6 +162,7 @@
     let (read, mut write) = stream.into_split();
     let mut frames = FrameReader::new(read, Vec::new());
     let mut first = Some(hello);
+    let mut counted = 0;
     events.send((link, Event::Connected)).map_err(|_| over())?;
     loop {
         tokio::select! {
@@ -156,10 +170,20 @@
                 let mut frame = first.take().unwrap_or_default();
                 frame.extend(encode(&pull.ok_or_else(over)?.into_message()));
                 write.write_all(&frame).await?;
+                shared.count(frame.len() as u64, 0);
             }
-            message = frames.next() => {
-                let message = message?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
-                let Ok(news) = News::from_message(message) else {
+            step = frames.step() => {
+                shared.count(0, frames.received() - counted);
+                counted = frames.received();
+                let message = match step? {
+                    Step::Message(message) => message,
+                    Step::Part => {
+                        events.send((link, Event::Part)).map_err(|_| over())?;
+                        continue;
+                    }
+                    Step::End => return Err(io::ErrorKind::UnexpectedEof.into()),
+                };
+                let Ok(news) = News::from_message(*message) else {
                     return Err(io::Error::new(io::ErrorKind::InvalidData, "no news"));
                 };
                 events.send((link, Event::News(Box::new(news)))).map_err(|_| over())?;
