--- a/crates/furrow/tests/losses.rs
+++ b/crates/furrow/tests/losses.rs
@@ -431,3 +431,21 @@
         }
     }
 }
+
+/// A rewrite that found no room, then ones whose names may not last: whatever a loss of power leaves of the names,
+/// the file under the name is a whole one.
+#[test]
+fn rewrites_that_fail_one_after_the_other() {
+    let disk = Simulated::new();
+    let (mut ledger, _) = open(&disk);
+    ledger.append(&slices(&["a", "b"])).unwrap();
+    disk.set_faults(Faults { room: Some(0), ..Faults::default() });
+    ledger.rewrite(&slices(&["ab"])).unwrap_err();
+    disk.set_faults(Faults { fails_sync_names: true, ..Faults::default() });
+    ledger.rewrite(&slices(&["ab"])).unwrap_err();
+    ledger.append(&slices(&["c"])).unwrap_err();
+    let may_be = [owned(&["a", "b"]), owned(&["ab"])];
+    for left in disk.after_power_loss() {
+        check(&left, &may_be, "power lost");
+    }
+}
