furrow: inspect and verify tell operators what a file holds, and write nothing

Cause: an operator has to decide what becomes of a damaged file, and needs to see it record by record. Change: inspect, verify with reports to print; torn and damaged are told apart by one piece of code that the opening uses too.

--- a/crates/furrow/src/file.rs
+++ b/crates/furrow/src/file.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use crate::format::{self, Piece, Pieces, HEADER, MAX_BATCH, MAX_RECORD, RECORD_HEAD, VERSION};
+use crate::report::{Judge, Shape};
 use crate::{Disk, DiskFile, Error, Folder};
 
 /// A file is never rewritten below this length, in bytes.
@@ -262,7 +263,7 @@
 }
 
 /// The name that a rewritten file has until it is whole.
-fn fresh(name: &str) -> String {
+pub(crate) fn fresh(name: &str) -> String {
     format!("{name}.new")
 }
 
@@ -296,23 +297,20 @@
         }
         _ => return Err(Error::Header { name: name.to_owned() }),
     }
-    let (mut gap, mut last) = (None, HEADER as u64);
+    let mut judge = Judge::default();
     while let Some(piece) = pieces.next_piece().map_err(failed)? {
-        match (piece, gap) {
-            (Piece::Record { batch, body, .. }, None) => {
-                last = batch;
-                records.push(body);
-            }
-            (Piece::Record { offset: whole_at, batch, .. }, Some(offset)) if batch > offset => {
-                let (name, record) = (name.to_owned(), records.len() as u64);
-                return Err(Error::Damaged { name, record, offset, whole_at });
+        match (judge.see(&piece), piece) {
+            (true, Piece::Record { body, .. }) => records.push(body),
+            _ => {
+                if let Shape::Damaged { record, offset, whole_at } = judge.shape() {
+                    return Err(Error::Damaged { name: name.to_owned(), record, offset, whole_at });
+                }
             }
-            (Piece::Record { .. }, Some(_)) | (Piece::Gap { .. }, Some(_)) => {}
-            (Piece::Gap { offset, .. }, None) => gap = Some(offset),
         }
     }
     let end = pieces.end();
-    Ok(Found { length: gap.unwrap_or(end), end, batch: last })
+    let length = if let Shape::Torn { offset } = judge.shape() { offset } else { end };
+    Ok(Found { length, end, batch: judge.last_batch().unwrap_or(length) })
 }
 
 /// Writes these bytes of the file over themselves.
--- a/crates/furrow/src/lib.rs
+++ b/crates/furrow/src/lib.rs
@@ -25,7 +25,9 @@
 mod error;
 mod file;
 pub mod format;
+mod report;
 
 pub use disk::{Disk, DiskFile, Folder, FolderFile};
 pub use error::Error;
 pub use file::{Cut, Furrow};
+pub use report::{inspect, inspect_on, verify, verify_on, Inspection, Part, Shape, Verification};
