--- a/crates/furrow/src/file.rs
+++ b/crates/furrow/src/file.rs
@@ -115,7 +115,7 @@
 
     /// Whether the file is long for what lives in it, given in bytes.
     pub fn wants_rewrite(&self, live_bytes: u64) -> bool {
-        self.length > SHORT && self.length / TIMES > live_bytes
+        self.length > SHORT && self.length > live_bytes.saturating_mul(TIMES)
     }
 
     /// Appends records: one write and one sync for all of them. None of them is a promise before the `Ok`.
--- a/crates/furrow/tests/folder.rs
+++ b/crates/furrow/tests/folder.rs
@@ -64,14 +64,21 @@
     for number in 0..1_000_u32 {
         ledger.append(&[&number.to_le_bytes().repeat(25)]).unwrap();
     }
-    assert!(ledger.wants_rewrite(1_000) && !ledger.wants_rewrite(100_000));
+    let live = ledger.len() / 4;
+    assert_eq!(ledger.len(), 4 * live);
+    assert!(ledger.wants_rewrite(live - 1) && !ledger.wants_rewrite(live) && !ledger.wants_rewrite(u64::MAX));
     ledger.rewrite(&[&[1; 300_000], b"two"]).unwrap();
     ledger.append(&[b"three"]).unwrap();
-    drop(ledger);
+    let (mut short, _) = Furrow::open(&scratch.0, "short").unwrap();
+    short.rewrite(&[&[1; (64 << 10) - format::HEADER - format::RECORD_HEAD]]).unwrap();
+    assert!(!short.wants_rewrite(0));
+    short.append(&[b""]).unwrap();
+    assert!(short.wants_rewrite(0));
+    drop((ledger, short));
     fs::write(scratch.0.join("ledger.new"), b"half of a rewrite").unwrap();
     let (ledger, records) = scratch.open();
     assert_eq!(records, [vec![1; 300_000], b"two".to_vec(), b"three".to_vec()]);
-    assert_eq!(scratch.names(), ["ledger"]);
+    assert_eq!(scratch.names(), ["ledger", "short"]);
     assert!(ledger.wants_rewrite(70_000) && !ledger.wants_rewrite(300_000));
 }
 
