Members answer before the disk does; seeds looked at in one place; status and history

Cause: a disk that stalls at the start kept the control API's listener down, so a host's beat met a closed port or silence; the settings file was followed twice, in orchard and in hedgerow; operators saw neither the view nor who lags.

Change: the API listens first. Calls wait up to 0.5 s for the disk, then get 503 with code 204 (Opening). hedgerow takes the seeds from its caller.

--- a/crates/almanac/src/codes.rs
+++ b/crates/almanac/src/codes.rs
@@ -59,12 +59,16 @@
     DiskFull = 202, 503, "the disk refuses writes";
     /// The process is leaving.
     Leaving = 203, 503, "this process is leaving";
+    /// The disk has not told yet who this member is.
+    Opening = 204, 503, "the disk has not answered yet";
     /// There is no such call.
     NoSuchCall = 300, 404, "no such call";
     /// The call has another method.
     OtherMethod = 301, 405, "another method";
     /// The body is too large.
     TooLarge = 302, 413, "the body is too large";
+    /// The configuration of this version is not kept here.
+    NoSuchVersion = 303, 404, "the configuration of this version is not kept here";
     /// No route fits host and path.
     NoRoute = 400, 404, "no route fits";
     /// No host can take the request now.
--- a/crates/orchard/src/roles.rs
+++ b/crates/orchard/src/roles.rs
@@ -3,6 +3,7 @@
 use crate::failure::{Failure, HedgerowSnafu, RootstockSnafu, StartSnafu, TrellisSnafu};
 use crate::options::From;
 use crate::{settings, world};
+use rootstock::shell::Tuning;
 use snafu::ResultExt;
 use std::future::Future;
 use tokio::runtime::Builder;
@@ -32,14 +33,17 @@
     let boot = settings::read(&from.settings)?;
     run(async {
         let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
-        rootstock::shell::run(boot, seeds, stop()?).await.context(RootstockSnafu)
+        rootstock::shell::run(boot, Tuning::default(), seeds, stop()?).await.context(RootstockSnafu)
     })
 }
 
 /// A machine's agent.
 pub fn hedgerow(from: &From) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
-    run(async { hedgerow::run(boot, Some(from.settings.clone()), stop()?).await.context(HedgerowSnafu) })
+    run(async {
+        let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
+        hedgerow::run(boot, seeds, stop()?).await.context(HedgerowSnafu)
+    })
 }
 
 /// A proxy.
@@ -47,7 +51,7 @@
     let boot = settings::read(&from.settings)?;
     run(async {
         // Nothing of what a proxy uses changes in the file; the signal is taken so that it doesn't end the process.
-        let _seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
+        let _hangup = signal(SignalKind::hangup()).context(StartSnafu)?;
         let world = world::follow(&boot);
         let counters = trellis::serve(boot, world, stop()?).await.context(TrellisSnafu)?;
         log::info!("counters {counters:?}");
--- a/crates/orchard/src/settings.rs
+++ b/crates/orchard/src/settings.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{interval, MissedTickBehavior};
 
 /// How often the file is looked at: it may change without a signal.
 const LOOK: Duration = Duration::from_secs(2);
@@ -38,27 +38,33 @@
 }
 
 async fn look(path: PathBuf, mut hangup: Signal, seeds: watch::Sender<Vec<SocketAddrV4>>) {
-    let mut seen = changed_at(&path);
+    // The first look reads: the file may have changed since the start.
+    let mut seen = None;
+    let mut looks = interval(LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let told = tokio::select! {
             told = hangup.recv() => told.is_some(),
-            () = sleep(LOOK) => false,
+            _ = looks.tick() => false,
         };
         let now = changed_at(&path);
         if !told && now == seen {
             continue;
         }
-        seen = now;
         match read(&path) {
             Ok(boot) => {
+                seen = now;
                 let new = seeds.send_if_modified(|seeds| {
                     let new = *seeds != boot.seed_nodes;
                     *seeds = boot.seed_nodes;
                     new
                 });
-                log::info!(new; "settings read again");
+                if new {
+                    let now: Vec<_> = seeds.borrow().iter().map(ToString::to_string).collect();
+                    log::info!("seeds: {}", now.join(" "));
+                }
             }
-            // Half written, perhaps: it is read again once it has changed.
+            // Half written, perhaps: the next look reads it again.
             Err(e) => log::warn!("{}", e.chain()),
         }
     }
--- a/crates/rootstock/src/feed.rs
+++ b/crates/rootstock/src/feed.rs
@@ -1,7 +1,7 @@
 //! The member's own source beside the mirror that others pull from.
 
 use crate::roster::{HostCall, Roster};
-use graft::{Caller, HostRecord};
+use graft::{Caller, CoordinatorRecord, HostRecord};
 use scion::{News, SharedMirror};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -65,4 +65,11 @@
         let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
         (roster.coordinators().map(|c| c.version).min().unwrap_or_default(), roster.coordinators().count())
     }
+
+    /// The coordinators that pull here, or did until lately, with the time since each one's latest pull.
+    pub fn coordinators(&self) -> Vec<(CoordinatorRecord, Duration)> {
+        let roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.shared.now();
+        roster.all_coordinators().map(|(c, at)| (c.clone(), now.saturating_sub(at))).collect()
+    }
 }
--- a/crates/rootstock/src/lib.rs
+++ b/crates/rootstock/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod feed;
+pub mod history;
 pub mod ledger;
 pub mod member;
 pub mod roster;
--- a/crates/rootstock/src/roster.rs
+++ b/crates/rootstock/src/roster.rs
@@ -338,6 +338,11 @@
     pub fn coordinators(&self) -> impl Iterator<Item = &CoordinatorRecord> {
         self.coordinators.values().map(|c| &c.shown).filter(|c| !c.gone)
     }
+
+    /// The same with those that have stopped pulling lately, and when each pulled last.
+    pub fn all_coordinators(&self) -> impl Iterator<Item = (&CoordinatorRecord, Duration)> {
+        self.coordinators.values().map(|c| (&c.shown, c.at))
+    }
 }
 
 /// Whether two records of a host tell others the same.
--- a/crates/rootstock/src/shell/call.rs
+++ b/crates/rootstock/src/shell/call.rs
@@ -18,6 +18,8 @@
     Host(String),
     /// Asks how this member is.
     Status,
+    /// Asks which versions were taken, or for the configuration of one.
+    History(Option<u64>),
 }
 
 /// A call.
@@ -38,6 +40,8 @@
     Host(HostCall),
     /// Asks how this member is.
     Status,
+    /// Asks which versions were taken, or for the configuration of one.
+    History(Option<u64>),
 }
 
 impl Head {
@@ -51,6 +55,11 @@
             "Configuration.Amend" => Head::Amend,
             "Configuration.Read" => Head::Read,
             "status" => Head::Status,
+            "Configuration.History" => Head::History(None),
+            call if call.starts_with("Configuration.History/") => {
+                let version = call.rsplit('/').next().and_then(|v| v.parse().ok());
+                Head::History(Some(version.ok_or(Code::NoSuchCall)?))
+            }
             call if call.starts_with("Hosts.") => Head::Host(path.to_owned()),
             _ => return Err(Code::NoSuchCall),
         };
@@ -64,7 +73,7 @@
 
     /// Whether it only asks.
     pub fn asks(&self) -> bool {
-        matches!(self, Head::Read | Head::Status)
+        matches!(self, Head::Read | Head::Status | Head::History(_))
     }
 
     /// Whether its body may be long.
@@ -85,6 +94,7 @@
             }
             Head::Read => Call::Read,
             Head::Status => Call::Status,
+            Head::History(version) => Call::History(version),
             Head::Host(path) => Call::Host(HostCall::decode(&path, &body)?),
         })
     }
--- a/crates/rootstock/src/shell/desk.rs
+++ b/crates/rootstock/src/shell/desk.rs
@@ -3,38 +3,71 @@
 use super::call::Call;
 use super::control::{Desk, Reply};
 use super::links::Links;
-use super::{command, Events, CONFIGURE};
+use super::{command, Event, Events, Standing, STANDING};
 use crate::feed::Feed;
-use crate::roster::beat_target;
+use crate::history::History;
+use crate::roster::{beat_target, HostCall};
 use almanac::Code;
 use graft::{Command, Seat};
+use serde_json::{json, Value};
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::watch;
+use std::time::{Duration, SystemTime};
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
 
 /// Longest time that a host waits for its drain.
 const DRAIN: Duration = Duration::from_millis(800);
 
+/// Longest time that a call waits for the disk at the start.
+const OPENING: Duration = Duration::from_millis(500);
+
 /// What a member answers a command: its result and what goes with it.
 pub(super) type Answered = (Code, Vec<u8>);
 
-/// What calls are run against.
-#[derive(Clone)]
-pub(super) struct FrontDesk {
+/// What is there once the disk has told who this member is.
+pub(super) struct Opened {
     pub(super) me: Seat,
     pub(super) life: u64,
-    pub(super) events: Events,
     pub(super) links: Links,
     pub(super) feed: Arc<Feed>,
+    pub(super) history: Rc<RefCell<History>>,
+}
+
+/// What calls are run against.
+#[derive(Clone)]
+pub(super) struct FrontDesk {
+    node: Rc<str>,
+    events: Events,
+    patience: Duration,
     /// The process is about to end: nothing new is taken.
-    pub(super) leaving: watch::Receiver<bool>,
+    leaving: watch::Receiver<bool>,
+    opened: watch::Receiver<Option<Rc<Opened>>>,
 }
 
 impl FrontDesk {
+    /// A desk whose calls wait a little until `opened` brings what they are run against.
+    pub(super) fn new(
+        node: String,
+        events: Events,
+        patience: Duration,
+        leaving: watch::Receiver<bool>,
+        opened: watch::Receiver<Option<Rc<Opened>>>,
+    ) -> Self {
+        Self { node: node.into(), events, patience, leaving, opened }
+    }
+
+    async fn opened(&self) -> Result<Rc<Opened>, Code> {
+        let mut opened = self.opened.clone();
+        let ready = timeout(OPENING, opened.wait_for(Option::is_some)).await;
+        ready.ok().and_then(Result::ok).and_then(|o| o.clone()).ok_or(Code::Opening)
+    }
+
     /// A host is leaving or gone: acknowledged once that is kept as safely as the configuration is.
-    async fn drain(&self, host: &str) -> Reply {
-        if self.feed.shared().snapshot().drains.contains(host) {
+    async fn drain(&self, opened: &Opened, host: &str) -> Reply {
+        if opened.feed.shared().snapshot().drains.contains(host) {
             return Reply::json("{}");
         }
         let asked = Command::Drain { host: host.to_owned() };
@@ -44,70 +77,133 @@
         }
     }
 
-    fn status(&self) -> String {
-        let links = self.links.counters();
-        let known = self.feed.shared().snapshot();
-        let (lowest, pulling) = self.feed.in_force();
-        let seats: Vec<_> = self
-            .links
-            .seats()
-            .iter()
-            .map(|s| serde_json::json!({"id": format!("{:016x}", s.id), "name": s.name, "zone": s.zone}))
+    async fn host(&self, opened: &Opened, call: &HostCall) -> Reply {
+        // Proxies hear of a drain at once, whatever becomes of it in the ledger.
+        opened.feed.call(call);
+        if call.leaves() {
+            return self.drain(opened, call.host()).await;
+        }
+        match beat_target(call.host(), opened.me.id, &opened.links.seats()) {
+            Some(seat) => {
+                let target = SocketAddrV4::from(&seat.control);
+                Reply::json(json!({"beat_target": target.to_string()}).to_string())
+            }
+            None => Reply::json("{}"),
+        }
+    }
+
+    async fn status(&self) -> String {
+        let leaving = *self.leaving.borrow();
+        let opened = self.opened.borrow().clone();
+        let Some(opened) = opened else {
+            return json!({"node": &*self.node, "opening": true, "leaving": leaving}).to_string();
+        };
+        let (asker, told) = oneshot::channel();
+        let asked = self.events.send(Event::Standing(asker)).is_ok();
+        let standing = match asked {
+            true => timeout(STANDING, told).await.ok().and_then(Result::ok),
+            false => None,
+        };
+        let (me, links) = (&opened.me, opened.links.counters());
+        let known = opened.feed.shared().snapshot();
+        let (lowest, pulling) = opened.feed.in_force();
+        let history = opened.history.borrow();
+        let coordinators: Vec<_> = opened
+            .feed
+            .coordinators()
+            .into_iter()
+            .map(|(c, since_pull)| {
+                json!({"name": c.name, "zone": c.zone, "region": c.region, "gone": c.gone, "version": c.version,
+                    "pulled_ms_ago": since_pull.as_millis() as u64,
+                    "behind_ms": history.behind(c.version, SystemTime::now()).map(|d| d.as_millis() as u64)})
+            })
             .collect();
-        let status = serde_json::json!({
-            "node": self.me.name,
-            "id": format!("{:016x}", self.me.id),
-            "life": self.life,
-            "zone": self.me.zone,
-            "region": self.me.region,
-            "leaving": *self.leaving.borrow(),
-            "ledger": {"seq": known.ledger, "version": known.document.version, "drains": known.drains.len()},
+        let hosts = known.hosts.values().map(|h| {
+            json!({"id": h.id, "service": h.service, "address": SocketAddrV4::from(&h.addr).to_string(),
+                "zone": h.zone, "capacity": h.capacity, "phase": h.phase, "silent": h.silent})
+        });
+        let status = json!({
+            "node": me.name,
+            "id": hex(me.id),
+            "life": opened.life,
+            "zone": me.zone,
+            "region": me.region,
+            "opening": false,
+            "leaving": leaving,
+            "ledger": {"seq": known.ledger, "version": known.document.version, "drains": known.drains.len(),
+                "routes": known.document.routes.len(), "services": known.document.services.len()},
             "fleet": {
                 "epoch": known.fleet.epoch,
-                "primary": format!("{:016x}", known.fleet.primary),
+                "primary": hex(known.fleet.primary),
                 "members": known.fleet.members.len(),
             },
-            "hosts": known.hosts.len(),
-            "coordinators": known.coordinators.len(),
+            "standing": standing.as_ref().map(standing_json),
+            "hosts": hosts.collect::<Vec<_>>(),
+            "coordinators": coordinators,
             "in_force": {"lowest_version": lowest, "coordinators_here": pulling},
-            "members": seats,
+            "members": opened.links.seats().iter().map(seat_json).collect::<Vec<_>>(),
             "links": {"up": links.connected, "down": links.broken, "sent": links.sent, "dropped": links.dropped},
         });
         status.to_string()
     }
+
+    /// The versions taken, newest last, as far as this member knows them.
+    fn history(&self, opened: &Opened, version: Option<u64>) -> Reply {
+        let history = opened.history.borrow();
+        match version {
+            None => Reply::json(json!({"versions": history.entries()}).to_string()),
+            Some(version) => match history.document(version) {
+                Some(document) => Reply::json(document.to_json()),
+                None => Reply::detailed(Code::NoSuchVersion, &version.to_string()),
+            },
+        }
+    }
+}
+
+fn hex(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+fn seat_json(seat: &Seat) -> Value {
+    json!({"id": hex(seat.id), "name": seat.name, "zone": seat.zone, "region": seat.region,
+        "control": SocketAddrV4::from(&seat.control).to_string()})
+}
+
+fn standing_json(standing: &Standing) -> Value {
+    let view = standing.view.as_ref().map(|v| {
+        json!({"epoch": v.epoch, "primary": hex(v.primary),
+            "copies": v.copies.iter().map(|c| hex(*c)).collect::<Vec<_>>(),
+            "voters": v.voters.iter().map(seat_json).collect::<Vec<_>>(), "settled": v.settled()})
+    });
+    json!({"view": view, "acts": standing.acts, "primary": standing.primary.as_ref().map(|s| hex(s.id)),
+        "promised": standing.promised, "disk_fit": standing.fit, "age_ms": standing.age.as_millis() as u64})
 }
 
 impl Desk for FrontDesk {
     async fn run(&self, call: Call) -> Reply {
-        if *self.leaving.borrow() && call != Call::Status {
+        if call == Call::Status {
+            return Reply::json(self.status().await);
+        }
+        if *self.leaving.borrow() {
             return Reply::of(Code::Leaving);
         }
+        let opened = match self.opened().await {
+            Ok(opened) => opened,
+            Err(code) => return Reply::of(code),
+        };
         match call {
-            Call::Status => Reply::json(self.status()),
-            Call::Read => match command(&self.events, Command::Read { reserved: 0 }, CONFIGURE).await {
+            Call::Status => Reply::json(self.status().await),
+            Call::History(version) => self.history(&opened, version),
+            Call::Read => match command(&self.events, Command::Read { reserved: 0 }, self.patience).await {
                 (Code::Ok, document) => Reply::json(document),
                 (code, text) => Reply::detailed(code, &String::from_utf8_lossy(&text)),
             },
             Call::Configure { base, amend, body } => {
                 let asked = Command::Configure { base, amend, body: body.into() };
-                let (code, text) = command(&self.events, asked, CONFIGURE).await;
+                let (code, text) = command(&self.events, asked, self.patience).await;
                 Reply::detailed(code, &String::from_utf8_lossy(&text))
             }
-            Call::Host(call) => {
-                let (feed, links) = (self.feed.clone(), self.links.clone());
-                // Proxies hear of a drain at once, whatever becomes of it in the ledger.
-                feed.call(&call);
-                if call.leaves() {
-                    return self.drain(call.host()).await;
-                }
-                match beat_target(call.host(), self.me.id, &links.seats()) {
-                    Some(seat) => {
-                        let target = SocketAddrV4::from(&seat.control);
-                        Reply::json(serde_json::json!({"beat_target": target.to_string()}).to_string())
-                    }
-                    None => Reply::json("{}"),
-                }
-            }
+            Call::Host(call) => self.host(&opened, &call).await,
         }
     }
 }
--- a/crates/rootstock/src/shell/mod.rs
+++ b/crates/rootstock/src/shell/mod.rs
@@ -9,16 +9,18 @@
 pub mod links;
 
 use crate::feed::Feed;
+use crate::history::History;
 use crate::member::{Config, Input, Member, Output};
 use almanac::{Boot, Code};
 use control::{Control, ControlCounters};
-use desk::{Answered, FrontDesk};
+use desk::{Answered, FrontDesk, Opened};
 use disk::Told;
-use graft::{Command, Message, Seat};
+use graft::{Command, Message, Seat, View};
 use identity::{inner, Birth, Identity};
 use links::{Heard, Links};
 use scion::{client, FrameReader, Mirror, Puller, SharedMirror};
 use snafu::{OptionExt, ResultExt, Snafu};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -32,12 +34,8 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-/// Length of a primary's lease.
-const LEASE: Duration = Duration::from_millis(1000);
-/// Longest time for a configuration call, from its last byte to the answer.
-pub const CONFIGURE: Duration = Duration::from_millis(3500);
-/// A write that takes longer than this means that the disk stalls.
-const STALL: Duration = Duration::from_millis(600);
+/// Longest wait for what a member's state machine says of itself.
+const STANDING: Duration = Duration::from_millis(300);
 /// Longest wait for a listener's port.
 const BIND: Duration = Duration::from_secs(3);
 /// Longest wait for the handing over at the end.
@@ -46,11 +44,33 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// Time for the first messages on a connection.
 const FIRST: Duration = Duration::from_secs(3);
-/// Time between two lines of counters.
-const COUNTERS: Duration = Duration::from_secs(60);
 /// Inputs that are taken before other tasks run again.
 const TURN: usize = 64;
 
+/// What an operator may set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tuning {
+    /// Length of a primary's lease; the same at all members.
+    pub lease: Duration,
+    /// Longest time for a configuration call, from its last byte to the answer.
+    pub patience: Duration,
+    /// A write that takes longer than this means that the disk stalls.
+    pub stall: Duration,
+    /// Time between two lines of counters.
+    pub counters: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(1000),
+            patience: Duration::from_millis(3500),
+            stall: Duration::from_millis(600),
+            counters: Duration::from_secs(60),
+        }
+    }
+}
+
 /// Why the process ends with a failure.
 #[derive(Debug, Snafu)]
 pub enum Failure {
@@ -86,24 +106,31 @@
     Heard(Heard),
     Disk(Told),
     Command(Command, oneshot::Sender<Answered>),
+    /// Asks what the state machine says of itself.
+    Standing(oneshot::Sender<Standing>),
 }
 
 /// Runs a member until `stop` is done and all is handed over. `seeds` brings the seeds' `control` addresses
 /// whenever they change. For a current-thread runtime; all that was started ends with it.
 ///
+/// Calls are answered from the start on: until the disk has told who this member is, by 503 and
+/// [`Code::Opening`].
+///
 /// # Errors
 /// Where the settings don't fit, or an address or the disk's thread can't be had.
 pub async fn run(
     boot: Boot,
+    tuning: Tuning,
     seeds: watch::Receiver<Vec<SocketAddrV4>>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Failure> {
     let tasks = LocalSet::new();
-    tasks.run_until(work(boot, seeds, stop)).await
+    tasks.run_until(work(boot, tuning, seeds, stop)).await
 }
 
 async fn work(
     boot: Boot,
+    tuning: Tuning,
     seeds: watch::Receiver<Vec<SocketAddrV4>>,
     stop: impl Future<Output = ()>,
 ) -> Result<(), Failure> {
@@ -124,6 +151,15 @@
         // No receiver: the process is about to end.
         move |told| drop(events.send(Event::Disk(told)))
     };
+    // A disk that stalls holds up no caller.
+    let api = listen(control).await?;
+    let counters = Rc::new(ControlCounters::default());
+    let (leave, leaving) = watch::channel(false);
+    let (open_desk, opened) = watch::channel(None);
+    let name = boot.node_name.clone();
+    let desk = FrontDesk::new(name, events.clone(), tuning.patience, leaving.clone(), opened);
+    let most = (boot.limits.fd_limit.saturating_sub(400) as usize).clamp(64, 2048);
+    spawn_local(Control::new(desk, most, counters.clone(), leaving).listen(api));
     let disk = disk::start(dir, birth, tell).context(ThreadSnafu)?;
     let mut stop = pin!(stop);
     let opened = tokio::select! {
@@ -143,31 +179,28 @@
     };
     log::info!(id = identity.id, life = identity.life, records = records.len(), founder = !identity.founders.is_empty(); "member starts");
 
-    let links = Links::new(me.clone(), {
-        let events = events.clone();
-        move |heard| drop(events.send(Event::Heard(heard)))
-    });
+    let links = Links::new(me.clone(), move |heard| drop(events.send(Event::Heard(heard))));
     let beat = Duration::from_millis(boot.beat_period_ms);
     let mirror = SharedMirror::since(Mirror::new(identity.id, beat), origin);
     let feed = Feed::new(identity.id, identity.life, beat, mirror.clone());
-    let counters = Rc::new(ControlCounters::default());
-    let (leave, leaving) = watch::channel(false);
-    let desk = FrontDesk {
+    let history = Rc::new(RefCell::new(History::default()));
+    let inside = listen(SocketAddrV4::from(&me.addr)).await?;
+    open_desk.send_replace(Some(Rc::new(Opened {
         me: me.clone(),
         life: identity.life,
-        events,
         links: links.clone(),
         feed: feed.clone(),
-        leaving: leaving.clone(),
-    };
-    let most = (boot.limits.fd_limit.saturating_sub(400) as usize).clamp(64, 2048);
-    let (api, inside) = (listen(control).await?, listen(SocketAddrV4::from(&me.addr)).await?);
-    spawn_local(Control::new(desk, most, counters.clone(), leaving).listen(api));
+        history: history.clone(),
+    })));
     spawn_local(accept(inside, links.clone(), feed.clone()));
-    spawn_local(async move {
-        loop {
-            sleep(beat / 4).await;
-            feed.tick();
+    spawn_local({
+        let history = history.clone();
+        async move {
+            loop {
+                sleep(beat / 4).await;
+                feed.tick();
+                history.borrow_mut().note(&feed.shared().snapshot().document, SystemTime::now());
+            }
         }
     });
     // What other members were told comes by pulls, like an agent's.
@@ -181,9 +214,9 @@
         me,
         bootstrap_voters: Some(identity.founders).filter(|f| !f.is_empty() && records.is_empty()),
         budget: boot.fault_budget,
-        lease: LEASE,
-        patience: CONFIGURE,
-        stall: STALL,
+        lease: tuning.lease,
+        patience: tuning.patience,
+        stall: tuning.stall,
     };
     let now = origin.elapsed();
     let mut shell = Shell {
@@ -201,6 +234,8 @@
         links,
         mirror,
         leave,
+        history,
+        period: tuning.counters,
     };
     shell.run(&mut queue, stop, &counters).await;
     sleep(LAST_ANSWERS).await;
@@ -225,6 +260,9 @@
     links: Links,
     mirror: Arc<SharedMirror>,
     leave: watch::Sender<bool>,
+    history: Rc<RefCell<History>>,
+    /// Time between two lines of counters.
+    period: Duration,
 }
 
 #[derive(Default, PartialEq)]
@@ -242,7 +280,7 @@
         counters: &ControlCounters,
     ) {
         let mut end: Option<Instant> = None;
-        let mut line = Instant::now() + COUNTERS;
+        let mut line = Instant::now() + self.period;
         while !self.left && end.is_none_or(|end| Instant::now() < end) {
             let wake = self.origin + self.wake.unwrap_or(Duration::from_secs(1 << 30));
             let wake = end.map_or(wake, |end| wake.min(end)).min(line);
@@ -266,7 +304,7 @@
                 }
                 () = sleep_until(wake) => {
                     if line <= Instant::now() {
-                        line += COUNTERS;
+                        line += self.period;
                         self.count(counters);
                     }
                     let now = self.origin.elapsed();
@@ -297,6 +335,8 @@
                 self.callers.insert(self.tickets, caller);
                 self.step(Input::Command { ticket: self.tickets, command });
             }
+            // Whoever asked may have stopped waiting.
+            Event::Standing(asker) => drop(asker.send(self.standing())),
         }
     }
 
@@ -318,6 +358,7 @@
                     }
                 }
                 Output::Publish { seq, document, drains } => {
+                    self.history.borrow_mut().note(&document, SystemTime::now());
                     self.mirror.update(|mirror, _| mirror.set_ledger(seq, document, &drains));
                 }
                 Output::Wake { at } => self.wake = Some(self.wake.map_or(at, |w| w.min(at))),
@@ -327,6 +368,18 @@
         self.outputs = outputs;
     }
 
+    fn standing(&self) -> Standing {
+        let now = self.origin.elapsed();
+        Standing {
+            view: self.member.view().cloned(),
+            acts: self.member.acts(),
+            primary: self.member.primary(),
+            promised: self.member.promised(),
+            fit: self.member.fit(),
+            age: self.member.age(now),
+        }
+    }
+
     /// Tells the mirror who is in the control plane, and how fresh what it has is.
     fn show(&mut self) {
         let now = self.origin.elapsed();
@@ -371,6 +424,17 @@
     }
 }
 
+/// What a member's state machine says of itself.
+#[derive(Debug)]
+struct Standing {
+    view: Option<View>,
+    acts: bool,
+    primary: Option<Seat>,
+    promised: u64,
+    fit: bool,
+    age: Duration,
+}
+
 fn random() -> Result<u64, Failure> {
     getrandom::u64().map_err(|e| Failure::Random { detail: e.to_string() })
 }
