Operators' commands, their file, logs as JSON, and the whole system on one machine

Cause: status printed one member's JSON, a configuration could be checked but neither compared nor applied, nothing but the log's level could be set, and a newcomer had no way to see the system run.

Change: orchard is a library with a thin binary. status puts together what all members say: view, copies, voters, disks, coordinators with the version in force and why one lags, hosts. config check, show, diff, apply, history, rollback; store inspect, verify, rewrite; codes; completion. Exit codes 0 to 4. The operator's file by figment: defaults, TOML, ORCHARD_*; unknown and wrong keys are named with their place. Logs as text or JSON. orchard local starts members, agents and proxies as child processes on 127.NET.x.y, modelled hosts, a first configuration and a load; children are killed with their guard and end with their standard input. bind.agent in the settings names the agent's address where several share a machine. The tests of the settings file and of SIGHUP came here from hedgerow; a half written file is read again.

--- a/crates/almanac/src/boot.rs
+++ b/crates/almanac/src/boot.rs
@@ -85,6 +85,10 @@
     /// For hosts and the operator.
     #[serde(default)]
     pub control: Option<SocketAddrV4>,
+    /// Where the machine's agent listens for its proxy, where that isn't the second port on 127.0.0.1: several
+    /// "machines" on one need addresses of their own.
+    #[serde(default)]
+    pub agent: Option<SocketAddrV4>,
 }
 
 /// What a process may use.
--- a/crates/orchard/src/failure.rs
+++ b/crates/orchard/src/failure.rs
@@ -1,13 +1,14 @@
 //! Why a command fails, and with which exit code.
 
 use snafu::Snafu;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// Why a command fails.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub))]
 pub enum Failure {
-    /// The settings file can't be read.
+    /// A file can't be read.
     #[snafu(display("cannot read {}", path.display()))]
     Unreadable {
         /// The file.
@@ -23,6 +24,16 @@
         /// What.
         source: serde_json::Error,
     },
+    /// The operator's file or environment has an unknown key or a wrong value.
+    #[snafu(display("{place}: key \"{key}\": {detail}"))]
+    Operator {
+        /// File or environment.
+        place: String,
+        /// The key.
+        key: String,
+        /// What is wrong.
+        detail: String,
+    },
     /// The configuration is invalid.
     #[snafu(display("{}: invalid configuration", path.display()))]
     Configuration {
@@ -31,6 +42,12 @@
         /// What.
         source: almanac::Invalid,
     },
+    /// No such shell.
+    #[snafu(display("no completion for {shell}: bash, zsh, fish and elvish have one"))]
+    NoCompletion {
+        /// The shell.
+        shell: String,
+    },
     /// The runtime can't be had.
     #[snafu(display("cannot start"))]
     Start {
@@ -55,23 +72,78 @@
         /// Why.
         source: trellis::Error,
     },
-    /// A member can't be asked.
+    /// No member gave an answer.
     #[snafu(display("cannot ask {control}"))]
     Ask {
-        /// The member.
-        control: std::net::SocketAddr,
+        /// The member that was asked last.
+        control: SocketAddr,
         /// Why.
         source: std::io::Error,
     },
+    /// The control plane says no.
+    #[snafu(display("refused with code {code}: {reason}"))]
+    Refused {
+        /// The result code, or the HTTP status where there is none.
+        code: u16,
+        /// What it means, with the detail.
+        reason: String,
+    },
+    /// No member gave a clear answer in time: the change may be in force or not.
+    #[snafu(display(
+        "no clear answer (code {code}: {reason}): the change may be in force; the same call again tells"
+    ))]
+    Unclear {
+        /// The last result code.
+        code: u16,
+        /// What it means.
+        reason: String,
+    },
+    /// An answer can't be understood.
+    #[snafu(display("{control} answered what no member would"))]
+    Strange {
+        /// Who.
+        control: SocketAddr,
+        /// What.
+        source: serde_json::Error,
+    },
+    /// A version that is asked for is kept nowhere.
+    #[snafu(display("version {version} is kept at no member that answers; give its file with --file"))]
+    NotKept {
+        /// The version.
+        version: u64,
+    },
+    /// A file of the store fails.
+    #[snafu(display("store"))]
+    Store {
+        /// Why.
+        source: furrow::Error,
+    },
+    /// A file of the store is damaged.
+    #[snafu(display("'{name}' doesn't open: see above"))]
+    Damaged {
+        /// The file.
+        name: String,
+    },
+    /// The system on this machine can't be run.
+    #[snafu(display("{what}"))]
+    Local {
+        /// What didn't work.
+        what: String,
+    },
 }
 
 impl Failure {
-    /// The exit code: 2 for what the operator wrote, 1 for what happened.
+    /// The exit code: 2 for what the operator wrote, 3 for what the control plane refused, 1 for what happened.
     pub fn exit(&self) -> u8 {
         use rootstock::shell::Failure as Root;
         match self {
-            Failure::Unreadable { .. } | Failure::Settings { .. } | Failure::Configuration { .. } => 2,
+            Failure::Unreadable { .. }
+            | Failure::Settings { .. }
+            | Failure::Operator { .. }
+            | Failure::NoCompletion { .. }
+            | Failure::Configuration { .. } => 2,
             Failure::Rootstock { source: Root::NoControl | Root::NoDisk } => 2,
+            Failure::Refused { .. } => 3,
             _ => 1,
         }
     }
--- a/crates/orchard/src/main.rs
+++ b/crates/orchard/src/main.rs
@@ -2,33 +2,82 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod commands;
-mod failure;
-mod logs;
-mod options;
-mod roles;
-mod settings;
-mod world;
-
-use options::Verb;
+use bpaf::ParseFailure;
+use orchard::failure::Failure;
+use orchard::operator::Operator;
+use orchard::options::{self, Config, Options, Store, Verb};
+use orchard::{config, local, logs, roles, status, store};
 use std::process::ExitCode;
 
+/// What was given on the command line is wrong.
+const USAGE: u8 = 2;
+
 fn main() -> ExitCode {
-    let options = options::options().run();
-    logs::start(options.level);
-    let done = match options.verb {
-        Verb::Rootstock(from) => roles::rootstock(&from),
-        Verb::Hedgerow(from) => roles::hedgerow(&from),
-        Verb::Trellis(from) => roles::trellis(&from),
-        Verb::Version => commands::version(),
-        Verb::Status(status) => commands::status(status.control),
-        Verb::Check(check) => commands::check(&check.file, check.settings),
+    let options = match options::options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(ParseFailure::Stdout(text, whole)) => {
+            println!("{}", text.monochrome(whole));
+            return ExitCode::SUCCESS;
+        }
+        Err(ParseFailure::Completion(text)) => {
+            print!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(ParseFailure::Stderr(text)) => {
+            eprintln!("orchard: {}", text.monochrome(true));
+            return ExitCode::from(USAGE);
+        }
     };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
+    match run(options) {
+        Ok(code) => code,
         Err(failure) => {
-            log::error!("{}", failure.chain());
+            // The logs may not be there yet, and who reads a terminal wants no time before it.
+            eprintln!("orchard: {}", failure.chain());
             ExitCode::from(failure.exit())
         }
     }
 }
+
+fn run(options: Options) -> Result<ExitCode, Failure> {
+    let mut operator = Operator::read(options.operator.as_deref())?;
+    operator.log_level = options.level.unwrap_or(operator.log_level);
+    operator.log_format = options.format.unwrap_or(operator.log_format);
+    logs::start(operator.log_level, operator.log_format);
+    let done = |()| ExitCode::SUCCESS;
+    match options.verb {
+        Verb::Rootstock(from) => roles::rootstock(&from, &operator).map(done),
+        Verb::Hedgerow(from) => roles::hedgerow(&from).map(done),
+        Verb::Trellis(from) => roles::trellis(&from).map(done),
+        Verb::Version => {
+            println!("orchard {} (messages: {})", env!("CARGO_PKG_VERSION"), graft::VERSION);
+            Ok(ExitCode::SUCCESS)
+        }
+        Verb::Codes => {
+            for code in almanac::Code::ALL {
+                println!("{:>3}  {}  {}", code.number(), code.status(), code.text());
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Verb::Completion(shell) => {
+            match options::completion(&shell) {
+                Some(text) => print!("{text}"),
+                None => return Err(Failure::NoCompletion { shell }),
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Verb::Status(asked) => status::run(&asked).map(done),
+        Verb::Config(Config::Check(check)) => config::check(&check).map(done),
+        Verb::Config(Config::Show(show)) => config::show(&show).map(done),
+        Verb::Config(Config::Diff(diff)) => {
+            config::diff(&diff)
+                .map(|same| if same { ExitCode::SUCCESS } else { ExitCode::from(config::DIFFERS) })
+        }
+        Verb::Config(Config::Apply(apply)) => config::apply(&apply).map(done),
+        Verb::Config(Config::History(members)) => config::history(&members).map(done),
+        Verb::Config(Config::Rollback(rollback)) => config::rollback(&rollback).map(done),
+        Verb::Store(Store::Inspect(dir)) => store::inspect(&dir).map(done),
+        Verb::Store(Store::Verify(dir)) => store::verify(&dir).map(done),
+        Verb::Store(Store::Rewrite { dir, .. }) => store::rewrite(&dir).map(done),
+        Verb::Local(plan) => local::run(&plan).map(done),
+    }
+}
--- a/crates/orchard/src/roles.rs
+++ b/crates/orchard/src/roles.rs
@@ -1,13 +1,14 @@
 //! The three programs, each on one thread.
 
 use crate::failure::{Failure, HedgerowSnafu, RootstockSnafu, StartSnafu, TrellisSnafu};
+use crate::operator::Operator;
 use crate::options::From;
 use crate::{settings, world};
-use rootstock::shell::Tuning;
 use snafu::ResultExt;
 use std::future::Future;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 
 /// Runs `work` on this thread to its end.
@@ -16,44 +17,74 @@
     LocalSet::new().block_on(&runtime, work)
 }
 
-/// Done when the process is asked to end.
-fn stop() -> Result<impl Future<Output = ()>, Failure> {
+/// Tells when standard input ends.
+fn input_ends() -> std::io::Result<oneshot::Receiver<()>> {
+    let (input, ended) = oneshot::channel();
+    let wait = move || {
+        // What comes is of no interest; an error is an end too.
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        drop::<oneshot::Sender<()>>(input);
+    };
+    std::thread::Builder::new().name("input".into()).spawn(wait)?;
+    Ok(ended)
+}
+
+/// Done when the process is asked to end: by a signal or, where wanted, by the end of standard input.
+fn stop(from: &From) -> Result<impl Future<Output = ()>, Failure> {
+    let input = from.until_input_ends.then(input_ends).transpose().context(StartSnafu)?;
+    let ended = async {
+        match input {
+            // The sender goes with the end of the input.
+            Some(input) => drop(input.await),
+            None => std::future::pending().await,
+        }
+    };
     let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
     let mut int = signal(SignalKind::interrupt()).context(StartSnafu)?;
     Ok(async move {
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
+            () = ended => {}
         }
     })
 }
 
 /// A member of the control plane.
-pub fn rootstock(from: &From) -> Result<(), Failure> {
+///
+/// # Errors
+/// Where the settings are wrong, or an address or the disk can't be had.
+pub fn rootstock(from: &From, operator: &Operator) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
     run(async {
         let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
-        rootstock::shell::run(boot, Tuning::default(), seeds, stop()?).await.context(RootstockSnafu)
+        rootstock::shell::run(boot, operator.tuning(), seeds, stop(from)?).await.context(RootstockSnafu)
     })
 }
 
 /// A machine's agent.
+///
+/// # Errors
+/// Where the settings are wrong, or its address can't be had.
 pub fn hedgerow(from: &From) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
     run(async {
         let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
-        hedgerow::run(boot, seeds, stop()?).await.context(HedgerowSnafu)
+        hedgerow::run(boot, seeds, stop(from)?).await.context(HedgerowSnafu)
     })
 }
 
 /// A proxy.
+///
+/// # Errors
+/// Where the settings are wrong, or an address can't be had.
 pub fn trellis(from: &From) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
     run(async {
         // Nothing of what a proxy uses changes in the file; the signal is taken so that it doesn't end the process.
         let _hangup = signal(SignalKind::hangup()).context(StartSnafu)?;
         let world = world::follow(&boot);
-        let counters = trellis::serve(boot, world, stop()?).await.context(TrellisSnafu)?;
+        let counters = trellis::serve(boot, world, stop(from)?).await.context(TrellisSnafu)?;
         log::info!("counters {counters:?}");
         Ok(())
     })
--- a/crates/orchard/src/settings.rs
+++ b/crates/orchard/src/settings.rs
@@ -39,7 +39,7 @@
 
 async fn look(path: PathBuf, mut hangup: Signal, seeds: watch::Sender<Vec<SocketAddrV4>>) {
     // The first look reads: the file may have changed since the start.
-    let mut seen = None;
+    let (mut seen, mut failed) = (None, None);
     let mut looks = interval(LOOK);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -65,7 +65,11 @@
                 }
             }
             // Half written, perhaps: the next look reads it again.
-            Err(e) => log::warn!("{}", e.chain()),
+            Err(e) if failed != now => {
+                failed = now;
+                log::warn!("{}", e.chain());
+            }
+            Err(_) => {}
         }
     }
 }
--- /dev/null
+++ b/crates/orchard/src/store.rs
@@ -0,0 +1,54 @@
+//! The operators' commands about a member's files.
+
+use crate::failure::{Failure, StoreSnafu};
+use furrow::Furrow;
+use snafu::ResultExt;
+use std::path::Path;
+
+/// The files in a member's folder.
+const FILES: [&str; 2] = ["identity", "ledger"];
+
+/// Tells what they hold. They may be in use.
+///
+/// # Errors
+/// Where one can't be read.
+pub fn inspect(dir: &Path) -> Result<(), Failure> {
+    for name in FILES {
+        println!("{}", furrow::inspect(dir, name).context(StoreSnafu)?);
+    }
+    Ok(())
+}
+
+/// Looks at each record. They may be in use.
+///
+/// # Errors
+/// Where one can't be read, or wouldn't open at a start.
+pub fn verify(dir: &Path) -> Result<(), Failure> {
+    let mut bad = None;
+    for name in FILES {
+        let found = furrow::verify(dir, name).context(StoreSnafu)?;
+        println!("{found}");
+        if !found.summary.opens() {
+            bad = Some(name);
+        }
+    }
+    match bad {
+        Some(name) => Err(Failure::Damaged { name: name.to_owned() }),
+        None => Ok(()),
+    }
+}
+
+/// Writes them anew with the records that they hold: what a torn write left goes. The member must not run.
+///
+/// # Errors
+/// Where one doesn't open or the disk refuses.
+pub fn rewrite(dir: &Path) -> Result<(), Failure> {
+    for name in FILES {
+        let before = furrow::inspect(dir, name).context(StoreSnafu)?;
+        let (mut file, records) = Furrow::open(dir, name).context(StoreSnafu)?;
+        let all: Vec<&[u8]> = records.iter().map(Vec::as_slice).collect();
+        file.rewrite(&all).context(StoreSnafu)?;
+        println!("{name}: {} records, {} bytes, before {}", all.len(), file.len(), before.length);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/orchard/tests/command_line.rs
@@ -0,0 +1,208 @@
+//! The binary's command line: exit codes and errors.
+
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Output};
+
+fn orchard() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_orchard"));
+    command.env_clear();
+    command
+}
+
+fn run(args: &[&str]) -> Output {
+    orchard().args(args).output().unwrap()
+}
+
+fn err(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+fn out(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+const GOOD: &str = r#"{"version":3,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/","route_class":"pure","deadline_ms":1000,"service":"s"}],"services":[{"name":"s"}]}"#;
+
+#[rstest]
+#[case::help(&["--help"], 0, "rootstock")]
+#[case::help_of_a_command(&["config", "--help"], 0, "rollback")]
+#[case::exit_codes_in_help(&["--help"], 0, "2 wrong input")]
+#[case::version(&["version"], 0, "orchard 0.")]
+#[case::codes(&["codes"], 0, "120  412")]
+#[case::bash(&["completion", "bash"], 0, "complete")]
+#[case::zsh(&["completion", "zsh"], 0, "orchard")]
+#[case::fish(&["completion", "fish"], 0, "orchard")]
+#[case::elvish(&["completion", "elvish"], 0, "orchard")]
+fn what_is_asked_for_is_printed(#[case] args: &[&str], #[case] code: i32, #[case] text: &str) {
+    let done = run(args);
+    assert_eq!(done.status.code(), Some(code), "{}", err(&done));
+    assert!(out(&done).contains(text), "{}", out(&done));
+    assert_eq!(err(&done), "");
+}
+
+#[rstest]
+#[case::no_command(&[], "COMMAND")]
+#[case::unknown_command(&["nope"], "nope")]
+#[case::unknown_option(&["version", "--loud"], "--loud")]
+#[case::no_settings(&["rootstock"], "--settings")]
+#[case::no_members(&["status"], "--control")]
+#[case::bad_address(&["status", "--control", "here"], "here")]
+#[case::bad_wait(&["status", "--control", "127.0.0.1:1", "--wait", "0"], "between 0.1 and 3600")]
+#[case::bad_level(&["--log", "loud", "version"], "loud")]
+#[case::bad_format(&["--log-format", "xml", "version"], "xml")]
+#[case::bad_shell(&["completion", "tcsh"], "tcsh")]
+#[case::missing_settings(&["trellis", "--settings", "/nowhere.json"], "/nowhere.json")]
+#[case::missing_file(&["config", "check", "/nowhere.json"], "/nowhere.json")]
+#[case::missing_operator_file(&["--operator", "/nowhere.toml", "version"], "/nowhere.toml")]
+#[case::rewrite_of_a_running_store(&["store", "rewrite", "/nowhere"], "--stopped")]
+fn wrong_input_ends_with_2(#[case] args: &[&str], #[case] text: &str) {
+    let done = run(args);
+    assert_eq!(done.status.code(), Some(2), "{}", err(&done));
+    assert!(err(&done).contains(text), "{}", err(&done));
+    assert_eq!(out(&done), "");
+}
+
+#[rstest]
+#[case::unknown_key("lease_ms = 900\nlaese = 1", "\"laese\"")]
+#[case::wrong_type("lease_ms = \"long\"", "\"lease_ms\"")]
+#[case::out_of_bounds("stall_ms = 1", "\"stall_ms\": 1 is not between")]
+#[case::no_toml("lease_ms =", "operator.toml")]
+fn a_bad_operator_file_names_key_and_place(#[case] text: &str, #[case] key: &str) {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("operator.toml");
+    std::fs::write(&file, text).unwrap();
+    let path = file.to_str().unwrap();
+    for args in [vec!["--operator", path, "version"], vec!["config", "check", "--operator-file", path]] {
+        let done = run(&args);
+        assert_eq!(done.status.code(), Some(2));
+        assert!(err(&done).contains(key) && err(&done).contains("operator.toml"), "{}", err(&done));
+    }
+}
+
+#[test]
+fn the_environment_goes_over_the_file_and_is_named_where_it_is_wrong() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("operator.toml");
+    std::fs::write(&file, "lease_ms = 700\ncounters_s = 9\n").unwrap();
+    let check = |name: &str, value: &str| {
+        let mut command = orchard();
+        command.args(["config", "check", "--operator-file"]).arg(&file).env(name, value).output().unwrap()
+    };
+    let done = check("ORCHARD_LEASE_MS", "800");
+    assert!(out(&done).contains("lease_ms: 800") && out(&done).contains("counters_s: 9"), "{}", out(&done));
+    let done = check("ORCHARD_LEASE", "800");
+    assert_eq!(done.status.code(), Some(2));
+    assert!(err(&done).contains("ORCHARD_") && err(&done).contains("\"lease\""), "{}", err(&done));
+}
+
+#[rstest]
+#[case::good(GOOD, 0, "version 3, 1 routes, 1 services")]
+#[case::no_json("{", 2, "(100)")]
+#[case::unknown_service(&GOOD.replace("\"service\":\"s\"", "\"service\":\"t\""), 2, "(101): r: t")]
+#[case::no_deadline(&GOOD.replace("1000", "0"), 2, "(104): r")]
+#[case::bad_field(&GOOD.replace("pure", "poor"), 2, "(107)")]
+fn configurations_are_checked(#[case] text: &str, #[case] code: i32, #[case] says: &str) {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("c.json");
+    std::fs::write(&file, text).unwrap();
+    let done = run(&["config", "check", file.to_str().unwrap()]);
+    assert_eq!(done.status.code(), Some(code));
+    assert!((out(&done) + &err(&done)).contains(says), "{}{}", out(&done), err(&done));
+}
+
+#[test]
+fn a_port_where_nobody_listens_ends_with_1() {
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let done = run(&["status", "--control", &free]);
+    assert_eq!(done.status.code(), Some(1));
+    assert!(err(&done).contains(&free), "{}", err(&done));
+}
+
+/// Answers all calls with one text until its last caller has gone.
+fn scripted(answers: Vec<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut head = Vec::new();
+            let mut byte = [0];
+            while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap() > 0 {
+                head.push(byte[0]);
+            }
+            let text = String::from_utf8(head).unwrap().to_ascii_lowercase();
+            let length = text.split("content-length: ").nth(1).unwrap().split('\r').next().unwrap();
+            let mut body = vec![0; length.parse().unwrap()];
+            stream.read_exact(&mut body).unwrap();
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    addr
+}
+
+fn answer(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[test]
+fn a_refusal_ends_with_3_and_tells_the_code() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("c.json");
+    std::fs::write(&file, GOOD).unwrap();
+    let old = GOOD.replace(":3,", ":2,");
+    let no = r#"{"code":120,"reason":"another version is in force","detail":"version 9"}"#;
+    let member = scripted(vec![answer("200 OK", &old), answer("412 Precondition Failed", no)]);
+    let done = run(&["config", "apply", "--control", &member.to_string(), file.to_str().unwrap()]);
+    assert_eq!(done.status.code(), Some(3));
+    let text = err(&done);
+    assert!(text.contains("code 120") && text.contains("another version is in force (version 9)"), "{text}");
+}
+
+#[test]
+fn a_503_is_asked_again_and_an_unclear_end_says_so() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("c.json");
+    std::fs::write(&file, GOOD).unwrap();
+    let busy = answer("503 Service Unavailable", r#"{"code":200,"reason":"no primary is known here"}"#);
+    let old = answer("200 OK", &GOOD.replace(":3,", ":2,"));
+    let path = file.to_str().unwrap();
+    let member = scripted(vec![busy.clone(), old.clone(), busy.clone(), answer("200 OK", "{}")]);
+    let done = run(&["config", "apply", "--control", &member.to_string(), path]);
+    assert_eq!((done.status.code(), err(&done).as_str()), (Some(0), ""));
+    assert!(out(&done).contains("on version 2"), "{}", out(&done));
+
+    let member = scripted(vec![old, busy]);
+    let done = run(&["config", "apply", "--wait", "0.3", "--control", &member.to_string(), path]);
+    assert_eq!(done.status.code(), Some(1));
+    assert!(err(&done).contains("no clear answer (code 200"), "{}", err(&done));
+}
+
+#[test]
+fn logs_are_json_where_that_is_wanted() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("boot.json");
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let disk = dir.path().join("disk");
+    std::fs::create_dir(&disk).unwrap();
+    let settings = serde_json::json!({"node_name": "m", "role": "r", "ip_addr": "127.0.0.1", "zone": "z",
+        "port_range": [free.port().max(2) - 1, free.port()], "bind": {"control": free}, "state_dir": disk,
+        "bootstrap": true, "seed_nodes": [free]});
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let mut child = orchard()
+        .args(["--log-format", "json", "rootstock", "--until-input-ends", "--settings"])
+        .arg(&file)
+        .stdin(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = std::io::BufRead::lines(std::io::BufReader::new(child.stderr.take().unwrap()));
+    let first: serde_json::Value = serde_json::from_str(&lines.next().unwrap().unwrap()).unwrap();
+    assert_eq!((&first["level"], &first["message"]), (&"INFO".into(), &"member starts".into()));
+    assert!(first["id"].is_number() && first["founder"] == true, "{first}");
+    // The end of its input ends it in order.
+    drop(child.stdin.take());
+    assert!(lines.all(|l| serde_json::from_str::<serde_json::Value>(&l.unwrap()).is_ok()));
+    assert_eq!(child.wait().unwrap().code(), Some(0));
+}
--- a/crates/rootstock/src/member/mod.rs
+++ b/crates/rootstock/src/member/mod.rs
@@ -84,6 +84,7 @@
 }
 
 /// What a member asks for.
+#[allow(clippy::large_enum_variant)] // Handed over once and never kept.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Send a message; it may be lost.
--- a/crates/scion/src/lib.rs
+++ b/crates/scion/src/lib.rs
@@ -48,7 +48,8 @@
 
 /// Where a machine's agent listens for its proxy.
 pub fn agent_addr(boot: &Boot) -> Addr {
-    Addr { ip: u32::from(Ipv4Addr::LOCALHOST), port: boot.port_range.0.saturating_add(1) }
+    let usual = SocketAddrV4::new(Ipv4Addr::LOCALHOST, boot.port_range.0.saturating_add(1));
+    boot.bind.agent.unwrap_or(usual).into()
 }
 
 /// This process as one that pulls; `member` is its identity, or 0 where it is no member.
