--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -11,7 +11,7 @@
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_secs(1);
 /// Longest wait for an answer of one member.
-const ANSWER: Duration = Duration::from_secs(5);
+const ANSWER: Duration = Duration::from_secs(2);
 /// Pauses between two rounds over all members, first and longest.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 
--- a/crates/orchard/src/local/fleet.rs
+++ b/crates/orchard/src/local/fleet.rs
@@ -170,7 +170,8 @@
         Ok(())
     }
 
-    /// Starts a program on machine `n`. Its log goes on in `MACHINE-PROGRAM.log`.
+    /// Starts a program on machine `n`, after the end of the one that may run there. Its log goes on in
+    /// `MACHINE-PROGRAM.log`.
     ///
     /// # Errors
     /// Where that doesn't work.
@@ -183,6 +184,8 @@
         if program == Program::Rootstock {
             fs::create_dir_all(self.plan.disk(n)).map_err(failed)?;
         }
+        let name = format!("{machine}/{}", program.name());
+        self.kill(&name);
         let log =
             File::options().create(true).append(true).open(file.with_extension("log")).map_err(failed)?;
         let child = Command::new(&self.plan.program)
@@ -195,9 +198,7 @@
             .stderr(log)
             .spawn()
             .map_err(failed)?;
-        if let Some(mut before) = self.children.insert(format!("{machine}/{}", program.name()), child) {
-            end(&mut before);
-        }
+        self.children.insert(name, child);
         Ok(())
     }
 
--- /dev/null
+++ b/crates/rootstock/tests/control.rs
@@ -0,0 +1,232 @@
+//! The control API's limits, over real sockets; waits are on tokio's paused clock.
+
+use almanac::Code;
+use rootstock::shell::call::Call;
+use rootstock::shell::control::{Control, ControlCounters, Desk, Reply, LARGEST_BODY};
+use rstest::rstest;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Semaphore};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{timeout, Instant};
+
+/// Answers each call once it is let.
+#[derive(Clone)]
+struct Gate(Rc<Semaphore>, Rc<Cell<usize>>);
+
+impl Desk for Gate {
+    async fn run(&self, call: Call) -> Reply {
+        self.1.set(self.1.get() + 1);
+        let _pass = self.0.acquire().await.unwrap();
+        match call {
+            Call::Read => Reply::json("{\"version\":1}"),
+            _ => Reply::of(Code::Ok),
+        }
+    }
+}
+
+struct Api {
+    addr: SocketAddr,
+    counters: Rc<ControlCounters>,
+    gate: Gate,
+    stop: watch::Sender<bool>,
+}
+
+async fn api(most: usize, passes: usize) -> Api {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let counters = Rc::new(ControlCounters::default());
+    let gate = Gate(Rc::new(Semaphore::new(passes)), Rc::default());
+    let (stop, stopped) = watch::channel(false);
+    spawn_local(Control::new(gate.clone(), most, counters.clone(), stopped).listen(listener));
+    Api { addr, counters, gate, stop }
+}
+
+fn story(work: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, work);
+}
+
+const REPLACE: &str =
+    "POST /fennelpin/Configuration.Replace HTTP/1.1\r\nHost: h\r\nFennelpin-Base-Version: 0\r\n";
+
+async fn whole(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    // A reset after the answer is as good as an end.
+    let _ = stream.read_to_string(&mut text).await;
+    text
+}
+
+async fn say(api: &Api, text: &str) -> String {
+    let mut stream = TcpStream::connect(api.addr).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    whole(&mut stream).await
+}
+
+#[rstest]
+#[case::other_method("DELETE /fennelpin/Configuration.Read HTTP/1.1\r\n", "405", 301)]
+#[case::get_for_post("GET /fennelpin/Configuration.Replace HTTP/1.1\r\n", "405", 301)]
+#[case::no_such_call("GET /fennelpin/Configuration.Nothing HTTP/1.1\r\n", "404", 300)]
+#[case::no_such_place("GET / HTTP/1.1\r\n", "404", 300)]
+#[case::no_version("GET /fennelpin/Configuration.History/x HTTP/1.1\r\n", "404", 300)]
+#[case::no_base("POST /fennelpin/Configuration.Replace HTTP/1.1\r\n", "400", 121)]
+#[case::beat_without_json("POST /fennelpin/Hosts.Heartbeat/i-1 HTTP/1.1\r\n", "400", 100)]
+fn bad_calls_are_refused_with_their_code(#[case] line: &str, #[case] status: &str, #[case] code: u16) {
+    story(async {
+        let api = api(4, 1).await;
+        let answer =
+            say(&api, &format!("{line}Host: h\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")).await;
+        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+        assert!(answer.contains(&format!("\"code\":{code},")), "{answer}");
+        assert_eq!((api.counters.refused.get(), api.gate.1.get()), (1, 0));
+    });
+}
+
+#[rstest]
+#[case::told(true)]
+#[case::in_chunks(false)]
+fn a_body_that_is_too_large_is_refused_before_it_is_read_whole(#[case] told: bool) {
+    story(async {
+        let api = api(4, 1).await;
+        let mut stream = TcpStream::connect(api.addr).await.unwrap();
+        let (mut input, mut output) = stream.split();
+        let head = match told {
+            true => format!("{REPLACE}Content-Length: {}\r\n\r\n", 8 * LARGEST_BODY),
+            false => format!("{REPLACE}Transfer-Encoding: chunked\r\n\r\n"),
+        };
+        output.write_all(head.as_bytes()).await.unwrap();
+        let send = async {
+            let piece = vec![b'x'; 64 << 10];
+            let mut sent = 0;
+            while sent < 8 * LARGEST_BODY {
+                let size = if told { String::new() } else { format!("{:x}\r\n", piece.len()) };
+                let end: &[u8] = if told { b"" } else { b"\r\n" };
+                if output.write_all(&[size.as_bytes(), &piece, end].concat()).await.is_err() {
+                    return;
+                }
+                sent += piece.len();
+            }
+            panic!("all was read");
+        };
+        let mut answer = [0; 512];
+        let (read, ()) = tokio::join!(input.read(&mut answer), send);
+        let text = String::from_utf8_lossy(&answer[..read.unwrap()]).into_owned();
+        assert!(text.starts_with("HTTP/1.1 413 ") && text.contains("connection: close"), "{text}");
+        assert_eq!(api.gate.1.get(), 0);
+    });
+}
+
+#[test]
+fn a_body_that_comes_too_slowly_ends_with_408() {
+    story(async {
+        let api = api(4, 1).await;
+        let mut stream = TcpStream::connect(api.addr).await.unwrap();
+        let text = format!("{REPLACE}Content-Length: 9\r\n\r\n{{");
+        stream.write_all(text.as_bytes()).await.unwrap();
+        tokio::time::pause();
+        let start = Instant::now();
+        let answer = whole(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 408 ") && answer.contains("\"code\":408"), "{answer}");
+        assert!(start.elapsed() >= Duration::from_secs(8), "{:?}", start.elapsed());
+    });
+}
+
+#[rstest]
+#[case::nothing_said("")]
+#[case::half_a_head("GET /fennelpin/status HTT")]
+fn who_says_no_whole_head_is_let_go(#[case] text: &str) {
+    story(async {
+        let api = api(1, 1).await;
+        let mut stream = TcpStream::connect(api.addr).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        tokio::time::pause();
+        timeout(Duration::from_secs(30), whole(&mut stream)).await.expect("it ends");
+    });
+}
+
+#[test]
+fn beyond_the_most_connections_others_are_closed_at_once() {
+    story(async {
+        let api = api(2, 0).await;
+        let text = b"GET /fennelpin/Configuration.Read HTTP/1.1\r\nHost: h\r\n\r\n";
+        let mut open = Vec::new();
+        for _ in 0..2 {
+            let mut stream = TcpStream::connect(api.addr).await.unwrap();
+            stream.write_all(text).await.unwrap();
+            open.push(stream);
+        }
+        while api.gate.1.get() < 2 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(say(&api, "").await, "");
+        assert_eq!((api.counters.connections.get(), api.counters.crowded.get()), (2, 1));
+        // Those that were taken get their answers, and on a kept connection the next one.
+        api.gate.0.add_permits(9);
+        for stream in &mut open {
+            let mut answer = [0; 512];
+            let read = stream.read(&mut answer).await.unwrap();
+            assert!(answer[..read].starts_with(b"HTTP/1.1 200 "));
+        }
+    });
+}
+
+#[test]
+fn configurations_that_wait_are_bounded() {
+    story(async {
+        let api = api(64, 0).await;
+        let text = format!("{REPLACE}Connection: close\r\nContent-Length: 2\r\n\r\n{{}}");
+        let mut open = Vec::new();
+        for _ in 0..6 {
+            let mut stream = TcpStream::connect(api.addr).await.unwrap();
+            stream.write_all(text.as_bytes()).await.unwrap();
+            open.push(stream);
+        }
+        while api.gate.1.get() < 6 {
+            tokio::task::yield_now().await;
+        }
+        tokio::time::pause();
+        let answer = say(&api, &text).await;
+        assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("\"code\":409"), "{answer}");
+        assert!(answer.contains("retry-after: 0.2"), "{answer}");
+        // What is small still goes through.
+        api.gate.0.add_permits(1);
+        let asked =
+            say(&api, "GET /fennelpin/Configuration.Read HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                .await;
+        assert!(asked.starts_with("HTTP/1.1 200 "), "{asked}");
+    });
+}
+
+#[test]
+fn bytes_that_are_no_call_end_the_connection_alone() {
+    story(async {
+        let api = api(4, 1).await;
+        let answer = say(&api, "\x16\x03\x01 hello\r\n\r\n").await;
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400 "), "{answer}");
+        let asked =
+            say(&api, "GET /fennelpin/Configuration.Read HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                .await;
+        assert!(asked.ends_with("{\"version\":1}"), "{asked}");
+    });
+}
+
+#[test]
+fn at_the_end_answers_close_their_connections() {
+    story(async {
+        let api = api(4, 0).await;
+        let mut stream = TcpStream::connect(api.addr).await.unwrap();
+        let text = b"GET /fennelpin/Configuration.Read HTTP/1.1\r\nHost: h\r\n\r\n";
+        stream.write_all(text).await.unwrap();
+        while api.gate.1.get() < 1 {
+            tokio::task::yield_now().await;
+        }
+        api.stop.send_replace(true);
+        api.gate.0.add_permits(1);
+        let answer = whole(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("connection: close"), "{answer}");
+    });
+}
