--- a/crates/orchard/src/config.rs
+++ b/crates/orchard/src/config.rs
@@ -59,13 +59,11 @@
 
 /// The configuration in force; version 0 where there is none.
 fn in_force(members: &Members) -> Result<Document, Failure> {
-    match members.ask(&Call { name: "Configuration.Read", ..Call::default() }) {
-        Ok(answer) => document(&answer, "the configuration in force"),
-        Err(Failure::Unclear { code, .. }) if code == Code::NoConfiguration.number() => {
-            Ok(Document::default())
-        }
-        Err(failure) => Err(failure),
+    let answer = members.ask(&Call { name: "Configuration.Read", ..Call::default() })?;
+    if answer.result().0 == Code::NoConfiguration.number() {
+        return Ok(Document::default());
     }
+    document(&answer, "the configuration in force")
 }
 
 /// An older configuration, from whichever member keeps it.
@@ -95,6 +93,10 @@
 /// Where it can't be had.
 pub fn show(asked: &Show) -> Result<(), Failure> {
     let document = of_version(&asked.members, asked.version)?;
+    if document.version == 0 {
+        let none = Code::NoConfiguration;
+        return Err(Failure::Refused { code: none.number(), reason: none.text().to_owned() });
+    }
     println!("{}", document.to_json());
     Ok(())
 }
--- a/crates/orchard/src/control.rs
+++ b/crates/orchard/src/control.rs
@@ -2,6 +2,7 @@
 //! gives a clear answer.
 
 use crate::failure::{AskSnafu, Failure, StrangeSnafu};
+use almanac::Code;
 use serde_json::Value;
 use snafu::ResultExt;
 use std::io::{self, Read, Write};
@@ -58,7 +59,8 @@
 
     /// Whether asking again, or another member, can't tell more.
     fn clear(&self) -> bool {
-        !matches!(self.status, 408 | 429 | 500..)
+        // That there is no configuration yet is the primary's word.
+        !matches!(self.status, 408 | 429 | 500..) || self.result().0 == Code::NoConfiguration.number()
     }
 
     /// Reads the text of an answer.
--- a/crates/orchard/tests/processes.rs
+++ b/crates/orchard/tests/processes.rs
@@ -207,6 +207,16 @@
         let target = if round % 2 == 0 { primary } else { primary % 3 + 1 };
         story.befall(round / 2, target);
         match round {
+            // Changed settings: all go on.
+            0 => [
+                "core-1/rootstock",
+                "core-2/rootstock",
+                "edge-1/hedgerow",
+                "edge-1/trellis",
+                "edge-2/trellis",
+            ]
+            .iter()
+            .for_each(|name| story.signal(name, Signal::HUP)),
             1 => story.fleet.start(Program::Hedgerow, 1, false).unwrap(),
             3 => story.fleet.start(Program::Trellis, 2, false).unwrap(),
             _ => {}
