--- a/crates/almanac/src/codes.rs
+++ b/crates/almanac/src/codes.rs
@@ -3,6 +3,12 @@
 macro_rules! codes {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $status:literal, $text:literal;)*) => {
         /// A result: its number is stable, its HTTP status is what callers of the interfaces see.
+        ///
+        /// ```
+        /// use almanac::Code;
+        /// assert_eq!((Code::OtherBase.number(), Code::OtherBase.status()), (120, 412));
+        /// assert_eq!(Code::of(120), Some(Code::OtherBase));
+        /// ```
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
         #[repr(u16)]
         pub enum Code { $($(#[$doc])* $name = $number,)* }
--- a/crates/hedgerow/src/lib.rs
+++ b/crates/hedgerow/src/lib.rs
@@ -1,4 +1,17 @@
 //! The agent beside each proxy: finds the control plane, pulls what is new, and feeds the proxy over loopback.
+//!
+//! ```
+//! # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+//! # runtime.block_on(async {
+//! let text = r#"{"node_name":"edge-1","role":"hedgerow","ip_addr":"127.0.0.9","zone":"a",
+//!     "port_range":[7660,7675],"bind":{"agent":"127.0.0.1:0"},"seed_nodes":["127.0.0.8:8146"]}"#;
+//! let boot = almanac::Boot::read(text).unwrap();
+//! // Whoever follows the settings file says here when its seeds change.
+//! let (_seeds, following) = tokio::sync::watch::channel(boot.seed_nodes.clone());
+//! let stop = std::future::ready(());
+//! hedgerow::run(boot, following, stop).await.unwrap();
+//! # });
+//! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/crates/rootstock/src/lib.rs
+++ b/crates/rootstock/src/lib.rs
@@ -1,5 +1,46 @@
 //! The control plane: who acts ([`member`]), what lasts ([`ledger`]): state machines without I/O or clock. The
 //! shell round them ([`shell`]) is thin. `docs/design/system.md` tells how they work together.
+//!
+//! A member alone, as the first of its system: told its time, it asks for what it promises to be put on disk, and acts
+//! once that is there.
+//!
+//! ```
+//! use rootstock::member::{Config, Input, Member, Output};
+//! use graft::Seat;
+//! use std::time::Duration;
+//!
+//! let me = Seat { id: 7, name: "core-1".into(), ..Seat::default() };
+//! let config = Config {
+//!     me: me.clone(),
+//!     bootstrap_voters: Some(vec![me]),
+//!     budget: almanac::FaultBudget::default(),
+//!     lease: Duration::from_millis(1000),
+//!     patience: Duration::from_millis(3500),
+//!     stall: Duration::from_millis(600),
+//! };
+//! let mut now = Duration::ZERO;
+//! let mut member = Member::new(config, &[], now, 1);
+//! let mut disk: Vec<Vec<u8>> = Vec::new();
+//! let mut inputs = vec![Input::Tick];
+//! while !member.acts() {
+//!     let input = inputs.pop().unwrap_or(Input::Tick);
+//!     let mut outputs = Vec::new();
+//!     member.step(now, input, &mut outputs);
+//!     for output in outputs {
+//!         match output {
+//!             Output::Write { ticket, records, .. } => {
+//!                 disk.extend(records);
+//!                 inputs.push(Input::Wrote { ticket, result: Ok(()) });
+//!             }
+//!             Output::Wake { at } => now = now.max(at),
+//!             _ => {}
+//!         }
+//!     }
+//!     assert!(now < Duration::from_secs(60), "it stands before long");
+//! }
+//! assert!(!disk.is_empty(), "nothing is promised that isn't on disk");
+//! assert_eq!(member.view().unwrap().primary, 7);
+//! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
