--- a/crates/scion/src/lib.rs
+++ b/crates/scion/src/lib.rs
@@ -50,7 +50,8 @@
 /// one have addresses of their own there.
 pub fn agent_addr(boot: &Boot) -> Addr {
     let ip = if boot.ip_addr.is_loopback() { boot.ip_addr } else { Ipv4Addr::LOCALHOST };
-    Addr { ip: u32::from(ip), port: boot.port_range.0.saturating_add(1) }
+    let usual = SocketAddrV4::new(ip, boot.port_range.0.saturating_add(1));
+    boot.bind.agent.unwrap_or(usual).into()
 }
 
 /// Where a machine's proxy takes the other proxies' hints; without enough ports, nowhere (port 0).
