A member without a say hands calls to the primary; next times are found once; policy's costs

Cause: of more than nine members those beyond the voters grant no leases and so never knew the primary: a drain at one of them timed out after 0.8 s (in the scale run with 10 members all hosts whose heartbeats fall to them), and a configuration call after 3.5 s. Profiled at 390 coordinators, a third of the agents' time went into finding the time of the next tick, over all records, at every event.

Change: such a member takes the primary that the fleet's news name. The time is found once for each generation. The scale run starts its hollow ones over a time that can be set, and its verb policy measures the proxy's policy.

--- a/crates/rootstock/src/member/mod.rs
+++ b/crates/rootstock/src/member/mod.rs
@@ -182,6 +182,8 @@
     stand_at: Duration,
     disk: Disk,
     local: BTreeMap<u64, Local>,
+    /// The primary and its epoch, as others tell.
+    hint: Option<(u64, Seat)>,
     leaving: bool,
 }
 
@@ -203,6 +205,7 @@
             stand_at: now,
             disk: Disk::default(),
             local: BTreeMap::new(),
+            hint: None,
             leaving: false,
             config,
         };
@@ -367,7 +370,20 @@
     pub fn primary(&self) -> Option<Seat> {
         match &self.role {
             Role::Primary(_) => Some(self.config.me.clone()),
-            _ => self.grant.filter(|g| g.until > self.now).and_then(|g| self.seat_of(g.to)),
+            _ => {
+                let granted = self.grant.filter(|g| g.until > self.now).and_then(|g| self.seat_of(g.to));
+                // Who has no say grants no leases, and knows by what others tell alone.
+                let newer = |epoch: u64| self.view.as_ref().is_none_or(|v| epoch > v.epoch);
+                let told = || self.hint.as_ref().filter(|h| !self.is_voter() || newer(h.0));
+                granted.or_else(|| told().map(|h| h.1.clone()))
+            }
+        }
+    }
+
+    /// Takes who is the primary in the view of an epoch, as others tell. It only says whom to hand commands to.
+    pub fn hear_of(&mut self, epoch: u64, primary: Seat) {
+        if primary.id != self.me() && self.hint.as_ref().is_none_or(|h| epoch >= h.0) {
+            self.hint = Some((epoch, primary));
         }
     }
 
--- a/crates/rootstock/src/shell/mod.rs
+++ b/crates/rootstock/src/shell/mod.rs
@@ -291,6 +291,13 @@
             Event::Disk(Told::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
             Event::Disk(Told::Open { .. } | Told::NotOpen { .. }) => {}
             Event::Command(command, caller) => {
+                self.mirror.update(|mirror, _| {
+                    let fleet = mirror.fleet();
+                    let primary = fleet.members.iter().find(|s| s.id == fleet.primary);
+                    if let Some(primary) = primary {
+                        self.member.hear_of(fleet.epoch, primary.clone());
+                    }
+                });
                 // Whoever stopped waiting may have been answered elsewhere, but what it asked for still holds.
                 self.callers.retain(|_, caller| !caller.is_closed());
                 self.tickets += 1;
--- a/crates/rootstock/tests/members.rs
+++ b/crates/rootstock/tests/members.rs
@@ -24,11 +24,15 @@
 
 impl Core {
     fn new(net: u8, root: &Path) -> Self {
-        let ips: Vec<Ipv4Addr> = (1..=3).map(|n| Ipv4Addr::new(127, 0, net, n)).collect();
+        Self::of(3, net, root)
+    }
+
+    fn of(count: u8, net: u8, root: &Path) -> Self {
+        let ips: Vec<Ipv4Addr> = (1..=count).map(|n| Ipv4Addr::new(127, 0, net, n)).collect();
         let free = || TcpListener::bind((ips[0], 0)).unwrap().local_addr().unwrap().port();
-        let dirs = (1..=3).map(|n| root.join(n.to_string())).collect();
+        let dirs = (1..=count).map(|n| root.join(n.to_string())).collect();
         let ports = (free(), free());
-        Self { dirs, ips, ports, running: vec![None, None, None] }
+        Self { dirs, ips, ports, running: (0..count).map(|_| None).collect() }
     }
 
     fn control(&self, n: usize) -> SocketAddrV4 {
@@ -142,3 +146,26 @@
     })
     .await;
 }
+
+/// More members than may have a say: the ones beyond only mirror, and hand on what they are asked.
+#[tokio::test]
+async fn a_member_without_a_say_hands_calls_to_the_primary() {
+    let root = tempfile::tempdir().unwrap();
+    let mut core = Core::of(11, 64, root.path());
+    let play = async {
+        (0..11).for_each(|n| core.start(n, true));
+        assert_eq!(replace(core.control(0), "0", CONFIGURATION).await.status, 200);
+        for n in 0..11 {
+            assert_eq!(read(core.control(n)).await.body, CONFIGURATION);
+        }
+        let beat =
+            serde_json::json!({"service": "s", "address": "10.0.0.9:80", "zone": "z0", "version": "v1",
+            "capacity": 4, "phase": "draining", "cold_left_ms": 0, "call_seq": 1})
+            .to_string();
+        for n in 0..11 {
+            let at = format!("/fennelpin/Hosts.Heartbeat/i-{n}");
+            call_until(core.control(n), "POST", &at, &[], &beat, |a| a.status == 200).await;
+        }
+    };
+    timeout(Duration::from_secs(60), LocalSet::new().run_until(play)).await.expect("the test hangs");
+}
--- a/crates/scion/src/mirror.rs
+++ b/crates/scion/src/mirror.rs
@@ -4,6 +4,7 @@
 use crate::phase;
 use almanac::{Delta, Document};
 use graft::{Addr, Caller, ConfigNews, CoordinatorRecord, Fleet, HostRecord, Mark, SourceNews};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +93,8 @@
     /// Order in which hosts were first seen.
     arrivals: HashMap<String, u64>,
     arrived: u64,
+    /// What [`Mirror::next_tick`] found, and at which generation; finding it looks at every record.
+    due: Cell<Option<(u64, Option<Duration>)>>,
 }
 
 impl Mirror {
@@ -117,6 +120,7 @@
             fresh: None,
             arrivals: HashMap::new(),
             arrived: 0,
+            due: Cell::new(None),
         }
     }
 
@@ -379,6 +383,7 @@
 
     /// Drops what is over. True where the view changed.
     pub fn tick(&mut self, now: Duration) -> bool {
+        self.due.set(None);
         let (before, closing) = (self.generation, self.beat * CLOSING_BEATS);
         let ended: Vec<(u64, u64)> = self
             .sources
@@ -432,6 +437,15 @@
 
     /// When [`Mirror::tick`] next has something to do.
     pub fn next_tick(&self) -> Option<Duration> {
+        if let Some((_, due)) = self.due.get().filter(|(generation, _)| *generation == self.generation) {
+            return due;
+        }
+        let due = self.find_next_tick();
+        self.due.set(Some((self.generation, due)));
+        due
+    }
+
+    fn find_next_tick(&self) -> Option<Duration> {
         let closing = self.beat * CLOSING_BEATS;
         let of = |s: &Source| {
             let hosts = s.hosts.values().filter_map(|k| k.over);
--- a/crates/threshing/src/lib.rs
+++ b/crates/threshing/src/lib.rs
@@ -11,11 +11,13 @@
 mod http;
 mod operator;
 mod plan;
+mod policy;
 mod report;
 mod run;
 
 pub use cast::Program;
 pub use gauge::{process, threads, Load};
 pub use plan::{Plan, PORT};
+pub use policy::policy;
 pub use report::{percentile, Row};
 pub use run::{play, Failure};
--- a/crates/threshing/src/main.rs
+++ b/crates/threshing/src/main.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use threshing::{play, Plan, Row};
+use threshing::{play, policy, Plan, Row};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -18,6 +18,15 @@
     Scale(Box<Scale>),
     Member(PathBuf),
     Agent(PathBuf),
+    Policy(Costs),
+}
+
+#[derive(Clone, Debug)]
+struct Costs {
+    hosts: usize,
+    prefixes: u64,
+    requests: u64,
+    coordinators: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -31,6 +40,7 @@
     beat_ms: u64,
     change_ms: u64,
     churn_ms: u64,
+    ramp_s: f64,
     phase_s: f64,
     freeze_s: f64,
     thrice: bool,
@@ -56,6 +66,7 @@
     let beat_ms = number("beat", "ms between a host's heartbeats", 1200);
     let change_ms = number("change", "ms between changes of the configuration", 1000);
     let churn_ms = number("churn", "ms between hosts that are replaced", 2000);
+    let ramp_s = number("ramp", "seconds in which coordinators and hosts start", 1.0);
     let phase_s = number("phase", "seconds that each phase lasts", 20.0);
     let freeze_s = number("freeze", "seconds that most of the core stands still", 6.0);
     let thrice = long("thrice").help("coordinators wait for news at all members that they watch").switch();
@@ -71,6 +82,7 @@
         beat_ms,
         change_ms,
         churn_ms,
+        ramp_s,
         phase_s,
         freeze_s,
         thrice,
@@ -88,7 +100,16 @@
     };
     let member = role("member", "be one of the run's members").map(Verb::Member);
     let agent = role("agent", "be one of the run's agents").map(Verb::Agent);
-    construct!([scale, member, agent]).to_options().descr("Scale run of the control plane on one machine")
+    let hosts = number("hosts", "hosts of the service", 2900);
+    let prefixes = number("prefixes", "shared prefixes", 86_000);
+    let requests = number("requests", "requests", 20_000);
+    let coordinators = number("coordinators", "coordinators that share the hosts", 390);
+    let help = "measure what the proxy's policy costs";
+    let policy = construct!(Costs { hosts, prefixes, requests, coordinators });
+    let policy = policy.map(Verb::Policy).to_options().descr(help).command("policy").help(help);
+    construct!([scale, policy, member, agent])
+        .to_options()
+        .descr("Scale run of the control plane on one machine")
 }
 
 fn settings(path: &PathBuf) -> Result<Boot, String> {
@@ -115,6 +136,10 @@
             let boot = settings(&path)?;
             hedgerow::run(boot, Some(path), terminated()?).await.map_err(|e| e.to_string())
         }
+        Verb::Policy(costs) => {
+            tell(&policy(costs.hosts, costs.prefixes, costs.requests, costs.coordinators));
+            Ok(())
+        }
         Verb::Scale(scale) => {
             let program = std::env::current_exe().map_err(|e| e.to_string())?;
             let plan = Plan {
@@ -127,6 +152,7 @@
                 beat: Duration::from_millis(scale.beat_ms),
                 change: Duration::from_millis(scale.change_ms),
                 churn: Duration::from_millis(scale.churn_ms.max(1)),
+                ramp: Duration::from_secs_f64(scale.ramp_s),
                 phase: Duration::from_secs_f64(scale.phase_s),
                 freeze: Duration::from_secs_f64(scale.freeze_s),
                 thrice: scale.thrice,
--- a/crates/threshing/src/plan.rs
+++ b/crates/threshing/src/plan.rs
@@ -31,6 +31,8 @@
     pub change: Duration,
     /// Time between hosts that leave and are replaced.
     pub churn: Duration,
+    /// Time in which the hollow ones start, one after the other.
+    pub ramp: Duration,
     /// Length of each phase.
     pub phase: Duration,
     /// How long a majority of the core is frozen.
--- a/crates/threshing/src/run.rs
+++ b/crates/threshing/src/run.rs
@@ -16,6 +16,8 @@
 
 /// Threads that the hollow coordinators share.
 const THREADS: usize = 4;
+/// Time between steps of the start.
+const STEP: Duration = Duration::from_millis(250);
 /// Longest wait for all to have the first configuration.
 const START: Duration = Duration::from_secs(120);
 /// After the last change, the time that it is given to be in force everywhere.
@@ -112,10 +114,6 @@
         let agent = Program::start(&troupe.plan.program, "agent", &troupe.plan.dir, &name, &settings);
         troupe.agents.push(agent.context(IoSnafu { what: "agent" })?);
     }
-    // The threads end with the troupe.
-    let all: Vec<usize> = (0..troupe.plan.coordinators + troupe.plan.agents).collect();
-    troupe.order(all, coordinators::Order::Start);
-    let _ = troupe.hosts.send(hosts::Order::Start((0..troupe.plan.hosts).collect()));
     let operator = operator::play(troupe.plan.clone(), troupe.controls.clone(), troupe.acked.clone());
     tokio::select! {
         () = operator => Ok(Vec::new()),
@@ -150,6 +148,7 @@
         };
 
         let before = self.sample();
+        self.come_up().await;
         let until = Instant::now() + START;
         while !lock(&self.log).iter().all(|s| !s.versions.is_empty()) {
             if Instant::now() > until {
@@ -218,6 +217,20 @@
         Ok(rows)
     }
 
+    /// Starts the hollow ones in steps.
+    async fn come_up(&self) {
+        let all = self.plan.coordinators + self.plan.agents;
+        let steps = (self.plan.ramp.as_millis() / STEP.as_millis()).max(1) as usize;
+        for step in 0..steps {
+            let part =
+                |count: usize| (count * step / steps..count * (step + 1) / steps).collect::<Vec<usize>>();
+            self.order(part(all), coordinators::Order::Start);
+            // The thread ends with this.
+            let _ = self.hosts.send(hosts::Order::Start(part(self.plan.hosts)));
+            sleep(STEP).await;
+        }
+    }
+
     /// Lets time pass, with hosts that are replaced; then what was acknowledged is given time to arrive.
     async fn pass(&self, length: Duration) {
         let mut left = length;
--- a/crates/threshing/tests/tiny.rs
+++ b/crates/threshing/tests/tiny.rs
@@ -1,7 +1,7 @@
 //! The scale run at a tiny size, and its figures.
 
 use std::time::Duration;
-use threshing::{percentile, play, process, threads, Plan};
+use threshing::{percentile, play, policy, process, threads, Plan};
 
 fn plan(dir: &std::path::Path) -> Plan {
     Plan {
@@ -14,6 +14,7 @@
         beat: Duration::from_millis(300),
         change: Duration::from_millis(250),
         churn: Duration::from_millis(500),
+        ramp: Duration::from_millis(500),
         phase: Duration::from_secs(4),
         freeze: Duration::from_secs(2),
         thrice: false,
@@ -60,3 +61,10 @@
     assert_eq!(percentile(&[], 0.5), 0.0);
     assert_eq!(percentile(&[7.0], 0.99), 7.0);
 }
+
+#[test]
+fn the_policy_s_costs_are_measured_per_request() {
+    let row = policy(20, 50, 2000, 4);
+    assert_eq!((row.get("hosts"), row.get("requests")), (Some(20.0), Some(2000.0)));
+    assert!(row.get("request_us").unwrap() >= 0.0 && row.get("memory_mb").unwrap() >= 0.0);
+}
