--- a/crates/rootstock/src/roster.rs
+++ b/crates/rootstock/src/roster.rs
@@ -254,14 +254,15 @@
             name: caller.name.clone(),
             zone: caller.zone.clone(),
             region: caller.region.clone(),
+            addr: caller.addr,
             gone: false,
             version: caller.version,
         };
+        let place = |r: &CoordinatorRecord| (r.zone.clone(), r.region.clone(), r.addr);
+        let here = place(&shown);
         let known = self.coordinators.insert(caller.name.clone(), Coordinator { shown, at: now });
         // Its version alone is no news: all of them would be told of each other at each configuration.
-        if known
-            .is_some_and(|k| !k.shown.gone && k.shown.zone == caller.zone && k.shown.region == caller.region)
-        {
+        if known.is_some_and(|k| !k.shown.gone && place(&k.shown) == here) {
             return false;
         }
         self.mark.seq += 1;
@@ -338,6 +339,11 @@
     pub fn coordinators(&self) -> impl Iterator<Item = &CoordinatorRecord> {
         self.coordinators.values().map(|c| &c.shown).filter(|c| !c.gone)
     }
+
+    /// The same with those that have stopped pulling lately, and when each pulled last.
+    pub fn all_coordinators(&self) -> impl Iterator<Item = (&CoordinatorRecord, Duration)> {
+        self.coordinators.values().map(|c| (&c.shown, c.at))
+    }
 }
 
 /// Whether two records of a host tell others the same.
--- a/crates/scion/src/lib.rs
+++ b/crates/scion/src/lib.rs
@@ -50,7 +50,14 @@
 /// one have addresses of their own there.
 pub fn agent_addr(boot: &Boot) -> Addr {
     let ip = if boot.ip_addr.is_loopback() { boot.ip_addr } else { Ipv4Addr::LOCALHOST };
-    Addr { ip: u32::from(ip), port: boot.port_range.0.saturating_add(1) }
+    let usual = SocketAddrV4::new(ip, boot.port_range.0.saturating_add(1));
+    boot.bind.agent.unwrap_or(usual).into()
+}
+
+/// Where a machine's proxy takes the other proxies' hints; without enough ports, nowhere (port 0).
+pub fn hints_addr(boot: &Boot) -> Addr {
+    let port = boot.port_range.0.saturating_add(2);
+    Addr { ip: u32::from(boot.ip_addr), port: if port <= boot.port_range.1 { port } else { 0 } }
 }
 
 /// This process as one that pulls; `member` is its identity, or 0 where it is no member.
@@ -59,6 +66,7 @@
         name: boot.node_name.clone(),
         zone: boot.zone.clone(),
         region: boot.region.clone(),
+        addr: hints_addr(boot),
         member,
         version: 0,
     }
--- a/crates/trellis/src/hostlink.rs
+++ b/crates/trellis/src/hostlink.rs
@@ -1,8 +1,7 @@
 //! Connections to hosts: one request at a time on each, kept for the next where both sides agree.
 
 use crate::core::Core;
-use crate::http1::{Body, Malformed, Piece, ResponseHead};
-use crate::pool::Ticket;
+use crate::pool::{self, Ticket};
 use crate::wire;
 use bytes::{Bytes, BytesMut};
 use snafu::Snafu;
@@ -11,13 +10,10 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
+use windrow::{Body, Malformed, Most, Piece, ResponseHead};
 
-/// Longest time for a connection to come up.
-const CONNECT: Duration = Duration::from_secs(1);
-/// Longest time that a connection stands idle, whatever the host allows.
-const IDLE: Duration = Duration::from_secs(10);
 /// Largest head of an answer.
-const MOST_HEAD: usize = 32 * 1024;
+const MOST_HEAD: Most = Most::bytes(32 * 1024);
 
 /// Why there is no (further) part of an answer.
 #[derive(Debug, Snafu)]
@@ -46,7 +42,10 @@
     buf: BytesMut,
     /// Whether it was used before.
     pub(crate) used: bool,
-    _ticket: Ticket,
+    /// A request was written in part only.
+    partial: bool,
+    ticket: Ticket,
+    origin: Instant,
 }
 
 /// Why no connection could be had.
@@ -87,11 +86,17 @@
     ) -> Result<Self, NoLink> {
         let ticket = core.pool.borrow_mut().room(id, most).ok_or(NoLink::Full)?;
         core.tally.add(|c| c.connects += 1);
-        let until = until.min(Instant::now() + CONNECT);
         match timeout_at(until, TcpStream::connect(std::net::SocketAddr::V4(addr))).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                Ok(Self { stream, buf: BytesMut::new(), used: false, _ticket: ticket })
+                Ok(Self {
+                    stream,
+                    buf: BytesMut::new(),
+                    used: false,
+                    partial: false,
+                    ticket,
+                    origin: core.at(Duration::ZERO),
+                })
             }
             _ => {
                 core.tally.add(|c| c.unreached += 1);
@@ -100,15 +105,45 @@
         }
     }
 
-    /// Writes a request. `written` counts what the system took, also where this fails.
-    pub(crate) async fn send(&self, head: &[u8], body: &[u8], written: &mut usize) -> std::io::Result<()> {
-        wire::write_all(&self.stream, head, body, written).await
+    /// Writes a request, and stops where its answer is there before all is written: a host may refuse a large
+    /// body and read no more of it. `written` counts what the system took, also where this fails.
+    pub(crate) async fn send(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+        written: &mut usize,
+        ours: impl Fn(&ResponseHead) -> bool,
+    ) -> std::io::Result<()> {
+        // Until it is written to its end, no other request may follow.
+        self.partial = true;
+        loop {
+            tokio::select! {
+                biased;
+                done = wire::write_all(&self.stream, head, body, written) => {
+                    self.partial = done.is_err();
+                    return done;
+                }
+                got = wire::fill(&self.stream, &mut self.buf), if self.buf.len() < MOST_HEAD.bytes => {
+                    if got? == 0 {
+                        return Ok(());
+                    }
+                    if let Ok(Some(head)) = ResponseHead::take(&mut self.buf.clone(), MOST_HEAD, false) {
+                        if ours(&head) {
+                            return Ok(());
+                        }
+                    }
+                }
+            }
+        }
     }
 
     async fn more(&mut self) -> Result<(), Lost> {
         match wire::fill(&self.stream, &mut self.buf).await? {
             0 => ClosedSnafu.fail(),
-            _ => Ok(()),
+            _ => {
+                self.ticket.hear(self.origin.elapsed());
+                Ok(())
+            }
         }
     }
 
@@ -157,26 +192,20 @@
         Ok(false)
     }
 
+    /// Whether the host has been heard since a time, on this connection or another.
+    pub(crate) fn heard_since(&self, time: Instant) -> bool {
+        self.origin + self.ticket.heard() > time
+    }
+
     /// Keeps the connection for the next request, after a whole answer with this head.
     pub(crate) fn keep(mut self, core: &Core, id: &str, head: &ResponseHead) {
         // More after a whole answer belongs to no request.
-        if !head.keeps_alive() || !self.buf.is_empty() {
+        if !head.keeps_alive() || self.partial || !self.buf.is_empty() {
             return;
         }
-        let until = core.now() + idle(head.fields.text("keep-alive"));
+        let until = core.now() + pool::idle(head.fields.text("keep-alive"));
         self.used = true;
         self.buf = BytesMut::new();
         core.pool.borrow_mut().put(id, self, until);
     }
 }
-
-/// How long a connection may stand idle: less than the host says, so that it isn't closed under a request.
-fn idle(keep_alive: Option<&str>) -> Duration {
-    let given = keep_alive.into_iter().flat_map(|v| v.split(',')).find_map(|p| {
-        let (name, value) = p.trim().split_once('=')?;
-        let seconds: u64 = value.trim().parse().ok()?;
-        name.trim().eq_ignore_ascii_case("timeout").then_some(Duration::from_secs(seconds.min(3600)))
-    });
-    let margin = |d: Duration| d.saturating_sub(Duration::from_secs(1)).max(d / 2);
-    given.map_or(IDLE, |d| margin(d).min(IDLE))
-}
--- a/crates/trellis/src/serve.rs
+++ b/crates/trellis/src/serve.rs
@@ -1,8 +1,8 @@
 //! The process: its listeners, its news, its end.
 
 use crate::core::Core;
-use crate::counters::Counters;
-use crate::{front, readiness};
+use crate::counters::{Counters, Tally};
+use crate::{front, hints, readiness};
 use almanac::{Boot, Document};
 use espalier::HostInfo;
 use snafu::{ResultExt, Snafu};
@@ -25,6 +25,8 @@
     pub hosts: Vec<HostInfo>,
     /// Proxies that share the budget for repeats, this one among them.
     pub coordinators: usize,
+    /// Where the other proxies take hints.
+    pub others: Vec<SocketAddrV4>,
 }
 
 /// Why the proxy can't start.
@@ -91,6 +93,10 @@
     }
 }
 
+async fn tick(core: Rc<Core>) {
+    core.tick().await;
+}
+
 /// Serves until `stop` resolves, and then until all that was taken is answered. Has to run inside a
 /// [`tokio::task::LocalSet`] on a `current_thread` runtime. Gives what was counted.
 ///
@@ -101,13 +107,32 @@
     world: watch::Receiver<Option<Arc<World>>>,
     stop: impl Future<Output = ()>,
 ) -> Result<Counters, Error> {
-    let core = Rc::new(Core::new(&boot));
+    serve_counted(boot, world, Rc::default(), stop).await
+}
+
+/// As [`serve`], counting in `tally`, which the caller can read meanwhile.
+///
+/// # Errors
+/// As [`serve`].
+pub async fn serve_counted(
+    boot: Boot,
+    world: watch::Receiver<Option<Arc<World>>>,
+    tally: Rc<Tally>,
+    stop: impl Future<Output = ()>,
+) -> Result<Counters, Error> {
+    let core = Rc::new(Core::new(&boot, tally));
     let front = listen("front", boot.bind.front).await?;
     let readiness = listen("readiness", boot.bind.readiness).await?;
+    let hints = hints::listen(&boot).await;
+    if let Some(socket) = &hints {
+        core.hints.borrow_mut().socket = Some(socket.clone());
+    }
+    let _hints = hints.map(|socket| task(hints::hear(core.clone(), socket)));
     let _tasks = [
         task(follow(core.clone(), world)),
         task(readiness::listen(core.clone(), readiness)),
         task(sweep(core.clone())),
+        task(tick(core.clone())),
     ];
     let (close, closing) = watch::channel(front::Phase::Open);
     let open = Rc::new(std::cell::Cell::new(0));
