--- a/crates/threshing/src/main.rs
+++ b/crates/threshing/src/main.rs
@@ -130,11 +130,14 @@
             let boot = settings(&path)?;
             // Nobody changes the seeds; the sender lives as long as the member.
             let (_sender, seeds) = watch::channel(boot.seed_nodes.clone());
-            rootstock::shell::run(boot, seeds, terminated()?).await.map_err(|e| e.to_string())
+            rootstock::shell::run(boot, rootstock::shell::Tuning::default(), seeds, terminated()?)
+                .await
+                .map_err(|e| e.to_string())
         }
         Verb::Agent(path) => {
             let boot = settings(&path)?;
-            hedgerow::run(boot, Some(path), terminated()?).await.map_err(|e| e.to_string())
+            let (_sender, seeds) = watch::channel(boot.seed_nodes.clone());
+            hedgerow::run(boot, seeds, terminated()?).await.map_err(|e| e.to_string())
         }
         Verb::Policy(costs) => {
             tell(&policy(costs.hosts, costs.prefixes, costs.requests, costs.coordinators));
