--- a/crates/orchard/src/store.rs
+++ b/crates/orchard/src/store.rs
@@ -5,15 +5,21 @@
 use snafu::ResultExt;
 use std::path::Path;
 
-/// The files in a member's folder.
-const FILES: [&str; 2] = ["identity", "ledger"];
+/// The files in a member's folder. The last may not be there: nothing rests on it.
+const FILES: [&str; 3] = ["identity", "ledger", ROSTER];
+const ROSTER: &str = "roster";
+
+/// The files that are there, or should be.
+fn files(dir: &Path) -> impl Iterator<Item = &'static str> + use<'_> {
+    FILES.into_iter().filter(|name| *name != ROSTER || dir.join(name).exists())
+}
 
 /// Tells what they hold. They may be in use.
 ///
 /// # Errors
 /// Where one can't be read.
 pub fn inspect(dir: &Path) -> Result<(), Failure> {
-    for name in FILES {
+    for name in files(dir) {
         println!("{}", furrow::inspect(dir, name).context(StoreSnafu)?);
     }
     Ok(())
@@ -25,7 +31,7 @@
 /// Where one can't be read, or wouldn't open at a start.
 pub fn verify(dir: &Path) -> Result<(), Failure> {
     let mut bad = None;
-    for name in FILES {
+    for name in files(dir) {
         let found = furrow::verify(dir, name).context(StoreSnafu)?;
         println!("{found}");
         if !found.summary.opens() {
@@ -43,7 +49,7 @@
 /// # Errors
 /// Where one doesn't open or the disk refuses.
 pub fn rewrite(dir: &Path) -> Result<(), Failure> {
-    for name in FILES {
+    for name in files(dir) {
         let before = furrow::inspect(dir, name).context(StoreSnafu)?;
         let (mut file, records) = Furrow::open(dir, name).context(StoreSnafu)?;
         let all: Vec<&[u8]> = records.iter().map(Vec::as_slice).collect();
--- a/crates/rootstock/tests/disk.rs
+++ b/crates/rootstock/tests/disk.rs
@@ -1,6 +1,6 @@
 //! The disk's thread on a real folder.
 
-use rootstock::shell::disk::{start, Told, Write};
+use rootstock::shell::disk::{start, File, Told, Write};
 use rootstock::shell::identity::{Birth, Identity};
 use std::path::Path;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -14,14 +14,14 @@
     let (tell, told) = channel();
     let writes = start(dir.into(), birth(bootstrap), move |t| drop(tell.send(t))).unwrap();
     match told.recv().unwrap() {
-        Told::Open { identity, records } => (writes, told, identity, records),
+        Told::Open { identity, records, roster: None } => (writes, told, identity, records),
         other => panic!("{other:?}"),
     }
 }
 
 fn write(writes: &Sender<Write>, ticket: u64, records: &[&str], rewrite: bool) {
     let records = records.iter().map(|r| r.as_bytes().to_vec()).collect();
-    writes.send(Write { ticket, records, rewrite }).unwrap();
+    writes.send(Write { ticket, records, rewrite, file: File::Ledger }).unwrap();
 }
 
 #[test]
--- a/crates/trellis/src/core.rs
+++ b/crates/trellis/src/core.rs
@@ -1,6 +1,7 @@
 //! What all connections share.
 
 use crate::counters::Tally;
+use crate::hints::Hints;
 use crate::hostlink::Link;
 use crate::pool::Pool;
 use crate::routes::Routes;
@@ -39,6 +40,7 @@
     known: RefCell<Option<Rc<Known>>>,
     pub(crate) pool: RefCell<Pool<Link>>,
     pub(crate) tally: Tally,
+    pub(crate) hints: RefCell<Hints>,
     pub(crate) stopping: Cell<bool>,
     pub(crate) most_clients: usize,
     most_bodies: usize,
@@ -62,12 +64,17 @@
         };
         let fds = boot.limits.fd_limit.saturating_sub(SPARE_FDS).max(16) as f64;
         let memory = boot.limits.memory_mb as f64 * 1024.0 * 1024.0;
+        let mut policy = Policy::new(settings);
+        if boot.bootstrap {
+            policy.set_first_start();
+        }
         Self {
             origin: Instant::now(),
-            policy: RefCell::new(Policy::new(settings)),
+            policy: RefCell::new(policy),
             known: RefCell::default(),
             pool: RefCell::new(Pool::new((fds * (1.0 - CLIENTS_SHARE)) as usize)),
             tally: Tally::default(),
+            hints: RefCell::default(),
             stopping: Cell::new(false),
             most_clients: (fds * CLIENTS_SHARE) as usize,
             most_bodies: (memory * BODIES_SHARE) as usize,
@@ -134,6 +141,8 @@
             policy.set_services(now, &services);
             log::info!("configuration {}: {} routes", document.version, document.routes.len());
         }
+        let all_told = self.hints.borrow_mut().set_others(&world.others);
+        policy.set_told(now, all_told);
         policy.set_coordinators(now, world.coordinators);
         policy.set_hosts(now, &world.hosts);
         let ids: HashSet<&str> = world.hosts.iter().map(|h| &*h.id).collect();
