--- a/crates/orchard/src/main.rs
+++ b/crates/orchard/src/main.rs
@@ -31,13 +31,24 @@
     match run(options) {
         Ok(code) => code,
         Err(failure) => {
-            // The logs may not be there yet, and who reads a terminal wants no time before it.
+            // Who reads a terminal wants no time before it.
             eprintln!("orchard: {}", failure.chain());
             ExitCode::from(failure.exit())
         }
     }
 }
 
+/// The exit code of a program, whose failure goes into its log.
+fn logged(done: Result<(), Failure>) -> ExitCode {
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            log::error!("{}", failure.chain());
+            ExitCode::from(failure.exit())
+        }
+    }
+}
+
 fn run(options: Options) -> Result<ExitCode, Failure> {
     let mut operator = Operator::read(options.operator.as_deref())?;
     operator.log_level = options.level.unwrap_or(operator.log_level);
@@ -45,9 +56,9 @@
     logs::start(operator.log_level, operator.log_format);
     let done = |()| ExitCode::SUCCESS;
     match options.verb {
-        Verb::Rootstock(from) => roles::rootstock(&from, &operator).map(done),
-        Verb::Hedgerow(from) => roles::hedgerow(&from).map(done),
-        Verb::Trellis(from) => roles::trellis(&from).map(done),
+        Verb::Rootstock(from) => Ok(logged(roles::rootstock(&from, &operator))),
+        Verb::Hedgerow(from) => Ok(logged(roles::hedgerow(&from))),
+        Verb::Trellis(from) => Ok(logged(roles::trellis(&from))),
         Verb::Version => {
             println!("orchard {} (messages: {})", env!("CARGO_PKG_VERSION"), graft::VERSION);
             Ok(ExitCode::SUCCESS)
--- a/crates/orchard/tests/command_line.rs
+++ b/crates/orchard/tests/command_line.rs
@@ -183,11 +183,13 @@
 fn logs_are_json_where_that_is_wanted() {
     let dir = tempfile::tempdir().unwrap();
     let file = dir.path().join("boot.json");
-    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // An address of this test's own, where nobody else takes the ports in between.
+    let two = [(); 2].map(|()| TcpListener::bind("127.46.0.1:0").unwrap());
+    let [free, inner] = two.map(|l| l.local_addr().unwrap());
     let disk = dir.path().join("disk");
     std::fs::create_dir(&disk).unwrap();
-    let settings = serde_json::json!({"node_name": "m", "role": "r", "ip_addr": "127.0.0.1", "zone": "z",
-        "port_range": [free.port().max(2) - 1, free.port()], "bind": {"control": free}, "state_dir": disk,
+    let settings = serde_json::json!({"node_name": "m", "role": "r", "ip_addr": "127.46.0.1", "zone": "z",
+        "port_range": [inner.port(), inner.port()], "bind": {"control": free}, "state_dir": disk,
         "bootstrap": true, "seed_nodes": [free]});
     std::fs::write(&file, settings.to_string()).unwrap();
     let mut child = orchard()
@@ -203,6 +205,18 @@
     assert!(first["id"].is_number() && first["founder"] == true, "{first}");
     // The end of its input ends it in order.
     drop(child.stdin.take());
-    assert!(lines.all(|l| serde_json::from_str::<serde_json::Value>(&l.unwrap()).is_ok()));
+    for line in lines {
+        let line = line.unwrap();
+        assert!(serde_json::from_str::<serde_json::Value>(&line).is_ok(), "{line}");
+    }
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
+
+#[test]
+fn a_programs_failure_is_in_its_log() {
+    let done = run(&["--log-format", "json", "trellis", "--settings", "/nowhere.json"]);
+    assert_eq!(done.status.code(), Some(2));
+    let line: serde_json::Value = serde_json::from_str(err(&done).trim()).unwrap();
+    assert_eq!(line["level"], "ERROR");
+    assert!(line["message"].as_str().unwrap().contains("/nowhere.json"), "{line}");
+}
