--- a/crates/rootstock/tests/disk.rs
+++ b/crates/rootstock/tests/disk.rs
@@ -14,7 +14,7 @@
     let (tell, told) = channel();
     let writes = start(dir.into(), birth(bootstrap), move |t| drop(tell.send(t))).unwrap();
     match told.recv().unwrap() {
-        Told::Open { identity, records, .. } => (writes, told, identity, records),
+        Told::Open { identity, records, roster: None } => (writes, told, identity, records),
         other => panic!("{other:?}"),
     }
 }
