--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -31,9 +31,16 @@
     fall: (f64, u64),
     /// How late a server's report is.
     report: (u64, u64),
+    /// Whether a part that may have run may be sent again; within a window where it has a key.
+    repeat: Repeat,
+    may_cancel: bool,
+    probes: bool,
+    /// Where the list has to be asked for.
+    must_ask_in: Option<u64>,
 }
 
-const DEPLOYMENTS: [Deployment; 2] = [
+/// The two deployments, and of each variant in `deploy/sites` a class that neither of them has.
+const DEPLOYMENTS: [Deployment; 5] = [
     Deployment {
         name: "sets of three, calls that cost work, late answers worth nothing",
         servers: (12, 18),
@@ -52,6 +59,10 @@
         cold_ramp: (6000, 14_000),
         fall: (2.0, 1000),
         report: (30, 300),
+        repeat: Repeat::Safe,
+        may_cancel: true,
+        probes: true,
+        must_ask_in: None,
     },
     Deployment {
         name: "a ring of two, calls of one long part, late answers worth something",
@@ -71,9 +82,71 @@
         cold_ramp: (5900, 15_000),
         fall: (3.0, 1500),
         report: (180, 920),
+        repeat: Repeat::Safe,
+        may_cancel: true,
+        probes: true,
+        must_ask_in: None,
+    },
+    Deployment { name: "port-slots, find-berth: a short window, no cancel, no probes", ..PORT_SLOTS },
+    Deployment {
+        name: "port-slots, take-berth: nothing that may have run is repeated",
+        parts: (1, 2),
+        work: (26, 34),
+        goal: 700,
+        limit: 1400,
+        late_worth: 0.1,
+        repeat: Repeat::Unsafe,
+        ..PORT_SLOTS
+    },
+    Deployment {
+        name: "survey-maps, print-sheet: a minute's deadline, lists that are asked for",
+        servers: (12, 18),
+        a_cell: 1,
+        parts: (6, 6),
+        work: (240, 300),
+        goal: 12_000,
+        limit: 60_000,
+        late_worth: 0.5,
+        call_cost: 20,
+        bundle: 2,
+        copies: true,
+        attempts: 5,
+        grace: 4000,
+        cold_share: (25, 47),
+        cold_ramp: (6000, 15_000),
+        fall: (2.0, 2000),
+        report: (23, 260),
+        repeat: Repeat::Safe,
+        may_cancel: true,
+        probes: true,
+        must_ask_in: Some(12_000),
     },
 ];
 
+const PORT_SLOTS: Deployment = Deployment {
+    name: "",
+    servers: (12, 18),
+    a_cell: 1,
+    parts: (2, 4),
+    work: (22, 30),
+    goal: 500,
+    limit: 1000,
+    late_worth: 0.2,
+    call_cost: 6,
+    bundle: 4,
+    copies: false,
+    attempts: 2,
+    grace: 1000,
+    cold_share: (25, 44),
+    cold_ramp: (5000, 10_000),
+    fall: (3.0, 1000),
+    report: (75, 280),
+    repeat: Repeat::Keyed(Duration::from_millis(900)),
+    may_cancel: false,
+    probes: false,
+    must_ask_in: None,
+};
+
 const ROUTERS: usize = 3;
 const SLOTS: usize = 2;
 /// One turn of the model.
@@ -122,6 +195,8 @@
     finals: u32,
     answered: Option<u64>,
     attempts: BTreeMap<RequestId, (u32, u32)>,
+    /// When the first attempt of each part was sent that may have run.
+    risky: BTreeMap<RequestId, u64>,
 }
 
 struct World {
@@ -153,7 +228,7 @@
             limit: ms(d.limit),
             late_worth: d.late_worth,
             worth: 1.0,
-            repeat: Repeat::Safe,
+            repeat: d.repeat,
             need: 1.0,
             floor: 1.0,
             partial_earns: 1.0,
@@ -172,12 +247,12 @@
             call_cost: ms(d.call_cost),
             max_attempts: d.attempts,
             second_copies: d.copies,
-            may_cancel: true,
-            probes: true,
+            may_cancel: d.may_cancel,
+            probes: d.probes,
             retry_after_max: Some(ms(500)),
             budget: None,
             cold: Some(ColdRule { share, ramp, fall_multiple: d.fall.0, tip_after: ms(d.fall.1) }),
-            must_ask_in: None,
+            must_ask_in: d.must_ask_in.map(ms),
             drain_grace: ms(d.grace),
             step: ms(STEP),
         };
@@ -262,7 +337,12 @@
 
     fn end(&mut self, job: &Job, server: usize, outcome: Outcome) {
         let query = self.owner[&job.part];
-        self.queries.get_mut(&query).unwrap().attempts.get_mut(&job.part).unwrap().1 -= 1;
+        let q = self.queries.get_mut(&query).unwrap();
+        q.attempts.get_mut(&job.part).unwrap().1 -= 1;
+        if !outcome.never_ran() {
+            let first = q.risky.entry(job.part).or_insert(job.sent);
+            *first = job.sent.min(*first);
+        }
         let s = &self.servers[server];
         let seen = s.held.iter().rev().find(|h| h.0 + self.report <= self.now).map_or(0, |h| h.1);
         let report = LoadReport { inflight: Some(seen as f64), ..LoadReport::default() };
@@ -310,6 +390,15 @@
                 let tries = query.attempts.entry(part).or_default();
                 assert!(tries.0 < self.d.attempts, "attempts of a part");
                 assert!(self.d.copies || tries.1 == 0, "attempts that overlap");
+                let risky = query.risky.get(&part).copied();
+                assert!(
+                    match self.d.repeat {
+                        Repeat::Safe => true,
+                        Repeat::Keyed(window) => risky.is_none_or(|t| ms(self.now - t) < window),
+                        Repeat::Unsafe => risky.is_none(),
+                    },
+                    "a part that may have run is repeated"
+                );
                 let attempt = tries.0;
                 *tries = (tries.0 + 1, tries.1 + 1);
                 let give_up = self.now + timeout.as_millis() as u64;
@@ -320,6 +409,7 @@
                 }
             }
             Action::Cancel { part, attempt } => {
+                assert!(self.d.may_cancel, "a withdrawal where none is allowed");
                 for n in 0..self.servers.len() {
                     let jobs = &mut self.servers[n].jobs;
                     let found = jobs.iter().position(|j| (j.part, j.attempt) == (part, attempt));
@@ -328,7 +418,12 @@
                     }
                 }
             }
+            Action::Subscribe => {
+                assert!(self.d.must_ask_in.is_some(), "a list is asked for that is pushed");
+                self.events[who].push(Event::List { kind: ListKind::Changes, entries: vec![] });
+            }
             Action::Probe { server } => {
+                assert!(self.d.probes, "a probe where none is allowed");
                 let outcome = match self.servers[server.0 as usize].down {
                     true => Outcome::ConnectFailed,
                     false => Outcome::Ok,
