--- a/crates/espalier/src/policy.rs
+++ b/crates/espalier/src/policy.rs
@@ -160,7 +160,9 @@
         let Some(room) = service.info.as_ref().and_then(|i| i.cache_tokens) else { return };
         host.kept.touch(parts, room);
         host.kept.share(parts);
-        host.others_until = host.others_until.max(now) + from_ms(service.reading(unread));
+        // No prompt is longer than what a host keeps, whatever a datagram says.
+        let reading = service.reading(unread.min(room as u32));
+        host.others_until = host.others_until.max(now) + from_ms(reading);
     }
 
     /// What hosts keep that others may ask for too, by our reckoning.
