Policy: a hint of more than a host keeps is passed over

Cause: found by the trellis test of garbage: a datagram with any number of tokens pushed all that was known of a host out. Change: hints whose parts together are more than the host's memory are passed over, with a test. The proxy's side of hints: a pause of 20 ms after an error of the socket, which was read again at once before; hosts whose name alone fills a datagram are left out of the answers to Recall; the tests' proxy takes hints where a story asks for it.

--- a/crates/espalier/src/policy.rs
+++ b/crates/espalier/src/policy.rs
@@ -158,9 +158,12 @@
         let Some(host) = state.ids.get(host).and_then(|k| state.hosts.get_mut(*k)) else { return };
         let Some(service) = state.services.get(host.service) else { return };
         let Some(room) = service.info.as_ref().and_then(|i| i.cache_tokens) else { return };
+        // No prompt is longer than what a host keeps, whatever a datagram says.
+        if parts.iter().map(|p| f64::from(p.1)).sum::<f64>() > room {
+            return;
+        }
         host.kept.touch(parts, room);
         host.kept.share(parts);
-        // No prompt is longer than what a host keeps, whatever a datagram says.
         let reading = service.reading(unread.min(room as u32));
         host.others_until = host.others_until.max(now) + from_ms(reading);
     }
--- a/crates/espalier/tests/hints.rs
+++ b/crates/espalier/tests/hints.rs
@@ -170,6 +170,15 @@
     assert_eq!(shared(&p), (40 - stay..40).rev().collect::<Vec<_>>());
 }
 
+#[test]
+fn a_hint_of_more_than_a_host_keeps_is_passed_over() {
+    let (mut p, _) = policy(1, 0);
+    p.overheard(ms(1), "model-0", &[(1, 13_000)], 0);
+    p.overheard(ms(1), "model-0", &[(2, 13_000), (3, u32::MAX), (4, u32::MAX)], 0);
+    p.overheard(ms(1), "model-0", &[(5, 400_000), (6, 100_001)], 0);
+    assert_eq!(shared(&p), [1]);
+}
+
 #[test]
 fn hosts_that_are_unknown_or_run_no_model_are_passed_over() {
     let (mut p, _) = policy(3, 3);
--- a/crates/trellis/src/hints.rs
+++ b/crates/trellis/src/hints.rs
@@ -9,6 +9,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 
 /// Most proxies that are told of every prompt; in a larger fleet each tells those that follow it in the order of
@@ -16,8 +17,14 @@
 const MOST: usize = 16;
 /// Longest datagram, in bytes.
 const DATAGRAM: usize = 1200;
+/// Of that, what a frame and a list need besides their entries.
+const FRAME: usize = 32;
+/// Parts that an entry of an answer holds.
+const ENTRY_PARTS: usize = 40;
 /// Proxies that are asked for what they know.
 const ASKED: usize = 2;
+/// Pause after a socket's error, which may be there again at once.
+const PAUSE: Duration = Duration::from_millis(20);
 
 /// Who is told.
 #[derive(Default)]
@@ -92,8 +99,8 @@
     let mut buffer = vec![0; 2 * DATAGRAM];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-            // An answer to what was sent to a proxy that is gone.
-            tokio::task::yield_now().await;
+            // An answer to what was sent to a proxy that is gone, or an error that stays.
+            tokio::time::sleep(PAUSE).await;
             continue;
         };
         let Ok(Some((message, _))) = graft::decode(&buffer[..length]) else {
@@ -124,10 +131,14 @@
         let _ = socket.try_send_to(&graft::encode(&message), to);
     };
     for Placement { host, parts: all, .. } in kept {
-        for some in all.chunks(40) {
+        for some in all.chunks(ENTRY_PARTS) {
             let one = of(&Placement { host: Arc::clone(&host), parts: some.to_vec(), unread: 0 });
             let length = 8 + one.host.len() + 12 * one.parts.len();
-            if size + length > DATAGRAM - 32 {
+            if length > DATAGRAM - FRAME {
+                // Its name alone fills a datagram.
+                break;
+            }
+            if size + length > DATAGRAM - FRAME {
                 send(&mut placements);
                 size = 0;
             }
--- a/crates/trellis/tests/common/mod.rs
+++ b/crates/trellis/tests/common/mod.rs
@@ -338,11 +338,22 @@
     pub retry_slack: f64,
     pub fd_limit: u64,
     pub memory_mb: u64,
+    /// Where the proxy takes hints; nowhere by default.
+    pub hints: Option<SocketAddrV4>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
 }
 
 impl Default for Setup {
     fn default() -> Self {
-        Self { grace_s: 8.0, retry_slack: 1000.0, fd_limit: 1024, memory_mb: 256 }
+        Self {
+            grace_s: 8.0,
+            retry_slack: 1000.0,
+            fd_limit: 1024,
+            memory_mb: 256,
+            hints: None,
+            bootstrap: false,
+        }
     }
 }
 
@@ -354,12 +365,16 @@
 
     /// A proxy with other settings that knows nothing yet.
     pub async fn set_up(setup: Setup) -> Self {
-        let Setup { grace_s, retry_slack, fd_limit, memory_mb } = setup;
+        let Setup { grace_s, retry_slack, fd_limit, memory_mb, hints, bootstrap } = setup;
+        // Hints are taken at the third port of the range.
+        let (ip, ports) =
+            hints.map_or((Ipv4Addr::LOCALHOST, (7000, 7001)), |h| (*h.ip(), (h.port() - 2, h.port())));
         let (front, readiness) = (free_addr().await, free_addr().await);
         let text = format!(
-            r#"{{"node_name":"n","role":"r","ip_addr":"127.0.0.1","zone":"a","port_range":[7000,7001],
+            r#"{{"node_name":"n","role":"r","ip_addr":"{ip}","zone":"a","port_range":[{},{}],"bootstrap":{bootstrap},
                 "bind":{{"front":"{front}","readiness":"{readiness}"}},"bounds":{{"grace_s":{grace_s},"retry_slack":{retry_slack}}},
-                "limits":{{"memory_mb":{memory_mb},"fd_limit":{fd_limit}}}}}"#
+                "limits":{{"memory_mb":{memory_mb},"fd_limit":{fd_limit}}}}}"#,
+            ports.0, ports.1
         );
         let boot = Boot::read(&text).unwrap();
         let (world, news) = watch::channel(None);
@@ -385,7 +400,17 @@
     }
 
     pub async fn know(&self, document: Arc<Document>, hosts: Vec<HostInfo>) {
-        self.world.send(Some(Arc::new(World { document, hosts, coordinators: 2, others: vec![] }))).unwrap();
+        self.know_others(document, hosts, vec![]).await;
+    }
+
+    /// Knows other proxies too, by where they take hints.
+    pub async fn know_others(
+        &self,
+        document: Arc<Document>,
+        hosts: Vec<HostInfo>,
+        others: Vec<SocketAddrV4>,
+    ) {
+        self.world.send(Some(Arc::new(World { document, hosts, coordinators: 2, others }))).unwrap();
         for _ in 0..4 {
             tokio::task::yield_now().await;
         }
