Proxy: tests of the hints between proxies

Cause: datagrams between proxies had no tests. Change: two proxies tell each other; one that starts asks; of a fleet above 16 the next in the ring are told and homes stay assumed; answers to Recall stay below 1,200 bytes; garbage is counted and harmless. Clock moved on by tokio's pause.

--- /dev/null
+++ b/crates/trellis/tests/hints.rs
@@ -0,0 +1,263 @@
+//! Hints between proxies, in datagrams on 127.0.0.0/8.
+
+mod common;
+use common::*;
+use graft::{Message as Told, Part, Placement};
+use rstest::rstest;
+use std::io::ErrorKind;
+use std::net::{SocketAddrV4, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longest datagram.
+const MOST: usize = 1200;
+const SHARED: &str = "Fennelpin-Prompt-Prefix: 7:13000,";
+
+/// Another proxy, played by the test.
+struct Other {
+    socket: UdpSocket,
+    addr: SocketAddrV4,
+}
+
+impl Other {
+    async fn new() -> Self {
+        let addr = free_addr().await;
+        let socket = UdpSocket::bind(addr).unwrap();
+        socket.set_nonblocking(true).unwrap();
+        Self { socket, addr }
+    }
+
+    fn tell(&self, proxy: SocketAddrV4, bytes: &[u8]) {
+        assert_eq!(self.socket.send_to(bytes, proxy).unwrap(), bytes.len());
+    }
+
+    fn ask(&self, proxy: SocketAddrV4) {
+        self.tell(proxy, &graft::encode(&Told::Recall { reserved: 0 }));
+    }
+
+    /// What has come by now, and its length.
+    fn came(&self) -> Option<(Told, usize)> {
+        let mut buffer = [0; 4096];
+        match self.socket.recv(&mut buffer) {
+            Ok(length) => Some((graft::decode(&buffer[..length]).unwrap().unwrap().0, length)),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+            Err(e) => panic!("{e}"),
+        }
+    }
+
+    async fn hear(&self) -> (Told, usize) {
+        loop {
+            match self.came() {
+                Some(came) => return came,
+                None => tokio::task::yield_now().await,
+            }
+        }
+    }
+
+    /// The next of what was placed; questions are passed over.
+    async fn placed(&self) -> (Placement, u32) {
+        loop {
+            if let (Told::Placed { placement, unread }, _) = self.hear().await {
+                return (placement, unread);
+            }
+        }
+    }
+
+    /// Asks until some host is told to keep something.
+    async fn recalled(&self, proxy: SocketAddrV4) -> Vec<Placement> {
+        loop {
+            self.ask(proxy);
+            for _ in 0..100 {
+                if let Some((Told::Recalled { placements }, _)) = self.came() {
+                    return placements;
+                }
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
+fn placed(host: &str, parts: impl IntoIterator<Item = u64>) -> Vec<u8> {
+    let parts = parts.into_iter().map(|id| Part { id, tokens: 10 }).collect();
+    graft::encode(&Told::Placed { placement: Placement { host: host.into(), parts }, unread: 0 })
+}
+
+/// A configuration whose service runs a model.
+fn models() -> Arc<almanac::Document> {
+    let text = format!(
+        r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s","runtime":{{"capacity":8,"cache_tokens":500000}}}}],
+            "limits":{{"max_header_bytes":4096,"max_body_bytes":100000}}}}"#
+    );
+    Arc::new(almanac::Document::read(text.as_bytes(), 0).unwrap())
+}
+
+/// A proxy that takes hints, and where.
+async fn proxy(bootstrap: bool) -> (Proxy, SocketAddrV4) {
+    let hints = free_addr().await;
+    (Proxy::set_up(Setup { hints: Some(hints), bootstrap, ..Setup::default() }).await, hints)
+}
+
+/// Serves a prompt: the shared part 7 and one of its own.
+async fn serve(proxy: &Proxy, host: &mut Host, own: &str) {
+    let mut client = proxy.client().await;
+    client.send(&request("/pure/a", "one", &format!("{SHARED}{own}\r\n"))).await;
+    host.conn().await.answer("done").await;
+    assert_eq!(client.message().await.unwrap().body, "done");
+}
+
+fn expected(host: &str) -> Placement {
+    Placement { host: host.into(), parts: vec![Part { id: 7, tokens: 13_000 }] }
+}
+
+#[test]
+fn two_proxies_tell_each_other() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let ((one, at), (two, other_at)) = (proxy(true).await, proxy(true).await);
+        let asker = Other::new().await;
+        one.know_others(models(), vec![host.info.clone()], vec![other_at]).await;
+        two.know_others(models(), vec![host.info.clone()], vec![at]).await;
+        serve(&one, &mut host, "1:100").await;
+        assert_eq!(asker.recalled(other_at).await, [expected("h1")]);
+        assert_eq!((one.tally.get().bad_hints, two.tally.get().bad_hints), (0, 0));
+        assert_eq!((one.tally.get().sent, two.tally.get().sent), (1, 0));
+    });
+}
+
+#[test]
+fn a_proxy_that_starts_asks_the_others() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let ((old, at), (new, new_at)) = (proxy(true).await, proxy(false).await);
+        let asker = Other::new().await;
+        old.know(models(), vec![host.info.clone()]).await;
+        serve(&old, &mut host, "1:100").await;
+        new.know_others(models(), vec![host.info.clone()], vec![at]).await;
+        assert_eq!(asker.recalled(new_at).await, [expected("h1")]);
+    });
+}
+
+/// With more than 16 others, those that follow in the order of addresses are told, and nobody takes what is
+/// heard for the whole: the home is taken to keep the shared part.
+#[rstest]
+#[case(16, 13_100)]
+#[case(18, 100)]
+fn in_a_large_fleet_only_the_next_in_the_ring_are_told(#[case] count: usize, #[case] unread: u32) {
+    story(async move {
+        let mut host = Host::new("h1", "s").await;
+        let mut others = Vec::new();
+        for _ in 0..count / 2 {
+            others.push(Other::new().await);
+        }
+        let (proxy, at) = proxy(true).await;
+        while others.len() < count {
+            others.push(Other::new().await);
+        }
+        let addrs = others.iter().rev().map(|o| o.addr).collect();
+        proxy.know_others(models(), vec![host.info.clone()], addrs).await;
+        // What is heard stands for all only after a second.
+        tokio::time::pause();
+        tokio::time::advance(Duration::from_secs(2)).await;
+        tokio::time::resume();
+        serve(&proxy, &mut host, "1:100").await;
+        others.sort_by_key(|o| (o.addr < at, o.addr));
+        for (n, other) in others.iter().enumerate().take(16) {
+            if n < 2 {
+                assert!(matches!(other.hear().await.0, Told::Recall { .. }), "{n} is asked");
+            }
+            let (told, length) = other.hear().await;
+            let Told::Placed { placement, unread: left } = told else { panic!("{n}: {told:?}") };
+            assert_eq!((placement, left), (expected("h1"), unread));
+            assert!(length < MOST);
+        }
+        // All went out at once: whoever has nothing now was not told.
+        assert!(others.iter().all(|o| o.came().is_none()));
+    });
+}
+
+#[test]
+fn what_is_kept_is_told_in_small_datagrams() {
+    story(async {
+        let hosts: Vec<_> = ["h1", "h2"].map(|id| info(id, "s", "127.0.0.1:9".parse().unwrap())).into();
+        let long = "h".repeat(MOST - 30);
+        let with_long = [hosts, vec![info(&long, "s", "127.0.0.1:9".parse().unwrap())]].concat();
+        let (proxy, at) = proxy(true).await;
+        proxy.know(models(), with_long).await;
+        let other = Other::new().await;
+        let mut all: Vec<(String, u64)> = Vec::new();
+        for (host, from) in [("h1", 0), ("h2", 200), ("h1", 400), (&long, 600)] {
+            for n in (from..from + 200).step_by(50) {
+                other.tell(at, &placed(host, n..n + 50));
+                all.extend((n..n + 50).map(|n| (host.to_owned(), n)).filter(|_| host != long));
+            }
+        }
+        other.ask(at);
+        let mut heard = Vec::new();
+        let mut datagrams = 0;
+        while heard.len() < all.len() {
+            let (Told::Recalled { placements }, length) = other.hear().await else { panic!("no answer") };
+            assert!(length < MOST, "{length} bytes");
+            datagrams += 1;
+            for placement in placements {
+                assert!(placement.parts.iter().all(|p| p.tokens == 10));
+                heard.extend(placement.parts.iter().map(|p| (placement.host.clone(), p.id)));
+            }
+        }
+        heard.sort();
+        all.sort();
+        assert_eq!(heard, all);
+        // 600 parts of 12 bytes: not one datagram for each entry.
+        assert!((7..=12).contains(&datagrams), "{datagrams}");
+        // The host whose name alone fills a datagram is left out.
+        other.tell(at, b"end");
+        while proxy.tally.get().bad_hints == 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(other.came().is_none());
+    });
+}
+
+#[test]
+fn what_is_no_hint_is_counted_and_does_no_harm() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let (proxy, at) = proxy(true).await;
+        let other = Other::new().await;
+        proxy.know_others(models(), vec![host.info.clone()], vec![other.addr]).await;
+        let whole = placed("h1", 21..40);
+        let mut version = whole.clone();
+        version[4] = 99;
+        let mut kind = whole.clone();
+        kind[5] = 200;
+        let garbage: Vec<Vec<u8>> = vec![
+            vec![],
+            vec![0],
+            vec![0; 64],
+            vec![255; 4000],
+            b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+            whole[..whole.len() - 1].to_vec(),
+            whole[..5].to_vec(),
+            version,
+            kind,
+        ];
+        garbage.iter().for_each(|g| other.tell(at, g));
+        while proxy.tally.get().bad_hints < garbage.len() as u64 {
+            tokio::task::yield_now().await;
+        }
+        // Hosts nobody knows of, and lists that claim to be longer than they are.
+        other.tell(at, &placed("nobody", 21..40));
+        let lists = (0..whole.len()).map(|n| {
+            let mut bytes = whole.clone();
+            bytes[n] ^= 255;
+            bytes
+        });
+        lists.for_each(|bytes| other.tell(at, &bytes));
+        // Datagrams are heard in order: once this is answered all of them were.
+        other.recalled(at).await;
+        serve(&proxy, &mut host, "1:100").await;
+        assert_eq!(other.placed().await.0, expected("h1"));
+        let has = |k: &Placement| k.host == "h1" && k.parts.contains(&Part { id: 7, tokens: 13_000 });
+        while !other.recalled(at).await.iter().any(has) {}
+        assert!(proxy.tally.get().bad_hints >= garbage.len() as u64);
+    });
+}
