--- a/crates/furrow/tests/losses.rs
+++ b/crates/furrow/tests/losses.rs
@@ -208,10 +208,15 @@
     let good = outer.len() as u64;
     format::put_record(&mut outer, 0, None, &inside);
     for length in good as usize..outer.len() {
-        let disk = Simulated::new();
-        disk.put("ledger", &outer[..length]);
-        let (ledger, records) = open(&disk);
-        assert_eq!((ledger.len(), records), (good, owned(&["one"])), "{length}");
+        // With its head damaged too, its length isn't known and every byte of it is tried.
+        for damage in [0, 1] {
+            let mut torn = outer[..length].to_vec();
+            torn.get_mut(good as usize).into_iter().for_each(|byte| *byte ^= damage);
+            let disk = Simulated::new();
+            disk.put("ledger", &torn);
+            let (ledger, records) = open(&disk);
+            assert_eq!((ledger.len(), records), (good, owned(&["one"])), "{length}");
+        }
     }
 }
 
@@ -296,6 +301,27 @@
     }
 }
 
+/// A torn batch that could not be cut off, as the disk was full, has a whole record just where the next append's first
+/// one ends: it doesn't come back with it.
+#[test]
+fn a_refused_cut_is_made_up_for_before_the_next_append() {
+    let disk = Simulated::new();
+    play(&disk, &[Append(vec!["a"]), Append(vec!["bb", "cc"])]);
+    let mut torn = disk.bytes("ledger").unwrap();
+    let batch = torn.len() - 2 * (format::RECORD_HEAD + 2);
+    torn[batch] ^= 1;
+    let disk = Simulated::new();
+    disk.put("ledger", &torn);
+    disk.set_faults(Faults { refuses_writes: true, ..Faults::default() });
+    let (mut ledger, records) = open(&disk);
+    assert_eq!(records, owned(&["a"]));
+    disk.set_faults(Faults::default());
+    ledger.append(&slices(&["dd"])).unwrap();
+    for left in disk.after_power_loss() {
+        assert_eq!(open(&left).1, owned(&["a", "dd"]));
+    }
+}
+
 #[test]
 fn an_empty_folder_on_a_full_disk_opens_and_recovers() {
     let disk = Simulated::new();
