--- a/crates/almanac/src/codes.rs
+++ b/crates/almanac/src/codes.rs
@@ -3,6 +3,12 @@
 macro_rules! codes {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $status:literal, $text:literal;)*) => {
         /// A result: its number is stable, its HTTP status is what callers of the interfaces see.
+        ///
+        /// ```
+        /// use almanac::Code;
+        /// assert_eq!((Code::OtherBase.number(), Code::OtherBase.status()), (120, 412));
+        /// assert_eq!(Code::of(120), Some(Code::OtherBase));
+        /// ```
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
         #[repr(u16)]
         pub enum Code { $($(#[$doc])* $name = $number,)* }
@@ -59,12 +65,16 @@
     DiskFull = 202, 503, "the disk refuses writes";
     /// The process is leaving.
     Leaving = 203, 503, "this process is leaving";
+    /// The disk has not told yet who this member is.
+    Opening = 204, 503, "the disk has not answered yet";
     /// There is no such call.
     NoSuchCall = 300, 404, "no such call";
     /// The call has another method.
     OtherMethod = 301, 405, "another method";
     /// The body is too large.
     TooLarge = 302, 413, "the body is too large";
+    /// The configuration of this version is not kept here.
+    NoSuchVersion = 303, 404, "the configuration of this version is not kept here";
     /// No route fits host and path.
     NoRoute = 400, 404, "no route fits";
     /// No host can take the request now.
--- a/crates/graft/src/message.rs
+++ b/crates/graft/src/message.rs
@@ -58,6 +58,10 @@
     #[br(parse_with = list)]
     #[bw(write_with = put_list)]
     pub voters: Vec<Seat>,
+    /// The voters of the view that it followed: while these differ, the next view needs a majority of both.
+    #[br(parse_with = list)]
+    #[bw(write_with = put_list)]
+    pub before: Vec<Seat>,
 }
 
 /// How far a ledger goes.
@@ -153,6 +157,8 @@
     #[br(parse_with = text)]
     #[bw(write_with = put_text)]
     pub region: String,
+    /// Where its proxy takes the other proxies' hints; port 0 where it takes none.
+    pub addr: Addr,
     /// Whether it has stopped pulling.
     #[br(parse_with = flag)]
     #[bw(write_with = put_flag)]
@@ -226,10 +232,16 @@
     #[br(parse_with = texts)]
     #[bw(write_with = put_texts)]
     pub limits: Vec<String>,
-    /// All hosts that are leaving or gone.
+    /// Number of the ledger's change that the drains add to; 0 where they are all of them.
+    pub drains_from: u64,
+    /// Hosts that are leaving or gone.
     #[br(parse_with = texts)]
     #[bw(write_with = put_texts)]
     pub drains: Vec<String>,
+    /// Hosts that were leaving or gone and are no longer spoken of.
+    #[br(parse_with = texts)]
+    #[bw(write_with = put_texts)]
+    pub gone_drains: Vec<String>,
 }
 
 /// The control plane as a member sees it.
@@ -266,12 +278,40 @@
     #[br(parse_with = text)]
     #[bw(write_with = put_text)]
     pub region: String,
+    /// Where its proxy takes the other proxies' hints; port 0 where it takes none.
+    pub addr: Addr,
     /// Its identity where it is a member, else 0.
     pub member: u64,
     /// Version of the configuration that it has in force.
     pub version: u64,
 }
 
+/// A part of a prompt.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Part {
+    /// Its identity.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What a host was sent and so keeps.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Placement {
+    /// The host.
+    #[br(parse_with = text)]
+    #[bw(write_with = put_text)]
+    pub host: String,
+    /// Parts of prompts that others may ask for too, in order.
+    #[br(parse_with = list)]
+    #[bw(write_with = put_list)]
+    pub parts: Vec<Part>,
+}
+
 /// A change of the ledger.
 #[binrw]
 #[brw(little)]
@@ -344,6 +384,45 @@
     },
 }
 
+/// What a member keeps on disk.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// No lower epoch is followed any more.
+    #[brw(magic(1u8))]
+    Promised {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// A view, with the ledger at its start where the member holds it.
+    #[brw(magic(2u8))]
+    Accepted {
+        /// The view.
+        view: View,
+        /// The ledger.
+        #[br(parse_with = option)]
+        #[bw(write_with = put_option)]
+        snapshot: Option<Snapshot>,
+    },
+    /// A change of the ledger.
+    #[brw(magic(3u8))]
+    Change {
+        /// Epoch of the view.
+        epoch: u64,
+        /// Number of the change.
+        seq: u64,
+        /// The change.
+        change: Change,
+    },
+    /// All changes up to this one were acknowledged.
+    #[brw(magic(4u8))]
+    Committed {
+        /// Number of the change.
+        seq: u64,
+    },
+}
+
 /// A message.
 #[binrw]
 #[brw(little)]
@@ -363,6 +442,26 @@
         #[bw(write_with = put_list)]
         seats: Vec<Seat>,
     },
+    /// Asks whether a promise would be given, before it is asked for: nobody is disturbed by one that can't win.
+    #[brw(magic(8u8))]
+    Canvass {
+        /// The highest epoch that the speaker knows.
+        seen: u64,
+        /// Epoch of the latest view that it accepted.
+        view: u64,
+    },
+    /// The answer to [`Message::Canvass`].
+    #[brw(magic(9u8))]
+    Canvassed {
+        /// Whether a promise would be given now.
+        #[br(parse_with = flag)]
+        #[bw(write_with = put_flag)]
+        willing: bool,
+        /// The highest epoch that the speaker has promised.
+        seen: u64,
+        /// When asking again makes sense.
+        wait_ms: u32,
+    },
     /// Asks for a promise to follow no lower epoch.
     #[brw(magic(10u8))]
     Prepare {
@@ -509,6 +608,28 @@
         #[bw(write_with = put_bytes)]
         text: Vec<u8>,
     },
+    /// A proxy has sent a prompt to a host. In datagrams, like the next two: they may be lost.
+    #[brw(magic(50u8))]
+    Placed {
+        /// What the host keeps from now on.
+        placement: Placement,
+        /// Tokens that it has to read for it.
+        unread: u32,
+    },
+    /// A proxy that has just started asks what hosts keep.
+    #[brw(magic(51u8))]
+    Recall {
+        /// 0.
+        reserved: u8,
+    },
+    /// The answer to [`Message::Recall`], in several datagrams.
+    #[brw(magic(52u8))]
+    Recalled {
+        /// What hosts keep.
+        #[br(parse_with = list)]
+        #[bw(write_with = put_list)]
+        placements: Vec<Placement>,
+    },
     /// Asks for what the speaker lacks.
     #[brw(magic(40u8))]
     Pull {
@@ -553,7 +674,6 @@
     },
 }
 
-
 impl From<SocketAddrV4> for Addr {
     fn from(addr: SocketAddrV4) -> Self {
         Self { ip: u32::from(*addr.ip()), port: addr.port() }
@@ -576,8 +696,15 @@
         self.voters.iter().find(|s| s.id == id)
     }
 
-    /// How many voters are a majority.
-    pub fn majority(&self) -> usize {
-        self.voters.len() / 2 + 1
+    /// Whether those that `has` names are a majority of the voters, and of the voters before.
+    pub fn majority(&self, has: impl Fn(u64) -> bool) -> bool {
+        let most = |seats: &[Seat]| 2 * seats.iter().filter(|s| has(s.id)).count() > seats.len();
+        most(&self.voters) && most(&self.before)
+    }
+
+    /// Whether its voters are those of the view before.
+    pub fn settled(&self) -> bool {
+        let ids = |seats: &[Seat]| seats.iter().map(|s| s.id).collect::<std::collections::BTreeSet<_>>();
+        ids(&self.voters) == ids(&self.before)
     }
 }
--- /dev/null
+++ b/crates/rootstock/src/shell/call.rs
@@ -0,0 +1,101 @@
+//! Calls of hosts and operators: each is decoded into a [`Call`], which is run elsewhere.
+
+use crate::roster::HostCall;
+use almanac::Code;
+use bytes::Bytes;
+use hyper::Method;
+
+/// What a path asks for, before the body is read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Head {
+    /// Takes a whole configuration.
+    Replace,
+    /// Takes changes to the configuration.
+    Amend,
+    /// Asks for the configuration.
+    Read,
+    /// A host's call, with its path.
+    Host(String),
+    /// Asks how this member is.
+    Status,
+    /// Asks which versions were taken, or for the configuration of one.
+    History(Option<u64>),
+}
+
+/// A call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// Takes a configuration.
+    Configure {
+        /// The version it builds on.
+        base: u64,
+        /// Whether it amends; else it replaces.
+        amend: bool,
+        /// The body as sent.
+        body: Bytes,
+    },
+    /// Asks for the configuration.
+    Read,
+    /// A host's call.
+    Host(HostCall),
+    /// Asks how this member is.
+    Status,
+    /// Asks which versions were taken, or for the configuration of one.
+    History(Option<u64>),
+}
+
+impl Head {
+    /// What method and path ask for.
+    ///
+    /// # Errors
+    /// [`Code::NoSuchCall`] and [`Code::OtherMethod`].
+    pub fn read(method: &Method, path: &str) -> Result<Head, Code> {
+        let head = match path.strip_prefix("/fennelpin/").ok_or(Code::NoSuchCall)? {
+            "Configuration.Replace" => Head::Replace,
+            "Configuration.Amend" => Head::Amend,
+            "Configuration.Read" => Head::Read,
+            "status" => Head::Status,
+            "Configuration.History" => Head::History(None),
+            call if call.starts_with("Configuration.History/") => {
+                let version = call.rsplit('/').next().and_then(|v| v.parse().ok());
+                Head::History(Some(version.ok_or(Code::NoSuchCall)?))
+            }
+            call if call.starts_with("Hosts.") => Head::Host(path.to_owned()),
+            _ => return Err(Code::NoSuchCall),
+        };
+        let wanted = if head.asks() { Method::GET } else { Method::POST };
+        if *method == wanted {
+            Ok(head)
+        } else {
+            Err(Code::OtherMethod)
+        }
+    }
+
+    /// Whether it only asks.
+    pub fn asks(&self) -> bool {
+        matches!(self, Head::Read | Head::Status | Head::History(_))
+    }
+
+    /// Whether its body may be long.
+    pub fn heavy(&self) -> bool {
+        matches!(self, Head::Replace | Head::Amend)
+    }
+
+    /// The call, with its body and the text of `Fennelpin-Base-Version`.
+    ///
+    /// # Errors
+    /// [`Code::NoBase`], and what [`HostCall::decode`] finds.
+    pub fn with(self, base: Option<&str>, body: Bytes) -> Result<Call, Code> {
+        let amend = self == Head::Amend;
+        Ok(match self {
+            Head::Replace | Head::Amend => {
+                let base = base.and_then(|b| b.trim().parse().ok()).ok_or(Code::NoBase)?;
+                Call::Configure { base, amend, body }
+            }
+            Head::Read => Call::Read,
+            Head::Status => Call::Status,
+            Head::History(version) => Call::History(version),
+            Head::Host(path) => Call::Host(HostCall::decode(&path, &body)?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/rootstock/tests/disk.rs
@@ -0,0 +1,57 @@
+//! The disk's thread on a real folder.
+
+use rootstock::shell::disk::{start, File, Told, Write};
+use rootstock::shell::identity::{Birth, Identity};
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver, Sender};
+
+fn birth(bootstrap: bool) -> Birth {
+    let control = "10.1.0.1:8146".parse().unwrap();
+    Birth { control, seeds: vec![control], port: 7660, bootstrap, random: 9, clock_ms: 100 }
+}
+
+fn open(dir: &Path, bootstrap: bool) -> (Sender<Write>, Receiver<Told>, Identity, Vec<Vec<u8>>) {
+    let (tell, told) = channel();
+    let writes = start(dir.into(), birth(bootstrap), move |t| drop(tell.send(t))).unwrap();
+    match told.recv().unwrap() {
+        Told::Open { identity, records, .. } => (writes, told, identity, records),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn write(writes: &Sender<Write>, ticket: u64, records: &[&str], rewrite: bool) {
+    let records = records.iter().map(|r| r.as_bytes().to_vec()).collect();
+    writes.send(Write { ticket, records, rewrite, file: File::Ledger }).unwrap();
+}
+
+#[test]
+fn a_member_comes_back_as_itself_with_its_records() {
+    let dir = tempfile::tempdir().unwrap();
+    let (writes, told, first, records) = open(dir.path(), true);
+    assert!(records.is_empty());
+    write(&writes, 1, &["a", "b"], false);
+    write(&writes, 2, &["c"], true);
+    write(&writes, 3, &["d"], false);
+    write(&writes, 4, &["e"], false);
+    for wanted in 1..=4 {
+        assert!(matches!(told.recv().unwrap(), Told::Wrote { ticket, result: Ok(()) } if ticket == wanted));
+    }
+    drop(writes);
+    assert!(told.recv().is_err(), "the thread ends with its sender");
+    let (_, _, second, records) = open(dir.path(), false);
+    assert_eq!((second.id, &second.founders), (first.id, &first.founders));
+    assert!(second.life > first.life);
+    assert_eq!(records, [b"c", b"d", b"e"]);
+}
+
+#[test]
+fn a_wiped_disk_is_somebody_else() {
+    let dir = tempfile::tempdir().unwrap();
+    let (_, _, first, _) = open(dir.path(), true);
+    for entry in std::fs::read_dir(dir.path()).unwrap() {
+        std::fs::remove_file(entry.unwrap().path()).unwrap();
+    }
+    let (_, _, second, records) = open(dir.path(), false);
+    assert_ne!(second.id, first.id);
+    assert!(second.founders.is_empty() && records.is_empty());
+}
