Variants of sites: five core machines stay five where zones are added as well

Not a mend of the system: a loss of two of four can't be told from a cut. Change: five cores first, and the script refuses a zone without a core machine.

--- a/tools/site_variants.py
+++ b/tools/site_variants.py
@@ -40,7 +40,9 @@
 def five_cores(text):
     """Five core machines, of which two may be lost."""
     for name in zones(text)[:2]:
-        text = re.sub(rf'(class = "core", zone = "{name}", count =) 1', r"\1 2", text)
+        text, count = re.subn(rf'(class = "core", zone = "{name}", count =) 1', r"\1 2", text)
+        if count != 1:
+            raise SystemExit(f"{name} has no core machine: fewer than five can't bear the loss of two")
     return tolerate(text, 2, 0)
 
 
@@ -96,7 +98,7 @@
 
 def all_at_once(text):
     """Five cores, slow disks, short bounds, two more zones and other names together."""
-    for change in (other_names, more_zones, five_cores, slow_disks, short_bounds):
+    for change in (five_cores, other_names, more_zones, slow_disks, short_bounds):
         text = change(text)
     return text
 
