--- a/crates/rootstock/src/member/candidate.rs
+++ b/crates/rootstock/src/member/candidate.rs
@@ -289,8 +289,6 @@
             let lacking = lacking.collect();
             self.grant = None;
             self.role = Role::Primary(Box::new(Acting::new(epoch, self.now, ledger, &view, lacking)));
-            self.publish(out);
-            self.know_own();
             self.run_primary(out);
         }
     }
--- a/crates/rootstock/src/member/primary.rs
+++ b/crates/rootstock/src/member/primary.rs
@@ -40,6 +40,8 @@
     pub(super) epoch: u64,
     since: Duration,
     committed: Ledger,
+    /// Whether its ledger was shown: not before the first lease, as others may act already.
+    shown: bool,
     pending: VecDeque<Pending>,
     acked: BTreeMap<u64, u64>,
     /// When the latest lease that a voter granted was asked for.
@@ -68,6 +70,7 @@
             acked: view.copies.iter().map(|c| (*c, ledger.seq)).collect(),
             drained: ledger.drains.iter().map(|d| (d.clone(), now)).collect(),
             committed: ledger,
+            shown: false,
             pending: VecDeque::new(),
             stamps: BTreeMap::new(),
             renew_at: now,
@@ -121,6 +124,7 @@
                 return self.prepare(change, agreed, out);
             }
         }
+        self.commit(out);
         self.renew(out);
         self.forget(out);
     }
@@ -298,6 +302,16 @@
             return;
         }
         acting.acked.entry(from).and_modify(|a| *a = seq.max(*a));
+        self.commit(out);
+    }
+
+    /// Acknowledges what all copies have on disk, for as long as the lease lasts.
+    fn commit(&mut self, out: &mut Vec<Output>) {
+        let leased = |m: &Self| matches!(&m.role, Role::Primary(acting) if m.lease_end(acting) > m.now);
+        if !leased(self) {
+            return;
+        }
+        let Role::Primary(acting) = &mut self.role else { return };
         let safe = acting.acked.values().copied().min().unwrap_or(0);
         let mut answers = Vec::new();
         let before = acting.committed.seq;
@@ -305,7 +319,7 @@
             acting.committed = done.ledger;
             answers.extend(done.answers);
         }
-        if acting.committed.seq > before {
+        if acting.committed.seq > before || !std::mem::replace(&mut acting.shown, true) {
             self.publish(out);
             self.know_own();
         }
@@ -339,7 +353,7 @@
         stamp: u64,
         ok: bool,
         fit: bool,
-        _out: &mut Vec<Output>,
+        out: &mut Vec<Output>,
     ) {
         if let Some(peer) = self.peers.get_mut(&from.id) {
             peer.fit = fit;
@@ -353,6 +367,8 @@
             let latest = acting.stamps.entry(from.id).or_insert(stamp);
             *latest = stamp.max(*latest);
             acting.lacking.remove(&from.id);
+            // What came before the lease waits for it.
+            self.commit(out);
         } else {
             acting.lacking.insert(from.id);
         }
