--- a/crates/hedgerow/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,21 +3,21 @@
 //! ```
 //! # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
 //! # runtime.block_on(async {
-//! let text = r#"{"node_name":"edge-1","role":"hedgerow","ip_addr":"127.0.0.9","zone":"a",
+//! let text = r#"{"node_name":"edge-1","role":"agent","ip_addr":"127.0.0.9","zone":"a",
 //!     "port_range":[7660,7675],"bind":{"agent":"127.0.0.1:0"},"seed_nodes":["127.0.0.8:8146"]}"#;
-//! let boot = almanac::Boot::read(text).unwrap();
+//! let boot = configuration::Boot::read(text).unwrap();
 //! // Whoever follows the settings file says here when its seeds change.
 //! let (_seeds, following) = tokio::sync::watch::channel(boot.seed_nodes.clone());
 //! let stop = std::future::ready(());
-//! hedgerow::run(boot, following, stop).await.unwrap();
+//! agent::run(boot, following, stop).await.unwrap();
 //! # });
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use almanac::Boot;
-use scion::client::{self, Control};
-use scion::{agent_addr, caller, member_addr, no_seat, serve, Mirror, Puller, SharedMirror, WATCHED};
+use configuration::Boot;
+use replication::client::{self, Control};
+use replication::{agent_addr, caller, member_addr, no_seat, serve, Mirror, Puller, SharedMirror, WATCHED};
 use snafu::{ResultExt, Snafu};
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -92,7 +92,7 @@
 /// Whom an agent pulls from: a few members, one of which tells it the news.
 pub fn puller(boot: &Boot) -> Puller {
     let mut puller = Puller::new(&boot.node_name, WATCHED, None).led();
-    puller.set_seeds(&scion::seed_addrs(boot));
+    puller.set_seeds(&replication::seed_addrs(boot));
     puller
 }
 
--- a/crates/hedgerow/tests/chain.rs
+++ b/crates/agent/tests/chain.rs
@@ -1,8 +1,8 @@
 //! A fake member serves; the agent and the proxy's mirror behind it follow.
 
-use almanac::{Boot, Document};
-use graft::{Addr, HostRecord, Mark, Seat, SourceNews};
-use scion::{client, Mirror, News, Puller, SharedMirror, Snapshot};
+use configuration::{Boot, Document};
+use protocol::{Addr, HostRecord, Mark, Seat, SourceNews};
+use replication::{client, Mirror, News, Puller, SharedMirror, Snapshot};
 use std::future::Future;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Mutex};
@@ -73,7 +73,7 @@
         loop {
             let (stream, _) = listener.accept().await.unwrap();
             let (callers, heard) = (callers.clone(), heard.clone());
-            tokio::spawn(scion::serve(stream, Vec::new(), shared.clone(), move |caller| {
+            tokio::spawn(replication::serve(stream, Vec::new(), shared.clone(), move |caller| {
                 callers.lock().unwrap().push((caller.name.clone(), caller.version));
                 heard.notify_one();
             }));
@@ -86,15 +86,21 @@
     let shared = SharedMirror::new(Mirror::new(0, Duration::from_millis(1200)).at_the_end());
     let (control, told) = mpsc::unbounded_channel();
     let mut puller = Puller::new(&boot.node_name, 1, None).fixed();
-    puller.set_seeds(&[scion::agent_addr(boot)]);
-    tokio::spawn(client::run(puller, scion::no_seat(boot), scion::caller(boot, 0), shared.clone(), told));
+    puller.set_seeds(&[replication::agent_addr(boot)]);
+    tokio::spawn(client::run(
+        puller,
+        replication::no_seat(boot),
+        replication::caller(boot, 0),
+        shared.clone(),
+        told,
+    ));
     (shared, control)
 }
 
 /// The agent with the seeds of its settings.
-fn agent<S: Future<Output = ()>>(boot: &Boot, stop: S) -> impl Future<Output = Result<(), hedgerow::Error>> {
+fn agent<S: Future<Output = ()>>(boot: &Boot, stop: S) -> impl Future<Output = Result<(), agent::Error>> {
     let (sender, seeds) = watch::channel(boot.seed_nodes.clone());
-    let running = hedgerow::run(boot.clone(), seeds, stop);
+    let running = agent::run(boot.clone(), seeds, stop);
     async move {
         let _kept = sender;
         running.await
@@ -146,7 +152,7 @@
     until(&mut views, |v| v.hosts.contains_key("i-3")).await;
 }
 
-/// The seeds change from one member to another, which alone has the second version. (`orchard`'s tests have
+/// The seeds change from one member to another, which alone has the second version. (`fennelpin-cli`'s tests have
 /// them change in the settings file.)
 #[tokio::test]
 async fn other_seeds_are_asked() {
@@ -157,7 +163,7 @@
     second.shared.update(|m, _| m.set_ledger(2, document(2), &[]));
     let boot = boot(port, &["127.0.0.4"]);
     let (sender, seeds) = watch::channel(boot.seed_nodes.clone());
-    tokio::spawn(hedgerow::run(boot.clone(), seeds, std::future::pending()));
+    tokio::spawn(agent::run(boot.clone(), seeds, std::future::pending()));
     let (shared, _control) = proxy(&boot);
     let mut views = shared.subscribe();
     until(&mut views, |v| v.document.version == 1).await;
--- a/crates/furrow/src/disk.rs
+++ b/crates/append-log/src/disk.rs
@@ -1,4 +1,4 @@
-//! The little that a [`Furrow`](crate::Furrow) asks of a disk, and a folder of the file system that offers it.
+//! The little that a [`AppendLog`](crate::AppendLog) asks of a disk, and a folder of the file system that offers it.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
--- a/crates/furrow/src/file.rs
+++ b/crates/append-log/src/file.rs
@@ -16,7 +16,7 @@
 /// How much is written at once when a file is rewritten, in bytes; what the buffer may keep between calls.
 const CHUNK: usize = 256 << 10;
 
-/// What [`Furrow::open`] cut off: the last batch was not written whole.
+/// What [`AppendLog::open`] cut off: the last batch was not written whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Cut {
     /// Where the file was cut off, in bytes from its start.
@@ -41,7 +41,7 @@
 ///
 /// A record is any bytes, up to [`MAX_RECORD`]. After an error the file takes further calls: the next one first
 /// brings it back to what was synced last.
-pub struct Furrow<D: Disk = Folder> {
+pub struct AppendLog<D: Disk = Folder> {
     disk: D,
     name: String,
     state: State<D::File>,
@@ -51,27 +51,27 @@
     buffer: Vec<u8>,
 }
 
-impl Furrow {
+impl AppendLog {
     /// Opens the file of this name in a folder that is there, and gives its records in order.
     ///
     /// Nothing is made before the first append, so a full disk opens too. All records given are synced. A last batch
-    /// that isn't whole is cut off behind its last whole record ([`Furrow::cut`]); the remains of an interrupted
+    /// that isn't whole is cut off behind its last whole record ([`AppendLog::cut`]); the remains of an interrupted
     /// rewrite are removed.
     ///
     /// # Errors
     /// [`Error::Damaged`] and [`Error::Header`] where bytes are bad that had been synced, [`Error::Newer`] for a
     /// file of a later release, [`Error::Full`] and [`Error::Io`] if the disk refuses; the file is left as it is.
-    pub fn open(folder: &Path, name: &str) -> Result<(Furrow, Vec<Vec<u8>>), Error> {
-        Furrow::open_on(Folder::at(folder), name)
+    pub fn open(folder: &Path, name: &str) -> Result<(AppendLog, Vec<Vec<u8>>), Error> {
+        AppendLog::open_on(Folder::at(folder), name)
     }
 }
 
-impl<D: Disk> Furrow<D> {
-    /// The same on any disk; see [`Furrow::open`].
+impl<D: Disk> AppendLog<D> {
+    /// The same on any disk; see [`AppendLog::open`].
     ///
     /// # Errors
-    /// As [`Furrow::open`].
-    pub fn open_on(mut disk: D, name: &str) -> Result<(Furrow<D>, Vec<Vec<u8>>), Error> {
+    /// As [`AppendLog::open`].
+    pub fn open_on(mut disk: D, name: &str) -> Result<(AppendLog<D>, Vec<Vec<u8>>), Error> {
         let failed = |doing| move |error| Error::of(doing, name, error);
         let mut records = Vec::new();
         let (mut length, mut cut, mut state) = (0, None, State::Missing);
@@ -95,7 +95,7 @@
         if !matches!(state, State::Missing) {
             disk.sync_names().map_err(failed("sync the folder of"))?;
         }
-        Ok((Furrow { disk, name: name.to_owned(), state, length, cut, buffer: Vec::new() }, records))
+        Ok((AppendLog { disk, name: name.to_owned(), state, length, cut, buffer: Vec::new() }, records))
     }
 
     /// What was cut off when the file was opened.
--- a/crates/furrow/src/lib.rs
+++ b/crates/append-log/src/lib.rs
@@ -1,19 +1,19 @@
 //! An append-only file of checksummed records that is rewritten when it gets long.
 //!
-//! A [`Furrow`] gives back at [`Furrow::open`] what was written, in order, and survives a kill or a loss of power at
-//! any byte. What an `Ok` of [`Furrow::append`] or [`Furrow::rewrite`] covers lasts; what ended in an error may be
+//! A [`AppendLog`] gives back at [`AppendLog::open`] what was written, in order, and survives a kill or a loss of power at
+//! any byte. What an `Ok` of [`AppendLog::append`] or [`AppendLog::rewrite`] covers lasts; what ended in an error may be
 //! there after the next start or not, and so may records whose process died before the answer. Calls block on the
 //! disk: they belong on a thread of their own.
 //!
 //! ```
-//! use furrow::Furrow;
-//! # let folder = std::env::temp_dir().join(format!("furrow-doc-{}", std::process::id()));
+//! use append_log::AppendLog;
+//! # let folder = std::env::temp_dir().join(format!("append-log-doc-{}", std::process::id()));
 //! # std::fs::create_dir_all(&folder).unwrap();
-//! let (mut ledger, records) = Furrow::open(&folder, "ledger").unwrap();
+//! let (mut ledger, records) = AppendLog::open(&folder, "ledger").unwrap();
 //! assert!(records.is_empty());
 //! ledger.append(&[b"first", b"second"]).unwrap();
 //! drop(ledger);
-//! let (mut ledger, records) = Furrow::open(&folder, "ledger").unwrap();
+//! let (mut ledger, records) = AppendLog::open(&folder, "ledger").unwrap();
 //! assert_eq!(records, [&b"first"[..], b"second"]);
 //! ledger.rewrite(&[b"both in one"]).unwrap();
 //! # std::fs::remove_dir_all(&folder).unwrap();
@@ -29,5 +29,5 @@
 
 pub use disk::{Disk, DiskFile, Folder, FolderFile};
 pub use error::Error;
-pub use file::{Cut, Furrow};
+pub use file::{AppendLog, Cut};
 pub use report::{inspect, inspect_on, verify, verify_on, Inspection, Part, Shape, Verification};
--- a/crates/furrow/src/report.rs
+++ b/crates/append-log/src/report.rs
@@ -150,11 +150,11 @@
 /// [`Error::Io`] if there is no such file or it can't be read.
 ///
 /// ```
-/// # let folder = std::env::temp_dir().join(format!("furrow-inspect-{}", std::process::id()));
+/// # let folder = std::env::temp_dir().join(format!("append-log-inspect-{}", std::process::id()));
 /// # std::fs::create_dir_all(&folder).unwrap();
-/// let (mut ledger, _) = furrow::Furrow::open(&folder, "ledger").unwrap();
+/// let (mut ledger, _) = append_log::AppendLog::open(&folder, "ledger").unwrap();
 /// ledger.append(&[b"first", b"second"]).unwrap();
-/// let report = furrow::inspect(&folder, "ledger").unwrap();
+/// let report = append_log::inspect(&folder, "ledger").unwrap();
 /// assert!(report.opens());
 /// assert_eq!(
 ///     report.to_string(),
--- a/crates/furrow/tests/folder.rs
+++ b/crates/append-log/tests/folder.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use furrow::{format, Error, Furrow};
+use append_log::{format, AppendLog, Error};
 
 /// A folder of its own for each test, gone at the end.
 struct Scratch(PathBuf);
@@ -13,13 +13,13 @@
     fn new() -> Scratch {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let path = std::env::temp_dir().join(format!("furrow-{}-{number}", std::process::id()));
+        let path = std::env::temp_dir().join(format!("append-log-{}-{number}", std::process::id()));
         fs::create_dir_all(&path).unwrap();
         Scratch(path)
     }
 
-    fn open(&self) -> (Furrow, Vec<Vec<u8>>) {
-        Furrow::open(&self.0, "ledger").unwrap()
+    fn open(&self) -> (AppendLog, Vec<Vec<u8>>) {
+        AppendLog::open(&self.0, "ledger").unwrap()
     }
 
     fn names(&self) -> Vec<String> {
@@ -69,7 +69,7 @@
     assert!(ledger.wants_rewrite(live - 1) && !ledger.wants_rewrite(live) && !ledger.wants_rewrite(u64::MAX));
     ledger.rewrite(&[&[1; 300_000], b"two"]).unwrap();
     ledger.append(&[b"three"]).unwrap();
-    let (mut short, _) = Furrow::open(&scratch.0, "short").unwrap();
+    let (mut short, _) = AppendLog::open(&scratch.0, "short").unwrap();
     short.rewrite(&[&[1; (64 << 10) - format::HEADER - format::RECORD_HEAD]]).unwrap();
     assert!(!short.wants_rewrite(0));
     short.append(&[b""]).unwrap();
@@ -129,7 +129,7 @@
     let mut bytes = fs::read(&path).unwrap();
     bytes[offset as usize + format::RECORD_HEAD] ^= 1;
     fs::write(&path, &bytes).unwrap();
-    let Err(Error::Damaged { record: 1, offset: at, whole_at, .. }) = Furrow::open(&scratch.0, "ledger")
+    let Err(Error::Damaged { record: 1, offset: at, whole_at, .. }) = AppendLog::open(&scratch.0, "ledger")
     else {
         panic!("damage not told");
     };
--- a/crates/furrow/tests/losses.rs
+++ b/crates/append-log/tests/losses.rs
@@ -2,7 +2,7 @@
 
 mod simulated;
 
-use furrow::{format, Error, Furrow};
+use append_log::{format, AppendLog, Error};
 use rstest::rstest;
 use simulated::{Faults, Simulated};
 
@@ -24,14 +24,14 @@
     records.iter().map(|record| record.as_bytes().to_vec()).collect()
 }
 
-fn open(disk: &Simulated) -> (Furrow<Simulated>, Records) {
-    Furrow::open_on(disk.clone(), "ledger").unwrap()
+fn open(disk: &Simulated) -> (AppendLog<Simulated>, Records) {
+    AppendLog::open_on(disk.clone(), "ledger").unwrap()
 }
 
 /// What the file may hold: what was acknowledged, or that with the first records of the call that was under way.
 fn play(disk: &Simulated, story: &[Call]) -> Vec<Records> {
     let mut now = Records::new();
-    let Ok((mut ledger, _)) = Furrow::open_on(disk.clone(), "ledger") else {
+    let Ok((mut ledger, _)) = AppendLog::open_on(disk.clone(), "ledger") else {
         return vec![now];
     };
     for call in story {
@@ -57,7 +57,7 @@
 /// Opens what a loss left; the records given are among `may_be`, outlast a further loss of power, and the file takes
 /// more.
 fn check(disk: &Simulated, may_be: &[Records], what: &str) {
-    let (mut ledger, records) = match Furrow::open_on(disk.clone(), "ledger") {
+    let (mut ledger, records) = match AppendLog::open_on(disk.clone(), "ledger") {
         Ok(opened) => opened,
         Err(error) => panic!("{what}: {error}"),
     };
@@ -111,7 +111,7 @@
             disk.put("ledger", &whole[..length]);
             disk.put("ledger.new", b"remains");
             disk.kill_after(steps);
-            let _ = Furrow::open_on(disk.clone(), "ledger");
+            let _ = AppendLog::open_on(disk.clone(), "ledger");
             let second = length >= batch + format::RECORD_HEAD + 2;
             let may_be = [if second { owned(&["a", "bb"]) } else { owned(&["a"]) }];
             check(&disk.after_kill(), &may_be, &format!("killed at {length}, {steps}"));
@@ -159,7 +159,7 @@
         disk.put("ledger", &turned);
         let at = (bit / 8) as u64;
         let hit = ends.iter().position(|end| at < *end).unwrap();
-        match Furrow::open_on(disk.clone(), "ledger") {
+        match AppendLog::open_on(disk.clone(), "ledger") {
             Err(Error::Header { .. }) => assert!(at < format::HEADER as u64),
             Err(Error::Damaged { record, offset, whole_at, .. }) => {
                 assert!(at < last, "{bit}");
@@ -192,7 +192,7 @@
     bytes[next] ^= 1;
     let disk = Simulated::new();
     disk.put("ledger", &bytes);
-    assert!(matches!(Furrow::open_on(disk, "ledger"), Err(Error::Damaged { record: 0, .. })));
+    assert!(matches!(AppendLog::open_on(disk, "ledger"), Err(Error::Damaged { record: 0, .. })));
 }
 
 /// Records are bound to their place: a file inside a record isn't taken for records.
@@ -227,7 +227,7 @@
 fn other_files_are_refused_and_left(#[case] bytes: &[u8]) {
     let disk = Simulated::new();
     disk.put("ledger", bytes);
-    assert!(matches!(Furrow::open_on(disk.clone(), "ledger"), Err(Error::Header { .. })));
+    assert!(matches!(AppendLog::open_on(disk.clone(), "ledger"), Err(Error::Header { .. })));
     assert_eq!(disk.bytes("ledger").unwrap(), bytes);
 }
 
@@ -237,12 +237,12 @@
     let mut bytes = format::header(format::VERSION + 3).to_vec();
     bytes.extend_from_slice(b"whatever comes then");
     disk.put("ledger", &bytes);
-    let refused = Furrow::open_on(disk.clone(), "ledger");
+    let refused = AppendLog::open_on(disk.clone(), "ledger");
     assert!(matches!(refused, Err(Error::Newer { found, known, .. }) if (found, known) == (4, 1)));
     assert_eq!(disk.bytes("ledger").unwrap(), bytes);
     let disk = Simulated::new();
     disk.put("ledger", &format::header(0));
-    assert!(matches!(Furrow::open_on(disk, "ledger"), Err(Error::Header { .. })));
+    assert!(matches!(AppendLog::open_on(disk, "ledger"), Err(Error::Header { .. })));
 }
 
 /// Room for any number of the bytes of a batch of three: the error says that the disk is full, nothing of the batch
@@ -374,7 +374,7 @@
 }
 
 /// A file with the records "a" and "b" on a new disk, after a failed sync of "c".
-fn broken(disk: &mut Simulated, failed_sync_writes: bool) -> Furrow<Simulated> {
+fn broken(disk: &mut Simulated, failed_sync_writes: bool) -> AppendLog<Simulated> {
     *disk = Simulated::new();
     let (mut ledger, _) = open(disk);
     ledger.append(&slices(&["a", "b"])).unwrap();
--- a/crates/furrow/tests/reports.rs
+++ b/crates/append-log/tests/reports.rs
@@ -2,14 +2,14 @@
 
 mod simulated;
 
-use furrow::{format, inspect_on, verify_on, Error, Furrow, Part, Shape};
+use append_log::{format, inspect_on, verify_on, AppendLog, Error, Part, Shape};
 use rstest::rstest;
 use simulated::{Faults, Simulated};
 
 /// A file of three batches: one record, two, one. Where each record begins, and its bytes.
 fn three_batches() -> (Vec<u64>, Vec<u8>) {
     let disk = Simulated::new();
-    let (mut ledger, _) = Furrow::open_on(disk.clone(), "ledger").unwrap();
+    let (mut ledger, _) = AppendLog::open_on(disk.clone(), "ledger").unwrap();
     ledger.append(&[b"one"]).unwrap();
     ledger.append(&[b"three", b""]).unwrap();
     ledger.append(&[b"seven!!"]).unwrap();
@@ -103,7 +103,7 @@
         let report = inspect_on(disk_with(&bytes), "ledger").unwrap();
         let disk = Simulated::new();
         disk.put("ledger", &bytes);
-        let shape = match Furrow::open_on(disk, "ledger") {
+        let shape = match AppendLog::open_on(disk, "ledger") {
             Ok((ledger, records)) => {
                 assert_eq!(report.records, records.len() as u64);
                 ledger.cut().map_or(Shape::Whole, |cut| Shape::Torn { offset: cut.offset })
--- a/crates/furrow/tests/simulated/mod.rs
+++ b/crates/append-log/tests/simulated/mod.rs
@@ -6,7 +6,7 @@
 use std::io::{self, ErrorKind};
 use std::rc::Rc;
 
-use furrow::{Disk, DiskFile};
+use append_log::{Disk, DiskFile};
 
 /// A change of a file that no sync has covered yet.
 #[derive(Clone, Debug)]
--- a/crates/furrow/tests/stories.rs
+++ b/crates/append-log/tests/stories.rs
@@ -2,7 +2,7 @@
 
 mod simulated;
 
-use furrow::Furrow;
+use append_log::AppendLog;
 use proptest::prelude::*;
 use simulated::{Faults, Simulated};
 
@@ -104,7 +104,7 @@
             ((mixed ^ mixed >> 31) >> 16) as usize % below
         };
         let mut disk = Simulated::new();
-        let mut ledger = Some(Furrow::open_on(disk.clone(), "ledger").unwrap().0);
+        let mut ledger = Some(AppendLog::open_on(disk.clone(), "ledger").unwrap().0);
         let mut expected = Expected { now: vec![vec![]], next: vec![], drawn: 0 };
         let last = [Step::PowerLoss, Step::Append(vec![1]), Step::PowerLoss];
         for step in steps.iter().chain(&last) {
@@ -129,7 +129,7 @@
                         Step::Kill => disk.after_kill(),
                         _ => disk.after_some_power_loss(&mut choose),
                     };
-                    let (opened, records) = Furrow::open_on(disk.clone(), "ledger").unwrap();
+                    let (opened, records) = AppendLog::open_on(disk.clone(), "ledger").unwrap();
                     prop_assert!(
                         expected.now.contains(&records) || expected.next.contains(&records),
                         "{records:?} is none of {:?} and {:?}", expected.now, expected.next
--- a/crates/espalier/src/idle.rs
+++ b/crates/balancing/src/idle.rs
@@ -3,7 +3,7 @@
 use crate::host::Host;
 use crate::policy::State;
 use crate::types::Load;
-use fallow::ENTRY_AGE;
+use idle_list::ENTRY_AGE;
 use std::time::Duration;
 
 /// A model host counts as idle while what it still has to read is below this, in ms: with more, a short
--- a/crates/espalier/src/service.rs
+++ b/crates/balancing/src/service.rs
@@ -3,7 +3,7 @@
 use crate::budget::Budget;
 use crate::types::ServiceInfo;
 use crate::window::{Line, Quantile};
-use fallow::{IdleList, ENTRY_AGE};
+use idle_list::{IdleList, ENTRY_AGE};
 use std::time::Duration;
 
 /// Times assumed until answers tell: a first event without reading, in ms, and the reading of a token.
--- a/crates/espalier/tests/budget.rs
+++ b/crates/balancing/tests/budget.rs
@@ -1,8 +1,8 @@
 //! The budget over every sliding window, over all proxies.
 
 mod common;
+use balancing::{Policy, Settings};
 use common::*;
-use espalier::{Policy, Settings};
 use rstest::rstest;
 
 const RATIO: f64 = 0.2;
--- a/crates/espalier/tests/common/mod.rs
+++ b/crates/balancing/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Shared by the tests: a policy with hosts, asks, and choices.
 #![allow(dead_code)]
 
-use espalier::{Ask, Attempt, Choice, HostInfo, Policy, ServiceInfo, Settings};
+use balancing::{Ask, Attempt, Choice, HostInfo, Policy, ServiceInfo, Settings};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/espalier/tests/health.rs
+++ b/crates/balancing/tests/health.rs
@@ -1,8 +1,8 @@
 //! Who is out, for how long, and how it comes back.
 
 mod common;
+use balancing::{Ask, Attempt, Outcome, Policy};
 use common::*;
-use espalier::{Ask, Attempt, Outcome, Policy};
 use rstest::rstest;
 use std::sync::Arc;
 
--- a/crates/espalier/tests/hints.rs
+++ b/crates/balancing/tests/hints.rs
@@ -1,8 +1,8 @@
 //! Hints between proxies: what others sent is known, weighs as if sent from here, and is handed on.
 
 mod common;
+use balancing::{HostInfo, Outcome, Placement, Policy};
 use common::*;
-use espalier::{HostInfo, Outcome, Placement, Policy};
 use rstest::rstest;
 use std::sync::Arc;
 
--- a/crates/espalier/tests/homes.rs
+++ b/crates/balancing/tests/homes.rs
@@ -1,8 +1,8 @@
 //! The home order of prompts: agreed without talk, left when the home is busy or out, taken up again.
 
 mod common;
+use balancing::{Choice, Outcome, Policy, Settings};
 use common::*;
-use espalier::{Choice, Outcome, Policy, Settings};
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -128,7 +128,7 @@
 #[case(9, 9)]
 fn more_urgent_ranks_get_the_lower_priority(#[case] rank: u32, #[case] expected: u8) {
     let (mut p, _) = policy(3, 0);
-    let ask = espalier::Ask { rank, ..prompt(&[(1, 10), (2, 10)]) };
+    let ask = balancing::Ask { rank, ..prompt(&[(1, 10), (2, 10)]) };
     let Choice::Host { priority, .. } = p.choose(ms(1), &ask) else { panic!("no host") };
     assert_eq!(priority, Some(expected));
 }
--- a/crates/espalier/tests/idle.rs
+++ b/crates/balancing/tests/idle.rs
@@ -1,8 +1,8 @@
 //! What lists a host, what takes it off, and which entry wins.
 
 mod common;
+use balancing::{Ask, HostInfo, Load, Outcome, Policy};
 use common::*;
-use espalier::{Ask, HostInfo, Load, Outcome, Policy};
 use rstest::rstest;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 }
 
 /// Sends to a plain host of one's choice by having tried all others.
-fn send_to(p: &mut Policy, t: u64, n: usize) -> espalier::Attempt {
+fn send_to(p: &mut Policy, t: u64, n: usize) -> balancing::Attempt {
     let tried: Vec<Arc<str>> = (0..3).filter(|m| *m != n).map(|m| format!("plain-{m}").into()).collect();
     sent(p.choose(ms(t), &Ask { tried: &tried, ..PLAIN })).0
 }
@@ -186,7 +186,9 @@
 #[test]
 fn a_service_without_hosts_says_when_to_come_back() {
     let (mut p, _) = policy(1, 0);
-    let espalier::Choice::None { retry_after } = p.choose(ms(0), &PLAIN) else { panic!("a host of nowhere") };
+    let balancing::Choice::None { retry_after } = p.choose(ms(0), &PLAIN) else {
+        panic!("a host of nowhere")
+    };
     assert!(retry_after >= ms(100) && retry_after <= ms(1000));
 }
 
@@ -197,6 +199,6 @@
         let a = send_to(&mut p, 0, n);
         p.ended(ms(2), a, Outcome::Full, None);
     }
-    let espalier::Choice::None { retry_after } = p.choose(ms(3), &PLAIN) else { panic!("all are full") };
+    let balancing::Choice::None { retry_after } = p.choose(ms(3), &PLAIN) else { panic!("all are full") };
     assert!(retry_after >= ms(100) && retry_after <= ms(300), "{retry_after:?}");
 }
--- a/crates/espalier/tests/model/router.rs
+++ b/crates/balancing/tests/model/router.rs
@@ -1,7 +1,7 @@
 //! What picks hosts: the policy, or one of two baselines.
 
 use super::Time;
-use espalier::{Ask, Attempt, Choice, HostInfo, Load, Outcome, Policy, ServiceInfo, Settings};
+use balancing::{Ask, Attempt, Choice, HostInfo, Load, Outcome, Policy, ServiceInfo, Settings};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/espalier/tests/model/world.rs
+++ b/crates/balancing/tests/model/world.rs
@@ -5,7 +5,7 @@
 use super::router::{Router, Way, SERVICE};
 use super::traffic::{requests, Kind, Request, Surge};
 use super::{from_ms, Random, Time, SECOND};
-use espalier::{Ask, HostInfo, Load, Outcome};
+use balancing::{Ask, HostInfo, Load, Outcome};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/crates/espalier/tests/queueing.rs
+++ b/crates/balancing/tests/queueing.rs
@@ -1,5 +1,5 @@
 //! The policy in the queueing model, beside plain random and least-loaded. The figures are examples of ranges.
-//! `cargo test -p espalier --test queueing -- --nocapture` prints the table of docs/measurements/policy.md.
+//! `cargo test -p balancing --test queueing -- --nocapture` prints the table of docs/measurements/policy.md.
 
 mod model;
 use model::engine::Figures;
--- a/crates/almanac/src/boot.rs
+++ b/crates/configuration/src/boot.rs
@@ -8,12 +8,12 @@
 /// The settings of one process (`boot.json`). Fields that aren't known are passed over.
 ///
 /// ```
-/// let text = r#"{"node_name":"core-1","role":"rootstock","ip_addr":"10.1.0.38","zone":"a",
+/// let text = r#"{"node_name":"core-1","role":"control-plane","ip_addr":"10.1.0.38","zone":"a",
 ///     "port_range":[7660,7675],"bind":{"control":"10.1.0.38:8146"},"added_later":true}"#;
-/// let boot = almanac::Boot::read(text).unwrap();
+/// let boot = configuration::Boot::read(text).unwrap();
 /// assert_eq!(boot.bind.control.unwrap().port(), 8146);
 /// assert_eq!(boot.beat_period_ms, 1200, "where the file says nothing");
-/// let error = almanac::Boot::read(r#"{"node_name":"core-1"}"#).unwrap_err();
+/// let error = configuration::Boot::read(r#"{"node_name":"core-1"}"#).unwrap_err();
 /// assert!(error.to_string().contains("role"), "{error}");
 /// ```
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/almanac/src/codes.rs
+++ b/crates/configuration/src/codes.rs
@@ -5,7 +5,7 @@
         /// A result: its number is stable, its HTTP status is what callers of the interfaces see.
         ///
         /// ```
-        /// use almanac::Code;
+        /// use configuration::Code;
         /// assert_eq!((Code::OtherBase.number(), Code::OtherBase.status()), (120, 412));
         /// assert_eq!(Code::of(120), Some(Code::OtherBase));
         /// ```
--- a/crates/almanac/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -2,7 +2,7 @@
 //! ([`Document`]), read and checked. No I/O.
 //!
 //! ```
-//! use almanac::Document;
+//! use configuration::Document;
 //! let text = br#"{"version":2,"routes":[],"services":[],"limits":{}}"#;
 //! let first = Document::read(text, 0).unwrap();
 //! assert_eq!(first.version, 2);
--- a/crates/almanac/tests/codes.rs
+++ b/crates/configuration/tests/codes.rs
@@ -1,6 +1,6 @@
 //! The table of result codes in the docs says what the code says.
 
-use almanac::Code;
+use configuration::Code;
 
 const TABLE: &str = include_str!("../../../docs/result-codes.md");
 
--- a/crates/rootstock/src/feed.rs
+++ b/crates/control-plane/src/feed.rs
@@ -1,8 +1,8 @@
 //! The member's own source beside the mirror that others pull from.
 
 use crate::roster::{HostCall, Roster};
-use graft::{Caller, CoordinatorRecord, HostRecord};
-use scion::{News, SharedMirror};
+use protocol::{Caller, CoordinatorRecord, HostRecord};
+use replication::{News, SharedMirror};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
         &self.shared
     }
 
-    fn change<R>(&self, change: impl FnOnce(&mut Roster, &scion::Mirror, Duration) -> R) -> R {
+    fn change<R>(&self, change: impl FnOnce(&mut Roster, &replication::Mirror, Duration) -> R) -> R {
         let mut roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
         self.shared.update(|mirror, now| {
             let result = change(&mut roster, mirror, now);
--- a/crates/rootstock/src/history.rs
+++ b/crates/control-plane/src/history.rs
@@ -1,7 +1,7 @@
 //! The latest configurations that this member saw in force, for operators. In memory only: what must last is the
 //! ledger's.
 
-use almanac::Document;
+use configuration::Document;
 use serde::Serialize;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -39,11 +39,11 @@
 /// The latest configurations, oldest first.
 ///
 /// ```
-/// use rootstock::history::History;
+/// use control_plane::history::History;
 /// use std::{sync::Arc, time::{Duration, SystemTime}};
 /// let document = |version: u64| {
 ///     let text = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
-///     Arc::new(almanac::Document::read(text.as_bytes(), 0).unwrap())
+///     Arc::new(configuration::Document::read(text.as_bytes(), 0).unwrap())
 /// };
 /// let mut history = History::default();
 /// history.note(&document(3), SystemTime::UNIX_EPOCH);
--- a/crates/rootstock/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger: the configuration in force, the calls that led to it, the hosts that are leaving. Pure.
 
-use almanac::{Code, Document};
-use graft::{Change, Command, Snapshot, Taken};
+use configuration::{Code, Document};
+use protocol::{Change, Command, Snapshot, Taken};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -112,7 +112,7 @@
     ///
     /// # Errors
     /// Where its configuration can't be read.
-    pub fn of(snapshot: &Snapshot) -> Result<Ledger, almanac::Invalid> {
+    pub fn of(snapshot: &Snapshot) -> Result<Ledger, configuration::Invalid> {
         let document = match snapshot.document.as_str() {
             "" => Document::default(),
             text => Document::read(text.as_bytes(), 0)?,
--- a/crates/rootstock/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -5,15 +5,15 @@
 //! once that is there.
 //!
 //! ```
-//! use rootstock::member::{Config, Input, Member, Output};
-//! use graft::Seat;
+//! use control_plane::member::{Config, Input, Member, Output};
+//! use protocol::Seat;
 //! use std::time::Duration;
 //!
 //! let me = Seat { id: 7, name: "core-1".into(), ..Seat::default() };
 //! let config = Config {
 //!     me: me.clone(),
 //!     bootstrap_voters: Some(vec![me]),
-//!     budget: almanac::FaultBudget::default(),
+//!     budget: configuration::FaultBudget::default(),
 //!     lease: Duration::from_millis(1000),
 //!     patience: Duration::from_millis(3500),
 //!     stall: Duration::from_millis(600),
--- a/crates/rootstock/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -9,7 +9,7 @@
 use super::view::choose_copies;
 use super::{Member, Output, Role};
 use crate::ledger::Ledger;
-use graft::{Message, Record, Seat, Snapshot, Tag, View};
+use protocol::{Message, Record, Seat, Snapshot, Tag, View};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/rootstock/src/member/commands.rs
+++ b/crates/control-plane/src/member/commands.rs
@@ -1,8 +1,8 @@
 //! Commands of hosts and the operator, taken by any member and run by the primary.
 
 use super::{Member, Output, Role};
-use almanac::Code;
-use graft::{Command, Message, Seat};
+use configuration::Code;
+use protocol::{Command, Message, Seat};
 use std::time::Duration;
 
 /// A command that the primary has not answered is asked again after this; asking twice does no harm.
--- a/crates/rootstock/src/member/disk.rs
+++ b/crates/control-plane/src/member/disk.rs
@@ -2,7 +2,7 @@
 
 use super::{DiskError, Held, Member, Output, Role};
 use crate::ledger::Ledger;
-use graft::{Message, Record, Seat, View};
+use protocol::{Message, Record, Seat, View};
 use std::time::Duration;
 
 /// A disk that refused is tried again after this.
@@ -61,7 +61,7 @@
 
 impl Member {
     pub(super) fn write(&mut self, record: &Record, after: After) {
-        self.disk.queue.push((graft::write_one(record), after));
+        self.disk.queue.push((protocol::write_one(record), after));
     }
 
     /// Starts the next write.
@@ -99,10 +99,10 @@
     fn whole(&self) -> Vec<Vec<u8>> {
         let snapshot = self.held.as_ref().map(|h| h.disk.snapshot());
         let view = self.view.clone().filter(|v| v.epoch > 0);
-        let accepted = view.map(|view| graft::write_one(&Record::Accepted { view, snapshot }));
-        let promised = graft::write_one(&Record::Promised { epoch: self.promised });
+        let accepted = view.map(|view| protocol::write_one(&Record::Accepted { view, snapshot }));
+        let promised = protocol::write_one(&Record::Promised { epoch: self.promised });
         let seq = self.committed;
-        let committed = self.held.as_ref().map(|_| graft::write_one(&Record::Committed { seq }));
+        let committed = self.held.as_ref().map(|_| protocol::write_one(&Record::Committed { seq }));
         accepted.into_iter().chain([promised]).chain(committed).collect()
     }
 
--- a/crates/rootstock/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -11,12 +11,12 @@
 pub use view::choose_copies;
 
 use crate::ledger::Ledger;
-use almanac::{Code, Document, FaultBudget};
 use candidate::Candidacy;
 use commands::Local;
+use configuration::{Code, Document, FaultBudget};
 use disk::{After, Disk};
-use graft::{Command, Message, Record, Seat, View};
 use primary::Acting;
+use protocol::{Command, Message, Record, Seat, View};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -233,7 +233,7 @@
             let before = voters.clone();
             member.view = Some(View { epoch: 0, primary: 0, copies: vec![], voters, before });
         }
-        records.iter().filter_map(|r| graft::read_one(r).ok()).for_each(|r| member.recover(r));
+        records.iter().filter_map(|r| protocol::read_one(r).ok()).for_each(|r| member.recover(r));
         member.history.clear();
         member.disk.kept(records.iter().map(Vec::len).sum());
         let start = if member.restarted { member.config.lease } else { Duration::ZERO };
--- a/crates/rootstock/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -7,8 +7,8 @@
 use super::view::choose_copies;
 use super::{Member, Output, Role};
 use crate::ledger::{Ledger, Plan};
-use almanac::Code;
-use graft::{Change, Command, Message, Record, Seat, View};
+use configuration::Code;
+use protocol::{Change, Command, Message, Record, Seat, View};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
--- a/crates/rootstock/src/member/view.rs
+++ b/crates/control-plane/src/member/view.rs
@@ -1,7 +1,7 @@
 //! Who is in a view.
 
-use almanac::FaultBudget;
-use graft::Seat;
+use configuration::FaultBudget;
+use protocol::Seat;
 use std::collections::BTreeSet;
 
 /// Picks copies in the order given, the first always, so that one of them survives any loss that the budget
--- a/crates/rootstock/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -3,7 +3,7 @@
 use super::disk::After;
 use super::{Grant, Member, Output, Role};
 use crate::ledger::Ledger;
-use graft::{Change, Message, Record, Seat, Snapshot, Tag, View};
+use protocol::{Change, Message, Record, Seat, Snapshot, Tag, View};
 use std::time::Duration;
 
 impl Member {
--- a/crates/rootstock/src/roster.rs
+++ b/crates/control-plane/src/roster.rs
@@ -1,8 +1,8 @@
 //! What hosts and coordinators tell this member: its own source, numbered by itself. No I/O and no clock.
 
-use almanac::Code;
-use graft::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, Seat, SourceNews};
-use scion::phase;
+use configuration::Code;
+use protocol::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, Seat, SourceNews};
+use replication::phase;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -360,6 +360,6 @@
 /// The member that a host's later heartbeats should go to, where that isn't `me`: by rendezvous hashing over
 /// the members that live.
 pub fn beat_target<'a>(host: &str, me: u64, live: &'a [Seat]) -> Option<&'a Seat> {
-    let best = live.iter().max_by_key(|s| (scion::weight(host, &s.id.to_be_bytes()), s.id))?;
+    let best = live.iter().max_by_key(|s| (replication::weight(host, &s.id.to_be_bytes()), s.id))?;
     (best.id != me).then_some(best)
 }
--- a/crates/rootstock/src/shell/call.rs
+++ b/crates/control-plane/src/shell/call.rs
@@ -1,8 +1,8 @@
 //! Calls of hosts and operators: each is decoded into a [`Call`], which is run elsewhere.
 
 use crate::roster::HostCall;
-use almanac::Code;
 use bytes::Bytes;
+use configuration::Code;
 use hyper::Method;
 
 /// What a path asks for, before the body is read.
--- a/crates/rootstock/src/shell/control.rs
+++ b/crates/control-plane/src/shell/control.rs
@@ -1,8 +1,8 @@
 //! The control API's HTTP: reads calls within limits, has them run, writes the answers.
 
 use crate::shell::call::{Call, Head};
-use almanac::Code;
 use bytes::Bytes;
+use configuration::Code;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
--- a/crates/rootstock/src/shell/disk.rs
+++ b/crates/control-plane/src/shell/disk.rs
@@ -2,7 +2,7 @@
 
 use crate::member::DiskError;
 use crate::shell::identity::{latest, Birth, Identity};
-use furrow::Furrow;
+use append_log::AppendLog;
 use std::path::PathBuf;
 use std::sync::mpsc;
 
@@ -78,7 +78,7 @@
         match open(dir, birth) {
             Ok((who, file, identity, records)) => {
                 // What can't be read here is told anew by the hosts.
-                let (hosts, roster) = match Furrow::open(dir, "roster") {
+                let (hosts, roster) = match AppendLog::open(dir, "roster") {
                     Ok((hosts, mut kept)) => (Some(hosts), kept.pop()),
                     Err(e) => {
                         log::warn!(error:% = e; "no roster is kept");
@@ -132,14 +132,14 @@
     }
 }
 
-fn refusal(error: &furrow::Error) -> DiskError {
+fn refusal(error: &append_log::Error) -> DiskError {
     match error.is_full() {
         true => DiskError::Full,
         false => DiskError::Failed,
     }
 }
 
-fn put(file: &mut Furrow, writes: &[Write], rewrite: bool) -> Result<(), furrow::Error> {
+fn put(file: &mut AppendLog, writes: &[Write], rewrite: bool) -> Result<(), append_log::Error> {
     let records: Vec<&[u8]> = writes.iter().flat_map(|w| w.records.iter().map(Vec::as_slice)).collect();
     match rewrite {
         true => file.rewrite(&records),
@@ -149,17 +149,17 @@
 
 /// The identity's file: nothing else is written before the identity is kept.
 struct Who {
-    file: Furrow,
+    file: AppendLog,
     records: usize,
     kept: bool,
 }
 
 impl Who {
-    fn keep(&mut self, identity: &Identity) -> Result<(), furrow::Error> {
+    fn keep(&mut self, identity: &Identity) -> Result<(), append_log::Error> {
         if self.kept {
             return Ok(());
         }
-        let record = graft::write_one(identity);
+        let record = protocol::write_one(identity);
         match self.records < IDENTITIES {
             true => self.file.append(&[&record])?,
             false => self.file.rewrite(&[&record])?,
@@ -169,16 +169,16 @@
     }
 }
 
-type Open = (Who, Furrow, Identity, Vec<Vec<u8>>);
+type Open = (Who, AppendLog, Identity, Vec<Vec<u8>>);
 
 fn open(dir: &std::path::Path, birth: &Birth) -> Result<Open, String> {
-    let (file, kept) = Furrow::open(dir, "identity").map_err(|e| e.to_string())?;
+    let (file, kept) = AppendLog::open(dir, "identity").map_err(|e| e.to_string())?;
     let identity = birth.identity(latest(&kept));
     let mut who = Who { file, records: kept.len(), kept: false };
     // A full disk is no reason to stay away: the number of the life follows the time of day as well.
     if let Err(e) = who.keep(&identity) {
         log::warn!(error:% = e; "identity not kept yet");
     }
-    let (file, records) = Furrow::open(dir, "ledger").map_err(|e| e.to_string())?;
+    let (file, records) = AppendLog::open(dir, "ledger").map_err(|e| e.to_string())?;
     Ok((who, file, identity, records))
 }
--- a/crates/rootstock/src/shell/identity.rs
+++ b/crates/control-plane/src/shell/identity.rs
@@ -1,7 +1,7 @@
 //! Who a member is: kept on its own disk, so that a wiped disk comes back as somebody else.
 
 use binrw::binrw;
-use graft::Seat;
+use protocol::Seat;
 use std::net::SocketAddrV4;
 
 /// A member's identity as its disk keeps it.
@@ -74,5 +74,5 @@
 
 /// The latest identity among the records of the identity's file.
 pub fn latest(records: &[Vec<u8>]) -> Option<Identity> {
-    records.iter().rev().find_map(|r| graft::read_one::<Identity>(r).ok())
+    records.iter().rev().find_map(|r| protocol::read_one::<Identity>(r).ok())
 }
--- a/crates/rootstock/src/shell/links.rs
+++ b/crates/control-plane/src/shell/links.rs
@@ -2,8 +2,8 @@
 //! dialled; what others say comes in over theirs.
 
 use crate::shell::connection::{ready, write_all};
-use graft::{Addr, Message, Seat};
-use scion::FrameReader;
+use protocol::{Addr, Message, Seat};
+use replication::FrameReader;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, SocketAddrV4};
@@ -153,7 +153,7 @@
         mut frames: FrameReader<impl tokio::io::AsyncRead + Unpin>,
         mut output: impl tokio::io::AsyncWrite + Unpin,
     ) -> std::io::Result<()> {
-        write_all(&mut output, &graft::encode(&Message::Hello { seat: self.inner.me.clone() })).await?;
+        write_all(&mut output, &protocol::encode(&Message::Hello { seat: self.inner.me.clone() })).await?;
         self.learn(std::slice::from_ref(&seat));
         self.tell(Heard::Hello(seat.clone()));
         let mut next = Some(first);
@@ -162,7 +162,7 @@
                 Message::Peers { seats } => {
                     self.learn(&seats);
                     let answer = Message::Peers { seats: self.seats() };
-                    write_all(&mut output, &graft::encode(&answer)).await?;
+                    write_all(&mut output, &protocol::encode(&answer)).await?;
                 }
                 message => self.tell(Heard::Message(seat.clone(), Box::new(message))),
             }
@@ -178,7 +178,7 @@
     }
 
     fn push(&self, peer: &Peer, message: &Message) {
-        let frame = graft::encode(message);
+        let frame = protocol::encode(message);
         let mut state = peer.state.borrow_mut();
         while !state.up && state.queue.front().is_some_and(|(at, _)| at.elapsed() > STALE) {
             let old = state.queue.pop_front().map_or(0, |(_, frame)| frame.len());
@@ -259,8 +259,8 @@
         }
         let (input, mut output) = stream.into_split();
         let mut frames = FrameReader::new(input, Vec::new());
-        let hello = graft::encode(&Message::Hello { seat: self.inner.me.clone() });
-        let peers = graft::encode(&Message::Peers { seats: self.seats() });
+        let hello = protocol::encode(&Message::Hello { seat: self.inner.me.clone() });
+        let peers = protocol::encode(&Message::Peers { seats: self.seats() });
         if write_all(&mut output, &[hello, peers].concat()).await.is_err() {
             return false;
         }
--- a/crates/rootstock/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -12,14 +12,14 @@
 use crate::feed::Feed;
 use crate::history::History;
 use crate::member::{Config, Input, Member, Output};
-use almanac::{Boot, Code};
+use configuration::{Boot, Code};
 use control::{Control, ControlCounters};
 use desk::{Answered, FrontDesk, Opened};
 use disk::Told;
-use graft::{Command, Message, Seat, View};
 use identity::{inner, Birth, Identity};
 use links::{Heard, Links};
-use scion::{client, FrameReader, Mirror, Puller, SharedMirror};
+use protocol::{Command, Message, Seat, View};
+use replication::{client, FrameReader, Mirror, Puller, SharedMirror};
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -208,7 +208,7 @@
     // What other members were told comes by pulls, like an agent's.
     let (pulls, told) = unbounded_channel();
     let puller = Puller::new(&boot.node_name, usize::MAX, Some(me.addr));
-    let caller = scion::caller(&boot, identity.id);
+    let caller = replication::caller(&boot, identity.id);
     spawn_local(client::run(puller, me.clone(), caller, mirror.clone(), told));
     spawn_local(roster::keep(mirror.clone(), disk.clone()));
     spawn_local(follow_seeds(links.clone(), pulls, seeds, boot.port_range.0));
@@ -514,8 +514,8 @@
     let (stream, rest) = frames.into_parts();
     match first {
         pull @ Message::Pull { .. } => {
-            let buffer = [graft::encode(&pull), rest].concat();
-            scion::serve(stream, buffer, feed.shared().clone(), |caller| feed.pulled(caller)).await
+            let buffer = [protocol::encode(&pull), rest].concat();
+            replication::serve(stream, buffer, feed.shared().clone(), |caller| feed.pulled(caller)).await
         }
         first if seat.id != 0 => {
             let (input, output) = stream.into_split();
--- a/crates/rootstock/src/shell/roster.rs
+++ b/crates/control-plane/src/shell/roster.rs
@@ -4,8 +4,8 @@
 
 use super::disk::{File, Write};
 use super::identity::Identity;
-use graft::{HostRecord, Mark, SourceNews};
-use scion::{phase, News, SharedMirror};
+use protocol::{HostRecord, Mark, SourceNews};
+use replication::{phase, News, SharedMirror};
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 
 /// Puts what was kept into the mirror, as a life of this member that is over.
 pub(super) fn recall(mirror: &SharedMirror, identity: &Identity, kept: Option<Vec<u8>>) {
-    let Some(source) = kept.and_then(|k| graft::read_one::<SourceNews>(&k).ok()) else { return };
+    let Some(source) = kept.and_then(|k| protocol::read_one::<SourceNews>(&k).ok()) else { return };
     let mark = Mark { id: identity.id, life: identity.life.saturating_sub(1), seq: 1 };
     let source = SourceNews { mark, whole: true, coordinators: Vec::new(), ..source };
     let news = News { age_ms: u32::MAX, sources: vec![source], ..News::default() };
@@ -36,7 +36,7 @@
         if hosts != kept {
             kept.clone_from(&hosts);
             let source = SourceNews { hosts, ..SourceNews::default() };
-            let records = vec![graft::write_one(&source)];
+            let records = vec![protocol::write_one(&source)];
             if disk.send(Write { ticket: 0, records, rewrite: true, file: File::Roster }).is_err() {
                 return;
             }
--- a/crates/rootstock/tests/calls.rs
+++ b/crates/control-plane/tests/calls.rs
@@ -1,10 +1,10 @@
 //! What the control API takes: method, path and headers, each decoded into a call.
 
-use almanac::Code;
 use bytes::Bytes;
+use configuration::Code;
+use control_plane::roster::HostCall;
+use control_plane::shell::call::{Call, Head};
 use hyper::Method;
-use rootstock::roster::HostCall;
-use rootstock::shell::call::{Call, Head};
 use rstest::rstest;
 
 #[rstest]
--- a/crates/rootstock/tests/control.rs
+++ b/crates/control-plane/tests/control.rs
@@ -1,8 +1,8 @@
 //! The control API's limits, over real sockets; waits are on tokio's paused clock.
 
-use almanac::Code;
-use rootstock::shell::call::Call;
-use rootstock::shell::control::{Control, ControlCounters, Desk, Reply, LARGEST_BODY};
+use configuration::Code;
+use control_plane::shell::call::Call;
+use control_plane::shell::control::{Control, ControlCounters, Desk, Reply, LARGEST_BODY};
 use rstest::rstest;
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/crates/rootstock/tests/disk.rs
+++ b/crates/control-plane/tests/disk.rs
@@ -1,7 +1,7 @@
 //! The disk's thread on a real folder.
 
-use rootstock::shell::disk::{start, File, Told, Write};
-use rootstock::shell::identity::{Birth, Identity};
+use control_plane::shell::disk::{start, File, Told, Write};
+use control_plane::shell::identity::{Birth, Identity};
 use std::path::Path;
 use std::sync::mpsc::{channel, Receiver, Sender};
 
--- a/crates/rootstock/tests/feed.rs
+++ b/crates/control-plane/tests/feed.rs
@@ -1,9 +1,9 @@
 //! The member's own source goes into the mirror that others pull from.
 
-use graft::{Addr, Caller, Mark};
-use rootstock::feed::Feed;
-use rootstock::roster::{Beat, HostCall};
-use scion::{answer, phase, Mirror, News, SharedMirror};
+use control_plane::feed::Feed;
+use control_plane::roster::{Beat, HostCall};
+use protocol::{Addr, Caller, Mark};
+use replication::{answer, phase, Mirror, News, SharedMirror};
 use std::time::Duration;
 
 const BEAT: Duration = Duration::from_millis(1000);
@@ -60,7 +60,7 @@
     assert!(shared.update(|m, _| m.host_elsewhere(8, "i").is_none()), "only the other has it");
 }
 
-fn m_pull(shared: &SharedMirror) -> scion::Pull {
+fn m_pull(shared: &SharedMirror) -> replication::Pull {
     shared.update(|m, _| m.pull(&Caller::default(), 0))
 }
 
@@ -69,8 +69,8 @@
     let shared = SharedMirror::new(Mirror::new(7, BEAT));
     let feed = Feed::new(7, 1, BEAT, shared.clone());
     let mark = Mark { id: 8, life: 1, seq: 1 };
-    let hosts = vec![graft::HostRecord { id: "i".into(), phase: phase::GONE, ..Default::default() }];
-    let source = graft::SourceNews { mark, whole: true, hosts, coordinators: vec![] };
+    let hosts = vec![protocol::HostRecord { id: "i".into(), phase: phase::GONE, ..Default::default() }];
+    let source = protocol::SourceNews { mark, whole: true, hosts, coordinators: vec![] };
     shared.update(|m, now| m.apply(now, &News { sources: vec![source], ..News::default() }));
     feed.call(&call("i", 3));
     assert_eq!(shared.snapshot().hosts["i"].phase, phase::GONE);
--- a/crates/rootstock/tests/identity.rs
+++ b/crates/control-plane/tests/identity.rs
@@ -1,6 +1,6 @@
 //! Who a member is, given what its disk held.
 
-use rootstock::shell::identity::{founder_id, inner, latest, Birth, Identity};
+use control_plane::shell::identity::{founder_id, inner, latest, Birth, Identity};
 use rstest::rstest;
 use std::net::SocketAddrV4;
 
@@ -55,7 +55,7 @@
 fn the_latest_record_counts() {
     let first = birth(SEEDS[0], true).identity(None);
     let second = birth(SEEDS[0], false).identity(Some(first.clone()));
-    let records = [graft::write_one(&first), graft::write_one(&second)];
+    let records = [protocol::write_one(&first), protocol::write_one(&second)];
     assert_eq!(latest(&records), Some(second));
     assert_eq!(latest(&[vec![1, 2, 3]]), None);
 }
--- a/crates/rootstock/tests/ledger.rs
+++ b/crates/control-plane/tests/ledger.rs
@@ -1,9 +1,9 @@
 //! The ledger: what a call comes to, and which members may hold it.
 
-use almanac::{Code, FaultBudget};
-use graft::{Change, Command, Seat};
-use rootstock::ledger::{Ledger, Plan};
-use rootstock::member::choose_copies;
+use configuration::{Code, FaultBudget};
+use control_plane::ledger::{Ledger, Plan};
+use control_plane::member::choose_copies;
+use protocol::{Change, Command, Seat};
 use rstest::rstest;
 
 fn body(version: u64, service: &str) -> Vec<u8> {
--- a/crates/rootstock/tests/links.rs
+++ b/crates/control-plane/tests/links.rs
@@ -1,8 +1,8 @@
 //! Links between members over real sockets; waits are on tokio's paused clock.
 
-use graft::{Message, Seat};
-use rootstock::shell::links::{Heard, Links};
-use scion::FrameReader;
+use control_plane::shell::links::{Heard, Links};
+use protocol::{Message, Seat};
+use replication::FrameReader;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -40,7 +40,7 @@
     let mut frames = FrameReader::new(stream, Vec::new());
     assert!(matches!(frames.next().await.unwrap(), Some(Message::Hello { seat }) if seat.id == 1));
     let (mut stream, rest) = frames.into_parts();
-    stream.write_all(&graft::encode(&Message::Hello { seat: who.clone() })).await.unwrap();
+    stream.write_all(&protocol::encode(&Message::Hello { seat: who.clone() })).await.unwrap();
     FrameReader::new(stream, rest)
 }
 
--- a/crates/rootstock/tests/members.rs
+++ b/crates/control-plane/tests/members.rs
@@ -2,9 +2,9 @@
 
 mod client;
 
-use almanac::Boot;
 use client::{call, call_until, Answer};
-use rootstock::shell::{run, Tuning};
+use configuration::Boot;
+use control_plane::shell::{run, Tuning};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
--- a/crates/rootstock/tests/roster.rs
+++ b/crates/control-plane/tests/roster.rs
@@ -1,10 +1,10 @@
 //! The roster: what hosts and coordinators tell this member.
 
-use almanac::Code;
-use graft::{Addr, Caller, HostRecord, Seat};
-use rootstock::roster::{beat_target, Beat, HostCall, Roster};
+use configuration::Code;
+use control_plane::roster::{beat_target, Beat, HostCall, Roster};
+use protocol::{Addr, Caller, HostRecord, Seat};
+use replication::phase;
 use rstest::rstest;
-use scion::phase;
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/orchard/src/config.rs
+++ b/crates/fennelpin-cli/src/config.rs
@@ -5,7 +5,7 @@
 use crate::operator::Operator;
 use crate::options::{Apply, Check, Diff, Rollback, Show, Sort};
 use crate::settings;
-use almanac::{Code, Document};
+use configuration::{Code, Document};
 use serde_json::Value;
 use snafu::ResultExt;
 use std::collections::BTreeMap;
@@ -104,18 +104,21 @@
 /// Lines that tell what leads from one configuration to another: `-` went, `+` came, `~` changed.
 ///
 /// ```
-/// use almanac::Document;
+/// use configuration::Document;
 /// let read = |text: &str| Document::read(text.as_bytes(), 0).unwrap();
 /// let old = read(r#"{"version":1,"routes":[],"services":[{"name":"a"},{"name":"b"}]}"#);
 /// let new = read(r#"{"version":2,"routes":[],"services":[{"name":"b","conn_limit":7},{"name":"c"}]}"#);
-/// assert_eq!(orchard::config::differences(&old, &new), [
+/// assert_eq!(fennelpin_cli::config::differences(&old, &new), [
 ///     "- service a",
 ///     "~ service b: {\"name\":\"b\"} -> {\"name\":\"b\",\"conn_limit\":7}",
 ///     "+ service c: {\"name\":\"c\"}",
 /// ]);
 /// ```
 pub fn differences(old: &Document, new: &Document) -> Vec<String> {
-    fn items<T: almanac::Named>(sort: &str, list: &[almanac::Item<T>]) -> BTreeMap<String, String> {
+    fn items<T: configuration::Named>(
+        sort: &str,
+        list: &[configuration::Item<T>],
+    ) -> BTreeMap<String, String> {
         list.iter().map(|i| (format!("{sort} {}", i.value.name()), i.raw.to_string())).collect()
     }
     let all = |document: &Document| {
--- a/crates/orchard/src/control.rs
+++ b/crates/fennelpin-cli/src/control.rs
@@ -2,7 +2,7 @@
 //! gives a clear answer.
 
 use crate::failure::{AskSnafu, Failure, StrangeSnafu};
-use almanac::Code;
+use configuration::Code;
 use serde_json::Value;
 use snafu::ResultExt;
 use std::io::{self, Read, Write};
@@ -66,7 +66,7 @@
     /// Reads the text of an answer.
     ///
     /// ```
-    /// use orchard::control::Answer;
+    /// use fennelpin_cli::control::Answer;
     /// let text = b"HTTP/1.1 412 Precondition Failed\r\nContent-Length: 38\r\n\r\n{\"code\":120,\"reason\":\"x\",\"detail\":\"y\"}";
     /// assert_eq!(Answer::read(text).unwrap().result(), (120, "x (y)".to_owned()));
     /// assert!(Answer::read(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}").is_none(), "cut off");
--- a/crates/orchard/src/failure.rs
+++ b/crates/fennelpin-cli/src/failure.rs
@@ -40,7 +40,7 @@
         /// The file.
         path: PathBuf,
         /// What.
-        source: almanac::Invalid,
+        source: configuration::Invalid,
     },
     /// No such shell.
     #[snafu(display("no completion for {shell}: bash, zsh, fish and elvish have one"))]
@@ -55,22 +55,22 @@
         source: std::io::Error,
     },
     /// The control plane's member fails.
-    #[snafu(display("rootstock"))]
-    Rootstock {
+    #[snafu(display("control-plane"))]
+    ControlPlane {
         /// Why.
-        source: rootstock::shell::Failure,
+        source: control_plane::shell::Failure,
     },
     /// The agent fails.
-    #[snafu(display("hedgerow"))]
-    Hedgerow {
+    #[snafu(display("agent"))]
+    Agent {
         /// Why.
-        source: hedgerow::Error,
+        source: agent::Error,
     },
     /// The proxy fails.
-    #[snafu(display("trellis"))]
-    Trellis {
+    #[snafu(display("proxy"))]
+    Proxy {
         /// Why.
-        source: trellis::Error,
+        source: proxy::Error,
     },
     /// No member gave an answer.
     #[snafu(display("cannot ask {control}"))]
@@ -116,7 +116,7 @@
     #[snafu(display("store"))]
     Store {
         /// Why.
-        source: furrow::Error,
+        source: append_log::Error,
     },
     /// A file of the store is damaged.
     #[snafu(display("'{name}' doesn't open: see above"))]
@@ -135,14 +135,14 @@
 impl Failure {
     /// The exit code: 2 for what the operator wrote, 3 for what the control plane refused, 1 for what happened.
     pub fn exit(&self) -> u8 {
-        use rootstock::shell::Failure as Root;
+        use control_plane::shell::Failure as Root;
         match self {
             Failure::Unreadable { .. }
             | Failure::Settings { .. }
             | Failure::Operator { .. }
             | Failure::NoCompletion { .. }
             | Failure::Configuration { .. } => 2,
-            Failure::Rootstock { source: Root::NoControl | Root::NoDisk } => 2,
+            Failure::ControlPlane { source: Root::NoControl | Root::NoDisk } => 2,
             Failure::Refused { .. } => 3,
             _ => 1,
         }
--- a/crates/orchard/src/lib.rs
+++ b/crates/fennelpin-cli/src/lib.rs
@@ -4,7 +4,7 @@
 //! What operators may set comes from one place, with defaults, a file and the environment over each other:
 //!
 //! ```
-//! use orchard::operator::Operator;
+//! use fennelpin_cli::operator::Operator;
 //! let operator = Operator::read(None).unwrap();
 //! assert_eq!(operator.tuning().lease.as_millis(), 1000);
 //! ```
--- a/crates/orchard/src/local/fleet.rs
+++ b/crates/fennelpin-cli/src/local/fleet.rs
@@ -35,19 +35,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Program {
     /// Member of the control plane.
-    Rootstock,
+    ControlPlane,
     /// Agent.
-    Hedgerow,
+    Agent,
     /// Proxy.
-    Trellis,
+    Proxy,
 }
 
 impl Program {
     fn name(self) -> &'static str {
         match self {
-            Program::Rootstock => "rootstock",
-            Program::Hedgerow => "hedgerow",
-            Program::Trellis => "trellis",
+            Program::ControlPlane => "control-plane",
+            Program::Agent => "agent",
+            Program::Proxy => "proxy",
         }
     }
 }
@@ -98,7 +98,7 @@
         let all = json!({"role": program.name(), "zone": self.zone(n), "region": "here", "port_range": ports,
             "seed_nodes": seeds, "beat_period_ms": 1000,
             "zones": {"zone-1": "here", "zone-2": "here", "zone-3": "here"}});
-        let own = if program == Program::Rootstock {
+        let own = if program == Program::ControlPlane {
             // All but a few members may be lost only where there are enough of them.
             let losses = (self.members.max(1) - 1) / 2;
             json!({"node_name": format!("core-{n}"), "machine_class": "core", "serves": ["control"],
@@ -116,7 +116,7 @@
     }
 }
 
-/// The running processes, by machine and program: `core-1/rootstock`.
+/// The running processes, by machine and program: `core-1/control-plane`.
 #[derive(Debug)]
 pub struct Fleet {
     plan: Plan,
@@ -161,11 +161,11 @@
     pub fn start_all(&mut self) -> Result<(), Failure> {
         for n in 1..=self.plan.members {
             let bootstrap = !self.plan.disk(n).exists();
-            self.start(Program::Rootstock, n, bootstrap)?;
+            self.start(Program::ControlPlane, n, bootstrap)?;
         }
         for n in 1..=self.plan.proxies {
-            self.start(Program::Hedgerow, n, false)?;
-            self.start(Program::Trellis, n, false)?;
+            self.start(Program::Agent, n, false)?;
+            self.start(Program::Proxy, n, false)?;
         }
         Ok(())
     }
@@ -181,7 +181,7 @@
         let file = self.plan.dir.join(format!("{machine}-{}.json", program.name()));
         let failed = |e: std::io::Error| broken(format!("{machine}: {e}"));
         fs::write(&file, settings.to_string()).map_err(failed)?;
-        if program == Program::Rootstock {
+        if program == Program::ControlPlane {
             fs::create_dir_all(self.plan.disk(n)).map_err(failed)?;
         }
         let name = format!("{machine}/{}", program.name());
--- a/crates/orchard/src/local/mod.rs
+++ b/crates/fennelpin-cli/src/local/mod.rs
@@ -48,7 +48,7 @@
 /// # Errors
 /// Where something doesn't come up, and where a request of the load fails.
 pub fn run(plan: &Local) -> Result<(), Failure> {
-    let own = std::env::temp_dir().join(format!("orchard-local-{}", std::process::id()));
+    let own = std::env::temp_dir().join(format!("fennelpin-cli-local-{}", std::process::id()));
     let place = Place { goes: plan.dir.is_none(), dir: plan.dir.clone().unwrap_or(own) };
     let program = std::env::current_exe().context(StartSnafu)?;
     let fleet_plan = Plan {
@@ -86,8 +86,8 @@
         println!("{}\n", status::report(&statuses.await.map_err(|e| broken(e.to_string()))??, false));
         if plan.stay {
             println!("runs on until interrupted; try, in another terminal:");
-            println!("  orchard status --control {controls}");
-            println!("  orchard config history --control {controls}");
+            println!("  fennelpin-cli status --control {controls}");
+            println!("  fennelpin-cli config history --control {controls}");
             println!("  curl -H 'Host: {}' http://{}/ping/", load::HOSTNAME, fleet_plan.fronts()[0]);
             tokio::signal::ctrl_c().await.context(StartSnafu)?;
         }
--- a/crates/orchard/src/main.rs
+++ b/crates/fennelpin-cli/src/main.rs
@@ -3,10 +3,10 @@
 #![warn(missing_docs)]
 
 use bpaf::ParseFailure;
-use orchard::failure::Failure;
-use orchard::operator::Operator;
-use orchard::options::{self, Config, Options, Store, Verb};
-use orchard::{config, local, logs, roles, status, store};
+use fennelpin_cli::failure::Failure;
+use fennelpin_cli::operator::Operator;
+use fennelpin_cli::options::{self, Config, Options, Store, Verb};
+use fennelpin_cli::{config, local, logs, roles, status, store};
 use std::process::ExitCode;
 
 /// What was given on the command line is wrong.
@@ -24,7 +24,7 @@
             return ExitCode::SUCCESS;
         }
         Err(ParseFailure::Stderr(text)) => {
-            eprintln!("orchard: {}", text.monochrome(true));
+            eprintln!("fennelpin-cli: {}", text.monochrome(true));
             return ExitCode::from(USAGE);
         }
     };
@@ -32,7 +32,7 @@
         Ok(code) => code,
         Err(failure) => {
             // Who reads a terminal wants no time before it.
-            eprintln!("orchard: {}", failure.chain());
+            eprintln!("fennelpin-cli: {}", failure.chain());
             ExitCode::from(failure.exit())
         }
     }
@@ -56,15 +56,15 @@
     logs::start(operator.log_level, operator.log_format);
     let done = |()| ExitCode::SUCCESS;
     match options.verb {
-        Verb::Rootstock(from) => Ok(logged(roles::rootstock(&from, &operator))),
-        Verb::Hedgerow(from) => Ok(logged(roles::hedgerow(&from))),
-        Verb::Trellis(from) => Ok(logged(roles::trellis(&from))),
+        Verb::ControlPlane(from) => Ok(logged(roles::control_plane(&from, &operator))),
+        Verb::Agent(from) => Ok(logged(roles::agent(&from))),
+        Verb::Proxy(from) => Ok(logged(roles::proxy(&from))),
         Verb::Version => {
-            println!("orchard {} (messages: {})", env!("CARGO_PKG_VERSION"), graft::VERSION);
+            println!("fennelpin-cli {} (messages: {})", env!("CARGO_PKG_VERSION"), protocol::VERSION);
             Ok(ExitCode::SUCCESS)
         }
         Verb::Codes => {
-            for code in almanac::Code::ALL {
+            for code in configuration::Code::ALL {
                 println!("{:>3}  {}  {}", code.number(), code.status(), code.text());
             }
             Ok(ExitCode::SUCCESS)
--- a/crates/orchard/src/operator.rs
+++ b/crates/fennelpin-cli/src/operator.rs
@@ -1,10 +1,10 @@
 //! What operators may set beside the platform's settings file: defaults, a TOML file over them, and the
-//! environment (`ORCHARD_LEASE_MS=...`) over both. All defaults are here.
+//! environment (`FENNELPIN_CLI_LEASE_MS=...`) over both. All defaults are here.
 
 use crate::failure::{Failure, OperatorSnafu, UnreadableSnafu};
+use control_plane::shell::Tuning;
 use figment::providers::{Env, Format as _, Serialized, Toml};
 use figment::Figment;
-use rootstock::shell::Tuning;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use std::path::Path;
@@ -102,7 +102,7 @@
             std::fs::metadata(path).context(UnreadableSnafu { path })?;
             sources = sources.merge(Toml::file_exact(path));
         }
-        Self::of(&sources.merge(Env::prefixed("ORCHARD_").ignore(&NOT_OURS)))
+        Self::of(&sources.merge(Env::prefixed("FENNELPIN_CLI_").ignore(&NOT_OURS)))
     }
 
     fn of(sources: &Figment) -> Result<Operator, Failure> {
--- a/crates/orchard/src/options.rs
+++ b/crates/fennelpin-cli/src/options.rs
@@ -24,11 +24,11 @@
 #[derive(Clone, Debug)]
 pub enum Verb {
     /// Be a member of the control plane.
-    Rootstock(From),
+    ControlPlane(From),
     /// Be a machine's agent.
-    Hedgerow(From),
+    Agent(From),
     /// Be a proxy.
-    Trellis(From),
+    Proxy(From),
     /// Tell how the system is.
     Status(Status),
     /// Work with configurations.
@@ -199,7 +199,7 @@
 fn members() -> impl Parser<Members> {
     let control = long("control")
         .help("control addresses of members, with commas between")
-        .env("ORCHARD_CONTROL")
+        .env("FENNELPIN_CLI_CONTROL")
         .argument::<String>("ADDRS")
         .parse(|list| list.split(',').map(|a| a.trim().parse()).collect::<Result<Vec<SocketAddr>, _>>());
     let wait = long("wait")
@@ -337,12 +337,13 @@
         long("log-format").help("how lines are written: text, json").argument::<Format>("FORMAT").optional();
     let operator = long("operator")
         .help("the operator's file (TOML)")
-        .env("ORCHARD_OPERATOR")
+        .env("FENNELPIN_CLI_OPERATOR")
         .argument::<PathBuf>("FILE")
         .optional();
-    let rootstock = verb("rootstock", "run a member of the control plane", from()).map(Verb::Rootstock);
-    let hedgerow = verb("hedgerow", "run a machine's agent", from()).map(Verb::Hedgerow);
-    let trellis = verb("trellis", "run a proxy", from()).map(Verb::Trellis);
+    let control_plane =
+        verb("control-plane", "run a member of the control plane", from()).map(Verb::ControlPlane);
+    let agent = verb("agent", "run a machine's agent", from()).map(Verb::Agent);
+    let proxy = verb("proxy", "run a proxy", from()).map(Verb::Proxy);
     let status = {
         let json = long("json").help("print JSON").switch();
         let hosts = long("hosts").help("list the hosts one by one").switch();
@@ -359,7 +360,7 @@
     };
     let version = verb("version", "print the version", bpaf::pure(Verb::Version));
     let verb =
-        construct!([status, config, store, local, codes, completion, version, rootstock, hedgerow, trellis]);
+        construct!([status, config, store, local, codes, completion, version, control_plane, agent, proxy]);
     construct!(Options { level, format, operator, verb })
         .to_options()
         .descr("Router fleet for a language model")
@@ -375,7 +376,7 @@
         "elvish" => &["--bpaf-complete-style-elvish"],
         _ => return None,
     };
-    match options().run_inner(bpaf::Args::from(ask).set_name("orchard")) {
+    match options().run_inner(bpaf::Args::from(ask).set_name("fennelpin-cli")) {
         Err(bpaf::ParseFailure::Completion(text)) => Some(text),
         _ => None,
     }
--- a/crates/orchard/src/roles.rs
+++ b/crates/fennelpin-cli/src/roles.rs
@@ -1,6 +1,6 @@
 //! The three programs, each on one thread.
 
-use crate::failure::{Failure, HedgerowSnafu, RootstockSnafu, StartSnafu, TrellisSnafu};
+use crate::failure::{AgentSnafu, ControlPlaneSnafu, Failure, ProxySnafu, StartSnafu};
 use crate::operator::Operator;
 use crate::options::From;
 use crate::{settings, world};
@@ -54,11 +54,13 @@
 ///
 /// # Errors
 /// Where the settings are wrong, or an address or the disk can't be had.
-pub fn rootstock(from: &From, operator: &Operator) -> Result<(), Failure> {
+pub fn control_plane(from: &From, operator: &Operator) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
     run(async {
         let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
-        rootstock::shell::run(boot, operator.tuning(), seeds, stop(from)?).await.context(RootstockSnafu)
+        control_plane::shell::run(boot, operator.tuning(), seeds, stop(from)?)
+            .await
+            .context(ControlPlaneSnafu)
     })
 }
 
@@ -66,11 +68,11 @@
 ///
 /// # Errors
 /// Where the settings are wrong, or its address can't be had.
-pub fn hedgerow(from: &From) -> Result<(), Failure> {
+pub fn agent(from: &From) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
     run(async {
         let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
-        hedgerow::run(boot, seeds, stop(from)?).await.context(HedgerowSnafu)
+        agent::run(boot, seeds, stop(from)?).await.context(AgentSnafu)
     })
 }
 
@@ -78,13 +80,13 @@
 ///
 /// # Errors
 /// Where the settings are wrong, or an address can't be had.
-pub fn trellis(from: &From) -> Result<(), Failure> {
+pub fn proxy(from: &From) -> Result<(), Failure> {
     let boot = settings::read(&from.settings)?;
     run(async {
         // Nothing of what a proxy uses changes in the file; the signal is taken so that it doesn't end the process.
         let _hangup = signal(SignalKind::hangup()).context(StartSnafu)?;
         let world = world::follow(&boot);
-        let counters = trellis::serve(boot, world, stop(from)?).await.context(TrellisSnafu)?;
+        let counters = proxy::serve(boot, world, stop(from)?).await.context(ProxySnafu)?;
         log::info!("counters {counters:?}");
         Ok(())
     })
--- a/crates/orchard/src/settings.rs
+++ b/crates/fennelpin-cli/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings file: read at the start, its seeds again when it changes.
 
 use crate::failure::{Failure, SettingsSnafu, UnreadableSnafu};
-use almanac::Boot;
+use configuration::Boot;
 use snafu::ResultExt;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
--- a/crates/orchard/src/status.rs
+++ b/crates/fennelpin-cli/src/status.rs
@@ -29,7 +29,7 @@
     /// Why it hasn't the newest version in force; none where it has.
     ///
     /// ```
-    /// use orchard::status::Coordinator;
+    /// use fennelpin_cli::status::Coordinator;
     /// let late = Coordinator { version: 3, behind_ms: Some(9000), ..Coordinator::default() };
     /// assert!(late.lag(3).is_none());
     /// assert!(late.lag(4).unwrap().contains("its proxy hasn't taken it"));
--- a/crates/orchard/src/store.rs
+++ b/crates/fennelpin-cli/src/store.rs
@@ -1,7 +1,7 @@
 //! The operators' commands about a member's files.
 
 use crate::failure::{Failure, StoreSnafu};
-use furrow::Furrow;
+use append_log::AppendLog;
 use snafu::ResultExt;
 use std::path::Path;
 
@@ -20,7 +20,7 @@
 /// Where one can't be read.
 pub fn inspect(dir: &Path) -> Result<(), Failure> {
     for name in files(dir) {
-        println!("{}", furrow::inspect(dir, name).context(StoreSnafu)?);
+        println!("{}", append_log::inspect(dir, name).context(StoreSnafu)?);
     }
     Ok(())
 }
@@ -32,7 +32,7 @@
 pub fn verify(dir: &Path) -> Result<(), Failure> {
     let mut bad = None;
     for name in files(dir) {
-        let found = furrow::verify(dir, name).context(StoreSnafu)?;
+        let found = append_log::verify(dir, name).context(StoreSnafu)?;
         println!("{found}");
         if !found.summary.opens() {
             bad = Some(name);
@@ -50,8 +50,8 @@
 /// Where one doesn't open or the disk refuses.
 pub fn rewrite(dir: &Path) -> Result<(), Failure> {
     for name in files(dir) {
-        let before = furrow::inspect(dir, name).context(StoreSnafu)?;
-        let (mut file, records) = Furrow::open(dir, name).context(StoreSnafu)?;
+        let before = append_log::inspect(dir, name).context(StoreSnafu)?;
+        let (mut file, records) = AppendLog::open(dir, name).context(StoreSnafu)?;
         let all: Vec<&[u8]> = records.iter().map(Vec::as_slice).collect();
         file.rewrite(&all).context(StoreSnafu)?;
         println!("{name}: {} records, {} bytes, before {}", all.len(), file.len(), before.length);
--- a/crates/orchard/src/world.rs
+++ b/crates/fennelpin-cli/src/world.rs
@@ -1,25 +1,25 @@
 //! What the agent beside a proxy tells, in the proxy's words.
 
-use almanac::Boot;
-use espalier::HostInfo;
-use graft::HostRecord;
-use scion::client::{self, Control};
-use scion::{phase, Mirror, Puller, SharedMirror, Snapshot};
+use balancing::HostInfo;
+use configuration::Boot;
+use protocol::HostRecord;
+use proxy::World;
+use replication::client::{self, Control};
+use replication::{phase, Mirror, Puller, SharedMirror, Snapshot};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use trellis::World;
 
 /// Follows the agent of this machine for as long as the world is watched. Runs on a `LocalSet`.
 pub fn follow(boot: &Boot) -> watch::Receiver<Option<Arc<World>>> {
     let mirror = Mirror::new(0, Duration::from_millis(boot.beat_period_ms)).at_the_end();
     let shared = SharedMirror::new(mirror);
     let mut puller = Puller::new(&boot.node_name, 1, None).fixed();
-    puller.set_seeds(&[scion::agent_addr(boot)]);
+    puller.set_seeds(&[replication::agent_addr(boot)]);
     let (control, told) = mpsc::unbounded_channel();
     let snapshots = shared.subscribe();
-    let pulling = client::run(puller, scion::no_seat(boot), scion::caller(boot, 0), shared, told);
+    let pulling = client::run(puller, replication::no_seat(boot), replication::caller(boot, 0), shared, told);
     tokio::task::spawn_local(pulling);
     let (world, watcher) = watch::channel(None);
     tokio::task::spawn_local(translate(boot.node_name.clone(), snapshots, world, control));
--- a/crates/orchard/tests/command_line.rs
+++ b/crates/fennelpin-cli/tests/command_line.rs
@@ -5,14 +5,14 @@
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Command, Output};
 
-fn orchard() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_orchard"));
+fn fennelpin_cli() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fennelpin-cli"));
     command.env_clear();
     command
 }
 
 fn run(args: &[&str]) -> Output {
-    orchard().args(args).output().unwrap()
+    fennelpin_cli().args(args).output().unwrap()
 }
 
 fn err(output: &Output) -> String {
@@ -26,15 +26,15 @@
 const GOOD: &str = r#"{"version":3,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/","route_class":"pure","deadline_ms":1000,"service":"s"}],"services":[{"name":"s"}]}"#;
 
 #[rstest]
-#[case::help(&["--help"], 0, "rootstock")]
+#[case::help(&["--help"], 0, "control-plane")]
 #[case::help_of_a_command(&["config", "--help"], 0, "rollback")]
 #[case::exit_codes_in_help(&["--help"], 0, "2 wrong input")]
-#[case::version(&["version"], 0, "orchard 0.")]
+#[case::version(&["version"], 0, "fennelpin-cli 0.")]
 #[case::codes(&["codes"], 0, "120  412")]
 #[case::bash(&["completion", "bash"], 0, "complete")]
-#[case::zsh(&["completion", "zsh"], 0, "orchard")]
-#[case::fish(&["completion", "fish"], 0, "orchard")]
-#[case::elvish(&["completion", "elvish"], 0, "orchard")]
+#[case::zsh(&["completion", "zsh"], 0, "fennelpin-cli")]
+#[case::fish(&["completion", "fish"], 0, "fennelpin-cli")]
+#[case::elvish(&["completion", "elvish"], 0, "fennelpin-cli")]
 fn what_is_asked_for_is_printed(#[case] args: &[&str], #[case] code: i32, #[case] text: &str) {
     let done = run(args);
     assert_eq!(done.status.code(), Some(code), "{}", err(&done));
@@ -46,14 +46,14 @@
 #[case::no_command(&[], "COMMAND")]
 #[case::unknown_command(&["nope"], "nope")]
 #[case::unknown_option(&["version", "--loud"], "--loud")]
-#[case::no_settings(&["rootstock"], "--settings")]
+#[case::no_settings(&["control-plane"], "--settings")]
 #[case::no_members(&["status"], "--control")]
 #[case::bad_address(&["status", "--control", "here"], "here")]
 #[case::bad_wait(&["status", "--control", "127.0.0.1:1", "--wait", "0"], "between 0.1 and 3600")]
 #[case::bad_level(&["--log", "loud", "version"], "loud")]
 #[case::bad_format(&["--log-format", "xml", "version"], "xml")]
 #[case::bad_shell(&["completion", "tcsh"], "tcsh")]
-#[case::missing_settings(&["trellis", "--settings", "/nowhere.json"], "/nowhere.json")]
+#[case::missing_settings(&["proxy", "--settings", "/nowhere.json"], "/nowhere.json")]
 #[case::missing_file(&["config", "check", "/nowhere.json"], "/nowhere.json")]
 #[case::missing_operator_file(&["--operator", "/nowhere.toml", "version"], "/nowhere.toml")]
 #[case::rewrite_of_a_running_store(&["store", "rewrite", "/nowhere"], "--stopped")]
@@ -87,14 +87,14 @@
     let file = dir.path().join("operator.toml");
     std::fs::write(&file, "lease_ms = 700\ncounters_s = 9\n").unwrap();
     let check = |name: &str, value: &str| {
-        let mut command = orchard();
+        let mut command = fennelpin_cli();
         command.args(["config", "check", "--operator-file"]).arg(&file).env(name, value).output().unwrap()
     };
-    let done = check("ORCHARD_LEASE_MS", "800");
+    let done = check("FENNELPIN_CLI_LEASE_MS", "800");
     assert!(out(&done).contains("lease_ms: 800") && out(&done).contains("counters_s: 9"), "{}", out(&done));
-    let done = check("ORCHARD_LEASE", "800");
+    let done = check("FENNELPIN_CLI_LEASE", "800");
     assert_eq!(done.status.code(), Some(2));
-    assert!(err(&done).contains("ORCHARD_") && err(&done).contains("\"lease\""), "{}", err(&done));
+    assert!(err(&done).contains("FENNELPIN_CLI_") && err(&done).contains("\"lease\""), "{}", err(&done));
 }
 
 #[rstest]
@@ -192,8 +192,8 @@
         "port_range": [inner.port(), inner.port()], "bind": {"control": free}, "state_dir": disk,
         "bootstrap": true, "seed_nodes": [free]});
     std::fs::write(&file, settings.to_string()).unwrap();
-    let mut child = orchard()
-        .args(["--log-format", "json", "rootstock", "--until-input-ends", "--settings"])
+    let mut child = fennelpin_cli()
+        .args(["--log-format", "json", "control-plane", "--until-input-ends", "--settings"])
         .arg(&file)
         .stdin(std::process::Stdio::piped())
         .stderr(std::process::Stdio::piped())
@@ -214,7 +214,7 @@
 
 #[test]
 fn a_programs_failure_is_in_its_log() {
-    let done = run(&["--log-format", "json", "trellis", "--settings", "/nowhere.json"]);
+    let done = run(&["--log-format", "json", "proxy", "--settings", "/nowhere.json"]);
     assert_eq!(done.status.code(), Some(2));
     let line: serde_json::Value = serde_json::from_str(err(&done).trim()).unwrap();
     assert_eq!(line["level"], "ERROR");
--- a/crates/orchard/tests/operators.rs
+++ b/crates/fennelpin-cli/tests/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' commands against a running system of one member.
 
-use orchard::local::fleet::{Fleet, Plan};
+use fennelpin_cli::local::fleet::{Fleet, Plan};
 use serde_json::Value;
 use std::net::{Ipv4Addr, TcpListener};
 use std::path::Path;
@@ -19,8 +19,8 @@
     err: String,
 }
 
-fn orchard(args: &[&str]) -> Done {
-    let done = Command::new(env!("CARGO_BIN_EXE_orchard")).env_clear().args(args).output().unwrap();
+fn fennelpin_cli(args: &[&str]) -> Done {
+    let done = Command::new(env!("CARGO_BIN_EXE_fennelpin-cli")).env_clear().args(args).output().unwrap();
     let text = |bytes| String::from_utf8(bytes).unwrap();
     Done { code: done.status.code().unwrap(), out: text(done.stdout), err: text(done.stderr) }
 }
@@ -35,7 +35,7 @@
     fn new(net: u8) -> Desk {
         let dir = tempfile::tempdir().unwrap();
         let (net, port) = place(net);
-        let program = env!("CARGO_BIN_EXE_orchard").into();
+        let program = env!("CARGO_BIN_EXE_fennelpin-cli").into();
         let plan = Plan { program, dir: dir.path().join("fleet"), net, port, members: 1, proxies: 0 };
         let mut fleet = Fleet::new(plan).unwrap();
         fleet.start_all().unwrap();
@@ -51,7 +51,7 @@
     /// A command with the member's address.
     fn ask(&self, words: &[&str], rest: &[&str]) -> Done {
         let control = self.fleet.plan().control(1).to_string();
-        orchard(&[words, &["--control", &control], rest].concat())
+        fennelpin_cli(&[words, &["--control", &control], rest].concat())
     }
 }
 
@@ -152,19 +152,19 @@
     assert_eq!(desk.ask(&["config", "apply"], &[&first]).code, 0);
     let dir = desk.fleet.plan().disk(1);
     let store = |verb: &str, more: &[&str], dir: &Path| {
-        orchard(&[&["store", verb], more, &[dir.to_str().unwrap()]].concat())
+        fennelpin_cli(&[&["store", verb], more, &[dir.to_str().unwrap()]].concat())
     };
     let done = store("inspect", &[], &dir);
     assert_eq!(done.code, 0);
     assert!(done.out.contains("ledger: whole") && done.out.contains("identity: whole"), "{done:?}");
-    desk.fleet.kill("core-1/rootstock");
+    desk.fleet.kill("core-1/control-plane");
     assert_eq!(store("verify", &[], &dir).code, 0);
     let done = store("rewrite", &["--stopped"], &dir);
     assert_eq!(done.code, 0, "{done:?}");
     // It comes back as itself, with what it had acknowledged.
     desk.fleet.start_all().unwrap();
     assert_eq!(desk.ask(&["config", "show"], &[]).out.trim(), configuration(4, "/a/"));
-    desk.fleet.kill("core-1/rootstock");
+    desk.fleet.kill("core-1/control-plane");
     // A bit in the middle of what was synced.
     let file = std::fs::read_dir(&dir)
         .unwrap()
@@ -184,7 +184,7 @@
 fn the_whole_system_runs_on_this_machine() {
     let (net, port) = place(45);
     let (net, port) = (net.to_string(), port.to_string());
-    let done = orchard(&[
+    let done = fennelpin_cli(&[
         "local",
         "--members",
         "3",
--- a/crates/orchard/tests/processes.rs
+++ b/crates/fennelpin-cli/tests/processes.rs
@@ -1,8 +1,8 @@
 //! Real processes: three members and two proxies with their agents, killed, stopped and wiped while
 //! configurations are sent. What was acknowledged is read back, none lost, none taken beside another.
 
-use orchard::control::{ask, Answer, Call, Members};
-use orchard::local::fleet::{Fleet, Plan, Program};
+use fennelpin_cli::control::{ask, Answer, Call, Members};
+use fennelpin_cli::local::fleet::{Fleet, Plan, Program};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::io::{Read, Write};
@@ -25,11 +25,11 @@
     let net = 100 + (std::process::id() % 100) as u8;
     let free = TcpListener::bind((std::net::Ipv4Addr::new(127, net, 0, 1), 0)).unwrap();
     let port = free.local_addr().unwrap().port().min(65_000);
-    let program = env!("CARGO_BIN_EXE_orchard").into();
+    let program = env!("CARGO_BIN_EXE_fennelpin-cli").into();
     let plan = Plan { program, dir: dir.into(), net, port, members: 3, proxies: 2 };
     let mut fleet = Fleet::new(plan).unwrap();
-    fleet.env("ORCHARD_LEASE_MS", "300");
-    fleet.env("ORCHARD_STALL_MS", "250");
+    fleet.env("FENNELPIN_CLI_LEASE_MS", "300");
+    fleet.env("FENNELPIN_CLI_STALL_MS", "250");
     fleet.start_all().unwrap();
     fleet
 }
@@ -143,11 +143,11 @@
 
     /// Something befalls member `n`.
     fn befall(&mut self, what: usize, n: u8) {
-        let name = format!("core-{n}/rootstock");
+        let name = format!("core-{n}/control-plane");
         match what {
             0 => {
                 self.fleet.kill(&name);
-                self.fleet.start(Program::Rootstock, n, false).unwrap();
+                self.fleet.start(Program::ControlPlane, n, false).unwrap();
             }
             1 => {
                 self.signal(&name, Signal::STOP);
@@ -157,7 +157,7 @@
             _ => {
                 self.fleet.kill(&name);
                 std::fs::remove_dir_all(self.fleet.plan().disk(n)).unwrap();
-                self.fleet.start(Program::Rootstock, n, false).unwrap();
+                self.fleet.start(Program::ControlPlane, n, false).unwrap();
             }
         }
     }
@@ -212,8 +212,8 @@
         let target = if round % 2 == 0 { primary } else { primary % 3 + 1 };
         story.befall(round / 2, target);
         match round {
-            1 => story.fleet.start(Program::Hedgerow, 1, false).unwrap(),
-            3 => story.fleet.start(Program::Trellis, 2, false).unwrap(),
+            1 => story.fleet.start(Program::Agent, 1, false).unwrap(),
+            3 => story.fleet.start(Program::Proxy, 2, false).unwrap(),
             _ => {}
         }
     }
@@ -233,10 +233,10 @@
     }
     // All members at the same moment.
     for n in 1..=3 {
-        story.fleet.kill(&format!("core-{n}/rootstock"));
+        story.fleet.kill(&format!("core-{n}/control-plane"));
     }
     for n in 1..=3 {
-        story.fleet.start(Program::Rootstock, n, false).unwrap();
+        story.fleet.start(Program::ControlPlane, n, false).unwrap();
     }
     for member in control {
         let read = Call { name: "Configuration.Read", ..Call::default() };
--- a/crates/orchard/tests/settings.rs
+++ b/crates/fennelpin-cli/tests/settings.rs
@@ -1,8 +1,8 @@
 //! The settings file is followed: what the agent behind it asks changes with it.
 
-use almanac::{Boot, Document};
-use orchard::settings::follow_seeds;
-use scion::{client, Mirror, Puller, SharedMirror, Snapshot};
+use configuration::{Boot, Document};
+use fennelpin_cli::settings::follow_seeds;
+use replication::{client, Mirror, Puller, SharedMirror, Snapshot};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -35,7 +35,7 @@
     tokio::spawn(async move {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            tokio::spawn(scion::serve(stream, Vec::new(), shared.clone(), |_| ()));
+            tokio::spawn(replication::serve(stream, Vec::new(), shared.clone(), |_| ()));
         }
     });
 }
@@ -44,8 +44,14 @@
     let shared = SharedMirror::new(Mirror::new(0, Duration::from_millis(1200)).at_the_end());
     let (control, told) = mpsc::unbounded_channel();
     let mut puller = Puller::new(&boot.node_name, 1, None).fixed();
-    puller.set_seeds(&[scion::agent_addr(boot)]);
-    tokio::spawn(client::run(puller, scion::no_seat(boot), scion::caller(boot, 0), shared.clone(), told));
+    puller.set_seeds(&[replication::agent_addr(boot)]);
+    tokio::spawn(client::run(
+        puller,
+        replication::no_seat(boot),
+        replication::caller(boot, 0),
+        shared.clone(),
+        told,
+    ));
     (shared, control)
 }
 
@@ -75,7 +81,7 @@
     write(ips[0], start);
     let boot = Boot::read(&text(ips[0])).unwrap();
     let seeds = follow_seeds(file.clone(), &boot).unwrap();
-    spawn_local(hedgerow::run(boot.clone(), seeds, std::future::pending()));
+    spawn_local(agent::run(boot.clone(), seeds, std::future::pending()));
     let (shared, _control) = proxy(&boot);
     let mut views = shared.subscribe();
     until(&mut views, 1).await;
--- a/crates/windrow/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -2,7 +2,7 @@
 //! framing of bodies, and their decoding.
 //!
 //! ```
-//! use windrow::{Body, Framing, Piece, RequestHead, MOST};
+//! use http1::{Body, Framing, Piece, RequestHead, MOST};
 //! let mut buf = bytes::BytesMut::from("POST /a?b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n");
 //! let head = RequestHead::take(&mut buf, MOST).unwrap().expect("a whole head");
 //! assert_eq!((head.method(), head.path()), (&b"POST"[..], &b"/a"[..]));
--- a/crates/windrow/tests/http1.rs
+++ b/crates/http1/tests/parsing.rs
@@ -1,8 +1,8 @@
 //! Heads, framing and bodies of HTTP/1.1.
 
 use bytes::BytesMut;
+use http1::{Body, Framing, Malformed, Most, Piece, RequestHead, ResponseHead};
 use rstest::rstest;
-use windrow::{Body, Framing, Malformed, Most, Piece, RequestHead, ResponseHead};
 
 const MOST: Most = Most::bytes(1024);
 
--- a/crates/fallow/tests/list.rs
+++ b/crates/idle-list/tests/list.rs
@@ -1,6 +1,6 @@
 //! The idle list by itself.
 
-use fallow::{IdleList, ENTRY_AGE};
+use idle_list::{IdleList, ENTRY_AGE};
 use rstest::rstest;
 use std::time::Duration;
 
--- a/crates/graft/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -2,7 +2,7 @@
 //! version (u8) and one [`Message`] in `binrw`'s form. No I/O.
 //!
 //! ```
-//! use graft::{decode, encode, Message};
+//! use protocol::{decode, encode, Message};
 //! let frame = encode(&Message::Yield { epoch: 7 });
 //! assert_eq!(decode(&frame).unwrap(), Some((Message::Yield { epoch: 7 }, frame.len())));
 //! assert_eq!(decode(&frame[..3]).unwrap(), None, "more bytes are needed");
--- a/crates/trellis/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Whether a request goes to another host, and how it ends if not. No I/O; times are since any one origin.
 
-use almanac::Code;
+use configuration::Code;
 use std::time::Duration;
 
 /// Hosts that could not be reached, for one request, before it is given up.
--- a/crates/trellis/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -7,8 +7,8 @@
 use crate::routes::Routes;
 use crate::seats::Seats;
 use crate::serve::World;
-use almanac::{Boot, Document, Limits};
-use espalier::{Attempt, Load, Outcome, Policy, ServiceInfo, Settings};
+use balancing::{Attempt, Load, Outcome, Policy, ServiceInfo, Settings};
+use configuration::{Boot, Document, Limits};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::hash::{BuildHasher, Hasher};
@@ -198,7 +198,7 @@
     }
 }
 
-fn info(service: &almanac::Service) -> ServiceInfo {
+fn info(service: &configuration::Service) -> ServiceInfo {
     ServiceInfo {
         name: service.name.as_str().into(),
         conn_limit: service.conn_limit,
--- a/crates/trellis/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -53,7 +53,7 @@
 /// Counters that one thread counts up; shared by `Rc`, they can be read while the proxy serves.
 ///
 /// ```
-/// let tally = std::rc::Rc::new(trellis::counters::Tally::default());
+/// let tally = std::rc::Rc::new(proxy::counters::Tally::default());
 /// assert_eq!(tally.get().pairs()[0], ("clients", 0));
 /// ```
 #[derive(Debug, Default)]
--- a/crates/trellis/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -1,7 +1,7 @@
 //! Whole events of a `text/event-stream`, without I/O.
 //!
 //! ```
-//! use trellis::events::Splitter;
+//! use proxy::events::Splitter;
 //! let mut splitter = Splitter::new(1024);
 //! splitter.push(b"id: 4\ndata: a\n\nid: 5\nda");
 //! let event = splitter.take().unwrap();
--- a/crates/trellis/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -7,9 +7,10 @@
 use crate::hostlink::{Link, Lost, NoLink};
 use crate::routes;
 use crate::wire;
-use almanac::{Code, Kind, Route};
+use balancing::{Ask, Choice, Load, Outcome};
 use bytes::{Bytes, BytesMut};
-use espalier::{Ask, Choice, Load, Outcome};
+use configuration::{Code, Kind, Route};
+use http1::{Body, Fields, Framing, RequestHead, ResponseHead};
 use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -17,7 +18,6 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
-use windrow::{Body, Fields, Framing, RequestHead, ResponseHead};
 
 /// An answer up to this size is read whole before it is passed on, so that a cut one can be asked for again.
 const WHOLE: usize = 256 * 1024;
@@ -95,7 +95,7 @@
         let mut text = format!(
             "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
             code.status(),
-            windrow::reason(code.status()),
+            http1::reason(code.status()),
             body.len()
         )
         .into_bytes();
--- a/crates/trellis/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -4,15 +4,15 @@
 use crate::exchange::{self, Answer, Done, Stage};
 use crate::seats::Seats;
 use crate::wire;
-use almanac::{Code, Limits};
 use bytes::{Bytes, BytesMut};
+use configuration::{Code, Limits};
+use http1::{Body, Framing, Malformed, Most, Piece, RequestHead};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
-use windrow::{Body, Framing, Malformed, Most, Piece, RequestHead};
 
 /// Connections beyond the cap that are still told so.
 const TOLD: usize = 200;
--- a/crates/trellis/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -3,9 +3,9 @@
 //! is sent.
 
 use crate::core::Core;
-use almanac::Boot;
-use espalier::Placement;
-use graft::{Message, Part};
+use balancing::Placement;
+use configuration::Boot;
+use protocol::{Message, Part};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -51,7 +51,7 @@
         self.others = ring;
         if !self.asked && !self.others.is_empty() {
             self.asked = true;
-            let message = graft::encode(&Message::Recall { reserved: 0 });
+            let message = protocol::encode(&Message::Recall { reserved: 0 });
             for other in self.others.iter().take(ASKED) {
                 let _ = socket.try_send_to(&message, SocketAddr::V4(*other));
             }
@@ -62,7 +62,8 @@
     /// Tells the others of a prompt that was sent.
     pub(crate) fn tell(&self, placement: &Placement) {
         let Some(socket) = self.socket.as_ref().filter(|_| !self.others.is_empty()) else { return };
-        let message = graft::encode(&Message::Placed { placement: of(placement), unread: placement.unread });
+        let message =
+            protocol::encode(&Message::Placed { placement: of(placement), unread: placement.unread });
         if message.len() > DATAGRAM {
             return;
         }
@@ -73,12 +74,15 @@
     }
 }
 
-fn of(placement: &Placement) -> graft::Placement {
+fn of(placement: &Placement) -> protocol::Placement {
     let part = |p: &(u64, u32)| Part { id: p.0, tokens: p.1 };
-    graft::Placement { host: placement.host.to_string(), parts: placement.parts.iter().map(part).collect() }
+    protocol::Placement {
+        host: placement.host.to_string(),
+        parts: placement.parts.iter().map(part).collect(),
+    }
 }
 
-fn parts(placement: &graft::Placement) -> Vec<(u64, u32)> {
+fn parts(placement: &protocol::Placement) -> Vec<(u64, u32)> {
     placement.parts.iter().map(|p| (p.id, p.tokens)).collect()
 }
 
@@ -103,7 +107,7 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        let Ok(Some((message, _))) = graft::decode(&buffer[..length]) else {
+        let Ok(Some((message, _))) = protocol::decode(&buffer[..length]) else {
             core.tally.add(|c| c.bad_hints += 1);
             continue;
         };
@@ -124,11 +128,11 @@
 
 fn recall(core: &Core, socket: &UdpSocket, to: SocketAddr) {
     let kept = core.policy.borrow().kept();
-    let mut placements: Vec<graft::Placement> = Vec::new();
+    let mut placements: Vec<protocol::Placement> = Vec::new();
     let mut size = 0;
-    let send = |placements: &mut Vec<graft::Placement>| {
+    let send = |placements: &mut Vec<protocol::Placement>| {
         let message = Message::Recalled { placements: std::mem::take(placements) };
-        let _ = socket.try_send_to(&graft::encode(&message), to);
+        let _ = socket.try_send_to(&protocol::encode(&message), to);
     };
     for Placement { host, parts: all, .. } in kept {
         for some in all.chunks(ENTRY_PARTS) {
--- a/crates/trellis/src/hostlink.rs
+++ b/crates/proxy/src/hostlink.rs
@@ -4,13 +4,13 @@
 use crate::pool::{self, Ticket};
 use crate::wire;
 use bytes::{Bytes, BytesMut};
+use http1::{Body, Malformed, Most, Piece, ResponseHead};
 use snafu::Snafu;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
-use windrow::{Body, Malformed, Most, Piece, ResponseHead};
 
 /// Largest head of an answer.
 const MOST_HEAD: Most = Most::bytes(32 * 1024);
--- a/crates/trellis/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,10 +1,10 @@
 //! The proxy (data plane): takes clients' requests, finds their route, sends them to the host that
-//! [`espalier`] names, and passes the answers and streams back. One thread, a tokio `current_thread` runtime;
+//! [`balancing`] names, and passes the answers and streams back. One thread, a tokio `current_thread` runtime;
 //! [`serve`] has to run inside a `LocalSet`.
 //!
 //! What must hold is decided in parts without I/O: [`attempt`] (whether a request goes out again),
 //! [`events`] (whole events of a stream), [`pool`] (connections that stand idle), [`routes`]; heads and bodies
-//! by [`windrow`]. The rest moves bytes.
+//! by [`http1`]. The rest moves bytes.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/crates/trellis/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -14,7 +14,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// assert_eq!(trellis::pool::idle(Some("timeout=5, max=9")), Duration::from_secs(4));
+/// assert_eq!(proxy::pool::idle(Some("timeout=5, max=9")), Duration::from_secs(4));
 /// ```
 pub fn idle(keep_alive: Option<&str>) -> Duration {
     let given = keep_alive.into_iter().flat_map(|v| v.split(',')).find_map(|p| {
--- a/crates/trellis/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -3,11 +3,11 @@
 use crate::core::Core;
 use crate::wire;
 use bytes::BytesMut;
+use http1::{Most, RequestHead};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
-use windrow::{Most, RequestHead};
 
 const PATH: &[u8] = b"/fennelpin/readiness";
 const MOST_HEAD: Most = Most::bytes(8 * 1024);
--- a/crates/trellis/src/routes.rs
+++ b/crates/proxy/src/routes.rs
@@ -1,6 +1,6 @@
 //! Which route a request takes.
 
-use almanac::{Document, Route};
+use configuration::{Document, Route};
 use std::collections::HashMap;
 use std::sync::Arc;
 
--- a/crates/trellis/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -3,8 +3,8 @@
 use crate::core::Core;
 use crate::counters::{Counters, Tally};
 use crate::{front, hints, readiness};
-use almanac::{Boot, Document};
-use espalier::HostInfo;
+use balancing::HostInfo;
+use configuration::{Boot, Document};
 use snafu::{ResultExt, Snafu};
 use std::future::Future;
 use std::net::SocketAddrV4;
--- a/crates/trellis/tests/attempt.rs
+++ b/crates/proxy/tests/attempt.rs
@@ -1,9 +1,9 @@
 //! Whether a request goes to another host, and how it ends if not.
 
-use almanac::Code;
+use configuration::Code;
+use proxy::attempt::{End, Next, Trial};
 use rstest::rstest;
 use std::time::Duration;
-use trellis::attempt::{End, Next, Trial};
 
 const NOW: Duration = Duration::from_secs(1);
 const DEADLINE: Duration = Duration::from_secs(9);
--- a/crates/trellis/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -1,8 +1,10 @@
 //! A proxy with hosts that follow a script, in one process on 127.0.0.1.
 #![allow(dead_code)]
 
-use almanac::{Boot, Document};
-use espalier::HostInfo;
+use balancing::HostInfo;
+use configuration::{Boot, Document};
+use proxy::counters::{Counters, Tally};
+use proxy::{Error, World};
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::rc::Rc;
@@ -13,8 +15,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use trellis::counters::{Counters, Tally};
-use trellis::{Error, World};
 
 /// Runs a test's story on one thread.
 pub fn story(work: impl Future<Output = ()>) {
@@ -385,7 +385,7 @@
             }
         };
         let tally = Rc::new(Tally::default());
-        let done = tokio::task::spawn_local(trellis::serve_counted(boot, news, tally.clone(), stopped));
+        let done = tokio::task::spawn_local(proxy::serve_counted(boot, news, tally.clone(), stopped));
         // The listeners are bound once the task has run.
         while !done.is_finished() && TcpStream::connect(SocketAddr::V4(readiness)).await.is_err() {
             tokio::task::yield_now().await;
--- a/crates/trellis/tests/events.rs
+++ b/crates/proxy/tests/events.rs
@@ -1,7 +1,7 @@
 //! Events of a stream: whole ones, in order, none twice.
 
+use proxy::events::{Event, Place, Splitter};
 use rstest::rstest;
-use trellis::events::{Event, Place, Splitter};
 
 fn all(splitter: &mut Splitter) -> Vec<(String, Option<String>)> {
     std::iter::from_fn(|| splitter.take())
--- a/crates/trellis/tests/hints.rs
+++ b/crates/proxy/tests/hints.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use graft::{Message as Told, Part, Placement};
+use protocol::{Message as Told, Part, Placement};
 use rstest::rstest;
 use std::io::ErrorKind;
 use std::net::{SocketAddrV4, UdpSocket};
@@ -32,14 +32,14 @@
     }
 
     fn ask(&self, proxy: SocketAddrV4) {
-        self.tell(proxy, &graft::encode(&Told::Recall { reserved: 0 }));
+        self.tell(proxy, &protocol::encode(&Told::Recall { reserved: 0 }));
     }
 
     /// What has come by now, and its length.
     fn came(&self) -> Option<(Told, usize)> {
         let mut buffer = [0; 4096];
         match self.socket.recv(&mut buffer) {
-            Ok(length) => Some((graft::decode(&buffer[..length]).unwrap().unwrap().0, length)),
+            Ok(length) => Some((protocol::decode(&buffer[..length]).unwrap().unwrap().0, length)),
             Err(e) if e.kind() == ErrorKind::WouldBlock => None,
             Err(e) => panic!("{e}"),
         }
@@ -79,16 +79,16 @@
 
 fn placed(host: &str, parts: impl IntoIterator<Item = u64>) -> Vec<u8> {
     let parts = parts.into_iter().map(|id| Part { id, tokens: 10 }).collect();
-    graft::encode(&Told::Placed { placement: Placement { host: host.into(), parts }, unread: 0 })
+    protocol::encode(&Told::Placed { placement: Placement { host: host.into(), parts }, unread: 0 })
 }
 
 /// A configuration whose service runs a model.
-fn models() -> Arc<almanac::Document> {
+fn models() -> Arc<configuration::Document> {
     let text = format!(
         r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s","runtime":{{"capacity":8,"cache_tokens":500000}}}}],
             "limits":{{"max_header_bytes":4096,"max_body_bytes":100000}}}}"#
     );
-    Arc::new(almanac::Document::read(text.as_bytes(), 0).unwrap())
+    Arc::new(configuration::Document::read(text.as_bytes(), 0).unwrap())
 }
 
 /// A proxy that takes hints, and where.
--- a/crates/trellis/tests/hosts.rs
+++ b/crates/proxy/tests/hosts.rs
@@ -183,7 +183,7 @@
         let mut host = Host::new("h1", "s").await;
         let proxy = Proxy::blank().await;
         let (addr, _listener, _waiting) = dark().await;
-        let far = espalier::HostInfo { zone: "b".into(), ..host.info.clone() };
+        let far = balancing::HostInfo { zone: "b".into(), ..host.info.clone() };
         proxy.know(document(1, ROUTES), vec![info("dark", "s", addr), far]).await;
         let asked = tokio::time::Instant::now();
         let mut client = proxy.ask(path).await;
@@ -300,7 +300,7 @@
     story(async {
         let (host, proxy, mut client, mut conn) = used("").await;
         let mut next = Host::new("h2", "s").await;
-        let leaving = espalier::HostInfo { draining: true, ..host.info.clone() };
+        let leaving = balancing::HostInfo { draining: true, ..host.info.clone() };
         proxy.know(document(1, ROUTES), vec![leaving, next.info.clone()]).await;
         conn.closed().await;
         ask_again(&mut client).await;
@@ -353,7 +353,7 @@
         let text = format!(
             r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s"}}],"limits":{{"max_body_bytes":9000000}}}}"#
         );
-        let document = almanac::Document::read(text.as_bytes(), 0).unwrap();
+        let document = configuration::Document::read(text.as_bytes(), 0).unwrap();
         proxy.know(document.into(), vec![host.info.clone()]).await;
         let mut client = proxy.client().await;
         let body = "a".repeat(8_000_000);
@@ -451,8 +451,8 @@
         // Of a host's eight connections four are this proxy's, as there are two.
         let text =
             format!(r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s","conn_limit":8}}]}}"#);
-        let document = almanac::Document::read(text.as_bytes(), 0).unwrap();
-        let info = |h: &Host| espalier::HostInfo { capacity: 99, ..h.info.clone() };
+        let document = configuration::Document::read(text.as_bytes(), 0).unwrap();
+        let info = |h: &Host| balancing::HostInfo { capacity: 99, ..h.info.clone() };
         proxy.know(document.into(), vec![info(&one), info(&two)]).await;
         let (mut clients, mut conns) = (Vec::new(), Vec::new());
         for _ in 0..8 {
--- a/crates/trellis/tests/pool.rs
+++ b/crates/proxy/tests/pool.rs
@@ -1,10 +1,10 @@
 //! Connections that stand idle.
 
+use proxy::pool::{idle, Pool, Ticket};
 use rstest::rstest;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
-use trellis::pool::{idle, Pool, Ticket};
 
 fn s(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
--- a/crates/trellis/tests/routes.rs
+++ b/crates/proxy/tests/routes.rs
@@ -1,8 +1,8 @@
 //! Which route a request takes, and to which service.
 
-use almanac::Document;
+use configuration::Document;
+use proxy::routes::{service, Routes};
 use rstest::rstest;
-use trellis::routes::{service, Routes};
 
 fn document() -> Document {
     let route = |name: &str, host: &str, prefix: &str, more: &str| {
--- a/crates/scion/src/client.rs
+++ b/crates/replication/src/client.rs
@@ -4,7 +4,7 @@
 use crate::news::{News, Pull};
 use crate::puller::{Action, Puller};
 use crate::shared::SharedMirror;
-use graft::{encode, Addr, Caller, Message, Seat};
+use protocol::{encode, Addr, Caller, Message, Seat};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddrV4;
--- a/crates/scion/src/frames.rs
+++ b/crates/replication/src/frames.rs
@@ -1,6 +1,6 @@
 //! Whole messages from a stream of bytes.
 
-use graft::{decode, Message};
+use protocol::{decode, Message};
 use std::io;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
--- a/crates/scion/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -20,11 +20,11 @@
 pub use serve::{answer, serve};
 pub use shared::{SharedMirror, Traffic};
 
-use almanac::Boot;
-use graft::{Addr, Caller, Seat};
+use configuration::Boot;
+use protocol::{Addr, Caller, Seat};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-/// What [`graft::HostRecord::phase`] may hold.
+/// What [`protocol::HostRecord::phase`] may hold.
 pub mod phase {
     /// Takes requests.
     pub const READY: u8 = 0;
--- a/crates/scion/src/news.rs
+++ b/crates/replication/src/news.rs
@@ -1,6 +1,6 @@
 //! [`Message::Pull`] and [`Message::News`] as values of their own.
 
-use graft::{Caller, ConfigNews, Fleet, Mark, Message, SourceNews};
+use protocol::{Caller, ConfigNews, Fleet, Mark, Message, SourceNews};
 
 /// Asks for what the speaker lacks: [`Message::Pull`].
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/scion/src/puller.rs
+++ b/crates/replication/src/puller.rs
@@ -1,7 +1,7 @@
 //! Who is pulled from, and when: a state machine without I/O.
 
 use crate::rendezvous::ranked;
-use graft::Addr;
+use protocol::Addr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/scion/src/serve.rs
+++ b/crates/replication/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::frames::FrameReader;
 use crate::news::{News, Pull};
 use crate::shared::SharedMirror;
-use graft::{encode, Caller, Message};
+use protocol::{encode, Caller, Message};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/scion/tests/mirror.rs
+++ b/crates/replication/tests/mirror.rs
@@ -1,9 +1,9 @@
 //! The mirror: takes only what is newer, hands on exactly what is lacking.
 
-use almanac::Document;
-use graft::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, Seat, SourceNews};
+use configuration::Document;
+use protocol::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, Seat, SourceNews};
+use replication::{phase, Mirror, News, Pull};
 use rstest::rstest;
-use scion::{phase, Mirror, News, Pull};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/scion/tests/puller.rs
+++ b/crates/replication/tests/puller.rs
@@ -1,8 +1,8 @@
 //! The puller: whom it pulls from, and when.
 
-use graft::Addr;
+use protocol::Addr;
+use replication::{Action, Puller, LOOK, PACE, WAIT_MS, WATCHED};
 use rstest::rstest;
-use scion::{Action, Puller, LOOK, PACE, WAIT_MS, WATCHED};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/crates/scion/tests/serve.rs
+++ b/crates/replication/tests/serve.rs
@@ -1,7 +1,7 @@
 //! One connection that is served, on a paused clock.
 
-use graft::{encode, Addr, Caller, HostRecord, Mark, Message, Seat, SourceNews};
-use scion::{serve, FrameReader, Mirror, News, Pull, SharedMirror};
+use protocol::{encode, Addr, Caller, HostRecord, Mark, Message, Seat, SourceNews};
+use replication::{serve, FrameReader, Mirror, News, Pull, SharedMirror};
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/crates/threshing/src/coordinators.rs
+++ b/crates/scale-test/src/coordinators.rs
@@ -1,8 +1,8 @@
 //! Hollow coordinators: each an agent's mirror and pulls over real connections, without a proxy.
 
 use crate::plan::Plan;
-use almanac::Boot;
-use scion::{client, Mirror, Puller, SharedMirror};
+use configuration::Boot;
+use replication::{client, Mirror, Puller, SharedMirror};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -66,7 +66,7 @@
             }
         }
     };
-    let pulling = client::run(puller, scion::no_seat(boot), scion::caller(boot, 0), shared, told);
+    let pulling = client::run(puller, replication::no_seat(boot), replication::caller(boot, 0), shared, told);
     Running { tasks: [tokio::spawn(pulling), tokio::spawn(watching)], _control: control }
 }
 
@@ -88,15 +88,15 @@
                     let puller = match behind {
                         Some(_) => {
                             let mut puller = Puller::new(&boot.node_name, 1, None).fixed();
-                            puller.set_seeds(&[scion::agent_addr(&boot)]);
+                            puller.set_seeds(&[replication::agent_addr(&boot)]);
                             puller
                         }
                         None if plan.thrice => {
-                            let mut puller = Puller::new(&boot.node_name, scion::WATCHED, None);
-                            puller.set_seeds(&scion::seed_addrs(&boot));
+                            let mut puller = Puller::new(&boot.node_name, replication::WATCHED, None);
+                            puller.set_seeds(&replication::seed_addrs(&boot));
                             puller
                         }
-                        None => hedgerow::puller(&boot),
+                        None => agent::puller(&boot),
                     };
                     running[number] = Some(start(number, &log, &boot, puller));
                 }
--- a/crates/threshing/src/main.rs
+++ b/crates/scale-test/src/main.rs
@@ -2,12 +2,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use almanac::Boot;
 use bpaf::{construct, long, OptionParser, Parser};
+use configuration::Boot;
+use scale_test::{play, policy, Plan, Row};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use threshing::{play, policy, Plan, Row};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -130,14 +130,14 @@
             let boot = settings(&path)?;
             // Nobody changes the seeds; the sender lives as long as the member.
             let (_sender, seeds) = watch::channel(boot.seed_nodes.clone());
-            rootstock::shell::run(boot, rootstock::shell::Tuning::default(), seeds, terminated()?)
+            control_plane::shell::run(boot, control_plane::shell::Tuning::default(), seeds, terminated()?)
                 .await
                 .map_err(|e| e.to_string())
         }
         Verb::Agent(path) => {
             let boot = settings(&path)?;
             let (_sender, seeds) = watch::channel(boot.seed_nodes.clone());
-            hedgerow::run(boot, seeds, terminated()?).await.map_err(|e| e.to_string())
+            agent::run(boot, seeds, terminated()?).await.map_err(|e| e.to_string())
         }
         Verb::Policy(costs) => {
             tell(&policy(costs.hosts, costs.prefixes, costs.requests, costs.coordinators));
--- a/crates/threshing/src/policy.rs
+++ b/crates/scale-test/src/policy.rs
@@ -2,7 +2,7 @@
 
 use crate::gauge;
 use crate::report::Row;
-use espalier::{Ask, Choice, HostInfo, Load, Outcome, Policy, ServiceInfo, Settings};
+use balancing::{Ask, Choice, HostInfo, Load, Outcome, Policy, ServiceInfo, Settings};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/threshing/src/run.rs
+++ b/crates/scale-test/src/run.rs
@@ -61,7 +61,7 @@
     members: BTreeMap<u32, Load>,
     agents: BTreeMap<u32, Load>,
     threads: BTreeMap<String, Duration>,
-    traffic: Vec<Option<scion::Traffic>>,
+    traffic: Vec<Option<replication::Traffic>>,
     acked: usize,
     beats: usize,
     failed: u64,
--- a/crates/threshing/tests/tiny.rs
+++ b/crates/scale-test/tests/tiny.rs
@@ -1,7 +1,7 @@
 //! The scale run at a tiny size, and its figures.
 
+use scale_test::{percentile, play, policy, process, threads, Plan};
 use std::time::Duration;
-use threshing::{percentile, play, policy, process, threads, Plan};
 
 fn plan(dir: &std::path::Path) -> Plan {
     Plan {
@@ -19,7 +19,7 @@
         freeze: Duration::from_secs(2),
         thrice: false,
         dir: dir.to_owned(),
-        program: env!("CARGO_BIN_EXE_threshing").into(),
+        program: env!("CARGO_BIN_EXE_scale-test").into(),
         net: 64 + (std::process::id() % 128) as u8,
     }
 }
--- a/crates/windfall/src/bin/windfall.rs
+++ b/crates/simulator/src/bin/simulator.rs
@@ -1,11 +1,11 @@
-//! `windfall --from A --to B`: plays drawn schedules on all cores and reports those that broke something.
+//! `simulator --from A --to B`: plays drawn schedules on all cores and reports those that broke something.
 #![forbid(unsafe_code)]
 
 use bpaf::Parser;
+use simulator::{run, Plan, Report};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
-use windfall::{run, Plan, Report};
 
 fn number(name: &'static str, help: &'static str, value: u64) -> impl Parser<u64> {
     bpaf::long(name).help(help).argument::<u64>("N").fallback(value)
--- a/crates/windfall/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -2,7 +2,7 @@
 //! faults drawn from a seed and checkers that watch every step. The same seed gives the same run.
 //!
 //! ```
-//! let report = windfall::run(&windfall::Plan::calm(1));
+//! let report = simulator::run(&simulator::Plan::calm(1));
 //! assert!(report.breaches.is_empty(), "{:?}", report.breaches);
 //! assert!(report.acknowledged > 0);
 //! ```
--- a/crates/windfall/src/operator.rs
+++ b/crates/simulator/src/operator.rs
@@ -1,8 +1,8 @@
 //! The operator and the hosts, as the members' callers: they keep a ledger of what was acknowledged, and find
 //! out what may not be.
 
-use almanac::Code;
-use graft::Command;
+use configuration::Code;
+use protocol::Command;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -80,7 +80,7 @@
         match (&call.command, code) {
             (Command::Read { .. }, Code::Ok) => {
                 let text = String::from_utf8_lossy(body).into_owned();
-                let version = almanac::Document::read(text.as_bytes(), 0).map_or(0, |d| d.version);
+                let version = configuration::Document::read(text.as_bytes(), 0).map_or(0, |d| d.version);
                 if version < call.known {
                     return Err(format!("read {version} after {} was acknowledged", call.known));
                 }
--- a/crates/windfall/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -2,11 +2,11 @@
 
 use crate::faults::{Fault, Planted};
 use crate::operator::Operator;
-use almanac::FaultBudget;
-use graft::{Addr, Message, Record, Seat};
+use configuration::FaultBudget;
+use control_plane::member::{Config, DiskError, Input, Member, Output};
+use protocol::{Addr, Message, Record, Seat};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use rootstock::member::{Config, DiskError, Input, Member, Output};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
@@ -250,7 +250,7 @@
         let node = &mut self.nodes[n];
         node.life += 1;
         if self.plan.planted == Planted::ForgetsPromises {
-            node.records.retain(|r| !matches!(graft::read_one(r), Ok(Record::Promised { .. })));
+            node.records.retain(|r| !matches!(protocol::read_one(r), Ok(Record::Promised { .. })));
         }
         let config = Config {
             me: node.seat.clone(),
@@ -308,8 +308,8 @@
                 let time = (ms(2) + Duration::from_micros(self.pick(1500))) * slow;
                 if self.plan.planted == Planted::NoSnapshot {
                     records.iter_mut().for_each(|r| {
-                        if let Ok(Record::Accepted { view, .. }) = graft::read_one(r) {
-                            *r = graft::write_one(&Record::Accepted { view, snapshot: None });
+                        if let Ok(Record::Accepted { view, .. }) = protocol::read_one(r) {
+                            *r = protocol::write_one(&Record::Accepted { view, snapshot: None });
                         }
                     });
                 }
--- a/crates/windfall/tests/schedules.rs
+++ b/crates/simulator/tests/schedules.rs
@@ -1,11 +1,11 @@
 //! Drawn schedules of faults: no breach in any of them, and planted bugs found.
 
 use rstest::rstest;
-use windfall::{run, Fault, Plan, Planted};
+use simulator::{run, Fault, Plan, Planted};
 
 #[test]
 fn a_hundred_drawn_schedules_break_nothing() {
-    let many: u64 = std::env::var("WINDFALL_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(100);
+    let many: u64 = std::env::var("SIMULATOR_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(100);
     let broken: Vec<_> =
         (0..many).map(|seed| (seed, run(&Plan::drawn(seed)))).filter(|r| !r.1.breaches.is_empty()).collect();
     let shown: Vec<_> =
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,10 +1,11 @@
-//! HTTP/1.1 over a [`Conn`], as [`windrow`] reads it: a server for the fronts, and what clients of this program
+//! HTTP/1.1 over a [`Conn`], as [`http1`] reads it: a server for the fronts, and what clients of this program
 //! need to read.
 
 use super::conn::Conn;
 use crate::counters::{Counters, End};
 use crate::ops::turnover::Beside;
 use bytes::{Bytes, BytesMut};
+use http1::{Fields, Framing, Malformed, Most, RequestHead, ResponseHead, Step};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -15,7 +16,6 @@
 use tokio::io::{AsyncWriteExt, Interest, Ready};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
-use windrow::{Fields, Framing, Malformed, Most, RequestHead, ResponseHead, Step};
 
 /// Largest body that is taken.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -201,7 +201,7 @@
     }
 
     fn head(&self, close: bool) -> String {
-        let reason = windrow::reason(self.status);
+        let reason = http1::reason(self.status);
         let mut head =
             format!("HTTP/1.1 {} {reason}\r\nContent-Length: {}\r\n", self.status, self.body.len());
         for (name, value) in &self.headers {
@@ -243,12 +243,12 @@
 /// A body on its way in.
 pub struct Body {
     framing: Framing,
-    body: windrow::Body,
+    body: http1::Body,
 }
 
 impl Body {
     fn new(framing: Framing) -> Self {
-        Self { framing, body: windrow::Body::new(framing) }
+        Self { framing, body: http1::Body::new(framing) }
     }
 
     /// The body of a response with these headers.
