--- a/crates/agent/tests/chain.rs
+++ b/crates/agent/tests/chain.rs
@@ -1,7 +1,7 @@
 //! A fake member serves; the agent and the proxy's mirror behind it follow.
 
 use configuration::{Boot, Document};
-use protocol::{Addr, HostRecord, Mark, Seat, SourceNews};
+use protocol::{Addr, HostRecord, Mark, MemberInfo, SourceNews};
 use replication::{client, Mirror, News, Puller, SharedMirror, Snapshot};
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -145,7 +145,7 @@
     // A member that is learnt, not a seed, brings news too.
     let seat = |id, ip: &str| {
         let addr = SocketAddrV4::new(ip.parse().unwrap(), port).into();
-        Seat { id, name: format!("m{id}"), addr, ..Seat::default() }
+        MemberInfo { id, name: format!("m{id}"), addr, ..MemberInfo::default() }
     };
     first.shared.update(|m, _| m.set_fleet(1, 11, vec![seat(11, "127.0.0.2"), seat(12, "127.0.0.3")]));
     second.shared.update(|m, now| m.apply(now, &source(12, 1, vec![host("i-3", 1)])));
--- a/crates/control-plane/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -1,12 +1,12 @@
 //! The ledger: the configuration in force, the calls that led to it, the hosts that are leaving. Pure.
 
 use configuration::{Code, Document};
-use protocol::{Change, Command, Snapshot, Taken};
+use protocol::{AcceptedCall, Change, Command, Snapshot};
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 /// How many taken calls are remembered, so that the same call again gets the same answer.
-const REMEMBERED: usize = 512;
+const MAX_REMEMBERED_CALLS: usize = 512;
 
 /// A ledger after its change number `seq`.
 #[derive(Clone, Debug, PartialEq, Default)]
@@ -16,7 +16,7 @@
     /// The configuration; version 0 stands for none.
     pub document: Arc<Document>,
     /// The latest calls that were taken, oldest first.
-    pub taken: VecDeque<Taken>,
+    pub taken: VecDeque<AcceptedCall>,
     /// Hosts that are leaving or gone, oldest first.
     pub drains: VecDeque<String>,
 }
@@ -84,9 +84,11 @@
                     false => Document::read(body, self.document.version),
                 };
                 let document = document.map_err(|e| (e.code, e.detail))?;
-                next.taken
-                    .push_back(Taken { version: document.version, digest: digest(*base, *amend, body) });
-                if next.taken.len() > REMEMBERED {
+                next.taken.push_back(AcceptedCall {
+                    version: document.version,
+                    digest: digest(*base, *amend, body),
+                });
+                if next.taken.len() > MAX_REMEMBERED_CALLS {
                     next.taken.pop_front();
                 }
                 next.document = Arc::new(document);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -6,10 +6,10 @@
 //!
 //! ```
 //! use control_plane::member::{Config, Input, Member, Output};
-//! use protocol::Seat;
+//! use protocol::MemberInfo;
 //! use std::time::Duration;
 //!
-//! let me = Seat { id: 7, name: "core-1".into(), ..Seat::default() };
+//! let me = MemberInfo { id: 7, name: "core-1".into(), ..MemberInfo::default() };
 //! let config = Config {
 //!     me: me.clone(),
 //!     bootstrap_voters: Some(vec![me]),
--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -5,11 +5,11 @@
 //! with one that keeps the voters, whoever stands needs a majority of both, and hands both on as they are.
 
 use super::disk::After;
-use super::primary::Acting;
-use super::view::choose_copies;
+use super::primary::PrimaryState;
+use super::view::choose_replicas;
 use super::{Member, Output, Role};
 use crate::ledger::Ledger;
-use protocol::{Message, Record, Seat, Snapshot, Tag, View};
+use protocol::{LedgerPosition, MemberInfo, Message, Record, Snapshot, View};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -19,17 +19,17 @@
 /// How a view is to differ from the one before.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct ViewChange {
-    /// Members that are not to be copies.
+    /// Members that are not to be replicas.
     pub(super) exclude: BTreeSet<u64>,
     /// Voters that come.
-    pub(super) add: Vec<Seat>,
+    pub(super) add: Vec<MemberInfo>,
     /// Voters that go.
     pub(super) remove: BTreeSet<u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    Canvass,
+    PreVote,
     Prepare,
     Fetch,
     Copies,
@@ -37,13 +37,13 @@
 }
 
 #[derive(Debug)]
-pub(super) struct Candidacy {
+pub(super) struct CandidateState {
     pub(super) epoch: u64,
     phase: Phase,
     since: Duration,
     willing: BTreeSet<u64>,
     asked: BTreeSet<u64>,
-    promises: BTreeMap<u64, (View, Option<Tag>)>,
+    promises: BTreeMap<u64, (View, Option<LedgerPosition>)>,
     installed: BTreeSet<u64>,
     target: Option<(View, Ledger)>,
     change: ViewChange,
@@ -51,11 +51,11 @@
     agreed: Option<u64>,
 }
 
-impl Candidacy {
+impl CandidateState {
     fn new(now: Duration, change: ViewChange, agreed: Option<u64>) -> Self {
         Self {
             epoch: 0,
-            phase: Phase::Canvass,
+            phase: Phase::PreVote,
             since: now,
             willing: BTreeSet::new(),
             asked: BTreeSet::new(),
@@ -69,31 +69,31 @@
 }
 
 /// All seats of a view that have a say.
-fn electors(view: &View) -> BTreeSet<u64> {
+fn all_voters(view: &View) -> BTreeSet<u64> {
     view.voters.iter().chain(&view.before).map(|s| s.id).collect()
 }
 
 impl Member {
     /// A voter that sees no lease stands once its turn has come.
-    pub(super) fn run_idle(&mut self, out: &mut Vec<Output>) {
+    pub(super) fn run_election_timer(&mut self, out: &mut Vec<Output>) {
         let held_back = self.grant.is_some_and(|g| g.until > self.now) || self.leaving || !self.fit();
-        let idle = matches!(self.role, Role::Idle) && self.is_voter() && self.now >= self.stand_at;
+        let idle = matches!(self.role, Role::Idle) && self.is_voter() && self.now >= self.election_at;
         if held_back || !idle {
             return;
         }
-        self.stand_at = self.now + self.config.lease / 2 + self.stagger();
-        self.role = Role::Candidate(Box::new(Candidacy::new(self.now, ViewChange::default(), None)));
-        let others = self.view.as_ref().map(electors).unwrap_or_default();
+        self.election_at = self.now + self.config.lease / 2 + self.election_delay();
+        self.role = Role::Candidate(Box::new(CandidateState::new(self.now, ViewChange::default(), None)));
+        let others = self.view.as_ref().map(all_voters).unwrap_or_default();
         let view = self.view.as_ref().map_or(0, |v| v.epoch);
         for id in others.into_iter().filter(|id| *id != self.me()) {
-            self.send(id, Message::Canvass { seen: self.seen, view }, out);
+            self.send(id, Message::PreVote { seen: self.seen, view }, out);
         }
-        self.canvassed(out);
+        self.pre_votes_changed(out);
     }
 
-    pub(super) fn on_canvassed(
+    pub(super) fn on_pre_vote_reply(
         &mut self,
-        from: Seat,
+        from: MemberInfo,
         willing: bool,
         seen: u64,
         wait_ms: u32,
@@ -101,19 +101,19 @@
     ) {
         self.see(seen);
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.phase != Phase::Canvass {
+        if candidacy.phase != Phase::PreVote {
             return;
         }
         if willing {
             candidacy.willing.insert(from.id);
-            self.canvassed(out);
+            self.pre_votes_changed(out);
         } else {
             let wait = Duration::from_millis(u64::from(wait_ms));
-            self.stand_at = self.stand_at.max(self.now + wait + self.config.lease / 20);
+            self.election_at = self.election_at.max(self.now + wait + self.config.lease / 20);
         }
     }
 
-    fn canvassed(&mut self, out: &mut Vec<Output>) {
+    fn pre_votes_changed(&mut self, out: &mut Vec<Output>) {
         let (me, Role::Candidate(candidacy)) = (self.me(), &self.role) else { return };
         let enough = |v: &View| v.majority(|id| id == me || candidacy.willing.contains(&id));
         if self.view.as_ref().is_some_and(enough) {
@@ -125,14 +125,14 @@
     pub(super) fn prepare(&mut self, change: ViewChange, agreed: Option<u64>, out: &mut Vec<Output>) {
         let round = (self.seen.max(self.promised) >> OWN_BITS) + 1;
         let epoch = (round << OWN_BITS) | (self.me() & ((1 << OWN_BITS) - 1));
-        let mut candidacy = Candidacy::new(self.now, change, agreed);
+        let mut candidacy = CandidateState::new(self.now, change, agreed);
         (candidacy.epoch, candidacy.phase) = (epoch, Phase::Prepare);
         self.step_down();
         self.role = Role::Candidate(Box::new(candidacy));
         let me = self.config.me.clone();
         self.promise(me, epoch);
-        let electors = self.view.as_ref().map(electors).unwrap_or_default();
-        self.ask_promises(electors, out);
+        let all_voters = self.view.as_ref().map(all_voters).unwrap_or_default();
+        self.ask_promises(all_voters, out);
     }
 
     fn ask_promises(&mut self, ids: BTreeSet<u64>, out: &mut Vec<Output>) {
@@ -148,10 +148,10 @@
 
     pub(super) fn on_promise(
         &mut self,
-        from: Seat,
+        from: MemberInfo,
         epoch: u64,
         granted: bool,
-        has: Option<(View, Option<Tag>)>,
+        has: Option<(View, Option<LedgerPosition>)>,
         wait_ms: u32,
         out: &mut Vec<Output>,
     ) {
@@ -162,22 +162,22 @@
         match has {
             Some(has) if granted => {
                 candidacy.promises.insert(from.id, has);
-                self.promised_by_many(out);
+                self.promises_changed(out);
             }
             _ => {
                 let wait = Duration::from_millis(u64::from(wait_ms));
-                self.stand_at = self.stand_at.max(self.now + wait);
+                self.election_at = self.election_at.max(self.now + wait);
             }
         }
     }
 
-    /// Goes on once a majority of the highest view's electors, a copy of it among them, has promised.
-    fn promised_by_many(&mut self, out: &mut Vec<Output>) {
+    /// Goes on once a majority of the highest view's voters, a replica of it among them, has promised.
+    fn promises_changed(&mut self, out: &mut Vec<Output>) {
         let Role::Candidate(candidacy) = &self.role else { return };
         let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch);
         let Some(highest) = highest.cloned() else { return };
         // The highest view may know of others than this member's own.
-        self.ask_promises(electors(&highest), out);
+        self.ask_promises(all_voters(&highest), out);
         let Role::Candidate(candidacy) = &mut self.role else { return };
         if !highest.majority(|id| candidacy.promises.contains_key(&id)) {
             return;
@@ -185,8 +185,8 @@
         if highest.epoch == 0 {
             return self.compose(highest, Ledger::default(), out);
         }
-        let holds = |p: &(&u64, &(View, Option<Tag>))| {
-            highest.copies.contains(p.0) && p.1 .1.is_some_and(|t| t.epoch == highest.epoch)
+        let holds = |p: &(&u64, &(View, Option<LedgerPosition>))| {
+            highest.replicas.contains(p.0) && p.1 .1.is_some_and(|t| t.epoch == highest.epoch)
         };
         let mut holders: Vec<(u64, u64)> =
             candidacy.promises.iter().filter(holds).map(|(id, p)| (*id, p.1.map_or(0, |t| t.seq))).collect();
@@ -200,11 +200,17 @@
         if let Some((holder, _)) = holders.pop().filter(|h| h.0 != me) {
             let epoch = candidacy.epoch;
             candidacy.phase = Phase::Fetch;
-            self.send(holder, Message::Fetch { epoch }, out);
+            self.send(holder, Message::FetchLedger { epoch }, out);
         }
     }
 
-    pub(super) fn on_fetched(&mut self, _from: Seat, epoch: u64, snapshot: &Snapshot, out: &mut Vec<Output>) {
+    pub(super) fn on_fetched(
+        &mut self,
+        _from: MemberInfo,
+        epoch: u64,
+        snapshot: &Snapshot,
+        out: &mut Vec<Output>,
+    ) {
         let Role::Candidate(candidacy) = &self.role else { return };
         if candidacy.epoch != epoch || candidacy.phase != Phase::Fetch {
             return;
@@ -215,12 +221,12 @@
         }
     }
 
-    /// Makes the new view and sends it to its copies; where they are too few, more promises may come.
+    /// Makes the new view and sends it to its replicas; where they are too few, more promises may come.
     fn compose(&mut self, base: View, ledger: Ledger, out: &mut Vec<Output>) {
         let Role::Candidate(candidacy) = &self.role else { return };
         let change = candidacy.change.clone();
         let agreed = candidacy.agreed == Some(base.epoch);
-        let mut voters: Vec<Seat> = base.voters.iter().map(|s| self.fresh(s)).collect();
+        let mut voters: Vec<MemberInfo> = base.voters.iter().map(|s| self.fresh(s)).collect();
         let before = match agreed {
             true => {
                 voters.retain(|s| !change.remove.contains(&s.id));
@@ -236,15 +242,15 @@
             let joins = agreed && change.add.iter().any(|s| s.id == id);
             id == me || (well && (candidacy.promises.contains_key(&id) || joins))
         };
-        let mut seats: Vec<&Seat> = voters.iter().filter(|s| there(s.id)).collect();
-        seats.sort_by_key(|s| (s.id != me, !base.copies.contains(&s.id)));
-        let copies = choose_copies(&self.config.budget, &seats);
-        let Some(copies) = copies.filter(|_| voters.iter().any(|s| s.id == me)) else { return };
-        let view = View { epoch: candidacy.epoch, primary: me, copies, voters, before };
+        let mut seats: Vec<&MemberInfo> = voters.iter().filter(|s| there(s.id)).collect();
+        seats.sort_by_key(|s| (s.id != me, !base.replicas.contains(&s.id)));
+        let replicas = choose_replicas(&self.config.budget, &seats);
+        let Some(replicas) = replicas.filter(|_| voters.iter().any(|s| s.id == me)) else { return };
+        let view = View { epoch: candidacy.epoch, primary: me, replicas, voters, before };
         let snapshot = Some(ledger.snapshot());
-        for copy in view.copies.iter().filter(|c| **c != me) {
+        for copy in view.replicas.iter().filter(|c| **c != me) {
             let to = view.seat(*copy).map(|s| self.fresh(s));
-            let message = Message::Install { view: view.clone(), snapshot: snapshot.clone() };
+            let message = Message::InstallView { view: view.clone(), snapshot: snapshot.clone() };
             out.extend(to.map(|to| Output::Send { to, message }));
         }
         let after = After::Installed {
@@ -261,26 +267,26 @@
     }
 
     pub(super) fn on_installed(&mut self, from: u64, epoch: u64, ok: bool, out: &mut Vec<Output>) {
-        if let (Role::Primary(acting), true) = (&mut self.role, ok) {
-            if acting.epoch == epoch {
-                acting.lacking.remove(&from);
+        if let (Role::Primary(state), true) = (&mut self.role, ok) {
+            if state.epoch == epoch {
+                state.lacking.remove(&from);
             }
             return;
         }
         let Role::Candidate(candidacy) = &mut self.role else { return };
         let Some((view, ledger)) = candidacy.target.clone().filter(|t| t.0.epoch == epoch) else { return };
         if !ok {
-            if view.copies.contains(&from) {
+            if view.replicas.contains(&from) {
                 self.peers.entry(from).and_modify(|p| p.fit = false);
                 self.give_up(self.now);
             }
             return;
         }
         candidacy.installed.insert(from);
-        if candidacy.phase == Phase::Copies && view.copies.iter().all(|c| candidacy.installed.contains(c)) {
+        if candidacy.phase == Phase::Copies && view.replicas.iter().all(|c| candidacy.installed.contains(c)) {
             candidacy.phase = Phase::Witnesses;
-            for id in electors(&view).into_iter().filter(|id| !view.copies.contains(id)) {
-                self.send(id, Message::Install { view: view.clone(), snapshot: None }, out);
+            for id in all_voters(&view).into_iter().filter(|id| !view.replicas.contains(id)) {
+                self.send(id, Message::InstallView { view: view.clone(), snapshot: None }, out);
             }
         }
         let Role::Candidate(candidacy) = &mut self.role else { return };
@@ -288,14 +294,14 @@
             let lacking = view.voters.iter().map(|s| s.id).filter(|id| !candidacy.installed.contains(id));
             let lacking = lacking.collect();
             self.grant = None;
-            self.role = Role::Primary(Box::new(Acting::new(epoch, self.now, ledger, &view, lacking)));
+            self.role = Role::Primary(Box::new(PrimaryState::new(epoch, self.now, ledger, &view, lacking)));
             self.run_primary(out);
         }
     }
 
     fn give_up(&mut self, until: Duration) {
         self.step_down();
-        self.stand_at = self.stand_at.max(until) + self.stagger();
+        self.election_at = self.election_at.max(until) + self.election_delay();
     }
 
     pub(super) fn run_candidate(&mut self, _out: &mut Vec<Output>) {
--- a/crates/control-plane/src/member/commands.rs
+++ b/crates/control-plane/src/member/commands.rs
@@ -2,7 +2,7 @@
 
 use super::{Member, Output, Role};
 use configuration::Code;
-use protocol::{Command, Message, Seat};
+use protocol::{Command, MemberInfo, Message};
 use std::time::Duration;
 
 /// A command that the primary has not answered is asked again after this; asking twice does no harm.
@@ -10,7 +10,7 @@
 
 /// A command of a caller of this member.
 #[derive(Debug)]
-pub(super) struct Local {
+pub(super) struct LocalCommand {
     command: Command,
     since: Duration,
     /// The primary that was asked last, and when.
@@ -23,38 +23,38 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Source {
     /// A caller of this member.
-    Local(u64),
+    LocalCommand(u64),
     /// Another member, with its number.
     Remote(u64, u64),
 }
 
 impl Member {
     pub(super) fn on_command(&mut self, ticket: u64, command: Command) {
-        self.local.insert(ticket, Local { command, since: self.now, asked: None, sent: false });
+        self.local.insert(ticket, LocalCommand { command, since: self.now, asked: None, sent: false });
     }
 
-    pub(super) fn on_ask(&mut self, from: Seat, id: u64, command: Command) {
-        if let Role::Primary(acting) = &mut self.role {
+    pub(super) fn on_ask(&mut self, from: MemberInfo, id: u64, command: Command) {
+        if let Role::Primary(state) = &mut self.role {
             let source = Source::Remote(from.id, id);
-            if !acting.inbox.iter().any(|i| i.0 == source) {
-                acting.inbox.push_back((source, command));
+            if !state.inbox.iter().any(|i| i.0 == source) {
+                state.inbox.push_back((source, command));
             }
         }
     }
 
     pub(super) fn on_answer(&mut self, id: u64, code: u16, text: Vec<u8>, out: &mut Vec<Output>) {
         let code = Code::of(code).unwrap_or(Code::Unclear);
-        self.answer(Source::Local(id), code, text, out);
+        self.answer(Source::LocalCommand(id), code, text, out);
     }
 
     pub(super) fn answer(&mut self, to: Source, code: Code, body: Vec<u8>, out: &mut Vec<Output>) {
         match to {
-            Source::Local(ticket) if self.local.remove(&ticket).is_some() => {
+            Source::LocalCommand(ticket) if self.local.remove(&ticket).is_some() => {
                 out.push(Output::Answer { ticket, code, body });
             }
-            Source::Local(_) => {}
+            Source::LocalCommand(_) => {}
             Source::Remote(member, id) => {
-                self.send(member, Message::Answer { id, code: code.number(), text: body }, out);
+                self.send(member, Message::CommandResult { id, code: code.number(), text: body }, out);
             }
         }
     }
@@ -66,10 +66,10 @@
             self.local.iter().filter(|l| now >= l.1.since + patience).map(|l| *l.0).collect();
         for ticket in over {
             let code = if self.local[&ticket].sent { Code::Unclear } else { Code::NoPrimary };
-            self.answer(Source::Local(ticket), code, Vec::new(), out);
+            self.answer(Source::LocalCommand(ticket), code, Vec::new(), out);
         }
         if let Some(primary) = self.primary().filter(|_| !self.local.is_empty()) {
-            let due = |l: &Local| {
+            let due = |l: &LocalCommand| {
                 l.asked.is_none_or(|(to, at)| to != primary.id || (to != me && now >= at + ASK_AGAIN))
             };
             for (id, local) in self.local.iter_mut().filter(|l| due(l.1)) {
@@ -77,10 +77,10 @@
                 local.sent = true;
                 let command = local.command.clone();
                 match &mut self.role {
-                    Role::Primary(acting) => acting.inbox.push_back((Source::Local(*id), command)),
+                    Role::Primary(state) => state.inbox.push_back((Source::LocalCommand(*id), command)),
                     _ => out.push(Output::Send {
                         to: primary.clone(),
-                        message: Message::Ask { id: *id, command },
+                        message: Message::ForwardCommand { id: *id, command },
                     }),
                 }
             }
--- a/crates/control-plane/src/member/disk.rs
+++ b/crates/control-plane/src/member/disk.rs
@@ -1,23 +1,23 @@
 //! What waits for the disk: one write is out at a time, all that came meanwhile goes with the next one.
 
-use super::{DiskError, Held, Member, Output, Role};
+use super::{DiskError, Member, Output, ReplicaLedger, Role};
 use crate::ledger::Ledger;
-use protocol::{Message, Record, Seat, View};
+use protocol::{MemberInfo, Message, Record, View};
 use std::time::Duration;
 
 /// A disk that refused is tried again after this.
-const AGAIN: Duration = Duration::from_millis(300);
-/// The file is rewritten once it is longer than this and than [`TIMES`] what it has to hold.
-const LONG: usize = 256 << 10;
-const TIMES: usize = 4;
+const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(300);
+/// The file is rewritten once it is longer than this and than [`REWRITE_GROWTH`] times what it has to hold.
+const REWRITE_MIN_BYTES: usize = 256 << 10;
+const REWRITE_GROWTH: usize = 4;
 
 /// What follows once a record is on disk.
 #[derive(Debug)]
 pub(super) enum After {
     /// A promise may be spoken of.
-    Promise { to: Seat, epoch: u64 },
+    Promise { to: MemberInfo, epoch: u64 },
     /// A view holds here.
-    Installed { to: Seat, view: Box<View>, ledger: Option<Box<Ledger>> },
+    Installed { to: MemberInfo, view: Box<View>, ledger: Option<Box<Ledger>> },
     /// A backup's change is safe.
     Appended { to: u64, epoch: u64, ledger: Box<Ledger> },
     /// The primary's own change is safe.
@@ -29,14 +29,14 @@
 #[derive(Debug, Default)]
 pub(super) struct Disk {
     queue: Vec<(Vec<u8>, After)>,
-    out: Option<Out>,
+    out: Option<PendingWrite>,
     tickets: u64,
     length: usize,
     refused: Option<Duration>,
 }
 
 #[derive(Debug)]
-struct Out {
+struct PendingWrite {
     ticket: u64,
     since: Duration,
     after: Vec<After>,
@@ -55,7 +55,7 @@
 
     pub(super) fn wake(&self, stall: Duration) -> Option<Duration> {
         let out = self.out.as_ref().map(|o| o.since + stall);
-        out.or(self.refused.map(|at| at + AGAIN))
+        out.or(self.refused.map(|at| at + DISK_RETRY_INTERVAL))
     }
 }
 
@@ -70,7 +70,7 @@
             return;
         }
         if let Some(at) = self.disk.refused {
-            if self.now < at + AGAIN {
+            if self.now < at + DISK_RETRY_INTERVAL {
                 return;
             }
             if self.disk.queue.is_empty() {
@@ -79,11 +79,13 @@
         }
         // What is known to be acknowledged stays known.
         let known = self.held.as_ref().is_none_or(|h| h.disk.seq == self.committed);
-        let long =
-            self.disk.length > LONG && known && self.disk.queue.is_empty() && self.disk.refused.is_none();
+        let long = self.disk.length > REWRITE_MIN_BYTES
+            && known
+            && self.disk.queue.is_empty()
+            && self.disk.refused.is_none();
         let whole = if long { self.whole() } else { Vec::new() };
         let least: usize = whole.iter().map(Vec::len).sum();
-        let rewrite = !whole.is_empty() && self.disk.length > TIMES * least;
+        let rewrite = !whole.is_empty() && self.disk.length > REWRITE_GROWTH * least;
         let (records, after): (Vec<_>, Vec<_>) =
             if rewrite { (whole, vec![]) } else { std::mem::take(&mut self.disk.queue).into_iter().unzip() };
         if records.is_empty() {
@@ -91,7 +93,7 @@
         }
         self.disk.tickets += 1;
         let (ticket, length) = (self.disk.tickets, records.iter().map(Vec::len).sum());
-        self.disk.out = Some(Out { ticket, since: self.now, after, length, rewrite });
+        self.disk.out = Some(PendingWrite { ticket, since: self.now, after, length, rewrite });
         out.push(Output::Write { ticket, records, rewrite });
     }
 
@@ -123,7 +125,7 @@
                 }
                 let lost = done.after.into_iter().chain(queued.into_iter().map(|q| q.1));
                 lost.for_each(|after| self.refused(after, out));
-                self.yield_lease(out);
+                self.release_lease(out);
             }
         }
     }
@@ -134,20 +136,20 @@
             After::Installed { to, view, ledger } => {
                 let epoch = view.epoch;
                 if self.view.as_ref().is_none_or(|v| v.epoch < epoch) {
-                    self.held = ledger.map(|l| Held { head: (*l).clone(), disk: *l });
+                    self.held = ledger.map(|l| ReplicaLedger { head: (*l).clone(), disk: *l });
                     self.view = Some(*view);
                 }
                 if to.id == self.me() {
                     self.on_installed(to.id, epoch, true, out);
                 } else {
-                    let message = Message::Installed { epoch, ok: true, seen: self.promised };
+                    let message = Message::InstallReply { epoch, ok: true, seen: self.promised };
                     out.push(Output::Send { to, message });
                 }
             }
             After::Appended { to, epoch, ledger } => {
                 let seq = ledger.seq;
                 self.kept_change(epoch, *ledger);
-                self.send(to, Message::Appended { epoch, seq, ok: true, seen: self.promised }, out);
+                self.send(to, Message::AppendReply { epoch, seq, ok: true, seen: self.promised }, out);
             }
             After::Own { epoch, ledger } => {
                 let seq = ledger.seq;
@@ -169,29 +171,29 @@
         let seen = self.promised;
         match after {
             After::Installed { to, view, .. } if to.id != self.me() => {
-                let message = Message::Installed { epoch: view.epoch, ok: false, seen };
+                let message = Message::InstallReply { epoch: view.epoch, ok: false, seen };
                 out.push(Output::Send { to, message });
             }
             After::Appended { to, epoch, ledger } => {
-                self.send(to, Message::Appended { epoch, seq: ledger.seq, ok: false, seen }, out);
+                self.send(to, Message::AppendReply { epoch, seq: ledger.seq, ok: false, seen }, out);
             }
             _ => {}
         }
     }
 
-    /// Stops acting or standing, and lets the others know that no lease holds them back.
-    pub(super) fn yield_lease(&mut self, out: &mut Vec<Output>) {
+    /// Stops acting as primary or standing for election, and lets the others know that no lease holds them back.
+    pub(super) fn release_lease(&mut self, out: &mut Vec<Output>) {
         let epoch = match &self.role {
-            Role::Primary(acting) => acting.epoch,
+            Role::Primary(state) => state.epoch,
             Role::Candidate(candidacy) => candidacy.epoch,
             Role::Idle => return,
         };
         self.step_down();
         let voters: Vec<u64> = self.view.iter().flat_map(|v| &v.voters).map(|s| s.id).collect();
         for voter in voters.into_iter().filter(|v| *v != self.me()) {
-            self.send(voter, Message::Yield { epoch }, out);
+            self.send(voter, Message::ReleaseLease { epoch }, out);
         }
         // The others go first.
-        self.stand_at = self.now + 2 * self.config.lease;
+        self.election_at = self.now + 2 * self.config.lease;
     }
 }
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -8,15 +8,15 @@
 mod view;
 mod voter;
 
-pub use view::choose_copies;
+pub use view::choose_replicas;
 
 use crate::ledger::Ledger;
-use candidate::Candidacy;
-use commands::Local;
+use candidate::CandidateState;
+use commands::LocalCommand;
 use configuration::{Code, Document, FaultBudget};
 use disk::{After, Disk};
-use primary::Acting;
-use protocol::{Command, Message, Record, Seat, View};
+use primary::PrimaryState;
+use protocol::{Command, MemberInfo, Message, Record, View};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,9 +25,9 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Its own seat.
-    pub me: Seat,
+    pub me: MemberInfo,
     /// Set only where the whole system starts for the first time and the disk is empty: the voters of view 0.
-    pub bootstrap_voters: Option<Vec<Seat>>,
+    pub bootstrap_voters: Option<Vec<MemberInfo>>,
     /// What may be lost at once.
     pub budget: FaultBudget,
     /// How long a lease lasts.
@@ -56,7 +56,7 @@
     /// A message came.
     Message {
         /// Who sent it.
-        from: Seat,
+        from: MemberInfo,
         /// The message.
         message: Message,
     },
@@ -77,7 +77,7 @@
     /// A member shows that it is there.
     Reachable {
         /// Its seat.
-        seat: Seat,
+        seat: MemberInfo,
     },
     /// The process is asked to end.
     Leave,
@@ -90,7 +90,7 @@
     /// Send a message; it may be lost.
     Send {
         /// To whom.
-        to: Seat,
+        to: MemberInfo,
         /// The message.
         message: Message,
     },
@@ -150,7 +150,7 @@
 
 /// The ledger as a copy holds it.
 #[derive(Clone, Debug)]
-struct Held {
+struct ReplicaLedger {
     /// With all changes taken.
     head: Ledger,
     /// As far as it is on disk.
@@ -159,7 +159,7 @@
 
 #[derive(Debug)]
 struct Peer {
-    seat: Seat,
+    seat: MemberInfo,
     heard: Duration,
     /// Whether its disk takes writes, by its latest word.
     fit: bool,
@@ -168,8 +168,8 @@
 #[derive(Debug)]
 enum Role {
     Idle,
-    Candidate(Box<Candidacy>),
-    Primary(Box<Acting>),
+    Candidate(Box<CandidateState>),
+    Primary(Box<PrimaryState>),
 }
 
 /// A member.
@@ -185,7 +185,7 @@
     /// The highest epoch seen anywhere.
     seen: u64,
     view: Option<View>,
-    held: Option<Held>,
+    held: Option<ReplicaLedger>,
     /// Number of the last change that this disk knows to be acknowledged.
     committed: u64,
     /// While records are read: the ledger after each change since the last that is known to be acknowledged.
@@ -196,11 +196,11 @@
     peers: BTreeMap<u64, Peer>,
     role: Role,
     /// When it may stand next.
-    stand_at: Duration,
+    election_at: Duration,
     disk: Disk,
-    local: BTreeMap<u64, Local>,
+    local: BTreeMap<u64, LocalCommand>,
     /// The primary and its epoch, as others tell.
-    hint: Option<(u64, Seat)>,
+    hint: Option<(u64, MemberInfo)>,
     leaving: bool,
 }
 
@@ -222,7 +222,7 @@
             grant: None,
             peers: BTreeMap::new(),
             role: Role::Idle,
-            stand_at: now,
+            election_at: now,
             disk: Disk::default(),
             local: BTreeMap::new(),
             hint: None,
@@ -231,13 +231,13 @@
         };
         if let Some(voters) = member.config.bootstrap_voters.clone() {
             let before = voters.clone();
-            member.view = Some(View { epoch: 0, primary: 0, copies: vec![], voters, before });
+            member.view = Some(View { epoch: 0, primary: 0, replicas: vec![], voters, before });
         }
         records.iter().filter_map(|r| protocol::read_one(r).ok()).for_each(|r| member.recover(r));
         member.history.clear();
         member.disk.kept(records.iter().map(Vec::len).sum());
         let start = if member.restarted { member.config.lease } else { Duration::ZERO };
-        member.stand_at = now + start + member.stagger();
+        member.election_at = now + start + member.election_delay();
         member
     }
 
@@ -249,14 +249,14 @@
                 let ledger = snapshot.and_then(|s| Ledger::of(&s).ok());
                 // Whether the view was agreed on is not known yet.
                 self.history = ledger.iter().cloned().collect();
-                self.held = ledger.map(|l| Held { head: l.clone(), disk: l });
+                self.held = ledger.map(|l| ReplicaLedger { head: l.clone(), disk: l });
                 self.view = Some(view);
             }
             Record::Change { seq, change, .. } => {
                 let next = self.held.as_ref().filter(|h| h.head.seq + 1 == seq);
                 if let Some(next) = next.and_then(|h| h.head.after(&change).ok()) {
                     self.history.push_back(next.clone());
-                    self.held = Some(Held { head: next.clone(), disk: next });
+                    self.held = Some(ReplicaLedger { head: next.clone(), disk: next });
                 }
             }
             Record::Committed { seq } => {
@@ -291,63 +291,63 @@
             Input::Reachable { seat } => self.note(&seat),
             Input::Leave => {
                 self.leaving = true;
-                self.yield_lease(out);
+                self.release_lease(out);
                 out.push(Output::Left);
             }
         }
         self.run_primary(out);
         self.run_candidate(out);
-        self.run_idle(out);
+        self.run_election_timer(out);
         self.run_commands(out);
         self.flush(out);
         out.push(Output::Wake { at: self.next_wake() });
     }
 
-    fn on_message(&mut self, from: Seat, message: Message, out: &mut Vec<Output>) {
+    fn on_message(&mut self, from: MemberInfo, message: Message, out: &mut Vec<Output>) {
         match message {
-            Message::Canvass { seen, view } => self.on_canvass(from, seen, view, out),
+            Message::PreVote { seen, view } => self.on_pre_vote(from, seen, view, out),
             Message::Prepare { epoch, candidate } => self.on_prepare(from, epoch, candidate, out),
-            Message::Install { view, snapshot } => self.on_install(from, view, snapshot, out),
-            Message::Append { epoch, seq, change } => self.on_append(from, epoch, seq, change, out),
-            Message::Renew { epoch, stamp, committed } => {
+            Message::InstallView { view, snapshot } => self.on_install(from, view, snapshot, out),
+            Message::AppendChange { epoch, seq, change } => self.on_append(from, epoch, seq, change, out),
+            Message::RenewLease { epoch, stamp, committed } => {
                 self.on_renew(from, epoch, stamp, out);
-                self.know_committed(epoch, committed);
+                self.record_committed(epoch, committed);
             }
-            Message::Fetch { epoch } => self.on_fetch(from, epoch, out),
-            Message::Yield { epoch } => self.on_yield(epoch),
-            Message::Canvassed { willing, seen, wait_ms } => {
-                self.on_canvassed(from, willing, seen, wait_ms, out)
+            Message::FetchLedger { epoch } => self.on_fetch(from, epoch, out),
+            Message::ReleaseLease { epoch } => self.on_release(epoch),
+            Message::PreVoteReply { willing, seen, wait_ms } => {
+                self.on_pre_vote_reply(from, willing, seen, wait_ms, out)
             }
             Message::Promise { epoch, granted, seen, view, tag, wait_ms } => {
                 self.see(seen);
                 self.on_promise(from, epoch, granted, view.zip(Some(tag)), wait_ms, out);
             }
-            Message::Fetched { epoch, snapshot, .. } => self.on_fetched(from, epoch, &snapshot, out),
-            Message::Installed { epoch, ok, seen } => {
+            Message::LedgerReply { epoch, snapshot, .. } => self.on_fetched(from, epoch, &snapshot, out),
+            Message::InstallReply { epoch, ok, seen } => {
                 self.see(seen);
                 self.on_installed(from.id, epoch, ok, out);
             }
-            Message::Appended { epoch, seq, ok, seen } => {
+            Message::AppendReply { epoch, seq, ok, seen } => {
                 self.see(seen);
                 self.on_appended(from.id, epoch, seq, ok, out);
             }
-            Message::Renewed { epoch, stamp, ok, seen, fit } => {
+            Message::LeaseReply { epoch, stamp, ok, seen, fit } => {
                 self.see(seen);
                 self.on_renewed(from, epoch, stamp, ok, fit, out);
             }
-            Message::Ask { id, command } => self.on_ask(from, id, command),
-            Message::Answer { id, code, text } => self.on_answer(id, code, text, out),
+            Message::ForwardCommand { id, command } => self.on_ask(from, id, command),
+            Message::CommandResult { id, code, text } => self.on_answer(id, code, text, out),
             Message::Hello { .. }
             | Message::Peers { .. }
             | Message::Pull { .. }
             | Message::News { .. }
-            | Message::Placed { .. }
-            | Message::Recall { .. }
-            | Message::Recalled { .. } => {}
+            | Message::PromptPlaced { .. }
+            | Message::PlacementsRequest { .. }
+            | Message::Placements { .. } => {}
         }
     }
 
-    fn note(&mut self, seat: &Seat) {
+    fn note(&mut self, seat: &MemberInfo) {
         if seat.id == 0 || seat.id == self.config.me.id {
             return;
         }
@@ -374,7 +374,7 @@
     }
 
     /// A copy notes what the primary of its view has acknowledged, for its next life.
-    fn know_committed(&mut self, epoch: u64, seq: u64) {
+    fn record_committed(&mut self, epoch: u64, seq: u64) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
         let has = self.held.as_ref().is_some_and(|h| h.disk.seq >= seq);
         if follows && has && seq > self.committed {
@@ -384,20 +384,20 @@
     }
 
     /// The freshest word on where a seat is.
-    fn fresh(&self, seat: &Seat) -> Seat {
+    fn fresh(&self, seat: &MemberInfo) -> MemberInfo {
         match seat.id {
             id if id == self.me() => self.config.me.clone(),
             id => self.peers.get(&id).map_or(seat, |p| &p.seat).clone(),
         }
     }
 
-    fn seat_of(&self, id: u64) -> Option<Seat> {
+    fn member_info(&self, id: u64) -> Option<MemberInfo> {
         let voter = self.view.as_ref().and_then(|v| v.seat(id).or(v.before.iter().find(|s| s.id == id)));
         self.peers.get(&id).map(|p| &p.seat).or(voter).cloned()
     }
 
     fn send(&self, to: u64, message: Message, out: &mut Vec<Output>) {
-        if let Some(to) = self.seat_of(to) {
+        if let Some(to) = self.member_info(to) {
             out.push(Output::Send { to, message });
         }
     }
@@ -411,24 +411,28 @@
         below.mul_f64(part)
     }
 
-    /// Voters stand one after the other: copies first, in the view's order.
-    fn stagger(&mut self) -> Duration {
+    /// Voters stand one after the other: replicas first, in the view's order.
+    fn election_delay(&mut self) -> Duration {
         let step = self.config.lease / 8;
         let me = self.me();
         let rank = self.view.as_ref().map_or(0, |v| {
-            let copies = v.copies.iter().copied();
-            let rest = v.voters.iter().map(|s| s.id).filter(|id| !v.copies.contains(id));
-            copies.chain(rest).filter(|id| *id != v.primary || *id == me).position(|id| id == me).unwrap_or(0)
+            let replicas = v.replicas.iter().copied();
+            let rest = v.voters.iter().map(|s| s.id).filter(|id| !v.replicas.contains(id));
+            replicas
+                .chain(rest)
+                .filter(|id| *id != v.primary || *id == me)
+                .position(|id| id == me)
+                .unwrap_or(0)
         });
         step * rank as u32 + self.draw(step / 2)
     }
 
     /// Who acts, as far as known here: the holder of a lease that hasn't ended.
-    pub fn primary(&self) -> Option<Seat> {
+    pub fn primary(&self) -> Option<MemberInfo> {
         match &self.role {
             Role::Primary(_) => Some(self.config.me.clone()),
             _ => {
-                let granted = self.grant.filter(|g| g.until > self.now).and_then(|g| self.seat_of(g.to));
+                let granted = self.grant.filter(|g| g.until > self.now).and_then(|g| self.member_info(g.to));
                 // Who has no say grants no leases, and knows by what others tell alone.
                 let newer = |epoch: u64| self.view.as_ref().is_none_or(|v| epoch > v.epoch);
                 let told = || self.hint.as_ref().filter(|h| !self.is_voter() || newer(h.0));
@@ -438,7 +442,7 @@
     }
 
     /// Takes who is the primary in the view of an epoch, as others tell. It only says whom to hand commands to.
-    pub fn hear_of(&mut self, epoch: u64, primary: Seat) {
+    pub fn learn_primary(&mut self, epoch: u64, primary: MemberInfo) {
         if primary.id != self.me() && self.hint.as_ref().is_none_or(|h| epoch >= h.0) {
             self.hint = Some((epoch, primary));
         }
@@ -446,7 +450,7 @@
 
     /// Whether this member acts now.
     pub fn acts(&self) -> bool {
-        matches!(&self.role, Role::Primary(acting) if self.lease_end(acting) > self.now)
+        matches!(&self.role, Role::Primary(state) if self.lease_end(state) > self.now)
     }
 
     /// The latest view that this member accepted.
@@ -462,7 +466,7 @@
     /// Since when, at most, this member may have missed what the primary acknowledged.
     pub fn age(&self, now: Duration) -> Duration {
         match &self.role {
-            Role::Primary(acting) if self.lease_end(acting) > now => Duration::ZERO,
+            Role::Primary(state) if self.lease_end(state) > now => Duration::ZERO,
             _ => match self.grant {
                 Some(g) => now.saturating_sub(g.until.saturating_sub(self.config.lease)),
                 None => now.saturating_sub(self.started) + self.config.lease,
@@ -477,7 +481,7 @@
 
     fn next_wake(&self) -> Duration {
         let idle = self.is_voter() && matches!(self.role, Role::Idle) && !self.leaving;
-        let stand = idle.then(|| self.stand_at.max(self.grant.map_or(self.stand_at, |g| g.until)));
+        let stand = idle.then(|| self.election_at.max(self.grant.map_or(self.election_at, |g| g.until)));
         let grace = Duration::from_millis(1);
         [
             stand,
--- a/crates/control-plane/src/member/view.rs
+++ b/crates/control-plane/src/member/view.rs
@@ -1,15 +1,15 @@
 //! Who is in a view.
 
 use configuration::FaultBudget;
-use protocol::Seat;
+use protocol::MemberInfo;
 use std::collections::BTreeSet;
 
-/// Picks copies in the order given, the first always, so that one of them survives any loss that the budget
+/// Picks replicas in the order given, the first always, so that one of them survives any loss that the budget
 /// allows: enough machines, zones and regions. `None` where the seats given are too few.
-pub fn choose_copies(budget: &FaultBudget, seats: &[&Seat]) -> Option<Vec<u64>> {
+pub fn choose_replicas(budget: &FaultBudget, seats: &[&MemberInfo]) -> Option<Vec<u64>> {
     let machines = budget.machine_losses as usize + 1;
     let (zones, regions) = (budget.zones as usize + 1, budget.region_losses as usize + 1);
-    let mut chosen: Vec<&Seat> = Vec::new();
+    let mut chosen: Vec<&MemberInfo> = Vec::new();
     loop {
         let has_zones: BTreeSet<&str> = chosen.iter().map(|s| s.zone.as_str()).collect();
         let has_regions: BTreeSet<&str> = chosen.iter().map(|s| s.region.as_str()).collect();
--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -3,7 +3,7 @@
 use super::disk::After;
 use super::{Grant, Member, Output, Role};
 use crate::ledger::Ledger;
-use protocol::{Change, Message, Record, Seat, Snapshot, Tag, View};
+use protocol::{Change, LedgerPosition, MemberInfo, Message, Record, Snapshot, View};
 use std::time::Duration;
 
 impl Member {
@@ -15,7 +15,7 @@
         }
         let grant = self.grant.filter(|g| g.to != candidate && g.until > self.now);
         let own = match &self.role {
-            Role::Primary(acting) if candidate != self.me() => Some(self.lease_end(acting)),
+            Role::Primary(state) if candidate != self.me() => Some(self.lease_end(state)),
             _ => None,
         };
         // What it granted before it was started again is not known.
@@ -27,7 +27,7 @@
         }
     }
 
-    pub(super) fn on_canvass(&mut self, from: Seat, seen: u64, view: u64, out: &mut Vec<Output>) {
+    pub(super) fn on_pre_vote(&mut self, from: MemberInfo, seen: u64, view: u64, out: &mut Vec<Output>) {
         self.see(seen);
         // Whoever has been left out since can't win, it would only hold the others up.
         let left_out = |v: &View| v.epoch > view && v.seat(from.id).is_none();
@@ -36,11 +36,17 @@
             false => self.may_promise(from.id),
         };
         let wait_ms = may.err().map_or(0, |w| w.as_millis() as u32);
-        let message = Message::Canvassed { willing: may.is_ok(), seen: self.promised, wait_ms };
+        let message = Message::PreVoteReply { willing: may.is_ok(), seen: self.promised, wait_ms };
         out.push(Output::Send { to: from, message });
     }
 
-    pub(super) fn on_prepare(&mut self, from: Seat, epoch: u64, candidate: Seat, out: &mut Vec<Output>) {
+    pub(super) fn on_prepare(
+        &mut self,
+        from: MemberInfo,
+        epoch: u64,
+        candidate: MemberInfo,
+        out: &mut Vec<Output>,
+    ) {
         let wait = match self.may_promise(from.id) {
             Ok(()) if epoch > self.promised => return self.promise(candidate, epoch),
             Ok(()) => Duration::ZERO,
@@ -53,17 +59,17 @@
     }
 
     /// Promises an epoch to a candidate, itself perhaps.
-    pub(super) fn promise(&mut self, to: Seat, epoch: u64) {
+    pub(super) fn promise(&mut self, to: MemberInfo, epoch: u64) {
         self.promised = epoch;
         self.see(epoch);
         if to.id != self.me() {
             self.step_down();
-            self.stand_at = self.now + self.config.lease + self.stagger();
+            self.election_at = self.now + self.config.lease + self.election_delay();
         }
         self.write(&Record::Promised { epoch }, After::Promise { to, epoch });
     }
 
-    pub(super) fn promise_written(&mut self, to: Seat, epoch: u64, out: &mut Vec<Output>) {
+    pub(super) fn promise_written(&mut self, to: MemberInfo, epoch: u64, out: &mut Vec<Output>) {
         let (view, tag) = (self.view.clone(), self.tag());
         if to.id == self.me() {
             let me = self.config.me.clone();
@@ -74,25 +80,25 @@
     }
 
     /// How far the ledger on this disk goes.
-    pub(super) fn tag(&self) -> Option<Tag> {
+    pub(super) fn tag(&self) -> Option<LedgerPosition> {
         let view = self.view.as_ref()?;
-        self.held.as_ref().map(|h| Tag { epoch: view.epoch, seq: h.disk.seq })
+        self.held.as_ref().map(|h| LedgerPosition { epoch: view.epoch, seq: h.disk.seq })
     }
 
-    pub(super) fn on_fetch(&mut self, from: Seat, epoch: u64, out: &mut Vec<Output>) {
+    pub(super) fn on_fetch(&mut self, from: MemberInfo, epoch: u64, out: &mut Vec<Output>) {
         // Only under the promise: from here on no change of an older view gets this copy's word.
         if epoch != self.promised {
             return;
         }
         if let Some((tag, held)) = self.tag().zip(self.held.as_ref()) {
-            let message = Message::Fetched { epoch, tag, snapshot: held.disk.snapshot() };
+            let message = Message::LedgerReply { epoch, tag, snapshot: held.disk.snapshot() };
             out.push(Output::Send { to: from, message });
         }
     }
 
     pub(super) fn on_install(
         &mut self,
-        from: Seat,
+        from: MemberInfo,
         view: View,
         snapshot: Option<Snapshot>,
         out: &mut Vec<Output>,
@@ -100,24 +106,24 @@
         let epoch = view.epoch;
         self.see(epoch);
         let held = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
-        let copy = view.copies.contains(&self.me());
+        let copy = view.replicas.contains(&self.me());
         let ledger = snapshot.as_ref().map(Ledger::of).transpose();
         let fits = view.seat(self.me()).is_some() && epoch >= self.promised && copy == snapshot.is_some();
         match ledger {
             _ if held && epoch >= self.promised => {
-                let message = Message::Installed { epoch, ok: true, seen: self.promised };
+                let message = Message::InstallReply { epoch, ok: true, seen: self.promised };
                 out.push(Output::Send { to: from, message });
             }
             Ok(ledger) if fits && self.fit() => {
                 self.promised = epoch;
                 self.step_down();
-                self.stand_at = self.now + self.config.lease + self.stagger();
+                self.election_at = self.now + self.config.lease + self.election_delay();
                 let record = Record::Accepted { view: view.clone(), snapshot };
                 let ledger = ledger.map(Box::new);
                 self.write(&record, After::Installed { to: from, view: Box::new(view), ledger });
             }
             _ => {
-                let message = Message::Installed { epoch, ok: false, seen: self.promised };
+                let message = Message::InstallReply { epoch, ok: false, seen: self.promised };
                 out.push(Output::Send { to: from, message });
             }
         }
@@ -125,7 +131,7 @@
 
     pub(super) fn on_append(
         &mut self,
-        from: Seat,
+        from: MemberInfo,
         epoch: u64,
         seq: u64,
         change: Change,
@@ -135,7 +141,7 @@
         let held = self.held.as_mut().filter(|_| follows && self.promised == epoch);
         let message = match held {
             Some(held) if seq <= held.disk.seq => {
-                Message::Appended { epoch, seq: held.disk.seq, ok: true, seen: self.promised }
+                Message::AppendReply { epoch, seq: held.disk.seq, ok: true, seen: self.promised }
             }
             // On its way to the disk.
             Some(held) if seq <= held.head.seq => return,
@@ -146,35 +152,35 @@
                         let after = After::Appended { to: from.id, epoch, ledger: Box::new(next) };
                         return self.write(&Record::Change { epoch, seq, change }, after);
                     }
-                    Err(_) => Message::Appended { epoch, seq, ok: false, seen: self.promised },
+                    Err(_) => Message::AppendReply { epoch, seq, ok: false, seen: self.promised },
                 }
             }
-            _ => Message::Appended { epoch, seq, ok: false, seen: self.promised },
+            _ => Message::AppendReply { epoch, seq, ok: false, seen: self.promised },
         };
         out.push(Output::Send { to: from, message });
     }
 
-    pub(super) fn on_renew(&mut self, from: Seat, epoch: u64, stamp: u64, out: &mut Vec<Output>) {
+    pub(super) fn on_renew(&mut self, from: MemberInfo, epoch: u64, stamp: u64, out: &mut Vec<Output>) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch && v.primary == from.id);
         let ok = follows && self.promised == epoch;
         if ok {
             let until = self.now + self.config.lease;
             self.grant = Some(Grant { to: from.id, epoch, until });
-            self.stand_at = until + self.stagger();
+            self.election_at = until + self.election_delay();
         }
         let message =
-            Message::Renewed { epoch, stamp, ok, seen: self.promised, fit: self.fit() && !self.leaving };
+            Message::LeaseReply { epoch, stamp, ok, seen: self.promised, fit: self.fit() && !self.leaving };
         out.push(Output::Send { to: from, message });
     }
 
-    pub(super) fn on_yield(&mut self, epoch: u64) {
+    pub(super) fn on_release(&mut self, epoch: u64) {
         if self.grant.is_some_and(|g| g.epoch <= epoch) {
             self.grant = None;
-            self.stand_at = self.now + self.stagger();
+            self.election_at = self.now + self.election_delay();
         }
     }
 
-    /// Stops acting or standing. Commands that wait are asked of whoever acts next.
+    /// Stops acting as primary or standing for election. Commands that wait are asked of whoever acts next.
     pub(super) fn step_down(&mut self) {
         self.role = Role::Idle;
         self.local.values_mut().for_each(|l| l.asked = None);
--- a/crates/control-plane/src/roster.rs
+++ b/crates/control-plane/src/roster.rs
@@ -1,7 +1,7 @@
 //! What hosts and coordinators tell this member: its own source, numbered by itself. No I/O and no clock.
 
 use configuration::Code;
-use protocol::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, Seat, SourceNews};
+use protocol::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, MemberInfo, SourceNews};
 use replication::phase;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -359,7 +359,7 @@
 
 /// The member that a host's later heartbeats should go to, where that isn't `me`: by rendezvous hashing over
 /// the members that live.
-pub fn beat_target<'a>(host: &str, me: u64, live: &'a [Seat]) -> Option<&'a Seat> {
+pub fn beat_target<'a>(host: &str, me: u64, live: &'a [MemberInfo]) -> Option<&'a MemberInfo> {
     let best = live.iter().max_by_key(|s| (replication::weight(host, &s.id.to_be_bytes()), s.id))?;
     (best.id != me).then_some(best)
 }
--- a/crates/control-plane/src/shell/desk.rs
+++ b/crates/control-plane/src/shell/call_runner.rs
@@ -1,14 +1,14 @@
 //! Runs the calls of hosts and operators: what is about hosts against the roster, the rest by the member.
 
 use super::call::Call;
-use super::control::{Desk, Reply};
+use super::control::{Reply, RunCall};
 use super::links::Links;
-use super::{command, Event, Events, Standing, STANDING};
+use super::{command, Event, Events, MemberStatus, STATUS_TIMEOUT};
 use crate::feed::Feed;
 use crate::history::History;
 use crate::roster::{beat_target, HostCall};
 use configuration::Code;
-use protocol::{Command, Seat};
+use protocol::{Command, MemberInfo};
 use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
@@ -19,17 +19,17 @@
 use tokio::time::timeout;
 
 /// Longest time that a host waits for its drain.
-const DRAIN: Duration = Duration::from_millis(800);
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Longest time that a call waits for the disk at the start.
-const OPENING: Duration = Duration::from_millis(500);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What a member answers a command: its result and what goes with it.
 pub(super) type Answered = (Code, Vec<u8>);
 
 /// What is there once the disk has told who this member is.
-pub(super) struct Opened {
-    pub(super) me: Seat,
+pub(super) struct OpenMember {
+    pub(super) me: MemberInfo,
     pub(super) life: u64,
     pub(super) links: Links,
     pub(super) feed: Arc<Feed>,
@@ -38,46 +38,46 @@
 
 /// What calls are run against.
 #[derive(Clone)]
-pub(super) struct FrontDesk {
+pub(super) struct CallRunner {
     node: Rc<str>,
     events: Events,
     patience: Duration,
     /// The process is about to end: nothing new is taken.
     leaving: watch::Receiver<bool>,
-    opened: watch::Receiver<Option<Rc<Opened>>>,
+    opened: watch::Receiver<Option<Rc<OpenMember>>>,
 }
 
-impl FrontDesk {
+impl CallRunner {
     /// A desk whose calls wait a little until `opened` brings what they are run against.
     pub(super) fn new(
         node: String,
         events: Events,
         patience: Duration,
         leaving: watch::Receiver<bool>,
-        opened: watch::Receiver<Option<Rc<Opened>>>,
+        opened: watch::Receiver<Option<Rc<OpenMember>>>,
     ) -> Self {
         Self { node: node.into(), events, patience, leaving, opened }
     }
 
-    async fn opened(&self) -> Result<Rc<Opened>, Code> {
+    async fn opened(&self) -> Result<Rc<OpenMember>, Code> {
         let mut opened = self.opened.clone();
-        let ready = timeout(OPENING, opened.wait_for(Option::is_some)).await;
+        let ready = timeout(OPEN_TIMEOUT, opened.wait_for(Option::is_some)).await;
         ready.ok().and_then(Result::ok).and_then(|o| o.clone()).ok_or(Code::Opening)
     }
 
     /// A host is leaving or gone: acknowledged once that is kept as safely as the configuration is.
-    async fn drain(&self, opened: &Opened, host: &str) -> Reply {
+    async fn drain(&self, opened: &OpenMember, host: &str) -> Reply {
         if opened.feed.shared().snapshot().drains.contains(host) {
             return Reply::json("{}");
         }
         let asked = Command::Drain { host: host.to_owned() };
-        match command(&self.events, asked, DRAIN).await {
+        match command(&self.events, asked, DRAIN_TIMEOUT).await {
             (Code::Ok, _) => Reply::json("{}"),
             (code, text) => Reply::detailed(code, &String::from_utf8_lossy(&text)),
         }
     }
 
-    async fn host(&self, opened: &Opened, call: &HostCall) -> Reply {
+    async fn host(&self, opened: &OpenMember, call: &HostCall) -> Reply {
         // Proxies hear of a drain at once, whatever becomes of it in the ledger.
         opened.feed.call(call);
         if call.leaves() {
@@ -99,9 +99,9 @@
             return json!({"node": &*self.node, "opening": true, "leaving": leaving}).to_string();
         };
         let (asker, told) = oneshot::channel();
-        let asked = self.events.send(Event::Standing(asker)).is_ok();
-        let standing = match asked {
-            true => timeout(STANDING, told).await.ok().and_then(Result::ok),
+        let asked = self.events.send(Event::MemberStatus(asker)).is_ok();
+        let status = match asked {
+            true => timeout(STATUS_TIMEOUT, told).await.ok().and_then(Result::ok),
             false => None,
         };
         let (me, links) = (&opened.me, opened.links.counters());
@@ -137,18 +137,18 @@
                 "primary": hex(known.fleet.primary),
                 "members": known.fleet.members.len(),
             },
-            "standing": standing.as_ref().map(standing_json),
+            "member": status.as_ref().map(status_json),
             "hosts": hosts.collect::<Vec<_>>(),
             "coordinators": coordinators,
             "in_force": {"lowest_version": lowest, "coordinators_here": pulling},
-            "members": opened.links.seats().iter().map(seat_json).collect::<Vec<_>>(),
+            "members": opened.links.seats().iter().map(member_json).collect::<Vec<_>>(),
             "links": {"up": links.connected, "down": links.broken, "sent": links.sent, "dropped": links.dropped},
         });
         status.to_string()
     }
 
     /// The versions taken, newest last, as far as this member knows them.
-    fn history(&self, opened: &Opened, version: Option<u64>) -> Reply {
+    fn history(&self, opened: &OpenMember, version: Option<u64>) -> Reply {
         let history = opened.history.borrow();
         match version {
             None => Reply::json(json!({"versions": history.entries()}).to_string()),
@@ -164,22 +164,22 @@
     format!("{id:016x}")
 }
 
-fn seat_json(seat: &Seat) -> Value {
+fn member_json(seat: &MemberInfo) -> Value {
     json!({"id": hex(seat.id), "name": seat.name, "zone": seat.zone, "region": seat.region,
         "control": SocketAddrV4::from(&seat.control).to_string()})
 }
 
-fn standing_json(standing: &Standing) -> Value {
-    let view = standing.view.as_ref().map(|v| {
+fn status_json(status: &MemberStatus) -> Value {
+    let view = status.view.as_ref().map(|v| {
         json!({"epoch": v.epoch, "primary": hex(v.primary),
-            "copies": v.copies.iter().map(|c| hex(*c)).collect::<Vec<_>>(),
-            "voters": v.voters.iter().map(seat_json).collect::<Vec<_>>(), "settled": v.settled()})
+            "replicas": v.replicas.iter().map(|c| hex(*c)).collect::<Vec<_>>(),
+            "voters": v.voters.iter().map(member_json).collect::<Vec<_>>(), "settled": v.settled()})
     });
-    json!({"view": view, "acts": standing.acts, "primary": standing.primary.as_ref().map(|s| hex(s.id)),
-        "promised": standing.promised, "disk_fit": standing.fit, "age_ms": standing.age.as_millis() as u64})
+    json!({"view": view, "acts": status.acts, "primary": status.primary.as_ref().map(|s| hex(s.id)),
+        "promised": status.promised, "disk_fit": status.fit, "age_ms": status.age.as_millis() as u64})
 }
 
-impl Desk for FrontDesk {
+impl RunCall for CallRunner {
     async fn run(&self, call: Call) -> Reply {
         if call == Call::Status {
             return Reply::json(self.status().await);
--- a/crates/control-plane/src/shell/control.rs
+++ b/crates/control-plane/src/shell/control.rs
@@ -28,7 +28,7 @@
 /// Time after which a connection takes no more calls, and time in which the last one has to end.
 const CONNECTION_TIME: (Duration, Duration) = (Duration::from_secs(60), Duration::from_secs(10));
 /// Bodies of configurations that are held at once.
-const HEAVY: usize = 6;
+const MAX_CONCURRENT_BODIES: usize = 6;
 
 /// What goes back to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -79,7 +79,7 @@
 }
 
 /// Runs calls. For one thread.
-pub trait Desk: 'static {
+pub trait RunCall: 'static {
     /// Runs a call to its answer, within the time that its caller waits.
     fn run(&self, call: Call) -> impl Future<Output = Reply>;
 }
@@ -108,10 +108,16 @@
     stop: watch::Receiver<bool>,
 }
 
-impl<D: Desk> Control<D> {
+impl<D: RunCall> Control<D> {
     /// An API whose calls `desk` runs, with at most `most` connections at once, until `stop` becomes true.
     pub fn new(desk: D, most: usize, counters: Rc<ControlCounters>, stop: watch::Receiver<bool>) -> Rc<Self> {
-        Rc::new(Self { desk, open: Semaphore::new(most), heavy: Semaphore::new(HEAVY), counters, stop })
+        Rc::new(Self {
+            desk,
+            open: Semaphore::new(most),
+            heavy: Semaphore::new(MAX_CONCURRENT_BODIES),
+            counters,
+            stop,
+        })
     }
 
     /// Takes connections; never ends by itself. Runs on a `LocalSet`.
--- a/crates/control-plane/src/shell/disk.rs
+++ b/crates/control-plane/src/shell/disk.rs
@@ -1,15 +1,15 @@
 //! The disk's thread: it alone waits for the disk. Writes that have queued up share one sync.
 
 use crate::member::DiskError;
-use crate::shell::identity::{latest, Birth, Identity};
+use crate::shell::identity::{latest, Identity, StartFacts};
 use append_log::AppendLog;
 use std::path::PathBuf;
 use std::sync::mpsc;
 
 /// Records of identities that are kept before the file is rewritten.
-const IDENTITIES: usize = 64;
+const MAX_IDENTITY_RECORDS: usize = 64;
 /// Writes that share a sync at most.
-const BATCH: usize = 256;
+const MAX_WRITES_PER_SYNC: usize = 256;
 
 /// A write that waits for the disk.
 #[derive(Debug)]
@@ -35,7 +35,7 @@
 
 /// What the thread tells.
 #[derive(Debug)]
-pub enum Told {
+pub enum DiskEvent {
     /// The files are open.
     Open {
         /// The identity of this life.
@@ -65,15 +65,15 @@
 /// Where no thread can be started.
 pub fn start(
     dir: PathBuf,
-    birth: Birth,
-    tell: impl Fn(Told) + Send + 'static,
+    birth: StartFacts,
+    tell: impl Fn(DiskEvent) + Send + 'static,
 ) -> std::io::Result<mpsc::Sender<Write>> {
     let (writes, queue) = mpsc::channel::<Write>();
     std::thread::Builder::new().name("disk".into()).spawn(move || work(&dir, &birth, &tell, &queue))?;
     Ok(writes)
 }
 
-fn work(dir: &std::path::Path, birth: &Birth, tell: &dyn Fn(Told), queue: &mpsc::Receiver<Write>) {
+fn work(dir: &std::path::Path, birth: &StartFacts, tell: &dyn Fn(DiskEvent), queue: &mpsc::Receiver<Write>) {
     let (mut who, mut file, mut hosts, identity) = loop {
         match open(dir, birth) {
             Ok((who, file, identity, records)) => {
@@ -85,10 +85,10 @@
                         (None, None)
                     }
                 };
-                tell(Told::Open { identity: identity.clone(), records, roster });
+                tell(DiskEvent::Open { identity: identity.clone(), records, roster });
                 break (who, file, hosts, identity);
             }
-            Err(detail) => tell(Told::NotOpen { detail }),
+            Err(detail) => tell(DiskEvent::NotOpen { detail }),
         }
         match queue.recv_timeout(std::time::Duration::from_millis(250)) {
             Err(mpsc::RecvTimeoutError::Disconnected) => return,
@@ -98,7 +98,7 @@
     };
     while let Ok(first) = queue.recv() {
         let mut batch = vec![first];
-        while batch.len() < BATCH {
+        while batch.len() < MAX_WRITES_PER_SYNC {
             let Ok(next) = queue.try_recv() else { break };
             batch.push(next);
         }
@@ -125,7 +125,7 @@
             }
             for write in now {
                 let result = result.as_ref().map(|_| ()).map_err(refusal);
-                tell(Told::Wrote { ticket: write.ticket, result });
+                tell(DiskEvent::Wrote { ticket: write.ticket, result });
             }
             rest = later;
         }
@@ -148,19 +148,19 @@
 }
 
 /// The identity's file: nothing else is written before the identity is kept.
-struct Who {
+struct IdentityFile {
     file: AppendLog,
     records: usize,
     kept: bool,
 }
 
-impl Who {
+impl IdentityFile {
     fn keep(&mut self, identity: &Identity) -> Result<(), append_log::Error> {
         if self.kept {
             return Ok(());
         }
         let record = protocol::write_one(identity);
-        match self.records < IDENTITIES {
+        match self.records < MAX_IDENTITY_RECORDS {
             true => self.file.append(&[&record])?,
             false => self.file.rewrite(&[&record])?,
         }
@@ -169,12 +169,12 @@
     }
 }
 
-type Open = (Who, AppendLog, Identity, Vec<Vec<u8>>);
+type Open = (IdentityFile, AppendLog, Identity, Vec<Vec<u8>>);
 
-fn open(dir: &std::path::Path, birth: &Birth) -> Result<Open, String> {
+fn open(dir: &std::path::Path, birth: &StartFacts) -> Result<Open, String> {
     let (file, kept) = AppendLog::open(dir, "identity").map_err(|e| e.to_string())?;
     let identity = birth.identity(latest(&kept));
-    let mut who = Who { file, records: kept.len(), kept: false };
+    let mut who = IdentityFile { file, records: kept.len(), kept: false };
     // A full disk is no reason to stay away: the number of the life follows the time of day as well.
     if let Err(e) = who.keep(&identity) {
         log::warn!(error:% = e; "identity not kept yet");
--- a/crates/control-plane/src/shell/identity.rs
+++ b/crates/control-plane/src/shell/identity.rs
@@ -1,7 +1,7 @@
 //! Who a member is: kept on its own disk, so that a wiped disk comes back as somebody else.
 
 use binrw::binrw;
-use protocol::Seat;
+use protocol::MemberInfo;
 use std::net::SocketAddrV4;
 
 /// A member's identity as its disk keeps it.
@@ -13,16 +13,16 @@
     pub id: u64,
     /// Number of the current life; rises with each start.
     pub life: u64,
-    #[bw(calc = founders.len() as u32)]
+    #[bw(calc = initial_voters.len() as u32)]
     count: u32,
     /// The voters of view 0, where this member is one of them.
     #[br(count = count)]
-    pub founders: Vec<Seat>,
+    pub initial_voters: Vec<MemberInfo>,
 }
 
 /// What a member is told about its start.
 #[derive(Clone, Debug)]
-pub struct Birth {
+pub struct StartFacts {
     /// The machine's `control` address.
     pub control: SocketAddrV4,
     /// The seeds' `control` addresses.
@@ -38,8 +38,8 @@
     pub clock_ms: u64,
 }
 
-/// The identity that a founder has: it follows from the inner address, so founders know each other's.
-pub fn founder_id(inner: SocketAddrV4) -> u64 {
+/// The identity that an initial voter has: it follows from the inner address, so initial voters know each other's.
+pub fn initial_voter_id(inner: SocketAddrV4) -> u64 {
     let fnv = inner.to_string().bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
@@ -51,24 +51,33 @@
     SocketAddrV4::new(*control.ip(), port)
 }
 
-impl Birth {
+impl StartFacts {
     /// The identity of the life that starts now, given what the disk held.
     pub fn identity(&self, kept: Option<Identity>) -> Identity {
         if let Some(kept) = kept {
             return Identity { life: self.clock_ms.max(kept.life + 1), ..kept };
         }
-        let founds = self.bootstrap && self.seeds.contains(&self.control);
-        let founders = match founds {
+        let is_initial_voter = self.bootstrap && self.seeds.contains(&self.control);
+        let initial_voters = match is_initial_voter {
             true => self.seeds.iter().map(|s| self.founder(*s)).collect(),
             false => Vec::new(),
         };
-        let id = if founds { founder_id(inner(self.control, self.port)) } else { self.random.max(1) };
-        Identity { id, life: self.clock_ms.max(1), founders }
+        let id = if is_initial_voter {
+            initial_voter_id(inner(self.control, self.port))
+        } else {
+            self.random.max(1)
+        };
+        Identity { id, life: self.clock_ms.max(1), initial_voters }
     }
 
-    fn founder(&self, seed: SocketAddrV4) -> Seat {
+    fn founder(&self, seed: SocketAddrV4) -> MemberInfo {
         let addr = inner(seed, self.port);
-        Seat { id: founder_id(addr), addr: addr.into(), control: seed.into(), ..Seat::default() }
+        MemberInfo {
+            id: initial_voter_id(addr),
+            addr: addr.into(),
+            control: seed.into(),
+            ..MemberInfo::default()
+        }
     }
 }
 
--- a/crates/control-plane/src/shell/links.rs
+++ b/crates/control-plane/src/shell/links.rs
@@ -2,7 +2,7 @@
 //! dialled; what others say comes in over theirs.
 
 use crate::shell::connection::{ready, write_all};
-use protocol::{Addr, Message, Seat};
+use protocol::{Addr, MemberInfo, Message};
 use replication::FrameReader;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
@@ -14,29 +14,29 @@
 use tokio::time::{sleep, timeout, Instant};
 
 /// Longest wait for a connection.
-const CONNECT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// First and longest pause between two tries to connect.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+const RECONNECT_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 /// A connection on which nothing came for this long is probed...
-const PROBE: Duration = Duration::from_secs(2);
+const PROBE_AFTER: Duration = Duration::from_secs(2);
 /// ...and given up where nothing has come by then.
-const SILENCE: Duration = Duration::from_millis(3500);
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(3500);
 /// Messages that wait for a connection are dropped at this age: whoever sent them asks again.
-const STALE: Duration = Duration::from_secs(1);
+const MAX_QUEUED_AGE: Duration = Duration::from_secs(1);
 /// Bytes that wait for one peer. One message always fits.
-const QUEUE: usize = 4 << 20;
+const MAX_QUEUED_BYTES: usize = 4 << 20;
 /// Members that weren't reached for this long are forgotten, seeds excepted.
-const FORGET: Duration = Duration::from_secs(60);
+const FORGET_PEER_AFTER: Duration = Duration::from_secs(60);
 /// Most members that are dialled.
-const MOST: usize = 256;
+const MAX_PEERS: usize = 256;
 
 /// What comes from other members.
 #[derive(Clone, Debug)]
-pub enum Heard {
+pub enum LinkEvent {
     /// A member said who it is.
-    Hello(Seat),
+    Hello(MemberInfo),
     /// A member spoke.
-    Message(Seat, Box<Message>),
+    Message(MemberInfo, Box<Message>),
 }
 
 /// Plain counts since the start.
@@ -63,8 +63,8 @@
 }
 
 struct Inner {
-    me: Seat,
-    heard: Box<dyn Fn(Heard)>,
+    me: MemberInfo,
+    heard: Box<dyn Fn(LinkEvent)>,
     peers: RefCell<HashMap<Addr, Rc<Peer>>>,
     counters: RefCell<LinkCounters>,
 }
@@ -77,7 +77,7 @@
 }
 
 struct PeerState {
-    seat: Option<Seat>,
+    seat: Option<MemberInfo>,
     seed: bool,
     up: bool,
     reached: Instant,
@@ -88,7 +88,7 @@
 
 impl Links {
     /// Links of the member in `me`; what comes goes to `heard`. Runs on a `LocalSet`.
-    pub fn new(me: Seat, heard: impl Fn(Heard) + 'static) -> Self {
+    pub fn new(me: MemberInfo, heard: impl Fn(LinkEvent) + 'static) -> Self {
         let (peers, counters) = Default::default();
         Self { inner: Rc::new(Inner { me, heard: Box::new(heard), peers, counters }) }
     }
@@ -106,14 +106,14 @@
     }
 
     /// Takes note of members.
-    pub fn learn(&self, seats: &[Seat]) {
+    pub fn learn(&self, seats: &[MemberInfo]) {
         for seat in seats {
             self.peer(seat.addr);
         }
     }
 
     /// Sends a message over the link to a member, or drops it where the member can't be reached.
-    pub fn send(&self, to: &Seat, message: &Message) {
+    pub fn send(&self, to: &MemberInfo, message: &Message) {
         let Some(peer) = self.peer(to.addr) else { return };
         {
             let state = peer.state.borrow();
@@ -127,7 +127,7 @@
     }
 
     /// Members heard of lately, this one first.
-    pub fn seats(&self) -> Vec<Seat> {
+    pub fn seats(&self) -> Vec<MemberInfo> {
         let mut seats = vec![self.inner.me.clone()];
         for peer in self.inner.peers.borrow().values() {
             let state = peer.state.borrow();
@@ -148,14 +148,14 @@
     /// Where the connection breaks.
     pub async fn serve(
         &self,
-        seat: Seat,
+        seat: MemberInfo,
         first: Message,
         mut frames: FrameReader<impl tokio::io::AsyncRead + Unpin>,
         mut output: impl tokio::io::AsyncWrite + Unpin,
     ) -> std::io::Result<()> {
         write_all(&mut output, &protocol::encode(&Message::Hello { seat: self.inner.me.clone() })).await?;
         self.learn(std::slice::from_ref(&seat));
-        self.tell(Heard::Hello(seat.clone()));
+        self.tell(LinkEvent::Hello(seat.clone()));
         let mut next = Some(first);
         while let Some(message) = next {
             match message {
@@ -164,15 +164,15 @@
                     let answer = Message::Peers { seats: self.seats() };
                     write_all(&mut output, &protocol::encode(&answer)).await?;
                 }
-                message => self.tell(Heard::Message(seat.clone(), Box::new(message))),
+                message => self.tell(LinkEvent::Message(seat.clone(), Box::new(message))),
             }
             // The dialler probes at the latest then.
-            next = timeout(2 * SILENCE, frames.next()).await??;
+            next = timeout(2 * SILENCE_TIMEOUT, frames.next()).await??;
         }
         Ok(())
     }
 
-    fn tell(&self, heard: Heard) {
+    fn tell(&self, heard: LinkEvent) {
         self.inner.counters.borrow_mut().heard += 1;
         (self.inner.heard)(heard);
     }
@@ -180,12 +180,12 @@
     fn push(&self, peer: &Peer, message: &Message) {
         let frame = protocol::encode(message);
         let mut state = peer.state.borrow_mut();
-        while !state.up && state.queue.front().is_some_and(|(at, _)| at.elapsed() > STALE) {
+        while !state.up && state.queue.front().is_some_and(|(at, _)| at.elapsed() > MAX_QUEUED_AGE) {
             let old = state.queue.pop_front().map_or(0, |(_, frame)| frame.len());
             state.queued -= old;
             self.inner.counters.borrow_mut().dropped += 1;
         }
-        if !state.queue.is_empty() && state.queued + frame.len() > QUEUE {
+        if !state.queue.is_empty() && state.queued + frame.len() > MAX_QUEUED_BYTES {
             self.inner.counters.borrow_mut().dropped += 1;
             return;
         }
@@ -203,7 +203,7 @@
         if let Some(peer) = peers.get(&addr) {
             return Some(peer.clone());
         }
-        if peers.len() >= MOST {
+        if peers.len() >= MAX_PEERS {
             return None;
         }
         let state = PeerState {
@@ -224,7 +224,7 @@
 
     /// Keeps the connection to a peer up for as long as the peer is wanted.
     async fn keep_up(self, peer: Rc<Peer>) {
-        let mut pause = PAUSE.0;
+        let mut pause = RECONNECT_PAUSE.0;
         loop {
             let was_up = self.connect(&peer).await;
             {
@@ -234,7 +234,7 @@
                     self.inner.counters.borrow_mut().broken += 1;
                     log::info!(peer:? = SocketAddrV4::from(&peer.addr); "link down");
                 }
-                if !state.seed && state.reached.elapsed() > FORGET {
+                if !state.seed && state.reached.elapsed() > FORGET_PEER_AFTER {
                     state.wanted = false;
                 }
                 if !state.wanted {
@@ -242,10 +242,10 @@
                 }
             }
             if was_up {
-                pause = PAUSE.0;
+                pause = RECONNECT_PAUSE.0;
             }
             sleep(pause).await;
-            pause = (pause * 2).min(PAUSE.1);
+            pause = (pause * 2).min(RECONNECT_PAUSE.1);
         }
         self.inner.peers.borrow_mut().remove(&peer.addr);
     }
@@ -253,7 +253,7 @@
     /// One connection from its start to its end; whether it came up.
     async fn connect(&self, peer: &Peer) -> bool {
         let addr = SocketAddr::V4(SocketAddrV4::from(&peer.addr));
-        let Ok(Ok(stream)) = timeout(CONNECT, TcpStream::connect(addr)).await else { return false };
+        let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await else { return false };
         if let Err(e) = ready(&stream) {
             log::debug!(error:% = e; "socket options");
         }
@@ -264,7 +264,7 @@
         if write_all(&mut output, &[hello, peers].concat()).await.is_err() {
             return false;
         }
-        let Ok(Ok(Some(Message::Hello { seat }))) = timeout(SILENCE, frames.next()).await else {
+        let Ok(Ok(Some(Message::Hello { seat }))) = timeout(SILENCE_TIMEOUT, frames.next()).await else {
             return false;
         };
         self.came_up(peer, seat.clone());
@@ -274,7 +274,7 @@
                 *heard.borrow_mut() = Instant::now();
                 match message {
                     Message::Peers { seats } => self.learn(&seats),
-                    message => self.tell(Heard::Message(seat.clone(), Box::new(message))),
+                    message => self.tell(LinkEvent::Message(seat.clone(), Box::new(message))),
                 }
             }
         };
@@ -295,14 +295,14 @@
         let watch = async {
             loop {
                 let silence = heard.borrow().elapsed();
-                if silence >= SILENCE {
+                if silence >= SILENCE_TIMEOUT {
                     return;
                 }
-                if silence >= PROBE {
+                if silence >= PROBE_AFTER {
                     self.push(peer, &Message::Peers { seats: Vec::new() });
-                    sleep(SILENCE - PROBE).await;
+                    sleep(SILENCE_TIMEOUT - PROBE_AFTER).await;
                 } else {
-                    sleep(PROBE - silence).await;
+                    sleep(PROBE_AFTER - silence).await;
                 }
             }
         };
@@ -315,7 +315,7 @@
         true
     }
 
-    fn came_up(&self, peer: &Peer, seat: Seat) {
+    fn came_up(&self, peer: &Peer, seat: MemberInfo) {
         {
             let mut state = peer.state.borrow_mut();
             state.up = true;
@@ -323,14 +323,14 @@
             // What waited for somebody else, or for too long, is not for this one.
             let other = state.seat.as_ref().is_some_and(|s| s.id != seat.id);
             let before = state.queue.len();
-            state.queue.retain(|(at, _)| !other && at.elapsed() < STALE);
+            state.queue.retain(|(at, _)| !other && at.elapsed() < MAX_QUEUED_AGE);
             self.inner.counters.borrow_mut().dropped += (before - state.queue.len()) as u64;
             state.queued = state.queue.iter().map(|(_, frame)| frame.len()).sum();
             state.seat = Some(seat.clone());
         }
         self.inner.counters.borrow_mut().connected += 1;
         log::info!(peer:% = seat.name, addr:? = SocketAddrV4::from(&peer.addr); "link up");
-        self.tell(Heard::Hello(seat));
+        self.tell(LinkEvent::Hello(seat));
         // The others hear of it.
         let news = Message::Peers { seats: self.seats() };
         let others: Vec<Rc<Peer>> = self.inner.peers.borrow().values().cloned().collect();
--- a/crates/control-plane/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -1,9 +1,9 @@
 //! The member's process: all I/O round the state machine, on one thread, with a second one for the disk.
 
 pub mod call;
+mod call_runner;
 pub mod connection;
 pub mod control;
-mod desk;
 pub mod disk;
 pub mod identity;
 pub mod links;
@@ -12,13 +12,13 @@
 use crate::feed::Feed;
 use crate::history::History;
 use crate::member::{Config, Input, Member, Output};
+use call_runner::{Answered, CallRunner, OpenMember};
 use configuration::{Boot, Code};
 use control::{Control, ControlCounters};
-use desk::{Answered, FrontDesk, Opened};
-use disk::Told;
-use identity::{inner, Birth, Identity};
-use links::{Heard, Links};
-use protocol::{Command, Message, Seat, View};
+use disk::DiskEvent;
+use identity::{inner, Identity, StartFacts};
+use links::{LinkEvent, Links};
+use protocol::{Command, MemberInfo, Message, View};
 use replication::{client, FrameReader, Mirror, Puller, SharedMirror};
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::cell::RefCell;
@@ -36,17 +36,17 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// Longest wait for what a member's state machine says of itself.
-const STANDING: Duration = Duration::from_millis(300);
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest wait for a listener's port.
-const BIND: Duration = Duration::from_secs(3);
+const BIND_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest wait for the handing over at the end.
-const LEAVE: Duration = Duration::from_secs(2);
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for answers that are under way at the end.
-const LAST_ANSWERS: Duration = Duration::from_millis(200);
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Time for the first messages on a connection.
-const FIRST: Duration = Duration::from_secs(3);
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Inputs that are taken before other tasks run again.
-const TURN: usize = 64;
+const INPUTS_PER_TURN: usize = 64;
 
 /// What an operator may set.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,11 +104,11 @@
 }
 
 enum Event {
-    Heard(Heard),
-    Disk(Told),
+    LinkEvent(LinkEvent),
+    Disk(DiskEvent),
     Command(Command, oneshot::Sender<Answered>),
     /// Asks what the state machine says of itself.
-    Standing(oneshot::Sender<Standing>),
+    MemberStatus(oneshot::Sender<MemberStatus>),
 }
 
 /// Runs a member until `stop` is done and all is handed over. `seeds` brings the seeds' `control` addresses
@@ -139,7 +139,7 @@
     let control = boot.bind.control.context(NoControlSnafu)?;
     let dir = boot.state_dir.clone().context(NoDiskSnafu)?;
     let (events, mut queue) = unbounded_channel();
-    let birth = Birth {
+    let birth = StartFacts {
         control,
         seeds: boot.seed_nodes.clone(),
         port: boot.port_range.0,
@@ -158,7 +158,7 @@
     let (leave, leaving) = watch::channel(false);
     let (open_desk, opened) = watch::channel(None);
     let name = boot.node_name.clone();
-    let desk = FrontDesk::new(name, events.clone(), tuning.patience, leaving.clone(), opened);
+    let desk = CallRunner::new(name, events.clone(), tuning.patience, leaving.clone(), opened);
     let most = (boot.limits.fd_limit.saturating_sub(400) as usize).clamp(64, 2048);
     spawn_local(Control::new(desk, most, counters.clone(), leaving).listen(api));
     let disk = disk::start(dir, birth, tell).context(ThreadSnafu)?;
@@ -170,7 +170,7 @@
     let Some((identity, records, roster)) = opened else {
         return Err(std::io::Error::from(std::io::ErrorKind::BrokenPipe)).context(ThreadSnafu);
     };
-    let me = Seat {
+    let me = MemberInfo {
         id: identity.id,
         name: boot.node_name.clone(),
         addr: SocketAddrV4::new(boot.ip_addr, boot.port_range.0).into(),
@@ -178,16 +178,16 @@
         zone: boot.zone.clone(),
         region: boot.region.clone(),
     };
-    log::info!(id = identity.id, life = identity.life, records = records.len(), founder = !identity.founders.is_empty(); "member starts");
+    log::info!(id = identity.id, life = identity.life, records = records.len(), founder = !identity.initial_voters.is_empty(); "member starts");
 
-    let links = Links::new(me.clone(), move |heard| drop(events.send(Event::Heard(heard))));
+    let links = Links::new(me.clone(), move |heard| drop(events.send(Event::LinkEvent(heard))));
     let beat = Duration::from_millis(boot.beat_period_ms);
     let mirror = SharedMirror::since(Mirror::new(identity.id, beat), origin);
     roster::recall(&mirror, &identity, roster);
     let feed = Feed::new(identity.id, identity.life, beat, mirror.clone());
     let history = Rc::new(RefCell::new(History::default()));
     let inside = listen(SocketAddrV4::from(&me.addr)).await?;
-    open_desk.send_replace(Some(Rc::new(Opened {
+    open_desk.send_replace(Some(Rc::new(OpenMember {
         me: me.clone(),
         life: identity.life,
         links: links.clone(),
@@ -215,7 +215,7 @@
 
     let config = Config {
         me,
-        bootstrap_voters: Some(identity.founders).filter(|f| !f.is_empty() && records.is_empty()),
+        bootstrap_voters: Some(identity.initial_voters).filter(|f| !f.is_empty() && records.is_empty()),
         budget: boot.fault_budget,
         lease: tuning.lease,
         patience: tuning.patience,
@@ -232,7 +232,7 @@
         left: false,
         steps: 0,
         committed: 0,
-        known: Known::default(),
+        known: ShownFleet::default(),
         disk,
         links,
         mirror,
@@ -241,7 +241,7 @@
         period: tuning.counters,
     };
     shell.run(&mut queue, stop, &counters).await;
-    sleep(LAST_ANSWERS).await;
+    sleep(LAST_ANSWERS_TIME).await;
     shell.count(&counters);
     Ok(())
 }
@@ -258,7 +258,7 @@
     /// Number of the last change that the primary told to be acknowledged.
     committed: u64,
     /// What the mirror was told of the control plane.
-    known: Known,
+    known: ShownFleet,
     disk: std::sync::mpsc::Sender<disk::Write>,
     links: Links,
     mirror: Arc<SharedMirror>,
@@ -269,10 +269,10 @@
 }
 
 #[derive(Default, PartialEq)]
-struct Known {
+struct ShownFleet {
     epoch: u64,
     primary: u64,
-    members: Vec<Seat>,
+    members: Vec<MemberInfo>,
 }
 
 impl Shell {
@@ -291,7 +291,7 @@
                 biased;
                 () = &mut stop, if end.is_none() => {
                     log::info!("member leaves");
-                    end = Some(Instant::now() + LEAVE);
+                    end = Some(Instant::now() + LEAVE_TIMEOUT);
                     self.leave.send_replace(true);
                     self.step(Input::Leave);
                 }
@@ -299,7 +299,7 @@
                     // The desk holds a sender.
                     let Some(event) = event else { return };
                     self.take(event);
-                    for _ in 1..TURN {
+                    for _ in 1..INPUTS_PER_TURN {
                         let Ok(event) = queue.try_recv() else { break };
                         self.take(event);
                     }
@@ -322,21 +322,21 @@
 
     fn take(&mut self, event: Event) {
         match event {
-            Event::Heard(Heard::Hello(seat)) => self.step(Input::Reachable { seat }),
-            Event::Heard(Heard::Message(from, message)) => {
-                if let Message::Renew { committed, .. } = &*message {
+            Event::LinkEvent(LinkEvent::Hello(seat)) => self.step(Input::Reachable { seat }),
+            Event::LinkEvent(LinkEvent::Message(from, message)) => {
+                if let Message::RenewLease { committed, .. } = &*message {
                     self.committed = self.committed.max(*committed);
                 }
                 self.step(Input::Message { from, message: *message });
             }
-            Event::Disk(Told::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
-            Event::Disk(Told::Open { .. } | Told::NotOpen { .. }) => {}
+            Event::Disk(DiskEvent::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
+            Event::Disk(DiskEvent::Open { .. } | DiskEvent::NotOpen { .. }) => {}
             Event::Command(command, caller) => {
                 self.mirror.update(|mirror, _| {
                     let fleet = mirror.fleet();
                     let primary = fleet.members.iter().find(|s| s.id == fleet.primary);
                     if let Some(primary) = primary {
-                        self.member.hear_of(fleet.epoch, primary.clone());
+                        self.member.learn_primary(fleet.epoch, primary.clone());
                     }
                 });
                 // Whoever stopped waiting may have been answered elsewhere, but what it asked for still holds.
@@ -346,7 +346,7 @@
                 self.step(Input::Command { ticket: self.tickets, command });
             }
             // Whoever asked may have stopped waiting.
-            Event::Standing(asker) => drop(asker.send(self.standing())),
+            Event::MemberStatus(asker) => drop(asker.send(self.status())),
         }
     }
 
@@ -379,9 +379,9 @@
         self.outputs = outputs;
     }
 
-    fn standing(&self) -> Standing {
+    fn status(&self) -> MemberStatus {
         let now = self.origin.elapsed();
-        Standing {
+        MemberStatus {
             view: self.member.view().cloned(),
             acts: self.member.acts(),
             primary: self.member.primary(),
@@ -398,10 +398,10 @@
         let committed = self.committed;
         let Some(view) = self.member.view().filter(|v| v.epoch > 0) else { return };
         let reached = self.links.seats();
-        let seat = |voter: &Seat| reached.iter().find(|s| s.id == voter.id).unwrap_or(voter).clone();
+        let seat = |voter: &MemberInfo| reached.iter().find(|s| s.id == voter.id).unwrap_or(voter).clone();
         let others = reached.iter().filter(|s| view.seat(s.id).is_none()).cloned();
         let members = view.voters.iter().map(seat).chain(others).collect();
-        let known = Known { epoch: view.epoch, primary: view.primary, members };
+        let known = ShownFleet { epoch: view.epoch, primary: view.primary, members };
         let news = known != self.known;
         self.mirror.update(|mirror, _| {
             if news {
@@ -437,10 +437,10 @@
 
 /// What a member's state machine says of itself.
 #[derive(Debug)]
-struct Standing {
+struct MemberStatus {
     view: Option<View>,
     acts: bool,
-    primary: Option<Seat>,
+    primary: Option<MemberInfo>,
     promised: u64,
     fit: bool,
     age: Duration,
@@ -454,10 +454,10 @@
     let mut refused = false;
     loop {
         match queue.recv().await? {
-            Event::Disk(Told::Open { identity, records, roster }) => {
+            Event::Disk(DiskEvent::Open { identity, records, roster }) => {
                 return Some((identity, records, roster));
             }
-            Event::Disk(Told::NotOpen { detail }) if !refused => {
+            Event::Disk(DiskEvent::NotOpen { detail }) if !refused => {
                 refused = true;
                 log::error!(detail; "the disk's files can't be opened yet");
             }
@@ -468,7 +468,7 @@
 
 /// Listens, once the port is free: the life before may not be gone quite yet.
 async fn listen(addr: SocketAddrV4) -> Result<TcpListener, Failure> {
-    let until = Instant::now() + BIND;
+    let until = Instant::now() + BIND_TIMEOUT;
     loop {
         match TcpListener::bind(addr).await {
             Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < until => {
@@ -503,13 +503,13 @@
 async fn inbound(stream: TcpStream, links: Links, feed: Arc<Feed>) -> std::io::Result<()> {
     connection::ready(&stream)?;
     let mut frames = FrameReader::new(stream, Vec::new());
-    let Some(first) = timeout(FIRST, frames.next()).await?? else { return Ok(()) };
+    let Some(first) = timeout(FIRST_MESSAGE_TIMEOUT, frames.next()).await?? else { return Ok(()) };
     let (seat, first) = match first {
-        Message::Hello { seat } => match timeout(FIRST, frames.next()).await?? {
+        Message::Hello { seat } => match timeout(FIRST_MESSAGE_TIMEOUT, frames.next()).await?? {
             Some(first) => (seat, first),
             None => return Ok(()),
         },
-        first => (Seat::default(), first),
+        first => (MemberInfo::default(), first),
     };
     let (stream, rest) = frames.into_parts();
     match first {
--- a/crates/control-plane/tests/control.rs
+++ b/crates/control-plane/tests/control.rs
@@ -2,7 +2,7 @@
 
 use configuration::Code;
 use control_plane::shell::call::Call;
-use control_plane::shell::control::{Control, ControlCounters, Desk, Reply, LARGEST_BODY};
+use control_plane::shell::control::{Control, ControlCounters, Reply, RunCall, LARGEST_BODY};
 use rstest::rstest;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
 #[derive(Clone)]
 struct Gate(Rc<Semaphore>, Rc<Cell<usize>>);
 
-impl Desk for Gate {
+impl RunCall for Gate {
     async fn run(&self, call: Call) -> Reply {
         self.1.set(self.1.get() + 1);
         let _pass = self.0.acquire().await.unwrap();
--- a/crates/control-plane/tests/disk.rs
+++ b/crates/control-plane/tests/disk.rs
@@ -1,20 +1,20 @@
 //! The disk's thread on a real folder.
 
-use control_plane::shell::disk::{start, File, Told, Write};
-use control_plane::shell::identity::{Birth, Identity};
+use control_plane::shell::disk::{start, DiskEvent, File, Write};
+use control_plane::shell::identity::{Identity, StartFacts};
 use std::path::Path;
 use std::sync::mpsc::{channel, Receiver, Sender};
 
-fn birth(bootstrap: bool) -> Birth {
+fn birth(bootstrap: bool) -> StartFacts {
     let control = "10.1.0.1:8146".parse().unwrap();
-    Birth { control, seeds: vec![control], port: 7660, bootstrap, random: 9, clock_ms: 100 }
+    StartFacts { control, seeds: vec![control], port: 7660, bootstrap, random: 9, clock_ms: 100 }
 }
 
-fn open(dir: &Path, bootstrap: bool) -> (Sender<Write>, Receiver<Told>, Identity, Vec<Vec<u8>>) {
+fn open(dir: &Path, bootstrap: bool) -> (Sender<Write>, Receiver<DiskEvent>, Identity, Vec<Vec<u8>>) {
     let (tell, told) = channel();
     let writes = start(dir.into(), birth(bootstrap), move |t| drop(tell.send(t))).unwrap();
     match told.recv().unwrap() {
-        Told::Open { identity, records, roster: None } => (writes, told, identity, records),
+        DiskEvent::Open { identity, records, roster: None } => (writes, told, identity, records),
         other => panic!("{other:?}"),
     }
 }
@@ -34,12 +34,14 @@
     write(&writes, 3, &["d"], false);
     write(&writes, 4, &["e"], false);
     for wanted in 1..=4 {
-        assert!(matches!(told.recv().unwrap(), Told::Wrote { ticket, result: Ok(()) } if ticket == wanted));
+        assert!(
+            matches!(told.recv().unwrap(), DiskEvent::Wrote { ticket, result: Ok(()) } if ticket == wanted)
+        );
     }
     drop(writes);
     assert!(told.recv().is_err(), "the thread ends with its sender");
     let (_, _, second, records) = open(dir.path(), false);
-    assert_eq!((second.id, &second.founders), (first.id, &first.founders));
+    assert_eq!((second.id, &second.initial_voters), (first.id, &first.initial_voters));
     assert!(second.life > first.life);
     assert_eq!(records, [b"c", b"d", b"e"]);
 }
@@ -53,5 +55,5 @@
     }
     let (_, _, second, records) = open(dir.path(), false);
     assert_ne!(second.id, first.id);
-    assert!(second.founders.is_empty() && records.is_empty());
+    assert!(second.initial_voters.is_empty() && records.is_empty());
 }
--- a/crates/control-plane/tests/identity.rs
+++ b/crates/control-plane/tests/identity.rs
@@ -1,6 +1,6 @@
 //! Who a member is, given what its disk held.
 
-use control_plane::shell::identity::{founder_id, inner, latest, Birth, Identity};
+use control_plane::shell::identity::{initial_voter_id, inner, latest, Identity, StartFacts};
 use rstest::rstest;
 use std::net::SocketAddrV4;
 
@@ -10,8 +10,8 @@
     text.parse().unwrap()
 }
 
-fn birth(control: &str, bootstrap: bool) -> Birth {
-    Birth {
+fn birth(control: &str, bootstrap: bool) -> StartFacts {
+    StartFacts {
         control: addr(control),
         seeds: SEEDS.iter().map(|s| addr(s)).collect(),
         port: 7660,
@@ -25,13 +25,13 @@
 fn founders_know_each_other() {
     let all: Vec<Identity> = SEEDS.iter().map(|s| birth(s, true).identity(None)).collect();
     for (seed, identity) in SEEDS.iter().zip(&all) {
-        assert_eq!(identity.id, founder_id(inner(addr(seed), 7660)));
-        assert_eq!(identity.founders, all[0].founders);
-        let ids: Vec<u64> = identity.founders.iter().map(|f| f.id).collect();
+        assert_eq!(identity.id, initial_voter_id(inner(addr(seed), 7660)));
+        assert_eq!(identity.initial_voters, all[0].initial_voters);
+        let ids: Vec<u64> = identity.initial_voters.iter().map(|f| f.id).collect();
         assert_eq!(ids, all.iter().map(|i| i.id).collect::<Vec<_>>());
     }
-    assert_eq!(all[0].founders[1].addr, addr("10.2.0.1:7660").into());
-    assert_eq!(all[0].founders[1].control, addr("10.2.0.1:8146").into());
+    assert_eq!(all[0].initial_voters[1].addr, addr("10.2.0.1:7660").into());
+    assert_eq!(all[0].initial_voters[1].control, addr("10.2.0.1:8146").into());
 }
 
 #[rstest]
@@ -40,7 +40,7 @@
 #[case::late("10.4.0.1:8146", false)]
 fn others_come_with_a_new_identity_and_no_say(#[case] control: &str, #[case] bootstrap: bool) {
     let identity = birth(control, bootstrap).identity(None);
-    assert_eq!((identity.id, identity.founders), (77, vec![]));
+    assert_eq!((identity.id, identity.initial_voters), (77, vec![]));
 }
 
 #[rstest]
@@ -48,7 +48,10 @@
 #[case::clock_went_back(2_000, 2_001)]
 fn a_life_is_numbered_above_the_one_before(#[case] before: u64, #[case] now: u64) {
     let kept = Identity { id: 5, life: before, ..Identity::default() };
-    assert_eq!(birth(SEEDS[0], true).identity(Some(kept)), Identity { id: 5, life: now, founders: vec![] });
+    assert_eq!(
+        birth(SEEDS[0], true).identity(Some(kept)),
+        Identity { id: 5, life: now, initial_voters: vec![] }
+    );
 }
 
 #[rstest]
--- a/crates/control-plane/tests/ledger.rs
+++ b/crates/control-plane/tests/ledger.rs
@@ -2,8 +2,8 @@
 
 use configuration::{Code, FaultBudget};
 use control_plane::ledger::{Ledger, Plan};
-use control_plane::member::choose_copies;
-use protocol::{Change, Command, Seat};
+use control_plane::member::choose_replicas;
+use protocol::{Change, Command, MemberInfo};
 use rstest::rstest;
 
 fn body(version: u64, service: &str) -> Vec<u8> {
@@ -68,8 +68,8 @@
     assert!(forgotten.drains.is_empty());
 }
 
-fn seat(id: u64, zone: &str, region: &str) -> Seat {
-    Seat { id, zone: zone.into(), region: region.into(), ..Seat::default() }
+fn seat(id: u64, zone: &str, region: &str) -> MemberInfo {
+    MemberInfo { id, zone: zone.into(), region: region.into(), ..MemberInfo::default() }
 }
 
 #[rstest]
@@ -88,14 +88,14 @@
     let budget = FaultBudget { machine_losses: machines, zones, region_losses: regions };
     let seats =
         [seat(1, "a", "x"), seat(2, "a", "x"), seat(3, "b", "x"), seat(4, "c", "y"), seat(5, "c", "y")];
-    let seats: Vec<&Seat> = seats.iter().collect();
-    let copies = choose_copies(&budget, &seats);
-    assert_eq!(copies.is_some(), most.is_some());
-    let Some(copies) = copies else { return };
-    let of = |name: fn(&Seat) -> &str| {
-        let names = seats.iter().filter(|s| copies.contains(&s.id)).map(|s| name(s));
+    let seats: Vec<&MemberInfo> = seats.iter().collect();
+    let replicas = choose_replicas(&budget, &seats);
+    assert_eq!(replicas.is_some(), most.is_some());
+    let Some(replicas) = replicas else { return };
+    let of = |name: fn(&MemberInfo) -> &str| {
+        let names = seats.iter().filter(|s| replicas.contains(&s.id)).map(|s| name(s));
         names.collect::<std::collections::BTreeSet<_>>().len() as u32
     };
-    assert!(copies.len() <= most.unwrap() && copies[0] == 1, "{copies:?}");
-    assert!(copies.len() as u32 > machines && of(|s| &s.zone) > zones && of(|s| &s.region) > regions);
+    assert!(replicas.len() <= most.unwrap() && replicas[0] == 1, "{replicas:?}");
+    assert!(replicas.len() as u32 > machines && of(|s| &s.zone) > zones && of(|s| &s.region) > regions);
 }
--- a/crates/control-plane/tests/links.rs
+++ b/crates/control-plane/tests/links.rs
@@ -1,7 +1,7 @@
 //! Links between members over real sockets; waits are on tokio's paused clock.
 
-use control_plane::shell::links::{Heard, Links};
-use protocol::{Message, Seat};
+use control_plane::shell::links::{LinkEvent, Links};
+use protocol::{MemberInfo, Message};
 use replication::FrameReader;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
@@ -12,10 +12,10 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-type Log = Rc<RefCell<Vec<Heard>>>;
+type Log = Rc<RefCell<Vec<LinkEvent>>>;
 
-fn seat(id: u64, addr: SocketAddrV4) -> Seat {
-    Seat { id, name: format!("m{id}"), addr: addr.into(), ..Seat::default() }
+fn seat(id: u64, addr: SocketAddrV4) -> MemberInfo {
+    MemberInfo { id, name: format!("m{id}"), addr: addr.into(), ..MemberInfo::default() }
 }
 
 fn v4(listener: &TcpListener) -> SocketAddrV4 {
@@ -35,7 +35,7 @@
 }
 
 /// Takes the dialler's connection and says who is there.
-async fn greet(listener: &TcpListener, who: &Seat) -> FrameReader<TcpStream> {
+async fn greet(listener: &TcpListener, who: &MemberInfo) -> FrameReader<TcpStream> {
     let (stream, _) = listener.accept().await.unwrap();
     let mut frames = FrameReader::new(stream, Vec::new());
     assert!(matches!(frames.next().await.unwrap(), Some(Message::Hello { seat }) if seat.id == 1));
@@ -51,7 +51,7 @@
 }
 
 fn yield_message() -> Message {
-    Message::Yield { epoch: 7 }
+    Message::ReleaseLease { epoch: 7 }
 }
 
 #[test]
@@ -97,7 +97,7 @@
         drop(mute);
         let _frames = greet(&listener, &seat(2, v4(&listener))).await;
         until(|| links.counters().connected == 1).await;
-        assert!(matches!(log.borrow()[..], [Heard::Hello(ref s)] if s.id == 2));
+        assert!(matches!(log.borrow()[..], [LinkEvent::Hello(ref s)] if s.id == 2));
         assert_eq!(links.counters().broken, 0);
     });
 }
@@ -111,7 +111,7 @@
         links.set_seeds(&[v4(&listener)]);
         let mut frames = greet(&listener, &before).await;
         until(|| links.counters().connected == 1).await;
-        assert!(matches!(log.borrow()[0], Heard::Hello(ref s) if s.id == 2));
+        assert!(matches!(log.borrow()[0], LinkEvent::Hello(ref s) if s.id == 2));
         assert!(matches!(frames.next().await.unwrap(), Some(Message::Peers { .. })));
         links.send(&before, &yield_message());
         assert_eq!(frames.next().await.unwrap(), Some(yield_message()));
@@ -122,9 +122,9 @@
         let dropped = links.counters().dropped;
         links.send(&before, &yield_message());
         assert_eq!(links.counters().dropped, dropped + 1);
-        links.send(&now, &Message::Yield { epoch: 8 });
+        links.send(&now, &Message::ReleaseLease { epoch: 8 });
         assert!(matches!(frames.next().await.unwrap(), Some(Message::Peers { .. })));
-        assert_eq!(frames.next().await.unwrap(), Some(Message::Yield { epoch: 8 }));
+        assert_eq!(frames.next().await.unwrap(), Some(Message::ReleaseLease { epoch: 8 }));
     });
 }
 
@@ -139,7 +139,7 @@
         let _stuck = greet(&listener, &other).await;
         until(|| links.counters().connected == 1).await;
         let text = vec![b'x'; 1 << 20];
-        let long = Message::Answer { id: 1, code: 0, text };
+        let long = Message::CommandResult { id: 1, code: 0, text };
         for _ in 0..40 {
             links.send(&other, &long);
             tokio::task::yield_now().await;
--- a/crates/control-plane/tests/roster.rs
+++ b/crates/control-plane/tests/roster.rs
@@ -2,7 +2,7 @@
 
 use configuration::Code;
 use control_plane::roster::{beat_target, Beat, HostCall, Roster};
-use protocol::{Addr, Caller, HostRecord, Seat};
+use protocol::{Addr, Caller, HostRecord, MemberInfo};
 use replication::phase;
 use rstest::rstest;
 use std::collections::HashMap;
@@ -237,7 +237,7 @@
 
 #[test]
 fn later_beats_are_spread_over_the_members_that_live() {
-    let live: Vec<Seat> = (1..=3).map(|id| Seat { id, ..Seat::default() }).collect();
+    let live: Vec<MemberInfo> = (1..=3).map(|id| MemberInfo { id, ..MemberInfo::default() }).collect();
     let mut counts: HashMap<u64, u32> = HashMap::new();
     for n in 0..300 {
         let host = format!("i-{n}");
--- a/crates/fennelpin-cli/src/control.rs
+++ b/crates/fennelpin-cli/src/control.rs
@@ -164,9 +164,8 @@
                 }
             };
             let mut status: Value = serde_json::from_slice(&answer.body).context(StrangeSnafu { control })?;
-            let named = ["/members", "/standing/view/voters"]
-                .into_iter()
-                .filter_map(|p| status.pointer(p)?.as_array());
+            let named =
+                ["/members", "/member/view/voters"].into_iter().filter_map(|p| status.pointer(p)?.as_array());
             open.extend(named.flatten().filter_map(|m| m["control"].as_str()?.parse::<SocketAddr>().ok()));
             status["control"] = control.to_string().into();
             told.push(status);
--- a/crates/fennelpin-cli/src/status.rs
+++ b/crates/fennelpin-cli/src/status.rs
@@ -93,18 +93,18 @@
 /// The status of the member that sees the highest epoch.
 fn best(statuses: &[Value]) -> Option<&Value> {
     let rank =
-        |s: &&Value| (number(s, "/standing/view/epoch"), s.pointer("/standing/acts") == Some(&true.into()));
+        |s: &&Value| (number(s, "/member/view/epoch"), s.pointer("/member/acts") == Some(&true.into()));
     statuses.iter().max_by_key(rank)
 }
 
 fn role(status: &Value, view: &Value) -> String {
     let id = text(status, "/id");
-    let copy = view["copies"].as_array().is_some_and(|c| c.iter().any(|c| c == id));
+    let copy = view["replicas"].as_array().is_some_and(|c| c.iter().any(|c| c == id));
     let voter = view["voters"].as_array().is_some_and(|v| v.iter().any(|v| v["id"] == id));
-    let word = match (status["opening"] == true, status.pointer("/standing/acts") == Some(&true.into())) {
+    let word = match (status["opening"] == true, status.pointer("/member/acts") == Some(&true.into())) {
         (true, _) => "opening",
         (_, true) => "primary",
-        _ if copy => "copy",
+        _ if copy => "replica",
         _ if voter => "witness",
         _ => "joining",
     };
@@ -116,10 +116,10 @@
 pub fn report(statuses: &[Value], with_hosts: bool) -> String {
     let mut lines = Vec::new();
     let Some(best) = best(statuses) else { return "no member".to_owned() };
-    let view = best.pointer("/standing/view").unwrap_or(&Value::Null);
+    let view = best.pointer("/member/view").unwrap_or(&Value::Null);
     let names: BTreeMap<&str, &str> = statuses.iter().map(|s| (text(s, "/id"), text(s, "/node"))).collect();
     let name = |id: &str| names.get(id).map_or_else(|| format!("{id} (no answer)"), |n| (*n).to_owned());
-    let acting = statuses.iter().find(|s| s.pointer("/standing/acts") == Some(&true.into()));
+    let acting = statuses.iter().find(|s| s.pointer("/member/acts") == Some(&true.into()));
     let primary = acting.map_or_else(|| "none acts now".to_owned(), |s| text(s, "/node").to_owned());
     let list = |path: &str, of: fn(&Value) -> Option<&str>| {
         let all = view.pointer(path).and_then(Value::as_array);
@@ -127,7 +127,7 @@
     };
     let settled = if view["settled"] == true { "" } else { " (its voters are changing)" };
     lines.push(format!("epoch {}{settled}; primary: {primary}", number(view, "/epoch")));
-    lines.push(format!("copies: {}", list("/copies", Value::as_str)));
+    lines.push(format!("replicas: {}", list("/replicas", Value::as_str)));
     lines.push(format!("voters: {}", list("/voters", |v| v["id"].as_str())));
     let newest = statuses.iter().map(|s| number(s, "/ledger/version")).max().unwrap_or_default();
     let ledger = best.get("ledger").unwrap_or(&Value::Null);
@@ -143,7 +143,7 @@
         "member", "zone", "control", "role", "change", "version", "age ms"
     ));
     for status in statuses {
-        let disk = match status.pointer("/standing/disk_fit") {
+        let disk = match status.pointer("/member/disk_fit") {
             Some(Value::Bool(true)) => "takes writes",
             Some(Value::Bool(false)) => "refuses or stalls",
             _ => "hasn't answered",
@@ -156,7 +156,7 @@
             role(status, view),
             number(status, "/ledger/seq"),
             number(status, "/ledger/version"),
-            number(status, "/standing/age_ms"),
+            number(status, "/member/age_ms"),
         ));
     }
     lines.push(String::new());
--- a/crates/fennelpin-cli/tests/operators.rs
+++ b/crates/fennelpin-cli/tests/operators.rs
@@ -136,12 +136,13 @@
     assert_eq!(desk.ask(&["config", "apply"], &[&first]).code, 0);
     let done = desk.ask(&["status"], &["--hosts"]);
     assert_eq!(done.code, 0);
-    for line in ["primary: core-1", "copies: core-1", "voters: core-1", "configuration: version 4, 1 routes"]
+    for line in
+        ["primary: core-1", "replicas: core-1", "voters: core-1", "configuration: version 4, 1 routes"]
     {
         assert!(done.out.contains(line), "{}", done.out);
     }
     let json: Value = serde_json::from_str(&desk.ask(&["status"], &["--json"]).out).unwrap();
-    assert_eq!(json[0]["standing"]["acts"], true);
+    assert_eq!(json[0]["member"]["acts"], true);
     assert_eq!(json[0]["ledger"]["version"], 4);
 }
 
--- a/crates/fennelpin-cli/tests/processes.rs
+++ b/crates/fennelpin-cli/tests/processes.rs
@@ -88,11 +88,11 @@
     }
 }
 
-/// The member that acts, and whether all three are back: voters of a settled view, the copies among them.
-fn standing(members: &Members) -> (Option<u8>, bool) {
+/// The member that acts, and whether all three are back: voters of a settled view, the replicas among them.
+fn membership_state(members: &Members) -> (Option<u8>, bool) {
     let Ok(statuses) = members.statuses() else { return (None, false) };
-    let Some(acting) = statuses.iter().find(|s| s["standing"]["acts"] == true) else { return (None, false) };
-    let view = &acting["standing"]["view"];
+    let Some(acting) = statuses.iter().find(|s| s["member"]["acts"] == true) else { return (None, false) };
+    let view = &acting["member"]["view"];
     let ids: Vec<&Value> = statuses.iter().map(|s| &s["id"]).collect();
     let named = |list: &Value, of: fn(&Value) -> &Value| {
         list.as_array().unwrap().iter().all(|x| ids.contains(&of(x)))
@@ -100,12 +100,12 @@
     let all = ids.len() == 3
         && statuses
             .iter()
-            .all(|s| s["standing"]["view"]["epoch"] == view["epoch"] && s["standing"]["disk_fit"] == true)
+            .all(|s| s["member"]["view"]["epoch"] == view["epoch"] && s["member"]["disk_fit"] == true)
         && view["settled"] == true
         && view["voters"].as_array().unwrap().len() == 3
         && named(&view["voters"], |v| &v["id"])
-        && view["copies"].as_array().unwrap().len() == 2
-        && named(&view["copies"], |c| c);
+        && view["replicas"].as_array().unwrap().len() == 2
+        && named(&view["replicas"], |c| c);
     let number = acting["node"].as_str().and_then(|n| n.strip_prefix("core-")?.parse().ok());
     (number, all)
 }
@@ -129,7 +129,7 @@
         let end = Instant::now() + LONG;
         loop {
             self.event();
-            if let (Some(primary), true) = standing(&self.members) {
+            if let (Some(primary), true) = membership_state(&self.members) {
                 return primary;
             }
             assert!(Instant::now() < end, "not all members come back: {:?}", self.members.statuses());
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -18,7 +18,7 @@
 
 /// Bounds on a head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Most {
+pub struct HeadLimits {
     /// Bytes, with the blank line.
     pub bytes: usize,
     /// Fields; [`MOST`]'s are the most that can be.
@@ -26,9 +26,9 @@
 }
 
 /// The widest bounds on fields, and the usual ones on bytes.
-pub const MOST: Most = Most { bytes: 16 * 1024, fields: 96 };
+pub const MOST: HeadLimits = HeadLimits { bytes: 16 * 1024, fields: 96 };
 
-impl Most {
+impl HeadLimits {
     /// So many bytes, and as many fields as can be.
     pub const fn bytes(bytes: usize) -> Self {
         Self { bytes, fields: MOST.fields }
@@ -197,7 +197,7 @@
 fn found(
     parsed: httparse::Result<usize>,
     len: usize,
-    most: Most,
+    most: HeadLimits,
     what: &'static str,
 ) -> Result<Option<usize>, Malformed> {
     match parsed {
@@ -228,7 +228,7 @@
     spans: Vec<(Span, Span)>,
 }
 
-fn request(input: &[u8], most: Most) -> Found<RequestParts> {
+fn request(input: &[u8], most: HeadLimits) -> Found<RequestParts> {
     let mut slots = [httparse::EMPTY_HEADER; MOST.fields];
     let mut head = httparse::Request::new(slots.get_mut(..most.fields).unwrap_or_default());
     let Some(n) = found(head.parse(input), input.len(), most, "request")? else { return Ok(None) };
@@ -253,7 +253,7 @@
     ///
     /// # Errors
     /// Where it is no head, is framed in two ways, or is larger than `most`.
-    pub fn read(input: &[u8], most: Most) -> Result<Option<(Self, usize)>, Malformed> {
+    pub fn read(input: &[u8], most: HeadLimits) -> Result<Option<(Self, usize)>, Malformed> {
         let Some((n, parts)) = request(input, most)? else { return Ok(None) };
         let raw = Bytes::copy_from_slice(input.get(..n).unwrap_or_default());
         Ok(Some((Self::of(parts, raw)?, n)))
@@ -265,7 +265,7 @@
     /// # Errors
     /// As [`RequestHead::read`], and where it names two hosts, an old version has chunks, or the target is none
     /// that a server is asked for.
-    pub fn take(buf: &mut BytesMut, most: Most) -> Result<Option<Self>, Malformed> {
+    pub fn take(buf: &mut BytesMut, most: HeadLimits) -> Result<Option<Self>, Malformed> {
         let Some((n, parts)) = request(buf, most)? else { return Ok(None) };
         let head = Self::of(parts, buf.split_to(n).freeze())?;
         if head.fields.all("host").nth(1).is_some() {
@@ -351,7 +351,7 @@
     spans: Vec<(Span, Span)>,
 }
 
-fn response(input: &[u8], most: Most) -> Found<ResponseParts> {
+fn response(input: &[u8], most: HeadLimits) -> Found<ResponseParts> {
     let mut slots = [httparse::EMPTY_HEADER; MOST.fields];
     let mut head = httparse::Response::new(slots.get_mut(..most.fields).unwrap_or_default());
     let Some(n) = found(head.parse(input), input.len(), most, "response")? else { return Ok(None) };
@@ -381,7 +381,7 @@
     ///
     /// # Errors
     /// Where it is no head, is framed in two ways, or is larger than `most`.
-    pub fn read(input: &[u8], most: Most, to_head: bool) -> Result<Option<(Self, usize)>, Malformed> {
+    pub fn read(input: &[u8], most: HeadLimits, to_head: bool) -> Result<Option<(Self, usize)>, Malformed> {
         let Some((n, parts)) = response(input, most)? else { return Ok(None) };
         let raw = Bytes::copy_from_slice(input.get(..n).unwrap_or_default());
         Ok(Some((Self::of(parts, raw, to_head)?, n)))
@@ -391,7 +391,7 @@
     ///
     /// # Errors
     /// As [`ResponseHead::read`].
-    pub fn take(buf: &mut BytesMut, most: Most, to_head: bool) -> Result<Option<Self>, Malformed> {
+    pub fn take(buf: &mut BytesMut, most: HeadLimits, to_head: bool) -> Result<Option<Self>, Malformed> {
         let Some((n, parts)) = response(buf, most)? else { return Ok(None) };
         Self::of(parts, buf.split_to(n).freeze(), to_head).map(Some)
     }
--- a/crates/http1/tests/parsing.rs
+++ b/crates/http1/tests/parsing.rs
@@ -1,10 +1,10 @@
 //! Heads, framing and bodies of HTTP/1.1.
 
 use bytes::BytesMut;
-use http1::{Body, Framing, Malformed, Most, Piece, RequestHead, ResponseHead};
+use http1::{Body, Framing, HeadLimits, Malformed, Piece, RequestHead, ResponseHead};
 use rstest::rstest;
 
-const MOST: Most = Most::bytes(1024);
+const MOST: HeadLimits = HeadLimits::bytes(1024);
 
 fn request(text: &str) -> Result<Option<RequestHead>, Malformed> {
     RequestHead::take(&mut BytesMut::from(text), MOST)
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! ```
 //! use protocol::{decode, encode, Message};
-//! let frame = encode(&Message::Yield { epoch: 7 });
-//! assert_eq!(decode(&frame).unwrap(), Some((Message::Yield { epoch: 7 }, frame.len())));
+//! let frame = encode(&Message::ReleaseLease { epoch: 7 });
+//! assert_eq!(decode(&frame).unwrap(), Some((Message::ReleaseLease { epoch: 7 }, frame.len())));
 //! assert_eq!(decode(&frame[..3]).unwrap(), None, "more bytes are needed");
 //! ```
 #![forbid(unsafe_code)]
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -20,7 +20,7 @@
 #[binrw]
 #[brw(little)]
 #[derive(Clone, Debug, PartialEq, Default)]
-pub struct Seat {
+pub struct MemberInfo {
     /// Its identity; a member that lost its disk comes back with another one.
     pub id: u64,
     /// Name of its machine.
@@ -53,22 +53,22 @@
     /// Those that hold the ledger, the primary among them: each has a change on disk before it is acknowledged.
     #[br(parse_with = list)]
     #[bw(write_with = put_list)]
-    pub copies: Vec<u64>,
+    pub replicas: Vec<u64>,
     /// All that have a say in the next view.
     #[br(parse_with = list)]
     #[bw(write_with = put_list)]
-    pub voters: Vec<Seat>,
+    pub voters: Vec<MemberInfo>,
     /// The voters of the view that it followed: while these differ, the next view needs a majority of both.
     #[br(parse_with = list)]
     #[bw(write_with = put_list)]
-    pub before: Vec<Seat>,
+    pub before: Vec<MemberInfo>,
 }
 
 /// How far a ledger goes.
 #[binrw]
 #[brw(little)]
 #[derive(Clone, Debug, PartialEq, Default)]
-pub struct Tag {
+pub struct LedgerPosition {
     /// The view under which it was last written.
     pub epoch: u64,
     /// Number of its last change.
@@ -79,7 +79,7 @@
 #[binrw]
 #[brw(little)]
 #[derive(Clone, Debug, PartialEq, Default)]
-pub struct Taken {
+pub struct AcceptedCall {
     /// The version it led to.
     pub version: u64,
     /// What was sent, in short.
@@ -100,7 +100,7 @@
     /// The latest calls that were taken.
     #[br(parse_with = list)]
     #[bw(write_with = put_list)]
-    pub taken: Vec<Taken>,
+    pub taken: Vec<AcceptedCall>,
     /// Hosts that are leaving or gone, oldest first.
     #[br(parse_with = texts)]
     #[bw(write_with = put_texts)]
@@ -258,7 +258,7 @@
     /// The members, voters first.
     #[br(parse_with = list)]
     #[bw(write_with = put_list)]
-    pub members: Vec<Seat>,
+    pub members: Vec<MemberInfo>,
 }
 
 /// Who pulls.
@@ -432,7 +432,7 @@
     #[brw(magic(1u8))]
     Hello {
         /// The speaker; identity 0 where it is no member.
-        seat: Seat,
+        seat: MemberInfo,
     },
     /// Members that the speaker knows, so that others find them.
     #[brw(magic(2u8))]
@@ -440,19 +440,19 @@
         /// The members.
         #[br(parse_with = list)]
         #[bw(write_with = put_list)]
-        seats: Vec<Seat>,
+        seats: Vec<MemberInfo>,
     },
     /// Asks whether a promise would be given, before it is asked for: nobody is disturbed by one that can't win.
     #[brw(magic(8u8))]
-    Canvass {
+    PreVote {
         /// The highest epoch that the speaker knows.
         seen: u64,
         /// Epoch of the latest view that it accepted.
         view: u64,
     },
-    /// The answer to [`Message::Canvass`].
+    /// The answer to [`Message::PreVote`].
     #[brw(magic(9u8))]
-    Canvassed {
+    PreVoteReply {
         /// Whether a promise would be given now.
         #[br(parse_with = flag)]
         #[bw(write_with = put_flag)]
@@ -468,7 +468,7 @@
         /// The epoch.
         epoch: u64,
         /// Who asks.
-        candidate: Seat,
+        candidate: MemberInfo,
     },
     /// The answer to [`Message::Prepare`].
     #[brw(magic(11u8))]
@@ -488,13 +488,13 @@
         /// How far its ledger goes, where it holds one.
         #[br(parse_with = option)]
         #[bw(write_with = put_option)]
-        tag: Option<Tag>,
+        tag: Option<LedgerPosition>,
         /// When asking again makes sense.
         wait_ms: u32,
     },
     /// Asks to accept a view, with the ledger for those that are to hold it.
     #[brw(magic(12u8))]
-    Install {
+    InstallView {
         /// The view.
         view: View,
         /// The ledger.
@@ -502,9 +502,9 @@
         #[bw(write_with = put_option)]
         snapshot: Option<Snapshot>,
     },
-    /// The answer to [`Message::Install`].
+    /// The answer to [`Message::InstallView`].
     #[brw(magic(13u8))]
-    Installed {
+    InstallReply {
         /// Epoch of the view.
         epoch: u64,
         /// Whether it is accepted and on disk.
@@ -516,7 +516,7 @@
     },
     /// A change, for a backup's disk.
     #[brw(magic(14u8))]
-    Append {
+    AppendChange {
         /// Epoch of the view.
         epoch: u64,
         /// Number of the change.
@@ -524,9 +524,9 @@
         /// The change.
         change: Change,
     },
-    /// The answer to [`Message::Append`].
+    /// The answer to [`Message::AppendChange`].
     #[brw(magic(15u8))]
-    Appended {
+    AppendReply {
         /// Epoch of the view.
         epoch: u64,
         /// All changes up to this one are on disk.
@@ -540,7 +540,7 @@
     },
     /// The primary asks for its lease.
     #[brw(magic(16u8))]
-    Renew {
+    RenewLease {
         /// Epoch of its view.
         epoch: u64,
         /// The primary's clock when it asked, in ms.
@@ -548,9 +548,9 @@
         /// Number of the last change that is acknowledged.
         committed: u64,
     },
-    /// The answer to [`Message::Renew`].
+    /// The answer to [`Message::RenewLease`].
     #[brw(magic(17u8))]
-    Renewed {
+    LeaseReply {
         /// Epoch of the view.
         epoch: u64,
         /// As asked.
@@ -568,37 +568,37 @@
     },
     /// The primary gives its lease up.
     #[brw(magic(18u8))]
-    Yield {
+    ReleaseLease {
         /// Epoch of its view.
         epoch: u64,
     },
     /// Asks for the ledger, fenced by a promise.
     #[brw(magic(19u8))]
-    Fetch {
+    FetchLedger {
         /// The epoch that the asker prepares.
         epoch: u64,
     },
-    /// The answer to [`Message::Fetch`].
+    /// The answer to [`Message::FetchLedger`].
     #[brw(magic(20u8))]
-    Fetched {
+    LedgerReply {
         /// As asked.
         epoch: u64,
         /// How far the ledger goes.
-        tag: Tag,
+        tag: LedgerPosition,
         /// The ledger.
         snapshot: Snapshot,
     },
     /// A command for the primary.
     #[brw(magic(30u8))]
-    Ask {
+    ForwardCommand {
         /// The asker's number for it.
         id: u64,
         /// The command.
         command: Command,
     },
-    /// The answer to [`Message::Ask`].
+    /// The answer to [`Message::ForwardCommand`].
     #[brw(magic(31u8))]
-    Answer {
+    CommandResult {
         /// As asked.
         id: u64,
         /// The result code.
@@ -610,7 +610,7 @@
     },
     /// A proxy has sent a prompt to a host. In datagrams, like the next two: they may be lost.
     #[brw(magic(50u8))]
-    Placed {
+    PromptPlaced {
         /// What the host keeps from now on.
         placement: Placement,
         /// Tokens that it has to read for it.
@@ -618,13 +618,13 @@
     },
     /// A proxy that has just started asks what hosts keep.
     #[brw(magic(51u8))]
-    Recall {
+    PlacementsRequest {
         /// 0.
         reserved: u8,
     },
-    /// The answer to [`Message::Recall`], in several datagrams.
+    /// The answer to [`Message::PlacementsRequest`], in several datagrams.
     #[brw(magic(52u8))]
-    Recalled {
+    Placements {
         /// What hosts keep.
         #[br(parse_with = list)]
         #[bw(write_with = put_list)]
@@ -688,23 +688,24 @@
 
 impl Copy for Addr {}
 impl Copy for Mark {}
-impl Copy for Tag {}
+impl Copy for LedgerPosition {}
 
 impl View {
     /// The seat of a voter.
-    pub fn seat(&self, id: u64) -> Option<&Seat> {
+    pub fn seat(&self, id: u64) -> Option<&MemberInfo> {
         self.voters.iter().find(|s| s.id == id)
     }
 
     /// Whether those that `has` names are a majority of the voters, and of the voters before.
     pub fn majority(&self, has: impl Fn(u64) -> bool) -> bool {
-        let most = |seats: &[Seat]| 2 * seats.iter().filter(|s| has(s.id)).count() > seats.len();
+        let most = |seats: &[MemberInfo]| 2 * seats.iter().filter(|s| has(s.id)).count() > seats.len();
         most(&self.voters) && most(&self.before)
     }
 
     /// Whether its voters are those of the view before.
     pub fn settled(&self) -> bool {
-        let ids = |seats: &[Seat]| seats.iter().map(|s| s.id).collect::<std::collections::BTreeSet<_>>();
+        let ids =
+            |seats: &[MemberInfo]| seats.iter().map(|s| s.id).collect::<std::collections::BTreeSet<_>>();
         ids(&self.voters) == ids(&self.before)
     }
 }
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -22,7 +22,7 @@
 /// What comes next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// Another host; the budget is asked first where [`Trial::owes`] says so.
+    /// Another host; the budget is asked first where [`RetryState::owes`] says so.
     Again,
     /// The end: with the host's own answer where there is one, else with this code.
     GiveUp(Code),
@@ -30,7 +30,7 @@
 
 /// A client's try on its way through hosts.
 #[derive(Clone, Debug)]
-pub struct Trial {
+pub struct RetryState {
     idempotent: bool,
     max_tries: u32,
     deadline: Duration,
@@ -41,7 +41,7 @@
     may_have_run: bool,
 }
 
-impl Trial {
+impl RetryState {
     /// A try that no host has seen yet, to end by `deadline`.
     pub fn new(idempotent: bool, max_tries: u32, deadline: Duration) -> Self {
         Self {
--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -1,6 +1,6 @@
 //! What all connections share.
 
-use crate::counters::Tally;
+use crate::counters::SharedCounters;
 use crate::hints::Hints;
 use crate::hostlink::Link;
 use crate::pool::Pool;
@@ -28,7 +28,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// What is known since the last news.
-pub(crate) struct Known {
+pub(crate) struct RoutingTable {
     document: Arc<Document>,
     pub(crate) routes: Routes,
     pub(crate) limits: Limits,
@@ -41,9 +41,9 @@
 pub(crate) struct Core {
     origin: Instant,
     pub(crate) policy: RefCell<Policy>,
-    known: RefCell<Option<Rc<Known>>>,
+    known: RefCell<Option<Rc<RoutingTable>>>,
     pub(crate) pool: RefCell<Pool<Link>>,
-    pub(crate) tally: Rc<Tally>,
+    pub(crate) tally: Rc<SharedCounters>,
     outs: Cell<usize>,
     /// Told when the first attempt goes out.
     began: Notify,
@@ -57,7 +57,7 @@
 }
 
 impl Core {
-    pub(crate) fn new(boot: &Boot, tally: Rc<Tally>) -> Self {
+    pub(crate) fn new(boot: &Boot, tally: Rc<SharedCounters>) -> Self {
         let seed = std::collections::hash_map::RandomState::new().build_hasher().finish();
         let bounds = &boot.bounds;
         let seconds = |s: f64| Duration::try_from_secs_f64(s).unwrap_or_default();
@@ -117,7 +117,7 @@
     }
 
     /// What is known now; `None` before the first configuration.
-    pub(crate) fn known(&self) -> Option<Rc<Known>> {
+    pub(crate) fn known(&self) -> Option<Rc<RoutingTable>> {
         self.known.borrow().clone()
     }
 
@@ -179,7 +179,7 @@
         match same {
             Some(k) if k.conns == conns && k.has_hosts == has_hosts => {}
             _ => {
-                let known = Known {
+                let known = RoutingTable {
                     routes: Routes::new(document),
                     limits: document.client_limits(),
                     document: document.clone(),
@@ -192,8 +192,8 @@
     }
 
     /// Holds so many bytes of bodies; `None` where there is no room.
-    pub(crate) fn hold(self: &Rc<Self>, bytes: usize) -> Option<Held> {
-        let mut held = Held { core: self.clone(), bytes: 0 };
+    pub(crate) fn hold(self: &Rc<Self>, bytes: usize) -> Option<BodyReservation> {
+        let mut held = BodyReservation { core: self.clone(), bytes: 0 };
         held.grow(bytes).then_some(held)
     }
 }
@@ -207,12 +207,12 @@
 }
 
 /// Room for bodies, given back when dropped.
-pub(crate) struct Held {
+pub(crate) struct BodyReservation {
     core: Rc<Core>,
     bytes: usize,
 }
 
-impl Held {
+impl BodyReservation {
     /// Room for so many bytes in all; false where there is none.
     pub(crate) fn grow(&mut self, bytes: usize) -> bool {
         let more = bytes.saturating_sub(self.bytes);
@@ -226,20 +226,20 @@
     }
 }
 
-impl Drop for Held {
+impl Drop for BodyReservation {
     fn drop(&mut self) {
         self.core.bodies.set(self.core.bodies.get().saturating_sub(self.bytes));
     }
 }
 
 /// An attempt that the policy counts as out until it is told the end, or this is dropped.
-pub(crate) struct Out {
+pub(crate) struct OpenAttempt {
     core: Rc<Core>,
     attempt: Attempt,
     over: bool,
 }
 
-impl Out {
+impl OpenAttempt {
     pub(crate) fn new(core: &Rc<Core>, attempt: Attempt) -> Self {
         core.outs.set(core.outs.get() + 1);
         core.began.notify_one();
@@ -278,7 +278,7 @@
     }
 }
 
-impl Drop for Out {
+impl Drop for OpenAttempt {
     fn drop(&mut self) {
         self.close(Outcome::Cancelled, None);
     }
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -53,13 +53,13 @@
 /// Counters that one thread counts up; shared by `Rc`, they can be read while the proxy serves.
 ///
 /// ```
-/// let tally = std::rc::Rc::new(proxy::counters::Tally::default());
+/// let tally = std::rc::Rc::new(proxy::counters::SharedCounters::default());
 /// assert_eq!(tally.get().pairs()[0], ("clients", 0));
 /// ```
 #[derive(Debug, Default)]
-pub struct Tally(Cell<Counters>);
+pub struct SharedCounters(Cell<Counters>);
 
-impl Tally {
+impl SharedCounters {
     pub(crate) fn add(&self, change: impl FnOnce(&mut Counters)) {
         let mut counters = self.0.get();
         change(&mut counters);
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -1,7 +1,7 @@
 //! One request on its way: to a host, to another where that is right, and its answer back to the client.
 
-use crate::attempt::{End, Next, Trial};
-use crate::core::{Core, Out};
+use crate::attempt::{End, Next, RetryState};
+use crate::core::{Core, OpenAttempt};
 use crate::events::{Place, Splitter};
 use crate::front::Request;
 use crate::hostlink::{Link, Lost, NoLink};
@@ -20,26 +20,26 @@
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// An answer up to this size is read whole before it is passed on, so that a cut one can be asked for again.
-const WHOLE: usize = 256 * 1024;
+const MAX_BUFFERED_ANSWER: usize = 256 * 1024;
 /// The body of a refusal is read up to here, to use the connection again.
-const REFUSAL: usize = 64 * 1024;
-const REFUSAL_TIME: Duration = Duration::from_millis(50);
+const MAX_REFUSAL_BODY: usize = 64 * 1024;
+const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(50);
 /// Largest event of a stream that may be resumed.
-const EVENT: usize = 1024 * 1024;
+const MAX_EVENT: usize = 1024 * 1024;
 /// Answers to others that are passed over in one place.
-const STRAYS: u32 = 4;
+const MAX_STRAY_ANSWERS: u32 = 4;
 /// While a host is silent the policy's patience is asked for again after this.
-const LOOK: Duration = Duration::from_millis(250);
+const PATIENCE_RECHECK: Duration = Duration::from_millis(250);
 /// Least and longest time for a connection to come up.
-const DIAL: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(250));
+const DIAL_TIMEOUT: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(250));
 /// After its deadline a host is given this long to say so itself.
-const SLACK: Duration = Duration::from_millis(50);
+const DEADLINE_SLACK: Duration = Duration::from_millis(50);
 /// Least time for a client to take an answer.
-const TAKE: Duration = Duration::from_secs(2);
+const CLIENT_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest Retry-After of our own where the policy has not named one, and its share of the target.
-const RETRY: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
-const RETRY_SHARE: f64 = 0.1;
-const MARK: &str = "fennelpin-attempt-id";
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+const RETRY_AFTER_SHARE: f64 = 0.1;
+const ATTEMPT_ID: &str = "fennelpin-attempt-id";
 
 /// How the client's connection stands after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,13 +54,13 @@
 
 /// What may be said of a request if it has to end now.
 #[derive(Default)]
-pub(crate) struct Stage {
+pub(crate) struct AnswerProgress {
     started: Cell<bool>,
     out: Cell<bool>,
     until_end: Cell<bool>,
 }
 
-impl Stage {
+impl AnswerProgress {
     /// Whether bytes of the answer have gone to the client.
     pub(crate) fn started(&self) -> bool {
         self.started.get()
@@ -127,7 +127,7 @@
         if !self.bare {
             text.extend_from_slice(&self.text[end..]);
         }
-        matches!(timeout(TAKE, wire::write_all(stream, &text, b"", &mut 0)).await, Ok(Ok(())))
+        matches!(timeout(CLIENT_WRITE_TIMEOUT, wire::write_all(stream, &text, b"", &mut 0)).await, Ok(Ok(())))
     }
 }
 
@@ -143,22 +143,29 @@
 }
 
 /// Takes one request to its end.
-pub(crate) async fn run(core: &Rc<Core>, client: &TcpStream, request: &Request, stage: &Stage) -> Done {
+pub(crate) async fn run(
+    core: &Rc<Core>,
+    client: &TcpStream,
+    request: &Request,
+    stage: &AnswerProgress,
+) -> Done {
     let fields = &request.head.fields;
     let refuse = |code, after| async move {
         let close = closes(core, request);
-        let taken =
-            Answer::own(code, fields.get(MARK), after).to(&request.head).write(core, client, close).await;
+        let taken = Answer::own(code, fields.get(ATTEMPT_ID), after)
+            .to(&request.head)
+            .write(core, client, close)
+            .await;
         match (taken, close) {
             (true, false) => Done::Keep,
             (true, true) => Done::Close,
             (false, _) => Done::Cut,
         }
     };
-    let Some(known) = core.known() else { return refuse(Code::NoConfiguration, Some(RETRY.1)).await };
+    let Some(known) = core.known() else { return refuse(Code::NoConfiguration, Some(RETRY_AFTER.1)).await };
     let route = request.head.host().and_then(|h| known.routes.find(h, request.head.path()));
     let Some(route) = route else { return refuse(Code::NoRoute, None).await };
-    if fields.get(MARK).is_none() {
+    if fields.get(ATTEMPT_ID).is_none() {
         return refuse(Code::BadRequest, None).await;
     }
     let Some(service) = routes::service(route, core.draw()) else { return refuse(Code::NoHost, None).await };
@@ -167,7 +174,7 @@
     let asked = fields.text("fennelpin-deadline-ms").and_then(|v| v.parse().ok()).filter(|v: &f64| *v >= 0.0);
     let time = asked.unwrap_or(f64::INFINITY).min(route.deadline_ms);
     core.policy.borrow_mut().arrived(core.now(), service);
-    let trial = Trial::new(route.idempotent(), route.max_tries, arrived.saturating_add(ms(time)));
+    let trial = RetryState::new(route.idempotent(), route.max_tries, arrived.saturating_add(ms(time)));
     let mut exchange = Exchange {
         core,
         client,
@@ -189,8 +196,8 @@
             // What a host said itself goes before words of our own.
             Some((head, body)) => exchange.pass_whole(&head, &body).await,
             None => {
-                let target = ms(route.target_ms.unwrap_or(1000.0)).mul_f64(RETRY_SHARE);
-                refuse(code, Some(after.unwrap_or(target.clamp(RETRY.0, RETRY.1)))).await
+                let target = ms(route.target_ms.unwrap_or(1000.0)).mul_f64(RETRY_AFTER_SHARE);
+                refuse(code, Some(after.unwrap_or(target.clamp(RETRY_AFTER.0, RETRY_AFTER.1)))).await
             }
         },
     }
@@ -224,8 +231,8 @@
 /// host is the better choice, and nothing has run here.
 fn dial(route: &Route) -> Duration {
     Duration::try_from_secs_f64(route.target_ms.unwrap_or(1000.0) / 2e3)
-        .unwrap_or(DIAL.1)
-        .clamp(DIAL.0, DIAL.1)
+        .unwrap_or(DIAL_TIMEOUT.1)
+        .clamp(DIAL_TIMEOUT.0, DIAL_TIMEOUT.1)
 }
 
 /// A stream that has been silent for so long is taken up at another host: half of what its client bears (the
@@ -242,14 +249,14 @@
 
 /// A host that was chosen.
 struct Picked {
-    out: Out,
+    out: OpenAttempt,
     id: Arc<str>,
     addr: SocketAddrV4,
     priority: Option<u8>,
 }
 
 /// How one attempt went on.
-enum Went {
+enum AttemptResult {
     /// The client has its answer, or as much of it as there is.
     Answered(Done),
     /// It ended without one.
@@ -265,10 +272,10 @@
     core: &'a Rc<Core>,
     client: &'a TcpStream,
     request: &'a Request,
-    stage: &'a Stage,
+    stage: &'a AnswerProgress,
     route: &'a Route,
     service: &'a str,
-    trial: Trial,
+    trial: RetryState,
     tried: Vec<Arc<str>>,
     parts: Vec<(u64, u32)>,
     tokens: (u32, u32),
@@ -283,15 +290,15 @@
         loop {
             self.tried.push(picked.id.clone());
             let end = match self.attempt(picked).await {
-                Went::Answered(done) => return Ok(done),
-                Went::Moved(next) => {
+                AttemptResult::Answered(done) => return Ok(done),
+                AttemptResult::Moved(next) => {
                     self.core.tally.add(|c| c.moved += 1);
                     self.trial.moved();
                     self.stage.out.set(true);
                     picked = next;
                     continue;
                 }
-                Went::Ended(end) => end,
+                AttemptResult::Ended(end) => end,
             };
             let next = self.trial.ended(self.core.now(), end);
             self.stage.out.set(self.trial.may_have_run());
@@ -336,7 +343,7 @@
                 if let Some(placement) = policy.take_placement() {
                     self.core.hints.borrow().tell(&placement);
                 }
-                Ok(Picked { out: Out::new(self.core, attempt), id, addr, priority })
+                Ok(Picked { out: OpenAttempt::new(self.core, attempt), id, addr, priority })
             }
             Choice::None { retry_after } => Err((self.trial.refusal(Code::NoHost), Some(retry_after))),
         }
@@ -397,10 +404,10 @@
         let (mut written, mut again) = (0, false);
         loop {
             let head = self.head(picked);
-            let mark = self.request.head.fields.get(MARK);
-            let ours = |answer: &ResponseHead| answer.fields.get(MARK) == mark;
+            let mark = self.request.head.fields.get(ATTEMPT_ID);
+            let ours = |answer: &ResponseHead| answer.fields.get(ATTEMPT_ID) == mark;
             let send = link.send(&head, &self.request.body, &mut written, ours);
-            let sent = timeout_at(self.end() + SLACK, send).await;
+            let sent = timeout_at(self.end() + DEADLINE_SLACK, send).await;
             match sent {
                 _ if written == 0 && link.used && !again => {
                     again = true;
@@ -425,15 +432,15 @@
         }
     }
 
-    async fn attempt(&mut self, picked: Picked) -> Went {
+    async fn attempt(&mut self, picked: Picked) -> AttemptResult {
         let mut link = match self.send(&picked).await {
             Ok(link) => link,
             Err((end, outcome)) => {
                 picked.out.end(outcome, None);
-                return Went::Ended(end);
+                return AttemptResult::Ended(end);
             }
         };
-        let mut watch = Watch::new(self);
+        let mut watch = HostWait::new(self);
         let (head, stray) = match self.answer(&mut link, &picked.out, &mut watch).await {
             Ok(answer) => answer,
             Err(stop) => return self.stopped(stop, picked.out),
@@ -451,7 +458,7 @@
                 self.drain(link, picked.id.clone(), head, stray);
             }
             picked.out.end(outcome, load);
-            return Went::Ended(End::NotRun);
+            return AttemptResult::Ended(End::NotRun);
         }
         let success = (200..300).contains(&head.status);
         let sealed = head.fields.get("fennelpin-host-seal").is_some();
@@ -460,14 +467,14 @@
         if head.fields.get("content-encoding").is_some() || (success && !sealed) || bare {
             self.core.tally.add(|c| c.broken += 1);
             picked.out.end(Outcome::Broken, load);
-            return Went::Ended(End::Broke);
+            return AttemptResult::Ended(End::Broke);
         }
         let stream = success
             && (self.route.kind == Kind::Streaming
                 || head.fields.text("content-type").is_some_and(|t| t.starts_with("text/event-stream")));
         if self.stage.started() && !stream {
             picked.out.end(Outcome::Failed, load);
-            return Went::Ended(End::HostFailed);
+            return AttemptResult::Ended(End::HostFailed);
         }
         if stream {
             return self.stream(link, picked, head, stray, load, watch).await;
@@ -475,21 +482,21 @@
         self.whole(link, picked, head, stray, load, watch).await
     }
 
-    fn stopped(&self, stop: Stop, out: Out) -> Went {
+    fn stopped(&self, stop: Stop, out: OpenAttempt) -> AttemptResult {
         match stop {
             Stop::Lost => {
                 self.core.tally.add(|c| c.broken += 1);
                 out.end(Outcome::Broken, None);
-                Went::Ended(End::Broke)
+                AttemptResult::Ended(End::Broke)
             }
             Stop::Late => {
                 out.end(Outcome::Silent, None);
-                Went::Ended(End::Broke)
+                AttemptResult::Ended(End::Broke)
             }
             // The caller drops the old connection before the new host is asked.
             Stop::Moved(next) => {
                 out.end(Outcome::Silent, None);
-                Went::Moved(next)
+                AttemptResult::Moved(next)
             }
         }
     }
@@ -498,14 +505,14 @@
     async fn answer(
         &mut self,
         link: &mut Link,
-        out: &Out,
-        watch: &mut Watch,
+        out: &OpenAttempt,
+        watch: &mut HostWait,
     ) -> Result<(ResponseHead, bool), Stop> {
         let to_head = self.request.head.method() == b"HEAD";
-        let mark = self.request.head.fields.get(MARK).unwrap_or_default();
-        for strays in 0..=STRAYS {
+        let mark = self.request.head.fields.get(ATTEMPT_ID).unwrap_or_default();
+        for strays in 0..=MAX_STRAY_ANSWERS {
             let head = watch.guard(self, link, out, async |l: &mut Link| l.head(to_head).await).await?;
-            match head.fields.get(MARK) {
+            match head.fields.get(ATTEMPT_ID) {
                 Some(id) if id == mark => return Ok((head, strays > 0)),
                 // Without an id it can only be ours where nobody was answered on this connection before.
                 None if refuses(&head) && strays == 0 && !link.used => return Ok((head, false)),
@@ -513,7 +520,7 @@
             }
             self.core.tally.add(|c| c.strays += 1);
             let (mut body, mut bytes) = (Body::new(head.framing), BytesMut::new());
-            let whole = async |l: &mut Link| l.whole(&mut body, &mut bytes, WHOLE).await;
+            let whole = async |l: &mut Link| l.whole(&mut body, &mut bytes, MAX_BUFFERED_ANSWER).await;
             if !watch.guard(self, link, out, whole).await? {
                 break;
             }
@@ -529,7 +536,9 @@
         let core = self.core.clone();
         tokio::task::spawn_local(async move {
             let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
-            if let Ok(Ok(true)) = timeout(REFUSAL_TIME, link.whole(&mut body, &mut out, REFUSAL)).await {
+            if let Ok(Ok(true)) =
+                timeout(REFUSAL_READ_TIMEOUT, link.whole(&mut body, &mut out, MAX_REFUSAL_BODY)).await
+            {
                 link.keep(&core, &id, &head);
             }
         });
@@ -543,15 +552,15 @@
         head: ResponseHead,
         stray: bool,
         load: Option<Load>,
-        mut watch: Watch,
-    ) -> Went {
+        mut watch: HostWait,
+    ) -> AttemptResult {
         // Quick failures must not make a host look well.
         if head.status < 400 {
             picked.out.first();
         }
         watch.patience_over();
         let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
-        let read = async |l: &mut Link| l.whole(&mut body, &mut out, WHOLE).await;
+        let read = async |l: &mut Link| l.whole(&mut body, &mut out, MAX_BUFFERED_ANSWER).await;
         match watch.guard(self, &mut link, &picked.out, read).await {
             Err(stop) => return self.stopped(stop, picked.out),
             Ok(false) => {
@@ -567,11 +576,11 @@
         if head.status < 500 {
             let outcome = if head.status < 400 { Outcome::Done } else { Outcome::Failed };
             picked.out.end(outcome, load);
-            return Went::Answered(self.pass_whole(&head, &out).await);
+            return AttemptResult::Answered(self.pass_whole(&head, &out).await);
         }
         picked.out.end(Outcome::Failed, load);
         self.kept = Some((head, out));
-        Went::Ended(End::HostFailed)
+        AttemptResult::Ended(End::HostFailed)
     }
 
     async fn pass_whole(&self, head: &ResponseHead, body: &Bytes) -> Done {
@@ -602,14 +611,14 @@
         stray: bool,
         mut body: Body,
         start: BytesMut,
-    ) -> Went {
+    ) -> AttemptResult {
         let mut writer = Writer::new(self, &head);
         let mut sent = writer.write(self, &head, &start).await;
         loop {
             if !sent {
-                return Went::Answered(Done::Cut);
+                return AttemptResult::Answered(Done::Cut);
             }
-            match timeout_at(self.end() + SLACK, link.piece(&mut body)).await {
+            match timeout_at(self.end() + DEADLINE_SLACK, link.piece(&mut body)).await {
                 Ok(Ok(Some(data))) => {
                     picked.out.heard();
                     sent = writer.write(self, &head, &data).await;
@@ -618,11 +627,11 @@
                 Ok(Err(_)) => {
                     self.core.tally.add(|c| c.broken += 1);
                     picked.out.end(Outcome::Broken, None);
-                    return Went::Answered(Done::Cut);
+                    return AttemptResult::Answered(Done::Cut);
                 }
                 Err(_) => {
                     picked.out.end(Outcome::Silent, None);
-                    return Went::Answered(Done::Cut);
+                    return AttemptResult::Answered(Done::Cut);
                 }
             }
         }
@@ -630,7 +639,7 @@
             link.keep(self.core, &picked.id, &head);
         }
         picked.out.end(if head.status < 400 { Outcome::Done } else { Outcome::Failed }, None);
-        Went::Answered(writer.finish(self, &head).await)
+        AttemptResult::Answered(writer.finish(self, &head).await)
     }
 
     /// A stream: passed on as it comes; in whole events where it may go on at another host.
@@ -641,15 +650,15 @@
         head: ResponseHead,
         stray: bool,
         load: Option<Load>,
-        mut watch: Watch,
-    ) -> Went {
+        mut watch: HostWait,
+    ) -> AttemptResult {
         picked.out.told(load);
         let resumable = self.route.resumable;
         if self.stage.started() {
             self.core.tally.add(|c| c.resumed += 1);
         }
         let mut writer = Writer::new(self, &head);
-        let mut splitter = Splitter::new(EVENT);
+        let mut splitter = Splitter::new(MAX_EVENT);
         let mut body = Body::new(head.framing);
         let mut begun = false;
         loop {
@@ -668,7 +677,7 @@
                 }
                 Err(stop) => {
                     let _ = self.stopped(stop, picked.out);
-                    return Went::Answered(Done::Cut);
+                    return AttemptResult::Answered(Done::Cut);
                 }
             };
             let data = if resumable {
@@ -688,7 +697,7 @@
                 picked.out.first();
             }
             if !writer.write(self, &head, &data).await {
-                return Went::Answered(Done::Cut);
+                return AttemptResult::Answered(Done::Cut);
             }
         }
         if !stray {
@@ -697,15 +706,15 @@
         picked.out.end(Outcome::Done, None);
         let rest = splitter.rest();
         if !rest.is_empty() && !writer.write(self, &head, &rest).await {
-            return Went::Answered(Done::Cut);
+            return AttemptResult::Answered(Done::Cut);
         }
-        Went::Answered(writer.finish(self, &head).await)
+        AttemptResult::Answered(writer.finish(self, &head).await)
     }
 
     /// What comes next of a stream that has begun. One that may go on elsewhere is not waited for until its
     /// client gives up, unless the host shows itself alive on other connections: there it will go on.
     async fn later_piece(&mut self, link: &mut Link, body: &mut Body) -> Result<Option<Bytes>, Stop> {
-        let end = self.end() + SLACK;
+        let end = self.end() + DEADLINE_SLACK;
         let mut waits = self.route.resumable;
         loop {
             let since = Instant::now();
@@ -777,7 +786,7 @@
     }
 
     async fn write(&self, head: &[u8], body: &[u8]) -> bool {
-        let by = self.end().max(Instant::now() + TAKE);
+        let by = self.end().max(Instant::now() + CLIENT_WRITE_TIMEOUT);
         matches!(timeout_at(by, wire::write_all(self.client, head, body, &mut 0)).await, Ok(Ok(())))
     }
 }
@@ -793,13 +802,13 @@
 }
 
 /// Waits for a host: up to the deadline, and where the policy says so until another one is worth asking.
-struct Watch {
+struct HostWait {
     sent: Instant,
     /// Nothing has come yet, and the request may move.
     waits: bool,
 }
 
-impl Watch {
+impl HostWait {
     fn new(exchange: &Exchange) -> Self {
         Self { sent: Instant::now(), waits: exchange.trial.idempotent() }
     }
@@ -813,10 +822,10 @@
         &mut self,
         exchange: &mut Exchange<'_>,
         link: &mut Link,
-        out: &Out,
+        out: &OpenAttempt,
         mut step: impl AsyncFnMut(&mut Link) -> Result<T, Lost>,
     ) -> Result<T, Stop> {
-        let end = exchange.end() + SLACK;
+        let end = exchange.end() + DEADLINE_SLACK;
         loop {
             let now = Instant::now();
             let over = if self.waits { out.patience().map(|p| self.sent + p) } else { None };
@@ -827,7 +836,7 @@
                 }
             }
             // Asked again from time to time: others may find the host dark meanwhile, or alive.
-            let look = now + LOOK;
+            let look = now + PATIENCE_RECHECK;
             let until = match over {
                 Some(over) if self.waits && over > now => over.min(look).min(end),
                 Some(_) if self.waits => look.min(end),
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -1,12 +1,12 @@
 //! Clients: their connections, and their requests read whole within the operator's bounds.
 
-use crate::core::{Core, Held};
-use crate::exchange::{self, Answer, Done, Stage};
+use crate::core::{BodyReservation, Core};
+use crate::exchange::{self, Answer, AnswerProgress, Done};
 use crate::seats::Seats;
 use crate::wire;
 use bytes::{Bytes, BytesMut};
 use configuration::{Code, Limits};
-use http1::{Body, Framing, Malformed, Most, Piece, RequestHead};
+use http1::{Body, Framing, HeadLimits, Malformed, Piece, RequestHead};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,7 +41,7 @@
     pub(crate) body: Bytes,
     /// When its first byte was there.
     pub(crate) arrived: Instant,
-    pub(crate) _held: Option<Held>,
+    pub(crate) _held: Option<BodyReservation>,
 }
 
 /// Why a connection ends before a request is whole.
@@ -147,7 +147,7 @@
         }
         return false;
     }
-    let stage = Stage::default();
+    let stage = AnswerProgress::default();
     let over = async {
         let _ = closing.wait_for(|p| *p == Phase::Over).await;
     };
@@ -219,7 +219,7 @@
 
 async fn read_head(stream: &TcpStream, buf: &mut BytesMut, most: usize) -> Result<RequestHead, Refused> {
     loop {
-        match RequestHead::take(buf, Most::bytes(most)) {
+        match RequestHead::take(buf, HeadLimits::bytes(most)) {
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(Malformed::TooLarge) => return Err(Refused::Because(Code::HeadTooLarge)),
@@ -239,7 +239,7 @@
     limits: &Limits,
     head: &RequestHead,
     framing: Framing,
-) -> Result<(Bytes, Option<Held>), Refused> {
+) -> Result<(Bytes, Option<BodyReservation>), Refused> {
     let most = limits.max_body_bytes;
     let length = match framing {
         Framing::Length(n) => match usize::try_from(n) {
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -51,7 +51,7 @@
         self.others = ring;
         if !self.asked && !self.others.is_empty() {
             self.asked = true;
-            let message = protocol::encode(&Message::Recall { reserved: 0 });
+            let message = protocol::encode(&Message::PlacementsRequest { reserved: 0 });
             for other in self.others.iter().take(ASKED) {
                 let _ = socket.try_send_to(&message, SocketAddr::V4(*other));
             }
@@ -63,7 +63,7 @@
     pub(crate) fn tell(&self, placement: &Placement) {
         let Some(socket) = self.socket.as_ref().filter(|_| !self.others.is_empty()) else { return };
         let message =
-            protocol::encode(&Message::Placed { placement: of(placement), unread: placement.unread });
+            protocol::encode(&Message::PromptPlaced { placement: of(placement), unread: placement.unread });
         if message.len() > DATAGRAM {
             return;
         }
@@ -112,15 +112,15 @@
             continue;
         };
         match message {
-            Message::Placed { placement, unread } => {
+            Message::PromptPlaced { placement, unread } => {
                 let mut policy = core.policy.borrow_mut();
                 policy.overheard(core.now(), &placement.host, &parts(&placement), unread);
             }
-            Message::Recalled { placements } => {
+            Message::Placements { placements } => {
                 let mut policy = core.policy.borrow_mut();
                 placements.iter().for_each(|p| policy.overheard(core.now(), &p.host, &parts(p), 0));
             }
-            Message::Recall { .. } => recall(&core, &socket, from),
+            Message::PlacementsRequest { .. } => recall(&core, &socket, from),
             _ => core.tally.add(|c| c.bad_hints += 1),
         }
     }
@@ -131,7 +131,7 @@
     let mut placements: Vec<protocol::Placement> = Vec::new();
     let mut size = 0;
     let send = |placements: &mut Vec<protocol::Placement>| {
-        let message = Message::Recalled { placements: std::mem::take(placements) };
+        let message = Message::Placements { placements: std::mem::take(placements) };
         let _ = socket.try_send_to(&protocol::encode(&message), to);
     };
     for Placement { host, parts: all, .. } in kept {
--- a/crates/proxy/src/hostlink.rs
+++ b/crates/proxy/src/hostlink.rs
@@ -4,7 +4,7 @@
 use crate::pool::{self, Ticket};
 use crate::wire;
 use bytes::{Bytes, BytesMut};
-use http1::{Body, Malformed, Most, Piece, ResponseHead};
+use http1::{Body, HeadLimits, Malformed, Piece, ResponseHead};
 use snafu::Snafu;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use tokio::time::{timeout_at, Instant};
 
 /// Largest head of an answer.
-const MOST_HEAD: Most = Most::bytes(32 * 1024);
+const MOST_HEAD: HeadLimits = HeadLimits::bytes(32 * 1024);
 
 /// Why there is no (further) part of an answer.
 #[derive(Debug, Snafu)]
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -33,7 +33,7 @@
 }
 
 #[derive(Debug)]
-struct Shelf<C> {
+struct HostConnections<C> {
     idle: Vec<Idle<C>>,
     open: Rc<Cell<usize>>,
     heard: Rc<Cell<Duration>>,
@@ -69,7 +69,7 @@
 /// Idle connections of all hosts.
 #[derive(Debug)]
 pub struct Pool<C> {
-    shelves: HashMap<Arc<str>, Shelf<C>>,
+    shelves: HashMap<Arc<str>, HostConnections<C>>,
     open: Rc<Cell<usize>>,
     most: usize,
 }
@@ -101,7 +101,7 @@
         if self.open.get() >= self.most {
             self.shelves.values_mut().find(|s| !s.idle.is_empty())?.idle.remove(0);
         }
-        let shelf = self.shelves.entry(host.clone()).or_insert_with(|| Shelf {
+        let shelf = self.shelves.entry(host.clone()).or_insert_with(|| HostConnections {
             idle: Vec::new(),
             open: Rc::default(),
             heard: Rc::default(),
--- a/crates/proxy/src/readiness.rs
+++ b/crates/proxy/src/readiness.rs
@@ -3,14 +3,14 @@
 use crate::core::Core;
 use crate::wire;
 use bytes::BytesMut;
-use http1::{Most, RequestHead};
+use http1::{HeadLimits, RequestHead};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 const PATH: &[u8] = b"/fennelpin/readiness";
-const MOST_HEAD: Most = Most::bytes(8 * 1024);
+const MOST_HEAD: HeadLimits = HeadLimits::bytes(8 * 1024);
 /// Who asks once a second is kept; who says nothing for longer is let go.
 const IDLE: Duration = Duration::from_secs(10);
 
--- a/crates/proxy/src/seats.rs
+++ b/crates/proxy/src/seats.rs
@@ -12,19 +12,19 @@
 }
 
 /// Listed as idle for as long as it lives.
-pub(crate) struct Seat<'a> {
+pub(crate) struct MemberInfo<'a> {
     seats: &'a RefCell<Seats>,
     number: u64,
 }
 
 impl Seats {
     /// A connection falls idle; `leave` is told if it has to go.
-    pub(crate) fn stand<'a>(seats: &'a RefCell<Seats>, leave: &Rc<Notify>) -> Seat<'a> {
+    pub(crate) fn stand<'a>(seats: &'a RefCell<Seats>, leave: &Rc<Notify>) -> MemberInfo<'a> {
         let mut all = seats.borrow_mut();
         let number = all.next;
         all.next += 1;
         all.idle.insert(number, leave.clone());
-        Seat { seats, number }
+        MemberInfo { seats, number }
     }
 
     /// Tells the one that has been idle for longest to go; false where there is none.
@@ -33,7 +33,7 @@
     }
 }
 
-impl Drop for Seat<'_> {
+impl Drop for MemberInfo<'_> {
     fn drop(&mut self) {
         self.seats.borrow_mut().idle.remove(&self.number);
     }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,7 +1,7 @@
 //! The process: its listeners, its news, its end.
 
 use crate::core::Core;
-use crate::counters::{Counters, Tally};
+use crate::counters::{Counters, SharedCounters};
 use crate::{front, hints, readiness};
 use balancing::HostInfo;
 use configuration::{Boot, Document};
@@ -117,7 +117,7 @@
 pub async fn serve_counted(
     boot: Boot,
     world: watch::Receiver<Option<Arc<World>>>,
-    tally: Rc<Tally>,
+    tally: Rc<SharedCounters>,
     stop: impl Future<Output = ()>,
 ) -> Result<Counters, Error> {
     let core = Rc::new(Core::new(&boot, tally));
--- a/crates/proxy/tests/attempt.rs
+++ b/crates/proxy/tests/attempt.rs
@@ -1,7 +1,7 @@
 //! Whether a request goes to another host, and how it ends if not.
 
 use configuration::Code;
-use proxy::attempt::{End, Next, Trial};
+use proxy::attempt::{End, Next, RetryState};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -9,8 +9,8 @@
 const DEADLINE: Duration = Duration::from_secs(9);
 const LATE: Duration = DEADLINE;
 
-fn trial(idempotent: bool, tries: u32) -> Trial {
-    Trial::new(idempotent, tries, DEADLINE)
+fn trial(idempotent: bool, tries: u32) -> RetryState {
+    RetryState::new(idempotent, tries, DEADLINE)
 }
 
 #[rstest]
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use balancing::HostInfo;
 use configuration::{Boot, Document};
-use proxy::counters::{Counters, Tally};
+use proxy::counters::{Counters, SharedCounters};
 use proxy::{Error, World};
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
@@ -314,7 +314,7 @@
     pub world: watch::Sender<Option<Arc<World>>>,
     pub stop: Option<oneshot::Sender<()>>,
     pub done: JoinHandle<Result<Counters, Error>>,
-    pub tally: Rc<Tally>,
+    pub tally: Rc<SharedCounters>,
 }
 
 pub const ROUTES: &str = r#"
@@ -384,7 +384,7 @@
                 std::future::pending::<()>().await;
             }
         };
-        let tally = Rc::new(Tally::default());
+        let tally = Rc::new(SharedCounters::default());
         let done = tokio::task::spawn_local(proxy::serve_counted(boot, news, tally.clone(), stopped));
         // The listeners are bound once the task has run.
         while !done.is_finished() && TcpStream::connect(SocketAddr::V4(readiness)).await.is_err() {
--- a/crates/proxy/tests/hints.rs
+++ b/crates/proxy/tests/hints.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use protocol::{Message as Told, Part, Placement};
+use protocol::{Message, Part, Placement};
 use rstest::rstest;
 use std::io::ErrorKind;
 use std::net::{SocketAddrV4, UdpSocket};
@@ -32,11 +32,11 @@
     }
 
     fn ask(&self, proxy: SocketAddrV4) {
-        self.tell(proxy, &protocol::encode(&Told::Recall { reserved: 0 }));
+        self.tell(proxy, &protocol::encode(&Message::PlacementsRequest { reserved: 0 }));
     }
 
     /// What has come by now, and its length.
-    fn came(&self) -> Option<(Told, usize)> {
+    fn came(&self) -> Option<(Message, usize)> {
         let mut buffer = [0; 4096];
         match self.socket.recv(&mut buffer) {
             Ok(length) => Some((protocol::decode(&buffer[..length]).unwrap().unwrap().0, length)),
@@ -45,7 +45,7 @@
         }
     }
 
-    async fn hear(&self) -> (Told, usize) {
+    async fn hear(&self) -> (Message, usize) {
         loop {
             match self.came() {
                 Some(came) => return came,
@@ -57,7 +57,7 @@
     /// The next of what was placed; questions are passed over.
     async fn placed(&self) -> (Placement, u32) {
         loop {
-            if let (Told::Placed { placement, unread }, _) = self.hear().await {
+            if let (Message::PromptPlaced { placement, unread }, _) = self.hear().await {
                 return (placement, unread);
             }
         }
@@ -68,7 +68,7 @@
         loop {
             self.ask(proxy);
             for _ in 0..100 {
-                if let Some((Told::Recalled { placements }, _)) = self.came() {
+                if let Some((Message::Placements { placements }, _)) = self.came() {
                     return placements;
                 }
                 tokio::task::yield_now().await;
@@ -79,7 +79,7 @@
 
 fn placed(host: &str, parts: impl IntoIterator<Item = u64>) -> Vec<u8> {
     let parts = parts.into_iter().map(|id| Part { id, tokens: 10 }).collect();
-    protocol::encode(&Told::Placed { placement: Placement { host: host.into(), parts }, unread: 0 })
+    protocol::encode(&Message::PromptPlaced { placement: Placement { host: host.into(), parts }, unread: 0 })
 }
 
 /// A configuration whose service runs a model.
@@ -163,10 +163,10 @@
         others.sort_by_key(|o| (o.addr < at, o.addr));
         for (n, other) in others.iter().enumerate().take(16) {
             if n < 2 {
-                assert!(matches!(other.hear().await.0, Told::Recall { .. }), "{n} is asked");
+                assert!(matches!(other.hear().await.0, Message::PlacementsRequest { .. }), "{n} is asked");
             }
             let (told, length) = other.hear().await;
-            let Told::Placed { placement, unread: left } = told else { panic!("{n}: {told:?}") };
+            let Message::PromptPlaced { placement, unread: left } = told else { panic!("{n}: {told:?}") };
             assert_eq!((placement, left), (expected("h1"), unread));
             assert!(length < MOST);
         }
@@ -195,7 +195,9 @@
         let mut heard = Vec::new();
         let mut datagrams = 0;
         while heard.len() < all.len() {
-            let (Told::Recalled { placements }, length) = other.hear().await else { panic!("no answer") };
+            let (Message::Placements { placements }, length) = other.hear().await else {
+                panic!("no answer")
+            };
             assert!(length < MOST, "{length} bytes");
             datagrams += 1;
             for placement in placements {
--- a/crates/replication/src/client.rs
+++ b/crates/replication/src/client.rs
@@ -4,7 +4,7 @@
 use crate::news::{News, Pull};
 use crate::puller::{Action, Puller};
 use crate::shared::SharedMirror;
-use protocol::{encode, Addr, Caller, Message, Seat};
+use protocol::{encode, Addr, Caller, MemberInfo, Message};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddrV4;
@@ -40,7 +40,7 @@
 
 /// A puller with its connections.
 struct Client {
-    hello: Seat,
+    hello: MemberInfo,
     shared: Arc<SharedMirror>,
     connections: HashMap<u64, Connection>,
     tasks: JoinSet<()>,
@@ -51,7 +51,7 @@
 /// Pulls until it is dropped, or until `control` is closed. `hello` is the first frame on each connection.
 pub async fn run(
     mut puller: Puller,
-    hello: Seat,
+    hello: MemberInfo,
     caller: Caller,
     shared: Arc<SharedMirror>,
     mut control: mpsc::UnboundedReceiver<Control>,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -21,7 +21,7 @@
 pub use shared::{SharedMirror, Traffic};
 
 use configuration::Boot;
-use protocol::{Addr, Caller, Seat};
+use protocol::{Addr, Caller, MemberInfo};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// What [`protocol::HostRecord::phase`] may hold.
@@ -73,8 +73,8 @@
 }
 
 /// The first frame's seat of a process that is no member.
-pub fn no_seat(boot: &Boot) -> Seat {
-    Seat {
+pub fn no_seat(boot: &Boot) -> MemberInfo {
+    MemberInfo {
         id: 0,
         name: boot.node_name.clone(),
         addr: Addr { ip: u32::from(boot.ip_addr), port: 0 },
--- a/crates/replication/src/mirror.rs
+++ b/crates/replication/src/mirror.rs
@@ -229,7 +229,7 @@
 
     /// Takes a fleet that this process knows itself: one of a higher epoch, or, where this process is the
     /// primary, a change within the epoch. The others hear of such changes by their pulls.
-    pub fn set_fleet(&mut self, epoch: u64, primary: u64, members: Vec<protocol::Seat>) -> bool {
+    pub fn set_fleet(&mut self, epoch: u64, primary: u64, members: Vec<protocol::MemberInfo>) -> bool {
         let base = epoch.saturating_mul(1 << MARK_BITS).max(1);
         let mark = if base > self.fleet.mark {
             base
--- a/crates/replication/tests/mirror.rs
+++ b/crates/replication/tests/mirror.rs
@@ -1,7 +1,7 @@
 //! The mirror: takes only what is newer, hands on exactly what is lacking.
 
 use configuration::Document;
-use protocol::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, Seat, SourceNews};
+use protocol::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, MemberInfo, SourceNews};
 use replication::{phase, Mirror, News, Pull};
 use rstest::rstest;
 use std::sync::Arc;
@@ -424,7 +424,7 @@
 
 #[test]
 fn the_fleet_only_rises_and_only_the_primary_changes_it_within_an_epoch() {
-    let seat = |id| Seat { id, ..Seat::default() };
+    let seat = |id| MemberInfo { id, ..MemberInfo::default() };
     let (mut primary, mut other, mut agent) = (mirror(1), mirror(2), mirror(0));
     assert!(primary.set_fleet(3, 1, vec![seat(1)]));
     assert!(!primary.set_fleet(3, 1, vec![seat(1)]), "no change");
--- a/crates/replication/tests/serve.rs
+++ b/crates/replication/tests/serve.rs
@@ -1,6 +1,6 @@
 //! One connection that is served, on a paused clock.
 
-use protocol::{encode, Addr, Caller, HostRecord, Mark, Message, Seat, SourceNews};
+use protocol::{encode, Addr, Caller, HostRecord, Mark, MemberInfo, Message, SourceNews};
 use replication::{serve, FrameReader, Mirror, News, Pull, SharedMirror};
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex};
@@ -28,7 +28,7 @@
     let callers: Arc<Mutex<Vec<String>>> = Arc::default();
     let heard = callers.clone();
     // What was read of the connection before is part of it.
-    let hello = encode(&Message::Hello { seat: Seat::default() });
+    let hello = encode(&Message::Hello { seat: MemberInfo::default() });
     let served = tokio::spawn(serve(far, hello, shared.clone(), move |caller| {
         heard.lock().unwrap().push(caller.name.clone());
     }));
@@ -77,7 +77,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn what_is_no_pull_ends_the_connection() {
-    for bytes in [encode(&Message::Yield { epoch: 1 }), vec![255; 16]] {
+    for bytes in [encode(&Message::ReleaseLease { epoch: 1 }), vec![255; 16]] {
         let (_near, far) = duplex(64);
         let shared = SharedMirror::new(Mirror::new(7, BEAT));
         let ended = serve(far, bytes, shared, |_| ()).await;
--- a/crates/scale-test/src/cast.rs
+++ b/crates/scale-test/src/hollow.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// A process of the cast; it is killed when this is dropped.
+/// A process of the run; it is killed when this is dropped.
 #[derive(Debug)]
 pub struct Program {
     child: Child,
--- a/crates/scale-test/src/hosts.rs
+++ b/crates/scale-test/src/hosts.rs
@@ -17,7 +17,7 @@
 
 /// What the hosts have seen.
 #[derive(Debug, Default)]
-pub(crate) struct Tally {
+pub(crate) struct HostCounters {
     /// Times of answered heartbeats, in ms.
     pub(crate) beats: Vec<f64>,
     /// Calls that got no 2xx in time.
@@ -37,14 +37,14 @@
 }
 
 #[derive(Clone)]
-struct Stage {
+struct RequestStage {
     plan: Arc<Plan>,
     controls: Arc<Mutex<Vec<SocketAddrV4>>>,
-    tally: Arc<Mutex<Tally>>,
+    tally: Arc<Mutex<HostCounters>>,
 }
 
 struct Host {
-    stage: Stage,
+    stage: RequestStage,
     number: usize,
     incarnation: u64,
     call_seq: u64,
@@ -57,10 +57,10 @@
 pub(crate) async fn play(
     plan: Arc<Plan>,
     controls: Arc<Mutex<Vec<SocketAddrV4>>>,
-    tally: Arc<Mutex<Tally>>,
+    tally: Arc<Mutex<HostCounters>>,
     mut orders: UnboundedReceiver<Order>,
 ) {
-    let stage = Stage { plan, controls, tally };
+    let stage = RequestStage { plan, controls, tally };
     let mut running: Vec<Option<(JoinHandle<()>, UnboundedSender<()>)>> = Vec::new();
     running.resize_with(stage.plan.hosts, || None);
     let mut incarnation = 0;
@@ -125,7 +125,7 @@
         }
     }
 
-    fn tally(&self, note: impl FnOnce(&mut Tally)) {
+    fn tally(&self, note: impl FnOnce(&mut HostCounters)) {
         note(&mut self.stage.tally.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
--- a/crates/scale-test/src/lib.rs
+++ b/crates/scale-test/src/lib.rs
@@ -4,9 +4,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod cast;
 mod coordinators;
 mod gauge;
+mod hollow;
 mod hosts;
 mod http;
 mod operator;
@@ -15,8 +15,8 @@
 mod report;
 mod run;
 
-pub use cast::Program;
 pub use gauge::{process, threads, Load};
+pub use hollow::Program;
 pub use plan::{Plan, PORT};
 pub use policy::policy;
 pub use report::{percentile, Row};
--- a/crates/scale-test/src/run.rs
+++ b/crates/scale-test/src/run.rs
@@ -1,7 +1,7 @@
 //! The run: who starts, what goes wrong, what is measured.
 
-use crate::cast::Program;
 use crate::gauge::{self, Load};
+use crate::hollow::Program;
 use crate::operator::{self, Acked};
 use crate::plan::Plan;
 use crate::report::{percentile, Row};
@@ -43,14 +43,14 @@
     shared.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-struct Troupe {
+struct Deployment {
     plan: Arc<Plan>,
     /// By number; a member that was replaced for good is gone from here.
     members: BTreeMap<usize, Program>,
     agents: Vec<Program>,
     controls: Arc<Mutex<Vec<SocketAddrV4>>>,
     log: coordinators::Log,
-    tally: Arc<Mutex<hosts::Tally>>,
+    tally: Arc<Mutex<hosts::HostCounters>>,
     acked: Arc<Mutex<Vec<Acked>>>,
     hosts: UnboundedSender<hosts::Order>,
     coordinators: Vec<UnboundedSender<coordinators::Order>>,
@@ -90,7 +90,7 @@
     let plan = Arc::new(plan);
     std::fs::create_dir_all(&plan.dir).context(IoSnafu { what: "folder" })?;
     let log = coordinators::Log::default();
-    let tally = Arc::<Mutex<hosts::Tally>>::default();
+    let tally = Arc::<Mutex<hosts::HostCounters>>::default();
     let acked = Arc::<Mutex<Vec<Acked>>>::default();
     lock(&log).resize_with(plan.coordinators + plan.agents, Default::default);
     let controls = Arc::new(Mutex::new((0..plan.members).map(|n| plan.control(n)).collect::<Vec<_>>()));
@@ -104,24 +104,26 @@
         coordinators.push(thread("coordinators", move |told| coordinators::play(plan, log, told))?);
     }
     let (members, agents) = Default::default();
-    let mut troupe = Troupe { plan, members, agents, controls, log, tally, acked, hosts, coordinators };
-    for n in 0..troupe.plan.members {
-        troupe.member(n, true)?;
+    let mut deployment =
+        Deployment { plan, members, agents, controls, log, tally, acked, hosts, coordinators };
+    for n in 0..deployment.plan.members {
+        deployment.member(n, true)?;
     }
-    for n in 0..troupe.plan.agents {
-        let settings = troupe.plan.agent_settings(n);
+    for n in 0..deployment.plan.agents {
+        let settings = deployment.plan.agent_settings(n);
         let name = format!("edge-{n}");
-        let agent = Program::start(&troupe.plan.program, "agent", &troupe.plan.dir, &name, &settings);
-        troupe.agents.push(agent.context(IoSnafu { what: "agent" })?);
+        let agent = Program::start(&deployment.plan.program, "agent", &deployment.plan.dir, &name, &settings);
+        deployment.agents.push(agent.context(IoSnafu { what: "agent" })?);
     }
-    let operator = operator::play(troupe.plan.clone(), troupe.controls.clone(), troupe.acked.clone());
+    let operator =
+        operator::play(deployment.plan.clone(), deployment.controls.clone(), deployment.acked.clone());
     tokio::select! {
         () = operator => Ok(Vec::new()),
-        rows = troupe.phases(&mut told) => rows,
+        rows = deployment.phases(&mut told) => rows,
     }
 }
 
-impl Troupe {
+impl Deployment {
     fn member(&mut self, n: usize, bootstrap: bool) -> Result<(), Failure> {
         let settings = self.plan.member_settings(n, bootstrap);
         let name = format!("core-{n}");
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -43,7 +43,7 @@
     /// A wiped member comes back with its old identity, as if it had a say.
     WipedVotes,
     /// The budget told is one loss less than what happens.
-    TooFewCopies,
+    TooFewReplicas,
     /// Views reach disks without their ledger.
     NoSnapshot,
     /// A change reaches the disk twice in place of the next.
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -4,7 +4,7 @@
 use crate::operator::Operator;
 use configuration::FaultBudget;
 use control_plane::member::{Config, DiskError, Input, Member, Output};
-use protocol::{Addr, Message, Record, Seat};
+use protocol::{Addr, MemberInfo, Message, Record};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::cmp::Reverse;
@@ -135,7 +135,7 @@
 }
 
 struct Node {
-    seat: Seat,
+    seat: MemberInfo,
     member: Option<Member>,
     life: u32,
     records: Vec<Vec<u8>>,
@@ -218,7 +218,7 @@
         let n = self.nodes.len() as u32;
         let addr = Addr { ip: 0x0a00_0001 + n, port: 7660 };
         let zone = format!("z{}", n % 3);
-        let seat = Seat {
+        let seat = MemberInfo {
             id,
             name: format!("core-{n}"),
             addr,
@@ -244,9 +244,9 @@
             return;
         }
         let first = self.nodes[n].life == 0 && n < self.plan.members;
-        let seeds: Vec<Seat> = self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
+        let seeds: Vec<MemberInfo> = self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
         let random = u64::from(self.rng.next_u32());
-        let losses = self.plan.losses - u32::from(self.plan.planted == Planted::TooFewCopies);
+        let losses = self.plan.losses - u32::from(self.plan.planted == Planted::TooFewReplicas);
         let node = &mut self.nodes[n];
         node.life += 1;
         if self.plan.planted == Planted::ForgetsPromises {
@@ -582,14 +582,14 @@
         // A view may just be changing.
         let long = self.gap_from.is_some_and(|from| end > from + ms(2000));
         if acting.is_empty() && long && !self.plan.safety_only && self.report.breaches.is_empty() {
-            let ids = |seats: &[Seat]| seats.iter().map(|s| s.id).collect::<Vec<_>>();
+            let ids = |seats: &[MemberInfo]| seats.iter().map(|s| s.id).collect::<Vec<_>>();
             let views: Vec<_> = self
                 .nodes
                 .iter()
                 .map(|n| {
                     let member = n.member.as_ref()?;
                     let view = member.view();
-                    let view = view.map(|v| (v.epoch, v.copies.clone(), ids(&v.voters), ids(&v.before)));
+                    let view = view.map(|v| (v.epoch, v.replicas.clone(), ids(&v.voters), ids(&v.before)));
                     Some((n.seat.id, member.promised(), view))
                 })
                 .collect();
--- a/crates/simulator/tests/schedules.rs
+++ b/crates/simulator/tests/schedules.rs
@@ -39,7 +39,7 @@
 #[case(Planted::NoSync)]
 #[case(Planted::ForgetsPromises)]
 #[case(Planted::WipedVotes)]
-#[case(Planted::TooFewCopies)]
+#[case(Planted::TooFewReplicas)]
 #[case(Planted::NoSnapshot)]
 #[case(Planted::LosesEveryTenthWrite)]
 fn a_planted_bug_is_found_within_a_thousand_seeds(#[case] planted: Planted) {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -5,7 +5,7 @@
 use crate::counters::{Counters, End};
 use crate::ops::turnover::Beside;
 use bytes::{Bytes, BytesMut};
-use http1::{Fields, Framing, Malformed, Most, RequestHead, ResponseHead, Step};
+use http1::{Fields, Framing, HeadLimits, Malformed, RequestHead, ResponseHead, Step};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -22,7 +22,7 @@
 /// Ring for what comes in; a head must fit into it.
 pub const INPUT: usize = 16 * 1024;
 const OUTPUT: usize = 16 * 1024;
-const MOST_HEAD: Most = Most { bytes: INPUT, fields: 64 };
+const MOST_HEAD: HeadLimits = HeadLimits { bytes: INPUT, fields: 64 };
 /// A client must have sent its first request whole in this time from connecting, and any later one from
 /// its first byte: whoever says nothing, or half of something, is let go while it still counts as prompt.
 const SLOW_REQUEST: Duration = Duration::from_secs(2);
