Proxy: split the exchange by concern and break the import circle

Cause: exchange.rs had 911 lines and seven files of the crate imported each other in a circle. Change, mechanical: exchange/ holds the request for the host (host_request), the matching of answers (matching), waiting (wait), whole answers (whole), streams and resumption (stream), the client's side (writer), what the policy is told (prompt); own_answer and progress stand beside it. Request, World, the hint listener and the taking and keeping of connections have files of their own, so that core, front, serve, hints and hostlink are imported one way. The renamed MemberInfo of clients' idle connections was no member: IdleClients, IdleClient.

--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -3,10 +3,10 @@
 use crate::counters::SharedCounters;
 use crate::hints::Hints;
 use crate::hostlink::Link;
+use crate::idle_clients::IdleClients;
 use crate::pool::Pool;
 use crate::routes::Routes;
-use crate::seats::Seats;
-use crate::serve::World;
+use crate::world::World;
 use balancing::{Attempt, Load, Outcome, Policy, ServiceInfo, Settings};
 use configuration::{Boot, Document, Limits};
 use std::cell::{Cell, RefCell};
@@ -49,7 +49,7 @@
     began: Notify,
     pub(crate) hints: RefCell<Hints>,
     pub(crate) stopping: Cell<bool>,
-    pub(crate) seats: RefCell<Seats>,
+    pub(crate) idle_clients: RefCell<IdleClients>,
     pub(crate) most_clients: usize,
     most_bodies: usize,
     bodies: Cell<usize>,
@@ -86,7 +86,7 @@
             began: Notify::new(),
             hints: RefCell::default(),
             stopping: Cell::new(false),
-            seats: RefCell::default(),
+            idle_clients: RefCell::default(),
             most_clients: (fds * CLIENTS_SHARE) as usize,
             most_bodies: (memory * BODIES_SHARE) as usize,
             bodies: Cell::new(0),
--- /dev/null
+++ b/crates/proxy/src/exchange/matching.rs
@@ -0,0 +1,68 @@
+//! Which answer of a host belongs to the request, and what becomes of those that don't.
+
+use super::wait::{HostWait, Stop};
+use super::{Exchange, ATTEMPT_ID, MAX_BUFFERED_ANSWER};
+use crate::connections;
+use crate::core::OpenAttempt;
+use crate::hostlink::Link;
+use bytes::BytesMut;
+use http1::{Body, ResponseHead};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// The body of a refusal is read up to here, to use the connection again.
+const MAX_REFUSAL_BODY: usize = 64 * 1024;
+const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(50);
+/// Answers to others that are passed over in one place.
+const MAX_STRAY_ANSWERS: u32 = 4;
+
+/// Whether the host says that it has not run the request. No other status says so.
+pub(super) fn refuses(head: &ResponseHead) -> bool {
+    head.status == 421 || head.fields.get("fennelpin-not-executed").is_some()
+}
+
+impl Exchange<'_> {
+    /// The head of the answer to this request, past answers to others; whether there were any.
+    pub(super) async fn answer(
+        &mut self,
+        link: &mut Link,
+        out: &OpenAttempt,
+        watch: &mut HostWait,
+    ) -> Result<(ResponseHead, bool), Stop> {
+        let to_head = self.request.head.method() == b"HEAD";
+        let mark = self.request.head.fields.get(ATTEMPT_ID).unwrap_or_default();
+        for strays in 0..=MAX_STRAY_ANSWERS {
+            let head = watch.guard(self, link, out, async |l: &mut Link| l.head(to_head).await).await?;
+            match head.fields.get(ATTEMPT_ID) {
+                Some(id) if id == mark => return Ok((head, strays > 0)),
+                // Without an id it can only be ours where nobody was answered on this connection before.
+                None if refuses(&head) && strays == 0 && !link.used => return Ok((head, false)),
+                _ => {}
+            }
+            self.core.tally.add(|c| c.strays += 1);
+            let (mut body, mut bytes) = (Body::new(head.framing), BytesMut::new());
+            let whole = async |l: &mut Link| l.whole(&mut body, &mut bytes, MAX_BUFFERED_ANSWER).await;
+            if !watch.guard(self, link, out, whole).await? {
+                break;
+            }
+        }
+        Err(Stop::Lost)
+    }
+
+    /// Reads the rest of an answer that isn't passed on, to use the connection again; the request doesn't wait.
+    pub(super) fn drain(&self, mut link: Link, id: Arc<str>, head: ResponseHead, stray: bool) {
+        if stray || !head.keeps_alive() {
+            return;
+        }
+        let core = self.core.clone();
+        tokio::task::spawn_local(async move {
+            let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
+            if let Ok(Ok(true)) =
+                timeout(REFUSAL_READ_TIMEOUT, link.whole(&mut body, &mut out, MAX_REFUSAL_BODY)).await
+            {
+                connections::keep(&core, &id, link, &head);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange/mod.rs
@@ -0,0 +1,281 @@
+//! One request on its way: to a host, to another where that is right, and its answer back to the client.
+
+mod host_request;
+mod matching;
+mod prompt;
+mod stream;
+mod wait;
+mod whole;
+mod writer;
+
+use self::matching::refuses;
+use self::prompt::{load, parts, tokens};
+use self::wait::{HostWait, Stop};
+use crate::attempt::{End, Next, RetryState};
+use crate::core::{Core, OpenAttempt};
+use crate::events::Place;
+use crate::own_answer::Answer;
+use crate::progress::{AnswerProgress, Done};
+use crate::request::Request;
+use crate::routes;
+use balancing::{Ask, Choice, Outcome};
+use bytes::Bytes;
+use configuration::{Code, Kind, Route};
+use http1::ResponseHead;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// An answer up to this size is read whole before it is passed on, so that a cut one can be asked for again.
+const MAX_BUFFERED_ANSWER: usize = 256 * 1024;
+/// After its deadline a host is given this long to say so itself.
+const DEADLINE_SLACK: Duration = Duration::from_millis(50);
+/// Longest Retry-After of our own where the policy has not named one, and its share of the target.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+const RETRY_AFTER_SHARE: f64 = 0.1;
+const ATTEMPT_ID: &str = "fennelpin-attempt-id";
+
+/// Takes one request to its end.
+pub(crate) async fn run(
+    core: &Rc<Core>,
+    client: &TcpStream,
+    request: &Request,
+    stage: &AnswerProgress,
+) -> Done {
+    let fields = &request.head.fields;
+    let refuse = |code, after| async move {
+        let close = closes(core, request);
+        let taken = Answer::own(code, fields.get(ATTEMPT_ID), after)
+            .to(&request.head)
+            .write(core, client, close)
+            .await;
+        match (taken, close) {
+            (true, false) => Done::Keep,
+            (true, true) => Done::Close,
+            (false, _) => Done::Cut,
+        }
+    };
+    let Some(known) = core.known() else { return refuse(Code::NoConfiguration, Some(RETRY_AFTER.1)).await };
+    let route = request.head.host().and_then(|h| known.routes.find(h, request.head.path()));
+    let Some(route) = route else { return refuse(Code::NoRoute, None).await };
+    if fields.get(ATTEMPT_ID).is_none() {
+        return refuse(Code::BadRequest, None).await;
+    }
+    let Some(service) = routes::service(route, core.draw()) else { return refuse(Code::NoHost, None).await };
+    let arrived = core.since_start(request.arrived);
+    let ms = |ms: f64| Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX / 4);
+    let asked = fields.text("fennelpin-deadline-ms").and_then(|v| v.parse().ok()).filter(|v: &f64| *v >= 0.0);
+    let time = asked.unwrap_or(f64::INFINITY).min(route.deadline_ms);
+    core.policy.borrow_mut().arrived(core.now(), service);
+    let trial = RetryState::new(route.idempotent(), route.max_tries, arrived.saturating_add(ms(time)));
+    let mut exchange = Exchange {
+        core,
+        client,
+        request,
+        stage,
+        route,
+        service,
+        trial,
+        tried: Vec::new(),
+        parts: parts(fields.text("fennelpin-prompt-prefix")),
+        tokens: tokens(fields.text("fennelpin-token-counts")),
+        place: Place::after(fields.text("last-event-id")),
+        kept: None,
+    };
+    match exchange.go().await {
+        Ok(done) => done,
+        Err(_) if stage.started() => Done::Cut,
+        Err((code, after)) => match exchange.kept.take() {
+            // What a host said itself goes before words of our own.
+            Some((head, body)) => exchange.pass_whole(&head, &body).await,
+            None => {
+                let target = ms(route.target_ms.unwrap_or(1000.0)).mul_f64(RETRY_AFTER_SHARE);
+                refuse(code, Some(after.unwrap_or(target.clamp(RETRY_AFTER.0, RETRY_AFTER.1)))).await
+            }
+        },
+    }
+}
+
+/// Whether the answer is the last on its connection.
+fn closes(core: &Core, request: &Request) -> bool {
+    core.stopping.get() || !request.head.keeps_alive()
+}
+
+/// A host that was chosen.
+struct Picked {
+    out: OpenAttempt,
+    id: Arc<str>,
+    addr: SocketAddrV4,
+    priority: Option<u8>,
+}
+
+/// How one attempt went on.
+enum AttemptResult {
+    /// The client has its answer, or as much of it as there is.
+    Answered(Done),
+    /// It ended without one.
+    Ended(End),
+    /// It was silent, and another host was chosen.
+    Moved(Picked),
+}
+
+/// The code to end with, and when to come back where somebody has said so.
+type GiveUp = (Code, Option<Duration>);
+
+struct Exchange<'a> {
+    core: &'a Rc<Core>,
+    client: &'a TcpStream,
+    request: &'a Request,
+    stage: &'a AnswerProgress,
+    route: &'a Route,
+    service: &'a str,
+    trial: RetryState,
+    tried: Vec<Arc<str>>,
+    parts: Vec<(u64, u32)>,
+    tokens: (u32, u32),
+    place: Place,
+    /// A host's own failure, to be passed on if nothing better comes.
+    kept: Option<(ResponseHead, Bytes)>,
+}
+
+impl Exchange<'_> {
+    async fn go(&mut self) -> Result<Done, GiveUp> {
+        let mut picked = self.pick()?;
+        loop {
+            self.tried.push(picked.id.clone());
+            let end = match self.attempt(picked).await {
+                AttemptResult::Answered(done) => return Ok(done),
+                AttemptResult::Moved(next) => {
+                    self.core.tally.add(|c| c.moved += 1);
+                    self.trial.moved();
+                    self.stage.set_out(true);
+                    picked = next;
+                    continue;
+                }
+                AttemptResult::Ended(end) => end,
+            };
+            let next = self.trial.ended(self.core.now(), end);
+            self.stage.set_out(self.trial.may_have_run());
+            picked = match next {
+                Next::Again => self.pick()?,
+                Next::GiveUp(code) => return Err((code, None)),
+            };
+        }
+    }
+
+    /// The next host; for a repeat the budget is asked first.
+    fn pick(&mut self) -> Result<Picked, GiveUp> {
+        let now = self.core.now();
+        let left = self.trial.deadline().saturating_sub(now);
+        if left < Duration::from_millis(1) {
+            return Err((self.trial.overdue(), None));
+        }
+        let mut policy = self.core.policy.borrow_mut();
+        if self.trial.owes() {
+            if !policy.take_repeat(now, self.service) {
+                return Err((self.trial.refusal(Code::BudgetSpent), None));
+            }
+            self.trial.paid();
+        }
+        let target =
+            Duration::try_from_secs_f64(self.route.target_ms.unwrap_or(self.route.deadline_ms) / 1e3);
+        let choice = policy.choose(
+            now,
+            &Ask {
+                service: self.service,
+                rank: self.route.rank,
+                idempotent: self.trial.idempotent(),
+                parts: &self.parts,
+                tokens: self.tokens,
+                target: target.unwrap_or(left),
+                left,
+                tried: &self.tried,
+            },
+        );
+        match choice {
+            Choice::Host { attempt, id, addr, priority } => {
+                if let Some(placement) = policy.take_placement() {
+                    self.core.hints.borrow().tell(&placement);
+                }
+                Ok(Picked { out: OpenAttempt::new(self.core, attempt), id, addr, priority })
+            }
+            Choice::None { retry_after } => Err((self.trial.refusal(Code::NoHost), Some(retry_after))),
+        }
+    }
+
+    fn end(&self) -> Instant {
+        self.core.at(self.trial.deadline())
+    }
+
+    async fn attempt(&mut self, picked: Picked) -> AttemptResult {
+        let mut link = match self.send(&picked).await {
+            Ok(link) => link,
+            Err((end, outcome)) => {
+                picked.out.end(outcome, None);
+                return AttemptResult::Ended(end);
+            }
+        };
+        let mut watch = HostWait::new(self);
+        let (head, stray) = match self.answer(&mut link, &picked.out, &mut watch).await {
+            Ok(answer) => answer,
+            Err(stop) => return self.stopped(stop, picked.out),
+        };
+        let load = load(&head.fields);
+        if refuses(&head) {
+            let outcome = match head.status {
+                421 => Outcome::OtherHost,
+                429 | 503 => Outcome::Full,
+                _ => Outcome::TurnedAway,
+            };
+            if outcome == Outcome::OtherHost {
+                self.core.pool.borrow_mut().forget(&picked.id);
+            } else {
+                self.drain(link, picked.id.clone(), head, stray);
+            }
+            picked.out.end(outcome, load);
+            return AttemptResult::Ended(End::NotRun);
+        }
+        let success = (200..300).contains(&head.status);
+        let sealed = head.fields.get("fennelpin-host-seal").is_some();
+        // A refusal that doesn't say so might be false: it is no promise that we can pass on.
+        let bare = matches!(head.status, 408 | 429 | 503);
+        if head.fields.get("content-encoding").is_some() || (success && !sealed) || bare {
+            self.core.tally.add(|c| c.broken += 1);
+            picked.out.end(Outcome::Broken, load);
+            return AttemptResult::Ended(End::Broke);
+        }
+        let stream = success
+            && (self.route.kind == Kind::Streaming
+                || head.fields.text("content-type").is_some_and(|t| t.starts_with("text/event-stream")));
+        if self.stage.started() && !stream {
+            picked.out.end(Outcome::Failed, load);
+            return AttemptResult::Ended(End::HostFailed);
+        }
+        if stream {
+            return self.stream(link, picked, head, stray, load, watch).await;
+        }
+        self.whole(link, picked, head, stray, load, watch).await
+    }
+
+    fn stopped(&self, stop: Stop, out: OpenAttempt) -> AttemptResult {
+        match stop {
+            Stop::Lost => {
+                self.core.tally.add(|c| c.broken += 1);
+                out.end(Outcome::Broken, None);
+                AttemptResult::Ended(End::Broke)
+            }
+            Stop::Late => {
+                out.end(Outcome::Silent, None);
+                AttemptResult::Ended(End::Broke)
+            }
+            // The caller drops the old connection before the new host is asked.
+            Stop::Moved(next) => {
+                out.end(Outcome::Silent, None);
+                AttemptResult::Moved(next)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange/stream.rs
@@ -0,0 +1,142 @@
+//! Streams: passed on as they come, and taken up at another host where the route allows it.
+
+use super::wait::{HostWait, Stop};
+use super::writer::Writer;
+use super::{AttemptResult, Exchange, Picked, DEADLINE_SLACK};
+use crate::connections;
+use crate::events::Splitter;
+use crate::hostlink::Link;
+use crate::progress::Done;
+use balancing::{Load, Outcome};
+use bytes::{Bytes, BytesMut};
+use configuration::Route;
+use http1::{Body, ResponseHead};
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+
+/// Largest event of a stream that may be resumed.
+const MAX_EVENT: usize = 1024 * 1024;
+
+/// A stream that has been silent for so long is taken up at another host: half of what its client bears (the
+/// longest of two seconds, four times the target and eight times the pause in time).
+fn stall(route: &Route) -> Duration {
+    let ms = (2.0 * route.target_ms.unwrap_or(0.0)).max(4.0 * route.gap_aim_ms.unwrap_or(0.0)).max(1000.0);
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX / 4)
+}
+
+impl Exchange<'_> {
+    /// A stream: passed on as it comes; in whole events where it may go on at another host.
+    pub(super) async fn stream(
+        &mut self,
+        mut link: Link,
+        picked: Picked,
+        head: ResponseHead,
+        stray: bool,
+        load: Option<Load>,
+        mut watch: HostWait,
+    ) -> AttemptResult {
+        picked.out.told(load);
+        let resumable = self.route.resumable;
+        if self.stage.started() {
+            self.core.tally.add(|c| c.resumed += 1);
+        }
+        let mut writer = Writer::new(self, &head);
+        let mut splitter = Splitter::new(MAX_EVENT);
+        let mut body = Body::new(head.framing);
+        let mut begun = false;
+        loop {
+            let next = match begun {
+                false => {
+                    let piece = async |l: &mut Link| l.piece(&mut body).await;
+                    watch.guard(self, &mut link, &picked.out, piece).await
+                }
+                true => self.later_piece(&mut link, &mut body).await,
+            };
+            let data = match next {
+                Ok(Some(data)) => data,
+                Ok(None) => break,
+                Err(stop) if resumable || !self.stage.started() => {
+                    return self.stopped(stop, picked.out);
+                }
+                Err(stop) => {
+                    let _ = self.stopped(stop, picked.out);
+                    return AttemptResult::Answered(Done::Cut);
+                }
+            };
+            let data = if resumable {
+                if !splitter.push(&data) {
+                    return self.stopped(Stop::Lost, picked.out);
+                }
+                self.admitted(&mut splitter)
+            } else {
+                data
+            };
+            if data.is_empty() {
+                continue;
+            }
+            if std::mem::replace(&mut begun, true) {
+                picked.out.heard();
+            } else {
+                picked.out.first();
+            }
+            if !writer.write(self, &head, &data).await {
+                return AttemptResult::Answered(Done::Cut);
+            }
+        }
+        if !stray {
+            connections::keep(self.core, &picked.id, link, &head);
+        }
+        picked.out.end(Outcome::Done, None);
+        let rest = splitter.rest();
+        if !rest.is_empty() && !writer.write(self, &head, &rest).await {
+            return AttemptResult::Answered(Done::Cut);
+        }
+        AttemptResult::Answered(writer.finish(self, &head).await)
+    }
+
+    /// What comes next of a stream that has begun. One that may go on elsewhere is not waited for until its
+    /// client gives up, unless the host shows itself alive on other connections: there it will go on.
+    async fn later_piece(&mut self, link: &mut Link, body: &mut Body) -> Result<Option<Bytes>, Stop> {
+        let end = self.end() + DEADLINE_SLACK;
+        let mut waits = self.route.resumable;
+        loop {
+            let since = Instant::now();
+            let until = if waits { end.min(since + stall(self.route)) } else { end };
+            match timeout_at(until, link.piece(body)).await {
+                Ok(next) => return next.map_err(|_| Stop::Lost),
+                Err(_) if until >= end => return Err(Stop::Late),
+                Err(_) if link.heard_since(since) => {}
+                Err(_) => {
+                    waits = self.trial.may_move(self.core.now());
+                    if let Some(next) = waits.then(|| self.pick().ok()).flatten() {
+                        return Err(Stop::Moved(next));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The whole events that have come and are new.
+    fn admitted(&mut self, splitter: &mut Splitter) -> Bytes {
+        let mut first = Bytes::new();
+        let mut more = BytesMut::new();
+        while let Some(event) = splitter.take() {
+            if !self.place.admit(&event) {
+                continue;
+            }
+            if first.is_empty() {
+                first = event.bytes;
+                continue;
+            }
+            if more.is_empty() {
+                more.extend_from_slice(&first);
+            }
+            more.extend_from_slice(&event.bytes);
+        }
+        if more.is_empty() {
+            first
+        } else {
+            more.freeze()
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange/whole.rs
@@ -0,0 +1,113 @@
+//! Answers that are read whole before they are passed on, and those that are too large for it.
+
+use super::wait::HostWait;
+use super::writer::Writer;
+use super::{closes, AttemptResult, Exchange, Picked, DEADLINE_SLACK, MAX_BUFFERED_ANSWER};
+use crate::attempt::End;
+use crate::connections;
+use crate::hostlink::Link;
+use crate::progress::Done;
+use balancing::{Load, Outcome};
+use bytes::{Bytes, BytesMut};
+use http1::{Body, Framing, ResponseHead};
+use tokio::time::timeout_at;
+
+impl Exchange<'_> {
+    /// An answer that is read whole before it is passed on, unless it is large.
+    pub(super) async fn whole(
+        &mut self,
+        mut link: Link,
+        picked: Picked,
+        head: ResponseHead,
+        stray: bool,
+        load: Option<Load>,
+        mut watch: HostWait,
+    ) -> AttemptResult {
+        // Quick failures must not make a host look well.
+        if head.status < 400 {
+            picked.out.first();
+        }
+        watch.patience_over();
+        let (mut body, mut out) = (Body::new(head.framing), BytesMut::new());
+        let read = async |l: &mut Link| l.whole(&mut body, &mut out, MAX_BUFFERED_ANSWER).await;
+        match watch.guard(self, &mut link, &picked.out, read).await {
+            Err(stop) => return self.stopped(stop, picked.out),
+            Ok(false) => {
+                picked.out.told(load);
+                return self.large(link, picked, head, stray, body, out).await;
+            }
+            Ok(true) => {}
+        }
+        if !stray {
+            connections::keep(self.core, &picked.id, link, &head);
+        }
+        let out = out.freeze();
+        if head.status < 500 {
+            let outcome = if head.status < 400 { Outcome::Done } else { Outcome::Failed };
+            picked.out.end(outcome, load);
+            return AttemptResult::Answered(self.pass_whole(&head, &out).await);
+        }
+        picked.out.end(Outcome::Failed, load);
+        self.kept = Some((head, out));
+        AttemptResult::Ended(End::HostFailed)
+    }
+
+    pub(super) async fn pass_whole(&self, head: &ResponseHead, body: &Bytes) -> Done {
+        let close = closes(self.core, self.request);
+        let no_body = self.request.head.method() == b"HEAD" || matches!(head.status, 204 | 304);
+        let framing = if no_body { None } else { Some(Framing::Length(body.len() as u64)) };
+        let text = self.client_head(head, framing, close);
+        self.stage.start();
+        match self.write(&text, body).await {
+            true => {
+                self.core.tally.add(|c| c.passed += 1);
+                if close {
+                    Done::Close
+                } else {
+                    Done::Keep
+                }
+            }
+            false => Done::Cut,
+        }
+    }
+
+    /// The rest of an answer that is too large to be held.
+    async fn large(
+        &mut self,
+        mut link: Link,
+        picked: Picked,
+        head: ResponseHead,
+        stray: bool,
+        mut body: Body,
+        start: BytesMut,
+    ) -> AttemptResult {
+        let mut writer = Writer::new(self, &head);
+        let mut sent = writer.write(self, &head, &start).await;
+        loop {
+            if !sent {
+                return AttemptResult::Answered(Done::Cut);
+            }
+            match timeout_at(self.end() + DEADLINE_SLACK, link.piece(&mut body)).await {
+                Ok(Ok(Some(data))) => {
+                    picked.out.heard();
+                    sent = writer.write(self, &head, &data).await;
+                }
+                Ok(Ok(None)) => break,
+                Ok(Err(_)) => {
+                    self.core.tally.add(|c| c.broken += 1);
+                    picked.out.end(Outcome::Broken, None);
+                    return AttemptResult::Answered(Done::Cut);
+                }
+                Err(_) => {
+                    picked.out.end(Outcome::Silent, None);
+                    return AttemptResult::Answered(Done::Cut);
+                }
+            }
+        }
+        if !stray {
+            connections::keep(self.core, &picked.id, link, &head);
+        }
+        picked.out.end(if head.status < 400 { Outcome::Done } else { Outcome::Failed }, None);
+        AttemptResult::Answered(writer.finish(self, &head).await)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange/writer.rs
@@ -0,0 +1,98 @@
+//! Answers of hosts as the client gets them.
+
+use super::{closes, Exchange};
+use crate::own_answer::CLIENT_WRITE_TIMEOUT;
+use crate::progress::Done;
+use crate::wire::{self, field};
+use http1::{Framing, ResponseHead};
+use tokio::time::{timeout_at, Instant};
+
+/// Writes an answer to the client piece by piece; the head goes with the first one, and only once for all
+/// hosts that an answer comes from.
+pub(super) struct Writer {
+    framing: Framing,
+    close: bool,
+}
+
+impl Writer {
+    pub(super) fn new(exchange: &Exchange, head: &ResponseHead) -> Self {
+        let old = exchange.request.head.minor == 0;
+        let framing = match head.framing {
+            // Where its end can't be told from a cut, neither can ours.
+            Framing::UntilEnd => Framing::UntilEnd,
+            _ if exchange.route.resumable && old => Framing::UntilEnd,
+            _ if exchange.route.resumable => Framing::Chunked,
+            Framing::Chunked if old => Framing::UntilEnd,
+            framing => framing,
+        };
+        exchange.stage.set_until_end(framing == Framing::UntilEnd);
+        Self { framing, close: closes(exchange.core, exchange.request) || framing == Framing::UntilEnd }
+    }
+
+    pub(super) async fn write(&mut self, exchange: &Exchange<'_>, head: &ResponseHead, data: &[u8]) -> bool {
+        let mut text = match exchange.stage.start() {
+            true => Vec::new(),
+            false => exchange.client_head(head, Some(self.framing), self.close),
+        };
+        if self.framing != Framing::Chunked {
+            return exchange.write(&text, data).await;
+        }
+        if !data.is_empty() {
+            text.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+            text.extend_from_slice(data);
+            text.extend_from_slice(b"\r\n");
+        }
+        exchange.write(&text, b"").await
+    }
+
+    pub(super) async fn finish(&mut self, exchange: &Exchange<'_>, head: &ResponseHead) -> Done {
+        let begun = exchange.stage.started();
+        if !begun && !self.write(exchange, head, b"").await {
+            return Done::Cut;
+        }
+        if self.framing == Framing::Chunked && !exchange.write(b"0\r\n\r\n", b"").await {
+            return Done::Cut;
+        }
+        exchange.core.tally.add(|c| c.passed += 1);
+        if self.close {
+            Done::Close
+        } else {
+            Done::Keep
+        }
+    }
+}
+
+impl Exchange<'_> {
+    /// The answer's head as the client gets it; `None` leaves the host's length as it is.
+    pub(super) fn client_head(&self, head: &ResponseHead, framing: Option<Framing>, close: bool) -> Vec<u8> {
+        let mut out = Vec::with_capacity(512);
+        out.extend_from_slice(format!("HTTP/1.1 {} ", head.status).as_bytes());
+        out.extend_from_slice(head.reason());
+        out.extend_from_slice(b"\r\n");
+        for (name, value) in head.fields.iter() {
+            let length = name.eq_ignore_ascii_case(b"content-length") && framing.is_some();
+            if !length && !head.fields.hop_by_hop(name) {
+                field(&mut out, name, value);
+            }
+        }
+        match framing {
+            Some(Framing::Length(n)) => field(&mut out, b"Content-Length", n.to_string().as_bytes()),
+            Some(Framing::Chunked) => field(&mut out, b"Transfer-Encoding", b"chunked"),
+            Some(Framing::UntilEnd) | None => {}
+        }
+        if close {
+            field(&mut out, b"Connection", b"close");
+        } else {
+            // Told a little less than the truth, so that no request meets the close.
+            let idle = (self.core.limits().idle_timeout_ms / 1000).saturating_sub(1).max(1);
+            field(&mut out, b"Keep-Alive", format!("timeout={idle}").as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out
+    }
+
+    pub(super) async fn write(&self, head: &[u8], body: &[u8]) -> bool {
+        let by = self.end().max(Instant::now() + CLIENT_WRITE_TIMEOUT);
+        matches!(timeout_at(by, wire::write_all(self.client, head, body, &mut 0)).await, Ok(Ok(())))
+    }
+}
--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -1,8 +1,11 @@
 //! Clients: their connections, and their requests read whole within the operator's bounds.
 
 use crate::core::{BodyReservation, Core};
-use crate::exchange::{self, Answer, AnswerProgress, Done};
-use crate::seats::Seats;
+use crate::exchange;
+use crate::idle_clients::IdleClients;
+use crate::own_answer::Answer;
+use crate::progress::{AnswerProgress, Done};
+use crate::request::Request;
 use crate::wire;
 use bytes::{Bytes, BytesMut};
 use configuration::{Code, Limits};
@@ -35,15 +38,6 @@
     Over,
 }
 
-/// A request, read whole.
-pub(crate) struct Request {
-    pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
-    /// When its first byte was there.
-    pub(crate) arrived: Instant,
-    pub(crate) _held: Option<BodyReservation>,
-}
-
 /// Why a connection ends before a request is whole.
 enum Refused {
     /// Nothing was asked, or the client left.
@@ -75,7 +69,7 @@
     core.tally.add(|c| c.clients += 1);
     let full = open.get() >= core.most_clients;
     // One that stands idle goes first: its client can come back, one turned away is not served.
-    let crowded = full && !core.seats.borrow_mut().make_room();
+    let crowded = full && !core.idle_clients.borrow_mut().make_room();
     if open.get() >= core.most_clients + TOLD {
         return;
     }
@@ -101,7 +95,7 @@
                 let _ = closing.wait_for(|p| *p >= Phase::Leaving).await;
                 sleep(LEAVING_IDLE).await;
             };
-            let _seat = Seats::stand(&core.seats, &leave);
+            let _idle_client = IdleClients::stand(&core.idle_clients, &leave);
             tokio::select! {
                 biased;
                 got = wire::fill(stream, &mut buf) => if !matches!(got, Ok(n) if n > 0) { return },
--- /dev/null
+++ b/crates/proxy/src/hint_listener.rs
@@ -0,0 +1,79 @@
+//! Takes other proxies' hints, and answers those who ask for what is known.
+
+use crate::core::Core;
+use crate::hints::{of, DATAGRAM};
+use balancing::Placement;
+use protocol::Message;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Of a datagram, what a frame and a list need besides their entries, in bytes.
+const FRAME: usize = 32;
+/// Parts that an entry of an answer holds.
+const ENTRY_PARTS: usize = 40;
+/// Pause after a socket's error, which may be there again at once.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Takes hints for as long as the process lives.
+pub(crate) async fn hear(core: Rc<Core>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; 2 * DATAGRAM];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
+            // An answer to what was sent to a proxy that is gone, or an error that stays.
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let Ok(Some((message, _))) = protocol::decode(&buffer[..length]) else {
+            core.tally.add(|c| c.bad_hints += 1);
+            continue;
+        };
+        match message {
+            Message::PromptPlaced { placement, unread } => {
+                let mut policy = core.policy.borrow_mut();
+                policy.overheard(core.now(), &placement.host, &parts(&placement), unread);
+            }
+            Message::Placements { placements } => {
+                let mut policy = core.policy.borrow_mut();
+                placements.iter().for_each(|p| policy.overheard(core.now(), &p.host, &parts(p), 0));
+            }
+            Message::PlacementsRequest { .. } => recall(&core, &socket, from),
+            _ => core.tally.add(|c| c.bad_hints += 1),
+        }
+    }
+}
+
+fn recall(core: &Core, socket: &UdpSocket, to: SocketAddr) {
+    let kept = core.policy.borrow().kept();
+    let mut placements: Vec<protocol::Placement> = Vec::new();
+    let mut size = 0;
+    let send = |placements: &mut Vec<protocol::Placement>| {
+        let message = Message::Placements { placements: std::mem::take(placements) };
+        let _ = socket.try_send_to(&protocol::encode(&message), to);
+    };
+    for Placement { host, parts: all, .. } in kept {
+        for some in all.chunks(ENTRY_PARTS) {
+            let one = of(&Placement { host: Arc::clone(&host), parts: some.to_vec(), unread: 0 });
+            let length = 8 + one.host.len() + 12 * one.parts.len();
+            if length > DATAGRAM - FRAME {
+                // Its name alone fills a datagram.
+                break;
+            }
+            if size + length > DATAGRAM - FRAME {
+                send(&mut placements);
+                size = 0;
+            }
+            size += length;
+            placements.push(one);
+        }
+    }
+    if !placements.is_empty() {
+        send(&mut placements);
+    }
+}
+
+fn parts(placement: &protocol::Placement) -> Vec<(u64, u32)> {
+    placement.parts.iter().map(|p| (p.id, p.tokens)).collect()
+}
--- a/crates/proxy/src/hints.rs
+++ b/crates/proxy/src/hints.rs
@@ -2,29 +2,20 @@
 //! Datagrams that may be lost; nothing rests on them but what is read again. Nobody is asked when a request
 //! is sent.
 
-use crate::core::Core;
 use balancing::Placement;
 use configuration::Boot;
 use protocol::{Message, Part};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::UdpSocket;
 
 /// Most proxies that are told of every prompt; in a larger fleet each tells those that follow it in the order of
 /// their addresses, and nobody takes what is heard for the whole.
 const MOST: usize = 16;
 /// Longest datagram, in bytes.
-const DATAGRAM: usize = 1200;
-/// Of that, what a frame and a list need besides their entries.
-const FRAME: usize = 32;
-/// Parts that an entry of an answer holds.
-const ENTRY_PARTS: usize = 40;
+pub(crate) const DATAGRAM: usize = 1200;
 /// Proxies that are asked for what they know.
 const ASKED: usize = 2;
-/// Pause after a socket's error, which may be there again at once.
-const PAUSE: Duration = Duration::from_millis(20);
 
 /// Who is told.
 #[derive(Default)]
@@ -74,7 +65,8 @@
     }
 }
 
-fn of(placement: &Placement) -> protocol::Placement {
+/// A placement as it goes over the wire.
+pub(crate) fn of(placement: &Placement) -> protocol::Placement {
     let part = |p: &(u64, u32)| Part { id: p.0, tokens: p.1 };
     protocol::Placement {
         host: placement.host.to_string(),
@@ -82,10 +74,6 @@
     }
 }
 
-fn parts(placement: &protocol::Placement) -> Vec<(u64, u32)> {
-    placement.parts.iter().map(|p| (p.id, p.tokens)).collect()
-}
-
 /// Where this proxy takes hints; `None` where it can't.
 pub(crate) async fn listen(boot: &Boot) -> Option<Rc<UdpSocket>> {
     let port = boot.port_range.0.checked_add(2).filter(|p| *p <= boot.port_range.1)?;
@@ -97,60 +85,3 @@
         }
     }
 }
-
-/// Takes hints for as long as the process lives.
-pub(crate) async fn hear(core: Rc<Core>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; 2 * DATAGRAM];
-    loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
-            // An answer to what was sent to a proxy that is gone, or an error that stays.
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
-        let Ok(Some((message, _))) = protocol::decode(&buffer[..length]) else {
-            core.tally.add(|c| c.bad_hints += 1);
-            continue;
-        };
-        match message {
-            Message::PromptPlaced { placement, unread } => {
-                let mut policy = core.policy.borrow_mut();
-                policy.overheard(core.now(), &placement.host, &parts(&placement), unread);
-            }
-            Message::Placements { placements } => {
-                let mut policy = core.policy.borrow_mut();
-                placements.iter().for_each(|p| policy.overheard(core.now(), &p.host, &parts(p), 0));
-            }
-            Message::PlacementsRequest { .. } => recall(&core, &socket, from),
-            _ => core.tally.add(|c| c.bad_hints += 1),
-        }
-    }
-}
-
-fn recall(core: &Core, socket: &UdpSocket, to: SocketAddr) {
-    let kept = core.policy.borrow().kept();
-    let mut placements: Vec<protocol::Placement> = Vec::new();
-    let mut size = 0;
-    let send = |placements: &mut Vec<protocol::Placement>| {
-        let message = Message::Placements { placements: std::mem::take(placements) };
-        let _ = socket.try_send_to(&protocol::encode(&message), to);
-    };
-    for Placement { host, parts: all, .. } in kept {
-        for some in all.chunks(ENTRY_PARTS) {
-            let one = of(&Placement { host: Arc::clone(&host), parts: some.to_vec(), unread: 0 });
-            let length = 8 + one.host.len() + 12 * one.parts.len();
-            if length > DATAGRAM - FRAME {
-                // Its name alone fills a datagram.
-                break;
-            }
-            if size + length > DATAGRAM - FRAME {
-                send(&mut placements);
-                size = 0;
-            }
-            size += length;
-            placements.push(one);
-        }
-    }
-    if !placements.is_empty() {
-        send(&mut placements);
-    }
-}
--- a/crates/proxy/src/hostlink.rs
+++ b/crates/proxy/src/hostlink.rs
@@ -1,16 +1,12 @@
 //! Connections to hosts: one request at a time on each, kept for the next where both sides agree.
 
-use crate::core::Core;
-use crate::pool::{self, Ticket};
+use crate::pool::Ticket;
 use crate::wire;
 use bytes::{Bytes, BytesMut};
 use http1::{Body, HeadLimits, Malformed, Piece, ResponseHead};
 use snafu::Snafu;
-use std::net::SocketAddrV4;
-use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 
 /// Largest head of an answer.
 const MOST_HEAD: HeadLimits = HeadLimits::bytes(32 * 1024);
@@ -48,61 +44,15 @@
     origin: Instant,
 }
 
-/// Why no connection could be had.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NoLink {
-    /// This process has as many to the host as it may.
-    Full,
-    /// It did not come up.
-    Unreached,
-}
-
 impl Link {
-    /// An idle connection to the host, or a new one.
-    pub(crate) async fn get(
-        core: &Core,
-        id: &Arc<str>,
-        addr: SocketAddrV4,
-        most: usize,
-        until: Instant,
-    ) -> Result<Self, NoLink> {
-        loop {
-            let idle = core.pool.borrow_mut().take(core.now(), id);
-            match idle {
-                Some(link) if wire::quiet(&link.stream) => return Ok(link),
-                Some(_) => {}
-                None => return Self::open(core, id, addr, most, until).await,
-            }
-        }
+    /// A connection that has just come up.
+    pub(crate) fn new(stream: TcpStream, ticket: Ticket, origin: Instant) -> Self {
+        Self { stream, buf: BytesMut::new(), used: false, partial: false, ticket, origin }
     }
 
-    /// A new connection.
-    pub(crate) async fn open(
-        core: &Core,
-        id: &Arc<str>,
-        addr: SocketAddrV4,
-        most: usize,
-        until: Instant,
-    ) -> Result<Self, NoLink> {
-        let ticket = core.pool.borrow_mut().room(id, most).ok_or(NoLink::Full)?;
-        core.tally.add(|c| c.connects += 1);
-        match timeout_at(until, TcpStream::connect(std::net::SocketAddr::V4(addr))).await {
-            Ok(Ok(stream)) => {
-                let _ = stream.set_nodelay(true);
-                Ok(Self {
-                    stream,
-                    buf: BytesMut::new(),
-                    used: false,
-                    partial: false,
-                    ticket,
-                    origin: core.at(Duration::ZERO),
-                })
-            }
-            _ => {
-                core.tally.add(|c| c.unreached += 1);
-                Err(NoLink::Unreached)
-            }
-        }
+    /// Whether nothing waits to be read and the host has not ended the connection, as the system knows it now.
+    pub(crate) fn quiet(&self) -> bool {
+        wire::quiet(&self.stream)
     }
 
     /// Writes a request, and stops where its answer is there before all is written: a host may refuse a large
@@ -197,15 +147,14 @@
         self.origin + self.ticket.heard() > time
     }
 
-    /// Keeps the connection for the next request, after a whole answer with this head.
-    pub(crate) fn keep(mut self, core: &Core, id: &str, head: &ResponseHead) {
+    /// The connection for another request, after a whole answer with this head; `None` where none may follow.
+    pub(crate) fn rested(mut self, head: &ResponseHead) -> Option<Self> {
         // More after a whole answer belongs to no request.
         if !head.keeps_alive() || self.partial || !self.buf.is_empty() {
-            return;
+            return None;
         }
-        let until = core.now() + pool::idle(head.fields.text("keep-alive"));
         self.used = true;
         self.buf = BytesMut::new();
-        core.pool.borrow_mut().put(id, self, until);
+        Some(self)
     }
 }
--- a/crates/proxy/src/seats.rs
+++ b/crates/proxy/src/idle_clients.rs
@@ -6,25 +6,25 @@
 use tokio::sync::Notify;
 
 #[derive(Debug, Default)]
-pub(crate) struct Seats {
+pub(crate) struct IdleClients {
     idle: BTreeMap<u64, Rc<Notify>>,
     next: u64,
 }
 
 /// Listed as idle for as long as it lives.
-pub(crate) struct MemberInfo<'a> {
-    seats: &'a RefCell<Seats>,
+pub(crate) struct IdleClient<'a> {
+    idle_clients: &'a RefCell<IdleClients>,
     number: u64,
 }
 
-impl Seats {
+impl IdleClients {
     /// A connection falls idle; `leave` is told if it has to go.
-    pub(crate) fn stand<'a>(seats: &'a RefCell<Seats>, leave: &Rc<Notify>) -> MemberInfo<'a> {
-        let mut all = seats.borrow_mut();
+    pub(crate) fn stand<'a>(idle_clients: &'a RefCell<IdleClients>, leave: &Rc<Notify>) -> IdleClient<'a> {
+        let mut all = idle_clients.borrow_mut();
         let number = all.next;
         all.next += 1;
         all.idle.insert(number, leave.clone());
-        MemberInfo { seats, number }
+        IdleClient { idle_clients, number }
     }
 
     /// Tells the one that has been idle for longest to go; false where there is none.
@@ -33,8 +33,8 @@
     }
 }
 
-impl Drop for MemberInfo<'_> {
+impl Drop for IdleClient<'_> {
     fn drop(&mut self) {
-        self.seats.borrow_mut().idle.remove(&self.number);
+        self.idle_clients.borrow_mut().idle.remove(&self.number);
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,18 +9,25 @@
 #![warn(missing_docs)]
 
 pub mod attempt;
+mod connections;
 mod core;
 pub mod counters;
 pub mod events;
 mod exchange;
 mod front;
+mod hint_listener;
 mod hints;
 mod hostlink;
+mod idle_clients;
+mod own_answer;
 pub mod pool;
+mod progress;
 mod readiness;
+mod request;
 pub mod routes;
-mod seats;
 mod serve;
 mod wire;
+mod world;
 
-pub use serve::{serve, serve_counted, Error, World};
+pub use serve::{serve, serve_counted, Error};
+pub use world::World;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,9 +2,9 @@
 
 use crate::core::Core;
 use crate::counters::{Counters, SharedCounters};
-use crate::{front, hints, readiness};
-use balancing::HostInfo;
-use configuration::{Boot, Document};
+use crate::world::World;
+use crate::{front, hint_listener, hints, readiness};
+use configuration::Boot;
 use snafu::{ResultExt, Snafu};
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -16,19 +16,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
-/// What is known of the fleet.
-#[derive(Clone, Debug)]
-pub struct World {
-    /// The configuration.
-    pub document: Arc<Document>,
-    /// All hosts that are not gone.
-    pub hosts: Vec<HostInfo>,
-    /// Proxies that share the budget for repeats, this one among them.
-    pub coordinators: usize,
-    /// Where the other proxies take hints.
-    pub others: Vec<SocketAddrV4>,
-}
-
 /// Why the proxy can't start.
 #[derive(Debug, Snafu)]
 #[non_exhaustive]
@@ -127,7 +114,7 @@
     if let Some(socket) = &hints {
         core.hints.borrow_mut().socket = Some(socket.clone());
     }
-    let _hints = hints.map(|socket| task(hints::hear(core.clone(), socket)));
+    let _hints = hints.map(|socket| task(hint_listener::hear(core.clone(), socket)));
     let _tasks = [
         task(follow(core.clone(), world)),
         task(readiness::listen(core.clone(), readiness)),
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -54,3 +54,11 @@
     let mut byte = [0u8; 1];
     matches!(recv(stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT), Err(rustix::io::Errno::AGAIN))
 }
+
+/// Appends a line of a head.
+pub(crate) fn field(out: &mut Vec<u8>, name: &[u8], value: &[u8]) {
+    out.extend_from_slice(name);
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
