http1: chunk sizes need digits, lines end with CR and LF

Cause: an empty line, a line of blanks or a bare extension where a chunk's size is due was read as the size 0, the last chunk: an answer with a chunk lost there looked whole. Lines of heads, sizes and trailers could end with a lone LF, which other readers take otherwise. Change: the size line is read strictly (1 to 16 hexadecimal digits, an extension behind a semicolon, no control bytes, CR LF); trailers are fields; taken heads end each line with CR LF.

--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -37,6 +37,8 @@
 
 /// Longest line of a chunk's size, with its extensions, and longest trailer section.
 const MOST_LINE: usize = 4096;
+/// Digits of a chunk's size: as many as fill 64 bits.
+const MAX_SIZE_DIGITS: usize = 16;
 
 /// Why a message can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -190,6 +192,39 @@
     }
 }
 
+/// Whether each line ends with CR and LF: a lone LF ends a line for some readers and not for others.
+fn lines_end_with_crlf(head: &[u8]) -> bool {
+    head.iter().enumerate().all(|(at, byte)| *byte != b'\n' || (at > 0 && head.get(at - 1) == Some(&b'\r')))
+}
+
+/// Reads the line of a chunk's size: its length and the size; `None` where more has to come. A size has digits,
+/// and a line that has none must not pass for the last chunk's.
+fn chunk_size(input: &[u8]) -> Result<Option<(usize, u64)>, Malformed> {
+    let Some(end) = input.iter().position(|b| *b == b'\n') else {
+        let plain = input.iter().take(MAX_SIZE_DIGITS + 1).all(|b| b.is_ascii_hexdigit());
+        return match input.len() {
+            0 => Ok(None),
+            n if n < MOST_LINE && !(plain && n > MAX_SIZE_DIGITS) => Ok(None),
+            _ => syntax("chunk"),
+        };
+    };
+    let Some(line) = input.get(..end).and_then(|l| l.strip_suffix(b"\r")) else { return syntax("chunk") };
+    if line.len() > MOST_LINE || line.iter().any(|b| b.is_ascii_control() && *b != b'\t') {
+        return syntax("chunk");
+    }
+    let (digits, extension) =
+        line.split_at(line.iter().position(|b| !b.is_ascii_hexdigit()).unwrap_or(line.len()));
+    let rest = extension.trim_ascii_start();
+    if digits.is_empty() || digits.len() > MAX_SIZE_DIGITS || !(rest.is_empty() || rest.starts_with(b";")) {
+        return syntax("chunk");
+    }
+    let size = std::str::from_utf8(digits).ok().and_then(|d| u64::from_str_radix(d, 16).ok());
+    match size {
+        Some(size) => Ok(Some((end + 1, size))),
+        None => syntax("chunk"),
+    }
+}
+
 /// The part of a head that stands at the front of some bytes: its length, and how to read it from them.
 type Found<T> = Result<Option<(usize, T)>, Malformed>;
 
@@ -263,11 +298,14 @@
     /// could read in another way is refused besides.
     ///
     /// # Errors
-    /// As [`RequestHead::read`], and where it names two hosts, an old version has chunks, or the target is none
+    /// As [`RequestHead::read`], and where a line ends with a lone LF, it names two hosts, an old version has chunks, or the target is none
     /// that a server is asked for.
     pub fn take(buf: &mut BytesMut, most: HeadLimits) -> Result<Option<Self>, Malformed> {
         let Some((n, parts)) = request(buf, most)? else { return Ok(None) };
         let head = Self::of(parts, buf.split_to(n).freeze())?;
+        if !lines_end_with_crlf(&head.fields.raw) {
+            return syntax("line");
+        }
         if head.fields.all("host").nth(1).is_some() {
             return syntax("host");
         }
@@ -390,10 +428,14 @@
     /// Takes a head off the front of `buf`, as [`ResponseHead::read`] reads it.
     ///
     /// # Errors
-    /// As [`ResponseHead::read`].
+    /// As [`ResponseHead::read`], and where a line ends with a lone LF.
     pub fn take(buf: &mut BytesMut, most: HeadLimits, to_head: bool) -> Result<Option<Self>, Malformed> {
         let Some((n, parts)) = response(buf, most)? else { return Ok(None) };
-        Self::of(parts, buf.split_to(n).freeze(), to_head).map(Some)
+        let head = Self::of(parts, buf.split_to(n).freeze(), to_head)?;
+        match lines_end_with_crlf(&head.fields.raw) {
+            true => Ok(Some(head)),
+            false => syntax("line"),
+        }
     }
 
     /// The words after the status.
@@ -499,13 +541,12 @@
                 Some(_) => syntax("chunk"),
                 None => Ok(Step::More),
             },
-            Part::Size => match httparse::parse_chunk_size(input) {
-                Ok(httparse::Status::Complete((n, size))) => {
+            Part::Size => match chunk_size(input)? {
+                Some((n, size)) => {
                     self.part = if size == 0 { Part::Trailer(0) } else { Part::Data(size) };
                     Ok(Step::Frame(n))
                 }
-                Ok(httparse::Status::Partial) if input.len() < MOST_LINE => Ok(Step::More),
-                _ => syntax("chunk"),
+                None => Ok(Step::More),
             },
             Part::Trailer(seen) => match input.iter().position(|b| *b == b'\n') {
                 Some(n) => {
@@ -513,8 +554,10 @@
                     if *seen > MOST_LINE {
                         return syntax("trailer");
                     }
-                    if input[..n].trim_ascii_end().is_empty() {
-                        self.part = Part::Done;
+                    match input.get(..n).and_then(|l| l.strip_suffix(b"\r")) {
+                        Some([]) => self.part = Part::Done,
+                        Some(field) if field.contains(&b':') => {}
+                        _ => return syntax("trailer"),
                     }
                     Ok(Step::Frame(n + 1))
                 }
--- a/crates/http1/tests/parsing.rs
+++ b/crates/http1/tests/parsing.rs
@@ -40,6 +40,10 @@
 #[case("GET / HTTP/1.1\r\nHost : a\r\n\r\n")]
 #[case("GET / HTTP/1.1\r\nHost: a\r\n folded\r\n\r\n")]
 #[case("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case("GET / HTTP/1.1\nHost: a\r\n\r\n")]
+#[case("GET / HTTP/1.1\r\nHost: a\n\r\n")]
+#[case("GET / HTTP/1.1\r\nHost: a\r\n\n")]
+#[case("GET / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n")]
 fn what_is_no_request_is_refused(#[case] text: &str) {
     assert!(matches!(request(text), Err(Malformed::Syntax { .. })), "{:?}", request(text));
 }
@@ -114,6 +118,7 @@
 #[rstest]
 #[case("\u{1}\u{2}garbage\r\n\r\n")]
 #[case("HTTP/1.1 2000 OK\r\n\r\n")]
+#[case("HTTP/1.1 200 OK\nContent-Length: 1\r\n\r\n")]
 #[case("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")]
 fn what_is_no_answer(#[case] text: &str) {
     assert!(ResponseHead::take(&mut BytesMut::from(text), MOST, false).is_err());
@@ -171,7 +176,23 @@
 
 #[rstest]
 #[case("x\r\n")]
+#[case("\r\n\r\n")]
+#[case(";last\r\n\r\n")]
+#[case(" \r\n\r\n")]
+#[case(" 5\r\nhello")]
+#[case("5 5\r\nhello")]
+#[case("0x5\r\nhello")]
+#[case("+5\r\nhello")]
+#[case("5\nhello")]
+#[case("5;a\nb\r\nhello")]
+#[case("5;a\rb\r\nhello")]
+#[case("5\r\nhello\r\n\r\n\r\n")]
+#[case("5\r\nhello\n0\r\n\r\n")]
 #[case("5\r\nhelloXX")]
+#[case("0\r\n\n")]
+#[case("0\r\n \r\n")]
+#[case("0\r\nno field\r\n\r\n")]
+#[case("0\r\nT: 1\n\r\n")]
 #[case("-1\r\n")]
 #[case("fffffffffffffffff\r\n")]
 fn chunks_that_are_none(#[case] text: &str) {
