Proxy: a request that has come is not lost as its idle connection is closed

Cause: a connection told to make room, to leave or to end for its idleness was closed although a request stood in the system's buffer that the runtime had not reported yet: the client met a reset. Change: before the close the socket is looked at; what has come is read and answered.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -96,12 +96,24 @@
                 sleep(LEAVING_IDLE).await;
             };
             let _idle_client = IdleClients::stand(&core.idle_clients, &leave);
-            tokio::select! {
+            let over = tokio::select! {
                 biased;
-                got = wire::fill(stream, &mut buf) => if !matches!(got, Ok(n) if n > 0) { return },
-                () = leaving => return,
-                () = leave.notified() => return,
-                () = sleep(idle) => return,
+                got = wire::fill(stream, &mut buf) => {
+                    if !matches!(got, Ok(n) if n > 0) {
+                        return;
+                    }
+                    false
+                }
+                () = leaving => true,
+                () = leave.notified() => true,
+                () = sleep(idle) => true,
+            };
+            // What has come meanwhile is a request: one that met the close would be lost.
+            if over && wire::quiet(stream) {
+                return;
+            }
+            if over {
+                continue;
             }
         }
         // Boxed: only connections with a request under way hold what one needs.
