Proxy: whose answer it is, and what its end shows, in the cases that didn't hold

Cause, each found by review and shown by a test: an interim answer with the attempt's id ended the writing of the request; an early answer behind an interim one was not seen; half-written at the process's end, a request was answered 503 though bytes were out; an answer that names two attempts counted for the first; a request that names two was passed on; a success with Fennelpin-Not-Executed let a mutating request go to a second host; HEAD and 204 on stream routes got a last chunk behind their head, which the next answer began with; 204 kept a Content-Length; a stream resumed at a host with another framing was written in that framing; data without an identity was passed on and then came again. Change: one function says whose answer a head begins; out counts from before the first byte; answers without a body are no streams; the client's framing is fixed with its head, and an end that can't be told from a cut doesn't end a chunked answer; a stream goes on only behind a known place.

--- a/crates/proxy/src/events.rs
+++ b/crates/proxy/src/events.rs
@@ -20,6 +20,13 @@
     pub id: Option<String>,
 }
 
+impl Event {
+    /// Whether it has a line of data, and is more than a comment or a keep-alive.
+    pub fn has_data(&self) -> bool {
+        self.bytes.split(|b| matches!(b, b'\n' | b'\r')).any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// Cuts a stream into whole events.
 #[derive(Debug)]
 pub struct Splitter {
@@ -80,12 +87,14 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Place {
     last: Option<String>,
+    /// Data without an identity was passed on since: nobody can be told to go on behind it.
+    lost: bool,
 }
 
 impl Place {
     /// After the event with this identity, as a client said.
     pub fn after(id: Option<&str>) -> Self {
-        Self { last: id.map(str::to_owned) }
+        Self { last: id.map(str::to_owned), lost: false }
     }
 
     /// The last identity.
@@ -93,10 +102,18 @@
         self.last.as_deref()
     }
 
+    /// Whether a host can be told where to go on, so that nothing is missing or comes twice.
+    pub fn known(&self) -> bool {
+        !self.lost
+    }
+
     /// Whether an event is new, and if so it is the last one from now on. Identities rise: what doesn't was
     /// passed on before.
     pub fn admit(&mut self, event: &Event) -> bool {
-        let Some(id) = &event.id else { return true };
+        let Some(id) = &event.id else {
+            self.lost |= event.has_data();
+            return true;
+        };
         let number = |id: &str| id.trim().parse::<u64>().ok();
         let before = self.last.as_deref().and_then(number);
         if let (Some(before), Some(now)) = (before, number(id)) {
--- a/crates/proxy/src/exchange/host_request.rs
+++ b/crates/proxy/src/exchange/host_request.rs
@@ -1,5 +1,6 @@
 //! A request as its host gets it, and the sending of it.
 
+use super::matching::{whose, Whose};
 use super::{Exchange, Picked, ATTEMPT_ID, DEADLINE_SLACK};
 use crate::attempt::End;
 use crate::connections::{self, NoLink};
@@ -74,10 +75,15 @@
         let (mut written, mut again) = (0, false);
         loop {
             let head = self.head(picked);
-            let mark = self.request.head.fields.get(ATTEMPT_ID);
-            let ours = |answer: &ResponseHead| answer.fields.get(ATTEMPT_ID) == mark;
+            let mark = self.request.head.fields.get(ATTEMPT_ID).unwrap_or_default();
+            let ours = |answer: &ResponseHead| whose(answer, mark) == Whose::Ours;
+            // From here on bytes may be the host's, also where this is dropped half-way.
+            self.stage.set_out(true);
             let send = link.send(&head, &self.request.body, &mut written, ours);
             let sent = timeout_at(self.end() + DEADLINE_SLACK, send).await;
+            if written == 0 {
+                self.stage.set_out(self.trial.may_have_run());
+            }
             match sent {
                 _ if written == 0 && link.used && !again => {
                     again = true;
@@ -91,7 +97,6 @@
             }
             let repeat = self.trial.heard();
             self.trial.sent();
-            self.stage.set_out(true);
             core.tally.add(|c| {
                 c.sent += 1;
                 c.repeats += u64::from(repeat);
--- a/crates/proxy/src/exchange/matching.rs
+++ b/crates/proxy/src/exchange/matching.rs
@@ -19,7 +19,28 @@
 
 /// Whether the host says that it has not run the request. No other status says so.
 pub(super) fn refuses(head: &ResponseHead) -> bool {
-    head.status == 421 || head.fields.get("fennelpin-not-executed").is_some()
+    head.status == 421 || (head.status >= 400 && head.fields.get("fennelpin-not-executed").is_some())
+}
+
+/// Whose answer a head begins, by the attempt that it names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Whose {
+    /// This attempt's.
+    Ours,
+    /// Another's, or nobody can say whose.
+    Other,
+    /// It names none.
+    Unnamed,
+}
+
+/// Whether an answer belongs to the attempt with this id. One that names two belongs to nobody.
+pub(super) fn whose(head: &ResponseHead, id: &[u8]) -> Whose {
+    let mut names = head.fields.all(ATTEMPT_ID);
+    match (names.next(), names.next()) {
+        (Some(named), None) if named == id => Whose::Ours,
+        (None, _) => Whose::Unnamed,
+        _ => Whose::Other,
+    }
 }
 
 impl Exchange<'_> {
@@ -34,11 +55,11 @@
         let mark = self.request.head.fields.get(ATTEMPT_ID).unwrap_or_default();
         for strays in 0..=MAX_STRAY_ANSWERS {
             let head = watch.guard(self, link, out, async |l: &mut Link| l.head(to_head).await).await?;
-            match head.fields.get(ATTEMPT_ID) {
-                Some(id) if id == mark => return Ok((head, strays > 0)),
+            match whose(&head, mark) {
+                Whose::Ours => return Ok((head, strays > 0)),
                 // Without an id it can only be ours where nobody was answered on this connection before.
-                None if refuses(&head) && strays == 0 && !link.used => return Ok((head, false)),
-                _ => {}
+                Whose::Unnamed if refuses(&head) && strays == 0 && !link.used => return Ok((head, false)),
+                Whose::Unnamed | Whose::Other => {}
             }
             self.core.tally.add(|c| c.strays += 1);
             let (mut body, mut bytes) = (Body::new(head.framing), BytesMut::new());
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -11,6 +11,7 @@
 use self::matching::refuses;
 use self::prompt::{load, parts, tokens};
 use self::wait::{HostWait, Stop};
+use self::writer::Writer;
 use crate::attempt::{End, Next, RetryState};
 use crate::core::{Core, OpenAttempt};
 use crate::events::Place;
@@ -22,6 +23,7 @@
 use bytes::Bytes;
 use configuration::{Code, Kind, Route};
 use http1::ResponseHead;
+use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -61,7 +63,8 @@
     let Some(known) = core.known() else { return refuse(Code::NoConfiguration, Some(RETRY_AFTER.1)).await };
     let route = request.head.host().and_then(|h| known.routes.find(h, request.head.path()));
     let Some(route) = route else { return refuse(Code::NoRoute, None).await };
-    if fields.get(ATTEMPT_ID).is_none() {
+    // With two of them nobody could say whose answer is whose.
+    if fields.all(ATTEMPT_ID).count() != 1 {
         return refuse(Code::BadRequest, None).await;
     }
     let Some(service) = routes::service(route, core.draw()) else { return refuse(Code::NoHost, None).await };
@@ -83,6 +86,7 @@
         parts: parts(fields.text("fennelpin-prompt-prefix")),
         tokens: tokens(fields.text("fennelpin-token-counts")),
         place: Place::after(fields.text("last-event-id")),
+        begun: Cell::new(None),
         kept: None,
     };
     match exchange.go().await {
@@ -137,6 +141,8 @@
     parts: Vec<(u64, u32)>,
     tokens: (u32, u32),
     place: Place,
+    /// How the answer goes to the client, once its head has gone.
+    begun: Cell<Option<Writer>>,
     /// A host's own failure, to be passed on if nothing better comes.
     kept: Option<(ResponseHead, Bytes)>,
 }
@@ -206,6 +212,16 @@
         }
     }
 
+    /// Whether no body follows this answer's head, whatever its fields say.
+    fn bodiless(&self, head: &ResponseHead) -> bool {
+        self.request.head.method() == b"HEAD" || matches!(head.status, 204 | 304)
+    }
+
+    /// Whether a stream that has begun may go on at another host: what was passed on has a place to go on from.
+    fn may_go_on(&self) -> bool {
+        self.route.resumable && self.place.known()
+    }
+
     fn end(&self) -> Instant {
         self.core.at(self.trial.deadline())
     }
@@ -248,6 +264,7 @@
             return AttemptResult::Ended(End::Broke);
         }
         let stream = success
+            && !self.bodiless(&head)
             && (self.route.kind == Kind::Streaming
                 || head.fields.text("content-type").is_some_and(|t| t.starts_with("text/event-stream")));
         if self.stage.started() && !stream {
--- a/crates/proxy/src/exchange/stream.rs
+++ b/crates/proxy/src/exchange/stream.rs
@@ -54,18 +54,16 @@
             };
             let data = match next {
                 Ok(Some(data)) => data,
-                Ok(None) => break,
-                Err(stop) if resumable || !self.stage.started() => {
-                    return self.stopped(stop, picked.out);
-                }
-                Err(stop) => {
-                    let _ = self.stopped(stop, picked.out);
-                    return AttemptResult::Answered(Done::Cut);
+                // A stream that goes on here has no end of its own to show: this may be a cut.
+                Ok(None) if body.ends_with_connection() && writer.marks_end() => {
+                    return self.broken(Stop::Lost, picked);
                 }
+                Ok(None) => break,
+                Err(stop) => return self.broken(stop, picked),
             };
             let data = if resumable {
                 if !splitter.push(&data) {
-                    return self.stopped(Stop::Lost, picked.out);
+                    return self.broken(Stop::Lost, picked);
                 }
                 self.admitted(&mut splitter)
             } else {
@@ -94,11 +92,21 @@
         AttemptResult::Answered(writer.finish(self, &head).await)
     }
 
+    /// A stream that has broken: it goes on at another host where the client has nothing of it yet or that can
+    /// be told where to go on, and is cut otherwise.
+    fn broken(&self, stop: Stop, picked: Picked) -> AttemptResult {
+        let cut = self.stage.started() && !self.may_go_on();
+        match self.stopped(stop, picked.out) {
+            _ if cut => AttemptResult::Answered(Done::Cut),
+            result => result,
+        }
+    }
+
     /// What comes next of a stream that has begun. One that may go on elsewhere is not waited for until its
     /// client gives up, unless the host shows itself alive on other connections: there it will go on.
     async fn later_piece(&mut self, link: &mut Link, body: &mut Body) -> Result<Option<Bytes>, Stop> {
         let end = self.end() + DEADLINE_SLACK;
-        let mut waits = self.route.resumable;
+        let mut waits = self.may_go_on();
         loop {
             let since = Instant::now();
             let until = if waits { end.min(since + stall(self.route)) } else { end };
--- a/crates/proxy/src/exchange/whole.rs
+++ b/crates/proxy/src/exchange/whole.rs
@@ -54,8 +54,7 @@
 
     pub(super) async fn pass_whole(&self, head: &ResponseHead, body: &Bytes) -> Done {
         let close = closes(self.core, self.request);
-        let no_body = self.request.head.method() == b"HEAD" || matches!(head.status, 204 | 304);
-        let framing = if no_body { None } else { Some(Framing::Length(body.len() as u64)) };
+        let framing = if self.bodiless(head) { None } else { Some(Framing::Length(body.len() as u64)) };
         let text = self.client_head(head, framing, close);
         self.stage.start();
         match self.write(&text, body).await {
--- a/crates/proxy/src/exchange/writer.rs
+++ b/crates/proxy/src/exchange/writer.rs
@@ -8,7 +8,8 @@
 use tokio::time::{timeout_at, Instant};
 
 /// Writes an answer to the client piece by piece; the head goes with the first one, and only once for all
-/// hosts that an answer comes from.
+/// hosts that an answer comes from. What that head said of the framing and of the connection holds for them all.
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Writer {
     framing: Framing,
     close: bool,
@@ -16,6 +17,9 @@
 
 impl Writer {
     pub(super) fn new(exchange: &Exchange, head: &ResponseHead) -> Self {
+        if let Some(writer) = exchange.begun.get() {
+            return writer;
+        }
         let old = exchange.request.head.minor == 0;
         let framing = match head.framing {
             // Where its end can't be told from a cut, neither can ours.
@@ -32,7 +36,10 @@
     pub(super) async fn write(&mut self, exchange: &Exchange<'_>, head: &ResponseHead, data: &[u8]) -> bool {
         let mut text = match exchange.stage.start() {
             true => Vec::new(),
-            false => exchange.client_head(head, Some(self.framing), self.close),
+            false => {
+                exchange.begun.set(Some(*self));
+                exchange.client_head(head, Some(self.framing), self.close)
+            }
         };
         if self.framing != Framing::Chunked {
             return exchange.write(&text, data).await;
@@ -45,6 +52,11 @@
         exchange.write(&text, b"").await
     }
 
+    /// Whether the client can tell the answer's end from a cut, and so has to be told only of a true one.
+    pub(super) fn marks_end(&self) -> bool {
+        self.framing != Framing::UntilEnd
+    }
+
     pub(super) async fn finish(&mut self, exchange: &Exchange<'_>, head: &ResponseHead) -> Done {
         let begun = exchange.stage.started();
         if !begun && !self.write(exchange, head, b"").await {
@@ -70,7 +82,8 @@
         out.extend_from_slice(head.reason());
         out.extend_from_slice(b"\r\n");
         for (name, value) in head.fields.iter() {
-            let length = name.eq_ignore_ascii_case(b"content-length") && framing.is_some();
+            let length =
+                name.eq_ignore_ascii_case(b"content-length") && (framing.is_some() || head.status == 204);
             if !length && !head.fields.hop_by_hop(name) {
                 field(&mut out, name, value);
             }
--- a/crates/proxy/src/hostlink.rs
+++ b/crates/proxy/src/hostlink.rs
@@ -31,6 +31,11 @@
     },
 }
 
+/// Whether the answer proper is still to come.
+fn is_interim(head: &ResponseHead) -> bool {
+    (100..200).contains(&head.status)
+}
+
 /// A connection to a host.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -77,16 +82,25 @@
                     if got? == 0 {
                         return Ok(());
                     }
-                    if let Ok(Some(head)) = ResponseHead::take(&mut self.buf.clone(), MOST_HEAD, false) {
-                        if ours(&head) {
-                            return Ok(());
-                        }
+                    if self.final_head().is_some_and(|head| ours(&head)) {
+                        return Ok(());
                     }
                 }
             }
         }
     }
 
+    /// The head of the answer that stands in the buffer, past interim ones, which stays there.
+    fn final_head(&self) -> Option<ResponseHead> {
+        let mut rest = self.buf.clone();
+        while let Ok(Some(head)) = ResponseHead::take(&mut rest, MOST_HEAD, false) {
+            if !is_interim(&head) {
+                return Some(head);
+            }
+        }
+        None
+    }
+
     async fn more(&mut self) -> Result<(), Lost> {
         match wire::fill(&self.stream, &mut self.buf).await? {
             0 => ClosedSnafu.fail(),
@@ -102,10 +116,10 @@
         loop {
             if !self.buf.is_empty() {
                 if let Some(head) = ResponseHead::take(&mut self.buf, MOST_HEAD, to_head)? {
-                    match head.status {
-                        100..=199 => continue,
-                        _ => return Ok(head),
+                    if is_interim(&head) {
+                        continue;
                     }
+                    return Ok(head);
                 }
             }
             self.more().await?;
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -452,3 +452,16 @@
         stream = two.conns.recv() => (Peer::new(stream.unwrap()), one),
     }
 }
+
+/// The next connection at any of these hosts.
+pub async fn any(hosts: &mut [&mut Host]) -> Peer {
+    std::future::poll_fn(|cx| {
+        for host in hosts.iter_mut() {
+            if let std::task::Poll::Ready(Some(stream)) = host.conns.poll_recv(cx) {
+                return std::task::Poll::Ready(Peer::new(stream));
+            }
+        }
+        std::task::Poll::Pending
+    })
+    .await
+}
--- /dev/null
+++ b/crates/proxy/tests/matching.rs
@@ -0,0 +1,215 @@
+//! Whose answer is whose, and what a client can tell of its end.
+
+mod common;
+use common::*;
+use rstest::rstest;
+
+const SEAL: &str = "Fennelpin-Host-Seal: seal";
+
+/// A proxy that takes large bodies, so that a host can answer before all is written.
+async fn wide(setup: Setup, hosts: &[&Host]) -> Proxy {
+    let proxy = Proxy::set_up(setup).await;
+    let text = format!(
+        r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s"}}],"limits":{{"max_body_bytes":9000000}}}}"#
+    );
+    let document = configuration::Document::read(text.as_bytes(), 0).unwrap();
+    proxy.know(document.into(), hosts.iter().map(|h| h.info.clone()).collect()).await;
+    proxy
+}
+
+const LARGE: usize = 8_000_000;
+
+fn large_request(path: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: one\r\nContent-Length: {LARGE}\r\n\r\n{}",
+        "a".repeat(LARGE)
+    )
+}
+
+#[rstest]
+fn an_interim_answer_does_not_end_the_request(#[values("", "Fennelpin-Attempt-Id: one\r\n")] id: &str) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = wide(Setup::default(), &[&host]).await;
+        let mut client = proxy.client().await;
+        client.send(&large_request("/once/a")).await;
+        let mut conn = host.conn().await;
+        conn.head().await.unwrap();
+        conn.send(&format!("HTTP/1.1 100 Continue\r\n{id}\r\n")).await;
+        assert_eq!(conn.take_body(LARGE).await.len(), LARGE, "the body goes on");
+        conn.send(&good("one", "done")).await;
+        assert_eq!(client.message().await.unwrap().body, "done");
+    });
+}
+
+#[test]
+fn an_early_answer_behind_an_interim_one_counts() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = wide(Setup::default(), &[&host]).await;
+        let mut client = proxy.client().await;
+        client.send(&large_request("/once/a")).await;
+        let mut conn = host.conn().await;
+        conn.head().await.unwrap();
+        conn.send("HTTP/1.1 103 Early Hints\r\n\r\n").await;
+        conn.send("HTTP/1.1 413 Large\r\nFennelpin-Attempt-Id: one\r\nContent-Length: 3\r\n\r\nbig").await;
+        assert_eq!(client.message().await.unwrap().body, "big");
+        conn.closed().await;
+    });
+}
+
+/// From the first byte on no promise can be given that a request has not run.
+#[test]
+fn half_written_at_the_process_s_end_it_may_have_run() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let mut proxy = wide(Setup { grace_s: 1.0, ..Setup::default() }, &[&host]).await;
+        let mut client = proxy.client().await;
+        client.send(&large_request("/once/a")).await;
+        let mut conn = host.conn().await;
+        conn.head().await.unwrap();
+        proxy.tell_to_stop();
+        assert_eq!(client.message().await.unwrap().status(), 502);
+    });
+}
+
+#[test]
+fn an_answer_that_names_two_attempts_belongs_to_neither() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.ask("/once/a").await;
+        let mut conn = host.conn().await;
+        conn.reply(&format!("200 OK\r\nFennelpin-Attempt-Id: one\r\n{SEAL}\r\nContent-Length: 1"), "x").await;
+        drop(conn);
+        assert_eq!(client.message().await.unwrap().status(), 502);
+    });
+}
+
+#[test]
+fn a_request_that_names_two_attempts_goes_to_no_host() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("/once/a", "one", "Fennelpin-Attempt-Id: two\r\n")).await;
+        assert_eq!(client.message().await.unwrap().status(), 400);
+        assert!(host.unasked());
+    });
+}
+
+/// A success has run, whatever else its head says.
+#[test]
+fn a_success_is_no_refusal() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.ask("/once/a").await;
+        let (mut conn, other) = first_of(&mut one, &mut two).await;
+        conn.reply(&format!("200 OK\r\n{SEAL}\r\nFennelpin-Not-Executed: full\r\nContent-Length: 3"), "ran")
+            .await;
+        assert_eq!(client.message().await.unwrap().body, "ran");
+        assert!(other.unasked());
+    });
+}
+
+/// Nothing follows the head of such an answer: what did would be taken for the next one's start.
+#[rstest]
+#[case::head("HEAD", "200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 7")]
+#[case::head_in_chunks("HEAD", "200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked")]
+#[case::no_content("GET", "204 No Content\r\nContent-Type: text/event-stream")]
+#[case::no_content_with_a_length("GET", "204 No Content\r\nContent-Length: 7")]
+fn an_answer_without_a_body_has_none(
+    #[case] method: &str,
+    #[case] lines: &str,
+    #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
+) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.client().await;
+        let bare =
+            format!("{method} {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: zero\r\n\r\n");
+        client.send(&(bare + &request("/once/a", "one", ""))).await;
+        let mut conn = host.conn().await;
+        conn.reply(&format!("{lines}\r\n{SEAL}"), "").await;
+        let head = client.head().await.unwrap();
+        assert!(head.starts_with(&format!("HTTP/1.1 {}", &lines[..3])), "{head}");
+        if method == "GET" {
+            assert!(!head.to_ascii_lowercase().contains("content-length"), "{head}");
+        }
+        conn.answer("next").await;
+        let next = client.message().await.unwrap();
+        assert_eq!((next.status(), next.body.as_str()), (200, "next"), "{}", next.head);
+    });
+}
+
+/// The client was told of chunks: they go on, whatever the next host's framing is.
+#[test]
+fn the_first_host_s_framing_holds_for_the_whole_answer() {
+    story(async {
+        let mut hosts = [Host::new("h1", "s").await, Host::new("h2", "s").await, Host::new("h3", "s").await];
+        let proxy = Proxy::new(&[&hosts[0], &hosts[1], &hosts[2]]).await;
+        let mut client = proxy.ask("/more/a").await;
+        let [one, two, three] = &mut hosts;
+        let mut conn = any(&mut [one, two, three]).await;
+        conn.begin("first", &[1, 2]).await;
+        drop(conn);
+        let mut conn = any(&mut [one, two, three]).await;
+        conn.reply(&format!("200 OK\r\n{SEAL}\r\nContent-Type: text/event-stream"), &event(3)).await;
+        drop(conn);
+        // Its end might be a cut: the third host says that there is no more.
+        let mut conn = any(&mut [one, two, three]).await;
+        let asked = conn.begin("third", &[]).await;
+        assert_eq!(asked.field("last-event-id"), Some("3"));
+        conn.send("0\r\n\r\n").await;
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.whole, answer.body), (true, events([1, 2, 3])));
+    });
+}
+
+#[rstest]
+#[case::none("data: piece\n\n", true)]
+#[case::comment(": still here\n\n", false)]
+fn behind_data_without_an_identity_a_stream_does_not_go_on(#[case] event: &str, #[case] cut: bool) {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.ask("/more/a").await;
+        let (mut conn, other) = first_of(&mut one, &mut two).await;
+        conn.begin("seal", &[1]).await;
+        conn.send(&format!("{:x}\r\n{event}\r\n", event.len())).await;
+        client.until(event).await;
+        drop(conn);
+        if cut {
+            assert!(!client.message().await.unwrap().whole);
+            assert!(other.unasked());
+        } else {
+            let mut next = other.conn().await;
+            assert_eq!(next.begin("seal", &[2]).await.field("last-event-id"), Some("1"));
+            next.send("0\r\n\r\n").await;
+            assert!(client.message().await.unwrap().whole);
+        }
+    });
+}
+
+/// A request that has come is not lost with a connection that would have gone as an idle one.
+#[test]
+fn a_request_on_a_connection_that_makes_room_is_answered() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::set_up(Setup { fd_limit: 260, ..Setup::default() }).await;
+        proxy.know(document(1, ROUTES), vec![host.info.clone()]).await;
+        // 60 in 100 of 16 descriptors: nine clients.
+        let mut idle = Vec::new();
+        for _ in 0..9 {
+            idle.push(proxy.client().await);
+        }
+        assert_eq!(proxy.ready().await, 200);
+        let late = proxy.client().await;
+        idle[0].stream.try_write(request("/once/a", "one", "").as_bytes()).unwrap();
+        host.conn().await.answer("done").await;
+        assert_eq!(idle[0].message().await.expect("an answer").body, "done");
+        drop(late);
+    });
+}
