--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -221,6 +221,12 @@
         }
     }
 
+    /// Bytes that were read along with what came before, up to so many.
+    pub fn take_held(&mut self, most: usize) -> Vec<u8> {
+        let held = most.min(self.buf.len());
+        self.buf.drain(..held).collect()
+    }
+
     /// The next bytes of a body.
     pub async fn take_body(&mut self, n: usize) -> String {
         self.take(n).await.expect("so many bytes")
@@ -454,7 +460,7 @@
 }
 
 /// The next connection at any of these hosts.
-pub async fn any(hosts: &mut [&mut Host]) -> Peer {
+pub async fn next_of(hosts: &mut [&mut Host]) -> Peer {
     std::future::poll_fn(|cx| {
         for host in hosts.iter_mut() {
             if let std::task::Poll::Ready(Some(stream)) = host.conns.poll_recv(cx) {
--- a/crates/proxy/tests/matching.rs
+++ b/crates/proxy/tests/matching.rs
@@ -6,14 +6,17 @@
 
 const SEAL: &str = "Fennelpin-Host-Seal: seal";
 
-/// A proxy that takes large bodies, so that a host can answer before all is written.
-async fn wide(setup: Setup, hosts: &[&Host]) -> Proxy {
-    let proxy = Proxy::set_up(setup).await;
+fn wide_document() -> std::sync::Arc<configuration::Document> {
     let text = format!(
         r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s"}}],"limits":{{"max_body_bytes":9000000}}}}"#
     );
-    let document = configuration::Document::read(text.as_bytes(), 0).unwrap();
-    proxy.know(document.into(), hosts.iter().map(|h| h.info.clone()).collect()).await;
+    configuration::Document::read(text.as_bytes(), 0).unwrap().into()
+}
+
+/// A proxy that takes large bodies, so that a host can answer before all is written.
+async fn wide(setup: Setup, hosts: &[&Host]) -> Proxy {
+    let proxy = Proxy::set_up(setup).await;
+    proxy.know(wide_document(), hosts.iter().map(|h| h.info.clone()).collect()).await;
     proxy
 }
 
@@ -152,14 +155,14 @@
         let proxy = Proxy::new(&[&hosts[0], &hosts[1], &hosts[2]]).await;
         let mut client = proxy.ask("/more/a").await;
         let [one, two, three] = &mut hosts;
-        let mut conn = any(&mut [one, two, three]).await;
+        let mut conn = next_of(&mut [one, two, three]).await;
         conn.begin("first", &[1, 2]).await;
         drop(conn);
-        let mut conn = any(&mut [one, two, three]).await;
+        let mut conn = next_of(&mut [one, two, three]).await;
         conn.reply(&format!("200 OK\r\n{SEAL}\r\nContent-Type: text/event-stream"), &event(3)).await;
         drop(conn);
         // Its end might be a cut: the third host says that there is no more.
-        let mut conn = any(&mut [one, two, three]).await;
+        let mut conn = next_of(&mut [one, two, three]).await;
         let asked = conn.begin("third", &[]).await;
         assert_eq!(asked.field("last-event-id"), Some("3"));
         conn.send("0\r\n\r\n").await;
@@ -213,3 +216,61 @@
         drop(late);
     });
 }
+
+/// Once the system has taken a byte of it, a request that may run once goes nowhere else.
+#[rstest]
+fn a_connection_that_breaks_while_a_request_is_written(
+    #[values(false, true)] used: bool,
+    #[values(false, true)] in_order: bool,
+    #[values("/once/a", "/live/a")] path: &str,
+) {
+    story(async {
+        let mut one = Host::new("h1", "s").await;
+        let mut two = Host::new("h2", "s").await;
+        let proxy = wide(Setup::default(), &[&one]).await;
+        let mut client = proxy.client().await;
+        let mut conn = None;
+        if used {
+            client.send(&request("/once/a", "zero", "")).await;
+            let mut first = one.conn().await;
+            first.answer("zero").await;
+            assert_eq!(client.message().await.unwrap().body, "zero");
+            conn = Some(first);
+        }
+        client.send(&large_request(path)).await;
+        let mut conn = match conn {
+            Some(conn) => conn,
+            None => one.conn().await,
+        };
+        conn.head().await.unwrap();
+        proxy.know(wide_document(), vec![one.info.clone(), two.info.clone()]).await;
+        // Unread bytes make the system reset it at a plain close too; in order it ends its own side only.
+        match in_order {
+            true => rustix::net::shutdown(&conn.stream, rustix::net::Shutdown::Write).unwrap(),
+            false => conn.reset(),
+        }
+        assert_eq!(client.message().await.unwrap().status(), 502);
+        assert_eq!(proxy.tally.get().sent, if used { 2 } else { 1 });
+        assert!(one.unasked() && two.unasked());
+    });
+}
+
+/// What came behind a whole answer belongs to no request, and the rest of it may still come.
+#[rstest]
+fn a_connection_with_bytes_behind_an_answer_is_not_used_again(
+    #[values("H", "HTTP/1.1 200 OK\r\nFennelpin-Att", "\r\n")] behind: &str,
+) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.ask("/once/a").await;
+        let mut conn = host.conn().await;
+        conn.message().await.unwrap();
+        conn.send(&(good("one", "1") + behind)).await;
+        assert_eq!(client.message().await.unwrap().body, "1");
+        client.send(&request("/once/b", "two", "")).await;
+        host.conn().await.answer("2").await;
+        assert_eq!(client.message().await.unwrap().body, "2");
+        conn.closed().await;
+    });
+}
