Tests: another host at an old address, refused bodies, idle time, calls sent ahead

Cause: places where an answer is matched to its call that no test named. Change, tests alone: a new identity at an old address gets connections of its own, and one in use is not kept; 421 closes the idle ones; what follows a refused request is not run; a client's connection isn't closed before the operator's time; two calls on one connection of the control API are answered in order, the second not run before the first has its answer.

--- a/crates/control-plane/tests/control.rs
+++ b/crates/control-plane/tests/control.rs
@@ -230,3 +230,35 @@
         assert!(answer.starts_with("HTTP/1.1 200 ") && answer.contains("connection: close"), "{answer}");
     });
 }
+
+/// One connection, two calls at once, the first of them slow: answers come in order, each to its own call.
+#[rstest]
+fn calls_sent_ahead_are_answered_in_their_order(#[values(false, true)] slow_first: bool) {
+    story(async {
+        let api = api(4, 0).await;
+        let mut stream = TcpStream::connect(api.addr).await.unwrap();
+        let replace = format!("{REPLACE}Content-Length: 2\r\n\r\n{{}}");
+        let read =
+            |last: &str| format!("GET /fennelpin/Configuration.Read HTTP/1.1\r\nHost: h\r\n{last}\r\n");
+        let (first, second) = match slow_first {
+            true => (replace.clone(), read("Connection: close\r\n")),
+            false => (read(""), replace.replacen("Host: h\r\n", "Host: h\r\nConnection: close\r\n", 1)),
+        };
+        stream.write_all((first + &second).as_bytes()).await.unwrap();
+        while api.gate.1.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        // The second isn't run before the first has its answer.
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(api.gate.1.get(), 1);
+        api.gate.0.add_permits(2);
+        let answers = whole(&mut stream).await;
+        let bodies: Vec<&str> =
+            answers.matches("{\"version\":1}").chain(answers.matches("{\"code\":0")).collect();
+        assert_eq!((bodies.len(), answers.matches("HTTP/1.1 200 ").count()), (2, 2), "{answers}");
+        let at = |text: &str| answers.find(text).unwrap();
+        assert_eq!(at("{\"code\":0") < at("{\"version\":1}"), slow_first, "{answers}");
+    });
+}
--- a/crates/proxy/tests/clients.rs
+++ b/crates/proxy/tests/clients.rs
@@ -267,3 +267,37 @@
         assert_eq!(client.message().await.unwrap().body, "body");
     });
 }
+
+/// The body of a refused request may look like requests: it is none.
+#[rstest]
+#[case::too_large("Content-Length: 101\r\n", 413)]
+#[case::no_length("Content-Length: x\r\n", 400)]
+#[case::two_framings("Content-Length: 0\r\nTransfer-Encoding: chunked\r\n", 400)]
+#[case::chunk_without_size("Transfer-Encoding: chunked\r\n", 400)]
+fn what_follows_a_refused_request_is_not_run(#[case] fields: &str, #[case] status: u16) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = narrow(&host).await;
+        let mut client = proxy.client().await;
+        client.send(&(head(fields) + &request("/once/a", "hidden", ""))).await;
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.status(), answer.field("connection")), (status, Some("close")));
+        assert_eq!(client.message().await, None);
+        assert!(host.unasked());
+    });
+}
+
+#[test]
+fn a_connection_stands_idle_for_as_long_as_the_operator_says() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = narrow(&host).await;
+        let mut client = proxy.ask("/once/a").await;
+        host.conn().await.answer("1").await;
+        assert_eq!(client.message().await.unwrap().body, "1");
+        let rested = std::time::Instant::now();
+        assert_eq!(client.message().await, None);
+        // The proxy's clock starts as its answer is written, the client's as it is read.
+        assert!(rested.elapsed() >= std::time::Duration::from_millis(4 * 120 / 5), "{:?}", rested.elapsed());
+    });
+}
--- a/crates/proxy/tests/matching.rs
+++ b/crates/proxy/tests/matching.rs
@@ -274,3 +274,58 @@
         conn.closed().await;
     });
 }
+
+/// Connections belong to a host's identity and not to its address.
+#[test]
+fn another_host_at_the_old_address_gets_connections_of_its_own() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.ask("/once/a").await;
+        let mut old = host.conn().await;
+        assert_eq!(old.answer("1").await.field("fennelpin-expected-host"), Some("h1"));
+        assert_eq!(client.message().await.unwrap().body, "1");
+        // A request to the old one is out as the news come.
+        let mut late = proxy.ask("/once/a").await;
+        old.message().await.unwrap();
+        let other = balancing::HostInfo { id: "h2".into(), ..host.info.clone() };
+        proxy.know(document(1, ROUTES), vec![other]).await;
+        old.send(&good("one", "late")).await;
+        assert_eq!(late.message().await.unwrap().body, "late");
+        old.closed().await;
+        client.send(&request("/once/b", "two", "")).await;
+        let mut new = host.conn().await;
+        assert_eq!(new.answer("2").await.field("fennelpin-expected-host"), Some("h2"));
+        assert_eq!(client.message().await.unwrap().body, "2");
+    });
+}
+
+/// Told by the host that stands there now that it is another, nothing is sent over old connections.
+#[test]
+fn after_421_the_idle_connections_of_that_host_are_closed() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one]).await;
+        let mut clients = [proxy.ask("/once/a").await, proxy.ask("/once/a").await];
+        let mut conns = [one.conn().await, one.conn().await];
+        for conn in &mut conns {
+            conn.answer("1").await;
+        }
+        for client in &mut clients {
+            assert_eq!(client.message().await.unwrap().body, "1");
+        }
+        let mut client = proxy.ask("/once/b").await;
+        let [first, second] = &mut conns;
+        let (asked, idle) = tokio::select! {
+            head = first.head() => (head, (first, second)),
+            head = second.head() => (head, (second, first)),
+        };
+        assert!(asked.is_some());
+        proxy.know(document(1, ROUTES), vec![one.info.clone(), two.info.clone()]).await;
+        idle.0.send("HTTP/1.1 421 Other\r\nFennelpin-Attempt-Id: one\r\nContent-Length: 0\r\n\r\n").await;
+        two.conn().await.answer("2").await;
+        assert_eq!(client.message().await.unwrap().body, "2");
+        idle.0.closed().await;
+        idle.1.closed().await;
+    });
+}
