Control plane: a line in the log for each change of a member's state

Change: Member::summary tells a member's state in short (role, view, promise, lease granted, disk, ledger); the shell compares it before and after each step (shell/transitions.rs, a pure function of two summaries) and logs each change once, as a line with values. Nothing is decided by it and the state machine's steps are what they were. "state on disk" tells at the start what the disk held.

--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -27,19 +27,25 @@
     pub(super) remove: BTreeSet<u64>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
+/// How far a candidate has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ElectionPhase {
+    /// It asks whether the others would promise; nothing is on disk yet.
     PreVote,
+    /// It gathers promises under a new epoch.
     Prepare,
+    /// It has a majority's promises and takes the ledger from a replica.
     Fetch,
+    /// It waits for the new view's replicas to have the view and the ledger on disk.
     Copies,
+    /// It waits for a majority of the voters to have the view on disk.
     Witnesses,
 }
 
 #[derive(Debug)]
 pub(super) struct CandidateState {
     pub(super) epoch: u64,
-    phase: Phase,
+    pub(super) phase: ElectionPhase,
     since: Duration,
     willing: BTreeSet<u64>,
     asked: BTreeSet<u64>,
@@ -55,7 +61,7 @@
     fn new(now: Duration, change: ViewChange, agreed: Option<u64>) -> Self {
         Self {
             epoch: 0,
-            phase: Phase::PreVote,
+            phase: ElectionPhase::PreVote,
             since: now,
             willing: BTreeSet::new(),
             asked: BTreeSet::new(),
@@ -68,6 +74,12 @@
     }
 }
 
+/// The voter of a view that asked for an epoch: an epoch's low bits are those of its candidate's identity.
+pub fn candidate_of(epoch: u64, view: &View) -> Option<&MemberInfo> {
+    let own = (1 << OWN_BITS) - 1;
+    view.voters.iter().chain(&view.before).find(|s| s.id & own == epoch & own)
+}
+
 /// All seats of a view that have a say.
 fn all_voters(view: &View) -> BTreeSet<u64> {
     view.voters.iter().chain(&view.before).map(|s| s.id).collect()
@@ -101,7 +113,7 @@
     ) {
         self.see(seen);
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.phase != Phase::PreVote {
+        if candidacy.phase != ElectionPhase::PreVote {
             return;
         }
         if willing {
@@ -126,7 +138,7 @@
         let round = (self.seen.max(self.promised) >> OWN_BITS) + 1;
         let epoch = (round << OWN_BITS) | (self.me() & ((1 << OWN_BITS) - 1));
         let mut candidacy = CandidateState::new(self.now, change, agreed);
-        (candidacy.epoch, candidacy.phase) = (epoch, Phase::Prepare);
+        (candidacy.epoch, candidacy.phase) = (epoch, ElectionPhase::Prepare);
         self.step_down();
         self.role = Role::Candidate(Box::new(candidacy));
         let me = self.config.me.clone();
@@ -156,7 +168,7 @@
         out: &mut Vec<Output>,
     ) {
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.epoch != epoch || candidacy.phase != Phase::Prepare {
+        if candidacy.epoch != epoch || candidacy.phase != ElectionPhase::Prepare {
             return;
         }
         match has {
@@ -199,7 +211,7 @@
         holders.sort_by_key(|h| h.1);
         if let Some((holder, _)) = holders.pop().filter(|h| h.0 != me) {
             let epoch = candidacy.epoch;
-            candidacy.phase = Phase::Fetch;
+            candidacy.phase = ElectionPhase::Fetch;
             self.send(holder, Message::FetchLedger { epoch }, out);
         }
     }
@@ -212,7 +224,7 @@
         out: &mut Vec<Output>,
     ) {
         let Role::Candidate(candidacy) = &self.role else { return };
-        if candidacy.epoch != epoch || candidacy.phase != Phase::Fetch {
+        if candidacy.epoch != epoch || candidacy.phase != ElectionPhase::Fetch {
             return;
         }
         let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch).cloned();
@@ -261,7 +273,7 @@
         self.write(&Record::Accepted { view: view.clone(), snapshot }, after);
         let now = self.now;
         if let Role::Candidate(candidacy) = &mut self.role {
-            (candidacy.phase, candidacy.since) = (Phase::Copies, now);
+            (candidacy.phase, candidacy.since) = (ElectionPhase::Copies, now);
             candidacy.target = Some((view, ledger));
         }
     }
@@ -283,14 +295,18 @@
             return;
         }
         candidacy.installed.insert(from);
-        if candidacy.phase == Phase::Copies && view.replicas.iter().all(|c| candidacy.installed.contains(c)) {
-            candidacy.phase = Phase::Witnesses;
+        if candidacy.phase == ElectionPhase::Copies
+            && view.replicas.iter().all(|c| candidacy.installed.contains(c))
+        {
+            candidacy.phase = ElectionPhase::Witnesses;
             for id in all_voters(&view).into_iter().filter(|id| !view.replicas.contains(id)) {
                 self.send(id, Message::InstallView { view: view.clone(), snapshot: None }, out);
             }
         }
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.phase == Phase::Witnesses && view.majority(|id| candidacy.installed.contains(&id)) {
+        if candidacy.phase == ElectionPhase::Witnesses
+            && view.majority(|id| candidacy.installed.contains(&id))
+        {
             let lacking = view.voters.iter().map(|s| s.id).filter(|id| !candidacy.installed.contains(id));
             let lacking = lacking.collect();
             self.grant = None;
--- a/crates/control-plane/src/member/disk.rs
+++ b/crates/control-plane/src/member/disk.rs
@@ -1,6 +1,6 @@
 //! What waits for the disk: one write is out at a time, all that came meanwhile goes with the next one.
 
-use super::{DiskError, Member, Output, ReplicaLedger, Role};
+use super::{DiskError, DiskState, Member, Output, ReplicaLedger, Role};
 use crate::ledger::Ledger;
 use protocol::{MemberInfo, Message, Record, View};
 use std::time::Duration;
@@ -50,7 +50,16 @@
     }
 
     pub(super) fn fit(&self, now: Duration, stall: Duration) -> bool {
-        self.refused.is_none() && self.out.as_ref().is_none_or(|o| now < o.since + stall)
+        self.state(now, stall) == DiskState::Fit
+    }
+
+    pub(super) fn state(&self, now: Duration, stall: Duration) -> DiskState {
+        let stalled = self.out.as_ref().is_some_and(|o| now >= o.since + stall);
+        match self.refused {
+            Some(_) => DiskState::Refused,
+            None if stalled => DiskState::Stalled,
+            None => DiskState::Fit,
+        }
     }
 
     pub(super) fn wake(&self, stall: Duration) -> Option<Duration> {
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -5,9 +5,12 @@
 mod commands;
 mod disk;
 mod primary;
+mod summary;
 mod view;
 mod voter;
 
+pub use candidate::{candidate_of, ElectionPhase};
+pub use summary::{DiskState, GrantSummary, MemberSummary, RoleSummary};
 pub use view::choose_replicas;
 
 use crate::ledger::Ledger;
--- a/crates/control-plane/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -8,6 +8,7 @@
 pub mod identity;
 pub mod links;
 mod roster;
+pub mod transitions;
 
 use crate::feed::Feed;
 use crate::history::History;
@@ -34,6 +35,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
+use transitions::Recorder;
 
 /// Longest wait for what a member's state machine says of itself.
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
@@ -222,8 +224,11 @@
         stall: tuning.stall,
     };
     let now = origin.elapsed();
+    let member = Member::new(config, &records, now, random()?);
+    let recorder = Recorder::new(&member);
+    transitions::log_start(recorder.summary());
     let mut shell = Shell {
-        member: Member::new(config, &records, now, random()?),
+        member,
         outputs: Vec::new(),
         origin,
         wake: Some(now),
@@ -239,6 +244,7 @@
         leave,
         history,
         period: tuning.counters,
+        recorder,
     };
     shell.run(&mut queue, stop, &counters).await;
     sleep(LAST_ANSWERS_TIME).await;
@@ -266,6 +272,7 @@
     history: Rc<RefCell<History>>,
     /// Time between two lines of counters.
     period: Duration,
+    recorder: Recorder,
 }
 
 #[derive(Default, PartialEq)]
@@ -290,7 +297,6 @@
             tokio::select! {
                 biased;
                 () = &mut stop, if end.is_none() => {
-                    log::info!("member leaves");
                     end = Some(Instant::now() + LEAVE_TIMEOUT);
                     self.leave.send_replace(true);
                     self.step(Input::Leave);
@@ -354,7 +360,9 @@
         self.steps += 1;
         let mut outputs = std::mem::take(&mut self.outputs);
         self.member.step(self.origin.elapsed(), input, &mut outputs);
+        self.recorder.after_step(&self.member).iter().for_each(transitions::log);
         for output in outputs.drain(..) {
+            self.recorder.of_output(&output).iter().for_each(transitions::log);
             match output {
                 Output::Send { to, message } => self.links.send(&to, &message),
                 Output::Write { ticket, records, rewrite } => {
@@ -417,6 +425,7 @@
 
     fn count(&self, control: &ControlCounters) {
         let links = self.links.counters();
+        let transitions = self.recorder.counters();
         log::info!(
             steps = self.steps,
             connections = control.connections.get(),
@@ -429,7 +438,14 @@
             sent = links.sent,
             sent_bytes = links.sent_bytes,
             dropped = links.dropped,
-            heard = links.heard;
+            heard = links.heard,
+            elections = transitions.elections,
+            elections_won = transitions.elections_won,
+            leases_lost = transitions.leases_lost,
+            views = transitions.views,
+            snapshots_sent = transitions.snapshots_sent,
+            snapshots_taken = transitions.snapshots_taken,
+            disk_faults = transitions.disk_faults;
             "counters"
         );
     }
