Agents: a line for each change of the member pulled from, and for each version taken

Cause: whether an agent had anybody up to date to pull from, and whom, could only be guessed from the links of others.

Change: replication::transitions compares whom news are waited for at (the leading member, or nobody) and which version the mirror has, before and after each turn of a led puller, and logs the changes. Members and proxies, whose pullers aren't led, log nothing by it.

Measured: tests/transitions.rs of the crate: one line for each change of the leading member, one when all are cut off, one when they are back, none in 18 s while all is well.

--- a/crates/control-plane/tests/transitions.rs
+++ b/crates/control-plane/tests/transitions.rs
@@ -42,14 +42,7 @@
 
 fn seat(id: u64) -> MemberInfo {
     let addr = protocol::Addr { ip: 0x7f00_0000 + id as u32, port: 7 };
-    MemberInfo {
-        id,
-        name: format!("core-{id}"),
-        addr,
-        control: addr,
-        zone: "z".into(),
-        region: "r".into(),
-    }
+    MemberInfo { id, name: format!("core-{id}"), addr, control: addr, zone: "z".into(), region: "r".into() }
 }
 
 fn config(id: u64, bootstrap: bool) -> Config {
--- a/crates/replication/src/client.rs
+++ b/crates/replication/src/client.rs
@@ -4,6 +4,7 @@
 use crate::news::{News, Pull};
 use crate::puller::{Action, Puller};
 use crate::shared::SharedMirror;
+use crate::transitions::{self, PullRecorder};
 use protocol::{encode, Addr, Caller, MemberInfo, Message};
 use std::collections::HashMap;
 use std::io;
@@ -61,15 +62,17 @@
     let mut client =
         Client { hello, shared: shared.clone(), connections: HashMap::new(), tasks, events, caller };
     let mut fleet = 0;
+    let mut recorder = PullRecorder::default();
     loop {
         // What has come counts before what hasn't come in time.
         while let Ok((link, event)) = incoming.try_recv() {
             let actions = client.take(&mut puller, link, event);
             client.act(actions);
         }
-        let (mirror_next, learnt, coordinators) = shared.update(|mirror, _| {
+        let (mirror_next, learnt, coordinators, taken) = shared.update(|mirror, _| {
             let learnt = (mirror.fleet().mark != fleet).then(|| mirror.fleet().clone());
-            (mirror.next_tick(), learnt, mirror.coordinators())
+            let taken = (mirror.document().version, mirror.ledger());
+            (mirror.next_tick(), learnt, mirror.coordinators(), taken)
         });
         puller.set_coordinators(coordinators);
         if let Some(learnt) = learnt {
@@ -77,6 +80,11 @@
             puller.set_members(learnt.members.iter().map(|s| s.addr));
         }
         client.act(puller.tick(shared.now()));
+        // Members tell the same of themselves by their views, proxies by what is in force.
+        if puller.is_led() {
+            recorder.pulls(&puller).iter().for_each(transitions::log);
+            recorder.configuration(taken.0, taken.1).iter().for_each(transitions::log);
+        }
         let next = mirror_next.into_iter().chain(puller.next_tick()).min();
         let at = next.unwrap_or_else(|| shared.now() + Duration::from_secs(60));
         tokio::select! {
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -11,6 +11,7 @@
 mod rendezvous;
 mod serve;
 mod shared;
+pub mod transitions;
 
 pub use frames::{FrameReader, Step};
 pub use mirror::{Mirror, Snapshot};
--- a/crates/replication/src/puller.rs
+++ b/crates/replication/src/puller.rs
@@ -1,6 +1,7 @@
 //! Who is pulled from, and when: a state machine without I/O.
 
 use crate::rendezvous::ranked;
+use crate::transitions::PullSummary;
 use protocol::Addr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -152,6 +153,18 @@
         order.find(|a| self.links.get(a).is_some_and(Link::leads)).copied()
     }
 
+    /// Whether news are waited for at one member only.
+    pub fn is_led(&self) -> bool {
+        self.led
+    }
+
+    /// At whom news are waited for now, in short.
+    pub fn summary(&self) -> PullSummary {
+        let answers = |l: &&Link| l.heard && !l.dead;
+        let stale = self.links.values().filter(answers).filter(|l| l.stale).count();
+        PullSummary { leader: self.leader(), stale }
+    }
+
     fn pull(&mut self, now: Duration, addr: Addr, waits: bool) -> Option<Action> {
         let wait = if waits { self.wait } else { Duration::ZERO };
         let link = self.links.get_mut(&addr)?;
