--- a/crates/control-plane/src/shell/call_runner.rs
+++ b/crates/control-plane/src/shell/call_runner.rs
@@ -3,7 +3,7 @@
 use super::call::Call;
 use super::control::{Reply, RunCall};
 use super::links::Links;
-use super::{command, Event, Events, MemberStatus, STATUS_TIMEOUT};
+use super::{command, Event, Events, MemberStatus};
 use crate::feed::Feed;
 use crate::history::History;
 use crate::roster::{beat_target, HostCall};
@@ -18,9 +18,10 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
+/// Longest wait for what a member's state machine says of itself.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a host waits for its drain.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Longest time that a call waits for the disk at the start.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
--- /dev/null
+++ b/crates/control-plane/src/shell/status.rs
@@ -0,0 +1,92 @@
+//! What is told of the member: to callers, to the mirror that others pull from, and as counters in the log.
+
+use super::control::ControlCounters;
+use super::event_loop::EventLoop;
+use protocol::{MemberInfo, View};
+use std::time::Duration;
+
+/// What a member's state machine says of itself.
+#[derive(Debug)]
+pub(super) struct MemberStatus {
+    pub(super) view: Option<View>,
+    pub(super) acts: bool,
+    pub(super) primary: Option<MemberInfo>,
+    pub(super) promised: u64,
+    pub(super) fit: bool,
+    pub(super) age: Duration,
+}
+
+/// What the mirror was told of the control plane.
+#[derive(Default, PartialEq)]
+pub(super) struct ShownFleet {
+    epoch: u64,
+    primary: u64,
+    members: Vec<MemberInfo>,
+}
+
+impl EventLoop {
+    /// What the state machine says of itself now.
+    pub(super) fn status(&self) -> MemberStatus {
+        let now = self.origin.elapsed();
+        MemberStatus {
+            view: self.member.view().cloned(),
+            acts: self.member.acts(),
+            primary: self.member.primary(),
+            promised: self.member.promised(),
+            fit: self.member.fit(),
+            age: self.member.age(now),
+        }
+    }
+
+    /// Tells the mirror who is in the control plane, and how fresh what it has is.
+    pub(super) fn show(&mut self) {
+        let now = self.origin.elapsed();
+        let age = self.member.age(now);
+        let committed = self.committed;
+        let Some(view) = self.member.view().filter(|v| v.epoch > 0) else { return };
+        let reached = self.links.seats();
+        let seat = |voter: &MemberInfo| reached.iter().find(|s| s.id == voter.id).unwrap_or(voter).clone();
+        let others = reached.iter().filter(|s| view.seat(s.id).is_none()).cloned();
+        let members = view.voters.iter().map(seat).chain(others).collect();
+        let known = ShownFleet { epoch: view.epoch, primary: view.primary, members };
+        let news = known != self.known;
+        self.mirror.update(|mirror, _| {
+            if news {
+                mirror.set_fleet(known.epoch, known.primary, known.members.clone());
+            }
+            // A lease granted lately proves nothing about changes that haven't come yet.
+            if let Some(at) = now.checked_sub(age).filter(|_| mirror.ledger() >= committed) {
+                mirror.proved(at);
+            }
+        });
+        self.known = known;
+    }
+
+    /// Writes the line of counters.
+    pub(super) fn count(&self, control: &ControlCounters) {
+        let links = self.links.counters();
+        let transitions = self.recorder.counters();
+        log::info!(
+            steps = self.steps,
+            connections = control.connections.get(),
+            crowded = control.crowded.get(),
+            done = control.done.get(),
+            refused = control.refused.get(),
+            failed = control.failed.get(),
+            links_up = links.connected,
+            links_down = links.broken,
+            sent = links.sent,
+            sent_bytes = links.sent_bytes,
+            dropped = links.dropped,
+            heard = links.heard,
+            elections = transitions.elections,
+            elections_won = transitions.elections_won,
+            leases_lost = transitions.leases_lost,
+            views = transitions.views,
+            snapshots_sent = transitions.snapshots_sent,
+            snapshots_taken = transitions.snapshots_taken,
+            disk_faults = transitions.disk_faults;
+            "counters"
+        );
+    }
+}
