--- a/crates/fennelpin-cli/src/local/fleet.rs
+++ b/crates/fennelpin-cli/src/local/fleet.rs
@@ -214,6 +214,19 @@
         }
     }
 
+    /// Waits until a process that was asked to end has done so; whether it has within `patience`.
+    pub fn await_end(&mut self, name: &str, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        while let Some(child) = self.children.get_mut(name) {
+            match child.try_wait() {
+                Ok(Some(_)) => drop(self.children.remove(name)),
+                _ if Instant::now() >= until => return false,
+                _ => std::thread::sleep(LOOK),
+            }
+        }
+        true
+    }
+
     /// Asks all to end, proxies first, and kills what hasn't after `patience`.
     pub fn stop(&mut self, patience: Duration) {
         for child in self.children.values_mut() {
--- /dev/null
+++ b/crates/fennelpin-cli/tests/bad_days/cut_off.rs
@@ -0,0 +1,157 @@
+//! A member that stood still for twenty seconds: it neither hands out its old configuration as the current one nor
+//! judges orders by it.
+
+use crate::control::{configuration, version_of, Order, Waiting, READ};
+use crate::stage::{until, Stage};
+use fennelpin_cli::local::fleet::Program;
+use protocol::{Caller, Message};
+use replication::{FrameReader, News, Pull, STALE_MS};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// How long the primary stands still.
+const STANDSTILL: Duration = Duration::from_secs(20);
+/// The longest that orders may wait while a majority lives: one member that says nothing, and a takeover.
+const TAKEOVER: Duration = Duration::from_secs(5);
+const ALL: [u8; 3] = [1, 2, 3];
+
+/// A pull that waits in a member's sockets.
+struct WaitingPull {
+    stream: TcpStream,
+}
+
+impl WaitingPull {
+    fn at(inner: SocketAddr) -> Self {
+        let mut stream = TcpStream::connect(inner).unwrap();
+        let caller = Caller { name: "edge-9".into(), ..Caller::default() };
+        let pull = Pull { caller, ..Pull::default() };
+        stream.write_all(&protocol::encode(&pull.into_message())).unwrap();
+        Self { stream }
+    }
+
+    /// Version of the configuration in the answer, and how old the member says that it may be, in ms.
+    fn answer(self) -> (u64, u32) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let message: Message = runtime.block_on(async {
+            self.stream.set_nonblocking(true).unwrap();
+            let stream = tokio::net::TcpStream::from_std(self.stream).unwrap();
+            FrameReader::new(stream, Vec::new()).next().await.unwrap().expect("news")
+        });
+        let news = News::from_message(message).expect("news");
+        (news.config.map_or(0, |c| c.to), news.age_ms)
+    }
+}
+
+/// In whole ms, as ages are told.
+fn stood_ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap()
+}
+
+#[test]
+fn a_primary_that_stood_still_for_twenty_seconds_serves_and_judges_nothing_by_its_old_state() {
+    let mut stage = Stage::new(3, 1);
+    let mut operator = stage.operator(&ALL);
+    (0..20).for_each(|_| operator.order());
+    let old = stage.settled(&ALL);
+    let known = operator.newest();
+    until("the first proxy has it", || stage.in_force(1).last().filter(|v| **v >= known).copied());
+
+    stage.freeze(old);
+    let stood = Instant::now();
+    operator.longest = Duration::ZERO;
+    while stood.elapsed() < STANDSTILL {
+        operator.order();
+    }
+    println!(
+        "{} orders taken meanwhile, the longest after {:?}",
+        operator.newest() - known,
+        operator.longest
+    );
+    assert!(operator.longest < TAKEOVER, "orders are held back: {:?}", operator.longest);
+
+    // What waits in its sockets is the first that it sees when it wakes.
+    let newest = operator.newest();
+    let read = Waiting::at(stage.control(old), &READ);
+    let pull = WaitingPull::at(stage.inner(old));
+    let beside = Order { body: configuration(newest + 1, "beside"), ..Order::new(known, newest + 1, "") };
+    let false_yes = Waiting::at(stage.control(old), &beside.call());
+    let false_no = Waiting::at(stage.control(old), &operator.last().call());
+    stage.fleet.start(Program::Agent, 2, false).unwrap();
+    stage.fleet.start(Program::Proxy, 2, false).unwrap();
+    let until_woken = stood.elapsed();
+    stage.wake(old);
+
+    let read = read.answer();
+    assert!(read.status >= 500 || version_of(&read) >= newest, "an old configuration: {read:?}");
+    let (version, age_ms) = pull.answer();
+    println!("the pull told version {version} of {newest}, {age_ms} ms old");
+    let stood = stood_ms(until_woken);
+    assert!(age_ms > STALE_MS || version >= newest, "an old one as current: {version}, {age_ms} ms");
+    assert!(age_ms >= stood || version >= newest, "younger than it is: {age_ms} ms after {stood} ms");
+    let false_yes = false_yes.answer();
+    assert!(false_yes.status == 412 || false_yes.status >= 500, "on an old version: {false_yes:?}");
+    let false_no = false_no.answer();
+    assert!(false_no.status == 200 || false_no.status >= 500, "taken long ago: {false_no:?}");
+    // The agent that started beside it took nothing old for the truth.
+    until("the second proxy has it", || stage.in_force(2).last().filter(|v| **v >= newest).copied());
+    assert!(stage.in_force(2).iter().all(|v| *v >= newest), "{:?}, newest {newest}", stage.in_force(2));
+
+    stage.settled(&ALL);
+    operator.order();
+    ALL.iter().for_each(|n| operator.read_back(stage.control(*n)));
+    let newest = operator.newest();
+    until("both proxies have it", || {
+        [1, 2].iter().all(|edge| stage.in_force(*edge).last() == Some(&newest)).then_some(())
+    });
+    assert!(stage.in_force(1).is_sorted(), "never back: {:?}", stage.in_force(1));
+}
+
+#[test]
+fn a_member_that_wakes_alone_answers_nothing_for_certain() {
+    let stage = Stage::new(3, 0);
+    let mut operator = stage.operator(&ALL);
+    (0..5).for_each(|_| operator.order());
+    let old = stage.settled(&ALL);
+    let known = operator.newest();
+    stage.freeze(old);
+    let frozen = Instant::now();
+    let taken = |operator: &mut crate::control::Operator| (0..10).for_each(|_| operator.order());
+    taken(&mut operator);
+    let newest = operator.newest();
+    let others: Vec<u8> = ALL.into_iter().filter(|n| *n != old).collect();
+    others.iter().for_each(|n| stage.freeze(*n));
+
+    let control = stage.control(old);
+    let beside = Order { body: configuration(newest + 1, "beside"), ..Order::new(known, newest + 1, "") };
+    let calls = [
+        Waiting::at(control, &READ),
+        Waiting::at(control, &beside.call()),
+        Waiting::at(control, &operator.last().call()),
+        Waiting::at(control, &Order::new(newest, newest + 1, "next").call()),
+    ];
+    let pull = WaitingPull::at(stage.inner(old));
+    let stood = stood_ms(frozen.elapsed());
+    stage.wake(old);
+    let (version, age_ms) = pull.answer();
+    assert!(age_ms >= stood, "younger than it is: {version} of {newest}, {age_ms} ms after {stood} ms");
+    for call in calls {
+        let answer = call.answer();
+        assert!(answer.status >= 500, "neither yes nor no can be known: {answer:?}");
+    }
+    let status = stage.status(old).unwrap();
+    assert_eq!(status["member"]["acts"], false, "{status}");
+
+    others.iter().for_each(|n| stage.wake(*n));
+    // What it was sent may be taken now, once and by all of them alike.
+    until("a majority answers again", || stage.acting(&ALL));
+    stage.settled(&ALL);
+    let read = crate::control::until_clear(&mut [control], &READ);
+    let body = String::from_utf8(read.body.clone()).unwrap();
+    let may_be = [operator.last().body.clone(), configuration(newest + 1, "next")];
+    assert!(may_be.contains(&body), "{body}");
+    for n in ALL {
+        let same = crate::control::until_clear(&mut [stage.control(n)], &READ);
+        assert_eq!(version_of(&same), version_of(&read));
+    }
+}
--- /dev/null
+++ b/crates/fennelpin-cli/tests/bad_days/main.rs
@@ -0,0 +1,11 @@
+//! Real processes under the control plane's worst days, one module for each: what must hold whoever is cut off,
+//! killed or wiped, and however answers are lost.
+
+mod control;
+mod cut_off;
+mod hosts;
+mod many_changes;
+mod second_loss;
+mod stage;
+mod two_operators;
+mod wrong_caller;
--- /dev/null
+++ b/crates/fennelpin-cli/tests/bad_days/stage.rs
@@ -0,0 +1,186 @@
+//! The processes of a test, at addresses of their own, and what they say of themselves.
+
+use crate::control::{Operator, LONG, SECOND};
+use fennelpin_cli::control::{ask, Call};
+use fennelpin_cli::local::fleet::{Fleet, Plan, Program};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Instant;
+
+/// Second number of all addresses.
+const NET: u8 = 18;
+/// First ports: outside the range that connections get theirs from.
+const PORTS: std::ops::Range<u16> = 28_000..29_000;
+/// Lines of a log that are shown where a test fails.
+const LINES: usize = 20;
+/// Ports of one system.
+const BLOCK: u16 = 10;
+
+/// Ports that no other running test has: held by a listener for as long as the test runs.
+fn ports() -> (u16, TcpListener) {
+    let blocks = (PORTS.end - PORTS.start) / BLOCK;
+    let first = std::process::id() as u16 % blocks;
+    let tries = (0..blocks).map(|n| PORTS.start + (first + n) % blocks * BLOCK);
+    let free = |port| Some((port, TcpListener::bind((Ipv4Addr::new(127, NET, 255, 254), port)).ok()?));
+    tries.filter_map(free).next().expect("free ports")
+}
+
+/// A running system.
+pub struct Stage {
+    pub fleet: Fleet,
+    _dir: tempfile::TempDir,
+    _ports: TcpListener,
+}
+
+impl Stage {
+    /// So many members and machines with agent and proxy. Leases are short, so that takeovers are.
+    pub fn new(members: u8, proxies: u8) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let (port, held) = ports();
+        let program = env!("CARGO_BIN_EXE_fennelpin-cli").into();
+        let plan = Plan { program, dir: dir.path().into(), net: NET, port, members, proxies };
+        let mut fleet = Fleet::new(plan).unwrap();
+        fleet.env("FENNELPIN_CLI_LEASE_MS", "300");
+        fleet.env("FENNELPIN_CLI_STALL_MS", "250");
+        fleet.env("FENNELPIN_CLI_PATIENCE_MS", "1000");
+        fleet.start_all().unwrap();
+        Self { fleet, _dir: dir, _ports: held }
+    }
+
+    pub fn control(&self, n: u8) -> SocketAddr {
+        self.fleet.plan().control(n).into()
+    }
+
+    /// Where a member takes the system's own messages.
+    pub fn inner(&self, n: u8) -> SocketAddr {
+        let port = self.fleet.plan().port;
+        (self.control(n).ip(), port).into()
+    }
+
+    pub fn operator(&self, members: &[u8]) -> Operator {
+        Operator::new(members.iter().map(|n| self.control(*n)).collect())
+    }
+
+    fn name(n: u8) -> String {
+        format!("core-{n}/control-plane")
+    }
+
+    fn signal(&self, n: u8, signal: Signal) {
+        let pid = Pid::from_raw(self.fleet.pid(&Self::name(n)).unwrap() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// The member stands still.
+    pub fn freeze(&self, n: u8) {
+        self.signal(n, Signal::STOP);
+    }
+
+    pub fn wake(&self, n: u8) {
+        self.signal(n, Signal::CONT);
+    }
+
+    /// Asks a member to end and waits until it has.
+    pub fn leave(&mut self, n: u8) {
+        self.signal(n, Signal::TERM);
+        assert!(self.fleet.await_end(&Self::name(n), LONG), "core-{n} doesn't end");
+    }
+
+    pub fn kill(&mut self, n: u8) {
+        self.fleet.kill(&Self::name(n));
+    }
+
+    /// The member's disk is gone.
+    pub fn wipe(&mut self, n: u8) {
+        self.kill(n);
+        std::fs::remove_dir_all(self.fleet.plan().disk(n)).unwrap();
+    }
+
+    pub fn start(&mut self, n: u8) {
+        self.fleet.start(Program::ControlPlane, n, false).unwrap();
+    }
+
+    /// What a member says of itself, if it does.
+    pub fn status(&self, n: u8) -> Option<Value> {
+        let answer = ask(self.control(n), &Call { name: "status", ..Call::default() }, SECOND).ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    /// The member that acts, by its own word.
+    pub fn acting(&self, members: &[u8]) -> Option<u8> {
+        members.iter().copied().find(|n| self.status(*n).is_some_and(|s| s["member"]["acts"] == true))
+    }
+
+    /// The member that acts, once these members and no others are the voters of a settled view that all of them
+    /// have, two of them its replicas.
+    pub fn settled(&self, members: &[u8]) -> u8 {
+        let end = Instant::now() + LONG;
+        loop {
+            if let Some(primary) = self.settled_now(members) {
+                return primary;
+            }
+            assert!(Instant::now() < end, "not settled: {}", self.say(members));
+            std::thread::yield_now();
+        }
+    }
+
+    /// What members say of themselves, and the last lines of their logs.
+    fn say(&self, members: &[u8]) -> String {
+        let of = |n: &u8| {
+            let status = self.status(*n).unwrap_or_default();
+            let file = self.fleet.plan().dir.join(format!("core-{n}-control-plane.log"));
+            let log = std::fs::read_to_string(file).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().filter(|l| !l.contains("link ")).collect();
+            let last = lines[lines.len().saturating_sub(LINES)..].join("\n");
+            format!("core-{n}: {} {}\n{last}\n", status["id"], status["member"])
+        };
+        members.iter().map(of).collect()
+    }
+
+    fn settled_now(&self, members: &[u8]) -> Option<u8> {
+        let statuses: Option<Vec<Value>> = members.iter().map(|n| self.status(*n)).collect();
+        let statuses = statuses?;
+        let primary = statuses.iter().position(|s| s["member"]["acts"] == true)?;
+        let view = &statuses[primary]["member"]["view"];
+        let ids: Vec<&Value> = statuses.iter().map(|s| &s["id"]).collect();
+        let replicas = view["replicas"].as_array()?;
+        let voters = view["voters"].as_array()?;
+        let same =
+            |s: &Value| s["member"]["view"]["epoch"] == view["epoch"] && s["member"]["disk_fit"] == true;
+        let all = view["settled"] == true
+            && statuses.iter().all(same)
+            && voters.len() == ids.len()
+            && voters.iter().all(|v| ids.contains(&&v["id"]))
+            && replicas.len() == 2
+            && replicas.iter().all(|r| ids.contains(&r));
+        all.then(|| members[primary])
+    }
+
+    /// The replicas of a settled view, the primary not among them.
+    pub fn backups(&self, members: &[u8], primary: u8) -> Vec<u8> {
+        let view = self.status(primary).unwrap()["member"]["view"].clone();
+        let replicas = view["replicas"].as_array().unwrap();
+        let others = members.iter().copied().filter(|n| *n != primary);
+        others.filter(|n| replicas.contains(&self.status(*n).unwrap()["id"])).collect()
+    }
+
+    /// The versions that a machine's proxy has had in force, in order, as its log tells.
+    pub fn in_force(&self, edge: u8) -> Vec<u64> {
+        let file = self.fleet.plan().dir.join(format!("edge-{edge}-proxy.log"));
+        let log = std::fs::read_to_string(file).unwrap_or_default();
+        let version = |line: &str| line.split_once("configuration in force version=")?.1.trim().parse().ok();
+        log.lines().filter_map(version).collect()
+    }
+}
+
+/// Waits until a condition holds.
+pub fn until<T>(what: &str, mut holds: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LONG;
+    loop {
+        if let Some(done) = holds() {
+            return done;
+        }
+        assert!(Instant::now() < end, "not in time: {what}");
+        std::thread::yield_now();
+    }
+}
