A member that wakes alone: frozen as primary, as backup and as witness

Cause: only a primary was tried; a backup's or a witness's age may come from a lease granted late.

Change: three cases of the test in tests/bad_days/cut_off.rs.

--- a/crates/fennelpin-cli/tests/bad_days/cut_off.rs
+++ b/crates/fennelpin-cli/tests/bad_days/cut_off.rs
@@ -6,6 +6,7 @@
 use fennelpin_cli::local::fleet::Program;
 use protocol::{Caller, Message};
 use replication::{FrameReader, News, Pull, STALE_MS};
+use rstest::rstest;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -107,12 +108,29 @@
     assert!(stage.in_force(1).is_sorted(), "never back: {:?}", stage.in_force(1));
 }
 
-#[test]
-fn a_member_that_wakes_alone_answers_nothing_for_certain() {
+/// What a member is when it is frozen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Was {
+    Primary,
+    Backup,
+    Witness,
+}
+
+#[rstest]
+#[case::primary(Was::Primary)]
+#[case::backup(Was::Backup)]
+#[case::witness(Was::Witness)]
+fn a_member_that_wakes_alone_answers_nothing_for_certain(#[case] was: Was) {
     let stage = Stage::new(3, 0);
     let mut operator = stage.operator(&ALL);
     (0..5).for_each(|_| operator.order());
-    let old = stage.settled(&ALL);
+    let primary = stage.settled(&ALL);
+    let backup = stage.backups(&ALL, primary)[0];
+    let old = match was {
+        Was::Primary => primary,
+        Was::Backup => backup,
+        Was::Witness => 6 - primary - backup,
+    };
     let known = operator.newest();
     stage.freeze(old);
     let frozen = Instant::now();
