Lines of state changes name control_plane::state and agent::state as their place

Cause: the module's path stood in each line and told nothing.

Change: a target of their own.

Measured: clippy of both crates clean; nothing else rests on it.

--- a/crates/control-plane/src/shell/transitions/lines.rs
+++ b/crates/control-plane/src/shell/transitions/lines.rs
@@ -6,6 +6,9 @@
 use std::fmt;
 use std::net::SocketAddrV4;
 
+/// What the lines name as their place.
+const TARGET: &str = "control_plane::state";
+
 /// How a member is named in the log: by its machine, or by its address where that isn't known.
 struct Name<'a>(&'a MemberInfo);
 
@@ -50,8 +53,7 @@
 /// Writes the line of what a member's disk held at its start.
 pub fn log_start(summary: &MemberSummary) {
     let epoch = Maybe(summary.view.as_ref().map(|view| view.epoch));
-    log::info!(
-        epoch:% = epoch,
+    log::info!(target: TARGET, epoch:% = epoch,
         promised = summary.promised,
         ledger:% = Maybe(summary.ledger),
         role:% = Position::of(summary);
@@ -63,28 +65,33 @@
 pub fn log(transition: &Transition) {
     match transition {
         Transition::LedgerRestored { seq, version } => {
-            log::info!(seq, version; "ledger restored, not confirmed by a primary yet");
+            log::info!(target: TARGET, seq, version; "ledger restored, not confirmed by a primary yet");
+        }
+        Transition::ElectionStarted { view } => log::info!(target: TARGET, view; "stands for election"),
+        Transition::PromisesRequested { epoch } => log::info!(target: TARGET, epoch; "asks for promises"),
+        Transition::ViewChangeStarted { from, epoch } => {
+            log::info!(target: TARGET, epoch, from; "changes its view")
         }
-        Transition::ElectionStarted { view } => log::info!(view; "stands for election"),
-        Transition::PromisesRequested { epoch } => log::info!(epoch; "asks for promises"),
-        Transition::ViewChangeStarted { from, epoch } => log::info!(epoch, from; "changes its view"),
         Transition::ElectionAbandoned { epoch, phase } => {
-            log::info!(epoch, phase:?; "gives up the election");
+            log::info!(target: TARGET, epoch, phase:?; "gives up the election");
         }
         Transition::ElectionWon { epoch, ledger } => {
-            log::info!(epoch, ledger:% = Maybe(*ledger); "primary of a view");
+            log::info!(target: TARGET, epoch, ledger:% = Maybe(*ledger); "primary of a view");
+        }
+        Transition::LeaseHeld { epoch } => {
+            log::info!(target: TARGET, epoch; "holds the lease: acts as primary")
+        }
+        Transition::LeaseLapsed { epoch } => log::warn!(target: TARGET, epoch; "lease lapsed: doesn't act"),
+        Transition::SteppedDown { epoch, cause } => {
+            log::warn!(target: TARGET, epoch, cause:?; "primary no longer")
         }
-        Transition::LeaseHeld { epoch } => log::info!(epoch; "holds the lease: acts as primary"),
-        Transition::LeaseLapsed { epoch } => log::warn!(epoch; "lease lapsed: doesn't act"),
-        Transition::SteppedDown { epoch, cause } => log::warn!(epoch, cause:?; "primary no longer"),
         Transition::Promised { epoch, view } => {
             let candidate = view.as_ref().and_then(|view| candidate_of(*epoch, view));
-            log::info!(epoch, candidate:% = Names(candidate.into_iter().collect()); "promised an epoch");
+            log::info!(target: TARGET, epoch, candidate:% = Names(candidate.into_iter().collect()); "promised an epoch");
         }
         Transition::ViewAccepted { view, added, removed, position, before } => {
             let replicas = view.replicas.iter().filter_map(|id| view.seat(*id)).collect();
-            log::info!(
-                epoch = view.epoch,
+            log::info!(target: TARGET, epoch = view.epoch,
                 primary:% = Names(view.seat(view.primary).into_iter().collect()),
                 replicas:% = Names(replicas),
                 voters:% = Names(view.voters.iter().collect()),
@@ -96,19 +103,19 @@
                 "view accepted"
             );
         }
-        Transition::SnapshotTaken { epoch, seq } => log::info!(epoch, seq; "snapshot taken"),
+        Transition::SnapshotTaken { epoch, seq } => log::info!(target: TARGET, epoch, seq; "snapshot taken"),
         Transition::SnapshotSent { to, epoch, seq } => {
-            log::info!(epoch, seq, to:% = Name(to); "snapshot sent");
+            log::info!(target: TARGET, epoch, seq, to:% = Name(to); "snapshot sent");
         }
         Transition::LeaseGranted { primary, epoch } => {
-            log::info!(epoch, primary:% = Name(primary); "follows a primary");
+            log::info!(target: TARGET, epoch, primary:% = Name(primary); "follows a primary");
         }
         Transition::LeaseOver { primary, epoch } => {
-            log::info!(epoch, primary:% = Name(primary); "lease of the primary is over");
+            log::info!(target: TARGET, epoch, primary:% = Name(primary); "lease of the primary is over");
         }
-        Transition::Disk { state: DiskState::Fit } => log::info!("disk takes writes again"),
-        Transition::Disk { state: DiskState::Refused } => log::warn!("disk refuses writes"),
-        Transition::Disk { state: DiskState::Stalled } => log::warn!("disk stalls"),
-        Transition::Leaving => log::info!("member leaves"),
+        Transition::Disk { state: DiskState::Fit } => log::info!(target: TARGET, "disk takes writes again"),
+        Transition::Disk { state: DiskState::Refused } => log::warn!(target: TARGET, "disk refuses writes"),
+        Transition::Disk { state: DiskState::Stalled } => log::warn!(target: TARGET, "disk stalls"),
+        Transition::Leaving => log::info!(target: TARGET, "member leaves"),
     }
 }
--- a/crates/replication/src/transitions.rs
+++ b/crates/replication/src/transitions.rs
@@ -5,6 +5,9 @@
 use protocol::Addr;
 use std::net::SocketAddrV4;
 
+/// What the lines name as their place.
+const TARGET: &str = "agent::state";
+
 /// Whom news are waited for at.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PullSummary {
@@ -72,13 +75,13 @@
     match transition {
         PullTransition::Follows { leader, fresh_again } => {
             let leader = SocketAddrV4::from(leader);
-            log::info!(member:% = leader, fresh_again; "pulls from another member");
+            log::info!(target: TARGET, member:% = leader, fresh_again; "pulls from another member");
         }
         PullTransition::NobodyLeads { stale } => {
-            log::warn!(stale; "no member is up to date: goes on with what it has");
+            log::warn!(target: TARGET, stale; "no member is up to date: goes on with what it has");
         }
         PullTransition::Configuration { version, ledger } => {
-            log::info!(version, ledger; "configuration taken");
+            log::info!(target: TARGET, version, ledger; "configuration taken");
         }
     }
 }
