--- a/crates/fennelpin-standin/src/ledger.rs
+++ b/crates/fennelpin-standin/src/ledger.rs
@@ -40,7 +40,7 @@
     Cut,
 }
 
-/// What a client put into the query's text, as [`reference`] finds it.
+/// What a client put into the query's text, as [`reference()`] finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ref {
     /// Number of the client's query.
