protocol: one module a concern in place of one of 710 lines

Cause: message.rs held members, ledger, pulls, hints and messages in one file of 710 lines. Change: membership, ledger, news, hints and message are modules of their own; items and bytes on the wire are as before.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,8 +10,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod hints;
+mod ledger;
+mod membership;
 mod message;
+mod news;
 mod wire;
 
-pub use message::*;
+pub use hints::{Part, Placement};
+pub use ledger::{AcceptedCall, Change, Command, LedgerPosition, Record, Snapshot};
+pub use membership::{Addr, Fleet, MemberInfo, View};
+pub use message::Message;
+pub use news::{Caller, ConfigNews, CoordinatorRecord, HostRecord, Mark, SourceNews};
 pub use wire::{decode, encode, read_one, write_one, Broken, MOST, VERSION};
