A member's file stays bounded while changes keep coming; unsound records give no say

Cause: the file was rewritten only at a moment when nothing was queued and all that was held was known to be acknowledged; under changes without a pause that moment never comes, and the file grows by each change. At a start each change since the last acknowledged one was kept as a ledger of its own. A record that couldn't be read, or a change that didn't follow, was passed over: the member counted as one with an older ledger, or fewer promises. A rewrite that found no room took the primary's lease though appends went on. Whether to rewrite was decided by writing the whole ledger out, at each step. Change: the rewritten file holds the acknowledged ledger and the changes since (or both ledgers), so it waits for nothing; decided from lengths, once for each length; refused rewrites are tried again after 5 s and cost no lease. Replay (member/recovery.rs) keeps two ledgers at most and tells a typed error; such a member promises, grants, holds, shows and writes nothing. One write has 16 MiB of records at most.

--- a/crates/control-plane/src/member/disk.rs
+++ b/crates/control-plane/src/member/disk.rs
@@ -1,5 +1,6 @@
 //! What waits for the disk: one write is out at a time, all that came meanwhile goes with the next one.
 
+use super::acknowledged::ledger_bytes;
 use super::{DiskError, Member, Output, ReplicaLedger, Role};
 use crate::ledger::Ledger;
 use protocol::{MemberInfo, Message, Record, View};
@@ -7,9 +8,14 @@
 
 /// A disk that refused is tried again after this.
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(300);
-/// The file is rewritten once it is longer than this and than [`REWRITE_GROWTH`] times what it has to hold.
+/// The file is rewritten once it is longer than this, and than [`REWRITE_GROWTH`] times the ledgers that it has to
+/// hold and twice the changes that aren't known to be acknowledged.
 const REWRITE_MIN_BYTES: usize = 256 << 10;
 const REWRITE_GROWTH: usize = 4;
+/// A rewrite that the disk refused is tried again after this: appends may still find room.
+const REWRITE_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+/// Bytes of records in one write, unless one record alone is longer; less than the file's longest batch.
+const MAX_WRITE_BYTES: usize = 16 << 20;
 
 /// What follows once a record is on disk.
 #[derive(Debug)]
@@ -31,15 +37,26 @@
     queue: Vec<(Vec<u8>, After)>,
     out: Option<PendingWrite>,
     tickets: u64,
+    /// Length of the file in bytes.
     length: usize,
+    /// Length at which it was last looked at whether the file has to be rewritten.
+    examined: usize,
     refused: Option<Duration>,
+    rewrite_refused: Option<Duration>,
+}
+
+/// What follows once a write is done, with the record where it is a change.
+#[derive(Debug)]
+struct Done {
+    after: After,
+    change: Option<Vec<u8>>,
 }
 
 #[derive(Debug)]
 struct PendingWrite {
     ticket: u64,
     since: Duration,
-    after: Vec<After>,
+    after: Vec<Done>,
     length: usize,
     rewrite: bool,
 }
@@ -49,6 +66,22 @@
         self.length = length;
     }
 
+    /// What is written next.
+    fn next_batch(&mut self) -> (Vec<Vec<u8>>, Vec<Done>) {
+        let mut bytes = 0;
+        let mut fits = |(record, _): &(Vec<u8>, After)| {
+            bytes += record.len();
+            bytes <= MAX_WRITE_BYTES
+        };
+        let count = self.queue.iter().take_while(|waiting| fits(waiting)).count().max(1);
+        let batch = self.queue.drain(..count.min(self.queue.len()));
+        let done = |(record, after): (Vec<u8>, After)| {
+            let change = matches!(after, After::Appended { .. } | After::Own { .. }).then(|| record.clone());
+            (record, Done { after, change })
+        };
+        batch.map(done).unzip()
+    }
+
     pub(super) fn fit(&self, now: Duration, stall: Duration) -> bool {
         self.refused.is_none() && self.out.as_ref().is_none_or(|o| now < o.since + stall)
     }
@@ -77,17 +110,9 @@
                 self.write(&Record::Promised { epoch: self.promised }, After::Nothing);
             }
         }
-        // What is known to be acknowledged stays known.
-        let known = self.held.as_ref().is_none_or(|h| h.disk.seq == self.committed);
-        let long = self.disk.length > REWRITE_MIN_BYTES
-            && known
-            && self.disk.queue.is_empty()
-            && self.disk.refused.is_none();
-        let whole = if long { self.whole() } else { Vec::new() };
-        let least: usize = whole.iter().map(Vec::len).sum();
-        let rewrite = !whole.is_empty() && self.disk.length > REWRITE_GROWTH * least;
-        let (records, after): (Vec<_>, Vec<_>) =
-            if rewrite { (whole, vec![]) } else { std::mem::take(&mut self.disk.queue).into_iter().unzip() };
+        let whole = if self.rewrite_due() { self.whole() } else { Vec::new() };
+        let rewrite = !whole.is_empty();
+        let (records, after) = if rewrite { (whole, vec![]) } else { self.disk.next_batch() };
         if records.is_empty() {
             return;
         }
@@ -97,15 +122,57 @@
         out.push(Output::Write { ticket, records, rewrite });
     }
 
-    /// All that the file has to hold.
+    /// Whether the file is long for what it has to hold. That goes by the disk's state alone: changes that keep
+    /// coming don't put it off.
+    fn rewrite_due(&mut self) -> bool {
+        let disk = &mut self.disk;
+        let refused = disk.rewrite_refused.is_some_and(|at| self.now < at + REWRITE_RETRY_INTERVAL);
+        if disk.length <= REWRITE_MIN_BYTES || disk.refused.is_some() || refused {
+            return false;
+        }
+        if disk.examined == disk.length {
+            return false;
+        }
+        disk.examined = disk.length;
+        let length = disk.length;
+        length > self.most_bytes()
+    }
+
+    /// How long the file may be: a rewrite has to be worth what it writes.
+    fn most_bytes(&self) -> usize {
+        let known = self.acknowledged.known().map_or(0, ledger_bytes);
+        let Some(held) = self.held.as_ref().map(|h| &h.disk) else { return REWRITE_GROWTH * known };
+        match self.acknowledged.changes_up_to(held.seq) {
+            Some(changes) => REWRITE_GROWTH * known + 2 * changes.map(Vec::len).sum::<usize>(),
+            None => REWRITE_GROWTH * (known + ledger_bytes(held)),
+        }
+    }
+
+    /// All that the file has to hold. What is known to be acknowledged stays known: the acknowledged ledger comes
+    /// first, and then the changes since; where these aren't at hand, the acknowledged ledger stands under a view
+    /// without voters, before the one held.
     fn whole(&self) -> Vec<Vec<u8>> {
-        let snapshot = self.held.as_ref().map(|h| h.disk.snapshot());
-        let view = self.view.clone().filter(|v| v.epoch > 0);
-        let accepted = view.map(|view| protocol::write_one(&Record::Accepted { view, snapshot }));
-        let promised = protocol::write_one(&Record::Promised { epoch: self.promised });
-        let seq = self.committed;
-        let committed = self.held.as_ref().map(|_| protocol::write_one(&Record::Committed { seq }));
-        accepted.into_iter().chain([promised]).chain(committed).collect()
+        let mut records = vec![protocol::write_one(&Record::Promised { epoch: self.promised })];
+        let Some(view) = self.view.clone().filter(|v| v.epoch > 0) else { return records };
+        let accepted = |view: View, ledger: Option<&Ledger>| {
+            let snapshot = ledger.map(Ledger::snapshot);
+            protocol::write_one(&Record::Accepted { view, snapshot })
+        };
+        let committed = |ledger: &Ledger| protocol::write_one(&Record::Committed { seq: ledger.seq });
+        let (known, held) = (self.acknowledged.known(), self.held.as_ref().map(|h| &h.disk));
+        match known.zip(held).zip(held.and_then(|held| self.acknowledged.changes_up_to(held.seq))) {
+            Some(((known, _), changes)) => {
+                records.extend([accepted(view, Some(known)), committed(known)]);
+                records.extend(changes.cloned());
+            }
+            None => {
+                // Nobody has a say in a view without voters: no member could act on this ledger alone.
+                let earlier = known.map(|l| [accepted(View::default(), Some(l)), committed(l)]);
+                records.extend(earlier.into_iter().flatten());
+                records.push(accepted(view, held));
+            }
+        }
+        records
     }
 
     pub(super) fn on_wrote(&mut self, ticket: u64, result: Result<(), DiskError>, out: &mut Vec<Output>) {
@@ -113,9 +180,15 @@
         match result {
             Ok(()) => {
                 self.disk.refused = None;
+                if done.rewrite {
+                    self.disk.rewrite_refused = None;
+                    self.acknowledged.rewritten();
+                }
                 self.disk.length = done.length + if done.rewrite { 0 } else { self.disk.length };
-                done.after.into_iter().for_each(|after| self.written(after, out));
+                done.after.into_iter().for_each(|done| self.written(done, out));
             }
+            // The old file stands, or the new one that means the same: what is appended next tells more.
+            Err(_) if done.rewrite => self.disk.rewrite_refused = Some(self.now),
             Err(_) => {
                 self.disk.refused = Some(self.now);
                 // What was taken but is not on disk is given up, with all that builds on it.
@@ -123,19 +196,21 @@
                 if let Some(held) = &mut self.held {
                     held.head = held.disk.clone();
                 }
-                let lost = done.after.into_iter().chain(queued.into_iter().map(|q| q.1));
+                let written = done.after.into_iter().map(|done| done.after);
+                let lost = written.chain(queued.into_iter().map(|q| q.1));
                 lost.for_each(|after| self.refused(after, out));
                 self.release_lease(out);
             }
         }
     }
 
-    fn written(&mut self, after: After, out: &mut Vec<Output>) {
+    fn written(&mut self, Done { after, change }: Done, out: &mut Vec<Output>) {
         match after {
             After::Promise { to, epoch } => self.promise_written(to, epoch, out),
             After::Installed { to, view, ledger } => {
                 let epoch = view.epoch;
                 if self.view.as_ref().is_none_or(|v| v.epoch < epoch) {
+                    self.acknowledged.view_begins(ledger.as_deref());
                     self.held = ledger.map(|l| ReplicaLedger { head: (*l).clone(), disk: *l });
                     self.view = Some(*view);
                 }
@@ -148,21 +223,22 @@
             }
             After::Appended { to, epoch, ledger } => {
                 let seq = ledger.seq;
-                self.kept_change(epoch, *ledger);
+                self.kept_change(epoch, *ledger, change.unwrap_or_default());
                 self.send(to, Message::AppendReply { epoch, seq, ok: true, seen: self.promised }, out);
             }
             After::Own { epoch, ledger } => {
                 let seq = ledger.seq;
-                self.kept_change(epoch, *ledger);
+                self.kept_change(epoch, *ledger, change.unwrap_or_default());
                 self.on_appended(self.me(), epoch, seq, true, out);
             }
             After::Nothing => {}
         }
     }
 
-    fn kept_change(&mut self, epoch: u64, ledger: Ledger) {
+    fn kept_change(&mut self, epoch: u64, ledger: Ledger, record: Vec<u8>) {
         let same = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
         if let Some(held) = self.held.as_mut().filter(|_| same) {
+            self.acknowledged.kept(&ledger, record);
             held.disk = ledger;
         }
     }
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -1,23 +1,27 @@
 //! A member of the control plane: voter, copy, candidate, primary. Takes inputs with the time and says what to
 //! send, write and answer. Safety rests on epochs; leases only say who may act and when others may stand.
 
+mod acknowledged;
 mod candidate;
 mod commands;
 mod disk;
 mod primary;
+mod recovery;
 mod view;
 mod voter;
 
+pub use recovery::ReplayError;
 pub use view::choose_replicas;
 
 use crate::ledger::Ledger;
+use acknowledged::Acknowledged;
 use candidate::CandidateState;
 use commands::LocalCommand;
 use configuration::{Code, Document, FaultBudget};
 use disk::{After, Disk};
 use primary::PrimaryState;
 use protocol::{Command, MemberInfo, Message, Record, View};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -186,10 +190,10 @@
     seen: u64,
     view: Option<View>,
     held: Option<ReplicaLedger>,
-    /// Number of the last change that this disk knows to be acknowledged.
-    committed: u64,
-    /// While records are read: the ledger after each change since the last that is known to be acknowledged.
-    history: VecDeque<Ledger>,
+    /// What this disk knows to be acknowledged.
+    acknowledged: Acknowledged,
+    /// Why the records can't be relied on: such a member has no say and holds no ledger.
+    unsound: Option<ReplayError>,
     /// What is to be shown at the first step.
     restored: Option<Ledger>,
     grant: Option<Grant>,
@@ -216,8 +220,8 @@
             seen: 0,
             view: None,
             held: None,
-            committed: 0,
-            history: VecDeque::new(),
+            acknowledged: Acknowledged::default(),
+            unsound: None,
             restored: None,
             grant: None,
             peers: BTreeMap::new(),
@@ -233,42 +237,30 @@
             let before = voters.clone();
             member.view = Some(View { epoch: 0, primary: 0, replicas: vec![], voters, before });
         }
-        records.iter().filter_map(|r| protocol::read_one(r).ok()).for_each(|r| member.recover(r));
-        member.history.clear();
+        member.recover(records);
         member.disk.kept(records.iter().map(Vec::len).sum());
         let start = if member.restarted { member.config.lease } else { Duration::ZERO };
         member.election_at = now + start + member.election_delay();
         member
     }
 
-    fn recover(&mut self, record: Record) {
-        match record {
-            Record::Promised { epoch } => self.promised = self.promised.max(epoch),
-            Record::Accepted { view, snapshot } => {
-                self.promised = self.promised.max(view.epoch);
-                let ledger = snapshot.and_then(|s| Ledger::of(&s).ok());
-                // Whether the view was agreed on is not known yet.
-                self.history = ledger.iter().cloned().collect();
-                self.held = ledger.map(|l| ReplicaLedger { head: l.clone(), disk: l });
-                self.view = Some(view);
+    fn recover(&mut self, records: &[Vec<u8>]) {
+        let recovered = match recovery::replay(records) {
+            Ok(recovered) => recovered,
+            Err(error) => {
+                // What was promised isn't known: nothing is promised, accepted or held any more.
+                self.view = None;
+                self.unsound = Some(error);
+                return;
             }
-            Record::Change { seq, change, .. } => {
-                let next = self.held.as_ref().filter(|h| h.head.seq + 1 == seq);
-                if let Some(next) = next.and_then(|h| h.head.after(&change).ok()) {
-                    self.history.push_back(next.clone());
-                    self.held = Some(ReplicaLedger { head: next.clone(), disk: next });
-                }
-            }
-            Record::Committed { seq } => {
-                self.committed = seq;
-                while self.history.front().is_some_and(|l| l.seq < seq) {
-                    self.history.pop_front();
-                }
-                let known = self.history.front().filter(|l| l.seq == seq).cloned();
-                self.restored = known.or_else(|| self.restored.take());
-            }
-        }
-        self.seen = self.seen.max(self.promised);
+        };
+        self.promised = recovered.promised;
+        self.seen = recovered.promised;
+        self.view = recovered.view.or(self.view.take());
+        self.held = recovered.held.map(|l| ReplicaLedger { head: l.clone(), disk: l });
+        self.restored = recovered.acknowledged.clone();
+        self.acknowledged = Acknowledged::recovered(recovered.acknowledged);
+        self.acknowledged.view_begins(self.held.as_ref().map(|h| &h.disk));
     }
 
     /// Takes one input; what has to be done is added to `out`, which ends with the next time to wake.
@@ -373,12 +365,11 @@
         self.view.as_ref().is_some_and(|v| v.seat(self.me()).is_some())
     }
 
-    /// A copy notes what the primary of its view has acknowledged, for its next life.
+    /// A replica notes what the primary of its view has acknowledged, for its next life.
     fn record_committed(&mut self, epoch: u64, seq: u64) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
-        let has = self.held.as_ref().is_some_and(|h| h.disk.seq >= seq);
-        if follows && has && seq > self.committed {
-            self.committed = seq;
+        let Some(held) = self.held.as_ref().filter(|h| follows && h.disk.seq >= seq) else { return };
+        if self.acknowledged.acknowledge(seq, &held.disk) {
             self.write(&Record::Committed { seq }, After::Nothing);
         }
     }
@@ -474,9 +465,15 @@
         }
     }
 
-    /// Whether the disk takes writes.
+    /// Why this member can't rely on its records, where that is so: it promises, accepts and holds nothing until
+    /// its disk is emptied.
+    pub fn unsound(&self) -> Option<&ReplayError> {
+        self.unsound.as_ref()
+    }
+
+    /// Whether the disk takes writes and its records can be relied on.
     pub fn fit(&self) -> bool {
-        self.disk.fit(self.now, self.config.stall)
+        self.unsound.is_none() && self.disk.fit(self.now, self.config.stall)
     }
 
     fn next_wake(&self) -> Duration {
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -24,6 +24,8 @@
 const REMOVE_AFTER_LEASES: u32 = 10;
 /// Most voters; further members only mirror.
 const MOST_VOTERS: usize = 9;
+/// Acknowledged changes that the primary's own disk need not know to be acknowledged while more follow.
+const MAX_UNRECORDED_COMMITS: u64 = 4;
 /// Hosts that left are forgotten after this.
 const DRAIN_RETENTION: Duration = Duration::from_secs(120);
 
@@ -343,7 +345,9 @@
     pub(super) fn record_own_commits(&mut self) {
         if let Role::Primary(state) = &self.role {
             let (epoch, seq, more) = (state.epoch, state.committed.seq, !state.pending.is_empty());
-            if !more {
+            // Where changes never cease to come, it is noted from time to time all the same.
+            let known = self.acknowledged.seq();
+            if !more || seq >= known + MAX_UNRECORDED_COMMITS {
                 self.record_committed(epoch, seq);
             }
         }
--- a/crates/control-plane/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -240,6 +240,9 @@
         history,
         period: tuning.counters,
     };
+    if let Some(error) = shell.member.unsound() {
+        log::error!(error:% = snafu::Report::from_error(error); "the records can't be relied on: no say, no ledger");
+    }
     shell.run(&mut queue, stop, &counters).await;
     sleep(LAST_ANSWERS_TIME).await;
     shell.count(&counters);
--- /dev/null
+++ b/crates/control-plane/tests/many_changes.rs
@@ -0,0 +1,306 @@
+//! Hundreds of changes: what the file comes to, what a member that starts again makes of it, and what it does where
+//! its records can't be relied on.
+
+use configuration::{Code, FaultBudget};
+use control_plane::ledger::Ledger;
+use control_plane::member::{Config, DiskError, Input, Member, Output, ReplayError};
+use protocol::{Change, Command, MemberInfo, Message, Record, View};
+use rstest::rstest;
+use std::time::Duration;
+
+const LEASE: Duration = Duration::from_millis(1000);
+/// Changes between two words of the primary.
+const RENEWED_EACH: u64 = 5;
+const ME: u64 = 2;
+const PRIMARY: u64 = 1;
+const EPOCH: u64 = 1 << 20;
+
+/// A configuration with so many routes.
+fn body(version: u64, routes: usize) -> Vec<u8> {
+    let route = |n: usize| {
+        format!(
+            r#"{{"name":"r-{n}","hostname":"h{n}.example","path_prefix":"/p{n}/","route_class":"pure","deadline_ms":4000,"service":"s","max_tries":2,"note":"{version}"}}"#
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!(r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s"}}]}}"#, routes.join(","))
+        .into_bytes()
+}
+
+fn change(version: u64, routes: usize) -> Change {
+    Change::Configure { base: version - 1, amend: false, body: body(version, routes) }
+}
+
+fn seat(id: u64) -> MemberInfo {
+    let addr = protocol::Addr { ip: id as u32, port: 1 };
+    MemberInfo { id, name: format!("core-{id}"), addr, zone: "z".into(), ..MemberInfo::default() }
+}
+
+fn config(me: u64, bootstrap_voters: Option<Vec<MemberInfo>>) -> Config {
+    Config {
+        me: seat(me),
+        bootstrap_voters,
+        budget: FaultBudget::default(),
+        lease: LEASE,
+        patience: Duration::from_millis(3500),
+        stall: Duration::from_millis(600),
+    }
+}
+
+fn view() -> View {
+    let voters = vec![seat(PRIMARY), seat(ME)];
+    let before = voters.clone();
+    View { epoch: EPOCH, primary: PRIMARY, replicas: vec![PRIMARY, ME], voters, before }
+}
+
+/// A member with a disk that can refuse rewrites.
+struct Machine {
+    member: Member,
+    now: Duration,
+    disk: Vec<Vec<u8>>,
+    longest: usize,
+    rewrites: usize,
+    refuses_rewrites: bool,
+    outputs: Vec<Output>,
+}
+
+impl Machine {
+    fn start(config: Config, disk: Vec<Vec<u8>>, now: Duration) -> Self {
+        let member = Member::new(config, &disk, now, 7);
+        let (longest, rewrites, refuses_rewrites) = Default::default();
+        Self { member, now, disk, longest, rewrites, refuses_rewrites, outputs: vec![] }
+    }
+
+    fn bytes(&self) -> usize {
+        self.disk.iter().map(Vec::len).sum()
+    }
+
+    /// Takes an input and does at once what the member asks of its disk.
+    fn step(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            let mut out = Vec::new();
+            self.member.step(self.now, input, &mut out);
+            for output in out {
+                match output {
+                    Output::Write { ticket, rewrite: true, .. } if self.refuses_rewrites => {
+                        self.rewrites += 1;
+                        inputs.push(Input::Wrote { ticket, result: Err(DiskError::Full) });
+                    }
+                    Output::Write { ticket, records, rewrite } => {
+                        if rewrite {
+                            self.disk.clear();
+                            self.rewrites += 1;
+                        }
+                        self.disk.extend(records);
+                        self.longest = self.longest.max(self.bytes());
+                        inputs.push(Input::Wrote { ticket, result: Ok(()) });
+                    }
+                    output => self.outputs.push(output),
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, message: Message) {
+        self.step(Input::Message { from: seat(PRIMARY), message });
+    }
+
+    /// Lets time pass until the member acts.
+    fn until_it_acts(&mut self) {
+        while !self.member.acts() {
+            self.now += Duration::from_millis(20);
+            self.step(Input::Tick);
+            assert!(self.now < Duration::from_secs(600), "it stands before long");
+        }
+    }
+
+    fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+}
+
+/// A replica that has accepted the primary's view.
+fn replica() -> Machine {
+    let mut machine = Machine::start(config(ME, None), vec![], Duration::ZERO);
+    let snapshot = Some(Ledger::default().snapshot());
+    machine.hear(Message::InstallView { view: view(), snapshot });
+    machine
+}
+
+fn restored(outputs: &[Output]) -> Option<u64> {
+    outputs.iter().find_map(|o| match o {
+        Output::Restore { seq, .. } => Some(*seq),
+        _ => None,
+    })
+}
+
+/// Changes come without a pause, and at no moment is all that the replica holds known to be acknowledged.
+#[rstest]
+#[case::small(2_000, 10, 1)]
+#[case::hundreds_of_routes(600, 600, 1)]
+#[case::eight_under_way(600, 600, 8)]
+fn a_file_is_rewritten_while_changes_keep_coming(
+    #[case] changes: u64,
+    #[case] routes: usize,
+    #[case] under_way: u64,
+) {
+    let mut machine = replica();
+    for seq in 1..=changes {
+        machine.now += Duration::from_millis(20);
+        machine.hear(Message::AppendChange { epoch: EPOCH, seq, change: change(seq, routes) });
+        if seq % RENEWED_EACH == 0 {
+            let (stamp, committed) = (machine.now.as_millis() as u64, seq.saturating_sub(under_way));
+            machine.hear(Message::RenewLease { epoch: EPOCH, stamp, committed });
+        }
+    }
+    // Four times a ledger, twice the changes that may be open, and what one write adds.
+    let most = (4 + 2 * (under_way + RENEWED_EACH) + 1) as usize * (body(changes, routes).len() + 4096);
+    let most = most.max(300 << 10);
+    assert!(machine.rewrites > 0, "the file was never rewritten");
+    assert!(machine.longest <= most, "{} of {most} bytes", machine.longest);
+
+    // A new life has all that was confirmed, and shows what was known to be acknowledged.
+    let disk = machine.disk.clone();
+    let mut again = Machine::start(config(ME, None), disk, machine.now);
+    assert!(again.member.unsound().is_none());
+    again.step(Input::Tick);
+    assert_eq!(restored(&again.take_outputs()), Some(changes - under_way));
+    again.now += 2 * LEASE;
+    again.hear(Message::Prepare { epoch: 9 << 20, candidate: seat(PRIMARY) });
+    let outputs = again.take_outputs();
+    let promise = outputs.iter().find_map(|o| match o {
+        Output::Send { message: Message::Promise { granted, tag, .. }, .. } => Some((*granted, *tag)),
+        _ => None,
+    });
+    let (granted, tag) = promise.expect("it answers");
+    assert!(granted);
+    assert_eq!(tag.map(|t| (t.epoch, t.seq)), Some((EPOCH, changes)));
+}
+
+/// A restart at any moment of a long row of changes: the ledger shown is one that was acknowledged and never an
+/// older one than an earlier life showed; the ledger held has all that the replica confirmed.
+#[test]
+fn a_restart_after_any_change_loses_nothing() {
+    let mut machine = replica();
+    let mut shown = 0;
+    for seq in 1..=300_u64 {
+        machine.now += Duration::from_millis(50);
+        machine.hear(Message::AppendChange { epoch: EPOCH, seq, change: change(seq, 300) });
+        let confirmed = machine.take_outputs().iter().any(|o| {
+            matches!(o, Output::Send { message: Message::AppendReply { seq: s, ok: true, .. }, .. } if *s == seq)
+        });
+        assert!(confirmed, "change {seq}");
+        if seq % 3 == 0 {
+            let stamp = machine.now.as_millis() as u64;
+            machine.hear(Message::RenewLease { epoch: EPOCH, stamp, committed: seq - 1 });
+        }
+        let mut again = Machine::start(config(ME, None), machine.disk.clone(), machine.now);
+        assert!(again.member.unsound().is_none(), "after {seq}");
+        again.step(Input::Tick);
+        let now = restored(&again.take_outputs()).unwrap_or_default();
+        assert!(now >= shown && now < seq, "{now} after {shown} at {seq}");
+        shown = now;
+        // Whoever starts again goes on as the one it was.
+        machine.member = again.member;
+        machine.outputs.clear();
+    }
+    assert_eq!(shown, 299);
+}
+
+/// A rewrite needs room for a second file. Where that is refused and appends are not, the primary goes on.
+#[test]
+fn a_rewrite_without_room_holds_up_no_change() {
+    let mut machine = Machine::start(config(ME, Some(vec![seat(ME)])), vec![], Duration::ZERO);
+    machine.until_it_acts();
+    machine.refuses_rewrites = true;
+    for version in 1..=200 {
+        machine.now += Duration::from_millis(100);
+        let body = body(version, 300);
+        let command = Command::Configure { base: version - 1, amend: false, body };
+        machine.step(Input::Command { ticket: version, command });
+        let taken = machine
+            .take_outputs()
+            .iter()
+            .any(|o| matches!(o, Output::Answer { ticket, code: Code::Ok, .. } if *ticket == version));
+        assert!(taken && machine.member.acts(), "change {version}");
+    }
+    // 200 changes in 20 s: a try every few seconds, not with each change.
+    assert!((1..=6).contains(&machine.rewrites), "{} tries", machine.rewrites);
+    machine.refuses_rewrites = false;
+    machine.now += Duration::from_secs(6);
+    machine.until_it_acts();
+    let command = Command::Configure { base: 200, amend: false, body: body(201, 300) };
+    machine.step(Input::Command { ticket: 201, command });
+    machine.step(Input::Tick);
+    assert!(machine.bytes() <= 5 * body(201, 300).len(), "rewritten once there is room");
+}
+
+fn accepted(ledger: Option<&Ledger>) -> Record {
+    Record::Accepted { view: view(), snapshot: ledger.map(Ledger::snapshot) }
+}
+
+fn numbered(epoch: u64, seq: u64, version: u64) -> Record {
+    Record::Change { epoch, seq, change: change(version, 1) }
+}
+
+fn unreadable_ledger() -> Record {
+    let mut snapshot = Ledger::default().snapshot();
+    snapshot.document = "{".into();
+    Record::Accepted { view: view(), snapshot: Some(snapshot) }
+}
+
+/// Records that can't be relied on are never passed over: the member promises, grants, holds, shows and writes
+/// nothing, and stands for nothing.
+#[rstest]
+#[case::unreadable(vec![], Some(vec![77, 1, 2]), |e: &ReplayError| matches!(e, ReplayError::Unreadable { record: 2, .. }))]
+#[case::longer(vec![], Some([protocol::write_one(&Record::Promised { epoch: 5 }), vec![0]].concat()), |e: &ReplayError| matches!(e, ReplayError::Unreadable { record: 2, .. }))]
+#[case::one_is_missing(vec![numbered(EPOCH, 3, 3)], None, |e: &ReplayError| matches!(e, ReplayError::OutOfOrder { seq: 3, held_seq: 1, .. }))]
+#[case::one_twice(vec![numbered(EPOCH, 1, 1)], None, |e: &ReplayError| matches!(e, ReplayError::OutOfOrder { seq: 1, held_seq: 1, .. }))]
+#[case::of_another_view(vec![numbered(EPOCH + 1, 2, 2)], None, |e: &ReplayError| matches!(e, ReplayError::OutOfOrder { .. }))]
+#[case::cannot_be_made(vec![numbered(EPOCH, 2, 9)], None, |e: &ReplayError| matches!(e, ReplayError::Change { record: 2, .. }))]
+#[case::no_ledger(vec![accepted(None), numbered(EPOCH, 2, 2)], None, |e: &ReplayError| matches!(e, ReplayError::NoLedger { record: 3 }))]
+#[case::ledger(vec![unreadable_ledger()], None, |e: &ReplayError| matches!(e, ReplayError::Ledger { record: 2, .. }))]
+fn a_member_whose_records_cannot_be_relied_on_has_no_say(
+    #[case] records: Vec<Record>,
+    #[case] raw: Option<Vec<u8>>,
+    #[case] expected: fn(&ReplayError) -> bool,
+) {
+    let good = [accepted(Some(&Ledger::default())), numbered(EPOCH, 1, 1)];
+    let disk: Vec<Vec<u8>> = good.iter().chain(&records).map(protocol::write_one).chain(raw).collect();
+    let mut machine = Machine::start(config(ME, None), disk.clone(), Duration::ZERO);
+    let error = machine.member.unsound().expect("it is noticed");
+    assert!(expected(error), "{error:?}");
+    assert!(!machine.member.fit());
+    for round in 1..=40_u64 {
+        machine.now += LEASE / 4;
+        machine.step(Input::Tick);
+        let epoch = (8 + round) << 20;
+        machine.hear(Message::PreVote { seen: epoch, view: EPOCH });
+        machine.hear(Message::Prepare { epoch, candidate: seat(PRIMARY) });
+        machine.hear(Message::FetchLedger { epoch });
+        machine.hear(Message::AppendChange { epoch: EPOCH, seq: 2, change: change(2, 1) });
+        machine.hear(Message::RenewLease { epoch: EPOCH, stamp: 1, committed: 1 });
+        let view = View { epoch, ..view() };
+        machine.hear(Message::InstallView { view, snapshot: Some(Ledger::default().snapshot()) });
+    }
+    for output in machine.take_outputs() {
+        match output {
+            Output::Wake { .. } => {}
+            Output::Send { message, .. } => {
+                let refuses = match &message {
+                    Message::PreVoteReply { willing, .. } => !willing,
+                    Message::Promise { granted, view, tag, .. } => {
+                        !granted && view.is_none() && tag.is_none()
+                    }
+                    Message::AppendReply { ok, .. } | Message::InstallReply { ok, .. } => !ok,
+                    Message::LeaseReply { ok, fit, .. } => !ok && !fit,
+                    _ => false,
+                };
+                assert!(refuses, "{message:?}");
+            }
+            output => panic!("{output:?}"),
+        }
+    }
+    assert_eq!(machine.disk, disk, "the file is left as it is");
+}
