A ledger names its owner: no identity goes on without its promises, no promises under another

Cause: identity and ledger are files of their own. Where the ledger's file was lost and the identity's was not, the member came back under its old identity with no promise kept, and with bootstrap set as a voter of view 0. Where the identity's file was lost, a new identity took over the old ledger. An identity record that couldn't be read was passed over for an older one. Change: the ledger's file begins with the owner's identity and is made before the identity's file. An identity without a ledger is given up; a ledger without the identity's file says whose it is; two members' files, an unreadable identity, or a ledger of nobody known are refused with a typed error and left as they are. Tests: identity.rs either_file_may_be_lost (each file there or not, 10 combinations), disk.rs a_member_that_lost_one_file (2), an_identity_is_never_kept_without_its_ledger. the_latest_record_counts asserted that an unreadable record counts as none; it now asserts the error, with two readable ones before it.

--- a/crates/control-plane/src/shell/disk.rs
+++ b/crates/control-plane/src/shell/disk.rs
@@ -1,8 +1,9 @@
 //! The disk's thread: it alone waits for the disk. Writes that have queued up share one sync.
 
 use crate::member::DiskError;
-use crate::shell::identity::{latest, Identity, StartFacts};
+use crate::shell::identity::{latest, FoundLedger, Identity, IdentityError, LedgerOwner, StartFacts};
 use append_log::AppendLog;
+use snafu::{ResultExt, Snafu};
 use std::path::PathBuf;
 use std::sync::mpsc;
 
@@ -88,7 +89,9 @@
                 tell(DiskEvent::Open { identity: identity.clone(), records, roster });
                 break (who, file, hosts, identity);
             }
-            Err(detail) => tell(DiskEvent::NotOpen { detail }),
+            Err(error) => {
+                tell(DiskEvent::NotOpen { detail: snafu::Report::from_error(error).to_string() });
+            }
         }
         match queue.recv_timeout(std::time::Duration::from_millis(250)) {
             Err(mpsc::RecvTimeoutError::Disconnected) => return,
@@ -118,8 +121,8 @@
                 false => rest.iter().take_while(|w| !w.rewrite && w.file == File::Ledger).count(),
             };
             let (now, later) = rest.split_at(count);
-            let kept = who.keep(&identity);
-            let result = kept.and_then(|()| put(&mut file, now, head.rewrite));
+            let kept = who.keep(&identity, &mut file);
+            let result = kept.and_then(|()| put(&mut file, now, head.rewrite.then_some(&identity)));
             if let Err(e) = &result {
                 log::debug!(error:% = e; "disk refuses");
             }
@@ -139,26 +142,42 @@
     }
 }
 
-fn put(file: &mut AppendLog, writes: &[Write], rewrite: bool) -> Result<(), append_log::Error> {
-    let records: Vec<&[u8]> = writes.iter().flat_map(|w| w.records.iter().map(Vec::as_slice)).collect();
-    match rewrite {
-        true => file.rewrite(&records),
-        false => file.append(&records),
+/// Writes records for the ledger; `whole` names the owner where they stand for all that was there.
+fn put(file: &mut AppendLog, writes: &[Write], whole: Option<&Identity>) -> Result<(), append_log::Error> {
+    let records = writes.iter().flat_map(|w| w.records.iter().map(Vec::as_slice));
+    match whole {
+        Some(identity) => {
+            let owner = owner_record(identity);
+            let records: Vec<&[u8]> = std::iter::once(owner.as_slice()).chain(records).collect();
+            file.rewrite(&records)
+        }
+        None => file.append(&records.collect::<Vec<&[u8]>>()),
     }
 }
 
+fn owner_record(identity: &Identity) -> Vec<u8> {
+    protocol::write_one(&LedgerOwner { identity: identity.clone() })
+}
+
 /// The identity's file: nothing else is written before the identity is kept.
 struct IdentityFile {
     file: AppendLog,
     records: usize,
     kept: bool,
+    /// Whether the ledger's file says whose it is, or is of an earlier release and so can't say it yet.
+    ledger_begun: bool,
 }
 
 impl IdentityFile {
-    fn keep(&mut self, identity: &Identity) -> Result<(), append_log::Error> {
+    /// Keeps the identity, in the ledger's file first: an identity without a ledger is never used again.
+    fn keep(&mut self, identity: &Identity, ledger: &mut AppendLog) -> Result<(), append_log::Error> {
         if self.kept {
             return Ok(());
         }
+        if !self.ledger_begun {
+            ledger.rewrite(&[&owner_record(identity)])?;
+            self.ledger_begun = true;
+        }
         let record = protocol::write_one(identity);
         match self.records < MAX_IDENTITY_RECORDS {
             true => self.file.append(&[&record])?,
@@ -169,16 +188,29 @@
     }
 }
 
+/// Why the files can't be opened.
+#[derive(Debug, Snafu)]
+enum OpenError {
+    #[snafu(display("a file can't be opened"))]
+    File { source: append_log::Error },
+    #[snafu(display("it isn't known who this member is"))]
+    Who { source: IdentityError },
+}
+
 type Open = (IdentityFile, AppendLog, Identity, Vec<Vec<u8>>);
 
-fn open(dir: &std::path::Path, birth: &StartFacts) -> Result<Open, String> {
-    let (file, kept) = AppendLog::open(dir, "identity").map_err(|e| e.to_string())?;
-    let identity = birth.identity(latest(&kept));
-    let mut who = IdentityFile { file, records: kept.len(), kept: false };
+fn open(dir: &std::path::Path, birth: &StartFacts) -> Result<Open, OpenError> {
+    let (file, kept) = AppendLog::open(dir, "identity").context(FileSnafu)?;
+    let (mut ledger, records) = AppendLog::open(dir, "ledger").context(FileSnafu)?;
+    let found = FoundLedger::of(records);
+    let before = latest(&kept).context(WhoSnafu)?;
+    let identity = birth.identity_with(before, &found).context(WhoSnafu)?;
+    let own = found.owner.as_ref().is_some_and(|owner| owner.id == identity.id);
+    let ledger_begun = own || !found.records.is_empty();
+    let mut who = IdentityFile { file, records: kept.len(), kept: false, ledger_begun };
     // A full disk is no reason to stay away: the number of the life follows the time of day as well.
-    if let Err(e) = who.keep(&identity) {
+    if let Err(e) = who.keep(&identity, &mut ledger) {
         log::warn!(error:% = e; "identity not kept yet");
     }
-    let (file, records) = AppendLog::open(dir, "ledger").map_err(|e| e.to_string())?;
-    Ok((who, file, identity, records))
+    Ok((who, ledger, identity, found.records))
 }
--- a/crates/control-plane/src/shell/identity.rs
+++ b/crates/control-plane/src/shell/identity.rs
@@ -1,7 +1,13 @@
 //! Who a member is: kept on its own disk, so that a wiped disk comes back as somebody else.
+//!
+//! The identity stands in two files. The ledger's file begins with it ([`LedgerOwner`]) and is made first; the
+//! identity's file is written once that is on disk, and nothing is promised before both are. So an identity without
+//! its ledger is one whose promises are forgotten: it is never used again. A ledger without the identity's file
+//! says itself whose it is.
 
 use binrw::binrw;
 use protocol::MemberInfo;
+use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
 
 /// A member's identity as its disk keeps it.
@@ -20,6 +26,59 @@
     pub initial_voters: Vec<MemberInfo>,
 }
 
+/// The first record of the ledger's file.
+#[binrw]
+#[brw(little, magic = b"owner")]
+#[derive(Clone, Debug, PartialEq)]
+pub struct LedgerOwner {
+    /// Whose promises the file holds, as of the life that made or last rewrote it.
+    pub identity: Identity,
+}
+
+/// Why it can't be told who this member is. The files are left as they are.
+#[derive(Debug, Snafu)]
+pub enum IdentityError {
+    /// A record of the identity's file can't be read.
+    #[snafu(display("the identity's record {record} can't be read"))]
+    Unreadable {
+        /// Its place, from 0.
+        record: usize,
+        /// Why.
+        source: protocol::Broken,
+    },
+    /// The ledger is of an earlier release, and the identity's file is missing.
+    #[snafu(display("a ledger, and no identity that it belongs to"))]
+    NoIdentity,
+    /// The two files are of different members.
+    #[snafu(display("the ledger belongs to {owner}, the identity's file to {identity}"))]
+    OtherOwner {
+        /// Whose ledger it is.
+        owner: u64,
+        /// Who the identity's file says that this is.
+        identity: u64,
+    },
+}
+
+/// What the ledger's file holds at a start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FoundLedger {
+    /// Whose it is; none where there is no file, or where an earlier release wrote it.
+    pub owner: Option<Identity>,
+    /// The member's records.
+    pub records: Vec<Vec<u8>>,
+}
+
+impl FoundLedger {
+    /// Sorts the records of the ledger's file.
+    pub fn of(mut records: Vec<Vec<u8>>) -> Self {
+        let owner = records.first().and_then(|r| protocol::read_one::<LedgerOwner>(r).ok());
+        if owner.is_some() {
+            records.remove(0);
+        }
+        Self { owner: owner.map(|o| o.identity), records }
+    }
+}
+
 /// What a member is told about its start.
 #[derive(Clone, Debug)]
 pub struct StartFacts {
@@ -70,6 +129,34 @@
         Identity { id, life: self.clock_ms.max(1), initial_voters }
     }
 
+    /// The identity of the life that starts now, given what both files held.
+    ///
+    /// # Errors
+    /// Where there are records that this member can't tell to be its own.
+    pub fn identity_with(
+        &self,
+        kept: Option<Identity>,
+        ledger: &FoundLedger,
+    ) -> Result<Identity, IdentityError> {
+        let known = match (kept, ledger.owner.clone()) {
+            // The identity's file was lost, or never written after the ledger's was made.
+            (None, Some(owner)) => Some(owner),
+            (None, None) if ledger.records.is_empty() => None,
+            (None, None) => return NoIdentitySnafu.fail(),
+            (Some(kept), Some(owner)) if kept.id == owner.id => Some(kept),
+            // Its ledger was lost, and a new identity has begun one without coming to promise anything.
+            (Some(_), Some(owner)) if ledger.records.is_empty() => Some(owner),
+            (Some(kept), Some(owner)) => {
+                return OtherOwnerSnafu { owner: owner.id, identity: kept.id }.fail();
+            }
+            // Written by an earlier release.
+            (Some(kept), None) if !ledger.records.is_empty() => Some(kept),
+            // What it promised is forgotten: it comes back as somebody else, with no say.
+            (Some(_), None) => return Ok(Self { bootstrap: false, ..self.clone() }.identity(None)),
+        };
+        Ok(self.identity(known))
+    }
+
     fn founder(&self, seed: SocketAddrV4) -> MemberInfo {
         let addr = inner(seed, self.port);
         MemberInfo {
@@ -82,6 +169,13 @@
 }
 
 /// The latest identity among the records of the identity's file.
-pub fn latest(records: &[Vec<u8>]) -> Option<Identity> {
-    records.iter().rev().find_map(|r| protocol::read_one::<Identity>(r).ok())
+///
+/// # Errors
+/// Where one of them can't be read.
+pub fn latest(records: &[Vec<u8>]) -> Result<Option<Identity>, IdentityError> {
+    let read = |(record, bytes): (usize, &Vec<u8>)| {
+        protocol::read_one::<Identity>(bytes).context(UnreadableSnafu { record })
+    };
+    let identities: Result<Vec<Identity>, IdentityError> = records.iter().enumerate().map(read).collect();
+    Ok(identities?.pop())
 }
--- a/crates/control-plane/tests/disk.rs
+++ b/crates/control-plane/tests/disk.rs
@@ -57,3 +57,40 @@
     assert_ne!(second.id, first.id);
     assert!(second.initial_voters.is_empty() && records.is_empty());
 }
+
+/// What a start makes of a folder where one file was lost.
+#[rstest::rstest]
+#[case::identity("identity", true)]
+#[case::ledger("ledger", false)]
+fn a_member_that_lost_one_file(#[case] file: &str, #[case] same: bool) {
+    let dir = tempfile::tempdir().unwrap();
+    let (writes, told, first, _) = open(dir.path(), true);
+    write(&writes, 1, &["a"], false);
+    assert!(matches!(told.recv().unwrap(), DiskEvent::Wrote { result: Ok(()), .. }));
+    drop(writes);
+    assert!(told.recv().is_err());
+    std::fs::remove_file(dir.path().join(file)).unwrap();
+    let (_, _, second, records) = open(dir.path(), true);
+    assert_eq!((second.id == first.id, records.len()), (same, usize::from(same)));
+    assert_eq!(second.initial_voters.is_empty(), !same);
+}
+
+/// The ledger's file is made before the identity's: whoever has an identity on disk has a ledger that says so.
+#[test]
+fn an_identity_is_never_kept_without_its_ledger() {
+    let dir = tempfile::tempdir().unwrap();
+    // The ledger's first file can't be made.
+    std::fs::create_dir(dir.path().join("ledger.new")).unwrap();
+    let (writes, told, _, _) = open(dir.path(), true);
+    write(&writes, 1, &["a"], false);
+    assert!(matches!(told.recv().unwrap(), DiskEvent::Wrote { ticket: 1, result: Err(_) }));
+    assert!(!dir.path().join("identity").exists());
+    // Once it can, both are kept and the same life goes on.
+    std::fs::remove_dir(dir.path().join("ledger.new")).unwrap();
+    write(&writes, 2, &["b"], false);
+    assert!(matches!(told.recv().unwrap(), DiskEvent::Wrote { ticket: 2, result: Ok(()) }));
+    drop(writes);
+    assert!(told.recv().is_err());
+    let (_, _, _, records) = open(dir.path(), false);
+    assert_eq!(records, [b"b"]);
+}
--- a/crates/control-plane/tests/identity.rs
+++ b/crates/control-plane/tests/identity.rs
@@ -1,6 +1,8 @@
 //! Who a member is, given what its disk held.
 
-use control_plane::shell::identity::{initial_voter_id, inner, latest, Identity, StartFacts};
+use control_plane::shell::identity::{
+    initial_voter_id, inner, latest, FoundLedger, Identity, IdentityError, LedgerOwner, StartFacts,
+};
 use rstest::rstest;
 use std::net::SocketAddrV4;
 
@@ -59,6 +61,47 @@
     let first = birth(SEEDS[0], true).identity(None);
     let second = birth(SEEDS[0], false).identity(Some(first.clone()));
     let records = [protocol::write_one(&first), protocol::write_one(&second)];
-    assert_eq!(latest(&records), Some(second));
-    assert_eq!(latest(&[vec![1, 2, 3]]), None);
+    assert_eq!(latest(&records).unwrap(), Some(second));
+    assert_eq!(latest(&[]).unwrap(), None);
+    // One that can't be read is never passed over for an older one, or for none.
+    let damaged = [records.to_vec(), vec![vec![1, 2, 3]]].concat();
+    assert!(matches!(latest(&damaged), Err(IdentityError::Unreadable { record: 2, .. })));
+}
+
+fn ledger(owner: Option<&Identity>, records: &[&[u8]]) -> FoundLedger {
+    let owner = owner.map(|identity| protocol::write_one(&LedgerOwner { identity: identity.clone() }));
+    FoundLedger::of(owner.into_iter().chain(records.iter().map(|r| r.to_vec())).collect())
+}
+
+/// Each file there or not: nobody goes on under an identity whose promises are lost, or with the promises of
+/// somebody else.
+#[rstest]
+fn either_file_may_be_lost() {
+    let start = birth(SEEDS[0], true);
+    let (first, again) = (start.identity(None), birth(SEEDS[0], false));
+    let other = Identity { id: 5, life: 1, initial_voters: vec![] };
+    let records: [&[u8]; 1] = [b"promised"];
+    let id = |kept: Option<&Identity>, ledger: &FoundLedger| {
+        again.identity_with(kept.cloned(), ledger).map(|i| (i.id, i.initial_voters.len()))
+    };
+    let own = (first.id, 3);
+    // Both, neither.
+    assert_eq!(id(Some(&first), &ledger(Some(&first), &records)).unwrap(), own);
+    assert_eq!(id(Some(&first), &ledger(Some(&first), &[])).unwrap(), own);
+    assert_eq!(id(None, &ledger(None, &[])).unwrap(), (77, 0));
+    // The ledger was lost: somebody else, and no voter of view 0, though the settings still say that all is new.
+    assert_eq!(id(Some(&first), &ledger(None, &[])).unwrap(), (77, 0));
+    let lost = start.identity_with(Some(first.clone()), &ledger(None, &[])).unwrap();
+    assert_eq!((lost.id, lost.initial_voters.len()), (77, 0));
+    // The identity's file was lost: the ledger says whose it is.
+    assert_eq!(id(None, &ledger(Some(&first), &records)).unwrap(), own);
+    assert_eq!(id(None, &ledger(Some(&first), &[])).unwrap(), own);
+    // Ended after a new identity had begun its ledger, before the identity's file followed.
+    assert_eq!(id(Some(&first), &ledger(Some(&other), &[])).unwrap(), (5, 0));
+    // Somebody else's promises, or nobody knows whose.
+    let foreign = id(Some(&first), &ledger(Some(&other), &records));
+    assert!(matches!(foreign, Err(IdentityError::OtherOwner { owner: 5, .. })));
+    assert!(matches!(id(None, &ledger(None, &records)), Err(IdentityError::NoIdentity)));
+    // A ledger of an earlier release.
+    assert_eq!(id(Some(&first), &ledger(None, &records)).unwrap(), own);
 }
