Simulated disk: a rename's two names, and several files of a folder, last or not by themselves

Cause: after a loss of power each made, renamed or removed file without a sync of its folder may be kept or lost by itself; the simulated disk took a rename as one change, and only one file was played.

--- a/crates/append-log/tests/simulated/mod.rs
+++ b/crates/append-log/tests/simulated/mod.rs
@@ -49,33 +49,34 @@
     }
 }
 
-/// A change of a name that no sync has covered yet.
+/// A change of a name that no sync has covered yet. A rename is two of them: the name that it gives and the one that
+/// it takes may each last or not, by itself.
 #[derive(Clone, Debug)]
 enum Naming {
     New(String, usize),
-    Rename { from: String, to: String, file: usize },
+    Given(String, usize),
+    Taken(String, usize),
     Remove(String),
 }
 
 impl Naming {
-    /// The name that it gives or takes, if no other name changes with it.
-    fn name_alone(&self) -> Option<&str> {
+    fn name(&self) -> &str {
         match self {
-            Naming::New(name, _) | Naming::Remove(name) => Some(name),
-            Naming::Rename { .. } => None,
+            Naming::New(name, _) | Naming::Given(name, _) | Naming::Taken(name, _) | Naming::Remove(name) => {
+                name
+            }
         }
     }
 
     fn apply(&self, to: &mut BTreeMap<String, usize>) {
         match self {
-            Naming::New(name, file) => {
+            Naming::New(name, file) | Naming::Given(name, file) => {
                 to.insert(name.clone(), *file);
             }
-            Naming::Rename { from, to: name, file } => {
-                if to.get(from) == Some(file) {
-                    to.remove(from);
+            Naming::Taken(name, file) => {
+                if to.get(name) == Some(file) {
+                    to.remove(name);
                 }
-                to.insert(name.clone(), *file);
             }
             Naming::Remove(name) => {
                 to.remove(name);
@@ -336,9 +337,10 @@
             return Err(io::Error::other("rename"));
         }
         let file = *inner.names.get(from).expect("there is a file to rename");
-        let naming = Naming::Rename { from: from.to_owned(), to: to.to_owned(), file };
-        naming.apply(&mut inner.names);
-        inner.namings.push(naming);
+        for naming in [Naming::Given(to.to_owned(), file), Naming::Taken(from.to_owned(), file)] {
+            naming.apply(&mut inner.names);
+            inner.namings.push(naming);
+        }
         Ok(())
     }
 
@@ -445,7 +447,7 @@
             let mut place_of_next = 0..;
             namings.retain(|naming| {
                 let is_before = place_of_next.next().is_some_and(|next| next < place);
-                !(is_before && naming.name_alone() == own.name_alone())
+                !(is_before && naming.name() == own.name())
             });
         }
         inner.namings = namings;
