Simulator: world split by concern

world.rs held plan, clock, network, disk, machines, faults, callers and checkers in 613 lines. Moved without a change into plan.rs and world/{mod,network,disk,nodes,strike,callers,checks}.rs.

--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -11,7 +11,9 @@
 
 mod faults;
 mod operator;
+mod plan;
 mod world;
 
 pub use faults::{Fault, Planted};
-pub use world::{run, Plan, Report};
+pub use plan::{Plan, Report};
+pub use world::run;
--- /dev/null
+++ b/crates/simulator/src/world/callers.rs
@@ -0,0 +1,48 @@
+//! The callers: when they call whom.
+
+use super::{What, World};
+use crate::plan::ms;
+use configuration::Code;
+use control_plane::member::Input;
+
+impl World<'_> {
+    /// An answer goes to its caller.
+    pub(super) fn answered(&mut self, n: usize, ticket: u64, code: Code, body: &[u8]) {
+        let calm = self.operator.calls.get(&ticket).is_some_and(|c| c.made > self.calm_since + ms(3000));
+        if let Err(breach) = self.operator.answered(self.now, ticket, code, body, calm) {
+            self.report.breaches.push(format!("{:?} node {n}: {breach}", self.now));
+        }
+    }
+
+    pub(super) fn call(&mut self) {
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|n| self.nodes[*n].member.is_some() && !self.nodes[*n].frozen)
+            .collect();
+        if !up.is_empty() {
+            let member = up[self.pick(up.len() as u64) as usize];
+            // Calls without a clear answer are made again, elsewhere.
+            let stale: Vec<u64> = self
+                .operator
+                .calls
+                .iter()
+                .filter(|c| self.now >= c.1.sent + ms(1000))
+                .map(|c| *c.0)
+                .collect();
+            for ticket in stale {
+                if let Some(call) = self.operator.calls.get_mut(&ticket) {
+                    (call.sent, call.member) = (self.now, member);
+                    let command = call.command.clone();
+                    self.step(member, Input::Command { ticket, command });
+                }
+            }
+            if self.operator.calls.len() < 6 {
+                let kind = self.pick(16);
+                let ticket = self.operator.make(self.now, kind, member);
+                let command = self.operator.calls[&ticket].command.clone();
+                self.step(member, Input::Command { ticket, command });
+            }
+        }
+        let next = ms(20 + self.pick(160));
+        self.at(self.now + next, 0, What::Call);
+    }
+}
