Simulator: the member that acted last is looked at first

After each step all members were asked whether they act. Now the one that acted at the last step is asked first, and the others only where it doesn't.

--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -59,6 +59,8 @@
     published: BTreeMap<u64, u64>,
     calm_since: Duration,
     gap_from: Option<Duration>,
+    /// The member that acted at the last look.
+    acting: usize,
 }
 
 /// Plays a plan.
@@ -77,6 +79,7 @@
         published: BTreeMap::new(),
         calm_since: ms(1000),
         gap_from: None,
+        acting: 0,
     };
     for n in 0..plan.members {
         world.add(n as u64 + 1);
@@ -121,7 +124,7 @@
         for output in out {
             self.perform(n, output);
         }
-        let acts = self.nodes.iter().any(|n| n.member.as_ref().is_some_and(Member::acts) && !n.frozen);
+        let acts = self.someone_acts();
         match (acts, self.gap_from) {
             (true, Some(from)) => {
                 self.report.gaps.push(now - from);
@@ -132,6 +135,18 @@
         }
     }
 
+    /// Whether some member acts that isn't frozen; the one that did at the last step is looked at first.
+    fn someone_acts(&mut self) -> bool {
+        let acts = |n: &Node| !n.frozen && n.member.as_ref().is_some_and(Member::acts);
+        if !self.nodes.get(self.acting).is_some_and(acts) {
+            match self.nodes.iter().position(acts) {
+                Some(found) => self.acting = found,
+                None => return false,
+            }
+        }
+        true
+    }
+
     fn perform(&mut self, n: usize, output: Output) {
         match output {
             Output::Send { to, message } => self.send(n, &to, message),
