Simulator: long faults, faults at moments, several operators, storms, torn writes

Cause: cuts and freezes lasted 0.2 to 4.2 s, drawn faults stood 4.5 s apart, one operator never lost an answer, no run made hundreds of changes, a write under way was always lost whole. Change: modes long (15 to 25 s, one way, by pair and zone, restarted while cut off), aimed (faults at moments: view composed, install, fetch, acknowledgement, order sent, unsettled view, leaving, takeover, start; the next loss at exactly the time that the budget allows), double (the same whatever the budget says, safety alone), storm (300 changes and more). Two to four operators with up to eight orders each, clashing numbers, one content from two senders, lost and late answers, repeats; every answer of every member is checked. Writes under way are kept record by record or lost.

--- a/crates/simulator/src/bin/simulator.rs
+++ b/crates/simulator/src/bin/simulator.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use bpaf::Parser;
-use simulator::{run, Plan, Report};
+use simulator::{run, Mode, Report};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -19,11 +19,23 @@
     let from = number("from", "first seed", 0);
     let to = number("to", "one beyond the last seed", 1000);
     let jobs = number("jobs", "threads", 4);
-    let rough = bpaf::long("rough").help("one fault upon the other; only safety is watched").switch();
-    let options = bpaf::construct!(from, to, jobs, rough).to_options();
-    let (from, to, jobs, rough) =
+    let mode = bpaf::long("mode")
+        .help("how plans are drawn: drawn, rough, long, aimed, double, storm")
+        .argument::<String>("MODE")
+        .parse(|name| Mode::of(&name).ok_or("no such mode"))
+        .fallback(Mode::Drawn);
+    let trace = bpaf::long("trace").help("print what happens in the first schedule").switch();
+    let options = bpaf::construct!(from, to, jobs, mode, trace).to_options();
+    let (from, to, jobs, mode, trace) =
         options.descr("Plays the control plane's members on simulated machines").run();
-    let plan = |seed| if rough { Plan::rough(seed) } else { Plan::drawn(seed) };
+    let plan = |seed| mode.plan(seed);
+    if trace {
+        let report = run(&simulator::Plan { trace: true, ..plan(from) });
+        report.trace.iter().for_each(|line| println!("{line}"));
+        println!("{:?}", report.breaches);
+        return ExitCode::SUCCESS;
+    }
+    let begun = std::time::Instant::now();
     let next = AtomicU64::new(from);
     let reports: Mutex<Vec<(u64, Report)>> = Mutex::default();
     std::thread::scope(|scope| {
@@ -44,14 +56,16 @@
     reports.sort_by_key(|r| r.0);
     let broken: Vec<_> = reports.iter().filter(|r| !r.1.breaches.is_empty()).collect();
     for (seed, report) in &broken {
-        println!("seed {seed}: {:?}\n  {:?}", report.breaches, plan(*seed).faults);
+        println!("seed {seed}: {:?}\n  {:?}\n  {:?}", report.breaches, plan(*seed), report.struck);
     }
     let mut gaps: Vec<f64> = reports.iter().flat_map(|r| &r.1.gaps).map(|g| g.as_secs_f64() * 1e3).collect();
     gaps.sort_by(f64::total_cmp);
     println!(
-        "{} schedules, {} broken; {} calls acknowledged in {} steps; without a primary p50 {:.0} ms, p99 {:.0} ms, {} times",
+        "{} schedules of mode {}, {} broken; {:.1} schedules a second; {} calls acknowledged in {} steps; without a primary p50 {:.0} ms, p99 {:.0} ms, {} times",
         reports.len(),
+        mode.name(),
         broken.len(),
+        reports.len() as f64 / begun.elapsed().as_secs_f64(),
         reports.iter().map(|r| r.1.acknowledged).sum::<u64>(),
         reports.iter().map(|r| r.1.steps).sum::<u64>(),
         quantile(&gaps, 0.5),
--- /dev/null
+++ b/crates/simulator/src/drawn.rs
@@ -0,0 +1,323 @@
+//! Plans drawn from a seed, by mode.
+
+use crate::faults::{Aimed, Fault, Moment, Who};
+use crate::plan::{ms, Orders, Plan};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::time::Duration;
+
+/// How a plan is drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// [`Plan::drawn`].
+    Drawn,
+    /// [`Plan::rough`].
+    Rough,
+    /// [`Plan::long`].
+    Long,
+    /// [`Plan::aimed`].
+    Aimed,
+    /// [`Plan::double`].
+    Double,
+    /// [`Plan::storm`].
+    Storm,
+}
+
+impl Mode {
+    /// All modes.
+    pub const ALL: [Mode; 6] = [Self::Drawn, Self::Rough, Self::Long, Self::Aimed, Self::Double, Self::Storm];
+
+    /// Its name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Drawn => "drawn",
+            Self::Rough => "rough",
+            Self::Long => "long",
+            Self::Aimed => "aimed",
+            Self::Double => "double",
+            Self::Storm => "storm",
+        }
+    }
+
+    /// The mode of a name.
+    pub fn of(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|m| m.name() == name)
+    }
+
+    /// The plan of a seed.
+    pub fn plan(self, seed: u64) -> Plan {
+        match self {
+            Self::Drawn => Plan::drawn(seed),
+            Self::Rough => Plan::rough(seed),
+            Self::Long => Plan::long(seed),
+            Self::Aimed => Plan::aimed(seed),
+            Self::Double => Plan::double(seed),
+            Self::Storm => Plan::storm(seed),
+        }
+    }
+}
+
+/// What is drawn.
+struct Draw(Pcg32);
+
+impl Draw {
+    fn new(seed: u64, salt: u64) -> Self {
+        Self(Pcg32::seed_from_u64(seed ^ salt))
+    }
+
+    fn below(&mut self, n: u64) -> u64 {
+        u64::from(self.0.next_u32()) % n.max(1)
+    }
+
+    fn index(&mut self, n: usize) -> usize {
+        self.below(n as u64) as usize
+    }
+
+    /// Between the two, in ms.
+    fn between(&mut self, from: u64, to: u64) -> Duration {
+        ms(from + self.below(to - from + 1))
+    }
+
+    fn way(&mut self) -> Option<bool> {
+        [None, Some(true), Some(false)][self.index(3)]
+    }
+
+    fn size(&mut self) -> (usize, u32) {
+        [(3, 1), (3, 1), (4, 1), (5, 2), (8, 2)][self.index(5)]
+    }
+
+    fn orders(&mut self) -> Orders {
+        Orders {
+            operators: 2 + self.index(3),
+            at_once: 1 + self.index(8),
+            lost: [0, 10, 40, 70][self.index(4)],
+            late: [ms(0), ms(300), ms(3000)][self.index(3)],
+            again: 30,
+            pause: [ms(60), ms(200), ms(500)][self.index(3)],
+            padding: 0,
+        }
+    }
+
+    /// A fault of a member, short or not.
+    fn fault(&mut self, members: usize, length: Duration) -> Fault {
+        let n = self.index(members);
+        match self.below(16) {
+            0..=2 => Fault::Kill(n, length),
+            3 => Fault::Power(n, length),
+            4 => Fault::Wipe(n, length),
+            5 => Fault::Replace(n, length),
+            6..=7 => Fault::Freeze(n, length),
+            8 => Fault::Cut(n, length, None),
+            9 => Fault::Cut(n, length, self.way()),
+            10 => Fault::Stall(n, length),
+            11 => Fault::Slow(n, length, 20 + self.below(20) as u32),
+            12 => Fault::Full(n, length),
+            13 => Fault::CutPair(n, self.index(members), length),
+            14 => Fault::Retire(n),
+            _ => Fault::Term(n, length),
+        }
+    }
+
+    fn moment(&mut self) -> (Moment, u32, Duration) {
+        match self.below(9) {
+            0 => (Moment::Composed, 1 + self.below(4) as u32, Duration::from_micros(self.below(6000))),
+            1 => (Moment::Installing, 1 + self.below(6) as u32, Duration::from_micros(self.below(6000))),
+            2 => (Moment::Fetching, 1, Duration::from_micros(self.below(6000))),
+            3 => (Moment::Acknowledged, 1 + self.below(60) as u32, Duration::from_micros(self.below(4000))),
+            4 => (Moment::OrderSent, 1 + self.below(90) as u32, self.between(5, 400)),
+            5 => (Moment::Unsettled, 1 + self.below(2) as u32, self.between(0, 600)),
+            6 => (Moment::Leaving, 1, self.between(0, 1500)),
+            7 => (Moment::TookOver, 1 + self.below(4) as u32, self.between(0, 1000)),
+            // Members are started at first, too.
+            _ => (Moment::Started, 4 + self.below(4) as u32, self.between(0, 4100)),
+        }
+    }
+
+    fn who(&mut self) -> Who {
+        match self.below(4) {
+            0 | 1 => Who::Subject,
+            2 => Who::Primary,
+            _ => Who::Other(self.index(4)),
+        }
+    }
+
+    fn aimed(&mut self, fault: Fault) -> Aimed {
+        let (moment, nth, delay) = self.moment();
+        Aimed { moment, nth, delay, who: self.who(), fault }
+    }
+}
+
+impl Plan {
+    fn sized(seed: u64, draw: &mut Draw) -> Self {
+        let (members, losses) = draw.size();
+        let orders = Some(draw.orders());
+        Self { members, losses, strict: true, orders, ..Self::calm(seed) }
+    }
+
+    /// Cuts and freezes of 15 to 25 s, one way too, by member, pair and zone; members are restarted while they are cut
+    /// off; other faults follow as soon as the budget allows.
+    pub fn long(seed: u64) -> Self {
+        let mut draw = Draw::new(seed, 0x1075);
+        let mut plan = Self::sized(seed, &mut draw);
+        let mut at = draw.between(2500, 4500);
+        for _ in 0..1 + draw.below(2) {
+            let (n, length) = (draw.index(plan.members), draw.between(15_000, 25_000));
+            let fault = match draw.below(8) {
+                0 | 1 => Fault::Freeze(n, length),
+                2 => Fault::Cut(n, length, None),
+                3 => Fault::Cut(n, length, draw.way()),
+                4 => Fault::CutPair(n, draw.index(plan.members), length),
+                5 => Fault::Stall(n, length),
+                _ => Fault::CutZone(n, length, draw.way()),
+            };
+            plan.faults.push((at, fault));
+            // The same machine is restarted meanwhile, or another one goes where the budget allows it.
+            if draw.below(2) == 0 {
+                let back = draw.between(50, 3000);
+                plan.faults.push((at + draw.between(500, 14_000), Fault::Kill(n, back)));
+            }
+            if draw.below(2) == 0 {
+                let short = draw.between(100, 3000);
+                let other = draw.fault(plan.members, short);
+                plan.faults.push((at + draw.between(100, 14_000), other));
+            }
+            at += length + draw.between(0, 5000);
+        }
+        plan.length = at + ms(14_000);
+        plan
+    }
+
+    /// Faults aimed at moments, as far as the budget allows them, beside some that bring the moments about.
+    pub fn aimed(seed: u64) -> Self {
+        let mut draw = Draw::new(seed, 0xa13ed);
+        let mut plan = Self::sized(seed, &mut draw);
+        let mut at = draw.between(2500, 4500);
+        for _ in 0..2 + draw.below(3) {
+            let length = draw.between(50, 1500);
+            let fault = if draw.below(4) == 0 { Fault::Join } else { draw.fault(plan.members, length) };
+            plan.faults.push((at, fault));
+            let length = draw.between(50, 4000);
+            let fault = draw.fault(plan.members, length);
+            plan.aimed.push(draw.aimed(fault));
+            at += draw.between(500, 6000);
+        }
+        if draw.below(4) == 0 {
+            let (back, wiped) = (draw.between(300, 1200), Some(draw.index(plan.members)));
+            let wiped = wiped.filter(|_| draw.below(2) == 0);
+            let fault = if draw.below(2) == 0 { Fault::KillAll(back) } else { Fault::PowerAll(back, wiped) };
+            let aimed = draw.aimed(fault);
+            plan.aimed.push(aimed);
+        }
+        plan.length = at + ms(12_000);
+        plan
+    }
+
+    /// Faults aimed at moments whatever the budget says, but no more disks lost in all than it allows: only safety is
+    /// watched.
+    pub fn double(seed: u64) -> Self {
+        let mut draw = Draw::new(seed, 0xd0b1e);
+        let mut plan = Self { safety_only: true, ..Self::sized(seed, &mut draw) };
+        let mut at = draw.between(2500, 3500);
+        for _ in 0..8 {
+            let length = draw.between(10, 1500);
+            let fault = if draw.below(10) == 0 { Fault::Join } else { draw.fault(plan.members, length) };
+            plan.faults.push((at, fault));
+            let length = draw.between(10, 1500);
+            let fault = draw.fault(plan.members, length);
+            plan.aimed.push(draw.aimed(fault));
+            at += draw.between(100, 2500);
+        }
+        plan.length = at + ms(6000);
+        plan
+    }
+
+    /// 300 changes and more while members are away, short and long.
+    pub fn storm(seed: u64) -> Self {
+        let mut draw = Draw::new(seed, 0x5708);
+        let mut plan = Self::sized(seed, &mut draw);
+        plan.orders = Some(Orders {
+            operators: 1 + draw.index(3),
+            at_once: 1 + draw.index(2),
+            lost: [0, 10, 40][draw.index(3)],
+            late: ms(0),
+            again: 5,
+            pause: ms(8),
+            padding: [0, 200, 4000][draw.index(3)],
+        });
+        let mut at = draw.between(2500, 4500);
+        for _ in 0..2 {
+            let length = [draw.between(100, 1000), draw.between(5000, 10_000)][draw.index(2)];
+            let fault = draw.fault(plan.members, length);
+            plan.faults.push((at, fault));
+            let length = draw.between(50, 2000);
+            let fault = draw.fault(plan.members, length);
+            plan.aimed.push(draw.aimed(fault));
+            at += draw.between(500, 8000);
+        }
+        plan.length = at + ms(14_000);
+        plan
+    }
+
+    /// A run with one fault upon the other, whatever the budget says, but no more disks lost in all than it allows:
+    /// takeovers are met half-way.
+    pub fn rough(seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed ^ 0x0bad);
+        let mut pick = |n: u64| u64::from(rng.next_u32()) % n;
+        let (members, losses) = [(3, 1), (3, 1), (3, 1), (5, 2)][pick(4) as usize];
+        let mut plan = Self { members, losses, safety_only: true, ..Self::calm(seed) };
+        let (mut at, mut wipes) = (ms(2500), losses);
+        for _ in 0..30 {
+            let who = pick(members as u64) as usize;
+            let long = ms(30 + pick(1800));
+            let fault = match pick(9) {
+                0..=2 => Fault::Kill(who, ms(5 + pick(1300))),
+                3 => Fault::Freeze(who, long),
+                4 => Fault::Cut(who, long, None),
+                5 => Fault::Cut(who, long, Some(pick(2) == 0)),
+                6 => Fault::Stall(who, long),
+                7 if wipes > 0 && pick(3) == 0 => {
+                    wipes -= 1;
+                    Fault::Wipe(who, ms(5 + pick(600)))
+                }
+                _ => Fault::Slow(who, long, 20 + pick(20) as u32),
+            };
+            plan.faults.push((at, fault));
+            at += ms(20 + pick(900));
+        }
+        plan.length = at + ms(6000);
+        plan
+    }
+
+    /// A run whose size and faults are drawn; no more are lost at once than the budget allows.
+    pub fn drawn(seed: u64) -> Self {
+        let mut rng = Pcg32::seed_from_u64(seed ^ 0x5eed);
+        let mut pick = |n: u64| u64::from(rng.next_u32()) % n;
+        let (members, losses) = [(3, 1), (3, 1), (4, 1), (5, 2), (8, 2)][pick(5) as usize];
+        let mut plan = Self { members, losses, ..Self::calm(seed) };
+        let mut at = ms(2500 + pick(2000));
+        for _ in 0..2 + pick(4) {
+            let who = pick(members as u64) as usize;
+            let long = ms(200 + pick(4000));
+            let fault = match pick(13) {
+                0 => Fault::Kill(who, ms(100 + pick(600))),
+                1 => Fault::Power(who, long),
+                2 => Fault::Wipe(who, long),
+                3 => Fault::Replace(who, long),
+                4 => Fault::Freeze(who, long),
+                5 => Fault::Cut(who, long, None),
+                6 => Fault::Cut(who, long, Some(pick(2) == 0)),
+                7 => Fault::Stall(who, long),
+                8 => Fault::Slow(who, long, 20 + pick(20) as u32),
+                9 => Fault::Full(who, long),
+                10 => Fault::KillAll(ms(300 + pick(900))),
+                11 => Fault::PowerAll(ms(300 + pick(900)), Some(who).filter(|_| pick(2) == 0)),
+                _ => Fault::Term(who, ms(100 + pick(500))),
+            };
+            plan.faults.push((at, fault));
+            // A lost member counts as lost for a while after it is back.
+            at += long.max(ms(1200)) + ms(4500 + pick(1500));
+        }
+        plan.length = at + ms(9000);
+        plan
+    }
+}
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -9,11 +9,15 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod drawn;
 mod faults;
 mod operator;
 mod plan;
+mod planted;
 mod world;
 
-pub use faults::{Fault, Planted};
-pub use plan::{Plan, Report};
+pub use drawn::Mode;
+pub use faults::{Aimed, Fault, Moment, Who};
+pub use plan::{Orders, Plan, Report};
+pub use planted::Planted;
 pub use world::run;
--- a/crates/simulator/src/world/callers.rs
+++ b/crates/simulator/src/world/callers.rs
@@ -1,5 +1,6 @@
 //! The callers: when they call whom.
 
+use super::orders::FIRST_TICKET;
 use super::{What, World};
 use crate::plan::ms;
 use configuration::Code;
@@ -8,6 +9,9 @@
 impl World<'_> {
     /// An answer goes to its caller.
     pub(super) fn answered(&mut self, n: usize, ticket: u64, code: Code, body: &[u8]) {
+        if ticket >= FIRST_TICKET {
+            return self.order_answered(n, ticket, code, body);
+        }
         let calm = self.operator.calls.get(&ticket).is_some_and(|c| c.made > self.calm_since + ms(3000));
         if let Err(breach) = self.operator.answered(self.now, ticket, code, body, calm) {
             self.report.breaches.push(format!("{:?} node {n}: {breach}", self.now));
--- a/crates/simulator/src/world/checks.rs
+++ b/crates/simulator/src/world/checks.rs
@@ -1,15 +1,23 @@
 //! The checkers: what members show, and what has to hold in the end.
 
-use super::World;
+use super::{What, World};
 use crate::plan::{ms, Report};
 use configuration::Document;
 use control_plane::member::Member;
 use protocol::MemberInfo;
 use std::time::Duration;
 
+/// Longest time without anybody who acts, counted from the latest fault that struck or healed.
+const GAP_BOUND: Duration = Duration::from_millis(4000);
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(500);
+
 impl World<'_> {
     /// A primary shows the newest acknowledged ledger.
     pub(super) fn shown(&mut self, n: usize, seq: u64, document: &Document, drains: &[String]) {
+        if self.plan.orders.is_some() {
+            return self.order_shown(n, seq, document, drains);
+        }
         let version = document.version;
         let same = *self.published.entry(seq).or_insert(version);
         if same != version {
@@ -25,7 +33,13 @@
     }
 
     /// A member shows what it knew to be acknowledged when it ended.
-    pub(super) fn restored(&mut self, n: usize, seq: u64, document: &Document) {
+    pub(super) fn restored(&mut self, n: usize, seq: u64, document: &Document, drains: &[String]) {
+        if self.plan.orders.is_some() {
+            if let Err(breach) = self.order_same(seq, document, drains) {
+                self.breach(n, format!("{breach}, after a start"));
+            }
+            return self.keep_shown(n, document);
+        }
         // Perhaps not the newest, perhaps agreed on and not shown yet, but never what is taken back: whatever is
         // shown under this number, before or after, has to be the same.
         let version = document.version;
@@ -39,6 +53,32 @@
         self.report.breaches.push(format!("{:?} node {n}: {what}", self.now));
     }
 
+    /// What has to hold a while after each fault, whether it has healed or not.
+    pub(super) fn look(&mut self) {
+        let quiet = self.now.saturating_sub(self.calm_since);
+        let gap = self.gap_from.map_or(ms(0), |from| self.now.saturating_sub(from)).min(quiet);
+        if gap > GAP_BOUND && !self.plan.safety_only {
+            let views = self.views();
+            self.breach(0, format!("nobody has acted for {gap:?}: {views}"));
+        }
+        if let Some(stuck) = self.stuck_order() {
+            self.breach(0, stuck);
+        }
+        self.at(self.now + LOOK, 0, What::Check);
+    }
+
+    /// What each member has as its view, to be printed.
+    fn views(&self) -> String {
+        let ids = |seats: &[MemberInfo]| seats.iter().map(|s| s.id).collect::<Vec<_>>();
+        let of = |n: &super::Node| {
+            let member = n.member.as_ref()?;
+            let view = member.view();
+            let view = view.map(|v| (v.epoch, v.replicas.clone(), ids(&v.voters), ids(&v.before)));
+            Some((n.seat.id, member.promised(), view))
+        };
+        format!("{:?}", self.nodes.iter().map(of).collect::<Vec<_>>())
+    }
+
     /// In the end what was acknowledged has to be there, and a primary with it.
     pub(super) fn finish(mut self, end: Duration) -> Report {
         let acting: Vec<usize> = (0..self.nodes.len())
@@ -47,18 +87,8 @@
         // A view may just be changing.
         let long = self.gap_from.is_some_and(|from| end > from + ms(2000));
         if acting.is_empty() && long && !self.plan.safety_only && self.report.breaches.is_empty() {
-            let ids = |seats: &[MemberInfo]| seats.iter().map(|s| s.id).collect::<Vec<_>>();
-            let views: Vec<_> = self
-                .nodes
-                .iter()
-                .map(|n| {
-                    let member = n.member.as_ref()?;
-                    let view = member.view();
-                    let view = view.map(|v| (v.epoch, v.replicas.clone(), ids(&v.voters), ids(&v.before)));
-                    Some((n.seat.id, member.promised(), view))
-                })
-                .collect();
-            self.report.breaches.push(format!("{end:?}: nobody acts: {views:?}"));
+            let views = self.views();
+            self.report.breaches.push(format!("{end:?}: nobody acts: {views}"));
         }
         let stuck = self
             .operator
@@ -71,6 +101,12 @@
         if self.operator.slowest > ms(4000) && !self.plan.safety_only {
             self.report.breaches.push(format!("a call in calm times took {:?}", self.operator.slowest));
         }
+        if self.plan.orders.is_some() {
+            if let Some(lost) = self.orders.left_out() {
+                self.report.breaches.push(lost);
+            }
+            return self.report;
+        }
         self.report.acknowledged = self.operator.acknowledged;
         self.report.slowest = self.operator.slowest;
         self.report
--- a/crates/simulator/src/world/disk.rs
+++ b/crates/simulator/src/world/disk.rs
@@ -1,8 +1,8 @@
 //! The simulated disk: what was synced lasts.
 
 use super::{What, World};
-use crate::faults::Planted;
 use crate::plan::ms;
+use crate::planted::Planted;
 use control_plane::member::{DiskError, Input};
 use protocol::Record;
 use rand_core::RngCore;
@@ -62,6 +62,28 @@
         self.nodes[n].records.clear();
         if self.plan.planted != Planted::WipedVotes {
             self.nodes[n].seat.id = id;
+            self.nodes[n].initial_voter = false;
+        }
+    }
+
+    /// The process or its machine ends while a write is under way: the file then ends somewhere in it, and what
+    /// was to stand for all of it does or doesn't.
+    pub(super) fn end_writes(&mut self, n: usize) {
+        let held = std::mem::take(&mut self.nodes[n].held_back).into_iter().map(|h| h.1);
+        let numbers: Vec<u64> = self.queue.iter().filter(|q| q.0 .2 == n).map(|q| q.0 .1).collect();
+        let is_write = |w: &What| matches!(w, What::Wrote { .. });
+        let queued: Vec<u64> =
+            numbers.into_iter().filter(|q| self.what.get(q).is_some_and(is_write)).collect();
+        let queued: Vec<What> = queued.into_iter().filter_map(|q| self.what.remove(&q)).collect();
+        for write in held.chain(queued) {
+            let What::Wrote { mut records, rewrite, result: Ok(()), .. } = write else { continue };
+            let kept = self.pick(records.len() as u64 + 1) as usize;
+            if !rewrite {
+                records.truncate(kept);
+                self.nodes[n].records.extend(records);
+            } else if kept > 0 {
+                self.nodes[n].records = records;
+            }
         }
     }
 }
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -1,17 +1,22 @@
 //! The simulated world: clock, queue and machines. What is about the network, the disks, the faults, the callers
 //! and the checkers stands beside.
 
+mod budget;
 mod callers;
 mod checks;
 mod disk;
+mod moments;
 mod network;
 mod nodes;
+mod orders;
 mod strike;
 
-use crate::faults::Fault;
+use crate::faults::{Aimed, Fault, Moment};
 use crate::operator::Operator;
 use crate::plan::{ms, Plan, Report};
+use crate::planted::Planted;
 use control_plane::member::{DiskError, Input, Member, Output};
+use orders::OrderBook;
 use protocol::{MemberInfo, Message};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -22,13 +27,81 @@
 #[derive(Debug)]
 enum What {
     Wake,
-    Deliver { from: usize, life: u32, message: Box<Message> },
-    Wrote { ticket: u64, records: Vec<Vec<u8>>, rewrite: bool, result: Result<(), DiskError> },
+    Deliver {
+        from: usize,
+        life: u32,
+        message: Box<Message>,
+    },
+    /// As [`What::Deliver`], on another connection.
+    Late {
+        from: usize,
+        life: u32,
+        message: Box<Message>,
+    },
+    Wrote {
+        ticket: u64,
+        records: Vec<Vec<u8>>,
+        rewrite: bool,
+        result: Result<(), DiskError>,
+    },
     Start,
     Fault(Fault),
     Heal(Fault),
     Call,
     Hello,
+    /// A call of an operator reaches a member.
+    Order {
+        ticket: u64,
+    },
+    /// An operator may call.
+    Operator(usize),
+    /// An answer reaches its operator.
+    Told {
+        ticket: u64,
+        told: orders::Told,
+    },
+    /// A taken order is sent again.
+    Again {
+        content: usize,
+    },
+    /// The aimed fault of this number strikes; its moment's subject goes with it.
+    Aimed {
+        number: usize,
+        subject: usize,
+    },
+    /// A process that was asked to end ends.
+    End(usize, Option<Duration>),
+    /// The checkers look.
+    Check,
+}
+
+impl What {
+    /// Whether it doesn't end with a member's process.
+    fn is_of_the_world(&self) -> bool {
+        matches!(
+            self,
+            Self::Fault(_)
+                | Self::Heal(_)
+                | Self::Call
+                | Self::Operator(_)
+                | Self::Told { .. }
+                | Self::Again { .. }
+                | Self::Aimed { .. }
+                | Self::End(..)
+                | Self::Check
+        )
+    }
+}
+
+/// Until when a member's troubles last, where several of one kind meet.
+#[derive(Debug, Default)]
+struct Until {
+    frozen: Duration,
+    stalled: Duration,
+    full: Duration,
+    slow: Duration,
+    /// It can't reach all others that are well.
+    apart: Duration,
 }
 
 struct Node {
@@ -41,6 +114,17 @@
     wake: Duration,
     disk: (bool, bool, u32),
     held_back: Vec<(usize, What)>,
+    /// Whether it is a voter of view 0 as long as its disk is empty.
+    initial_voter: bool,
+    /// Until when the budget counts it as lost.
+    lost_until: Duration,
+    /// Until when it counts as new.
+    new_until: Duration,
+    until: Until,
+    /// How long its process stood still in all.
+    stood_still: Duration,
+    /// What it last showed as acknowledged in this life.
+    shown: Option<Vec<u8>>,
 }
 
 type Due = Reverse<(Duration, u64, usize)>;
@@ -54,9 +138,19 @@
     what: BTreeMap<u64, What>,
     numbers: u64,
     cut: BTreeMap<(usize, usize), u32>,
+    /// When the last message on each way comes.
+    link_busy: BTreeMap<(usize, usize), Duration>,
     operator: Operator,
     report: Report,
     published: BTreeMap<u64, u64>,
+    orders: OrderBook,
+    /// Faults that wait for a moment, and the moments that have come.
+    armed: Vec<Aimed>,
+    moments: BTreeMap<Moment, u32>,
+    /// Whether somebody acted at the last look, and who.
+    last_acting: Option<usize>,
+    /// Disks that are lost for good.
+    disks_lost: u32,
     calm_since: Duration,
     gap_from: Option<Duration>,
     /// The member that acted at the last look.
@@ -74,9 +168,15 @@
         what: BTreeMap::new(),
         numbers: 0,
         cut: BTreeMap::new(),
+        link_busy: BTreeMap::new(),
         operator: Operator::default(),
         report: Report::default(),
         published: BTreeMap::new(),
+        orders: OrderBook::default(),
+        armed: plan.aimed.clone(),
+        moments: BTreeMap::new(),
+        last_acting: None,
+        disks_lost: 0,
         calm_since: ms(1000),
         gap_from: None,
         acting: 0,
@@ -89,7 +189,15 @@
     for (at, fault) in &plan.faults {
         world.at(world.now + *at, 0, What::Fault(*fault));
     }
-    world.at(world.now + ms(2000), 0, What::Call);
+    match &plan.orders {
+        None => world.at(world.now + ms(2000), 0, What::Call),
+        Some(orders) => {
+            (0..orders.operators).for_each(|o| world.at(world.now + ms(1500), 0, What::Operator(o)))
+        }
+    }
+    if plan.strict {
+        world.at(world.now + ms(4000), 0, What::Check);
+    }
     let end = world.now + plan.length;
     while let Some(Reverse((at, number, node))) = world.queue.pop() {
         if at > end || world.report.steps > 2_000_000 || !world.report.breaches.is_empty() {
@@ -116,7 +224,7 @@
 
     fn step(&mut self, n: usize, input: Input) {
         let mut out = Vec::new();
-        let now = self.now;
+        let now = self.clock(n);
         let Some(member) = self.nodes[n].member.as_mut() else { return };
         member.step(now, input, &mut out);
         self.report.epoch = self.report.epoch.max(member.promised());
@@ -124,6 +232,7 @@
         for output in out {
             self.perform(n, output);
         }
+        let now = self.now;
         let acts = self.someone_acts();
         match (acts, self.gap_from) {
             (true, Some(from)) => {
@@ -133,6 +242,41 @@
             (false, None) => self.gap_from = Some(now),
             _ => {}
         }
+        let acting = acts.then_some(self.acting);
+        if acting != self.last_acting {
+            self.last_acting = acting;
+            self.note(|w| {
+                format!(
+                    "acts: {:?} {:?}",
+                    acting,
+                    acting.and_then(|n| w.nodes[n].member.as_ref()?.view().map(|v| (
+                        v.epoch,
+                        v.replicas.clone(),
+                        v.voters.iter().map(|s| s.id).collect::<Vec<_>>(),
+                        v.before.iter().map(|s| s.id).collect::<Vec<_>>()
+                    )))
+                )
+            });
+            if let Some(acting) = acting {
+                self.moment(Moment::TookOver, acting);
+            }
+        }
+    }
+
+    /// Notes what happened, where the plan asks for it.
+    fn note(&mut self, line: impl FnOnce(&Self) -> String) {
+        if self.plan.trace {
+            let line = format!("{:?} {}", self.now, line(self));
+            self.report.trace.push(line);
+        }
+    }
+
+    /// A member's clock.
+    fn clock(&self, n: usize) -> Duration {
+        match self.plan.planted {
+            Planted::ClockStopsInFreeze => self.now - self.nodes[n].stood_still,
+            _ => self.now,
+        }
     }
 
     /// Whether some member acts that isn't frozen; the one that did at the last step is looked at first.
@@ -153,17 +297,20 @@
             Output::Write { ticket, records, rewrite } => self.write(n, ticket, records, rewrite),
             Output::Answer { ticket, code, body } => self.answered(n, ticket, code, &body),
             Output::Publish { seq, document, drains } => self.shown(n, seq, &document, &drains),
-            Output::Restore { seq, document, .. } => self.restored(n, seq, &document),
+            Output::Restore { seq, document, drains } => self.restored(n, seq, &document, &drains),
             Output::Wake { at } => {
+                let at = at + (self.now - self.clock(n));
                 self.nodes[n].wake = at;
                 self.at(at, n, What::Wake);
             }
+            // The process ends.
+            Output::Left if self.plan.strict => self.nodes[n].member = None,
             Output::Left => {}
         }
     }
 
     fn happen(&mut self, n: usize, what: What) {
-        if self.nodes[n].frozen && !matches!(what, What::Fault(_) | What::Heal(_) | What::Call) {
+        if self.nodes[n].frozen && !what.is_of_the_world() {
             self.nodes[n].held_back.push((n, what));
             return;
         }
@@ -171,12 +318,21 @@
             What::Wake if self.now >= self.nodes[n].wake => self.step(n, Input::Tick),
             What::Wake => {}
             What::Deliver { from, life, message } => self.deliver(from, life, *message, n),
+            What::Late { from, life, message } => self.deliver_late(from, life, *message, n),
             What::Wrote { ticket, records, rewrite, result } => {
                 self.wrote(n, ticket, records, rewrite, result)
             }
             What::Start => self.start(n),
             What::Hello => self.hello(n),
             What::Call => self.call(),
+            What::Order { ticket } => self.order_arrives(n, ticket),
+            What::Operator(operator) => self.operator_calls(operator),
+            What::Told { ticket, told } => self.operator_told(ticket, told),
+            What::Again { content } => self.order_again(content),
+            What::Aimed { number, subject } => self.aim(number, subject),
+            What::End(n, back) => self.end(n, back),
+            What::Check => self.look(),
+            What::Fault(fault) if self.plan.strict => self.strike_in_budget(fault),
             What::Fault(fault) => self.strike(fault),
             What::Heal(fault) => self.heal(fault),
         }
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -1,26 +1,111 @@
 //! The simulated network: messages, their delays, members that are cut off.
 
 use super::{What, World};
+use crate::faults::Moment;
 use crate::plan::ms;
 use control_plane::member::Input;
 use protocol::{MemberInfo, Message};
 use std::time::Duration;
 
+/// Zones that machines are spread over.
+pub(super) const ZONES: usize = 3;
+/// Machines that there are at most.
+const MOST_MACHINES: usize = 30;
+
+/// A message without what is long.
+fn brief(message: &Message) -> String {
+    let ids = |seats: &[MemberInfo]| seats.iter().map(|s| s.id).collect::<Vec<_>>();
+    let told = |view: &protocol::View| {
+        format!(
+            "{} of {}, {:?} {:?} {:?}",
+            view.epoch,
+            view.primary,
+            view.replicas,
+            ids(&view.voters),
+            ids(&view.before)
+        )
+    };
+    match message {
+        Message::InstallView { view, snapshot } => {
+            format!("install {} ledger {:?}", told(view), snapshot.as_ref().map(|s| s.seq))
+        }
+        Message::Promise { epoch, granted, view, tag, wait_ms, .. } => {
+            format!("promise {epoch} {granted} {:?} {tag:?} wait {wait_ms}", view.as_ref().map(told))
+        }
+        Message::LedgerReply { epoch, tag, .. } => format!("ledger {epoch} {tag:?}"),
+        Message::Prepare { epoch, .. } => format!("prepare {epoch}"),
+        other => format!("{other:?}"),
+    }
+}
+
 impl World<'_> {
     /// Sends a message; it may be late, and comes to nothing where the way is cut.
     pub(super) fn send(&mut self, n: usize, to: &MemberInfo, message: Message) {
         let life = self.nodes[n].life;
         let Some(to) = self.nodes.iter().position(|m| m.seat.addr == to.addr) else { return };
         let lost = self.pick(200) == 0;
-        let delay = Duration::from_micros(400 + self.pick(1200)) + ms(if lost { 200 } else { 0 });
-        if !self.cut.contains_key(&(n, to)) {
+        let mut delay = Duration::from_micros(400 + self.pick(1200)) + ms(if lost { 200 } else { 0 });
+        let cut = self.cut.contains_key(&(n, to));
+        if self.plan.strict {
+            self.note_sent(n, to, &message);
+            if !matches!(
+                message,
+                Message::RenewLease { .. }
+                    | Message::LeaseReply { .. }
+                    | Message::AppendChange { .. }
+                    | Message::AppendReply { .. }
+                    | Message::ForwardCommand { .. }
+                    | Message::CommandResult { .. }
+            ) {
+                self.note(|_| format!("{n} to {to}: {}", brief(&message)));
+            }
+            // What was sent into a short cut may come when it is over; a command may come twice.
+            let late = cut && self.pick(4) == 0;
+            let twice = matches!(message, Message::ForwardCommand { .. }) && self.pick(8) == 0;
+            if late || twice {
+                let later = self.now + delay + ms(self.pick(3000));
+                self.at(later, to, What::Late { from: n, life, message: Box::new(message.clone()) });
+            }
+            // A connection keeps the order.
+            let last = self.link_busy.entry((n, to)).or_insert(self.now);
+            *last = (self.now + delay).max(*last + Duration::from_nanos(1));
+            delay = *last - self.now;
+        }
+        if !cut {
             self.at(self.now + delay, to, What::Deliver { from: n, life, message: Box::new(message) });
         }
     }
 
+    /// What is sent tells of moments.
+    fn note_sent(&mut self, n: usize, to: usize, message: &Message) {
+        match message {
+            Message::InstallView { view, snapshot: Some(_) } if view.primary == self.nodes[n].seat.id => {
+                self.moment(Moment::Composed, n);
+                if !view.settled() {
+                    let is_new = |m: &&super::Node| !view.before.iter().any(|s| s.id == m.seat.id);
+                    let new = self.nodes.iter().filter(|m| view.seat(m.seat.id).is_some()).find(is_new);
+                    let new = new.and_then(|m| self.nodes.iter().position(|o| o.seat.id == m.seat.id));
+                    self.moment(Moment::Unsettled, new.unwrap_or(n));
+                }
+            }
+            Message::FetchLedger { .. } => self.moment(Moment::Fetching, to),
+            _ => {}
+        }
+    }
+
+    /// A message that comes late comes only if its sender is still there.
+    pub(super) fn deliver_late(&mut self, from: usize, life: u32, message: Message, to: usize) {
+        if self.nodes[from].member.is_some() {
+            self.deliver(from, life, message, to);
+        }
+    }
+
     pub(super) fn deliver(&mut self, from: usize, life: u32, message: Message, to: usize) {
         let seat = self.nodes[from].seat.clone();
         if self.nodes[from].life == life && !self.cut.contains_key(&(from, to)) {
+            if matches!(message, Message::InstallView { snapshot: Some(_), .. }) {
+                self.moment(Moment::Installing, to);
+            }
             self.step(to, Input::Message { from: seat, message });
         }
     }
@@ -54,4 +139,34 @@
             }
         }
     }
+
+    /// Cuts single ways, or joins them again.
+    pub(super) fn cut_ways(&mut self, ways: &[(usize, usize)], on: bool) {
+        for way in ways {
+            let count = self.cut.entry(*way).or_insert(0);
+            *count = if on { *count + 1 } else { count.saturating_sub(1) };
+            if *count == 0 {
+                self.cut.remove(way);
+            }
+        }
+    }
+
+    /// Members in a zone that haven't gone.
+    pub(super) fn zone(&self, zone: usize) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|n| n % ZONES == zone % ZONES && !self.nodes[*n].gone).collect()
+    }
+
+    pub(super) fn cut_zone(&mut self, zone: usize, way: Option<bool>, on: bool) {
+        let inside = |n: usize| n % ZONES == zone % ZONES;
+        // Machines that are yet to come have numbers, too.
+        let all: Vec<usize> = (0..MOST_MACHINES).collect();
+        let mut ways = Vec::new();
+        for a in all.iter().copied().filter(|n| inside(*n)) {
+            for b in all.iter().copied().filter(|n| !inside(*n)) {
+                ways.extend(way.is_none_or(|out| out).then_some((a, b)));
+                ways.extend(way.is_none_or(|out| !out).then_some((b, a)));
+            }
+        }
+        self.cut_ways(&ways, on);
+    }
 }
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,14 +1,18 @@
 //! The machines: how members come, start and end.
 
-use super::{Node, What, World};
-use crate::faults::Planted;
+use super::{Node, Until, What, World};
+use crate::faults::Moment;
 use crate::plan::ms;
+use crate::planted::Planted;
 use configuration::FaultBudget;
 use control_plane::member::{Config, Input, Member};
 use protocol::{Addr, MemberInfo, Record};
 use rand_core::RngCore;
 use std::time::Duration;
 
+/// A machine counts as lost for this after it has come: its start, and the time to catch up.
+const NEW: Duration = Duration::from_millis(4300);
+
 impl World<'_> {
     pub(super) fn add(&mut self, id: u64) {
         let n = self.nodes.len() as u32;
@@ -32,14 +36,23 @@
             wake: ms(0),
             disk: (false, false, 1),
             held_back: vec![],
+            initial_voter: n < 3,
+            lost_until: ms(0),
+            new_until: self.now + NEW,
+            until: Until::default(),
+            stood_still: ms(0),
+            shown: None,
         });
     }
 
     pub(super) fn start(&mut self, n: usize) {
-        if self.nodes[n].gone {
+        if self.nodes[n].gone || (self.plan.strict && self.nodes[n].member.is_some()) {
             return;
         }
-        let first = self.nodes[n].life == 0 && n < self.plan.members;
+        let first = match self.plan.strict {
+            true => self.nodes[n].initial_voter && self.nodes[n].records.is_empty(),
+            false => self.nodes[n].life == 0 && n < self.plan.members,
+        };
         let seeds: Vec<MemberInfo> = self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
         let random = u64::from(self.rng.next_u32());
         let losses = self.plan.losses - u32::from(self.plan.planted == Planted::TooFewReplicas);
@@ -48,6 +61,12 @@
         if self.plan.planted == Planted::ForgetsPromises {
             node.records.retain(|r| !matches!(protocol::read_one(r), Ok(Record::Promised { .. })));
         }
+        if self.plan.planted == Planted::ReplaySkipsLastChange {
+            let change = |r: &Vec<u8>| matches!(protocol::read_one(r), Ok(Record::Change { .. }));
+            if let Some(last) = node.records.iter().rposition(change) {
+                node.records.remove(last);
+            }
+        }
         let config = Config {
             me: node.seat.clone(),
             bootstrap_voters: (first
@@ -60,16 +79,23 @@
         };
         node.member = Some(Member::new(config, &node.records, self.now, random));
         self.at(self.now, n, What::Hello);
+        self.nodes[n].shown = None;
         self.step(n, Input::Tick);
+        self.moment(Moment::Started, n);
     }
 
+    /// The process ends at once, and starts again later.
     pub(super) fn down(&mut self, n: usize, back: Duration) {
-        // What the dead process still had under way comes to nothing.
+        // What the dead process still had under way comes to nothing, but for what the disk made of it.
         self.nodes[n].member = None;
+        if self.plan.strict {
+            self.end_writes(n);
+            self.nodes[n].frozen = false;
+        }
         self.nodes[n].held_back.clear();
         let lost: Vec<u64> = self.queue.iter().filter(|q| q.0 .2 == n).map(|q| q.0 .1).collect();
         for number in lost {
-            if !matches!(self.what.get(&number), Some(What::Fault(_) | What::Heal(_) | What::Call)) {
+            if self.what.get(&number).is_some_and(|w| !w.is_of_the_world()) {
                 self.what.remove(&number);
             }
         }
--- a/crates/simulator/src/world/strike.rs
+++ b/crates/simulator/src/world/strike.rs
@@ -1,14 +1,15 @@
 //! Faults: how they strike and heal.
 
 use super::{What, World};
-use crate::faults::Fault;
+use crate::faults::{Fault, Moment, TERM_TIME};
 use crate::plan::ms;
 use control_plane::member::Input;
 use std::time::Duration;
 
 impl World<'_> {
     pub(super) fn strike(&mut self, fault: Fault) {
-        self.calm_since = Duration::MAX / 2;
+        self.calm_since = if self.plan.strict { self.now } else { Duration::MAX / 2 };
+        self.note(|_| format!("strikes: {fault:?}"));
         let heal = match fault {
             Fault::Kill(n, d) | Fault::Power(n, d) => {
                 self.down(n, d);
@@ -16,12 +17,25 @@
             }
             Fault::Term(n, d) => {
                 self.step(n, Input::Leave);
-                self.at(self.now + ms(1200), n, What::Fault(Fault::Kill(n, d)));
-                d + ms(1200)
+                self.at(self.now + TERM_TIME, n, What::End(n, Some(d)));
+                self.moment(Moment::Leaving, n);
+                d + TERM_TIME
+            }
+            Fault::Retire(n) => {
+                self.step(n, Input::Leave);
+                self.at(self.now + TERM_TIME, n, What::End(n, None));
+                self.moment(Moment::Leaving, n);
+                TERM_TIME
+            }
+            Fault::Join => {
+                let id = 1000 + self.nodes.len() as u64;
+                self.add(id);
+                self.at(self.now, self.nodes.len() - 1, What::Start);
+                ms(0)
             }
             Fault::Wipe(n, d) => {
-                self.wipe(n);
                 self.down(n, d);
+                self.wipe(n);
                 d
             }
             Fault::Replace(n, d) => {
@@ -35,6 +49,8 @@
             }
             Fault::Freeze(n, d) => {
                 self.nodes[n].frozen = true;
+                self.nodes[n].until.frozen = self.now + d;
+                self.nodes[n].stood_still += d;
                 d
             }
             Fault::Cut(n, d, way) => {
@@ -43,18 +59,37 @@
             }
             Fault::Stall(n, d) => {
                 self.nodes[n].disk.0 = true;
+                self.nodes[n].until.stalled = self.now + d;
                 d
             }
             Fault::Full(n, d) => {
                 self.nodes[n].disk.1 = true;
+                self.nodes[n].until.full = self.now + d;
                 d
             }
             Fault::Slow(n, d, x) => {
                 self.nodes[n].disk.2 = x;
+                self.nodes[n].until.slow = self.now + d;
                 d
             }
+            Fault::CutPair(a, b, d) => {
+                self.cut_ways(&[(a, b), (b, a)], true);
+                for n in [a, b] {
+                    self.nodes[n].until.apart = self.now + d;
+                }
+                d
+            }
+            Fault::CutZone(zone, d, way) => {
+                self.cut_zone(zone, way, true);
+                d
+            }
+            Fault::Agent(_, d) => d,
             Fault::KillAll(d) | Fault::PowerAll(d, _) => {
-                if let Fault::PowerAll(_, Some(n)) = fault {
+                let wiped = match fault {
+                    Fault::PowerAll(_, wiped) => wiped,
+                    _ => None,
+                };
+                if let Some(n) = wiped.filter(|_| !self.plan.strict) {
                     self.wipe(n);
                 }
                 for n in 0..self.nodes.len() {
@@ -63,14 +98,36 @@
                         self.down(n, d + spread);
                     }
                 }
+                if let Some(n) = wiped.filter(|_| self.plan.strict) {
+                    self.wipe(n);
+                }
                 d
             }
         };
         self.at(self.now + heal, 0, What::Heal(fault));
     }
 
+    /// A process that was asked to end ends, and starts again after so long, if at all.
+    pub(super) fn end(&mut self, n: usize, back: Option<Duration>) {
+        if self.nodes[n].gone {
+            return;
+        }
+        self.nodes[n].gone = back.is_none();
+        self.down(n, back.unwrap_or_default());
+    }
+
     pub(super) fn heal(&mut self, fault: Fault) {
+        self.note(|_| format!("heals: {fault:?}"));
+        // Where several of one kind meet, the last one counts.
+        let now = self.now;
+        let later = |until: Duration| self.plan.strict && until > now;
         match fault {
+            Fault::Freeze(n, _) if later(self.nodes[n].until.frozen) => {}
+            Fault::Stall(n, _) if later(self.nodes[n].until.stalled) => {}
+            Fault::Full(n, _) if later(self.nodes[n].until.full) => {}
+            Fault::Slow(n, ..) if later(self.nodes[n].until.slow) => {}
+            Fault::CutPair(a, b, _) => self.cut_ways(&[(a, b), (b, a)], false),
+            Fault::CutZone(zone, _, way) => self.cut_zone(zone, way, false),
             Fault::Freeze(n, _) => {
                 self.nodes[n].frozen = false;
                 for (node, what) in std::mem::take(&mut self.nodes[n].held_back) {
