Initial voters keep their say where the disk holds a promise and no view

Cause: view 0's voters were handed to the member only while its ledger file was empty. After a loss of all power while the first view is made, all three come back with a promise and no view: none has a say, and the system stays dead. Change: they are handed over at each start of an initial voter; a view on the disk goes before, as it did. The new test of real members fails without the change (60 s without an answer) and passes with it.

--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -26,7 +26,8 @@
 pub struct Config {
     /// Its own seat.
     pub me: MemberInfo,
-    /// Set only where the whole system starts for the first time and the disk is empty: the voters of view 0.
+    /// The voters of view 0, for those that are among them since the whole system started for the first time; a
+    /// view on the disk goes before.
     pub bootstrap_voters: Option<Vec<MemberInfo>>,
     /// What may be lost at once.
     pub budget: FaultBudget,
--- a/crates/control-plane/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -215,7 +215,7 @@
 
     let config = Config {
         me,
-        bootstrap_voters: Some(identity.initial_voters).filter(|f| !f.is_empty() && records.is_empty()),
+        bootstrap_voters: Some(identity.initial_voters).filter(|f| !f.is_empty()),
         budget: boot.fault_budget,
         lease: tuning.lease,
         patience: tuning.patience,
--- a/crates/control-plane/tests/members.rs
+++ b/crates/control-plane/tests/members.rs
@@ -2,9 +2,12 @@
 
 mod client;
 
+use append_log::AppendLog;
 use client::{call, call_until, Answer};
 use configuration::Boot;
+use control_plane::shell::identity::StartFacts;
 use control_plane::shell::{run, Tuning};
+use protocol::Record;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -114,6 +117,32 @@
     .await;
 }
 
+/// All power was lost while the first view was made: the disks hold identities and promises, and no view.
+#[tokio::test]
+async fn initial_voters_with_a_promise_and_no_view_still_have_a_say() {
+    on_core(99, |mut core| async move {
+        for n in 0..3 {
+            std::fs::create_dir_all(&core.dirs[n]).unwrap();
+            let facts = StartFacts {
+                control: core.control(n),
+                seeds: (0..3).map(|n| core.control(n)).collect(),
+                port: core.ports.0,
+                bootstrap: true,
+                random: 1,
+                clock_ms: 1,
+            };
+            let identity = protocol::write_one(&facts.identity(None));
+            AppendLog::open(&core.dirs[n], "identity").unwrap().0.append(&[&identity]).unwrap();
+            let promised = protocol::write_one(&Record::Promised { epoch: 1 << 20 });
+            AppendLog::open(&core.dirs[n], "ledger").unwrap().0.append(&[&promised]).unwrap();
+        }
+        (0..3).for_each(|n| core.start(n, false));
+        assert_eq!(replace(core.control(1), "0", CONFIGURATION).await.status, 200);
+        assert_eq!(read(core.control(2)).await.body, CONFIGURATION);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn one_member_may_leave_at_any_time() {
     on_core(62, |mut core| async move {
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -50,7 +50,7 @@
             return;
         }
         let first = match self.plan.strict {
-            true => self.nodes[n].initial_voter && self.nodes[n].records.is_empty(),
+            true => self.nodes[n].initial_voter,
             false => self.nodes[n].life == 0 && n < self.plan.members,
         };
         let seeds: Vec<MemberInfo> = self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
