--- a/crates/control-plane/src/shell/start.rs
+++ b/crates/control-plane/src/shell/start.rs
@@ -112,7 +112,7 @@
     spawn_local(roster::keep(mirror.clone(), disk.clone()));
     spawn_local(seeds::follow(links.clone(), pulls, seeds, boot.port_range.0));
 
-    let bootstrap_voters = Some(identity.initial_voters).filter(|f| !f.is_empty() && records.is_empty());
+    let bootstrap_voters = Some(identity.initial_voters).filter(|voters| !voters.is_empty());
     let config = Config {
         me,
         bootstrap_voters,
