Memory of large configurations: what versions share is kept once, mirrors remember by bytes

Cause: each whole configuration brought its own copy of every item: changes under way, the ledgers since the last acknowledged one and up to 32 versions in each mirror cost a whole configuration each (32 of 2 MB in a process with 256 MB). Amendments could make a configuration longer than any frame or record holds. Change: a taken configuration shares the items that stay with the one before; a mirror remembers past ones by 4 MiB of what differs, the newest always, and tells the whole to whoever is further behind. A configuration is refused with 413 where its items would have more than 4 MiB, the longest body of a call. Tests: ledger.rs amendments_cannot_make_a_configuration_too_long, a_whole_configuration_shares_what_stays; mirror.rs memory_of_past_configurations_is_bounded (2).

--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -301,6 +301,21 @@
     (set.map(|i| i.raw.to_string()).collect(), gone.map(|i| i.value.name().to_owned()).collect())
 }
 
+/// Takes items that are as they were from `before`, so that both documents have them once in memory.
+fn share<T: Named>(items: &mut [Item<T>], before: &[Item<T>]) {
+    let known: HashMap<&str, &Item<T>> = before.iter().map(|i| (i.value.name(), i)).collect();
+    for item in items {
+        if let Some(same) = known.get(item.value.name()).filter(|k| k.raw == item.raw) {
+            *item = Item { raw: same.raw.clone(), value: same.value.clone() };
+        }
+    }
+}
+
+fn new_bytes<T>(items: &[Item<T>], before: &[Item<T>]) -> usize {
+    let known: HashSet<*const u8> = before.iter().map(|i| i.raw.as_ptr()).collect();
+    items.iter().filter(|i| !known.contains(&i.raw.as_ptr())).map(|i| i.raw.len()).sum()
+}
+
 fn same_name<T: Named>(list: &[Item<T>]) -> Option<&str> {
     let mut seen = HashSet::new();
     list.iter().map(|i| i.value.name()).find(|n| !seen.insert(*n))
@@ -385,6 +400,18 @@
         Ok(())
     }
 
+    /// This configuration, with each item that `before` has as well kept in memory once for both.
+    pub fn sharing(mut self, before: &Document) -> Document {
+        share(&mut self.routes, &before.routes);
+        share(&mut self.services, &before.services);
+        self
+    }
+
+    /// Bytes of JSON of the items that aren't shared with `before`.
+    pub fn unshared_bytes(&self, before: &Document) -> usize {
+        new_bytes(&self.routes, &before.routes) + new_bytes(&self.services, &before.services)
+    }
+
     /// The configuration as JSON, items as they were sent.
     pub fn to_json(&self) -> String {
         let list = |items: Vec<&str>| items.join(",");
--- a/crates/control-plane/src/ledger.rs
+++ b/crates/control-plane/src/ledger.rs
@@ -8,6 +8,10 @@
 /// How many taken calls are remembered, so that the same call again gets the same answer.
 const MAX_REMEMBERED_CALLS: usize = 512;
 
+/// The longest configuration, in bytes of its items: as long as the longest body of a call. A ledger then fits into
+/// one frame and one record, however it came about.
+pub const MAX_DOCUMENT_BYTES: usize = 4 << 20;
+
 /// A ledger after its change number `seq`.
 #[derive(Clone, Debug, PartialEq, Default)]
 pub struct Ledger {
@@ -62,6 +66,10 @@
 
     fn make(&self, change: Change) -> Plan {
         match self.after(&change) {
+            Ok(next) if next.document.unshared_bytes(&Document::default()) > MAX_DOCUMENT_BYTES => {
+                let text = format!("the whole would be longer than {MAX_DOCUMENT_BYTES} bytes");
+                Plan::Answer(Code::TooLarge, text.into_bytes())
+            }
             Ok(next) => Plan::Change(change, Box::new(next)),
             Err((code, text)) => Plan::Answer(code, text.into_bytes()),
         }
@@ -91,7 +99,8 @@
                 if next.taken.len() > MAX_REMEMBERED_CALLS {
                     next.taken.pop_front();
                 }
-                next.document = Arc::new(document);
+                // Most items are as they were: hundreds of changes under way cost little more than one.
+                next.document = Arc::new(document.sharing(&self.document));
             }
             Change::Drain { host } => next.drains.push_back(host.clone()),
             Change::Forget { hosts } => next.drains.retain(|d| !hosts.contains(d)),
--- a/crates/control-plane/tests/ledger.rs
+++ b/crates/control-plane/tests/ledger.rs
@@ -53,6 +53,49 @@
     assert_eq!(answer(&ledger, &command), code);
 }
 
+/// A ledger has to fit into a frame and a record, whichever way it grew.
+#[test]
+fn amendments_cannot_make_a_configuration_too_long() {
+    let amendment = |base: u64, n: usize| {
+        let note = "x".repeat(1 << 20);
+        let route = format!(
+            r#"{{"name":"r{n}","hostname":"h{n}","path_prefix":"/","route_class":"pure","deadline_ms":1,"service":"s","note":"{note}"}}"#
+        );
+        let body = format!(r#"{{"version":{},"upsert":{{"routes":[{route}]}}}}"#, base + 1).into_bytes();
+        Command::Configure { base, amend: true, body }
+    };
+    let mut ledger = taken(&Ledger::default(), &replace(0, body(2, "s")));
+    for n in 0..3 {
+        ledger = taken(&ledger, &amendment(ledger.document.version, n));
+    }
+    let version = ledger.document.version;
+    assert_eq!(answer(&ledger, &amendment(version, 3)), Code::TooLarge);
+    // In the place of another it still fits.
+    taken(&ledger, &amendment(version, 2));
+}
+
+/// What changes hold in memory together is what differs between them.
+#[test]
+fn a_whole_configuration_shares_what_stays() {
+    let routes = |version: u64| {
+        let route = |n: u64| {
+            let deadline = if n == version { 2 } else { 1 };
+            format!(
+                r#"{{"name":"r{n}","hostname":"h{n}","path_prefix":"/","route_class":"pure","deadline_ms":{deadline},"service":"s"}}"#
+            )
+        };
+        let routes: Vec<String> = (0..200).map(route).collect();
+        format!(r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s"}}]}}"#, routes.join(","))
+            .into_bytes()
+    };
+    let first = taken(&Ledger::default(), &replace(0, routes(1)));
+    let second = taken(&first, &replace(1, routes(2)));
+    assert_eq!(second.document.to_json().into_bytes(), routes(2));
+    let item = routes(1).len() / 200;
+    let differs = second.document.unshared_bytes(&first.document);
+    assert!(differs > item && differs < 4 * item, "{differs} bytes differ, an item has {item}");
+}
+
 #[test]
 fn nothing_taken_yet_is_said_clearly() {
     assert_eq!(answer(&Ledger::default(), &Command::Read { reserved: 0 }), Code::NoConfiguration);
--- a/crates/replication/src/mirror.rs
+++ b/crates/replication/src/mirror.rs
@@ -11,6 +11,8 @@
 
 /// Documents kept to tell what changed since.
 const HISTORY: usize = 32;
+/// Bytes of JSON of the items that differ between them; the one in force is kept whatever its length.
+const MAX_HISTORY_BYTES: usize = 4 << 20;
 /// Changes of the drains kept, for each document kept.
 const DRAIN_CHANGES: usize = 8;
 /// How long tombstones and gone records are kept.
@@ -29,6 +31,13 @@
     over: Option<Duration>,
 }
 
+/// A document that was in force, or is.
+struct PastDocument {
+    document: Arc<Document>,
+    /// Bytes of its items that the one before doesn't have.
+    bytes: usize,
+}
+
 /// What a change of the ledger, or several, did to the drains.
 struct DrainChange {
     /// Number of the change that it leads to.
@@ -76,7 +85,7 @@
     ledger: u64,
     document: Arc<Document>,
     /// The latest documents, the one in force last.
-    history: VecDeque<Arc<Document>>,
+    history: VecDeque<PastDocument>,
     depth: usize,
     /// A change couldn't be applied: the whole configuration is asked for.
     unsure: bool,
@@ -219,10 +228,12 @@
     fn remember(&mut self, document: Arc<Document>) {
         self.unsure = false;
         if document.version > self.document.version {
+            let bytes = document.unshared_bytes(&self.document);
             self.document = document.clone();
-            self.history.push_back(document);
-            while self.history.len() > self.depth {
-                self.history.pop_front();
+            self.history.push_back(PastDocument { document, bytes });
+            let mut total: usize = self.history.iter().map(|d| d.bytes).sum();
+            while self.history.len() > self.depth || (self.history.len() > 1 && total > MAX_HISTORY_BYTES) {
+                total -= self.history.pop_front().map_or(0, |d| d.bytes);
             }
         }
     }
@@ -526,7 +537,7 @@
         let (drains_from, drains, gone_drains) = self.drains_since(ledger);
         let newest = &self.document;
         let none = Document::default();
-        let base = self.history.iter().find(|d| d.version == version).map_or(&none, |d| d);
+        let base = self.history.iter().map(|d| &*d.document).find(|d| d.version == version).unwrap_or(&none);
         let delta = base.delta(newest);
         ConfigNews {
             seq: self.ledger,
--- a/crates/replication/tests/mirror.rs
+++ b/crates/replication/tests/mirror.rs
@@ -465,3 +465,47 @@
     }
     assert_eq!(agent.coordinators(), 10, "five members, three of which each pulls from");
 }
+
+/// A configuration of about a megabyte; what differs between two versions is one route, or all of them.
+fn large(version: u64, all_differ: bool) -> Arc<Document> {
+    let route = |n: u64| {
+        let differs = all_differ || n == 0;
+        let note = format!("{}{}", "x".repeat(1000), if differs { version } else { 0 });
+        format!(
+            r#"{{"name":"r{n}","hostname":"h{n}","path_prefix":"/","route_class":"pure","deadline_ms":1,"service":"s","note":"{note}"}}"#
+        )
+    };
+    let routes: Vec<String> = (0..1000).map(route).collect();
+    let text =
+        format!(r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s"}}]}}"#, routes.join(","));
+    Arc::new(Document::read(text.as_bytes(), 0).unwrap())
+}
+
+/// Large configurations are remembered for as long as what differs between them is little; whoever is further behind
+/// gets the whole. Either way it ends with the newest.
+#[rstest]
+#[case::little_differs(false, &[1, 10, 19])]
+#[case::all_differs(true, &[18, 19])]
+fn memory_of_past_configurations_is_bounded(#[case] all_differ: bool, #[case] known: &[u64]) {
+    let mut member = mirror(1);
+    let mut versions = vec![];
+    for version in 1..=20 {
+        let document = Arc::new((*large(version, all_differ)).clone().sharing(member.document()));
+        versions.push(document.clone());
+        member.set_ledger(version, document, &[]);
+    }
+    for behind in 1..20_u64 {
+        let mut agent = mirror(0).at_the_end();
+        agent.set_ledger(behind, versions[behind as usize - 1].clone(), &[]);
+        let news = member.news_for(ms(0), &pull(&agent)).unwrap();
+        let from = news.config.as_ref().unwrap().from;
+        if known.contains(&behind) {
+            assert_eq!(from, behind);
+        } else if all_differ {
+            assert_eq!(from, if behind < 18 { 0 } else { behind }, "{behind}");
+        }
+        agent.apply(ms(0), &news);
+        assert_eq!(agent.document().version, 20);
+        assert_eq!(agent.document().routes, member.document().routes);
+    }
+}
