Freshness is proved by what was heard back, not by when word arrived

Cause: a voter that stood still for twenty seconds found renewals of the lease in its buffers when it woke, took each for proof of that moment, and told its pullers for up to a second that its old configuration was 0 ms old. News of a pull that left before a standstill were counted from their arrival as well, and a member whose disk opened later than a lease after its start called the ledger of its disk proved, with no word from anybody in that life.

Change: a voter's answer carries its clock (with a base that differs for each life) and the next renewal brings it back, if the primary's lease is in force: nothing acknowledged before that moment is missing from what the primary tells. `Member::proof` (in place of `age`) names that moment and how far the ledger has to go; without a primary in this life there is none. An answer to a pull is counted from when the pull left, less the time that the speaker had it.

--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -148,6 +148,15 @@
     until: Duration,
 }
 
+/// That nothing which was acknowledged before a moment is missing in a ledger that goes so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proof {
+    /// The moment, by this process's clock.
+    pub at: Duration,
+    /// Number of the last change that was acknowledged then.
+    pub committed: u64,
+}
+
 /// The ledger as a copy holds it.
 #[derive(Clone, Debug)]
 struct ReplicaLedger {
@@ -193,6 +202,11 @@
     /// What is to be shown at the first step.
     restored: Option<Ledger>,
     grant: Option<Grant>,
+    /// The latest that a primary proved.
+    proof: Option<Proof>,
+    /// What this life counts from in the clocks and numbers that others send back: an answer to an earlier life isn't
+    /// taken for one to this.
+    life_base: u64,
     peers: BTreeMap<u64, Peer>,
     role: Role,
     /// When it may stand next.
@@ -220,6 +234,8 @@
             history: VecDeque::new(),
             restored: None,
             grant: None,
+            proof: None,
+            life_base: random.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
             peers: BTreeMap::new(),
             role: Role::Idle,
             election_at: now,
@@ -309,8 +325,8 @@
             Message::Prepare { epoch, candidate } => self.on_prepare(from, epoch, candidate, out),
             Message::InstallView { view, snapshot } => self.on_install(from, view, snapshot, out),
             Message::AppendChange { epoch, seq, change } => self.on_append(from, epoch, seq, change, out),
-            Message::RenewLease { epoch, stamp, committed } => {
-                self.on_renew(from, epoch, stamp, out);
+            Message::RenewLease { epoch, stamp, committed, heard } => {
+                self.on_renew(from, epoch, stamp, (committed, heard), out);
                 self.record_committed(epoch, committed);
             }
             Message::FetchLedger { epoch } => self.on_fetch(from, epoch, out),
@@ -331,9 +347,9 @@
                 self.see(seen);
                 self.on_appended(from.id, epoch, seq, ok, out);
             }
-            Message::LeaseReply { epoch, stamp, ok, seen, fit } => {
+            Message::LeaseReply { epoch, stamp, ok, seen, fit, clock } => {
                 self.see(seen);
-                self.on_renewed(from, epoch, stamp, ok, fit, out);
+                self.on_renewed(from, epoch, stamp, ok, (fit, clock), out);
             }
             Message::ForwardCommand { id, command } => self.on_ask(from, id, command),
             Message::CommandResult { id, code, text } => self.on_answer(id, code, text, out),
@@ -463,14 +479,14 @@
         self.promised
     }
 
-    /// Since when, at most, this member may have missed what the primary acknowledged.
-    pub fn age(&self, now: Duration) -> Duration {
+    /// What is proved of how fresh the acknowledged ledger is that this member may show; nothing before a primary
+    /// has been heard of in this life.
+    pub fn proof(&self, now: Duration) -> Option<Proof> {
         match &self.role {
-            Role::Primary(state) if self.lease_end(state) > now => Duration::ZERO,
-            _ => match self.grant {
-                Some(g) => now.saturating_sub(g.until.saturating_sub(self.config.lease)),
-                None => now.saturating_sub(self.started) + self.config.lease,
-            },
+            Role::Primary(state) if self.lease_end(state) > now => {
+                Some(Proof { at: now, committed: state.committed_seq() })
+            }
+            _ => self.proof,
         }
     }
 
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -46,6 +46,8 @@
     acked: BTreeMap<u64, u64>,
     /// When the latest lease that a voter granted was asked for.
     stamps: BTreeMap<u64, Duration>,
+    /// The clock that each voter told with its latest answer.
+    clocks: BTreeMap<u64, u64>,
     renew_at: Duration,
     again_at: Duration,
     /// Voters that haven't accepted the view yet.
@@ -73,6 +75,7 @@
             shown: false,
             pending: VecDeque::new(),
             stamps: BTreeMap::new(),
+            clocks: BTreeMap::new(),
             renew_at: now,
             again_at: now,
             lacking,
@@ -80,6 +83,11 @@
             inbox: VecDeque::new(),
         }
     }
+
+    /// Number of the last change that is acknowledged.
+    pub(super) fn committed_seq(&self) -> u64 {
+        self.committed.seq
+    }
 }
 
 impl Member {
@@ -131,6 +139,7 @@
 
     fn renew(&mut self, out: &mut Vec<Output>) {
         let (now, lease, me) = (self.now, self.config.lease, self.me());
+        let leased = self.acts();
         let (Role::Primary(state), Some(view)) = (&mut self.role, self.view.clone()) else { return };
         let epoch = state.epoch;
         let mut sends: Vec<(u64, Message)> = Vec::new();
@@ -141,7 +150,9 @@
                 if state.lacking.contains(&id) && !view.replicas.contains(&id) {
                     sends.push((id, Message::InstallView { view: view.clone(), snapshot: None }));
                 }
-                sends.push((id, Message::RenewLease { epoch, stamp, committed }));
+                // Without a lease others may have acted since: no proof.
+                let heard = state.clocks.get(&id).copied().filter(|_| leased).unwrap_or(0);
+                sends.push((id, Message::RenewLease { epoch, stamp, committed, heard }));
             }
         }
         if now >= state.again_at {
@@ -365,7 +376,7 @@
         epoch: u64,
         stamp: u64,
         ok: bool,
-        fit: bool,
+        (fit, clock): (bool, u64),
         out: &mut Vec<Output>,
     ) {
         if let Some(peer) = self.peers.get_mut(&from.id) {
@@ -379,6 +390,7 @@
             let stamp = Duration::from_millis(stamp);
             let latest = state.stamps.entry(from.id).or_insert(stamp);
             *latest = stamp.max(*latest);
+            state.clocks.insert(from.id, clock);
             state.lacking.remove(&from.id);
             // What came before the lease waits for it.
             self.commit(out);
--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -1,7 +1,7 @@
 //! A member as a voter and a copy: promises, views, changes, leases.
 
 use super::disk::After;
-use super::{Grant, Member, Output, Role};
+use super::{Grant, Member, Output, Proof, Role};
 use crate::ledger::Ledger;
 use protocol::{Change, LedgerPosition, MemberInfo, Message, Record, Snapshot, View};
 use std::time::Duration;
@@ -160,19 +160,53 @@
         out.push(Output::Send { to: from, message });
     }
 
-    pub(super) fn on_renew(&mut self, from: MemberInfo, epoch: u64, stamp: u64, out: &mut Vec<Output>) {
+    /// `told` is the number of the last change that is acknowledged, and this voter's clock as the primary heard it.
+    pub(super) fn on_renew(
+        &mut self,
+        from: MemberInfo,
+        epoch: u64,
+        stamp: u64,
+        told: (u64, u64),
+        out: &mut Vec<Output>,
+    ) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch && v.primary == from.id);
         let ok = follows && self.promised == epoch;
         if ok {
             let until = self.now + self.config.lease;
             self.grant = Some(Grant { to: from.id, epoch, until });
             self.election_at = until + self.election_delay();
+            self.take_proof(told.0, told.1);
         }
-        let message =
-            Message::LeaseReply { epoch, stamp, ok, seen: self.promised, fit: self.fit() && !self.leaving };
+        let (seen, fit, clock) = (self.promised, self.fit() && !self.leaving, self.clock());
+        let message = Message::LeaseReply { epoch, stamp, ok, seen, fit, clock };
         out.push(Output::Send { to: from, message });
     }
 
+    /// This voter's clock as it tells it to a primary.
+    fn clock(&self) -> u64 {
+        self.life_base.wrapping_add(self.now.as_millis() as u64)
+    }
+
+    /// A primary whose lease was in force has heard this voter's clock and tells how far the acknowledged ledger goes:
+    /// however long that was under way, nothing acknowledged before that moment is missing from it.
+    fn take_proof(&mut self, committed: u64, heard: u64) {
+        let at = Duration::from_millis(heard.wrapping_sub(self.life_base));
+        // 0, and the clock of an earlier life, are no moment of this one.
+        let of_this_life = heard != 0 && at <= self.now;
+        if of_this_life && self.proof.is_none_or(|known| known.at <= at) {
+            self.proof = Some(Proof { at, committed });
+        }
+    }
+
+    /// While its lease was in force nobody else acknowledged anything: that stays proved.
+    fn keep_own_proof(&mut self) {
+        let Role::Primary(state) = &self.role else { return };
+        let (at, committed) = (self.lease_end(state).min(self.now), state.committed_seq());
+        if !at.is_zero() && self.proof.is_none_or(|known| known.at <= at) {
+            self.proof = Some(Proof { at, committed });
+        }
+    }
+
     pub(super) fn on_release(&mut self, epoch: u64) {
         if self.grant.is_some_and(|g| g.epoch <= epoch) {
             self.grant = None;
@@ -182,6 +216,7 @@
 
     /// Stops acting as primary or standing for election. Commands that wait are asked of whoever acts next.
     pub(super) fn step_down(&mut self) {
+        self.keep_own_proof();
         self.role = Role::Idle;
         self.local.values_mut().for_each(|l| l.asked = None);
     }
--- a/crates/control-plane/src/shell/call_runner.rs
+++ b/crates/control-plane/src/shell/call_runner.rs
@@ -176,7 +176,7 @@
             "voters": v.voters.iter().map(member_json).collect::<Vec<_>>(), "settled": v.settled()})
     });
     json!({"view": view, "acts": status.acts, "primary": status.primary.as_ref().map(|s| hex(s.id)),
-        "promised": status.promised, "disk_fit": status.fit, "age_ms": status.age.as_millis() as u64})
+        "promised": status.promised, "disk_fit": status.fit, "age_ms": status.age.map(|age| age.as_millis() as u64)})
 }
 
 impl RunCall for CallRunner {
--- a/crates/control-plane/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -231,7 +231,6 @@
         tickets: 0,
         left: false,
         steps: 0,
-        committed: 0,
         known: ShownFleet::default(),
         disk,
         links,
@@ -255,8 +254,6 @@
     tickets: u64,
     left: bool,
     steps: u64,
-    /// Number of the last change that the primary told to be acknowledged.
-    committed: u64,
     /// What the mirror was told of the control plane.
     known: ShownFleet,
     disk: std::sync::mpsc::Sender<disk::Write>,
@@ -314,6 +311,7 @@
                     if self.wake.is_some_and(|at| at <= now) {
                         self.wake = None;
                         self.step(Input::Tick);
+                        self.show();
                     }
                 }
             }
@@ -324,9 +322,6 @@
         match event {
             Event::LinkEvent(LinkEvent::Hello(seat)) => self.step(Input::Reachable { seat }),
             Event::LinkEvent(LinkEvent::Message(from, message)) => {
-                if let Message::RenewLease { committed, .. } = &*message {
-                    self.committed = self.committed.max(*committed);
-                }
                 self.step(Input::Message { from, message: *message });
             }
             Event::Disk(DiskEvent::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
@@ -387,15 +382,14 @@
             primary: self.member.primary(),
             promised: self.member.promised(),
             fit: self.member.fit(),
-            age: self.member.age(now),
+            age: self.member.proof(now).map(|proof| now.saturating_sub(proof.at)),
         }
     }
 
     /// Tells the mirror who is in the control plane, and how fresh what it has is.
     fn show(&mut self) {
         let now = self.origin.elapsed();
-        let age = self.member.age(now);
-        let committed = self.committed;
+        let proof = self.member.proof(now);
         let Some(view) = self.member.view().filter(|v| v.epoch > 0) else { return };
         let reached = self.links.seats();
         let seat = |voter: &MemberInfo| reached.iter().find(|s| s.id == voter.id).unwrap_or(voter).clone();
@@ -407,9 +401,9 @@
             if news {
                 mirror.set_fleet(known.epoch, known.primary, known.members.clone());
             }
-            // A lease granted lately proves nothing about changes that haven't come yet.
-            if let Some(at) = now.checked_sub(age).filter(|_| mirror.ledger() >= committed) {
-                mirror.proved(at);
+            // It proves nothing about changes that haven't come yet.
+            if let Some(proof) = proof.filter(|proof| mirror.ledger() >= proof.committed) {
+                mirror.proved(proof.at);
             }
         });
         self.known = known;
@@ -443,7 +437,8 @@
     primary: Option<MemberInfo>,
     promised: u64,
     fit: bool,
-    age: Duration,
+    /// Since the latest proof from a primary; none before there was one.
+    age: Option<Duration>,
 }
 
 fn random() -> Result<u64, Failure> {
--- a/crates/fennelpin-cli/src/status.rs
+++ b/crates/fennelpin-cli/src/status.rs
@@ -156,7 +156,10 @@
             role(status, view),
             number(status, "/ledger/seq"),
             number(status, "/ledger/version"),
-            number(status, "/member/age_ms"),
+            status
+                .pointer("/member/age_ms")
+                .and_then(Value::as_u64)
+                .map_or("-".to_owned(), |age| age.to_string()),
         ));
     }
     lines.push(String::new());
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -547,6 +547,9 @@
         stamp: u64,
         /// Number of the last change that is acknowledged.
         committed: u64,
+        /// The latest [`Message::LeaseReply`]'s `clock` that the primary has from this voter; 0 where it has none,
+        /// or where its lease isn't in force now. It proves to the voter that the speaker acted after that moment.
+        heard: u64,
     },
     /// The answer to [`Message::RenewLease`].
     #[brw(magic(17u8))]
@@ -565,6 +568,8 @@
         #[br(parse_with = flag)]
         #[bw(write_with = put_flag)]
         fit: bool,
+        /// The voter's clock when it answered, in ms, counted from a number of its own that differs for each life.
+        clock: u64,
     },
     /// The primary gives its lease up.
     #[brw(magic(18u8))]
@@ -653,8 +658,11 @@
     News {
         /// Who speaks; 0 for an agent.
         member: u64,
-        /// Since when, at most, the speaker may have missed what the primary acknowledged.
+        /// Since when, at most, the speaker may have missed what the primary acknowledged, in ms; `u32::MAX` where
+        /// it has had no proof in this life.
         age_ms: u32,
+        /// How long the speaker had the pull before it answered, in ms.
+        held_ms: u32,
         /// Configuration and drains.
         #[br(parse_with = option)]
         #[bw(write_with = put_option)]
--- a/crates/replication/src/client.rs
+++ b/crates/replication/src/client.rs
@@ -1,7 +1,7 @@
 //! The side that pulls: runs a [`Puller`] over TCP and feeds a [`SharedMirror`].
 
 use crate::frames::{FrameReader, Step};
-use crate::news::{News, Pull};
+use crate::news::{News, Pull, UNCONFIRMED};
 use crate::puller::{Action, Puller};
 use crate::shared::SharedMirror;
 use protocol::{encode, Addr, Caller, MemberInfo, Message};
@@ -112,6 +112,11 @@
                 puller.failed(now, link)
             }
             Event::News(news) => {
+                // Of a link that was given up nobody knows when it was asked.
+                let news = match puller.asked(link) {
+                    Some(asked) => news.aged(asked, now),
+                    None => News { age_ms: UNCONFIRMED, ..*news },
+                };
                 let taken = self.shared.update(|mirror, now| mirror.apply(now, &news));
                 puller.answered(now, link, news.member, news.age_ms, taken)
             }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use frames::{FrameReader, Step};
 pub use mirror::{Mirror, Snapshot};
-pub use news::{News, Pull};
+pub use news::{News, Pull, UNCONFIRMED};
 pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, LOOK, PACE, STALE_MS, WAIT_MS, WATCHED};
 pub use rendezvous::{ranked, weight};
 pub use serve::{answer, serve};
--- a/crates/replication/src/news.rs
+++ b/crates/replication/src/news.rs
@@ -1,6 +1,7 @@
 //! [`Message::Pull`] and [`Message::News`] as values of their own.
 
 use protocol::{Caller, ConfigNews, Fleet, Mark, Message, SourceNews};
+use std::time::Duration;
 
 /// Asks for what the speaker lacks: [`Message::Pull`].
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -40,13 +41,20 @@
     }
 }
 
+/// [`News::age_ms`] of a speaker that has had no proof in this life: what it says of the configuration may be as old
+/// as its disk.
+pub const UNCONFIRMED: u32 = u32::MAX;
+
 /// What a puller lacked: [`Message::News`].
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
     /// Who speaks; 0 for an agent.
     pub member: u64,
-    /// Since when, at most, the speaker may have missed what the primary acknowledged, in ms.
+    /// Since when, at most, the speaker may have missed what the primary acknowledged, in ms; [`UNCONFIRMED`]
+    /// where it has had no proof in this life.
     pub age_ms: u32,
+    /// How long the speaker had the pull before it answered, in ms.
+    pub held_ms: u32,
     /// Configuration and drains.
     pub config: Option<ConfigNews>,
     /// Hosts and coordinators.
@@ -63,10 +71,23 @@
         self.config.is_none() && self.sources.is_empty() && self.retired.is_empty() && self.fleet.is_none()
     }
 
+    /// Counts the age from `asked`, when the pull left, to `now`: however long the answer lay in a buffer, of this
+    /// process or on the way, it can't be taken for a fresh one. The time that the speaker held the pull isn't
+    /// counted, as the age it tells is that at the end of it.
+    pub fn aged(mut self, asked: Duration, now: Duration) -> Self {
+        if self.age_ms != UNCONFIRMED {
+            let held = Duration::from_millis(self.held_ms.into());
+            let travelled = now.saturating_sub(asked).saturating_sub(held);
+            let travelled_ms = u32::try_from(travelled.as_millis()).unwrap_or(UNCONFIRMED);
+            self.age_ms = self.age_ms.saturating_add(travelled_ms);
+        }
+        self
+    }
+
     /// As a message.
     pub fn into_message(self) -> Message {
-        let Self { member, age_ms, config, sources, retired, fleet } = self;
-        Message::News { member, age_ms, config, sources, retired, fleet }
+        let Self { member, age_ms, held_ms, config, sources, retired, fleet } = self;
+        Message::News { member, age_ms, held_ms, config, sources, retired, fleet }
     }
 
     /// The news that a message is.
@@ -75,8 +96,8 @@
     /// The message back, where it is another one.
     pub fn from_message(message: Message) -> Result<Self, Box<Message>> {
         match message {
-            Message::News { member, age_ms, config, sources, retired, fleet } => {
-                Ok(Self { member, age_ms, config, sources, retired, fleet })
+            Message::News { member, age_ms, held_ms, config, sources, retired, fleet } => {
+                Ok(Self { member, age_ms, held_ms, config, sources, retired, fleet })
             }
             other => Err(Box::new(other)),
         }
--- a/crates/replication/src/puller.rs
+++ b/crates/replication/src/puller.rs
@@ -71,6 +71,8 @@
     dead: bool,
     stale: bool,
     member: u64,
+    /// When the pull left that is out, or was last.
+    asked: Duration,
 }
 
 impl Link {
@@ -146,6 +148,12 @@
         }
     }
 
+    /// When the pull left that is out at a link.
+    pub fn asked(&self, link: u64) -> Option<Duration> {
+        let known = self.links.values().find(|l| l.number == link)?;
+        matches!(known.phase, Phase::Polling(_)).then_some(known.asked)
+    }
+
     /// The leading member's address; none where news are waited for at all members.
     fn leader(&self) -> Option<Addr> {
         let mut order = self.order.iter().filter(|_| self.led);
@@ -156,6 +164,7 @@
         let wait = if waits { self.wait } else { Duration::ZERO };
         let link = self.links.get_mut(&addr)?;
         link.phase = Phase::Polling(now + wait + ANSWER_SLACK);
+        link.asked = now;
         Some(Action::Pull { link: link.number, wait_ms: wait.as_millis() as u32 })
     }
 
@@ -290,6 +299,7 @@
                 dead: false,
                 stale: false,
                 member: 0,
+                asked: now,
             });
             match link.phase {
                 Phase::Down(at) if now >= at => {
--- a/crates/replication/src/serve.rs
+++ b/crates/replication/src/serve.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{timeout, timeout_at};
 
 /// Longest wait that a puller may ask for.
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
@@ -20,14 +20,21 @@
 /// The answer to a pull: at once where there are news, else when there are, or empty after the pull's wait.
 pub async fn answer(shared: &SharedMirror, pull: &Pull) -> News {
     let mut changes = shared.changes();
-    let until = Instant::now() + Duration::from_millis(pull.wait_ms.into()).min(LONGEST_WAIT);
+    let since = shared.now();
+    let until = shared.at(since) + Duration::from_millis(pull.wait_ms.into()).min(LONGEST_WAIT);
+    // Of the same moment as the age: a standstill makes both greater.
+    let held = |now: Duration, news: News| {
+        let held_ms = u32::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u32::MAX);
+        News { held_ms, ..news }
+    };
     loop {
         changes.borrow_and_update();
-        if let Some(news) = shared.update(|mirror, now| mirror.news_for(now, pull)) {
+        let news = shared.update(|mirror, now| mirror.news_for(now, pull).map(|news| held(now, news)));
+        if let Some(news) = news {
             return news;
         }
         if !matches!(timeout_at(until, changes.changed()).await, Ok(Ok(()))) {
-            return shared.update(|mirror, now| mirror.no_news(now));
+            return shared.update(|mirror, now| held(now, mirror.no_news(now)));
         }
     }
 }
--- a/crates/replication/tests/puller.rs
+++ b/crates/replication/tests/puller.rs
@@ -376,3 +376,17 @@
     bench.tick(2900);
     assert!(bench.find(1).is_none(), "nothing more came");
 }
+
+#[test]
+fn it_knows_when_a_pull_left_that_is_out() {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.up();
+    let link = bench.link(1);
+    assert_eq!(bench.puller.asked(link), Some(ms(0)));
+    bench.puller.part(ms(900), link);
+    assert_eq!(bench.puller.asked(link), Some(ms(0)), "whatever comes meanwhile");
+    bench.answered(1000, 1, 0, false);
+    assert_eq!(bench.puller.asked(link), Some(ms(1000)));
+    bench.tick(2700);
+    assert_eq!(bench.puller.asked(link), None, "given up");
+}
