--- a/crates/control-plane/examples/restart_cost.rs
+++ b/crates/control-plane/examples/restart_cost.rs
@@ -85,7 +85,7 @@
         rewrites += take(&mut member, now, Input::Message { from: from.clone(), message: append }, &mut disk);
         if seq.is_multiple_of(5) {
             let committed = seq.saturating_sub(under_way);
-            let renew = Message::RenewLease { epoch: EPOCH, stamp: 1, committed };
+            let renew = Message::RenewLease { epoch: EPOCH, stamp: 1, committed, heard: 0 };
             rewrites +=
                 take(&mut member, now, Input::Message { from: from.clone(), message: renew }, &mut disk);
         }
--- a/crates/control-plane/src/shell/event_loop.rs
+++ b/crates/control-plane/src/shell/event_loop.rs
@@ -9,7 +9,6 @@
 use super::Event;
 use crate::history::History;
 use crate::member::{Input, Member, Output};
-use protocol::Message;
 use replication::SharedMirror;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -36,8 +35,6 @@
     pub(super) tickets: u64,
     pub(super) left: bool,
     pub(super) steps: u64,
-    /// Number of the last change that the primary told to be acknowledged.
-    pub(super) committed: u64,
     /// What the mirror was told of the control plane.
     pub(super) known: ShownFleet,
     pub(super) disk: std::sync::mpsc::Sender<disk::Write>,
@@ -89,6 +86,7 @@
                     if self.wake.is_some_and(|at| at <= now) {
                         self.wake = None;
                         self.step(Input::Tick);
+                        self.show();
                     }
                 }
             }
@@ -112,9 +110,6 @@
         match event {
             Event::LinkEvent(LinkEvent::Hello(seat)) => self.step(Input::Reachable { seat }),
             Event::LinkEvent(LinkEvent::Message(from, message)) => {
-                if let Message::RenewLease { committed, .. } = &*message {
-                    self.committed = self.committed.max(*committed);
-                }
                 self.step(Input::Message { from, message: *message });
             }
             Event::Disk(DiskEvent::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
--- a/crates/control-plane/src/shell/start.rs
+++ b/crates/control-plane/src/shell/start.rs
@@ -137,7 +137,6 @@
         tickets: 0,
         left: false,
         steps: 0,
-        committed: 0,
         known: ShownFleet::default(),
         disk,
         links,
--- a/crates/control-plane/src/shell/status.rs
+++ b/crates/control-plane/src/shell/status.rs
@@ -13,7 +13,8 @@
     pub(super) primary: Option<MemberInfo>,
     pub(super) promised: u64,
     pub(super) fit: bool,
-    pub(super) age: Duration,
+    /// Since the latest proof from a primary; none before there was one.
+    pub(super) age: Option<Duration>,
 }
 
 /// What the mirror was told of the control plane.
@@ -34,15 +35,14 @@
             primary: self.member.primary(),
             promised: self.member.promised(),
             fit: self.member.fit(),
-            age: self.member.age(now),
+            age: self.member.proof(now).map(|proof| now.saturating_sub(proof.at)),
         }
     }
 
     /// Tells the mirror who is in the control plane, and how fresh what it has is.
     pub(super) fn show(&mut self) {
         let now = self.origin.elapsed();
-        let age = self.member.age(now);
-        let committed = self.committed;
+        let proof = self.member.proof(now);
         let Some(view) = self.member.view().filter(|v| v.epoch > 0) else { return };
         let reached = self.links.seats();
         let seat = |voter: &MemberInfo| reached.iter().find(|s| s.id == voter.id).unwrap_or(voter).clone();
@@ -54,9 +54,9 @@
             if news {
                 mirror.set_fleet(known.epoch, known.primary, known.members.clone());
             }
-            // A lease granted lately proves nothing about changes that haven't come yet.
-            if let Some(at) = now.checked_sub(age).filter(|_| mirror.ledger() >= committed) {
-                mirror.proved(at);
+            // It proves nothing about changes that haven't come yet.
+            if let Some(proof) = proof.filter(|proof| mirror.ledger() >= proof.committed) {
+                mirror.proved(proof.at);
             }
         });
         self.known = known;
