--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -49,6 +49,8 @@
     change: ViewChange,
     /// The view whose primary this member was, and so knows to be agreed on.
     agreed: Option<u64>,
+    /// Since when it has acted, where it changes its own view.
+    acting_since: Option<Duration>,
 }
 
 impl CandidateState {
@@ -64,6 +66,7 @@
             target: None,
             change,
             agreed,
+            acting_since: None,
         }
     }
 }
@@ -76,7 +79,8 @@
 impl Member {
     /// A voter that sees no lease stands once its turn has come.
     pub(super) fn run_election_timer(&mut self, out: &mut Vec<Output>) {
-        let held_back = self.grant.is_some_and(|g| g.until > self.now) || self.leaving || !self.fit();
+        let held_back =
+            self.grant.is_some_and(|g| g.until > self.now) || self.departure.is_some() || !self.fit();
         let idle = matches!(self.role, Role::Idle) && self.is_voter() && self.now >= self.election_at;
         if held_back || !idle {
             return;
@@ -127,6 +131,9 @@
         let epoch = (round << OWN_BITS) | (self.me() & ((1 << OWN_BITS) - 1));
         let mut candidacy = CandidateState::new(self.now, change, agreed);
         (candidacy.epoch, candidacy.phase) = (epoch, Phase::Prepare);
+        if let Role::Primary(state) = &self.role {
+            candidacy.acting_since = Some(state.acting_since);
+        }
         self.step_down();
         self.role = Role::Candidate(Box::new(candidacy));
         let me = self.config.me.clone();
@@ -174,8 +181,9 @@
     /// Goes on once a majority of the highest view's voters, a replica of it among them, has promised.
     fn promises_changed(&mut self, out: &mut Vec<Output>) {
         let Role::Candidate(candidacy) = &self.role else { return };
-        let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch);
-        let Some(highest) = highest.cloned() else { return };
+        // Without voters it is no view: its speaker has not accepted any yet.
+        let views = candidacy.promises.values().map(|p| &p.0).filter(|v| !v.voters.is_empty());
+        let Some(highest) = views.max_by_key(|v| v.epoch).cloned() else { return };
         // The highest view may know of others than this member's own.
         self.ask_promises(all_voters(&highest), out);
         let Role::Candidate(candidacy) = &mut self.role else { return };
@@ -238,13 +246,18 @@
         };
         let me = self.me();
         let there = |id: u64| {
-            let well = self.peers.get(&id).is_none_or(|p| p.fit) && !change.exclude.contains(&id);
             let joins = agreed && change.add.iter().any(|s| s.id == id);
-            id == me || (well && (candidacy.promises.contains_key(&id) || joins))
+            id == me || (!change.exclude.contains(&id) && (candidacy.promises.contains_key(&id) || joins))
         };
+        let well = |id: u64| id == me || (self.peer_fit(id) && !self.peer_leaving(id));
         let mut seats: Vec<&MemberInfo> = voters.iter().filter(|s| there(s.id)).collect();
         seats.sort_by_key(|s| (s.id != me, !base.replicas.contains(&s.id)));
-        let replicas = choose_replicas(&self.config.budget, &seats);
+        let staying: Vec<&MemberInfo> = seats.iter().copied().filter(|s| well(s.id)).collect();
+        // Where there are too few that stay, a replica that leaves is better than a view that can't be made: what it
+        // alone holds is on another disk then.
+        let leaving = seats.iter().copied().filter(|s| well(s.id) || self.peer_leaving(s.id));
+        let replicas = choose_replicas(&self.config.budget, &staying)
+            .or_else(|| choose_replicas(&self.config.budget, &leaving.collect::<Vec<_>>()));
         let Some(replicas) = replicas.filter(|_| voters.iter().any(|s| s.id == me)) else { return };
         let view = View { epoch: candidacy.epoch, primary: me, replicas, voters, before };
         let snapshot = Some(ledger.snapshot());
@@ -285,7 +298,8 @@
         candidacy.installed.insert(from);
         if candidacy.phase == Phase::Copies && view.replicas.iter().all(|c| candidacy.installed.contains(c)) {
             candidacy.phase = Phase::Witnesses;
-            for id in all_voters(&view).into_iter().filter(|id| !view.replicas.contains(id)) {
+            let told = all_voters(&view).into_iter().chain(self.leaving_without_say(&view));
+            for id in told.filter(|id| !view.replicas.contains(id)) {
                 self.send(id, Message::InstallView { view: view.clone(), snapshot: None }, out);
             }
         }
@@ -293,8 +307,10 @@
         if candidacy.phase == Phase::Witnesses && view.majority(|id| candidacy.installed.contains(&id)) {
             let lacking = view.voters.iter().map(|s| s.id).filter(|id| !candidacy.installed.contains(id));
             let lacking = lacking.collect();
+            let acting_since = candidacy.acting_since.unwrap_or(self.now);
             self.grant = None;
-            self.role = Role::Primary(Box::new(PrimaryState::new(epoch, self.now, ledger, &view, lacking)));
+            let state = PrimaryState::new(epoch, self.now, acting_since, ledger, &view, lacking);
+            self.role = Role::Primary(Box::new(state));
             self.run_primary(out);
         }
     }
@@ -306,7 +322,9 @@
 
     pub(super) fn run_candidate(&mut self, _out: &mut Vec<Output>) {
         let Role::Candidate(candidacy) = &self.role else { return };
-        if self.now >= candidacy.since + self.config.lease / 2 || self.leaving {
+        // One that leaves stands no more; a primary goes on changing its view until it has handed over.
+        let leaves = self.departure.is_some() && candidacy.agreed.is_none();
+        if self.now >= candidacy.since + self.config.lease / 2 || leaves {
             self.give_up(self.now);
         }
     }
--- /dev/null
+++ b/crates/control-plane/src/member/leave.rs
@@ -0,0 +1,119 @@
+//! A member that is asked to end: it tells the others, serves on until what it holds is held by others, and only
+//! then says that the process may end.
+//!
+//! A replica waits until the ledger is on the disks of a view's replicas without it; a primary yields its lease
+//! once enough others answer, and waits for the same. Where all others leave too there is nobody to wait for.
+
+use super::view::choose_replicas;
+use super::{Member, Output, Role};
+use protocol::{MemberInfo, Message, View};
+use std::time::Duration;
+
+/// A primary that can't hand over keeps its lease for so many leases; then whoever is left may take over.
+const MAX_HAND_OVER_LEASES: u32 = 3;
+/// A member that said it leaves and isn't heard to be back counts as leaving for so many leases.
+const LEAVING_COUNTED_LEASES: u32 = 3;
+/// A share of a lease: how lately a voter has to have granted one to count on it.
+const RECENT_GRANT: f64 = 0.5;
+
+/// The process is to end.
+#[derive(Debug)]
+pub(super) struct Departure {
+    since: Duration,
+    /// A later view in which this member has no part is on the disks of all its replicas.
+    succeeded: bool,
+    /// It was said that the process may end.
+    over: bool,
+}
+
+impl Member {
+    pub(super) fn on_leave(&mut self, out: &mut Vec<Output>) {
+        if self.departure.is_some() {
+            return;
+        }
+        self.departure = Some(Departure { since: self.now, succeeded: false, over: false });
+        let epoch = self.view.as_ref().map_or(0, |v| v.epoch);
+        for id in self.other_voters() {
+            self.send(id, Message::Leaving { epoch }, out);
+        }
+    }
+
+    pub(super) fn on_peer_leaving(&mut self, id: u64) {
+        let now = self.now;
+        if let Some(peer) = self.peers.get_mut(&id) {
+            peer.leaving = Some(now);
+        }
+    }
+
+    /// Whether a member has said lately that it is about to end.
+    pub(super) fn peer_leaving(&self, id: u64) -> bool {
+        let said = self.peers.get(&id).and_then(|p| p.leaving);
+        said.is_some_and(|at| self.now < at + LEAVING_COUNTED_LEASES * self.config.lease)
+    }
+
+    /// Whether a member's disk takes writes, as far as known.
+    pub(super) fn peer_fit(&self, id: u64) -> bool {
+        self.peers.get(&id).is_none_or(|p| p.fit)
+    }
+
+    /// Views reach those who aren't replicas only once all replicas have them on disk.
+    pub(super) fn note_succession(&mut self, view: &View) {
+        let newer = self.view.as_ref().is_none_or(|v| view.epoch > v.epoch);
+        let without = view.seat(self.me()).is_none() && !view.replicas.contains(&self.me());
+        if let Some(departure) = &mut self.departure {
+            departure.succeeded |= newer && without && view.settled();
+        }
+    }
+
+    /// Those who leave and have no say in a view, but wait for it to be there.
+    pub(super) fn leaving_without_say(&self, view: &View) -> Vec<u64> {
+        let without = |id: &u64| view.seat(*id).is_none() && !view.before.iter().any(|s| s.id == *id);
+        self.peers.keys().copied().filter(|id| self.peer_leaving(*id)).filter(without).collect()
+    }
+
+    /// Yields once others can go on, and ends once nothing rests on this member.
+    pub(super) fn run_departure(&mut self, out: &mut Vec<Output>) {
+        let Some(departure) = self.departure.as_ref().filter(|d| !d.over) else { return };
+        let waited = self.now >= departure.since + MAX_HAND_OVER_LEASES * self.config.lease;
+        let deserted = self.other_voters().iter().all(|id| self.peer_leaving(*id));
+        if matches!(self.role, Role::Primary(_)) && (waited || deserted || self.others_can_go_on()) {
+            self.release_lease(out);
+        }
+        let idle = matches!(self.role, Role::Idle);
+        if idle && (deserted || self.succeeded()) {
+            if let Some(departure) = &mut self.departure {
+                departure.over = true;
+            }
+            out.push(Output::Left);
+        }
+    }
+
+    /// Whether neither the ledger nor a change of voters rests on this member any more.
+    fn succeeded(&self) -> bool {
+        let free = |v: &View| v.settled() && !v.replicas.contains(&self.me());
+        self.view.as_ref().is_none_or(free) || self.departure.as_ref().is_some_and(|d| d.succeeded)
+    }
+
+    /// Whether those who answered lately and stay are a majority, with enough replicas among them.
+    fn others_can_go_on(&self) -> bool {
+        let (Role::Primary(state), Some(view)) = (&self.role, &self.view) else { return false };
+        let recent = self.config.lease.mul_f64(RECENT_GRANT);
+        let granted = |id: u64| state.stamps.get(&id).is_some_and(|at| self.now < *at + recent);
+        let stays = |id: u64| granted(id) && self.peer_fit(id) && !self.peer_leaving(id);
+        let seats: Vec<&MemberInfo> = view.voters.iter().filter(|s| stays(s.id)).collect();
+        view.majority(stays) && choose_replicas(&self.config.budget, &seats).is_some()
+    }
+
+    fn other_voters(&self) -> Vec<u64> {
+        let voters = self.view.iter().flat_map(|v| v.voters.iter().chain(&v.before));
+        let others: std::collections::BTreeSet<u64> =
+            voters.map(|s| s.id).filter(|id| *id != self.me()).collect();
+        others.into_iter().collect()
+    }
+
+    pub(super) fn departure_wake(&self) -> Option<Duration> {
+        let departure = self.departure.as_ref().filter(|d| !d.over)?;
+        let end = departure.since + MAX_HAND_OVER_LEASES * self.config.lease;
+        (end > self.now).then_some(end)
+    }
+}
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -4,17 +4,20 @@
 mod candidate;
 mod commands;
 mod disk;
+mod leave;
+mod membership;
 mod primary;
 mod view;
 mod voter;
 
-pub use view::choose_replicas;
+pub use view::{choose_replicas, majority_shortfall};
 
 use crate::ledger::Ledger;
 use candidate::CandidateState;
 use commands::LocalCommand;
 use configuration::{Code, Document, FaultBudget};
 use disk::{After, Disk};
+use leave::Departure;
 use primary::PrimaryState;
 use protocol::{Command, MemberInfo, Message, Record, View};
 use std::collections::{BTreeMap, VecDeque};
@@ -163,6 +166,8 @@
     heard: Duration,
     /// Whether its disk takes writes, by its latest word.
     fit: bool,
+    /// When it last said that it is about to end.
+    leaving: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -201,7 +206,8 @@
     local: BTreeMap<u64, LocalCommand>,
     /// The primary and its epoch, as others tell.
     hint: Option<(u64, MemberInfo)>,
-    leaving: bool,
+    /// Set once the process is asked to end.
+    departure: Option<Departure>,
 }
 
 impl Member {
@@ -226,7 +232,7 @@
             disk: Disk::default(),
             local: BTreeMap::new(),
             hint: None,
-            leaving: false,
+            departure: None,
             config,
         };
         if let Some(voters) = member.config.bootstrap_voters.clone() {
@@ -288,13 +294,10 @@
             }
             Input::Wrote { ticket, result } => self.on_wrote(ticket, result, out),
             Input::Command { ticket, command } => self.on_command(ticket, command),
-            Input::Reachable { seat } => self.note(&seat),
-            Input::Leave => {
-                self.leaving = true;
-                self.release_lease(out);
-                out.push(Output::Left);
-            }
+            Input::Reachable { seat } => self.on_reachable(&seat),
+            Input::Leave => self.on_leave(out),
         }
+        self.run_departure(out);
         self.run_primary(out);
         self.run_candidate(out);
         self.run_election_timer(out);
@@ -315,12 +318,15 @@
             }
             Message::FetchLedger { epoch } => self.on_fetch(from, epoch, out),
             Message::ReleaseLease { epoch } => self.on_release(epoch),
+            Message::Leaving { .. } => self.on_peer_leaving(from.id),
             Message::PreVoteReply { willing, seen, wait_ms } => {
                 self.on_pre_vote_reply(from, willing, seen, wait_ms, out)
             }
             Message::Promise { epoch, granted, seen, view, tag, wait_ms } => {
                 self.see(seen);
-                self.on_promise(from, epoch, granted, view.zip(Some(tag)), wait_ms, out);
+                // A voter that has just joined may not have accepted any view yet: its promise counts all the same.
+                let has = (view.unwrap_or_default(), tag);
+                self.on_promise(from, epoch, granted, Some(has), wait_ms, out);
             }
             Message::LedgerReply { epoch, snapshot, .. } => self.on_fetched(from, epoch, &snapshot, out),
             Message::InstallReply { epoch, ok, seen } => {
@@ -347,6 +353,19 @@
         }
     }
 
+    /// A link to a member is up. Of a voter that says little, as a link may outlive its process for seconds;
+    /// of others there is no other word.
+    fn on_reachable(&mut self, seat: &MemberInfo) {
+        let voter = self.view.as_ref().is_some_and(|v| v.seat(seat.id).is_some());
+        let heard = self.peers.get(&seat.id).map(|p| p.heard).filter(|_| voter);
+        self.note(seat);
+        if let Some(peer) = self.peers.get_mut(&seat.id) {
+            peer.heard = heard.unwrap_or(peer.heard);
+            // Only voters are asked how their disks are.
+            peer.fit |= !voter;
+        }
+    }
+
     fn note(&mut self, seat: &MemberInfo) {
         if seat.id == 0 || seat.id == self.config.me.id {
             return;
@@ -354,7 +373,8 @@
         // At one address there is one process: another identity there has lost its disk.
         self.peers.retain(|id, p| *id == seat.id || p.seat.addr != seat.addr);
         let now = self.now;
-        let peer = self.peers.entry(seat.id).or_insert(Peer { seat: seat.clone(), heard: now, fit: true });
+        let peer = Peer { seat: seat.clone(), heard: now, fit: true, leaving: None };
+        let peer = self.peers.entry(seat.id).or_insert(peer);
         peer.heard = now;
         if !seat.name.is_empty() {
             peer.seat = seat.clone();
@@ -480,7 +500,7 @@
     }
 
     fn next_wake(&self) -> Duration {
-        let idle = self.is_voter() && matches!(self.role, Role::Idle) && !self.leaving;
+        let idle = self.is_voter() && matches!(self.role, Role::Idle) && self.departure.is_none();
         let stand = idle.then(|| self.election_at.max(self.grant.map_or(self.election_at, |g| g.until)));
         let grace = Duration::from_millis(1);
         [
@@ -488,6 +508,7 @@
             self.primary_wake(),
             self.candidate_wake(),
             self.commands_wake(),
+            self.departure_wake(),
             self.disk.wake(self.config.stall),
         ]
         .into_iter()
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -1,10 +1,8 @@
 //! A member that acts: takes changes, has them written by all replicas, keeps its lease, and changes its view
 //! when replicas or voters come and go.
 
-use super::candidate::ViewChange;
 use super::commands::Source;
 use super::disk::After;
-use super::view::choose_replicas;
 use super::{Member, Output, Role};
 use crate::ledger::{Ledger, Plan};
 use configuration::Code;
@@ -12,46 +10,42 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Shares of a lease's length: how often it is renewed, how much of it counts, after how much silence a copy
-/// is replaced, how soon a change that a copy hasn't confirmed is sent again, the least age of a view.
-const RENEW_INTERVAL: f64 = 0.25;
+/// Shares of a lease's length: how often it is renewed, how much of it counts, how soon a change that a copy
+/// hasn't confirmed is sent again, the least age of a view.
+pub(super) const RENEW_INTERVAL: f64 = 0.25;
 const LEASE_COUNTED_SHARE: f64 = 0.9;
-const REPLICA_SILENCE: f64 = 0.7;
 const RESEND_INTERVAL: f64 = 0.2;
 const MIN_VIEW_AGE: f64 = 0.3;
-/// A voter silent for so many leases makes room for a member that joins, or is dropped where enough are left.
-const REPLACE_AFTER_LEASES: u32 = 3;
-const REMOVE_AFTER_LEASES: u32 = 10;
-/// Most voters; further members only mirror.
-const MOST_VOTERS: usize = 9;
 /// Hosts that left are forgotten after this.
 const DRAIN_RETENTION: Duration = Duration::from_secs(120);
 
 #[derive(Debug)]
-struct Pending {
+pub(super) struct Pending {
     change: Option<Change>,
-    ledger: Ledger,
-    at: Duration,
+    pub(super) ledger: Ledger,
+    pub(super) at: Duration,
     answers: Vec<(Source, Code, Vec<u8>)>,
 }
 
 #[derive(Debug)]
 pub(super) struct PrimaryState {
     pub(super) epoch: u64,
-    since: Duration,
+    pub(super) since: Duration,
+    /// Since when this member has acted, in this view and in those of its own before.
+    pub(super) acting_since: Duration,
     committed: Ledger,
     /// Whether its ledger was shown: not before the first lease, as others may act already.
     shown: bool,
-    pending: VecDeque<Pending>,
-    acked: BTreeMap<u64, u64>,
+    pub(super) pending: VecDeque<Pending>,
+    pub(super) acked: BTreeMap<u64, u64>,
     /// When the latest lease that a voter granted was asked for.
-    stamps: BTreeMap<u64, Duration>,
+    pub(super) stamps: BTreeMap<u64, Duration>,
     renew_at: Duration,
     again_at: Duration,
     /// Voters that haven't accepted the view yet.
     pub(super) lacking: BTreeSet<u64>,
     /// Copies that can't go on.
-    broken: BTreeSet<u64>,
+    pub(super) broken: BTreeSet<u64>,
     pub(super) inbox: VecDeque<(Source, Command)>,
     drained: BTreeMap<String, Duration>,
 }
@@ -60,6 +54,7 @@
     pub(super) fn new(
         epoch: u64,
         now: Duration,
+        acting_since: Duration,
         ledger: Ledger,
         view: &View,
         lacking: BTreeSet<u64>,
@@ -67,6 +62,7 @@
         Self {
             epoch,
             since: now,
+            acting_since,
             acked: view.replicas.iter().map(|c| (*c, ledger.seq)).collect(),
             drained: ledger.drains.iter().map(|d| (d.clone(), now)).collect(),
             committed: ledger,
@@ -118,7 +114,9 @@
         if !fit && !alone {
             return self.release_lease(out);
         }
-        if now >= state.since + lease.mul_f64(MIN_VIEW_AGE) {
+        // What is half-way is brought to its end at once.
+        let settled = self.view.as_ref().is_none_or(View::settled);
+        if !settled || now >= state.since + lease.mul_f64(MIN_VIEW_AGE) {
             if let Some(change) = self.wanted(state) {
                 let agreed = Some(state.epoch);
                 return self.prepare(change, agreed, out);
@@ -159,85 +157,6 @@
         sends.into_iter().for_each(|(to, message)| self.send(to, message, out));
     }
 
-    /// How the view has to change, if it has to.
-    fn wanted(&self, state: &PrimaryState) -> Option<ViewChange> {
-        let (view, now, lease) = (self.view.as_ref()?, self.now, self.config.lease);
-        // Since the last lease that it granted; since anything came from it, in whichever view.
-        let unsigned = |id: u64| now.saturating_sub(state.stamps.get(&id).copied().unwrap_or(state.since));
-        let silence = |id: u64| now.saturating_sub(self.peers.get(&id).map_or(state.since, |p| p.heard));
-        let fit = |id: u64| self.peers.get(&id).is_none_or(|p| p.fit);
-        let me = self.me();
-        let late = |copy: u64| {
-            let waits = state.pending.front().is_some_and(|p| {
-                now >= p.at + lease.mul_f64(REPLICA_SILENCE)
-                    && state.acked.get(&copy).is_none_or(|a| *a < p.ledger.seq)
-            });
-            waits
-                || unsigned(copy) > lease.mul_f64(REPLICA_SILENCE)
-                || !fit(copy)
-                || state.broken.contains(&copy)
-        };
-        let mut change = ViewChange::default();
-        let bad: BTreeSet<u64> = view.replicas.iter().copied().filter(|c| *c != me && late(*c)).collect();
-        let mut needed = state.broken.iter().any(|b| unsigned(*b) < lease.mul_f64(REPLICA_SILENCE));
-        if !bad.is_empty() {
-            let well = |id: u64| {
-                id == me
-                    || (!bad.contains(&id) && fit(id) && unsigned(id) < lease.mul_f64(2.0 * RENEW_INTERVAL))
-            };
-            let seats: Vec<&MemberInfo> = view.voters.iter().filter(|s| well(s.id)).collect();
-            if choose_replicas(&self.config.budget, &seats).is_some() {
-                change.exclude = bad;
-                needed = true;
-            }
-        }
-        // Somebody else has been promised a higher epoch: whoever promised no longer follows this view.
-        needed |= self.seen > state.epoch;
-        needed |= !view.settled();
-        let joins = self.peers.values().filter(|p| {
-            view.seat(p.seat.id).is_none()
-                && p.fit
-                && !p.seat.zone.is_empty()
-                && now < p.heard + REPLACE_AFTER_LEASES * lease
-        });
-        for joiner in joins {
-            let at_home = view.voters.iter().find(|v| v.addr == joiner.seat.addr);
-            let lost = |v: &&MemberInfo| {
-                v.id != me && silence(v.id) > REPLACE_AFTER_LEASES * lease && !change.remove.contains(&v.id)
-            };
-            match at_home.or_else(|| view.voters.iter().find(lost)) {
-                Some(old) => {
-                    change.remove.insert(old.id);
-                }
-                None if view.voters.len() + change.add.len() >= MOST_VOTERS => continue,
-                // A voter that has just fallen silent may be the one it comes for: one more voter beside a lost
-                // one would leave less room for the next loss.
-                None if view
-                    .voters
-                    .iter()
-                    .any(|v| v.id != me && silence(v.id) > lease.mul_f64(REPLICA_SILENCE)) =>
-                {
-                    continue
-                }
-                None => {}
-            }
-            change.add.push(joiner.seat.clone());
-            needed = true;
-        }
-        let least = 2 * self.config.budget.machine_losses as usize + 1;
-        // Of an even number of voters one can go without a loss of room.
-        let patience =
-            if view.voters.len().is_multiple_of(2) { REPLACE_AFTER_LEASES } else { REMOVE_AFTER_LEASES };
-        let silent = |v: &&MemberInfo| v.id != me && silence(v.id) > patience * lease;
-        if change.add.is_empty() && view.voters.len() > least {
-            if let Some(silent) = view.voters.iter().find(silent) {
-                change.remove.insert(silent.id);
-                needed = true;
-            }
-        }
-        needed.then_some(change)
-    }
-
     fn forget(&mut self, out: &mut Vec<Output>) {
         let now = self.now;
         let Role::Primary(state) = &self.role else { return };
@@ -370,6 +289,8 @@
     ) {
         if let Some(peer) = self.peers.get_mut(&from.id) {
             peer.fit = fit;
+            // Back in another life.
+            peer.leaving = peer.leaving.filter(|_| !fit);
         }
         let Role::Primary(state) = &mut self.role else { return };
         if state.epoch != epoch {
--- a/crates/control-plane/src/member/view.rs
+++ b/crates/control-plane/src/member/view.rs
@@ -2,7 +2,7 @@
 
 use configuration::FaultBudget;
 use protocol::MemberInfo;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Picks replicas in the order given, the first always, so that one of them survives any loss that the budget
 /// allows: enough machines, zones and regions. `None` where the seats given are too few.
@@ -24,3 +24,30 @@
         chosen.push(next);
     }
 }
+
+/// How many voters are missing to a majority after the worst loss that the budget allows, of machines, of zones or
+/// of regions; nothing is missing where it is 0 or less.
+pub fn majority_shortfall(budget: &FaultBudget, voters: &[&MemberInfo]) -> i64 {
+    let machines = (budget.machine_losses as usize).min(voters.len());
+    let zones = largest_groups(voters, budget.zones, |s| &s.zone);
+    let regions = largest_groups(voters, budget.region_losses, |s| &s.region);
+    let lost = machines.max(zones).max(regions);
+    2 * lost as i64 + 1 - voters.len() as i64
+}
+
+/// Voters in the `count` largest groups. Where a group isn't known yet, a voter stands for itself.
+fn largest_groups<'s>(
+    voters: &[&'s MemberInfo],
+    count: u32,
+    group: impl Fn(&'s MemberInfo) -> &'s str,
+) -> usize {
+    let mut sizes: BTreeMap<(&str, u64), usize> = BTreeMap::new();
+    for voter in voters.iter().copied() {
+        let name = group(voter);
+        let unknown = if name.is_empty() { voter.id } else { 0 };
+        *sizes.entry((name, unknown)).or_default() += 1;
+    }
+    let mut sizes: Vec<usize> = sizes.into_values().collect();
+    sizes.sort_unstable_by(|a, b| b.cmp(a));
+    sizes.into_iter().take(count as usize).sum()
+}
--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -10,7 +10,10 @@
     /// Whether a promise to a candidate can be given now; else when asking again makes sense.
     fn may_promise(&self, candidate: u64) -> Result<(), Duration> {
         let wait = self.config.lease / 2;
-        if !self.is_voter() || !self.fit() {
+        // One that joins may be a voter without having been told yet: with no view of its own it can't know better
+        // than whoever asks, and a promise never does harm.
+        let may_be_voter = self.view.is_none() || self.is_voter();
+        if !may_be_voter || !self.fit() {
             return Err(wait);
         }
         let grant = self.grant.filter(|g| g.to != candidate && g.until > self.now);
@@ -105,6 +108,7 @@
     ) {
         let epoch = view.epoch;
         self.see(epoch);
+        self.note_succession(&view);
         let held = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
         let copy = view.replicas.contains(&self.me());
         let ledger = snapshot.as_ref().map(Ledger::of).transpose();
@@ -168,8 +172,11 @@
             self.grant = Some(Grant { to: from.id, epoch, until });
             self.election_at = until + self.election_delay();
         }
-        let message =
-            Message::LeaseReply { epoch, stamp, ok, seen: self.promised, fit: self.fit() && !self.leaving };
+        let fit = self.fit() && self.departure.is_none();
+        if self.departure.is_some() {
+            out.push(Output::Send { to: from.clone(), message: Message::Leaving { epoch } });
+        }
+        let message = Message::LeaseReply { epoch, stamp, ok, seen: self.promised, fit };
         out.push(Output::Send { to: from, message });
     }
 
--- a/crates/control-plane/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -39,8 +39,10 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest wait for a listener's port.
 const BIND_TIMEOUT: Duration = Duration::from_secs(3);
-/// Longest wait for the handing over at the end.
-const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the handing over at the end, where the platform's `grace_s` leaves so much.
+const MAX_LEAVE_TIME: Duration = Duration::from_secs(5);
+/// Time between the end of the handing over and the platform's SIGKILL, at least.
+const BEFORE_KILL: Duration = Duration::from_millis(1500);
 /// Time for answers that are under way at the end.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Time for the first messages on a connection.
@@ -239,6 +241,7 @@
         leave,
         history,
         period: tuning.counters,
+        leave_time: leave_time(boot.bounds.grace_s),
     };
     shell.run(&mut queue, stop, &counters).await;
     sleep(LAST_ANSWERS_TIME).await;
@@ -266,6 +269,8 @@
     history: Rc<RefCell<History>>,
     /// Time between two lines of counters.
     period: Duration,
+    /// Longest wait for the handing over at the end.
+    leave_time: Duration,
 }
 
 #[derive(Default, PartialEq)]
@@ -291,7 +296,7 @@
                 biased;
                 () = &mut stop, if end.is_none() => {
                     log::info!("member leaves");
-                    end = Some(Instant::now() + LEAVE_TIMEOUT);
+                    end = Some(Instant::now() + self.leave_time);
                     self.leave.send_replace(true);
                     self.step(Input::Leave);
                 }
@@ -525,6 +530,12 @@
     }
 }
 
+/// How long a member that is asked to end may wait for others to hold what it holds.
+fn leave_time(grace_s: f64) -> Duration {
+    let grace = Duration::try_from_secs_f64(grace_s).unwrap_or_default();
+    grace.saturating_sub(BEFORE_KILL).min(MAX_LEAVE_TIME)
+}
+
 async fn follow_seeds(
     links: Links,
     pulls: UnboundedSender<client::Control>,
--- /dev/null
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -0,0 +1,370 @@
+//! Members without I/O on a clock of the test's own: the network takes 1 ms, a disk 2 ms, a link says every second
+//! who is there. The same calls give the same run.
+#![allow(dead_code)] // Each test file uses its own part.
+
+use configuration::{Code, FaultBudget};
+use control_plane::member::{Config, Input, Member, Output};
+use protocol::{Addr, Command, MemberInfo, Message, View};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub const LEASE: Duration = Duration::from_millis(1000);
+const NETWORK: Duration = Duration::from_millis(1);
+const DISK: Duration = Duration::from_millis(2);
+const LINK_REPORT: Duration = Duration::from_millis(1000);
+
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// What may be lost: machines, zones, regions.
+pub fn budget(machine_losses: u32, zones: u32, region_losses: u32) -> FaultBudget {
+    FaultBudget { machine_losses, zones, region_losses }
+}
+
+enum Event {
+    Wake,
+    Deliver { from: MemberInfo, message: Box<Message> },
+    Wrote { ticket: u64, records: Vec<Vec<u8>>, rewrite: bool },
+    Links,
+}
+
+/// Whether a message from one machine to another is lost.
+type Loses = Box<dyn Fn(usize, usize, &Message) -> bool>;
+
+/// A view as one machine sees it: identities.
+#[derive(Debug)]
+pub struct Seen {
+    pub id: u64,
+    pub acts: bool,
+    pub epoch: u64,
+    pub replicas: Vec<u64>,
+    pub voters: Vec<u64>,
+    pub before: Vec<u64>,
+}
+
+struct Node {
+    seat: MemberInfo,
+    member: Option<Member>,
+    /// Number of its life; what an earlier one had under way comes to nothing.
+    life: u32,
+    records: Vec<Vec<u8>>,
+    cut: bool,
+    left: bool,
+    wake: Duration,
+}
+
+pub struct Cluster {
+    pub now: Duration,
+    budget: FaultBudget,
+    nodes: Vec<Node>,
+    queue: BTreeMap<(Duration, u64), (usize, u32, Event)>,
+    events: u64,
+    tickets: u64,
+    answers: BTreeMap<u64, (Code, Vec<u8>)>,
+    /// Writes of these members take so long.
+    pub slow_disks: BTreeMap<usize, Duration>,
+    /// Messages that are lost: from, to, message.
+    pub loses: Option<Loses>,
+    /// Most voters and least voters of any view that was installed.
+    pub sizes: (usize, usize),
+}
+
+impl Cluster {
+    /// Members in these zones (`region/zone`); the first three are the initial voters.
+    pub fn start(budget: FaultBudget, zones: &[&str]) -> Self {
+        let mut cluster = Self {
+            now: ms(1000),
+            budget,
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            events: 0,
+            tickets: 0,
+            answers: BTreeMap::new(),
+            slow_disks: BTreeMap::new(),
+            loses: None,
+            sizes: (0, usize::MAX),
+        };
+        for zone in zones {
+            cluster.machine(zone);
+        }
+        (0..zones.len()).for_each(|n| cluster.boot(n, n < 3));
+        cluster
+    }
+
+    /// Three members in three zones of which one machine may be lost, with a configuration acknowledged.
+    pub fn of_three() -> Self {
+        let mut cluster = Self::start(budget(1, 0, 0), &["r/a", "r/b", "r/c"]);
+        cluster.apply(0, 1);
+        cluster
+    }
+
+    fn machine(&mut self, zone: &str) -> usize {
+        let n = self.nodes.len();
+        let addr = Addr { ip: 0x0a00_0001 + n as u32, port: 7660 };
+        let (region, zone) = zone.split_once('/').unwrap();
+        let seat = MemberInfo {
+            id: n as u64 + 1,
+            name: format!("core-{n}"),
+            addr,
+            control: Addr { port: 80, ..addr },
+            zone: zone.into(),
+            region: region.into(),
+        };
+        let (records, wake) = (vec![], ms(0));
+        self.nodes.push(Node { seat, member: None, life: 0, records, cut: false, left: false, wake });
+        n
+    }
+
+    /// A new machine with an empty disk.
+    pub fn add(&mut self, zone: &str) -> usize {
+        let n = self.machine(zone);
+        self.boot(n, false);
+        n
+    }
+
+    fn boot(&mut self, n: usize, initial: bool) {
+        let voters = || self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
+        let config = Config {
+            me: self.nodes[n].seat.clone(),
+            bootstrap_voters: initial.then(voters),
+            budget: self.budget,
+            lease: LEASE,
+            patience: ms(3500),
+            stall: ms(600),
+        };
+        let random = 77 * (n as u64 + 1) + u64::from(self.nodes[n].life);
+        let node = &mut self.nodes[n];
+        node.life += 1;
+        node.left = false;
+        node.member = Some(Member::new(config, &node.records, self.now, random));
+        self.push(ms(0), n, Event::Wake);
+        self.push(ms(1), n, Event::Links);
+    }
+
+    /// Starts a stopped machine again with what its disk holds.
+    pub fn restart(&mut self, n: usize) {
+        self.boot(n, false);
+    }
+
+    /// The process ends at once; its disk stays.
+    pub fn kill(&mut self, n: usize) {
+        self.nodes[n].member = None;
+        self.nodes[n].life += 1;
+    }
+
+    /// The machine loses its disk and starts again at the same address, as somebody else.
+    pub fn wipe(&mut self, n: usize) {
+        self.kill(n);
+        self.nodes[n].records.clear();
+        self.nodes[n].seat.id += 1000;
+        self.boot(n, false);
+    }
+
+    pub fn leave(&mut self, n: usize) {
+        self.step(n, Input::Leave);
+    }
+
+    /// Whether the process may end.
+    pub fn left(&self, n: usize) -> bool {
+        self.nodes[n].left
+    }
+
+    pub fn cut(&mut self, n: usize, cut: bool) {
+        self.nodes[n].cut = cut;
+    }
+
+    pub fn id(&self, n: usize) -> u64 {
+        self.nodes[n].seat.id
+    }
+
+    pub fn view(&self, n: usize) -> View {
+        self.nodes[n].member.as_ref().and_then(Member::view).cloned().unwrap_or_default()
+    }
+
+    pub fn acts(&self, n: usize) -> bool {
+        self.nodes[n].member.as_ref().is_some_and(Member::acts)
+    }
+
+    pub fn primary(&self) -> Option<usize> {
+        (0..self.nodes.len()).find(|n| self.acts(*n))
+    }
+
+    /// The primary's view.
+    pub fn current(&self) -> View {
+        self.primary().map(|n| self.view(n)).unwrap_or_default()
+    }
+
+    /// Machines that are replicas in the primary's view, the primary first.
+    pub fn replicas(&self) -> Vec<usize> {
+        let view = self.current();
+        view.replicas.iter().filter_map(|id| self.nodes.iter().position(|n| n.seat.id == *id)).collect()
+    }
+
+    pub fn votes(&self, n: usize) -> bool {
+        self.current().seat(self.id(n)).is_some()
+    }
+
+    fn push(&mut self, after: Duration, node: usize, event: Event) {
+        self.events += 1;
+        let life = self.nodes[node].life;
+        self.queue.insert((self.now + after, self.events), (node, life, event));
+    }
+
+    fn step(&mut self, n: usize, input: Input) {
+        let mut out = Vec::new();
+        if let Some(member) = &mut self.nodes[n].member {
+            member.step(self.now, input, &mut out);
+        }
+        for output in out {
+            self.perform(n, output);
+        }
+        let view = self.view(n);
+        if view.epoch > 0 {
+            let len = view.voters.len();
+            self.sizes = (self.sizes.0.max(len), self.sizes.1.min(len));
+        }
+    }
+
+    fn perform(&mut self, n: usize, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                let Some(to) = self.nodes.iter().position(|m| m.seat.addr == to.addr) else { return };
+                let lost = self.loses.as_ref().is_some_and(|loses| loses(n, to, &message));
+                if !lost && !self.nodes[n].cut && !self.nodes[to].cut && self.nodes[to].member.is_some() {
+                    let from = self.nodes[n].seat.clone();
+                    self.push(NETWORK, to, Event::Deliver { from, message: Box::new(message) });
+                }
+            }
+            Output::Write { ticket, records, rewrite } => {
+                let time = self.slow_disks.get(&n).copied().unwrap_or(DISK);
+                self.push(time, n, Event::Wrote { ticket, records, rewrite });
+            }
+            Output::Answer { ticket, code, body } => drop(self.answers.insert(ticket, (code, body))),
+            Output::Wake { at } => {
+                self.nodes[n].wake = at;
+                self.push(at.saturating_sub(self.now), n, Event::Wake);
+            }
+            Output::Left => self.nodes[n].left = true,
+            Output::Publish { .. } | Output::Restore { .. } => {}
+        }
+    }
+
+    fn happen(&mut self, n: usize, event: Event) {
+        match event {
+            Event::Wake if self.now >= self.nodes[n].wake => self.step(n, Input::Tick),
+            Event::Wake => {}
+            Event::Deliver { from, message } if !self.nodes[n].cut => {
+                self.step(n, Input::Message { from, message: *message });
+            }
+            Event::Deliver { .. } => {}
+            Event::Wrote { ticket, records, rewrite } => {
+                if rewrite {
+                    self.nodes[n].records.clear();
+                }
+                self.nodes[n].records.extend(records);
+                self.step(n, Input::Wrote { ticket, result: Ok(()) });
+            }
+            Event::Links => {
+                let seat = self.nodes[n].seat.clone();
+                for to in (0..self.nodes.len()).filter(|to| *to != n) {
+                    if !self.nodes[n].cut && !self.nodes[to].cut {
+                        self.step(to, Input::Reachable { seat: seat.clone() });
+                    }
+                }
+                self.push(LINK_REPORT, n, Event::Links);
+            }
+        }
+    }
+
+    /// Lets the next thing happen that is due until then.
+    fn next(&mut self, until: Duration) -> bool {
+        let Some(((at, _), (n, life, event))) = self.queue.pop_first() else { return false };
+        if at > until {
+            self.queue.insert((at, 0), (n, life, event));
+            self.now = until;
+            return false;
+        }
+        self.now = self.now.max(at);
+        if self.nodes[n].life == life && self.nodes[n].member.is_some() {
+            self.happen(n, event);
+        }
+        true
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.next(until) {}
+        self.now = until;
+    }
+
+    /// Goes on until something holds; how long that took, or nothing where it didn't come within `limit`.
+    pub fn until(&mut self, limit: Duration, holds: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let (from, until) = (self.now, self.now + limit);
+        while !holds(self) {
+            if !self.next(until) {
+                return None;
+            }
+        }
+        Some(self.now - from)
+    }
+
+    /// Sends a call to a machine; its number.
+    pub fn call(&mut self, n: usize, command: Command) -> u64 {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        self.step(n, Input::Command { ticket, command });
+        ticket
+    }
+
+    pub fn configure(base: u64, version: u64) -> Command {
+        let body = format!(
+            r#"{{"version":{version},"routes":[{{"name":"r{version}","hostname":"h.example","path_prefix":"/","route_class":"pure","deadline_ms":1000,"service":"s"}}],"services":[{{"name":"s"}}],"limits":{{}}}}"#
+        );
+        Command::Configure { base, amend: false, body: body.into_bytes() }
+    }
+
+    pub fn answer(&self, ticket: u64) -> Option<Code> {
+        self.answers.get(&ticket).map(|a| a.0)
+    }
+
+    /// Has a configuration acknowledged by whoever takes it, made again where there is no clear answer; how long
+    /// that took.
+    pub fn apply(&mut self, base: u64, version: u64) -> Duration {
+        let from = self.now;
+        while self.now < from + ms(20_000) {
+            let up = (0..self.nodes.len()).filter(|n| self.nodes[*n].member.is_some() && !self.nodes[*n].cut);
+            for n in up.collect::<Vec<_>>() {
+                let ticket = self.call(n, Self::configure(base, version));
+                self.until(ms(4000), |c| c.answers.contains_key(&ticket));
+                if self.answer(ticket) == Some(Code::Ok) {
+                    return self.now - from;
+                }
+            }
+            self.run(ms(20));
+        }
+        panic!("version {version} isn't taken: {:?}", self.views());
+    }
+
+    /// The version that the control plane tells.
+    pub fn version(&mut self) -> Option<u64> {
+        let n = self.primary()?;
+        let ticket = self.call(n, Command::Read { reserved: 0 });
+        self.until(ms(4000), |c| c.answers.contains_key(&ticket))?;
+        let (code, body) = &self.answers[&ticket];
+        let document = configuration::Document::read(body, 0).ok().filter(|_| *code == Code::Ok)?;
+        Some(document.version)
+    }
+
+    /// The views of all that run.
+    pub fn views(&self) -> Vec<Seen> {
+        let ids = |seats: &[MemberInfo]| seats.iter().map(|s| s.id).collect::<Vec<_>>();
+        let seen = |n: usize| {
+            let view = self.view(n);
+            let (voters, before) = (ids(&view.voters), ids(&view.before));
+            let (id, acts, epoch) = (self.id(n), self.acts(n), view.epoch);
+            Seen { id, acts, epoch, replicas: view.replicas, voters, before }
+        };
+        (0..self.nodes.len()).filter(|n| self.nodes[*n].member.is_some()).map(seen).collect()
+    }
+}
--- /dev/null
+++ b/crates/control-plane/tests/second_loss.rs
@@ -0,0 +1,282 @@
+//! A second loss right after a repair, a replacement or a departure leaves a majority and all that was
+//! acknowledged (`docs/design/hardening/3-second-loss.md`).
+
+mod cluster;
+
+use cluster::{budget, ms, Cluster, LEASE};
+use control_plane::member::majority_shortfall;
+use protocol::{MemberInfo, Message};
+use rstest::rstest;
+
+const SOON: std::time::Duration = ms(8000);
+
+fn primary(cluster: &mut Cluster) -> usize {
+    cluster.until(SOON, |c| c.primary().is_some()).expect("somebody acts");
+    cluster.primary().unwrap()
+}
+
+/// Machines by their part in the view: primary, other replica, witness.
+fn parts(cluster: &mut Cluster) -> (usize, usize, usize) {
+    primary(cluster);
+    let replicas = cluster.replicas();
+    let witness = (0..3).find(|n| !replicas.contains(n)).unwrap();
+    (replicas[0], replicas[1], witness)
+}
+
+#[test]
+fn a_replica_leaves_only_once_another_holds_the_ledger() {
+    let mut cluster = Cluster::of_three();
+    let (first, second, witness) = parts(&mut cluster);
+    cluster.leave(second);
+    assert!(!cluster.left(second), "it ends while the primary's is the only other copy");
+    cluster.until(SOON, |c| c.left(second)).expect("it may end");
+    assert!(cluster.replicas().contains(&witness));
+    // It is gone for good, and the other replica with its disk at the same moment.
+    cluster.kill(second);
+    cluster.kill(first);
+    // Whatever the witness alone may not do, it has what was acknowledged.
+    assert!(cluster.view(witness).replicas.contains(&cluster.id(witness)));
+}
+
+#[test]
+fn a_primary_leaves_only_once_two_others_hold_the_ledger() {
+    let mut cluster = Cluster::of_three();
+    let (first, second, witness) = parts(&mut cluster);
+    cluster.leave(first);
+    let took = cluster.until(SOON, |c| c.left(first)).expect("it may end");
+    assert!(took < LEASE, "handed over after {took:?}");
+    let mut replicas = cluster.replicas();
+    replicas.sort_unstable();
+    let mut others = vec![second, witness];
+    others.sort_unstable();
+    assert_eq!(replicas, others);
+}
+
+/// The other replica and its disk are lost; the only one that holds the ledger is asked to end.
+#[test]
+fn one_that_alone_holds_the_ledger_waits_for_the_next() {
+    let mut cluster = Cluster::of_three();
+    let (first, second, _) = parts(&mut cluster);
+    cluster.kill(second);
+    cluster.leave(first);
+    cluster.run(ms(500));
+    assert!(!cluster.left(first), "the only copy ends");
+    cluster.wipe(second);
+    cluster.until(SOON, |c| c.left(first)).expect("it may end once another holds the ledger");
+    cluster.kill(first);
+    primary(&mut cluster);
+    assert_eq!(cluster.version(), Some(1));
+    cluster.apply(1, 2);
+}
+
+/// Where nobody comes for a while the last copy is put onto a witness before it goes.
+#[test]
+fn one_that_cannot_hand_over_in_full_hands_over_to_whoever_is_there() {
+    let mut cluster = Cluster::of_three();
+    let (first, second, witness) = parts(&mut cluster);
+    cluster.kill(second);
+    cluster.leave(first);
+    cluster.until(SOON, |c| c.acts(witness)).expect("the witness takes over");
+    cluster.kill(first);
+    cluster.wipe(second);
+    primary(&mut cluster);
+    assert_eq!(cluster.version(), Some(1));
+}
+
+#[test]
+fn all_may_leave_at_once_and_soon() {
+    let mut cluster = Cluster::of_three();
+    primary(&mut cluster);
+    (0..3).for_each(|n| cluster.leave(n));
+    let all = |c: &Cluster| (0..3).all(|n| c.left(n));
+    let took = cluster.until(SOON, all).expect("all end");
+    assert!(took < ms(100), "nobody is there to wait for, and they waited {took:?}");
+    (0..3).for_each(|n| cluster.kill(n));
+    (0..3).for_each(|n| cluster.restart(n));
+    primary(&mut cluster);
+    assert_eq!(cluster.version(), Some(1));
+}
+
+#[rstest]
+#[case::primary(0)]
+#[case::replica(1)]
+#[case::witness(2)]
+fn a_planned_replacement_leaves_room_for_a_loss_at_once(#[case] part: usize) {
+    let mut cluster = Cluster::of_three();
+    primary(&mut cluster);
+    let new = cluster.add("r/d");
+    cluster.until(SOON, |c| c.votes(new)).expect("the new one joins");
+    cluster.until(SOON, |c| c.current().settled()).expect("agreed");
+    let replicas = cluster.replicas();
+    let witness = (0..3).find(|n| !replicas.contains(n)).unwrap();
+    let old = [replicas[0], replicas[1], witness][part];
+    cluster.leave(old);
+    cluster.until(SOON, |c| c.left(old)).expect("the old one ends");
+    cluster.kill(old);
+    // Not after some seconds of silence: the next loss may come at once.
+    let settled = |c: &Cluster| c.primary().is_some() && !c.votes(old) && c.current().settled();
+    let took = cluster.until(SOON, settled).expect("it has no say any more");
+    assert!(took < LEASE, "four voters, one of them gone, for {took:?}");
+    let next = primary(&mut cluster);
+    cluster.kill(next);
+    primary(&mut cluster);
+    assert_eq!(cluster.version(), Some(1));
+    cluster.apply(1, 2);
+}
+
+/// The primary is lost right after its view with a new voter has been agreed on, of which that voter was not told.
+#[test]
+fn a_voter_that_was_not_told_yet_may_promise() {
+    let mut cluster = Cluster::of_three();
+    let (first, second, witness) = parts(&mut cluster);
+    cluster.kill(witness);
+    cluster.run(ms(3500));
+    // Installing views doesn't reach the new one, but all else does.
+    let new = cluster.add("r/d");
+    cluster.loses =
+        Some(Box::new(move |_, to, message| to == new && matches!(message, Message::InstallView { .. })));
+    cluster.until(SOON, |c| c.votes(new) && c.current().settled()).expect("it becomes a voter");
+    assert_eq!(cluster.view(new).epoch, 0);
+    cluster.kill(first);
+    cluster.loses = None;
+    cluster.until(SOON, |c| c.acts(second)).expect("the other replica and the new voter are a majority");
+    assert_eq!(cluster.version(), Some(1));
+}
+
+/// Between the view with both sets of voters and the one that settles it, the loss of any one must not stop all.
+#[test]
+fn a_change_of_voters_is_settled_at_once() {
+    let mut cluster = Cluster::of_three();
+    primary(&mut cluster);
+    let new = cluster.add("r/d");
+    cluster.until(SOON, |c| c.votes(new)).expect("the new one joins");
+    let took = cluster.until(SOON, |c| c.votes(new) && c.current().settled()).expect("settled");
+    assert!(took < ms(50), "unsettled for {took:?}");
+}
+
+/// One machine after the other is replaced, each time with a kill between.
+#[test]
+fn replaced_again_and_again_with_kills_between() {
+    let mut cluster = Cluster::of_three();
+    let mut alive = vec![0, 1, 2];
+    for round in 0..6 {
+        let first = primary(&mut cluster);
+        // Gone for good: the primary, another replica, and so on.
+        let replicas = cluster.replicas();
+        let gone = if round % 2 == 0 { first } else { replicas[1] };
+        cluster.kill(gone);
+        cluster.run(ms(1000));
+        let new = cluster.add(&format!("r/n{round}"));
+        alive.retain(|n| *n != gone);
+        alive.push(new);
+        // Lost for as long as the operators count it: from then on the next one may go.
+        cluster.run(ms(4000));
+        assert!(cluster.votes(new) && !cluster.votes(gone), "round {round}: {:?}", cluster.views());
+        let next = alive[0];
+        cluster.kill(next);
+        let took = cluster.apply(1 + round, 2 + round);
+        assert!(took < ms(4000), "round {round}: {took:?}");
+        cluster.restart(next);
+        cluster.run(ms(4000));
+    }
+    assert_eq!(cluster.version(), Some(7));
+}
+
+/// A wiped machine counts as lost until its new self has a say in its old one's place.
+#[rstest]
+#[case::primary(0)]
+#[case::replica(1)]
+#[case::witness(2)]
+fn a_wiped_machine_is_a_voter_again_in_time(#[case] part: usize) {
+    let mut cluster = Cluster::of_three();
+    let (first, second, witness) = parts(&mut cluster);
+    let wiped = [first, second, witness][part];
+    cluster.kill(wiped);
+    cluster.run(ms(500));
+    cluster.wipe(wiped);
+    let done = |c: &Cluster| c.votes(wiped) && c.current().settled() && c.replicas().len() == 2;
+    let took = cluster.until(SOON, done).expect("it joins");
+    assert!(took < ms(2000), "{took:?}");
+}
+
+/// One that came while a voter was about to be missed joins once that voter is given up, however long that takes.
+#[test]
+fn a_member_that_came_too_early_joins_later() {
+    let mut cluster = Cluster::of_three();
+    let (_, _, witness) = parts(&mut cluster);
+    cluster.cut(witness, true);
+    cluster.run(ms(900));
+    let new = cluster.add("r/d");
+    cluster.until(SOON, |c| c.votes(new) && !c.votes(witness)).expect("it takes the lost one's place");
+}
+
+#[rstest]
+#[case::one_of_three(budget(1, 0, 0), &["r/a", "r/b", "r/c"], 0)]
+#[case::one_of_four(budget(1, 0, 0), &["r/a", "r/b", "r/c", "r/a"], -1)]
+#[case::two_of_five(budget(2, 0, 0), &["r/a", "r/a", "r/b", "r/b", "r/c"], 0)]
+#[case::two_of_four(budget(2, 0, 0), &["r/a", "r/b", "r/c", "r/a"], 1)]
+#[case::zone_of_three(budget(1, 1, 0), &["r/a", "r/b", "r/c"], 0)]
+#[case::zone_with_two_of_four(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a"], 1)]
+#[case::zone_with_two_of_five(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a", "r/b"], 0)]
+#[case::two_zones_only(budget(1, 1, 0), &["r/a", "r/b", "r/a"], 2)]
+#[case::region_of_three(budget(1, 0, 1), &["r/a", "s/b", "t/c"], 0)]
+#[case::region_with_two_of_four(budget(1, 0, 1), &["r/a", "s/b", "t/c", "r/d"], 1)]
+fn voters_missing_after_the_worst_loss(
+    #[case] budget: configuration::FaultBudget,
+    #[case] zones: &[&str],
+    #[case] missing: i64,
+) {
+    let seat = |zone: &&str| {
+        let (region, zone) = zone.split_once('/').unwrap();
+        MemberInfo { zone: zone.into(), region: region.into(), ..MemberInfo::default() }
+    };
+    let seats: Vec<MemberInfo> = zones.iter().map(seat).collect();
+    assert_eq!(majority_shortfall(&budget, &seats.iter().collect::<Vec<_>>()), missing);
+}
+
+/// Which members have a say rests on where they are: any zone may go, and there is a majority.
+#[rstest]
+#[case::four(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a"])]
+#[case::five(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a", "r/b"])]
+#[case::eight(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a", "r/a", "r/a", "r/a", "r/b"])]
+#[case::seeds_of_one_zone(budget(1, 1, 0), &["r/a", "r/a", "r/b", "r/c", "r/c"])]
+#[case::regions(budget(1, 0, 1), &["r/a", "s/b", "t/c", "r/d", "r/e"])]
+#[case::machines_and_zones(budget(2, 1, 0), &["r/a", "r/b", "r/c", "r/a", "r/b"])]
+fn any_zone_or_region_may_go(#[case] budget: configuration::FaultBudget, #[case] zones: &[&str]) {
+    let by_region = budget.region_losses > 0;
+    let group = |place: &str| {
+        let (region, zone) = place.split_once('/').unwrap();
+        (if by_region { region } else { zone }).to_owned()
+    };
+    let groups: std::collections::BTreeSet<String> = zones.iter().map(|z| group(z)).collect();
+    for lost in groups {
+        let mut cluster = Cluster::start(budget, zones);
+        cluster.apply(0, 1);
+        cluster.run(ms(6000));
+        for n in (0..zones.len()).filter(|n| group(zones[*n]) == lost) {
+            cluster.kill(n);
+        }
+        let took = cluster.apply(1, 2);
+        assert!(took < ms(4000), "{lost} lost: {took:?}");
+    }
+}
+
+/// Machines removed one after the other, without others in their place, down to what the budget needs.
+#[test]
+fn several_are_removed_in_turn() {
+    let mut cluster = Cluster::start(budget(1, 0, 0), &["r/a", "r/b", "r/c", "r/a", "r/b"]);
+    cluster.apply(0, 1);
+    cluster.until(SOON, |c| c.current().voters.len() == 5 && c.current().settled()).expect("all join");
+    for round in 0..2 {
+        let first = primary(&mut cluster);
+        cluster.leave(first);
+        cluster.until(SOON, |c| c.left(first)).expect("it ends");
+        cluster.kill(first);
+        cluster.run(ms(1000));
+        assert_eq!(cluster.current().voters.len(), 4 - round, "{:?}", cluster.views());
+    }
+    let next = primary(&mut cluster);
+    cluster.kill(next);
+    let took = cluster.apply(1, 2);
+    assert!(took < ms(4000), "{took:?}");
+}
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -572,6 +572,12 @@
         /// Epoch of its view.
         epoch: u64,
     },
+    /// The speaker has been asked to end: nothing new is to be put there, and what it holds is to be taken over.
+    #[brw(magic(25u8))]
+    Leaving {
+        /// Epoch of the latest view that it accepted.
+        epoch: u64,
+    },
     /// Asks for the ledger, fenced by a promise.
     #[brw(magic(19u8))]
     FetchLedger {
