--- a/crates/control-plane/src/member/summary.rs
+++ b/crates/control-plane/src/member/summary.rs
@@ -91,7 +91,7 @@
             grant: grant.map(|g| GrantSummary { primary: g.to, epoch: g.epoch }),
             disk: self.disk.state(self.now, self.config.stall),
             ledger: self.held.as_ref().map(|h| h.disk.seq),
-            leaving: self.leaving,
+            leaving: self.departure.is_some(),
         }
     }
 }
--- a/crates/control-plane/src/shell/event_loop.rs
+++ b/crates/control-plane/src/shell/event_loop.rs
@@ -20,8 +20,6 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep_until, Instant};
 
-/// Longest wait for the handing over at the end.
-const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Inputs that are taken before other tasks run again.
 const INPUTS_PER_TURN: usize = 64;
 
@@ -44,6 +42,8 @@
     pub(super) history: Rc<RefCell<History>>,
     /// Time between two lines of counters.
     pub(super) period: Duration,
+    /// Longest wait for the handing over at the end.
+    pub(super) leave_time: Duration,
     pub(super) recorder: Recorder,
 }
 
@@ -63,7 +63,7 @@
             tokio::select! {
                 biased;
                 () = &mut stop, if end.is_none() => {
-                    end = Some(Instant::now() + LEAVE_TIMEOUT);
+                    end = Some(Instant::now() + self.leave_time);
                     self.leave.send_replace(true);
                     self.step(Input::Leave);
                 }
--- a/crates/control-plane/tests/transitions.rs
+++ b/crates/control-plane/tests/transitions.rs
@@ -305,6 +305,8 @@
     let (mut world, primary) = World::settled();
     world.clear();
     world.input(primary, Input::Leave);
+    assert!(!world.left.contains(&primary), "a replica that leaves hands over first");
+    world.run(Duration::from_secs(4));
     assert!(world.left.contains(&primary));
     let told = &world.nodes[&primary].told;
     assert_eq!(told[0], Transition::Leaving);
