--- a/crates/control-plane/src/shell/event_loop.rs
+++ b/crates/control-plane/src/shell/event_loop.rs
@@ -9,7 +9,6 @@
 use super::Event;
 use crate::history::History;
 use crate::member::{Input, Member, Output};
-use protocol::Message;
 use replication::SharedMirror;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -21,8 +20,6 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep_until, Instant};
 
-/// Longest wait for the handing over at the end.
-const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Inputs that are taken before other tasks run again.
 const INPUTS_PER_TURN: usize = 64;
 
@@ -36,8 +33,6 @@
     pub(super) tickets: u64,
     pub(super) left: bool,
     pub(super) steps: u64,
-    /// Number of the last change that the primary told to be acknowledged.
-    pub(super) committed: u64,
     /// What the mirror was told of the control plane.
     pub(super) known: ShownFleet,
     pub(super) disk: std::sync::mpsc::Sender<disk::Write>,
@@ -47,6 +42,8 @@
     pub(super) history: Rc<RefCell<History>>,
     /// Time between two lines of counters.
     pub(super) period: Duration,
+    /// Longest wait for the handing over at the end.
+    pub(super) leave_time: Duration,
     pub(super) recorder: Recorder,
 }
 
@@ -66,7 +63,7 @@
             tokio::select! {
                 biased;
                 () = &mut stop, if end.is_none() => {
-                    end = Some(Instant::now() + LEAVE_TIMEOUT);
+                    end = Some(Instant::now() + self.leave_time);
                     self.leave.send_replace(true);
                     self.step(Input::Leave);
                 }
@@ -89,6 +86,7 @@
                     if self.wake.is_some_and(|at| at <= now) {
                         self.wake = None;
                         self.step(Input::Tick);
+                        self.show();
                     }
                 }
             }
@@ -112,9 +110,6 @@
         match event {
             Event::LinkEvent(LinkEvent::Hello(seat)) => self.step(Input::Reachable { seat }),
             Event::LinkEvent(LinkEvent::Message(from, message)) => {
-                if let Message::RenewLease { committed, .. } = &*message {
-                    self.committed = self.committed.max(*committed);
-                }
                 self.step(Input::Message { from, message: *message });
             }
             Event::Disk(DiskEvent::Wrote { ticket, result }) => self.step(Input::Wrote { ticket, result }),
--- a/crates/control-plane/src/shell/start.rs
+++ b/crates/control-plane/src/shell/start.rs
@@ -33,6 +33,10 @@
 
 /// Longest wait for a listener's port.
 const BIND_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for the handing over at the end, where the platform's `grace_s` leaves so much.
+const MAX_LEAVE_TIME: Duration = Duration::from_secs(5);
+/// Time between the end of the handing over and the platform's SIGKILL, at least.
+const BEFORE_KILL: Duration = Duration::from_millis(1500);
 /// Descriptors that are kept for files, links and pulls.
 const OTHER_DESCRIPTORS: u64 = 400;
 /// Fewest and most callers of the control API at once.
@@ -112,7 +116,7 @@
     spawn_local(roster::keep(mirror.clone(), disk.clone()));
     spawn_local(seeds::follow(links.clone(), pulls, seeds, boot.port_range.0));
 
-    let bootstrap_voters = Some(identity.initial_voters).filter(|f| !f.is_empty() && records.is_empty());
+    let bootstrap_voters = Some(identity.initial_voters).filter(|voters| !voters.is_empty());
     let config = Config {
         me,
         bootstrap_voters,
@@ -123,6 +127,9 @@
     };
     let now = origin.elapsed();
     let member = Member::new(config, &records, now, random()?);
+    if let Some(error) = member.unsound() {
+        log::error!(error:% = snafu::Report::from_error(error); "the records can't be relied on: no say, no ledger");
+    }
     let recorder = Recorder::new(&member);
     transitions::log_start(recorder.summary());
     let mut event_loop = EventLoop {
@@ -134,7 +141,6 @@
         tickets: 0,
         left: false,
         steps: 0,
-        committed: 0,
         known: ShownFleet::default(),
         disk,
         links,
@@ -142,6 +148,7 @@
         leave,
         history,
         period: tuning.counters,
+        leave_time: leave_time(boot.bounds.grace_s),
         recorder,
     };
     event_loop.run(&mut queue, stop, &counters).await;
@@ -220,3 +227,9 @@
 fn random() -> Result<u64, Failure> {
     getrandom::u64().map_err(|e| Failure::Random { detail: e.to_string() })
 }
+
+/// How long a member that is asked to end may wait for others to hold what it holds.
+fn leave_time(grace_s: f64) -> Duration {
+    let grace = Duration::try_from_secs_f64(grace_s).unwrap_or_default();
+    grace.saturating_sub(BEFORE_KILL).min(MAX_LEAVE_TIME)
+}
