--- a/crates/control-plane/src/shell/call_runner.rs
+++ b/crates/control-plane/src/shell/call_runner.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// Longest time that a host waits for its drain.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
@@ -179,6 +179,28 @@
         "promised": status.promised, "disk_fit": status.fit, "age_ms": status.age.as_millis() as u64})
 }
 
+/// Logs what became of a configuration order here, also where its caller has gone before the answer.
+struct OrderTrace {
+    base: u64,
+    bytes: usize,
+    since: Instant,
+    code: Option<Code>,
+}
+
+impl OrderTrace {
+    fn new(base: u64, bytes: usize) -> Self {
+        Self { base, bytes, since: Instant::now(), code: None }
+    }
+}
+
+impl Drop for OrderTrace {
+    fn drop(&mut self) {
+        let waited_ms = self.since.elapsed().as_millis() as u64;
+        let result = self.code.map_or("the caller has gone", Code::text);
+        log::info!(base = self.base, bytes = self.bytes, waited_ms, result; "order");
+    }
+}
+
 impl RunCall for CallRunner {
     async fn run(&self, call: Call) -> Reply {
         if call == Call::Status {
@@ -199,8 +221,10 @@
                 (code, text) => Reply::detailed(code, &String::from_utf8_lossy(&text)),
             },
             Call::Configure { base, amend, body } => {
+                let mut trace = OrderTrace::new(base, body.len());
                 let asked = Command::Configure { base, amend, body: body.into() };
                 let (code, text) = command(&self.events, asked, self.patience).await;
+                trace.code = Some(code);
                 Reply::detailed(code, &String::from_utf8_lossy(&text))
             }
             Call::Host(call) => self.host(&opened, &call).await,
