Numbers of forwarded commands differ from life to life

Cause: a member numbered the commands that it hands to the primary from 1 in each life. One that was started again while the primary still had its first command pending took the answer to that one for the answer to its new command number 1: an order that lost was confirmed to its caller.

Change: the numbers of a life begin at a place drawn at the start (64 bits); an answer with another life's number finds no caller.

--- a/crates/control-plane/src/member/commands.rs
+++ b/crates/control-plane/src/member/commands.rs
@@ -44,7 +44,9 @@
 
     pub(super) fn on_answer(&mut self, id: u64, code: u16, text: Vec<u8>, out: &mut Vec<Output>) {
         let code = Code::of(code).unwrap_or(Code::Unclear);
-        self.answer(Source::LocalCommand(id), code, text, out);
+        // A number that this life didn't give belongs to a call of an earlier one.
+        let ticket = id.wrapping_sub(self.forward_base);
+        self.answer(Source::LocalCommand(ticket), code, text, out);
     }
 
     pub(super) fn answer(&mut self, to: Source, code: Code, body: Vec<u8>, out: &mut Vec<Output>) {
@@ -62,6 +64,7 @@
     /// Hands what waits to whoever acts, and ends what has waited too long.
     pub(super) fn run_commands(&mut self, out: &mut Vec<Output>) {
         let (now, patience, me) = (self.now, self.config.patience, self.me());
+        let forward_base = self.forward_base;
         let over: Vec<u64> =
             self.local.iter().filter(|l| now >= l.1.since + patience).map(|l| *l.0).collect();
         for ticket in over {
@@ -80,7 +83,7 @@
                     Role::Primary(state) => state.inbox.push_back((Source::LocalCommand(*id), command)),
                     _ => out.push(Output::Send {
                         to: primary.clone(),
-                        message: Message::ForwardCommand { id: *id, command },
+                        message: Message::ForwardCommand { id: forward_base.wrapping_add(*id), command },
                     }),
                 }
             }
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -199,13 +199,25 @@
     election_at: Duration,
     disk: Disk,
     local: BTreeMap<u64, LocalCommand>,
+    /// Where this life's numbers of forwarded commands begin: drawn, so that an answer to a command of an
+    /// earlier life is never taken for the answer to one of this life.
+    forward_base: u64,
     /// The primary and its epoch, as others tell.
     hint: Option<(u64, MemberInfo)>,
     leaving: bool,
 }
 
+/// Spreads `random` over all bits, in a way of its own (SplitMix64), as [`Member::draw`] uses it too.
+fn forward_base(random: u64) -> u64 {
+    let mixed = random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
 impl Member {
-    /// A member whose disk holds these records. `random` only spreads what several members do.
+    /// A member whose disk holds these records. `random` differs from life to life; it spreads
+    /// what several members do and tells the commands of one life from those of another.
     pub fn new(config: Config, records: &[Vec<u8>], now: Duration, random: u64) -> Self {
         let mut member = Self {
             now,
@@ -225,6 +237,7 @@
             election_at: now,
             disk: Disk::default(),
             local: BTreeMap::new(),
+            forward_base: forward_base(random),
             hint: None,
             leaving: false,
             config,
