--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -222,7 +222,7 @@
                 if self.cut.contains(&from) || self.cut.contains(&to) {
                     return;
                 }
-                if matches!(message, Message::ForwardCommand { .. }) {
+                if matches!(*message, Message::ForwardCommand { .. }) {
                     *self.forwarded.entry(to).or_default() += 1;
                 }
                 let from = self.nodes[from].info.clone();
