--- a/crates/control-plane/tests/members.rs
+++ b/crates/control-plane/tests/members.rs
@@ -114,6 +114,49 @@
     .await;
 }
 
+/// Eight operators at once, one number, eight contents: one is confirmed, and whoever sends its order again, to any
+/// member, before and after all were started again, hears the same.
+#[tokio::test]
+async fn of_eight_orders_at_once_one_is_confirmed_and_each_hears_the_same_again() {
+    on_core(67, |mut core| async move {
+        (0..3).for_each(|n| core.start(n, true));
+        assert_eq!(replace(core.control(0), "0", CONFIGURATION).await.status, 200);
+        let bodies: Vec<String> =
+            (0..8).map(|n| CONFIGURATION.replace(":3,", ":4,").replace("/a/", &format!("/a{n}/"))).collect();
+        let sent: Vec<JoinHandle<Answer>> = bodies
+            .iter()
+            .enumerate()
+            .map(|(n, body)| {
+                let (to, body) = (core.control(n % 3), body.clone());
+                spawn_local(async move { replace(to, "3", &body).await })
+            })
+            .collect();
+        let mut statuses = Vec::new();
+        for answer in sent {
+            statuses.push(answer.await.unwrap().status);
+        }
+        assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 1, "{statuses:?}");
+        assert_eq!(statuses.iter().filter(|s| **s == 412).count(), 7, "{statuses:?}");
+        for life in 0..2 {
+            for (n, body) in bodies.iter().enumerate() {
+                let again = replace(core.control((n + 1 + life) % 3), "3", body).await;
+                assert_eq!(again.status, statuses[n], "order {n} in life {life}");
+            }
+            for n in 0..3 {
+                core.stop(n).await;
+            }
+            (0..3).for_each(|n| core.start(n, false));
+        }
+        // A later change doesn't make them forgotten.
+        let later = CONFIGURATION.replace(":3,", ":9,");
+        assert_eq!(replace(core.control(0), "4", &later).await.status, 200);
+        let winner = statuses.iter().position(|s| *s == 200).unwrap();
+        assert_eq!(replace(core.control(1), "3", &bodies[winner]).await.status, 200);
+        assert_eq!(read(core.control(2)).await.body, later);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn one_member_may_leave_at_any_time() {
     on_core(62, |mut core| async move {
