An agent that starts asks who has a primary before it shows what a cut-off member told

Cause: a member restores the acknowledged ledger from its disk at its start and shows it at once, and one that is cut off goes on showing what it has. An agent that started beside it took the first answer for the current configuration.

Change: an agent with nothing withholds a configuration whose speaker has had no proof for 1.5 s, or in its life, until a member that has a primary answers (by the same configuration or a newer one), or all members known have told that they know no better, or 0.7 s are over, by when each member that can be reached has answered. Then the newest that was heard of is shown. What is withheld isn't sent again, and a pull meanwhile doesn't wait for news.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -54,7 +54,7 @@
 ) -> Result<(), Error> {
     let addr = SocketAddrV4::from(&agent_addr(&boot));
     let listener = TcpListener::bind(addr).await.context(ListenSnafu { addr })?;
-    let shared = SharedMirror::new(Mirror::new(0, Duration::from_millis(boot.beat_period_ms)));
+    let shared = SharedMirror::new(mirror(&boot));
     let (control, told) = mpsc::unbounded_channel();
     let mut puller = puller(&boot);
     let first: Vec<_> = seeds.borrow_and_update().iter().map(|s| member_addr(&boot, s)).collect();
@@ -89,6 +89,12 @@
     Ok(())
 }
 
+/// What an agent starts with: nothing, and it takes nothing for the truth that a member tells which is cut off, while
+/// another may know better.
+pub fn mirror(boot: &Boot) -> Mirror {
+    Mirror::new(0, Duration::from_millis(boot.beat_period_ms)).withholding()
+}
+
 /// Whom an agent pulls from: a few members, one of which tells it the news.
 pub fn puller(boot: &Boot) -> Puller {
     let mut puller = Puller::new(&boot.node_name, WATCHED, None).led();
--- a/crates/replication/src/client.rs
+++ b/crates/replication/src/client.rs
@@ -118,7 +118,11 @@
                     None => News { age_ms: UNCONFIRMED, ..*news },
                 };
                 let taken = self.shared.update(|mirror, now| mirror.apply(now, &news));
-                puller.answered(now, link, news.member, news.age_ms, taken)
+                let actions = puller.answered(now, link, news.member, news.age_ms, taken);
+                if puller.none_fresh() {
+                    self.shared.update(|mirror, _| mirror.show_withheld());
+                }
+                actions
             }
         }
     }
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -13,7 +13,7 @@
 mod shared;
 
 pub use frames::{FrameReader, Step};
-pub use mirror::{Mirror, Snapshot};
+pub use mirror::{Mirror, Snapshot, FRESH_WAIT};
 pub use news::{News, Pull, UNCONFIRMED};
 pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, LOOK, PACE, STALE_MS, WAIT_MS, WATCHED};
 pub use rendezvous::{ranked, weight};
--- a/crates/replication/src/mirror.rs
+++ b/crates/replication/src/mirror.rs
@@ -1,7 +1,8 @@
 //! What the control plane says, as far as this process knows it.
 
-use crate::news::{News, Pull};
+use crate::news::{News, Pull, UNCONFIRMED};
 use crate::phase;
+use crate::puller::{CONNECT_TIMEOUT, STALE_MS};
 use configuration::{Delta, Document};
 use protocol::{Addr, Caller, ConfigNews, CoordinatorRecord, Fleet, HostRecord, Mark, SourceNews};
 use std::cell::Cell;
@@ -17,6 +18,9 @@
 const TOMBSTONE: Duration = Duration::from_secs(60);
 /// How many beat periods a source that is no more keeps its hosts.
 const CLOSING_BEATS: u32 = 4;
+/// How long a process that starts with nothing waits for a member that has a primary, before it shows what one that
+/// is cut off told: by then each member that can be reached has answered.
+pub const FRESH_WAIT: Duration = CONNECT_TIMEOUT;
 /// Fleets of one epoch, told apart in the low bits of the mark.
 const MARK_BITS: u32 = 16;
 
@@ -37,6 +41,17 @@
     gone: Vec<String>,
 }
 
+/// What becomes of a configuration that a member told which is cut off from a primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Withheld {
+    /// It is shown at once.
+    Never,
+    /// It will be withheld; none has come yet.
+    Nothing,
+    /// One has come and is withheld until this time.
+    Until(Duration),
+}
+
 /// One life of a source.
 #[derive(Default)]
 struct Source {
@@ -92,6 +107,7 @@
     buried: BTreeMap<u64, u64>,
     fleet: Fleet,
     fresh: Option<Duration>,
+    withheld: Withheld,
     /// Order in which hosts were first seen.
     arrivals: HashMap<String, u64>,
     arrived: u64,
@@ -120,6 +136,7 @@
             buried: BTreeMap::new(),
             fleet: Fleet::default(),
             fresh: None,
+            withheld: Withheld::Never,
             arrivals: HashMap::new(),
             arrived: 0,
             due: Cell::new(None),
@@ -132,6 +149,28 @@
         self
     }
 
+    /// For a process that starts with nothing: a configuration from a member that is cut off from a primary (its news
+    /// are older than [`STALE_MS`], or it has had no proof in its life) isn't shown before a member that isn't has
+    /// answered, or [`FRESH_WAIT`] is over, or all members have told that they know no better
+    /// ([`Mirror::show_withheld`]). What is shown then is the newest that was heard of.
+    pub fn withholding(mut self) -> Self {
+        self.withheld = Withheld::Nothing;
+        self
+    }
+
+    /// Whether there is a configuration that isn't shown yet.
+    fn withholds(&self) -> bool {
+        matches!(self.withheld, Withheld::Until(_))
+    }
+
+    /// Nobody who can be reached knows better: what is withheld is shown.
+    pub fn show_withheld(&mut self) {
+        if self.withholds() {
+            self.withheld = Withheld::Never;
+            self.generation += 1;
+        }
+    }
+
     /// Sets this process's identity, where it is known later than the mirror.
     pub fn set_member(&mut self, member: u64) {
         self.member = member;
@@ -167,8 +206,8 @@
     /// Since when, at most, this process may have missed what the primary acknowledged, in ms.
     pub fn age_ms(&self, now: Duration) -> u32 {
         match self.fresh {
-            Some(at) => u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u32::MAX),
-            None => u32::MAX,
+            Some(at) => u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(UNCONFIRMED),
+            None => UNCONFIRMED,
         }
     }
 
@@ -248,6 +287,9 @@
         let before = self.generation;
         let mut whole = true;
         if let Some(config) = &news.config {
+            if self.withheld == Withheld::Nothing && news.age_ms > STALE_MS {
+                self.withheld = Withheld::Until(now + FRESH_WAIT);
+            }
             whole = self.apply_config(config);
         }
         for id in &news.retired {
@@ -260,7 +302,11 @@
             self.fleet = fleet.clone();
             self.generation += 1;
         }
-        if whole && news.age_ms != u32::MAX {
+        if whole && news.age_ms <= STALE_MS {
+            self.show_withheld();
+            self.withheld = Withheld::Never;
+        }
+        if whole && news.age_ms != UNCONFIRMED {
             self.proved(now.saturating_sub(Duration::from_millis(news.age_ms.into())));
         }
         self.generation != before
@@ -387,6 +433,9 @@
     pub fn tick(&mut self, now: Duration) -> bool {
         self.due.set(None);
         let (before, closing) = (self.generation, self.beat * CLOSING_BEATS);
+        if matches!(self.withheld, Withheld::Until(at) if now >= at) {
+            self.show_withheld();
+        }
         let ended: Vec<(u64, u64)> = self
             .sources
             .iter()
@@ -454,7 +503,11 @@
             let over = hosts.chain(s.coordinators.values().filter_map(|k| k.over)).min();
             s.closing.map(|at| at + closing).into_iter().chain(over.map(|at| at + TOMBSTONE)).min()
         };
-        self.sources.values().filter_map(of).min()
+        let withheld = match self.withheld {
+            Withheld::Until(at) => Some(at),
+            Withheld::Never | Withheld::Nothing => None,
+        };
+        self.sources.values().filter_map(of).chain(withheld).min()
     }
 
     /// What this mirror has of each source, for a pull.
@@ -469,6 +522,8 @@
     /// Asks for what this mirror lacks.
     pub fn pull(&self, caller: &Caller, wait_ms: u32) -> Pull {
         let version = if self.unsure { 0 } else { self.document.version };
+        // That what is withheld is the current one is no news: it has to be asked for.
+        let wait_ms = if self.withholds() { 0 } else { wait_ms };
         Pull {
             caller: caller.clone(),
             wait_ms,
@@ -487,7 +542,7 @@
     /// Exactly what the puller lacks; `None` where that is nothing.
     pub fn news_for(&self, now: Duration, pull: &Pull) -> Option<News> {
         let mut news = self.no_news(now);
-        if self.ledger > pull.ledger {
+        if self.ledger > pull.ledger && !self.withholds() {
             news.config = Some(self.config_for(pull.version, pull.ledger));
         }
         if self.fleet.mark > pull.fleet {
@@ -565,9 +620,10 @@
                 }
             }
         }
+        let drains = if self.withholds() { Arc::default() } else { self.drains.clone() };
         for (id, record) in &mut hosts {
             record.phase = furthest.get(id.as_str()).copied().unwrap_or(record.phase);
-            if self.drains.contains(id) {
+            if drains.contains(id) {
                 record.phase = record.phase.max(phase::DRAINING);
             }
         }
@@ -576,12 +632,12 @@
         let pulling = live.flat_map(|s| s.coordinators.values()).filter(|k| !k.record.gone);
         let pulling: Vec<&CoordinatorRecord> = pulling.map(|k| &k.record).collect();
         Snapshot {
-            ledger: self.ledger,
-            document: self.document.clone(),
+            ledger: if self.withholds() { 0 } else { self.ledger },
+            document: if self.withholds() { Arc::default() } else { self.document.clone() },
             hosts,
             hints: pulling.iter().filter(|r| r.addr.port > 0).map(|r| (r.name.clone(), r.addr)).collect(),
             coordinators: pulling.iter().map(|r| r.name.clone()).collect(),
-            drains: self.drains.clone(),
+            drains,
             fleet: self.fleet.clone(),
         }
     }
--- a/crates/replication/src/puller.rs
+++ b/crates/replication/src/puller.rs
@@ -154,6 +154,13 @@
         matches!(known.phase, Phase::Polling(_)).then_some(known.asked)
     }
 
+    /// Whether all members that are known have answered, and each is cut off from a primary: nobody is left who
+    /// could tell better.
+    pub fn none_fresh(&self) -> bool {
+        let cut_off = |l: &Link| l.heard && !l.dead && l.stale;
+        !self.order.is_empty() && self.order.iter().all(|a| self.links.get(a).is_some_and(cut_off))
+    }
+
     /// The leading member's address; none where news are waited for at all members.
     fn leader(&self) -> Option<Addr> {
         let mut order = self.order.iter().filter(|_| self.led);
--- a/crates/replication/tests/puller.rs
+++ b/crates/replication/tests/puller.rs
@@ -390,3 +390,21 @@
     bench.tick(2700);
     assert_eq!(bench.puller.asked(link), None, "given up");
 }
+
+#[test]
+fn it_knows_whether_anybody_may_know_better() {
+    let mut bench = Bench::new(WATCHED, &[1, 2]);
+    assert!(!bench.puller.none_fresh(), "nobody was asked");
+    bench.up();
+    bench.answered(5, 1, u32::MAX, true);
+    assert!(!bench.puller.none_fresh(), "the other one hasn't answered");
+    bench.answered(6, 2, 20_000, true);
+    assert!(bench.puller.none_fresh());
+    bench.puller.set_members([addr(1), addr(2), addr(3)]);
+    bench.tick(7);
+    assert!(!bench.puller.none_fresh(), "one more was heard of");
+    bench.failed(8, 3);
+    assert!(!bench.puller.none_fresh(), "one that is down may come back and know better");
+    bench.answered(9, 1, 10, true);
+    assert!(!bench.puller.none_fresh());
+}
