The mirror is split by concern

Change: mirror/ledger.rs (configuration, drains, and their changes), sources.rs (lives of sources and their records), hosts.rs (one record of each host, one host at each address), withheld.rs, and mod.rs, which puts them together. The public interface and all tests are as before. A configuration that can't be read doesn't begin the wait for a fresh one.

--- a/crates/agent/tests/cut_off.rs
+++ b/crates/agent/tests/cut_off.rs
@@ -132,7 +132,8 @@
 ) {
     for turn in 0..3 {
         let (mut first, mut then) = (first, then);
-        (first.rotate_left(turn), then.rotate_left(turn));
+        first.rotate_left(turn);
+        then.rotate_left(turn);
         let shown = shown(first, then);
         assert_eq!(shown.iter().map(|s| s.0).collect::<Vec<_>>(), versions, "{shown:?}");
         let late = CONNECT_TIMEOUT.as_millis() as u64 + 10;
--- /dev/null
+++ b/crates/replication/src/mirror/ledger.rs
@@ -0,0 +1,197 @@
+//! The ledger's part of a mirror: the configuration and the drains, and what of them a puller lacks.
+
+use configuration::{Delta, Document};
+use protocol::ConfigNews;
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Documents kept to tell what changed since.
+const HISTORY: usize = 32;
+/// Changes of the drains kept, for each document kept.
+const DRAIN_CHANGES: usize = 8;
+
+/// What a change of the ledger, or several, did to the drains.
+struct DrainChange {
+    /// Number of the change that it leads to.
+    seq: u64,
+    added: Vec<String>,
+    gone: Vec<String>,
+}
+
+/// What became of news of the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Applied {
+    /// They were taken.
+    Taken,
+    /// All that they tell was here already.
+    Known,
+    /// What they tell is missing here now: they add to something else.
+    Missing,
+}
+
+/// The ledger as far as this process knows it to be acknowledged.
+pub(super) struct LedgerMirror {
+    /// Number of the last change.
+    pub(super) seq: u64,
+    /// The configuration; version 0 where none has come yet.
+    pub(super) document: Arc<Document>,
+    /// Hosts that are leaving or gone.
+    pub(super) drains: Arc<BTreeSet<String>>,
+    /// The latest documents, the one in force last.
+    history: VecDeque<Arc<Document>>,
+    depth: usize,
+    /// A change couldn't be applied: the whole configuration is asked for.
+    unsure: bool,
+    /// The latest changes of the drains, each from where the one before leads to.
+    drain_changes: VecDeque<DrainChange>,
+    /// Number of the ledger's change from which the first of them leads on.
+    drain_floor: u64,
+}
+
+impl LedgerMirror {
+    pub(super) fn new() -> Self {
+        Self {
+            seq: 0,
+            document: Arc::default(),
+            drains: Arc::default(),
+            history: VecDeque::new(),
+            depth: HISTORY,
+            unsure: false,
+            drain_changes: VecDeque::new(),
+            drain_floor: 0,
+        }
+    }
+
+    /// Keeps no older documents: nothing is handed on.
+    pub(super) fn forget_history(&mut self) {
+        self.depth = 0;
+    }
+
+    /// The version to ask for changes since; 0 asks for the whole.
+    pub(super) fn asked_version(&self) -> u64 {
+        if self.unsure {
+            0
+        } else {
+            self.document.version
+        }
+    }
+
+    /// Takes an acknowledged state. True where it was newer.
+    pub(super) fn set(&mut self, seq: u64, document: Arc<Document>, drains: BTreeSet<String>) -> bool {
+        if seq <= self.seq || document.version < self.document.version {
+            return false;
+        }
+        self.seq = seq;
+        self.remember(document);
+        let added = drains.difference(&self.drains).cloned().collect();
+        let gone = self.drains.difference(&drains).cloned().collect();
+        self.drain_changes.push_back(DrainChange { seq, added, gone });
+        while self.drain_changes.len() > self.depth * DRAIN_CHANGES {
+            self.drain_floor = self.drain_changes.pop_front().map_or(seq, |c| c.seq);
+        }
+        self.drains = Arc::new(drains);
+        true
+    }
+
+    fn remember(&mut self, document: Arc<Document>) {
+        self.unsure = false;
+        if document.version > self.document.version {
+            self.document = document.clone();
+            self.history.push_back(document);
+            while self.history.len() > self.depth {
+                self.history.pop_front();
+            }
+        }
+    }
+
+    /// Takes news of it, where they are newer and add to what is here.
+    pub(super) fn apply(&mut self, news: &ConfigNews) -> Applied {
+        if news.seq <= self.seq || news.to < self.document.version {
+            return Applied::Known;
+        }
+        let Some(drains) = self.drains_after(news) else { return Applied::Missing };
+        let document = if news.to == self.document.version {
+            Some(self.document.clone())
+        } else {
+            let whole = Document::default();
+            let base = if news.from == 0 { &whole } else { &*self.document };
+            if news.from != base.version {
+                return Applied::Missing;
+            }
+            base.patched(&delta(news)).ok().map(Arc::new)
+        };
+        match document {
+            Some(document) => match self.set(news.seq, document, drains) {
+                true => Applied::Taken,
+                false => Applied::Missing,
+            },
+            None => {
+                self.unsure = true;
+                Applied::Missing
+            }
+        }
+    }
+
+    /// The drains that news lead to; none where they add to others than those here.
+    fn drains_after(&self, news: &ConfigNews) -> Option<BTreeSet<String>> {
+        let mut drains: BTreeSet<String> = match news.drains_from {
+            0 => BTreeSet::new(),
+            from if from == self.seq => (*self.drains).clone(),
+            _ => return None,
+        };
+        drains.extend(news.drains.iter().cloned());
+        for gone in &news.gone_drains {
+            drains.remove(gone);
+        }
+        Some(drains)
+    }
+
+    /// What became of the drains since the ledger's change `since`: number to add to, those added, those gone.
+    fn drains_since(&self, since: u64) -> (u64, Vec<String>, Vec<String>) {
+        // Between two places that are known here, hosts may have come and gone that aren't.
+        let known = since == self.drain_floor || self.drain_changes.iter().any(|c| c.seq == since);
+        if since == 0 || !known {
+            return (0, self.drains.iter().cloned().collect(), Vec::new());
+        }
+        let later = || self.drain_changes.iter().filter(|c| c.seq > since);
+        let added: BTreeSet<&String> =
+            later().flat_map(|c| &c.added).filter(|d| self.drains.contains(*d)).collect();
+        let gone: BTreeSet<&String> =
+            later().flat_map(|c| &c.gone).filter(|d| !self.drains.contains(*d)).collect();
+        (since, added.into_iter().cloned().collect(), gone.into_iter().cloned().collect())
+    }
+
+    /// What somebody lacks who has this version and this change of the ledger.
+    pub(super) fn news(&self, version: u64, seq: u64) -> ConfigNews {
+        let (drains_from, drains, gone_drains) = self.drains_since(seq);
+        let newest = &self.document;
+        let none = Document::default();
+        let base = self.history.iter().find(|d| d.version == version).map_or(&none, |d| d);
+        let delta = base.delta(newest);
+        ConfigNews {
+            seq: self.seq,
+            from: delta.from,
+            to: delta.to,
+            routes: delta.routes,
+            services: delta.services,
+            gone_routes: delta.gone_routes,
+            gone_services: delta.gone_services,
+            limits: delta.limits.into_iter().collect(),
+            drains_from,
+            drains,
+            gone_drains,
+        }
+    }
+}
+
+fn delta(news: &ConfigNews) -> Delta {
+    Delta {
+        from: news.from,
+        to: news.to,
+        routes: news.routes.clone(),
+        services: news.services.clone(),
+        gone_routes: news.gone_routes.clone(),
+        gone_services: news.gone_services.clone(),
+        limits: news.limits.first().cloned(),
+    }
+}
--- /dev/null
+++ b/crates/replication/src/mirror/mod.rs
@@ -0,0 +1,301 @@
+//! What the control plane says, as far as this process knows it.
+
+mod hosts;
+mod ledger;
+mod sources;
+mod withheld;
+
+pub use withheld::FRESH_WAIT;
+
+use crate::news::{News, Pull, UNCONFIRMED};
+use crate::puller::STALE_MS;
+use configuration::Document;
+use ledger::{Applied, LedgerMirror};
+use protocol::{Addr, Caller, CoordinatorRecord, Fleet, HostRecord, Mark};
+use sources::Sources;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use withheld::Withheld;
+
+/// Fleets of one epoch, told apart in the low bits of the mark.
+const MARK_BITS: u32 = 16;
+
+/// The merged truth at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Number of the ledger's last change.
+    pub ledger: u64,
+    /// The configuration; version 0 where none has come yet.
+    pub document: Arc<Document>,
+    /// Hosts by identity, merged over all sources and drains; see [`crate::phase`].
+    pub hosts: BTreeMap<String, HostRecord>,
+    /// Names of the coordinators that pull now, over all sources.
+    pub coordinators: BTreeSet<String>,
+    /// Where their proxies take hints, by the machines' names.
+    pub hints: BTreeMap<String, Addr>,
+    /// Hosts that the ledger has as leaving or gone.
+    pub drains: Arc<BTreeSet<String>>,
+    /// The control plane.
+    pub fleet: Fleet,
+}
+
+/// The mirror. Takes only what is newer than what it has; hands on exactly what a puller lacks.
+pub struct Mirror {
+    member: u64,
+    generation: u64,
+    ledger: LedgerMirror,
+    sources: Sources,
+    fleet: Fleet,
+    fresh: Option<Duration>,
+    withheld: Withheld,
+    /// What [`Mirror::next_tick`] found, and at which generation; finding it looks at every record.
+    due: Cell<Option<(u64, Option<Duration>)>>,
+}
+
+impl Mirror {
+    /// An empty one. `member` is this process's identity, 0 where it is no member; `beat` is the time between
+    /// a host's heartbeats.
+    pub fn new(member: u64, beat: Duration) -> Self {
+        Self {
+            member,
+            generation: 0,
+            ledger: LedgerMirror::new(),
+            sources: Sources::new(beat),
+            fleet: Fleet::default(),
+            fresh: None,
+            withheld: Withheld::Never,
+            due: Cell::new(None),
+        }
+    }
+
+    /// For a process that hands nothing on: no older documents are kept.
+    pub fn at_the_end(mut self) -> Self {
+        self.ledger.forget_history();
+        self
+    }
+
+    /// For a process that starts with nothing: a configuration from a member that is cut off from a primary (its news
+    /// are older than [`STALE_MS`], or it has had no proof in its life) isn't shown before a member that isn't has
+    /// answered, or [`FRESH_WAIT`] is over, or all members have told that they know no better
+    /// ([`Mirror::show_withheld`]). What is shown then is the newest that was heard of.
+    pub fn withholding(mut self) -> Self {
+        self.withheld = Withheld::Nothing;
+        self
+    }
+
+    /// Nobody who can be reached knows better: what is withheld is shown.
+    pub fn show_withheld(&mut self) {
+        if self.withheld.holds() {
+            self.withheld.end();
+            self.generation += 1;
+        }
+    }
+
+    /// Sets this process's identity, where it is known later than the mirror.
+    pub fn set_member(&mut self, member: u64) {
+        self.member = member;
+    }
+
+    /// Rises with each change of what [`Mirror::view`] tells.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Number of the ledger's last change.
+    pub fn ledger(&self) -> u64 {
+        self.ledger.seq
+    }
+
+    /// The configuration; version 0 where none has come yet.
+    pub fn document(&self) -> &Arc<Document> {
+        &self.ledger.document
+    }
+
+    /// The control plane.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// About how many coordinators pull now, by number alone: each is counted by as many members as it pulls from.
+    pub fn coordinators(&self) -> usize {
+        self.sources.coordinators()
+    }
+
+    /// Since when, at most, this process may have missed what the primary acknowledged, in ms; [`UNCONFIRMED`] where
+    /// it has had no proof at all.
+    pub fn age_ms(&self, now: Duration) -> u32 {
+        match self.fresh {
+            Some(at) => u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(UNCONFIRMED),
+            None => UNCONFIRMED,
+        }
+    }
+
+    /// There was proof that nothing acknowledged before `at` is missing here.
+    pub fn proved(&mut self, at: Duration) {
+        self.fresh = self.fresh.max(Some(at));
+    }
+
+    /// Takes the ledger's acknowledged state from this process's own ledger. True where it was newer.
+    pub fn set_ledger<'a>(
+        &mut self,
+        seq: u64,
+        document: Arc<Document>,
+        drains: impl IntoIterator<Item = &'a String>,
+    ) -> bool {
+        let newer = self.ledger.set(seq, document, drains.into_iter().cloned().collect());
+        self.changed(newer)
+    }
+
+    /// Takes a fleet that this process knows itself: one of a higher epoch, or, where this process is the
+    /// primary, a change within the epoch. The others hear of such changes by their pulls.
+    pub fn set_fleet(&mut self, epoch: u64, primary: u64, members: Vec<protocol::MemberInfo>) -> bool {
+        let base = epoch.saturating_mul(1 << MARK_BITS).max(1);
+        let mark = if base > self.fleet.mark {
+            base
+        } else if epoch == self.fleet.epoch && primary == self.member && self.fleet.members != members {
+            self.fleet.mark + 1
+        } else {
+            return false;
+        };
+        self.fleet = Fleet { mark, epoch, primary, members };
+        self.changed(true)
+    }
+
+    /// Counts a change of what is told; hands `changed` back.
+    fn changed(&mut self, changed: bool) -> bool {
+        self.generation += u64::from(changed);
+        changed
+    }
+
+    /// Takes news: only what is newer than what is here. True where something was taken.
+    pub fn apply(&mut self, now: Duration, news: &News) -> bool {
+        let before = self.generation;
+        let mut whole = true;
+        if let Some(config) = &news.config {
+            let applied = self.ledger.apply(config);
+            whole = applied != Applied::Missing;
+            let taken = self.changed(applied == Applied::Taken);
+            if taken && news.age_ms > STALE_MS {
+                self.withheld.begin(now);
+            }
+        }
+        for id in &news.retired {
+            self.retire(now, *id);
+        }
+        for source in &news.sources {
+            let newer = self.sources.apply(now, source);
+            self.changed(newer);
+        }
+        if let Some(fleet) = news.fleet.as_ref().filter(|f| f.mark > self.fleet.mark) {
+            self.fleet = fleet.clone();
+            self.changed(true);
+        }
+        if whole {
+            self.take_age(now, news.age_ms);
+        }
+        self.generation != before
+    }
+
+    /// Nothing is missing here that the speaker has, who may have missed what was acknowledged for `age_ms`.
+    fn take_age(&mut self, now: Duration, age_ms: u32) {
+        if age_ms <= STALE_MS {
+            let shown = self.withheld.end();
+            self.changed(shown);
+        }
+        if age_ms != UNCONFIRMED {
+            self.proved(now.saturating_sub(Duration::from_millis(age_ms.into())));
+        }
+    }
+
+    /// A source is no more: its hosts stay for a few beat periods, so that they can call another member. It
+    /// comes back only with a new life or, within that time, with a new change.
+    pub fn retire(&mut self, now: Duration, id: u64) {
+        let new = self.sources.retire(now, id);
+        self.changed(new);
+    }
+
+    /// Drops what is over. True where the view changed.
+    pub fn tick(&mut self, now: Duration) -> bool {
+        self.due.set(None);
+        let before = self.generation;
+        if self.withheld.until().is_some_and(|at| now >= at) {
+            self.show_withheld();
+        }
+        let dropped = self.sources.tick(now);
+        self.changed(dropped);
+        self.generation != before
+    }
+
+    /// When [`Mirror::tick`] next has something to do.
+    pub fn next_tick(&self) -> Option<Duration> {
+        if let Some((_, due)) = self.due.get().filter(|(generation, _)| *generation == self.generation) {
+            return due;
+        }
+        let due = self.sources.next_tick().into_iter().chain(self.withheld.until()).min();
+        self.due.set(Some((self.generation, due)));
+        due
+    }
+
+    /// What this mirror has of each source, for a pull.
+    pub fn vector(&self) -> Vec<Mark> {
+        self.sources.vector()
+    }
+
+    /// Asks for what this mirror lacks.
+    pub fn pull(&self, caller: &Caller, wait_ms: u32) -> Pull {
+        // That what is withheld is the current one is no news: it has to be asked for.
+        let wait_ms = if self.withheld.holds() { 0 } else { wait_ms };
+        Pull {
+            caller: caller.clone(),
+            wait_ms,
+            ledger: self.ledger.seq,
+            version: self.ledger.asked_version(),
+            fleet: self.fleet.mark,
+            sources: self.vector(),
+        }
+    }
+
+    /// News that say only how old this mirror may be.
+    pub fn no_news(&self, now: Duration) -> News {
+        News { member: self.member, age_ms: self.age_ms(now), ..News::default() }
+    }
+
+    /// Exactly what the puller lacks; `None` where that is nothing.
+    pub fn news_for(&self, now: Duration, pull: &Pull) -> Option<News> {
+        let mut news = self.no_news(now);
+        if self.ledger.seq > pull.ledger && !self.withheld.holds() {
+            news.config = Some(self.ledger.news(pull.version, pull.ledger));
+        }
+        if self.fleet.mark > pull.fleet {
+            news.fleet = Some(self.fleet.clone());
+        }
+        (news.sources, news.retired) = self.sources.news(&pull.sources);
+        (!news.is_empty()).then_some(news)
+    }
+
+    /// The newest record of a host among all sources but `own` (a member's identity).
+    pub fn host_elsewhere(&self, own: u64, host: &str) -> Option<&HostRecord> {
+        self.sources.host_elsewhere(own, host)
+    }
+
+    /// The merged truth.
+    pub fn view(&self) -> Snapshot {
+        let (ledger, document, drains) = match self.withheld.holds() {
+            true => Default::default(),
+            false => (self.ledger.seq, self.ledger.document.clone(), self.ledger.drains.clone()),
+        };
+        let hosts = hosts::merged(self.sources.hosts(), &drains, self.sources.arrivals());
+        let pulling: Vec<&CoordinatorRecord> = self.sources.pulling().collect();
+        Snapshot {
+            ledger,
+            document,
+            hosts,
+            hints: pulling.iter().filter(|r| r.addr.port > 0).map(|r| (r.name.clone(), r.addr)).collect(),
+            coordinators: pulling.iter().map(|r| r.name.clone()).collect(),
+            drains,
+            fleet: self.fleet.clone(),
+        }
+    }
+}
