--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -1,23 +1,33 @@
 //! A member of the control plane: voter, copy, candidate, primary. Takes inputs with the time and says what to
 //! send, write and answer. Safety rests on epochs; leases only say who may act and when others may stand.
 
+mod acknowledged;
 mod candidate;
 mod commands;
 mod disk;
+mod leave;
+mod membership;
 mod primary;
+mod recovery;
+mod summary;
 mod view;
 mod voter;
 
-pub use view::choose_replicas;
+pub use candidate::{candidate_of, ElectionPhase};
+pub use recovery::ReplayError;
+pub use summary::{DiskState, GrantSummary, MemberSummary, RoleSummary};
+pub use view::{choose_replicas, majority_shortfall};
 
 use crate::ledger::Ledger;
+use acknowledged::Acknowledged;
 use candidate::CandidateState;
 use commands::LocalCommand;
 use configuration::{Code, Document, FaultBudget};
 use disk::{After, Disk};
+use leave::Departure;
 use primary::PrimaryState;
 use protocol::{Command, MemberInfo, Message, Record, View};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,7 +36,8 @@
 pub struct Config {
     /// Its own seat.
     pub me: MemberInfo,
-    /// Set only where the whole system starts for the first time and the disk is empty: the voters of view 0.
+    /// The voters of view 0, for those that are among them since the whole system started for the first time; a
+    /// view on the disk goes before.
     pub bootstrap_voters: Option<Vec<MemberInfo>>,
     /// What may be lost at once.
     pub budget: FaultBudget,
@@ -172,6 +183,8 @@
     heard: Duration,
     /// Whether its disk takes writes, by its latest word.
     fit: bool,
+    /// When it last said that it is about to end.
+    leaving: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -195,10 +208,10 @@
     seen: u64,
     view: Option<View>,
     held: Option<ReplicaLedger>,
-    /// Number of the last change that this disk knows to be acknowledged.
-    committed: u64,
-    /// While records are read: the ledger after each change since the last that is known to be acknowledged.
-    history: VecDeque<Ledger>,
+    /// What this disk knows to be acknowledged.
+    acknowledged: Acknowledged,
+    /// Why the records can't be relied on: such a member has no say and holds no ledger.
+    unsound: Option<ReplayError>,
     /// What is to be shown at the first step.
     restored: Option<Ledger>,
     grant: Option<Grant>,
@@ -215,7 +228,8 @@
     local: BTreeMap<u64, LocalCommand>,
     /// The primary and its epoch, as others tell.
     hint: Option<(u64, MemberInfo)>,
-    leaving: bool,
+    /// Set once the process is asked to end.
+    departure: Option<Departure>,
 }
 
 impl Member {
@@ -230,8 +244,8 @@
             seen: 0,
             view: None,
             held: None,
-            committed: 0,
-            history: VecDeque::new(),
+            acknowledged: Acknowledged::default(),
+            unsound: None,
             restored: None,
             grant: None,
             proof: None,
@@ -242,49 +256,37 @@
             disk: Disk::default(),
             local: BTreeMap::new(),
             hint: None,
-            leaving: false,
+            departure: None,
             config,
         };
         if let Some(voters) = member.config.bootstrap_voters.clone() {
             let before = voters.clone();
             member.view = Some(View { epoch: 0, primary: 0, replicas: vec![], voters, before });
         }
-        records.iter().filter_map(|r| protocol::read_one(r).ok()).for_each(|r| member.recover(r));
-        member.history.clear();
+        member.recover(records);
         member.disk.kept(records.iter().map(Vec::len).sum());
         let start = if member.restarted { member.config.lease } else { Duration::ZERO };
         member.election_at = now + start + member.election_delay();
         member
     }
 
-    fn recover(&mut self, record: Record) {
-        match record {
-            Record::Promised { epoch } => self.promised = self.promised.max(epoch),
-            Record::Accepted { view, snapshot } => {
-                self.promised = self.promised.max(view.epoch);
-                let ledger = snapshot.and_then(|s| Ledger::of(&s).ok());
-                // Whether the view was agreed on is not known yet.
-                self.history = ledger.iter().cloned().collect();
-                self.held = ledger.map(|l| ReplicaLedger { head: l.clone(), disk: l });
-                self.view = Some(view);
+    fn recover(&mut self, records: &[Vec<u8>]) {
+        let recovered = match recovery::replay(records) {
+            Ok(recovered) => recovered,
+            Err(error) => {
+                // What was promised isn't known: nothing is promised, accepted or held any more.
+                self.view = None;
+                self.unsound = Some(error);
+                return;
             }
-            Record::Change { seq, change, .. } => {
-                let next = self.held.as_ref().filter(|h| h.head.seq + 1 == seq);
-                if let Some(next) = next.and_then(|h| h.head.after(&change).ok()) {
-                    self.history.push_back(next.clone());
-                    self.held = Some(ReplicaLedger { head: next.clone(), disk: next });
-                }
-            }
-            Record::Committed { seq } => {
-                self.committed = seq;
-                while self.history.front().is_some_and(|l| l.seq < seq) {
-                    self.history.pop_front();
-                }
-                let known = self.history.front().filter(|l| l.seq == seq).cloned();
-                self.restored = known.or_else(|| self.restored.take());
-            }
-        }
-        self.seen = self.seen.max(self.promised);
+        };
+        self.promised = recovered.promised;
+        self.seen = recovered.promised;
+        self.view = recovered.view.or(self.view.take());
+        self.held = recovered.held.map(|l| ReplicaLedger { head: l.clone(), disk: l });
+        self.restored = recovered.acknowledged.clone();
+        self.acknowledged = Acknowledged::recovered(recovered.acknowledged);
+        self.acknowledged.view_begins(self.held.as_ref().map(|h| &h.disk));
     }
 
     /// Takes one input; what has to be done is added to `out`, which ends with the next time to wake.
@@ -304,13 +306,10 @@
             }
             Input::Wrote { ticket, result } => self.on_wrote(ticket, result, out),
             Input::Command { ticket, command } => self.on_command(ticket, command),
-            Input::Reachable { seat } => self.note(&seat),
-            Input::Leave => {
-                self.leaving = true;
-                self.release_lease(out);
-                out.push(Output::Left);
-            }
+            Input::Reachable { seat } => self.on_reachable(&seat),
+            Input::Leave => self.on_leave(out),
         }
+        self.run_departure(out);
         self.run_primary(out);
         self.run_candidate(out);
         self.run_election_timer(out);
@@ -331,12 +330,15 @@
             }
             Message::FetchLedger { epoch } => self.on_fetch(from, epoch, out),
             Message::ReleaseLease { epoch } => self.on_release(epoch),
+            Message::Leaving { .. } => self.on_peer_leaving(from.id),
             Message::PreVoteReply { willing, seen, wait_ms } => {
                 self.on_pre_vote_reply(from, willing, seen, wait_ms, out)
             }
             Message::Promise { epoch, granted, seen, view, tag, wait_ms } => {
                 self.see(seen);
-                self.on_promise(from, epoch, granted, view.zip(Some(tag)), wait_ms, out);
+                // A voter that has just joined may not have accepted any view yet: its promise counts all the same.
+                let has = (view.unwrap_or_default(), tag);
+                self.on_promise(from, epoch, granted, Some(has), wait_ms, out);
             }
             Message::LedgerReply { epoch, snapshot, .. } => self.on_fetched(from, epoch, &snapshot, out),
             Message::InstallReply { epoch, ok, seen } => {
@@ -363,6 +365,19 @@
         }
     }
 
+    /// A link to a member is up. Of a voter that says little, as a link may outlive its process for seconds;
+    /// of others there is no other word.
+    fn on_reachable(&mut self, seat: &MemberInfo) {
+        let voter = self.view.as_ref().is_some_and(|v| v.seat(seat.id).is_some());
+        let heard = self.peers.get(&seat.id).map(|p| p.heard).filter(|_| voter);
+        self.note(seat);
+        if let Some(peer) = self.peers.get_mut(&seat.id) {
+            peer.heard = heard.unwrap_or(peer.heard);
+            // Only voters are asked how their disks are.
+            peer.fit |= !voter;
+        }
+    }
+
     fn note(&mut self, seat: &MemberInfo) {
         if seat.id == 0 || seat.id == self.config.me.id {
             return;
@@ -370,7 +385,8 @@
         // At one address there is one process: another identity there has lost its disk.
         self.peers.retain(|id, p| *id == seat.id || p.seat.addr != seat.addr);
         let now = self.now;
-        let peer = self.peers.entry(seat.id).or_insert(Peer { seat: seat.clone(), heard: now, fit: true });
+        let peer = Peer { seat: seat.clone(), heard: now, fit: true, leaving: None };
+        let peer = self.peers.entry(seat.id).or_insert(peer);
         peer.heard = now;
         if !seat.name.is_empty() {
             peer.seat = seat.clone();
@@ -389,12 +405,11 @@
         self.view.as_ref().is_some_and(|v| v.seat(self.me()).is_some())
     }
 
-    /// A copy notes what the primary of its view has acknowledged, for its next life.
+    /// A replica notes what the primary of its view has acknowledged, for its next life.
     fn record_committed(&mut self, epoch: u64, seq: u64) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
-        let has = self.held.as_ref().is_some_and(|h| h.disk.seq >= seq);
-        if follows && has && seq > self.committed {
-            self.committed = seq;
+        let Some(held) = self.held.as_ref().filter(|h| follows && h.disk.seq >= seq) else { return };
+        if self.acknowledged.acknowledge(seq, &held.disk) {
             self.write(&Record::Committed { seq }, After::Nothing);
         }
     }
@@ -490,13 +505,19 @@
         }
     }
 
-    /// Whether the disk takes writes.
+    /// Why this member can't rely on its records, where that is so: it promises, accepts and holds nothing until
+    /// its disk is emptied.
+    pub fn unsound(&self) -> Option<&ReplayError> {
+        self.unsound.as_ref()
+    }
+
+    /// Whether the disk takes writes and its records can be relied on.
     pub fn fit(&self) -> bool {
-        self.disk.fit(self.now, self.config.stall)
+        self.unsound.is_none() && self.disk.fit(self.now, self.config.stall)
     }
 
     fn next_wake(&self) -> Duration {
-        let idle = self.is_voter() && matches!(self.role, Role::Idle) && !self.leaving;
+        let idle = self.is_voter() && matches!(self.role, Role::Idle) && self.departure.is_none();
         let stand = idle.then(|| self.election_at.max(self.grant.map_or(self.election_at, |g| g.until)));
         let grace = Duration::from_millis(1);
         [
@@ -504,6 +525,7 @@
             self.primary_wake(),
             self.candidate_wake(),
             self.commands_wake(),
+            self.departure_wake(),
             self.disk.wake(self.config.stall),
         ]
         .into_iter()
--- a/crates/replication/src/mirror/mod.rs
+++ b/crates/replication/src/mirror/mod.rs
@@ -113,6 +113,14 @@
         &self.ledger.document
     }
 
+    /// Version of the configuration that is shown, and number of the ledger's change; 0 while one is withheld.
+    pub fn shown(&self) -> (u64, u64) {
+        match self.withheld.holds() {
+            true => (0, 0),
+            false => (self.ledger.document.version, self.ledger.seq),
+        }
+    }
+
     /// The control plane.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
