--- a/crates/control-plane/src/shell/call_runner.rs
+++ b/crates/control-plane/src/shell/call_runner.rs
@@ -3,7 +3,7 @@
 use super::call::Call;
 use super::control::{Reply, RunCall};
 use super::links::Links;
-use super::{command, Event, Events, MemberStatus, STATUS_TIMEOUT};
+use super::{command, Event, Events, MemberStatus};
 use crate::feed::Feed;
 use crate::history::History;
 use crate::roster::{beat_target, HostCall};
@@ -16,11 +16,12 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::sync::{oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
+/// Longest wait for what a member's state machine says of itself.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a host waits for its drain.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Longest time that a call waits for the disk at the start.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -176,7 +177,29 @@
             "voters": v.voters.iter().map(member_json).collect::<Vec<_>>(), "settled": v.settled()})
     });
     json!({"view": view, "acts": status.acts, "primary": status.primary.as_ref().map(|s| hex(s.id)),
-        "promised": status.promised, "disk_fit": status.fit, "age_ms": status.age.as_millis() as u64})
+        "promised": status.promised, "disk_fit": status.fit, "age_ms": status.age.map(|age| age.as_millis() as u64)})
+}
+
+/// Logs what became of a configuration order here, also where its caller has gone before the answer.
+struct OrderTrace {
+    base: u64,
+    bytes: usize,
+    since: Instant,
+    code: Option<Code>,
+}
+
+impl OrderTrace {
+    fn new(base: u64, bytes: usize) -> Self {
+        Self { base, bytes, since: Instant::now(), code: None }
+    }
+}
+
+impl Drop for OrderTrace {
+    fn drop(&mut self) {
+        let waited_ms = self.since.elapsed().as_millis() as u64;
+        let result = self.code.map_or("the caller has gone", Code::text);
+        log::info!(base = self.base, bytes = self.bytes, waited_ms, result; "order");
+    }
 }
 
 impl RunCall for CallRunner {
@@ -199,8 +222,10 @@
                 (code, text) => Reply::detailed(code, &String::from_utf8_lossy(&text)),
             },
             Call::Configure { base, amend, body } => {
+                let mut trace = OrderTrace::new(base, body.len());
                 let asked = Command::Configure { base, amend, body: body.into() };
                 let (code, text) = command(&self.events, asked, self.patience).await;
+                trace.code = Some(code);
                 Reply::detailed(code, &String::from_utf8_lossy(&text))
             }
             Call::Host(call) => self.host(&opened, &call).await,
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,427 +1,11 @@
-//! What the processes say to each other. Times are in ms, identities of members are drawn when a disk is
-//! first used (`docs/design/system.md`).
+//! What the processes say to each other. Times are in ms.
 
+use crate::hints::Placement;
+use crate::ledger::{Change, Command, LedgerPosition, Snapshot};
+use crate::membership::{Fleet, MemberInfo, View};
+use crate::news::{Caller, ConfigNews, Mark, SourceNews};
 use crate::wire::*;
 use binrw::binrw;
-use std::net::{Ipv4Addr, SocketAddrV4};
-
-/// An IPv4 address with a port.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
-pub struct Addr {
-    /// The address.
-    pub ip: u32,
-    /// The port.
-    pub port: u16,
-}
-
-/// A member of the control plane: a process with a disk.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct MemberInfo {
-    /// Its identity; a member that lost its disk comes back with another one.
-    pub id: u64,
-    /// Name of its machine.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub name: String,
-    /// Where it takes the system's own messages.
-    pub addr: Addr,
-    /// Where hosts and the operator call it.
-    pub control: Addr,
-    /// Its zone.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub zone: String,
-    /// Its region.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub region: String,
-}
-
-/// Who acts: agreed on by a majority of the voters, under an epoch that is never used twice.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct View {
-    /// The epoch.
-    pub epoch: u64,
-    /// The one that takes changes.
-    pub primary: u64,
-    /// Those that hold the ledger, the primary among them: each has a change on disk before it is acknowledged.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub replicas: Vec<u64>,
-    /// All that have a say in the next view.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub voters: Vec<MemberInfo>,
-    /// The voters of the view that it followed: while these differ, the next view needs a majority of both.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub before: Vec<MemberInfo>,
-}
-
-/// How far a ledger goes.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct LedgerPosition {
-    /// The view under which it was last written.
-    pub epoch: u64,
-    /// Number of its last change.
-    pub seq: u64,
-}
-
-/// A configuration call that was taken: the same call again gets the same answer.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct AcceptedCall {
-    /// The version it led to.
-    pub version: u64,
-    /// What was sent, in short.
-    pub digest: u64,
-}
-
-/// A whole ledger.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct Snapshot {
-    /// Number of its last change.
-    pub seq: u64,
-    /// The configuration as JSON; empty where there is none yet.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub document: String,
-    /// The latest calls that were taken.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub taken: Vec<AcceptedCall>,
-    /// Hosts that are leaving or gone, oldest first.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub drains: Vec<String>,
-}
-
-/// What a host said of itself.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct HostRecord {
-    /// Its identity, new with every start.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub id: String,
-    /// Its service.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub service: String,
-    /// Where it takes requests.
-    pub addr: Addr,
-    /// Its zone.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub zone: String,
-    /// Requests that it works on at once.
-    pub capacity: u32,
-    /// 0 ready, 1 draining, 2 gone.
-    pub phase: u8,
-    /// Whether its heartbeats have stopped.
-    #[br(parse_with = flag)]
-    #[bw(write_with = put_flag)]
-    pub silent: bool,
-    /// Number of its latest call.
-    pub call_seq: u64,
-    /// How much longer it is slow from its start.
-    pub cold_left_ms: u32,
-}
-
-/// What a member knows of a coordinator that pulls from it.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct CoordinatorRecord {
-    /// Name of its machine.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub name: String,
-    /// Its zone.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub zone: String,
-    /// Its region.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub region: String,
-    /// Where its proxy takes the other proxies' hints; port 0 where it takes none.
-    pub addr: Addr,
-    /// Whether it has stopped pulling.
-    #[br(parse_with = flag)]
-    #[bw(write_with = put_flag)]
-    pub gone: bool,
-    /// Version of the configuration that it has in force.
-    pub version: u64,
-}
-
-/// How much of a source somebody has.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct Mark {
-    /// The member that is the source.
-    pub id: u64,
-    /// Which of the member's lives.
-    pub life: u64,
-    /// Number of its latest change.
-    pub seq: u64,
-}
-
-/// What a source has to say beyond a mark.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct SourceNews {
-    /// How far this goes.
-    pub mark: Mark,
-    /// Whether it stands for all that the source has; else it adds to what came before.
-    #[br(parse_with = flag)]
-    #[bw(write_with = put_flag)]
-    pub whole: bool,
-    /// Hosts whose records changed.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub hosts: Vec<HostRecord>,
-    /// Coordinators whose records changed.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub coordinators: Vec<CoordinatorRecord>,
-}
-
-/// Configuration and drains beyond a mark.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct ConfigNews {
-    /// Number of the ledger's last change.
-    pub seq: u64,
-    /// Version of the configuration that the items add to; 0 where they are the whole of it.
-    pub from: u64,
-    /// Version that they lead to; 0 where there is none yet.
-    pub to: u64,
-    /// Routes set, as JSON.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub routes: Vec<String>,
-    /// Services set, as JSON.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub services: Vec<String>,
-    /// Routes that went.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub gone_routes: Vec<String>,
-    /// Services that went.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub gone_services: Vec<String>,
-    /// The limits as JSON, where they changed: none or one.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub limits: Vec<String>,
-    /// Number of the ledger's change that the drains add to; 0 where they are all of them.
-    pub drains_from: u64,
-    /// Hosts that are leaving or gone.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub drains: Vec<String>,
-    /// Hosts that were leaving or gone and are no longer spoken of.
-    #[br(parse_with = texts)]
-    #[bw(write_with = put_texts)]
-    pub gone_drains: Vec<String>,
-}
-
-/// The control plane as a member sees it.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct Fleet {
-    /// Changes with the content.
-    pub mark: u64,
-    /// Epoch of its view.
-    pub epoch: u64,
-    /// The primary in that view; 0 where none is known.
-    pub primary: u64,
-    /// The members, voters first.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub members: Vec<MemberInfo>,
-}
-
-/// Who pulls.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct Caller {
-    /// Name of its machine.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub name: String,
-    /// Its zone.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub zone: String,
-    /// Its region.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub region: String,
-    /// Where its proxy takes the other proxies' hints; port 0 where it takes none.
-    pub addr: Addr,
-    /// Its identity where it is a member, else 0.
-    pub member: u64,
-    /// Version of the configuration that it has in force.
-    pub version: u64,
-}
-
-/// A part of a prompt.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct Part {
-    /// Its identity.
-    pub id: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
-
-/// What a host was sent and so keeps.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq, Default)]
-pub struct Placement {
-    /// The host.
-    #[br(parse_with = text)]
-    #[bw(write_with = put_text)]
-    pub host: String,
-    /// Parts of prompts that others may ask for too, in order.
-    #[br(parse_with = list)]
-    #[bw(write_with = put_list)]
-    pub parts: Vec<Part>,
-}
-
-/// A change of the ledger.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq)]
-pub enum Change {
-    /// A configuration call.
-    #[brw(magic(1u8))]
-    Configure {
-        /// The version it builds on.
-        base: u64,
-        /// Whether it amends; else it replaces.
-        #[br(parse_with = flag)]
-        #[bw(write_with = put_flag)]
-        amend: bool,
-        /// The body as sent.
-        #[br(parse_with = bytes)]
-        #[bw(write_with = put_bytes)]
-        body: Vec<u8>,
-    },
-    /// A host is leaving or gone.
-    #[brw(magic(2u8))]
-    Drain {
-        /// Its identity.
-        #[br(parse_with = text)]
-        #[bw(write_with = put_text)]
-        host: String,
-    },
-    /// Hosts that were leaving are long gone.
-    #[brw(magic(3u8))]
-    Forget {
-        /// Their identities.
-        #[br(parse_with = texts)]
-        #[bw(write_with = put_texts)]
-        hosts: Vec<String>,
-    },
-}
-
-/// A call of hosts or operators, to be run elsewhere.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// Takes a configuration.
-    #[brw(magic(1u8))]
-    Configure {
-        /// The version it builds on.
-        base: u64,
-        /// Whether it amends; else it replaces.
-        #[br(parse_with = flag)]
-        #[bw(write_with = put_flag)]
-        amend: bool,
-        /// The body as sent.
-        #[br(parse_with = bytes)]
-        #[bw(write_with = put_bytes)]
-        body: Vec<u8>,
-    },
-    /// Asks for the newest configuration.
-    #[brw(magic(2u8))]
-    Read {
-        /// 0.
-        reserved: u8,
-    },
-    /// A host is leaving or gone.
-    #[brw(magic(3u8))]
-    Drain {
-        /// Its identity.
-        #[br(parse_with = text)]
-        #[bw(write_with = put_text)]
-        host: String,
-    },
-}
-
-/// What a member keeps on disk.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug, PartialEq)]
-pub enum Record {
-    /// No lower epoch is followed any more.
-    #[brw(magic(1u8))]
-    Promised {
-        /// The epoch.
-        epoch: u64,
-    },
-    /// A view, with the ledger at its start where the member holds it.
-    #[brw(magic(2u8))]
-    Accepted {
-        /// The view.
-        view: View,
-        /// The ledger.
-        #[br(parse_with = option)]
-        #[bw(write_with = put_option)]
-        snapshot: Option<Snapshot>,
-    },
-    /// A change of the ledger.
-    #[brw(magic(3u8))]
-    Change {
-        /// Epoch of the view.
-        epoch: u64,
-        /// Number of the change.
-        seq: u64,
-        /// The change.
-        change: Change,
-    },
-    /// All changes up to this one were acknowledged.
-    #[brw(magic(4u8))]
-    Committed {
-        /// Number of the change.
-        seq: u64,
-    },
-}
 
 /// A message.
 #[binrw]
@@ -547,6 +131,9 @@
         stamp: u64,
         /// Number of the last change that is acknowledged.
         committed: u64,
+        /// The latest [`Message::LeaseReply`]'s `clock` that the primary has from this voter; 0 where it has none,
+        /// or where its lease isn't in force now. It proves to the voter that the speaker acted after that moment.
+        heard: u64,
     },
     /// The answer to [`Message::RenewLease`].
     #[brw(magic(17u8))]
@@ -565,6 +152,8 @@
         #[br(parse_with = flag)]
         #[bw(write_with = put_flag)]
         fit: bool,
+        /// The voter's clock when it answered, in ms, counted from a number of its own that differs for each life.
+        clock: u64,
     },
     /// The primary gives its lease up.
     #[brw(magic(18u8))]
@@ -572,6 +161,12 @@
         /// Epoch of its view.
         epoch: u64,
     },
+    /// The speaker has been asked to end: nothing new is to be put there, and what it holds is to be taken over.
+    #[brw(magic(25u8))]
+    Leaving {
+        /// Epoch of the latest view that it accepted.
+        epoch: u64,
+    },
     /// Asks for the ledger, fenced by a promise.
     #[brw(magic(19u8))]
     FetchLedger {
@@ -653,8 +248,11 @@
     News {
         /// Who speaks; 0 for an agent.
         member: u64,
-        /// Since when, at most, the speaker may have missed what the primary acknowledged.
+        /// Since when, at most, the speaker may have missed what the primary acknowledged, in ms; `u32::MAX` where
+        /// it has had no proof in this life.
         age_ms: u32,
+        /// How long the speaker had the pull before it answered, in ms.
+        held_ms: u32,
         /// Configuration and drains.
         #[br(parse_with = option)]
         #[bw(write_with = put_option)]
@@ -673,39 +271,3 @@
         fleet: Option<Fleet>,
     },
 }
-
-impl From<SocketAddrV4> for Addr {
-    fn from(addr: SocketAddrV4) -> Self {
-        Self { ip: u32::from(*addr.ip()), port: addr.port() }
-    }
-}
-
-impl From<&Addr> for SocketAddrV4 {
-    fn from(addr: &Addr) -> Self {
-        Self::new(Ipv4Addr::from(addr.ip), addr.port)
-    }
-}
-
-impl Copy for Addr {}
-impl Copy for Mark {}
-impl Copy for LedgerPosition {}
-
-impl View {
-    /// The seat of a voter.
-    pub fn seat(&self, id: u64) -> Option<&MemberInfo> {
-        self.voters.iter().find(|s| s.id == id)
-    }
-
-    /// Whether those that `has` names are a majority of the voters, and of the voters before.
-    pub fn majority(&self, has: impl Fn(u64) -> bool) -> bool {
-        let most = |seats: &[MemberInfo]| 2 * seats.iter().filter(|s| has(s.id)).count() > seats.len();
-        most(&self.voters) && most(&self.before)
-    }
-
-    /// Whether its voters are those of the view before.
-    pub fn settled(&self) -> bool {
-        let ids =
-            |seats: &[MemberInfo]| seats.iter().map(|s| s.id).collect::<std::collections::BTreeSet<_>>();
-        ids(&self.voters) == ids(&self.before)
-    }
-}
--- a/crates/replication/tests/puller.rs
+++ b/crates/replication/tests/puller.rs
@@ -376,3 +376,35 @@
     bench.tick(2900);
     assert!(bench.find(1).is_none(), "nothing more came");
 }
+
+#[test]
+fn it_knows_when_a_pull_left_that_is_out() {
+    let mut bench = Bench::new(WATCHED, &[1]);
+    bench.up();
+    let link = bench.link(1);
+    assert_eq!(bench.puller.asked(link), Some(ms(0)));
+    bench.puller.part(ms(900), link);
+    assert_eq!(bench.puller.asked(link), Some(ms(0)), "whatever comes meanwhile");
+    bench.answered(1000, 1, 0, false);
+    assert_eq!(bench.puller.asked(link), Some(ms(1000)));
+    bench.tick(2700);
+    assert_eq!(bench.puller.asked(link), None, "given up");
+}
+
+#[test]
+fn it_knows_whether_anybody_may_know_better() {
+    let mut bench = Bench::new(WATCHED, &[1, 2]);
+    assert!(!bench.puller.none_fresh(), "nobody was asked");
+    bench.up();
+    bench.answered(5, 1, u32::MAX, true);
+    assert!(!bench.puller.none_fresh(), "the other one hasn't answered");
+    bench.answered(6, 2, 20_000, true);
+    assert!(bench.puller.none_fresh());
+    bench.puller.set_members([addr(1), addr(2), addr(3)]);
+    bench.tick(7);
+    assert!(!bench.puller.none_fresh(), "one more was heard of");
+    bench.failed(8, 3);
+    assert!(!bench.puller.none_fresh(), "one that is down may come back and know better");
+    bench.answered(9, 1, 10, true);
+    assert!(!bench.puller.none_fresh());
+}
