Simulator: agents and proxies as readers, planted bugs, plans made small

Cause: nobody read what the members show, a broken plan had to be read whole, six bugs were planted. Change: agents, proxies and the members' own mirrors run on the code's Mirror and Puller over simulated links; none goes back, none shows what was not shown, none is older than 2 s in calm times with contact, faults lasting or not.

--- a/crates/simulator/src/bin/simulator.rs
+++ b/crates/simulator/src/bin/simulator.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use bpaf::Parser;
-use simulator::{run, Mode, Report};
+use simulator::{code, run, shrink, Mode, Plan, Planted, Report};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -15,6 +15,22 @@
     all.get(((all.len() as f64 - 1.0) * q) as usize).copied().unwrap_or(0.0)
 }
 
+/// Prints the first seed of each mode that finds a planted bug.
+fn find_planted(from: u64, to: u64) {
+    for planted in Planted::ALL {
+        // What breaks without the bug shows nothing of it.
+        let breaks = |plan: Plan| {
+            !run(&Plan { planted, ..plan.clone() }).breaches.is_empty() && run(&plan).breaches.is_empty()
+        };
+        let first = |mode: Mode| (from..to).find(|seed| breaks(mode.plan(*seed)));
+        let found: Vec<String> = Mode::ALL
+            .into_iter()
+            .map(|mode| format!("{} {}", mode.name(), first(mode).map_or("-".to_owned(), |s| s.to_string())))
+            .collect();
+        println!("{planted:?}: {}", found.join(", "));
+    }
+}
+
 fn main() -> ExitCode {
     let from = number("from", "first seed", 0);
     let to = number("to", "one beyond the last seed", 1000);
@@ -25,10 +41,17 @@
         .parse(|name| Mode::of(&name).ok_or("no such mode"))
         .fallback(Mode::Drawn);
     let trace = bpaf::long("trace").help("print what happens in the first schedule").switch();
-    let options = bpaf::construct!(from, to, jobs, mode, trace).to_options();
-    let (from, to, jobs, mode, trace) =
+    let shrunk = bpaf::long("shrink").help("print broken plans made small").switch();
+    let planted =
+        bpaf::long("planted").help("tell which seed finds each planted bug first, by mode").switch();
+    let options = bpaf::construct!(from, to, jobs, mode, trace, shrunk, planted).to_options();
+    let (from, to, jobs, mode, trace, shrunk, planted) =
         options.descr("Plays the control plane's members on simulated machines").run();
     let plan = |seed| mode.plan(seed);
+    if planted {
+        find_planted(from, to);
+        return ExitCode::SUCCESS;
+    }
     if trace {
         let report = run(&simulator::Plan { trace: true, ..plan(from) });
         report.trace.iter().for_each(|line| println!("{line}"));
@@ -56,7 +79,8 @@
     reports.sort_by_key(|r| r.0);
     let broken: Vec<_> = reports.iter().filter(|r| !r.1.breaches.is_empty()).collect();
     for (seed, report) in &broken {
-        println!("seed {seed}: {:?}\n  {:?}\n  {:?}", report.breaches, plan(*seed), report.struck);
+        println!("seed {seed}: {:?}\n  {:?}", report.breaches, report.struck);
+        println!("  {}", code(&if shrunk { shrink(&plan(*seed)) } else { plan(*seed) }));
     }
     let mut gaps: Vec<f64> = reports.iter().flat_map(|r| &r.1.gaps).map(|g| g.as_secs_f64() * 1e3).collect();
     gaps.sort_by(f64::total_cmp);
--- a/crates/simulator/src/drawn.rs
+++ b/crates/simulator/src/drawn.rs
@@ -154,6 +154,16 @@
         Self { members, losses, strict: true, orders, ..Self::calm(seed) }
     }
 
+    /// Agents in one of two runs; they may be started again at any time.
+    fn with_agents(mut self, draw: &mut Draw) -> Self {
+        self.agents = [0, 2][draw.index(2)];
+        for _ in 0..self.agents {
+            let at = ms(draw.below(self.length.as_millis() as u64));
+            self.faults.push((at, Fault::Agent(draw.index(self.agents), draw.between(50, 1500))));
+        }
+        self
+    }
+
     /// Cuts and freezes of 15 to 25 s, one way too, by member, pair and zone; members are restarted while they are cut
     /// off; other faults follow as soon as the budget allows.
     pub fn long(seed: u64) -> Self {
@@ -184,7 +194,7 @@
             at += length + draw.between(0, 5000);
         }
         plan.length = at + ms(14_000);
-        plan
+        plan.with_agents(&mut draw)
     }
 
     /// Faults aimed at moments, as far as the budget allows them, beside some that bring the moments about.
@@ -209,7 +219,7 @@
             plan.aimed.push(aimed);
         }
         plan.length = at + ms(12_000);
-        plan
+        plan.with_agents(&mut draw)
     }
 
     /// Faults aimed at moments whatever the budget says, but no more disks lost in all than it allows: only safety is
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -14,10 +14,12 @@
 mod operator;
 mod plan;
 mod planted;
+mod shrink;
 mod world;
 
 pub use drawn::Mode;
 pub use faults::{Aimed, Fault, Moment, Who};
 pub use plan::{Orders, Plan, Report};
 pub use planted::Planted;
+pub use shrink::{code, shrink};
 pub use world::run;
--- /dev/null
+++ b/crates/simulator/src/world/bugs.rs
@@ -0,0 +1,147 @@
+//! Planted bugs: what is sent, written and answered is rewritten, so that the checkers have something to find.
+
+use super::World;
+use crate::planted::Planted;
+use configuration::Code;
+use control_plane::member::Input;
+use protocol::{Message, Record, Snapshot, View};
+
+impl World<'_> {
+    /// A message as the bug has it sent; none where it is held back.
+    pub(super) fn planted_send(&mut self, n: usize, to: usize, message: Message) -> Option<Message> {
+        match (self.plan.planted, message) {
+            (Planted::VotersBeforeForgotten, Message::InstallView { mut view, snapshot }) => {
+                forget_before(&mut view);
+                Some(Message::InstallView { view, snapshot })
+            }
+            (Planted::TakenCallsNotInSnapshot | Planted::DrainsNotInSnapshot, message) => {
+                Some(self.without_parts(message))
+            }
+            (Planted::LeaseAlwaysGranted, Message::LeaseReply { epoch, stamp, seen, fit, .. }) => {
+                Some(Message::LeaseReply { epoch, stamp, ok: true, seen, fit })
+            }
+            (Planted::FetchedLedgerIsOld, Message::LedgerReply { epoch, tag, snapshot }) => {
+                let old = self.nodes[n].view_ledger.clone();
+                Some(Message::LedgerReply { epoch, tag, snapshot: old.unwrap_or(snapshot) })
+            }
+            (Planted::AnswersMixedUp, Message::CommandResult { id, code, text }) => {
+                let id = if self.pick(10) == 0 { id + 1 } else { id };
+                Some(Message::CommandResult { id, code, text })
+            }
+            (Planted::ReplicaConfirmsEarly, Message::AppendChange { epoch, seq, change }) => {
+                let life = self.nodes[to].life;
+                let reply = Message::AppendReply { epoch, seq, ok: true, seen: epoch };
+                let way = super::ms(1);
+                let deliver = super::What::Deliver { from: to, life, message: Box::new(reply) };
+                if self.nodes[to].member.is_some() && !self.cut.contains_key(&(n, to)) {
+                    self.at(self.now + way, n, deliver);
+                }
+                Some(Message::AppendChange { epoch, seq, change })
+            }
+            (Planted::CountedBeforeLedger, Message::InstallView { view, snapshot: Some(snapshot) }) => {
+                let (epoch, life) = (view.epoch, self.nodes[to].life);
+                let reply = Message::InstallReply { epoch, ok: true, seen: epoch };
+                let deliver = super::What::Deliver { from: to, life, message: Box::new(reply) };
+                if self.nodes[to].member.is_some() && !self.cut.contains_key(&(n, to)) {
+                    self.at(self.now + super::ms(1), n, deliver);
+                }
+                let life = self.nodes[n].life;
+                let message = Box::new(Message::InstallView { view, snapshot: Some(snapshot) });
+                self.at(self.now + super::ms(300), to, super::What::Deliver { from: n, life, message });
+                None
+            }
+            (_, message) => Some(message),
+        }
+    }
+
+    fn without_parts(&self, message: Message) -> Message {
+        match message {
+            Message::InstallView { view, snapshot } => {
+                Message::InstallView { view, snapshot: snapshot.map(|s| self.stripped(s)) }
+            }
+            Message::LedgerReply { epoch, tag, snapshot } => {
+                Message::LedgerReply { epoch, tag, snapshot: self.stripped(snapshot) }
+            }
+            other => other,
+        }
+    }
+
+    fn stripped(&self, mut snapshot: Snapshot) -> Snapshot {
+        match self.plan.planted {
+            Planted::TakenCallsNotInSnapshot => snapshot.taken.clear(),
+            Planted::DrainsNotInSnapshot => snapshot.drains.clear(),
+            _ => {}
+        }
+        snapshot
+    }
+
+    /// Records as the bug has them written.
+    pub(super) fn planted_write(&mut self, n: usize, records: &mut Vec<Vec<u8>>) {
+        match self.plan.planted {
+            Planted::NoSnapshot => records.iter_mut().for_each(|r| {
+                if let Ok(Record::Accepted { view, .. }) = protocol::read_one(r) {
+                    *r = protocol::write_one(&Record::Accepted { view, snapshot: None });
+                }
+            }),
+            Planted::LosesEveryTenthWrite => {
+                if self.pick(10) == 0 {
+                    records.clear();
+                }
+            }
+            Planted::VotersBeforeForgotten => records.iter_mut().for_each(|r| {
+                if let Ok(Record::Accepted { mut view, snapshot }) = protocol::read_one(r) {
+                    forget_before(&mut view);
+                    *r = protocol::write_one(&Record::Accepted { view, snapshot });
+                }
+            }),
+            Planted::TakenCallsNotInSnapshot | Planted::DrainsNotInSnapshot => {
+                for record in records {
+                    if let Ok(Record::Accepted { view, snapshot }) = protocol::read_one(record) {
+                        let snapshot = snapshot.map(|s| self.stripped(s));
+                        *record = protocol::write_one(&Record::Accepted { view, snapshot });
+                    }
+                }
+            }
+            Planted::CommittedAheadOfReplicas => {
+                let committed = |r: &Vec<u8>| match protocol::read_one(r) {
+                    Ok(Record::Change { seq, .. }) => {
+                        vec![r.clone(), protocol::write_one(&Record::Committed { seq })]
+                    }
+                    _ => vec![r.clone()],
+                };
+                *records = records.iter().flat_map(committed).collect();
+            }
+            Planted::FetchedLedgerIsOld => {
+                let of_view = |r: &Vec<u8>| match protocol::read_one(r) {
+                    Ok(Record::Accepted { snapshot, .. }) => snapshot,
+                    _ => None,
+                };
+                if let Some(snapshot) = records.iter().rev().find_map(of_view) {
+                    self.nodes[n].view_ledger = Some(snapshot);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// An answer as the bug has it.
+    pub(super) fn planted_answer(&self, code: Code) -> Code {
+        match (self.plan.planted, code) {
+            (Planted::TimeoutConfirmed, Code::Unclear) => Code::Ok,
+            (Planted::TimeoutRefused, Code::Unclear) => Code::OtherBase,
+            (_, code) => code,
+        }
+    }
+
+    /// A member that hears of a lease no longer answers by what it knew at its start.
+    pub(super) fn planted_input(&mut self, n: usize, input: &Input) {
+        let renews = matches!(input, Input::Message { message: Message::RenewLease { .. }, .. });
+        if self.plan.planted == Planted::RestoredAsFresh && renews {
+            self.nodes[n].shown = None;
+        }
+    }
+}
+
+fn forget_before(view: &mut View) {
+    view.before = view.voters.clone();
+}
--- a/crates/simulator/src/world/checks.rs
+++ b/crates/simulator/src/world/checks.rs
@@ -64,6 +64,7 @@
         if let Some(stuck) = self.stuck_order() {
             self.breach(0, stuck);
         }
+        self.check_readers();
         self.at(self.now + LOOK, 0, What::Check);
     }
 
--- a/crates/simulator/src/world/disk.rs
+++ b/crates/simulator/src/world/disk.rs
@@ -4,7 +4,6 @@
 use crate::plan::ms;
 use crate::planted::Planted;
 use control_plane::member::{DiskError, Input};
-use protocol::Record;
 use rand_core::RngCore;
 use std::time::Duration;
 
@@ -13,16 +12,7 @@
     pub(super) fn write(&mut self, n: usize, ticket: u64, mut records: Vec<Vec<u8>>, rewrite: bool) {
         let (stalled, full, slow) = self.nodes[n].disk;
         let time = (ms(2) + Duration::from_micros(self.pick(1500))) * slow;
-        if self.plan.planted == Planted::NoSnapshot {
-            records.iter_mut().for_each(|r| {
-                if let Ok(Record::Accepted { view, .. }) = protocol::read_one(r) {
-                    *r = protocol::write_one(&Record::Accepted { view, snapshot: None });
-                }
-            });
-        }
-        if self.plan.planted == Planted::LosesEveryTenthWrite && self.pick(10) == 0 {
-            records.clear();
-        }
+        self.planted_write(n, &mut records);
         let result = if full { Err(DiskError::Full) } else { Ok(()) };
         let early = self.plan.planted == Planted::NoSync;
         let wrote = What::Wrote { ticket, records, rewrite, result };
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -2,6 +2,7 @@
 //! and the checkers stands beside.
 
 mod budget;
+mod bugs;
 mod callers;
 mod checks;
 mod disk;
@@ -9,6 +10,7 @@
 mod network;
 mod nodes;
 mod orders;
+mod readers;
 mod strike;
 
 use crate::faults::{Aimed, Fault, Moment};
@@ -69,6 +71,14 @@
         number: usize,
         subject: usize,
     },
+    /// Something happens to a process that mirrors the control plane.
+    Station {
+        place: readers::Place,
+        life: u32,
+        event: readers::Event,
+    },
+    /// Such a process starts.
+    OpenStation(readers::Place),
     /// A process that was asked to end ends.
     End(usize, Option<Duration>),
     /// The checkers look.
@@ -88,6 +98,8 @@
                 | Self::Again { .. }
                 | Self::Aimed { .. }
                 | Self::End(..)
+                | Self::Station { .. }
+                | Self::OpenStation(_)
                 | Self::Check
         )
     }
@@ -100,6 +112,8 @@
     stalled: Duration,
     full: Duration,
     slow: Duration,
+    /// Since when its process stands still.
+    frozen_since: Duration,
     /// It can't reach all others that are well.
     apart: Duration,
 }
@@ -125,6 +139,8 @@
     stood_still: Duration,
     /// What it last showed as acknowledged in this life.
     shown: Option<Vec<u8>>,
+    /// The ledger that its latest view began with, for a planted bug.
+    view_ledger: Option<protocol::Snapshot>,
 }
 
 type Due = Reverse<(Duration, u64, usize)>;
@@ -144,6 +160,7 @@
     report: Report,
     published: BTreeMap<u64, u64>,
     orders: OrderBook,
+    stations: BTreeMap<readers::Place, readers::Station>,
     /// Faults that wait for a moment, and the moments that have come.
     armed: Vec<Aimed>,
     moments: BTreeMap<Moment, u32>,
@@ -173,6 +190,7 @@
         report: Report::default(),
         published: BTreeMap::new(),
         orders: OrderBook::default(),
+        stations: BTreeMap::new(),
         armed: plan.aimed.clone(),
         moments: BTreeMap::new(),
         last_acting: None,
@@ -195,6 +213,10 @@
             (0..orders.operators).for_each(|o| world.at(world.now + ms(1500), 0, What::Operator(o)))
         }
     }
+    for k in 0..plan.agents {
+        world.open_station(readers::Place::Agent(k));
+        world.open_station(readers::Place::Proxy(k));
+    }
     if plan.strict {
         world.at(world.now + ms(4000), 0, What::Check);
     }
@@ -225,13 +247,16 @@
     fn step(&mut self, n: usize, input: Input) {
         let mut out = Vec::new();
         let now = self.clock(n);
+        self.planted_input(n, &input);
         let Some(member) = self.nodes[n].member.as_mut() else { return };
         member.step(now, input, &mut out);
         self.report.epoch = self.report.epoch.max(member.promised());
         self.report.steps += 1;
         for output in out {
+            self.station_hears(n, &output);
             self.perform(n, output);
         }
+        self.station_shows(n);
         let now = self.now;
         let acts = self.someone_acts();
         match (acts, self.gap_from) {
@@ -295,7 +320,9 @@
         match output {
             Output::Send { to, message } => self.send(n, &to, message),
             Output::Write { ticket, records, rewrite } => self.write(n, ticket, records, rewrite),
-            Output::Answer { ticket, code, body } => self.answered(n, ticket, code, &body),
+            Output::Answer { ticket, code, body } => {
+                self.answered(n, ticket, self.planted_answer(code), &body)
+            }
             Output::Publish { seq, document, drains } => self.shown(n, seq, &document, &drains),
             Output::Restore { seq, document, drains } => self.restored(n, seq, &document, &drains),
             Output::Wake { at } => {
@@ -330,6 +357,8 @@
             What::Told { ticket, told } => self.operator_told(ticket, told),
             What::Again { content } => self.order_again(content),
             What::Aimed { number, subject } => self.aim(number, subject),
+            What::Station { place, life, event } => self.station_event(place, life, event),
+            What::OpenStation(place) => self.open_station(place),
             What::End(n, back) => self.end(n, back),
             What::Check => self.look(),
             What::Fault(fault) if self.plan.strict => self.strike_in_budget(fault),
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -1,5 +1,6 @@
 //! The simulated network: messages, their delays, members that are cut off.
 
+use super::readers::AGENTS;
 use super::{What, World};
 use crate::faults::Moment;
 use crate::plan::ms;
@@ -43,6 +44,7 @@
     pub(super) fn send(&mut self, n: usize, to: &MemberInfo, message: Message) {
         let life = self.nodes[n].life;
         let Some(to) = self.nodes.iter().position(|m| m.seat.addr == to.addr) else { return };
+        let Some(message) = self.planted_send(n, to, message) else { return };
         let lost = self.pick(200) == 0;
         let mut delay = Duration::from_micros(400 + self.pick(1200)) + ms(if lost { 200 } else { 0 });
         let cut = self.cut.contains_key(&(n, to));
@@ -106,6 +108,7 @@
             if matches!(message, Message::InstallView { snapshot: Some(_), .. }) {
                 self.moment(Moment::Installing, to);
             }
+            self.station_notes(to, &message);
             self.step(to, Input::Message { from: seat, message });
         }
     }
@@ -159,7 +162,8 @@
     pub(super) fn cut_zone(&mut self, zone: usize, way: Option<bool>, on: bool) {
         let inside = |n: usize| n % ZONES == zone % ZONES;
         // Machines that are yet to come have numbers, too.
-        let all: Vec<usize> = (0..MOST_MACHINES).collect();
+        let agents = AGENTS..AGENTS + self.plan.agents;
+        let all: Vec<usize> = (0..MOST_MACHINES).chain(agents).collect();
         let mut ways = Vec::new();
         for a in all.iter().copied().filter(|n| inside(*n)) {
             for b in all.iter().copied().filter(|n| !inside(*n)) {
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,5 +1,6 @@
 //! The machines: how members come, start and end.
 
+use super::readers::Place;
 use super::{Node, Until, What, World};
 use crate::faults::Moment;
 use crate::plan::ms;
@@ -42,6 +43,7 @@
             until: Until::default(),
             stood_still: ms(0),
             shown: None,
+            view_ledger: None,
         });
     }
 
@@ -78,6 +80,7 @@
             stall: ms(600),
         };
         node.member = Some(Member::new(config, &node.records, self.now, random));
+        self.open_station(Place::Member(n));
         self.at(self.now, n, What::Hello);
         self.nodes[n].shown = None;
         self.step(n, Input::Tick);
@@ -88,6 +91,7 @@
     pub(super) fn down(&mut self, n: usize, back: Duration) {
         // What the dead process still had under way comes to nothing, but for what the disk made of it.
         self.nodes[n].member = None;
+        self.close_station(Place::Member(n));
         if self.plan.strict {
             self.end_writes(n);
             self.nodes[n].frozen = false;
--- a/crates/simulator/src/world/orders.rs
+++ b/crates/simulator/src/world/orders.rs
@@ -182,6 +182,11 @@
         }
     }
 
+    /// Whether a ledger's configuration is what was shown under its number.
+    pub(super) fn is_shown(&self, seq: u64, document: &Document) -> bool {
+        seq == 0 || self.by_seq.get(&seq).is_some_and(|s| s.0 == token(document))
+    }
+
     /// Of what is confirmed nothing may be left out of the chain of bases that led to what is in force.
     pub(super) fn left_out(&self) -> Option<String> {
         let (mut version, index) = self.in_force.iter().next_back().map(|(v, i)| (*v, *i))?;
@@ -307,6 +312,7 @@
         if let (Command::Read { .. }, Some(shown)) = (&command, self.shown_without_lease(n)) {
             return self.order_answered(n, ticket, Code::Ok, &shown);
         }
+        self.member_learns(n);
         self.step(n, Input::Command { ticket, command });
     }
 
--- a/crates/simulator/src/world/strike.rs
+++ b/crates/simulator/src/world/strike.rs
@@ -48,9 +48,11 @@
                 d
             }
             Fault::Freeze(n, d) => {
+                if !self.nodes[n].frozen {
+                    self.nodes[n].until.frozen_since = self.now;
+                }
                 self.nodes[n].frozen = true;
                 self.nodes[n].until.frozen = self.now + d;
-                self.nodes[n].stood_still += d;
                 d
             }
             Fault::Cut(n, d, way) => {
@@ -83,7 +85,10 @@
                 self.cut_zone(zone, way, true);
                 d
             }
-            Fault::Agent(_, d) => d,
+            Fault::Agent(k, d) => {
+                self.restart_agent(k, d);
+                d
+            }
             Fault::KillAll(d) | Fault::PowerAll(d, _) => {
                 let wiped = match fault {
                     Fault::PowerAll(_, wiped) => wiped,
@@ -129,7 +134,11 @@
             Fault::CutPair(a, b, _) => self.cut_ways(&[(a, b), (b, a)], false),
             Fault::CutZone(zone, _, way) => self.cut_zone(zone, way, false),
             Fault::Freeze(n, _) => {
-                self.nodes[n].frozen = false;
+                let node = &mut self.nodes[n];
+                if node.frozen {
+                    node.stood_still += self.now - node.until.frozen_since;
+                }
+                node.frozen = false;
                 for (node, what) in std::mem::take(&mut self.nodes[n].held_back) {
                     self.at(self.now, node, what);
                 }
