--- a/crates/simulator/src/bin/simulator.rs
+++ b/crates/simulator/src/bin/simulator.rs
@@ -15,20 +15,34 @@
     all.get(((all.len() as f64 - 1.0) * q) as usize).copied().unwrap_or(0.0)
 }
 
-/// Prints the first seed of each mode that finds a planted bug.
-fn find_planted(from: u64, to: u64) {
-    for planted in Planted::ALL {
-        // What breaks without the bug shows nothing of it.
-        let breaks = |plan: Plan| {
-            !run(&Plan { planted, ..plan.clone() }).breaches.is_empty() && run(&plan).breaches.is_empty()
-        };
-        let first = |mode: Mode| (from..to).find(|seed| breaks(mode.plan(*seed)));
-        let found: Vec<String> = Mode::ALL
-            .into_iter()
-            .map(|mode| format!("{} {}", mode.name(), first(mode).map_or("-".to_owned(), |s| s.to_string())))
-            .collect();
-        println!("{planted:?}: {}", found.join(", "));
-    }
+/// Modes in which planted bugs are searched, quick ones first.
+const SEARCHED: [Mode; 5] = [Mode::Double, Mode::Aimed, Mode::Rough, Mode::Drawn, Mode::Long];
+
+/// Prints the first seed and mode that finds each planted bug.
+fn find_planted(from: u64, to: u64, jobs: u64) {
+    let next = AtomicU64::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| loop {
+                let number = next.fetch_add(1, Ordering::Relaxed) as usize;
+                let Some(planted) = Planted::ALL.get(number).copied() else { return };
+                // What breaks without the bug shows nothing of it.
+                let breaks = |plan: Plan| {
+                    let report = run(&Plan { planted, ..plan.clone() });
+                    let found = report.breaches.into_iter().next();
+                    found.filter(|_| run(&plan).breaches.is_empty())
+                };
+                let tried = (from..to).flat_map(|seed| SEARCHED.map(|mode| (mode, seed)));
+                let found = tried.map(|(mode, seed)| (mode, seed, breaks(mode.plan(seed))));
+                match found.into_iter().find(|f| f.2.is_some()) {
+                    Some((mode, seed, breach)) => {
+                        println!("{planted:?}: {} {seed}: {}", mode.name(), breach.unwrap_or_default());
+                    }
+                    None => println!("{planted:?}: not found in seeds {from} to {to}"),
+                }
+            });
+        }
+    });
 }
 
 fn main() -> ExitCode {
@@ -49,7 +63,7 @@
         options.descr("Plays the control plane's members on simulated machines").run();
     let plan = |seed| mode.plan(seed);
     if planted {
-        find_planted(from, to);
+        find_planted(from, to, jobs);
         return ExitCode::SUCCESS;
     }
     if trace {
--- a/crates/simulator/src/world/bugs.rs
+++ b/crates/simulator/src/world/bugs.rs
@@ -84,9 +84,8 @@
                 }
             }),
             Planted::LosesEveryTenthWrite => {
-                if self.pick(10) == 0 {
-                    records.clear();
-                }
+                let keeps = self.pick(10) > 0;
+                records.retain(|_| keeps);
             }
             Planted::VotersBeforeForgotten => records.iter_mut().for_each(|r| {
                 if let Ok(Record::Accepted { mut view, snapshot }) = protocol::read_one(r) {
--- a/crates/simulator/src/world/readers.rs
+++ b/crates/simulator/src/world/readers.rs
@@ -147,7 +147,7 @@
         for (other, life, link) in broken {
             if !self.is_cut(place, other) {
                 let way = self.way();
-                self.to_station(way, other, life, Event::Failed(link));
+                self.reach_station(way, other, life, Event::Failed(link));
             }
         }
     }
@@ -164,7 +164,7 @@
     }
 
     /// Something reaches a place; while its process stands still it waits.
-    fn to_station(&mut self, delay: Duration, place: Place, life: u32, event: Event) {
+    fn reach_station(&mut self, delay: Duration, place: Place, life: u32, event: Event) {
         self.at(self.now + delay, 0, What::Station { place, life, event });
     }
 
@@ -244,7 +244,7 @@
         if station.tick_at <= now || next < station.tick_at {
             station.tick_at = next;
             let life = station.life;
-            self.to_station(next - now, place, life, Event::Tick);
+            self.reach_station(next - now, place, life, Event::Tick);
         }
     }
 
@@ -264,7 +264,7 @@
                     if let Some(station) = self.stations.get_mut(&place) {
                         station.links.insert(link, to);
                     }
-                    self.to_station(back, place, life, event);
+                    self.reach_station(back, place, life, event);
                 }
                 Action::Pull { link, wait_ms } => {
                     let Some(to) = station.links.get(&link).copied() else { continue };
@@ -273,7 +273,7 @@
                     if !self.is_cut(place, to) {
                         let way = self.way();
                         let event = Event::Pulled { from: place, from_life: life, link, pull };
-                        self.to_station(way, to, to_life, event);
+                        self.reach_station(way, to, to_life, event);
                     }
                 }
                 Action::Close { link } => {
@@ -292,7 +292,7 @@
         let (number, wait) = (waits.number, ms(waits.pull.wait_ms.into()));
         let life = self.stations.get(&place).map_or(0, |s| s.life);
         if !self.pulled_again(place, waits) {
-            self.to_station(wait, place, life, Event::Waited(number));
+            self.reach_station(wait, place, life, Event::Waited(number));
         }
     }
 
@@ -327,7 +327,7 @@
         }
         let way = self.way();
         let event = Event::News { link: waits.link, news: Box::new(news) };
-        self.to_station(way, waits.from, waits.from_life, event);
+        self.reach_station(way, waits.from, waits.from_life, event);
     }
 
     /// A member's process tells its mirror what its state machine asked for, as the process in service does.
