--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -11,10 +11,11 @@
 mod rendezvous;
 mod serve;
 mod shared;
+pub mod transitions;
 
 pub use frames::{FrameReader, Step};
 pub use mirror::{Mirror, Snapshot};
-pub use news::{News, Pull};
+pub use news::{News, Pull, UNCONFIRMED};
 pub use puller::{Action, Puller, ANSWER_SLACK, CONNECT_TIMEOUT, LOOK, PACE, STALE_MS, WAIT_MS, WATCHED};
 pub use rendezvous::{ranked, weight};
 pub use serve::{answer, serve};
--- a/crates/replication/src/puller.rs
+++ b/crates/replication/src/puller.rs
@@ -1,6 +1,7 @@
 //! Who is pulled from, and when: a state machine without I/O.
 
 use crate::rendezvous::ranked;
+use crate::transitions::PullSummary;
 use protocol::Addr;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -71,6 +72,8 @@
     dead: bool,
     stale: bool,
     member: u64,
+    /// When the pull left that is out, or was last.
+    asked: Duration,
 }
 
 impl Link {
@@ -146,16 +149,35 @@
         }
     }
 
+    /// When the pull left that is out at a link.
+    pub fn asked(&self, link: u64) -> Option<Duration> {
+        let known = self.links.values().find(|l| l.number == link)?;
+        matches!(known.phase, Phase::Polling(_)).then_some(known.asked)
+    }
+
     /// The leading member's address; none where news are waited for at all members.
     fn leader(&self) -> Option<Addr> {
         let mut order = self.order.iter().filter(|_| self.led);
         order.find(|a| self.links.get(a).is_some_and(Link::leads)).copied()
     }
 
+    /// Whether news are waited for at one member only.
+    pub fn is_led(&self) -> bool {
+        self.led
+    }
+
+    /// At whom news are waited for now, in short.
+    pub fn summary(&self) -> PullSummary {
+        let answers = |l: &&Link| l.heard && !l.dead;
+        let stale = self.links.values().filter(answers).filter(|l| l.stale).count();
+        PullSummary { leader: self.leader(), stale }
+    }
+
     fn pull(&mut self, now: Duration, addr: Addr, waits: bool) -> Option<Action> {
         let wait = if waits { self.wait } else { Duration::ZERO };
         let link = self.links.get_mut(&addr)?;
         link.phase = Phase::Polling(now + wait + ANSWER_SLACK);
+        link.asked = now;
         Some(Action::Pull { link: link.number, wait_ms: wait.as_millis() as u32 })
     }
 
@@ -290,6 +312,7 @@
                 dead: false,
                 stale: false,
                 member: 0,
+                asked: now,
             });
             match link.phase {
                 Phase::Down(at) if now >= at => {
