--- a/crates/simulator/src/world/bugs.rs
+++ b/crates/simulator/src/world/bugs.rs
@@ -17,8 +17,8 @@
             (Planted::TakenCallsNotInSnapshot | Planted::DrainsNotInSnapshot, message) => {
                 Some(self.without_parts(message))
             }
-            (Planted::LeaseAlwaysGranted, Message::LeaseReply { epoch, stamp, seen, fit, .. }) => {
-                Some(Message::LeaseReply { epoch, stamp, ok: true, seen, fit })
+            (Planted::LeaseAlwaysGranted, Message::LeaseReply { epoch, stamp, seen, fit, clock, .. }) => {
+                Some(Message::LeaseReply { epoch, stamp, ok: true, seen, fit, clock })
             }
             (Planted::FetchedLedgerIsOld, Message::LedgerReply { epoch, tag, snapshot }) => {
                 let old = self.nodes[n].view_ledger.clone();
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -108,7 +108,6 @@
             if matches!(message, Message::InstallView { snapshot: Some(_), .. }) {
                 self.moment(Moment::Installing, to);
             }
-            self.station_notes(to, &message);
             self.step(to, Input::Message { from: seat, message });
         }
     }
--- a/crates/simulator/src/world/orders.rs
+++ b/crates/simulator/src/world/orders.rs
@@ -461,7 +461,9 @@
 
     /// For planted bugs.
     pub(super) fn keep_shown(&mut self, n: usize, document: &Document) {
-        if matches!(self.plan.planted, Planted::ReadsAnywhere | Planted::RestoredAsFresh) {
+        if document.version > 0
+            && matches!(self.plan.planted, Planted::ReadsAnywhere | Planted::RestoredAsFresh)
+        {
             self.nodes[n].shown = Some(document.to_json().into_bytes());
         }
     }
--- a/crates/simulator/src/world/readers.rs
+++ b/crates/simulator/src/world/readers.rs
@@ -3,8 +3,8 @@
 
 use super::{ms, What, World};
 use control_plane::member::Output;
-use protocol::{Addr, Caller, Fleet, Message};
-use replication::{Action, Mirror, News, Pull, Puller, STALE_MS, WATCHED};
+use protocol::{Addr, Caller, Fleet};
+use replication::{Action, Mirror, News, Pull, Puller, STALE_MS, UNCONFIRMED, WATCHED};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -77,8 +77,6 @@
     tick_at: Duration,
     /// What it had in force when the checkers last looked: number of the change, and version.
     seen: (u64, u64),
-    /// Newest change that it has heard the primary acknowledge.
-    committed: u64,
     shown_fleet: (u64, u64),
 }
 
@@ -120,7 +118,6 @@
             fleet: 0,
             tick_at: ms(0),
             seen: (0, 0),
-            committed: 0,
             shown_fleet: (0, 0),
         };
         self.stations.insert(place, station);
@@ -198,6 +195,11 @@
                 station.puller.failed(now, link)
             }
             Event::News { link, news } if station.links.contains_key(&link) => {
+                // Of a link that was given up nobody knows when it was asked.
+                let news = match station.puller.asked(link) {
+                    Some(asked) => news.aged(asked, now),
+                    None => News { age_ms: UNCONFIRMED, ..*news },
+                };
                 let taken = station.mirror.apply(now, &news);
                 let actions = station.puller.answered(now, link, news.member, news.age_ms, taken);
                 if self.plan.planted == crate::planted::Planted::MirrorGoesBack && news.age_ms > STALE_MS {
@@ -353,25 +355,14 @@
             station.shown_fleet = (view.epoch, view.primary);
             station.mirror.set_fleet(view.epoch, view.primary, view.voters.clone());
         }
-        if let Some(at) =
-            now.checked_sub(member.age(now)).filter(|_| station.mirror.ledger() >= station.committed)
-        {
-            station.mirror.proved(at);
+        if let Some(proof) = member.proof(now).filter(|proof| station.mirror.ledger() >= proof.committed) {
+            station.mirror.proved(proof.at);
         }
         if station.mirror.generation() != before {
             self.follow_up(Place::Member(n), before);
         }
     }
 
-    /// A member hears a message: how far the primary has acknowledged.
-    pub(super) fn station_notes(&mut self, n: usize, message: &Message) {
-        if let (Some(station), Message::RenewLease { committed, .. }) =
-            (self.stations.get_mut(&Place::Member(n)), message)
-        {
-            station.committed = station.committed.max(*committed);
-        }
-    }
-
     /// Before a command: the member hears from its mirror who the primary is.
     pub(super) fn member_learns(&mut self, n: usize) {
         let Some(station) = self.stations.get(&Place::Member(n)) else { return };
