--- a/crates/simulator/src/planted.rs
+++ b/crates/simulator/src/planted.rs
@@ -38,8 +38,8 @@
     CommittedAheadOfReplicas,
     /// A replica confirms a change before it writes it.
     ReplicaConfirmsEarly,
-    /// A voter grants every lease that it is asked for.
-    LeaseAlwaysGranted,
+    /// A voter forgets the lease that it has granted.
+    GrantedLeaseForgotten,
     /// A candidate gets the ledger as it was when the view began.
     FetchedLedgerIsOld,
     /// Every tenth answer of the primary goes to the call after the right one.
@@ -48,13 +48,15 @@
     TimeoutConfirmed,
     /// A call without a clear answer is refused.
     TimeoutRefused,
-    /// An agent forgets what it knew when a connection fails.
+    /// An agent forgets what it knew when a connection comes up.
     MirrorGoesBack,
+    /// Initial voters have their say only while their disks are empty.
+    InitialVotersForgotten,
 }
 
 impl Planted {
     /// All of them.
-    pub const ALL: [Planted; 22] = [
+    pub const ALL: [Planted; 23] = [
         Self::NoSync,
         Self::ForgetsPromises,
         Self::WipedVotes,
@@ -71,11 +73,12 @@
         Self::ReplaySkipsLastChange,
         Self::CommittedAheadOfReplicas,
         Self::ReplicaConfirmsEarly,
-        Self::LeaseAlwaysGranted,
+        Self::GrantedLeaseForgotten,
         Self::FetchedLedgerIsOld,
         Self::AnswersMixedUp,
         Self::TimeoutConfirmed,
         Self::TimeoutRefused,
         Self::MirrorGoesBack,
+        Self::InitialVotersForgotten,
     ];
 }
--- a/crates/simulator/src/world/bugs.rs
+++ b/crates/simulator/src/world/bugs.rs
@@ -17,8 +17,12 @@
             (Planted::TakenCallsNotInSnapshot | Planted::DrainsNotInSnapshot, message) => {
                 Some(self.without_parts(message))
             }
-            (Planted::LeaseAlwaysGranted, Message::LeaseReply { epoch, stamp, seen, fit, clock, .. }) => {
-                Some(Message::LeaseReply { epoch, stamp, ok: true, seen, fit, clock })
+            (Planted::GrantedLeaseForgotten, message @ Message::RenewLease { epoch, .. }) => {
+                let life = self.nodes[n].life;
+                let release = Box::new(Message::ReleaseLease { epoch });
+                let deliver = super::What::Deliver { from: n, life, message: release };
+                self.at(self.now + super::ms(3), to, deliver);
+                Some(message)
             }
             (Planted::FetchedLedgerIsOld, Message::LedgerReply { epoch, tag, snapshot }) => {
                 let old = self.nodes[n].view_ledger.clone();
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -52,7 +52,10 @@
             return;
         }
         let first = match self.plan.strict {
-            true => self.nodes[n].initial_voter,
+            true => {
+                let forgets = self.plan.planted == Planted::InitialVotersForgotten;
+                self.nodes[n].initial_voter && !(forgets && !self.nodes[n].records.is_empty())
+            }
             false => self.nodes[n].life == 0 && n < self.plan.members,
         };
         let seeds: Vec<MemberInfo> = self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
--- a/crates/simulator/src/world/readers.rs
+++ b/crates/simulator/src/world/readers.rs
@@ -2,9 +2,10 @@
 //! keep by pulls from each other as well as by what their own ledgers show.
 
 use super::{ms, What, World};
+use crate::planted::Planted;
 use control_plane::member::Output;
 use protocol::{Addr, Caller, Fleet};
-use replication::{Action, Mirror, News, Pull, Puller, STALE_MS, UNCONFIRMED, WATCHED};
+use replication::{Action, Mirror, News, Pull, Puller, UNCONFIRMED, WATCHED};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -75,7 +76,7 @@
     waiting: Vec<Waiting>,
     fleet: u64,
     tick_at: Duration,
-    /// What it had in force when the checkers last looked: number of the change, and version.
+    /// What it had in force after its latest event: number of the change, and version.
     seen: (u64, u64),
     shown_fleet: (u64, u64),
 }
@@ -188,6 +189,9 @@
                 station.puller.tick(now)
             }
             Event::Connected(link) if station.links.contains_key(&link) => {
+                if self.plan.planted == Planted::MirrorGoesBack && matches!(place, Place::Agent(_)) {
+                    station.mirror = Mirror::new(0, BEAT);
+                }
                 station.puller.connected(now, link)
             }
             Event::Failed(link) => {
@@ -201,12 +205,7 @@
                     None => News { age_ms: UNCONFIRMED, ..*news },
                 };
                 let taken = station.mirror.apply(now, &news);
-                let actions = station.puller.answered(now, link, news.member, news.age_ms, taken);
-                if self.plan.planted == crate::planted::Planted::MirrorGoesBack && news.age_ms > STALE_MS {
-                    station.mirror = Mirror::new(0, BEAT);
-                    station.mirror.apply(now, &news);
-                }
-                actions
+                station.puller.answered(now, link, news.member, news.age_ms, taken)
             }
             Event::Pulled { from, from_life, link, pull } => {
                 self.pulled(place, from, from_life, link, *pull);
@@ -218,10 +217,21 @@
             }
             Event::Connected(_) | Event::News { .. } => Vec::new(),
         };
+        self.check_forward(place);
         self.act(place, actions);
         self.follow_up(place, before);
     }
 
+    /// What a process has in force never goes back while it lives.
+    fn check_forward(&mut self, place: Place) {
+        let Some(station) = self.stations.get_mut(&place) else { return };
+        let now = (station.mirror.ledger(), station.mirror.document().version);
+        let before = std::mem::replace(&mut station.seen, now);
+        if now.0 < before.0 || now.1 < before.1 {
+            self.breach(0, format!("{place:?} went back from {before:?} to {now:?}"));
+        }
+    }
+
     /// What follows each event: pulls that waited are answered, the puller hears of members, the next tick is set.
     fn follow_up(&mut self, place: Place, before: u64) {
         let now = self.now;
@@ -374,7 +384,7 @@
         }
     }
 
-    /// What agents and proxies have in force: never older than before, never other than what was acknowledged under
+    /// What agents and proxies have in force: never other than what was acknowledged under
     /// that number, and in calm times nothing that was acknowledged a while ago is missing.
     pub(super) fn check_readers(&mut self) {
         let readers: Vec<Place> =
@@ -385,12 +395,8 @@
         }
         let bound = self.orders.acknowledged_at.front().filter(|a| a.0 <= old).map_or(0, |a| a.1);
         for place in readers {
-            let Some(station) = self.stations.get_mut(&place) else { continue };
-            let now = (station.mirror.ledger(), station.mirror.document().version);
-            let (before, since) = (std::mem::replace(&mut station.seen, now), station.since);
-            if now.0 < before.0 || now.1 < before.1 {
-                self.breach(0, format!("{place:?} went back from {before:?} to {now:?}"));
-            }
+            let Some(station) = self.stations.get(&place) else { continue };
+            let (now, since) = ((station.mirror.ledger(), station.mirror.document().version), station.since);
             let document = self.stations[&place].mirror.document().clone();
             if !self.orders.is_shown(now.0, &document) {
                 self.breach(0, format!("{place:?} has {now:?}, which is not what was shown"));
