--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -54,7 +54,7 @@
         let first = match self.plan.strict {
             true => {
                 let forgets = self.plan.planted == Planted::InitialVotersForgotten;
-                self.nodes[n].initial_voter && !(forgets && !self.nodes[n].records.is_empty())
+                self.nodes[n].initial_voter && (!forgets || self.nodes[n].records.is_empty())
             }
             false => self.nodes[n].life == 0 && n < self.plan.members,
         };
