--- a/crates/control-plane/src/member/acknowledged.rs
+++ b/crates/control-plane/src/member/acknowledged.rs
@@ -117,7 +117,7 @@
     let routes: usize = document.routes.iter().map(|r| r.raw.len() + 1).sum();
     let services: usize = document.services.iter().map(|s| s.raw.len() + 1).sum();
     let limits = document.limits.as_ref().map_or(0, |l| l.raw.len());
-    let taken = ledger.taken.len() * std::mem::size_of::<protocol::AcceptedCall>();
+    let taken = ledger.taken.iter().count() * std::mem::size_of::<protocol::AcceptedCall>();
     let drains: usize = ledger.drains.iter().map(|d| d.len() + 4).sum();
     routes + services + limits + taken + drains + LEDGER_FRAME_BYTES
 }
