A takeover ends however long the ledger is and however slow the links are

Cause: a candidate had half a lease for each step, the fetch of the ledger and its way to the replicas among them, and those that had promised stood against it a lease later. Change: the time of the way to the replicas goes by the ledger's bytes (1 MiB/s at least is expected), that of a fetch doubles with each try that was too short; a candidate that moves a ledger tells those that promised that it is still at it (the same Prepare again), and they and it prefer no other meanwhile. Nothing is new on the wire. Tests: slow_links.rs: three members, links that carry so many bytes a second in order, simulated disks; 48 takeovers by a replica, 16 by a witness that fetches. many_changes.rs the_longest_ledger_fits_a_frame_and_a_record.

--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -4,6 +4,7 @@
 //! A view whose voters differ from those before it may not have been agreed on: until its primary has followed it
 //! with one that keeps the voters, whoever stands needs a majority of both, and hands both on as they are.
 
+use super::acknowledged::ledger_bytes;
 use super::disk::After;
 use super::primary::PrimaryState;
 use super::view::choose_replicas;
@@ -13,6 +14,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// The slowest that a ledger's bytes are expected to reach another member's disk, in bytes a second: a candidate
+/// waits so much longer for its replicas.
+const MIN_TRANSFER_RATE: u32 = 1 << 20;
+/// A candidate that fetches a ledger doesn't know how long it is: each time that its time was too short, the next
+/// try takes twice as long, so many times at most.
+const MAX_FETCH_DOUBLINGS: u32 = 4;
+/// Share of a lease after which a candidate that moves a ledger tells its voters that it is at it.
+const STILL_AT_IT_INTERVAL: f64 = 0.25;
 /// Bits of an epoch that tell candidates apart.
 const OWN_BITS: u32 = 20;
 
@@ -41,6 +50,8 @@
     pub(super) epoch: u64,
     phase: Phase,
     since: Duration,
+    /// When those that promised are next told that a ledger is on its way.
+    tell_at: Duration,
     willing: BTreeSet<u64>,
     asked: BTreeSet<u64>,
     promises: BTreeMap<u64, (View, Option<LedgerPosition>)>,
@@ -57,6 +68,7 @@
             epoch: 0,
             phase: Phase::PreVote,
             since: now,
+            tell_at: now,
             willing: BTreeSet::new(),
             asked: BTreeSet::new(),
             promises: BTreeMap::new(),
@@ -199,7 +211,8 @@
         holders.sort_by_key(|h| h.1);
         if let Some((holder, _)) = holders.pop().filter(|h| h.0 != me) {
             let epoch = candidacy.epoch;
-            candidacy.phase = Phase::Fetch;
+            (candidacy.phase, candidacy.since) = (Phase::Fetch, self.now);
+            candidacy.tell_at = self.now + self.config.lease.mul_f64(STILL_AT_IT_INTERVAL);
             self.send(holder, Message::FetchLedger { epoch }, out);
         }
     }
@@ -217,6 +230,7 @@
         }
         let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch).cloned();
         if let Some((highest, ledger)) = highest.zip(Ledger::of(snapshot).ok()) {
+            self.fetch_doublings = 0;
             self.compose(highest, ledger, out);
         }
     }
@@ -262,6 +276,7 @@
         let now = self.now;
         if let Role::Candidate(candidacy) = &mut self.role {
             (candidacy.phase, candidacy.since) = (Phase::Copies, now);
+            candidacy.tell_at = now + self.config.lease.mul_f64(STILL_AT_IT_INTERVAL);
             candidacy.target = Some((view, ledger));
         }
     }
@@ -304,17 +319,60 @@
         self.election_at = self.election_at.max(until) + self.election_delay();
     }
 
-    pub(super) fn run_candidate(&mut self, _out: &mut Vec<Output>) {
-        let Role::Candidate(candidacy) = &self.role else { return };
-        if self.now >= candidacy.since + self.config.lease / 2 || self.leaving {
-            self.give_up(self.now);
+    /// How long the phase of a candidacy may last.
+    fn phase_time(&self, candidacy: &CandidateState) -> Duration {
+        let half = self.config.lease / 2;
+        match (candidacy.phase, &candidacy.target) {
+            (Phase::Fetch, _) => half * (1 << self.fetch_doublings),
+            (Phase::Copies, Some((_, ledger))) => {
+                half + Duration::from_secs(1)
+                    .mul_f64(ledger_bytes(ledger) as f64 / f64::from(MIN_TRANSFER_RATE))
+            }
+            _ => half,
         }
     }
 
-    pub(super) fn candidate_wake(&self) -> Option<Duration> {
+    /// Until when this member is at moving a ledger as a candidate.
+    pub(super) fn moves_ledger_until(&self) -> Option<Duration> {
         match &self.role {
-            Role::Candidate(candidacy) => Some(candidacy.since + self.config.lease / 2),
+            Role::Candidate(candidacy) if matches!(candidacy.phase, Phase::Fetch | Phase::Copies) => {
+                Some(candidacy.since + self.phase_time(candidacy))
+            }
             _ => None,
         }
     }
+
+    pub(super) fn run_candidate(&mut self, out: &mut Vec<Output>) {
+        let Role::Candidate(candidacy) = &self.role else { return };
+        if self.now >= candidacy.since + self.phase_time(candidacy) || self.leaving {
+            if candidacy.phase == Phase::Fetch {
+                self.fetch_doublings = (self.fetch_doublings + 1).min(MAX_FETCH_DOUBLINGS);
+            }
+            return self.give_up(self.now);
+        }
+        if self.moves_ledger_until().is_some() {
+            self.tell_still_at_it(out);
+        }
+    }
+
+    /// Whoever promised waits for as long as it hears that the ledger is on its way.
+    fn tell_still_at_it(&mut self, out: &mut Vec<Output>) {
+        let (now, me) = (self.now, self.config.me.clone());
+        let Role::Candidate(candidacy) = &mut self.role else { return };
+        if now < candidacy.tell_at {
+            return;
+        }
+        candidacy.tell_at = now + self.config.lease.mul_f64(STILL_AT_IT_INTERVAL);
+        let epoch = candidacy.epoch;
+        let promised: Vec<u64> = candidacy.promises.keys().copied().filter(|id| *id != me.id).collect();
+        for id in promised {
+            self.send(id, Message::Prepare { epoch, candidate: me.clone() }, out);
+        }
+    }
+
+    pub(super) fn candidate_wake(&self) -> Option<Duration> {
+        let Role::Candidate(candidacy) = &self.role else { return None };
+        let over = candidacy.since + self.phase_time(candidacy);
+        Some(self.moves_ledger_until().map_or(over, |_| over.min(candidacy.tell_at)))
+    }
 }
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -186,6 +186,12 @@
     restarted: bool,
     random: u64,
     promised: u64,
+    /// The candidate that the latest promise of this life was given to.
+    promised_to: Option<u64>,
+    /// No other candidate is preferred until then.
+    held_back_until: Duration,
+    /// How often in a row the time for fetching a ledger was too short.
+    fetch_doublings: u32,
     /// The highest epoch seen anywhere.
     seen: u64,
     view: Option<View>,
@@ -217,6 +223,9 @@
             restarted: !records.is_empty(),
             random: random | 1,
             promised: 0,
+            promised_to: None,
+            held_back_until: now,
+            fetch_doublings: 0,
             seen: 0,
             view: None,
             held: None,
--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -27,13 +27,23 @@
         }
     }
 
+    /// Whether another candidate may be preferred now: not to one that moves a ledger, which may take long.
+    fn may_prefer(&self, candidate: u64) -> Result<(), Duration> {
+        let told = Some(self.held_back_until).filter(|_| self.promised_to != Some(candidate));
+        let until = self.moves_ledger_until().max(told);
+        match until.filter(|until| *until > self.now) {
+            Some(until) => Err(until - self.now),
+            None => Ok(()),
+        }
+    }
+
     pub(super) fn on_pre_vote(&mut self, from: MemberInfo, seen: u64, view: u64, out: &mut Vec<Output>) {
         self.see(seen);
         // Whoever has been left out since can't win, it would only hold the others up.
         let left_out = |v: &View| v.epoch > view && v.seat(from.id).is_none();
         let may = match self.view.as_ref().is_some_and(left_out) {
             true => Err(4 * self.config.lease),
-            false => self.may_promise(from.id),
+            false => self.may_promise(from.id).and_then(|()| self.may_prefer(from.id)),
         };
         let wait_ms = may.err().map_or(0, |w| w.as_millis() as u32);
         let message = Message::PreVoteReply { willing: may.is_ok(), seen: self.promised, wait_ms };
@@ -47,6 +57,12 @@
         candidate: MemberInfo,
         out: &mut Vec<Output>,
     ) {
+        if epoch == self.promised && self.promised_to == Some(from.id) {
+            // It is still at it: a ledger is on its way.
+            self.election_at = self.now + self.config.lease + self.election_delay();
+            self.held_back_until = self.now + self.config.lease / 2;
+            return;
+        }
         let wait = match self.may_promise(from.id) {
             Ok(()) if epoch > self.promised => return self.promise(candidate, epoch),
             Ok(()) => Duration::ZERO,
@@ -61,6 +77,7 @@
     /// Promises an epoch to a candidate, itself perhaps.
     pub(super) fn promise(&mut self, to: MemberInfo, epoch: u64) {
         self.promised = epoch;
+        self.promised_to = Some(to.id);
         self.see(epoch);
         if to.id != self.me() {
             self.step_down();
--- a/crates/control-plane/tests/many_changes.rs
+++ b/crates/control-plane/tests/many_changes.rs
@@ -2,7 +2,7 @@
 //! its records can't be relied on.
 
 use configuration::{Code, FaultBudget};
-use control_plane::ledger::Ledger;
+use control_plane::ledger::{Ledger, Plan, MAX_DOCUMENT_BYTES};
 use control_plane::member::{Config, DiskError, Input, Member, Output, ReplayError};
 use protocol::{Change, Command, MemberInfo, Message, Record, View};
 use rstest::rstest;
@@ -236,6 +236,39 @@
     assert!(machine.bytes() <= 5 * body(201, 300).len(), "rewritten once there is room");
 }
 
+/// The longest ledger there can be, with 10,000 hosts that leave at once by names of the longest kind: one frame and
+/// one record hold it whole.
+#[test]
+fn the_longest_ledger_fits_a_frame_and_a_record() {
+    let note = "x".repeat(1 << 20);
+    let route = |n: usize, note: &str| {
+        format!(
+            r#"{{"name":"r{n}","hostname":"h{n}","path_prefix":"/","route_class":"pure","deadline_ms":1,"service":"s","note":"{note}"}}"#
+        )
+    };
+    let mut routes: Vec<String> = (0..3).map(|n| route(n, &note)).collect();
+    let used: usize = routes.iter().map(String::len).sum();
+    routes.push(route(3, &note[..MAX_DOCUMENT_BYTES - used - 200]));
+    let whole = format!(r#"{{"version":2,"routes":[{}],"services":[{{"name":"s"}}]}}"#, routes.join(","));
+    let command = Command::Configure { base: 0, amend: false, body: whole.clone().into_bytes() };
+    let Plan::Change(change, next) = Ledger::default().plan(&command) else { panic!("it is taken") };
+    let mut ledger = *next;
+    assert!(whole.len() > MAX_DOCUMENT_BYTES - 200 && whole.len() < MAX_DOCUMENT_BYTES);
+    ledger.drains = (0..10_000).map(|n| format!("{n:0>256}")).collect();
+    let append = Message::AppendChange { epoch: 1, seq: 1, change };
+    let tag = protocol::LedgerPosition { epoch: 1, seq: 1 };
+    let reply = Message::LedgerReply { epoch: 1, tag, snapshot: ledger.snapshot() };
+    let install = Message::InstallView { view: view(), snapshot: Some(ledger.snapshot()) };
+    for message in [append, reply, install] {
+        let frame = protocol::encode(&message);
+        assert!(frame.len() <= protocol::MOST, "{} bytes", frame.len());
+        let (read, length) = protocol::decode(&frame).unwrap().unwrap();
+        assert!(read == message && length == frame.len());
+    }
+    let record = protocol::write_one(&accepted(Some(&ledger)));
+    assert!(record.len() <= append_log::format::MAX_RECORD, "{} bytes", record.len());
+}
+
 fn accepted(ledger: Option<&Ledger>) -> Record {
     Record::Accepted { view: view(), snapshot: ledger.map(Ledger::snapshot) }
 }
--- /dev/null
+++ b/crates/control-plane/tests/slow_links.rs
@@ -0,0 +1,227 @@
+//! Takeovers with large ledgers over slow links: three members, links that carry so many bytes a second in order,
+//! and disks, all in simulated time.
+
+use configuration::{Code, FaultBudget};
+use control_plane::member::{Config, Input, Member, Output};
+use protocol::{Command, MemberInfo, Message};
+use rstest::rstest;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+const LEASE: Duration = Duration::from_millis(1000);
+const DELAY: Duration = Duration::from_millis(2);
+const SYNC: Duration = Duration::from_millis(2);
+/// What one link queues, as `shell/links.rs` has it; one message always fits.
+const MAX_QUEUED_BYTES: usize = 4 << 20;
+const FAST: f64 = 125e6;
+
+enum Event {
+    Message { from: u64, to: u64, frame: Vec<u8> },
+    Wrote { to: u64, ticket: u64 },
+    Wake { to: u64 },
+}
+
+struct World {
+    now: Duration,
+    rate: f64,
+    members: HashMap<u64, Member>,
+    events: HashMap<u64, Event>,
+    order: BinaryHeap<Reverse<(Duration, u64)>>,
+    count: u64,
+    /// When a link is free again.
+    links: HashMap<(u64, u64), Duration>,
+    answers: HashMap<u64, Code>,
+    /// Members whose wish to stand never arrives.
+    unheard: Vec<u64>,
+}
+
+fn seat(id: u64) -> MemberInfo {
+    let addr = protocol::Addr { ip: id as u32, port: 1 };
+    MemberInfo { id, name: format!("core-{id}"), addr, zone: format!("z{id}"), ..MemberInfo::default() }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            now: Duration::ZERO,
+            rate: FAST,
+            members: HashMap::new(),
+            events: HashMap::new(),
+            order: BinaryHeap::new(),
+            count: 0,
+            links: HashMap::new(),
+            answers: HashMap::new(),
+            unheard: vec![],
+        };
+        for id in 1..=3 {
+            let config = Config {
+                me: seat(id),
+                bootstrap_voters: Some((1..=3).map(seat).collect()),
+                budget: FaultBudget { machine_losses: 1, zones: 0, region_losses: 0 },
+                lease: LEASE,
+                patience: Duration::from_millis(3500),
+                stall: Duration::from_millis(600),
+            };
+            let member = Member::new(config, &[], Duration::ZERO, seed * 31 + id);
+            world.members.insert(id, member);
+        }
+        for id in 1..=3 {
+            (1..=3).filter(|other| *other != id).for_each(|other| {
+                world.input(id, Input::Reachable { seat: seat(other) });
+            });
+        }
+        world
+    }
+
+    fn at(&mut self, at: Duration, event: Event) {
+        self.count += 1;
+        self.events.insert(self.count, event);
+        self.order.push(Reverse((at, self.count)));
+    }
+
+    fn input(&mut self, to: u64, input: Input) {
+        let Some(member) = self.members.get_mut(&to) else { return };
+        let mut out = Vec::new();
+        member.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Send { to: other, message } => self.send(to, other.id, &message),
+                Output::Write { ticket, .. } => self.at(self.now + SYNC, Event::Wrote { to, ticket }),
+                Output::Answer { ticket, code, .. } => {
+                    self.answers.insert(ticket, code);
+                }
+                Output::Wake { at } => self.at(at, Event::Wake { to }),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: u64, to: u64, message: &Message) {
+        if self.unheard.contains(&from) && matches!(message, Message::PreVote { .. }) {
+            return;
+        }
+        let frame = protocol::encode(message);
+        let free = self.links.get(&(from, to)).copied().unwrap_or_default().max(self.now);
+        let queued = (free - self.now).as_secs_f64() * self.rate;
+        if queued > 0.0 && queued as usize + frame.len() > MAX_QUEUED_BYTES {
+            return;
+        }
+        let free = free + Duration::from_secs_f64(frame.len() as f64 / self.rate);
+        self.links.insert((from, to), free);
+        self.at(free + DELAY, Event::Message { from, to, frame });
+    }
+
+    /// Runs until `done`, for `most` at most; how long it took.
+    fn until(&mut self, most: Duration, done: impl Fn(&World) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while let Some(Reverse((at, number))) = self.order.pop() {
+            if at > start + most {
+                return None;
+            }
+            self.now = self.now.max(at);
+            match self.events.remove(&number) {
+                Some(Event::Message { from, to, frame }) => {
+                    // What the dead had sent may still come; what is sent to them is lost.
+                    let (message, _) = protocol::decode(&frame).unwrap().unwrap();
+                    self.input(to, Input::Message { from: seat(from), message });
+                }
+                Some(Event::Wrote { to, ticket }) => self.input(to, Input::Wrote { ticket, result: Ok(()) }),
+                Some(Event::Wake { to }) => self.input(to, Input::Tick),
+                None => {}
+            }
+            if done(self) {
+                return Some(self.now - start);
+            }
+        }
+        None
+    }
+
+    fn acting(&self) -> Option<u64> {
+        self.members.iter().find(|m| m.1.acts()).map(|m| *m.0)
+    }
+
+    /// Hands a command to the member that acts, and waits for its answer.
+    fn order(&mut self, ticket: u64, command: &Command) -> Option<Code> {
+        self.until(Duration::from_secs(10), |w| w.acting().is_some())?;
+        let primary = self.acting()?;
+        self.input(primary, Input::Command { ticket, command: command.clone() });
+        self.until(Duration::from_secs(10), |w| w.answers.contains_key(&ticket))?;
+        self.answers.get(&ticket).copied()
+    }
+}
+
+/// A configuration of about so many bytes.
+fn configure(base: u64, bytes: usize) -> Command {
+    let note = "x".repeat(1000);
+    let route = |n: usize| {
+        format!(
+            r#"{{"name":"r{n}","hostname":"h{n}","path_prefix":"/","route_class":"pure","deadline_ms":1,"service":"s","note":"{note}"}}"#
+        )
+    };
+    let routes: Vec<String> = (0..bytes / route(10_000).len()).map(route).collect();
+    let text =
+        format!(r#"{{"version":{},"routes":[{}],"services":[{{"name":"s"}}]}}"#, base + 1, routes.join(","));
+    Command::Configure { base, amend: false, body: text.into_bytes() }
+}
+
+const KIB: usize = 1 << 10;
+const MIB: usize = 1 << 20;
+
+/// The one that holds the ledger doesn't get to stand: a witness does, and fetches the ledger first.
+#[rstest]
+#[case::usual(300 * KIB, FAST, 4)]
+#[case::between_regions(300 * KIB, 2e6, 4)]
+#[case::two_mib_in_two_seconds(2 * MIB, 1e6, 25)]
+#[case::longest_body_in_four_seconds(4 * MIB - 10 * KIB, 1.1e6, 45)]
+fn a_witness_fetches_the_ledger_however_long_it_is(
+    #[case] bytes: usize,
+    #[case] rate: f64,
+    #[case] most_s: u64,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let mut world = World::new(seed);
+    assert_eq!(world.order(1, &configure(0, bytes)), Some(Code::Ok));
+    let lost = world.acting().unwrap();
+    let replicas = world.members[&lost].view().unwrap().replicas.clone();
+    world.rate = rate;
+    world.members.remove(&lost);
+    world.unheard = replicas;
+    let took = world.until(Duration::from_secs(120), |w| w.acting().is_some());
+    let took = took.expect("somebody acts in the end");
+    assert!(!world.unheard.contains(&world.acting().unwrap()), "a witness acts");
+    assert!(took <= Duration::from_secs(most_s), "{took:?}");
+    world.rate = FAST;
+    assert_eq!(world.order(2, &configure(0, bytes)), Some(Code::Ok));
+    assert_eq!(world.order(3, &configure(0, bytes / 2)), Some(Code::OtherBase));
+}
+
+/// The primary is lost for good. Whoever is left needs the ledger on both disks: by a link that carries so many
+/// bytes a second that takes longer than a candidate usually has.
+#[rstest]
+#[case::small(10 * KIB, FAST, 3)]
+#[case::usual(300 * KIB, FAST, 3)]
+#[case::longest_body(4 * MIB - 10 * KIB, FAST, 3)]
+#[case::between_regions(300 * KIB, 2e6, 3)]
+#[case::two_mib_in_two_seconds(2 * MIB, 1e6, 8)]
+#[case::longest_body_in_four_seconds(4 * MIB - 10 * KIB, 1.1e6, 12)]
+fn a_takeover_ends_however_long_the_ledger_is(
+    #[case] bytes: usize,
+    #[case] rate: f64,
+    #[case] most_s: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut world = World::new(seed);
+    assert_eq!(world.order(1, &configure(0, bytes)), Some(Code::Ok));
+    let lost = world.acting().unwrap();
+    world.rate = rate;
+    world.members.remove(&lost);
+    let took = world.until(Duration::from_secs(120), |w| w.acting().is_some());
+    let took = took.expect("somebody acts in the end");
+    assert!(took <= Duration::from_secs(most_s), "{took:?}");
+    // What was acknowledged is still in force: the same order again is known, another on its base is refused.
+    world.rate = FAST;
+    assert_eq!(world.order(2, &configure(0, bytes)), Some(Code::Ok));
+    assert_eq!(world.order(3, &configure(0, bytes / 2)), Some(Code::OtherBase));
+    assert_eq!(world.order(4, &configure(1, bytes)), Some(Code::Ok));
+}
