Tests: a rewritten file means the same as the one before; a full disk freed is told to the primary

Cause: whether a loss in the middle of a rewrite changes what a member knows, and whether a replica whose disk was full comes back, had no test.

--- a/crates/control-plane/tests/many_changes.rs
+++ b/crates/control-plane/tests/many_changes.rs
@@ -61,14 +61,33 @@
     longest: usize,
     rewrites: usize,
     refuses_rewrites: bool,
+    refuses_all: bool,
+    /// Whether each rewritten file is compared with the one before.
+    compares: bool,
     outputs: Vec<Output>,
 }
 
+/// What a new life makes of records: the change it shows as acknowledged, and how far its ledger goes.
+fn state_of(disk: &[Vec<u8>], now: Duration) -> (Option<u64>, Option<(u64, u64)>) {
+    let mut again = Machine::start(config(ME, None), disk.to_vec(), now);
+    assert!(again.member.unsound().is_none());
+    again.step(Input::Tick);
+    let shown = restored(&again.take_outputs());
+    again.now += 2 * LEASE;
+    again.hear(Message::Prepare { epoch: 9 << 20, candidate: seat(PRIMARY) });
+    let tag = again.take_outputs().iter().find_map(|o| match o {
+        Output::Send { message: Message::Promise { granted: true, tag, .. }, .. } => Some(*tag),
+        _ => None,
+    });
+    (shown, tag.expect("it promises").map(|t| (t.epoch, t.seq)))
+}
+
 impl Machine {
     fn start(config: Config, disk: Vec<Vec<u8>>, now: Duration) -> Self {
         let member = Member::new(config, &disk, now, 7);
-        let (longest, rewrites, refuses_rewrites) = Default::default();
-        Self { member, now, disk, longest, rewrites, refuses_rewrites, outputs: vec![] }
+        let (longest, rewrites, refuses_rewrites, refuses_all, compares) = Default::default();
+        let outputs = vec![];
+        Self { member, now, disk, longest, rewrites, refuses_rewrites, refuses_all, compares, outputs }
     }
 
     fn bytes(&self) -> usize {
@@ -83,12 +102,20 @@
             self.member.step(self.now, input, &mut out);
             for output in out {
                 match output {
+                    Output::Write { ticket, .. } if self.refuses_all => {
+                        inputs.push(Input::Wrote { ticket, result: Err(DiskError::Full) });
+                    }
                     Output::Write { ticket, rewrite: true, .. } if self.refuses_rewrites => {
                         self.rewrites += 1;
                         inputs.push(Input::Wrote { ticket, result: Err(DiskError::Full) });
                     }
                     Output::Write { ticket, records, rewrite } => {
                         if rewrite {
+                            if self.compares {
+                                let (old, new) =
+                                    (state_of(&self.disk, self.now), state_of(&records, self.now));
+                                assert_eq!(old, new, "a loss in the middle of a rewrite leaves either");
+                            }
                             self.disk.clear();
                             self.rewrites += 1;
                         }
@@ -161,21 +188,7 @@
     assert!(machine.longest <= most, "{} of {most} bytes", machine.longest);
 
     // A new life has all that was confirmed, and shows what was known to be acknowledged.
-    let disk = machine.disk.clone();
-    let mut again = Machine::start(config(ME, None), disk, machine.now);
-    assert!(again.member.unsound().is_none());
-    again.step(Input::Tick);
-    assert_eq!(restored(&again.take_outputs()), Some(changes - under_way));
-    again.now += 2 * LEASE;
-    again.hear(Message::Prepare { epoch: 9 << 20, candidate: seat(PRIMARY) });
-    let outputs = again.take_outputs();
-    let promise = outputs.iter().find_map(|o| match o {
-        Output::Send { message: Message::Promise { granted, tag, .. }, .. } => Some((*granted, *tag)),
-        _ => None,
-    });
-    let (granted, tag) = promise.expect("it answers");
-    assert!(granted);
-    assert_eq!(tag.map(|t| (t.epoch, t.seq)), Some((EPOCH, changes)));
+    assert_eq!(state_of(&machine.disk, machine.now), (Some(changes - under_way), Some((EPOCH, changes))));
 }
 
 /// A restart at any moment of a long row of changes: the ledger shown is one that was acknowledged and never an
@@ -183,6 +196,7 @@
 #[test]
 fn a_restart_after_any_change_loses_nothing() {
     let mut machine = replica();
+    machine.compares = true;
     let mut shown = 0;
     for seq in 1..=300_u64 {
         machine.now += Duration::from_millis(50);
@@ -206,6 +220,45 @@
         machine.outputs.clear();
     }
     assert_eq!(shown, 299);
+    assert!(machine.rewrites > 5, "{} rewrites", machine.rewrites);
+}
+
+/// A full disk refuses every write: the replica says so to the primary, and says when there is room again.
+#[test]
+fn a_replica_whose_disk_was_full_is_fit_again() {
+    let mut machine = replica();
+    machine.refuses_all = true;
+    machine.hear(Message::AppendChange { epoch: EPOCH, seq: 1, change: change(1, 10) });
+    let says = |machine: &mut Machine| {
+        machine.hear(Message::RenewLease { epoch: EPOCH, stamp: 1, committed: 0 });
+        let outputs = machine.take_outputs();
+        let fit = outputs.iter().rev().find_map(|o| match o {
+            Output::Send { message: Message::LeaseReply { fit, .. }, .. } => Some(*fit),
+            _ => None,
+        });
+        fit.expect("it answers")
+    };
+    let refused = machine
+        .take_outputs()
+        .iter()
+        .any(|o| matches!(o, Output::Send { message: Message::AppendReply { ok: false, .. }, .. }));
+    assert!(refused);
+    for _ in 0..20 {
+        machine.now += Duration::from_millis(200);
+        machine.step(Input::Tick);
+        assert!(!says(&mut machine));
+    }
+    machine.refuses_all = false;
+    machine.now += Duration::from_millis(400);
+    machine.step(Input::Tick);
+    assert!(says(&mut machine));
+    machine.hear(Message::AppendChange { epoch: EPOCH, seq: 1, change: change(1, 10) });
+    let taken = machine
+        .take_outputs()
+        .iter()
+        .any(|o| matches!(o, Output::Send { message: Message::AppendReply { ok: true, seq: 1, .. }, .. }));
+    assert!(taken);
+    assert_eq!(state_of(&machine.disk, machine.now), (None, Some((EPOCH, 1))));
 }
 
 /// A rewrite needs room for a second file. Where that is refused and appends are not, the primary goes on.
--- a/crates/control-plane/tests/slow_links.rs
+++ b/crates/control-plane/tests/slow_links.rs
@@ -189,6 +189,7 @@
     world.unheard = replicas;
     let took = world.until(Duration::from_secs(120), |w| w.acting().is_some());
     let took = took.expect("somebody acts in the end");
+    println!("{bytes} bytes at {rate} bytes/s, seed {seed}: {took:?}");
     assert!(!world.unheard.contains(&world.acting().unwrap()), "a witness acts");
     assert!(took <= Duration::from_secs(most_s), "{took:?}");
     world.rate = FAST;
@@ -218,6 +219,7 @@
     world.members.remove(&lost);
     let took = world.until(Duration::from_secs(120), |w| w.acting().is_some());
     let took = took.expect("somebody acts in the end");
+    println!("{bytes} bytes at {rate} bytes/s, seed {seed}: {took:?}");
     assert!(took <= Duration::from_secs(most_s), "{took:?}");
     // What was acknowledged is still in force: the same order again is known, another on its base is refused.
     world.rate = FAST;
