--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -36,19 +36,25 @@
     pub(super) remove: BTreeSet<u64>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
+/// How far a candidate has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ElectionPhase {
+    /// It asks whether the others would promise; nothing is on disk yet.
     PreVote,
+    /// It gathers promises under a new epoch.
     Prepare,
+    /// It has a majority's promises and takes the ledger from a replica.
     Fetch,
+    /// It waits for the new view's replicas to have the view and the ledger on disk.
     Copies,
+    /// It waits for a majority of the voters to have the view on disk.
     Witnesses,
 }
 
 #[derive(Debug)]
 pub(super) struct CandidateState {
     pub(super) epoch: u64,
-    phase: Phase,
+    pub(super) phase: ElectionPhase,
     since: Duration,
     /// When those that promised are next told that a ledger is on its way.
     tell_at: Duration,
@@ -66,7 +72,7 @@
     fn new(now: Duration, change: ViewChange, agreed: Option<u64>) -> Self {
         Self {
             epoch: 0,
-            phase: Phase::PreVote,
+            phase: ElectionPhase::PreVote,
             since: now,
             tell_at: now,
             willing: BTreeSet::new(),
@@ -80,6 +86,12 @@
     }
 }
 
+/// The voter of a view that asked for an epoch: an epoch's low bits are those of its candidate's identity.
+pub fn candidate_of(epoch: u64, view: &View) -> Option<&MemberInfo> {
+    let own = (1 << OWN_BITS) - 1;
+    view.voters.iter().chain(&view.before).find(|s| s.id & own == epoch & own)
+}
+
 /// All seats of a view that have a say.
 fn all_voters(view: &View) -> BTreeSet<u64> {
     view.voters.iter().chain(&view.before).map(|s| s.id).collect()
@@ -113,7 +125,7 @@
     ) {
         self.see(seen);
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.phase != Phase::PreVote {
+        if candidacy.phase != ElectionPhase::PreVote {
             return;
         }
         if willing {
@@ -138,7 +150,7 @@
         let round = (self.seen.max(self.promised) >> OWN_BITS) + 1;
         let epoch = (round << OWN_BITS) | (self.me() & ((1 << OWN_BITS) - 1));
         let mut candidacy = CandidateState::new(self.now, change, agreed);
-        (candidacy.epoch, candidacy.phase) = (epoch, Phase::Prepare);
+        (candidacy.epoch, candidacy.phase) = (epoch, ElectionPhase::Prepare);
         self.step_down();
         self.role = Role::Candidate(Box::new(candidacy));
         let me = self.config.me.clone();
@@ -168,7 +180,7 @@
         out: &mut Vec<Output>,
     ) {
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.epoch != epoch || candidacy.phase != Phase::Prepare {
+        if candidacy.epoch != epoch || candidacy.phase != ElectionPhase::Prepare {
             return;
         }
         match has {
@@ -211,7 +223,7 @@
         holders.sort_by_key(|h| h.1);
         if let Some((holder, _)) = holders.pop().filter(|h| h.0 != me) {
             let epoch = candidacy.epoch;
-            (candidacy.phase, candidacy.since) = (Phase::Fetch, self.now);
+            (candidacy.phase, candidacy.since) = (ElectionPhase::Fetch, self.now);
             candidacy.tell_at = self.now + self.config.lease.mul_f64(STILL_AT_IT_INTERVAL);
             self.send(holder, Message::FetchLedger { epoch }, out);
         }
@@ -225,7 +237,7 @@
         out: &mut Vec<Output>,
     ) {
         let Role::Candidate(candidacy) = &self.role else { return };
-        if candidacy.epoch != epoch || candidacy.phase != Phase::Fetch {
+        if candidacy.epoch != epoch || candidacy.phase != ElectionPhase::Fetch {
             return;
         }
         let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch).cloned();
@@ -275,7 +287,7 @@
         self.write(&Record::Accepted { view: view.clone(), snapshot }, after);
         let now = self.now;
         if let Role::Candidate(candidacy) = &mut self.role {
-            (candidacy.phase, candidacy.since) = (Phase::Copies, now);
+            (candidacy.phase, candidacy.since) = (ElectionPhase::Copies, now);
             candidacy.tell_at = now + self.config.lease.mul_f64(STILL_AT_IT_INTERVAL);
             candidacy.target = Some((view, ledger));
         }
@@ -298,14 +310,18 @@
             return;
         }
         candidacy.installed.insert(from);
-        if candidacy.phase == Phase::Copies && view.replicas.iter().all(|c| candidacy.installed.contains(c)) {
-            candidacy.phase = Phase::Witnesses;
+        if candidacy.phase == ElectionPhase::Copies
+            && view.replicas.iter().all(|c| candidacy.installed.contains(c))
+        {
+            candidacy.phase = ElectionPhase::Witnesses;
             for id in all_voters(&view).into_iter().filter(|id| !view.replicas.contains(id)) {
                 self.send(id, Message::InstallView { view: view.clone(), snapshot: None }, out);
             }
         }
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.phase == Phase::Witnesses && view.majority(|id| candidacy.installed.contains(&id)) {
+        if candidacy.phase == ElectionPhase::Witnesses
+            && view.majority(|id| candidacy.installed.contains(&id))
+        {
             let lacking = view.voters.iter().map(|s| s.id).filter(|id| !candidacy.installed.contains(id));
             let lacking = lacking.collect();
             self.grant = None;
@@ -323,8 +339,8 @@
     fn phase_time(&self, candidacy: &CandidateState) -> Duration {
         let half = self.config.lease / 2;
         match (candidacy.phase, &candidacy.target) {
-            (Phase::Fetch, _) => half * (1 << self.fetch_doublings),
-            (Phase::Copies, Some((_, ledger))) => {
+            (ElectionPhase::Fetch, _) => half * (1 << self.fetch_doublings),
+            (ElectionPhase::Copies, Some((_, ledger))) => {
                 half + Duration::from_secs(1)
                     .mul_f64(ledger_bytes(ledger) as f64 / f64::from(MIN_TRANSFER_RATE))
             }
@@ -335,7 +351,9 @@
     /// Until when this member is at moving a ledger as a candidate.
     pub(super) fn moves_ledger_until(&self) -> Option<Duration> {
         match &self.role {
-            Role::Candidate(candidacy) if matches!(candidacy.phase, Phase::Fetch | Phase::Copies) => {
+            Role::Candidate(candidacy)
+                if matches!(candidacy.phase, ElectionPhase::Fetch | ElectionPhase::Copies) =>
+            {
                 Some(candidacy.since + self.phase_time(candidacy))
             }
             _ => None,
@@ -345,7 +363,7 @@
     pub(super) fn run_candidate(&mut self, out: &mut Vec<Output>) {
         let Role::Candidate(candidacy) = &self.role else { return };
         if self.now >= candidacy.since + self.phase_time(candidacy) || self.leaving {
-            if candidacy.phase == Phase::Fetch {
+            if candidacy.phase == ElectionPhase::Fetch {
                 self.fetch_doublings = (self.fetch_doublings + 1).min(MAX_FETCH_DOUBLINGS);
             }
             return self.give_up(self.now);
--- a/crates/control-plane/tests/many_changes.rs
+++ b/crates/control-plane/tests/many_changes.rs
@@ -178,7 +178,7 @@
         machine.hear(Message::AppendChange { epoch: EPOCH, seq, change: change(seq, routes) });
         if seq % RENEWED_EACH == 0 {
             let (stamp, committed) = (machine.now.as_millis() as u64, seq.saturating_sub(under_way));
-            machine.hear(Message::RenewLease { epoch: EPOCH, stamp, committed });
+            machine.hear(Message::RenewLease { epoch: EPOCH, stamp, committed, heard: 0 });
         }
     }
     // Four times a ledger, twice the changes that may be open, and what one write adds.
@@ -207,7 +207,7 @@
         assert!(confirmed, "change {seq}");
         if seq % 3 == 0 {
             let stamp = machine.now.as_millis() as u64;
-            machine.hear(Message::RenewLease { epoch: EPOCH, stamp, committed: seq - 1 });
+            machine.hear(Message::RenewLease { epoch: EPOCH, stamp, committed: seq - 1, heard: 0 });
         }
         let mut again = Machine::start(config(ME, None), machine.disk.clone(), machine.now);
         assert!(again.member.unsound().is_none(), "after {seq}");
@@ -230,7 +230,7 @@
     machine.refuses_all = true;
     machine.hear(Message::AppendChange { epoch: EPOCH, seq: 1, change: change(1, 10) });
     let says = |machine: &mut Machine| {
-        machine.hear(Message::RenewLease { epoch: EPOCH, stamp: 1, committed: 0 });
+        machine.hear(Message::RenewLease { epoch: EPOCH, stamp: 1, committed: 0, heard: 0 });
         let outputs = machine.take_outputs();
         let fit = outputs.iter().rev().find_map(|o| match o {
             Output::Send { message: Message::LeaseReply { fit, .. }, .. } => Some(*fit),
@@ -366,7 +366,7 @@
         machine.hear(Message::Prepare { epoch, candidate: seat(PRIMARY) });
         machine.hear(Message::FetchLedger { epoch });
         machine.hear(Message::AppendChange { epoch: EPOCH, seq: 2, change: change(2, 1) });
-        machine.hear(Message::RenewLease { epoch: EPOCH, stamp: 1, committed: 1 });
+        machine.hear(Message::RenewLease { epoch: EPOCH, stamp: 1, committed: 1, heard: 0 });
         let view = View { epoch, ..view() };
         machine.hear(Message::InstallView { view, snapshot: Some(Ledger::default().snapshot()) });
     }
