Candidates with short ledgers stand as before; only long ones are told of

Change: others are told and held back only where the phase may last more than three quarters of a lease.

--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -20,7 +20,9 @@
 /// A candidate that fetches a ledger doesn't know how long it is: each time that its time was too short, the next
 /// try takes twice as long, so many times at most.
 const MAX_FETCH_DOUBLINGS: u32 = 4;
-/// Share of a lease after which a candidate that moves a ledger tells its voters that it is at it.
+/// A phase that may last longer than this share of a lease is told of: half a lease is usual.
+const LONG_PHASE: f64 = 0.75;
+/// Share of a lease after which a candidate that moves a long ledger tells its voters that it is at it.
 const STILL_AT_IT_INTERVAL: f64 = 0.25;
 /// Bits of an epoch that tell candidates apart.
 const OWN_BITS: u32 = 20;
@@ -364,13 +366,12 @@
         }
     }
 
-    /// Until when this member is at moving a ledger as a candidate.
+    /// Until when this member is at moving a long ledger as a candidate.
     pub(super) fn moves_ledger_until(&self) -> Option<Duration> {
         match &self.role {
-            Role::Candidate(candidacy)
-                if matches!(candidacy.phase, ElectionPhase::Fetch | ElectionPhase::Copies) =>
-            {
-                Some(candidacy.since + self.phase_time(candidacy))
+            Role::Candidate(candidacy) => {
+                let time = self.phase_time(candidacy);
+                (time > self.config.lease.mul_f64(LONG_PHASE)).then_some(candidacy.since + time)
             }
             _ => None,
         }
