A member that is cut off sends its callers away after 250 ms

Cause: a member that knew no primary held each call for 3.5 s, also where it had known none for long. Its callers wait a second before they go elsewhere, and go back to it later.

Change: once a member has known no primary for two leases (a takeover takes about one), a call waits there 250 ms at most and then gets 503; the caller goes on at once. Through a takeover calls are held as before.

--- a/crates/control-plane/src/member/commands.rs
+++ b/crates/control-plane/src/member/commands.rs
@@ -8,6 +8,12 @@
 /// A command that the primary has not answered is asked again after this; asking twice does no harm.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
+/// A member that has known no primary for so many leases is cut off, or more than a takeover is under way: its
+/// callers are better served elsewhere.
+const CUT_OFF_AFTER_LEASES: u32 = 2;
+/// The longest that a command waits for its answer at a member that is cut off.
+const CUT_OFF_PATIENCE: Duration = Duration::from_millis(250);
+
 /// A command of a caller of this member.
 #[derive(Debug)]
 pub(super) struct LocalCommand {
@@ -63,7 +69,9 @@
 
     /// Hands what waits to whoever acts, and ends what has waited too long.
     pub(super) fn run_commands(&mut self, out: &mut Vec<Output>) {
-        let (now, patience, me) = (self.now, self.config.patience, self.me());
+        let (now, me) = (self.now, self.me());
+        self.note_primary();
+        let patience = self.patience();
         let forward_base = self.forward_base;
         let over: Vec<u64> =
             self.local.iter().filter(|l| now >= l.1.since + patience).map(|l| *l.0).collect();
@@ -91,8 +99,32 @@
         self.serve_inbox(out);
     }
 
+    /// Notes since when no primary is known.
+    fn note_primary(&mut self) {
+        self.without_primary = match self.primary() {
+            Some(_) => None,
+            None => self.without_primary.or(Some(self.now)),
+        };
+    }
+
+    /// When this member counts as cut off, where it knows no primary.
+    fn cut_off_at(&self) -> Option<Duration> {
+        self.without_primary.map(|since| since + CUT_OFF_AFTER_LEASES * self.config.lease)
+    }
+
+    /// How long a command may wait here now.
+    fn patience(&self) -> Duration {
+        match self.cut_off_at() {
+            Some(at) if self.now >= at => CUT_OFF_PATIENCE.min(self.config.patience),
+            _ => self.config.patience,
+        }
+    }
+
     pub(super) fn commands_wake(&self) -> Option<Duration> {
-        let ends = self.local.values().map(|l| l.since + self.config.patience).min();
+        let patience = self.patience();
+        let ends = self.local.values().map(|l| l.since + patience).min();
+        let cut_off = self.cut_off_at().filter(|at| *at > self.now && !self.local.is_empty());
+        let ends = ends.into_iter().chain(cut_off).min();
         let asks = self.local.values().filter_map(|l| l.asked).filter(|a| a.0 != self.me());
         ends.into_iter().chain(asks.map(|a| a.1 + ASK_AGAIN)).min()
     }
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -226,6 +226,8 @@
     election_at: Duration,
     disk: Disk,
     local: BTreeMap<u64, LocalCommand>,
+    /// Since when no primary is known here; none where one is.
+    without_primary: Option<Duration>,
     /// Where this life's numbers of forwarded commands begin: drawn, so that an answer to a command of an
     /// earlier life is never taken for the answer to one of this life.
     forward_base: u64,
@@ -267,6 +269,7 @@
             election_at: now,
             disk: Disk::default(),
             local: BTreeMap::new(),
+            without_primary: Some(now),
             forward_base: forward_base(random),
             hint: None,
             departure: None,
--- a/crates/control-plane/tests/orders.rs
+++ b/crates/control-plane/tests/orders.rs
@@ -324,6 +324,32 @@
     assert!(cluster.now_ms() - since <= 50, "{} ms after the takeover", cluster.now_ms() - since);
 }
 
+/// A member that has been cut off for a while doesn't hold its callers: they go elsewhere, or hear from it as soon as
+/// it is back in touch.
+#[test]
+fn a_member_that_is_cut_off_sends_its_callers_away_at_once() {
+    let mut cluster = Cluster::new(3);
+    let primary = cluster.primary();
+    let other = cluster.witness();
+    for cut_off in [other, primary] {
+        cluster.cut(cut_off);
+        cluster.run_ms(5000);
+        let since = cluster.now_ms();
+        cluster.command(cut_off, since, order(0, 2, "a"));
+        let code = cluster.answer_to(cut_off, since);
+        assert!(matches!(code, Code::NoPrimary | Code::Unclear), "{code:?}");
+        assert!(cluster.now_ms() - since <= 300, "{} ms", cluster.now_ms() - since);
+        cluster.heal();
+        cluster.run_ms(5000);
+    }
+    // Whoever is in touch holds a call through a takeover.
+    let primary = cluster.primary();
+    let other = (0..3).find(|n| *n != primary).unwrap();
+    cluster.stop(primary);
+    cluster.command(other, 1, order(0, 2, "b"));
+    assert_eq!(cluster.answer_to(other, 1), Code::Ok);
+}
+
 /// Eight orders at once on the same version, with one number and different contents, at all members.
 #[rstest]
 #[case::same_version(true)]
