Members are told again and again who is in touch, so that a spare one may join later

Cause: a member without a say tells the primary nothing after its link is up; it could join for three leases only. One beyond the nine voters, or one that came while a voter was about to be missed, was never taken, so a lost voter's place stayed empty. Change: the process reports the members in touch once a lease. No other test changed; Core in tests/members.rs has a field for the tuning and a way to kill.

--- a/crates/control-plane/src/shell/mod.rs
+++ b/crates/control-plane/src/shell/mod.rs
@@ -182,6 +182,7 @@
     };
     log::info!(id = identity.id, life = identity.life, records = records.len(), founder = !identity.initial_voters.is_empty(); "member starts");
 
+    let announced = events.clone();
     let links = Links::new(me.clone(), move |heard| drop(events.send(Event::LinkEvent(heard))));
     let beat = Duration::from_millis(boot.beat_period_ms);
     let mirror = SharedMirror::since(Mirror::new(identity.id, beat), origin);
@@ -197,6 +198,7 @@
         history: history.clone(),
     })));
     spawn_local(accept(inside, links.clone(), feed.clone()));
+    spawn_local(announce(links.clone(), announced, tuning.lease));
     spawn_local({
         let history = history.clone();
         async move {
@@ -536,6 +538,19 @@
     grace.saturating_sub(BEFORE_KILL).min(MAX_LEAVE_TIME)
 }
 
+/// Tells the member again and again who is in touch: members without a say send it nothing, and one that came while
+/// it couldn't join would be taken for gone.
+async fn announce(links: Links, events: Events, period: Duration) {
+    loop {
+        sleep(period).await;
+        for seat in links.seats().into_iter().skip(1) {
+            if events.send(Event::LinkEvent(LinkEvent::Hello(seat))).is_err() {
+                return;
+            }
+        }
+    }
+}
+
 async fn follow_seeds(
     links: Links,
     pulls: UnboundedSender<client::Control>,
--- a/crates/control-plane/tests/members.rs
+++ b/crates/control-plane/tests/members.rs
@@ -19,6 +19,7 @@
     dirs: Vec<PathBuf>,
     ips: Vec<Ipv4Addr>,
     ports: (u16, u16),
+    tuning: Tuning,
     running: Vec<Option<(oneshot::Sender<()>, JoinHandle<()>)>>,
 }
 
@@ -32,7 +33,7 @@
         let free = || TcpListener::bind((ips[0], 0)).unwrap().local_addr().unwrap().port();
         let dirs = (1..=count).map(|n| root.join(n.to_string())).collect();
         let ports = (free(), free());
-        Self { dirs, ips, ports, running: (0..count).map(|_| None).collect() }
+        Self { dirs, ips, ports, tuning: Tuning::default(), running: (0..count).map(|_| None).collect() }
     }
 
     fn control(&self, n: usize) -> SocketAddrV4 {
@@ -55,9 +56,10 @@
         });
         let boot = Boot::read(&boot.to_string()).unwrap();
         let (stop, stopped) = oneshot::channel();
+        let tuning = self.tuning;
         let done = spawn_local(async move {
             let (_seeds, following) = watch::channel(boot.seed_nodes.clone());
-            run(boot, Tuning::default(), following, async { drop(stopped.await) }).await.unwrap();
+            run(boot, tuning, following, async { drop(stopped.await) }).await.unwrap();
         });
         self.running[n] = Some((stop, done));
     }
@@ -68,6 +70,11 @@
         done.await.unwrap();
     }
 
+    /// Ends the member without a word.
+    fn kill(&mut self, n: usize) {
+        self.running[n].take().unwrap().1.abort();
+    }
+
     async fn identity(&self, n: usize) -> serde_json::Value {
         let status = call(self.control(n), "GET", "/fennelpin/status", &[], "").await.unwrap();
         serde_json::from_str::<serde_json::Value>(&status.body).unwrap()["id"].clone()
@@ -219,3 +226,31 @@
     })
     .await;
 }
+
+/// A member beyond the voters is in touch for longer than any silence is borne, and then takes a lost voter's place.
+#[tokio::test]
+async fn a_spare_member_takes_a_lost_voters_place() {
+    let root = tempfile::tempdir().unwrap();
+    let mut core = Core::of(10, 67, root.path());
+    core.tuning.lease = Duration::from_millis(300);
+    let play = async {
+        (0..10).for_each(|n| core.start(n, true));
+        assert_eq!(replace(core.control(0), "0", CONFIGURATION).await.status, 200);
+        let voters = |a: &Answer| {
+            let status: serde_json::Value = serde_json::from_str(&a.body).unwrap_or_default();
+            let voters = status["member"]["view"]["voters"].as_array().cloned().unwrap_or_default();
+            voters.iter().filter_map(|v| v["name"].as_str().map(str::to_owned)).collect::<Vec<_>>()
+        };
+        let status = "/fennelpin/status";
+        let full = |a: &Answer| voters(a).len() == 9;
+        let nine = call_until(core.control(0), "GET", status, &[], "", full).await;
+        let has = voters(&nine);
+
+        let spare = (0..10).map(|n| format!("core-{n}")).find(|name| !has.contains(name)).unwrap();
+        let lost = (1..10).find(|n| has.contains(&format!("core-{n}"))).unwrap();
+        core.kill(lost);
+        let taken = |a: &Answer| voters(a).contains(&spare);
+        call_until(core.control(0), "GET", status, &[], "", taken).await;
+    };
+    timeout(Duration::from_secs(60), LocalSet::new().run_until(play)).await.expect("the test hangs");
+}
