--- a/crates/control-plane/src/shell/start.rs
+++ b/crates/control-plane/src/shell/start.rs
@@ -5,11 +5,11 @@
 use super::disk::{self, DiskEvent};
 use super::event_loop::EventLoop;
 use super::identity::{Identity, StartFacts};
-use super::links::Links;
+use super::links::{LinkEvent, Links};
 use super::status::ShownFleet;
 use super::transitions::{self, Recorder};
 use super::{inbound, roster, seeds};
-use super::{Event, Failure, ListenSnafu, NoControlSnafu, NoDiskSnafu, ThreadSnafu, Tuning};
+use super::{Event, Events, Failure, ListenSnafu, NoControlSnafu, NoDiskSnafu, ThreadSnafu, Tuning};
 use crate::feed::Feed;
 use crate::history::History;
 use crate::member::{Config, Member};
@@ -92,6 +92,7 @@
         "member starts"
     );
 
+    let announced = events.clone();
     let links = Links::new(me.clone(), move |heard| drop(events.send(Event::LinkEvent(heard))));
     let beat = Duration::from_millis(boot.beat_period_ms);
     let mirror = SharedMirror::since(Mirror::new(identity.id, beat), origin);
@@ -107,6 +108,7 @@
         history: history.clone(),
     })));
     spawn_local(inbound::accept(inside, links.clone(), feed.clone()));
+    spawn_local(announce(links.clone(), announced, tuning.lease));
     spawn_local(keep_feed(feed, history.clone(), beat / FEED_TICKS_PER_BEAT));
     // What other members were told comes by pulls, like an agent's.
     let (pulls, told) = unbounded_channel();
@@ -194,6 +196,19 @@
     }
 }
 
+/// Tells the member again and again who is in touch: members without a say send it nothing, and one that came while
+/// it couldn't join would be taken for gone.
+async fn announce(links: Links, events: Events, period: Duration) {
+    loop {
+        sleep(period).await;
+        for seat in links.seats().into_iter().skip(1) {
+            if events.send(Event::LinkEvent(LinkEvent::Hello(seat))).is_err() {
+                return;
+            }
+        }
+    }
+}
+
 /// Waits until the disk has told who this member is and what it holds; none where its thread has ended.
 async fn open(queue: &mut UnboundedReceiver<Event>) -> Option<(Identity, Vec<Vec<u8>>, Option<Vec<u8>>)> {
     let mut refused = false;
