fennelpin-cli store recover: go on from one replica's disk when a majority is lost

Cause: with fewer than a majority left for good there was no way on but to start anew and lose what was acknowledged. No member makes an epoch of a generation that it has no view of; one that hears of a later generation stops acting, standing, granting and taking changes, and follows once a view is installed there. A primary whose voters together are too few for the budget acts, answers reads and refuses changes (before, no view could be made at all, so nobody could join either).

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -48,5 +48,6 @@
 pub mod history;
 pub mod ledger;
 pub mod member;
+pub mod recovery;
 pub mod roster;
 pub mod shell;
--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -81,7 +81,10 @@
     pub(super) fn run_election_timer(&mut self, out: &mut Vec<Output>) {
         let held_back =
             self.grant.is_some_and(|g| g.until > self.now) || self.departure.is_some() || !self.fit();
-        let idle = matches!(self.role, Role::Idle) && self.is_voter() && self.now >= self.election_at;
+        let idle = matches!(self.role, Role::Idle)
+            && self.is_voter()
+            && !self.given_up()
+            && self.now >= self.election_at;
         if held_back || !idle {
             return;
         }
@@ -257,7 +260,13 @@
         // alone holds is on another disk then.
         let leaving = seats.iter().copied().filter(|s| well(s.id) || self.peer_leaving(s.id));
         let replicas = choose_replicas(&self.config.budget, &staying)
-            .or_else(|| choose_replicas(&self.config.budget, &leaving.collect::<Vec<_>>()));
+            .or_else(|| choose_replicas(&self.config.budget, &leaving.collect::<Vec<_>>()))
+            .or_else(|| {
+                // Even all voters together are too few: they hold what there is, and take no change until more come.
+                let all: Vec<&MemberInfo> = voters.iter().collect();
+                let too_few = choose_replicas(&self.config.budget, &all).is_none();
+                too_few.then(|| staying.iter().map(|s| s.id).collect())
+            });
         let Some(replicas) = replicas.filter(|_| voters.iter().any(|s| s.id == me)) else { return };
         let view = View { epoch: candidacy.epoch, primary: me, replicas, voters, before };
         let snapshot = Some(ledger.snapshot());
@@ -309,7 +318,9 @@
             let lacking = lacking.collect();
             let acting_since = candidacy.acting_since.unwrap_or(self.now);
             self.grant = None;
-            let state = PrimaryState::new(epoch, self.now, acting_since, ledger, &view, lacking);
+            let mut state = PrimaryState::new(epoch, self.now, acting_since, ledger, &view, lacking);
+            let held_by: Vec<&MemberInfo> = view.replicas.iter().filter_map(|id| view.seat(*id)).collect();
+            state.takes_changes = choose_replicas(&self.config.budget, &held_by).is_some();
             self.role = Role::Primary(Box::new(state));
             self.run_primary(out);
         }
--- a/crates/control-plane/src/member/membership.rs
+++ b/crates/control-plane/src/member/membership.rs
@@ -34,7 +34,10 @@
         if change.add.is_empty() {
             change.remove.extend(self.voter_to_drop(state, view));
         }
-        let moves = !change.exclude.is_empty() || !change.add.is_empty() || !change.remove.is_empty();
+        let moves = (!state.takes_changes && self.enough_answer(state, view))
+            || !change.exclude.is_empty()
+            || !change.add.is_empty()
+            || !change.remove.is_empty();
         (overtaken || broken || moves || !view.settled()).then_some(change)
     }
 
@@ -80,6 +83,16 @@
         Some(bad).filter(|bad| !bad.is_empty())
     }
 
+    /// Whether voters that were too few for all replicas are enough now.
+    fn enough_answer(&self, state: &PrimaryState, view: &View) -> bool {
+        let answers = |id: u64| {
+            let recent = self.unsigned(state, id) < self.config.lease.mul_f64(2.0 * RENEW_INTERVAL);
+            id == self.me() || (recent && self.peer_fit(id) && !self.peer_leaving(id))
+        };
+        let seats: Vec<&MemberInfo> = view.voters.iter().filter(|s| answers(s.id)).collect();
+        choose_replicas(&self.config.budget, &seats).is_some()
+    }
+
     /// Members without a say that come: in the place of a voter that is lost or leaves, or beside the others.
     fn joining(&self, state: &PrimaryState, view: &View, change: &mut ViewChange) {
         let (now, lease, me) = (self.now, self.config.lease, self.me());
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -4,6 +4,7 @@
 mod candidate;
 mod commands;
 mod disk;
+pub(crate) mod generation;
 mod leave;
 mod membership;
 mod primary;
@@ -297,6 +298,7 @@
             Input::Reachable { seat } => self.on_reachable(&seat),
             Input::Leave => self.on_leave(out),
         }
+        self.end_if_given_up();
         self.run_departure(out);
         self.run_primary(out);
         self.run_candidate(out);
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -33,6 +33,8 @@
     pub(super) since: Duration,
     /// Since when this member has acted, in this view and in those of its own before.
     pub(super) acting_since: Duration,
+    /// Whether its replicas are enough for the budget; else nothing new may be acknowledged.
+    pub(super) takes_changes: bool,
     committed: Ledger,
     /// Whether its ledger was shown: not before the first lease, as others may act already.
     shown: bool,
@@ -63,6 +65,7 @@
             epoch,
             since: now,
             acting_since,
+            takes_changes: true,
             acked: view.replicas.iter().map(|c| (*c, ledger.seq)).collect(),
             drained: ledger.drains.iter().map(|d| (d.clone(), now)).collect(),
             committed: ledger,
@@ -162,7 +165,11 @@
         let Role::Primary(state) = &self.role else { return };
         let hosts: Vec<String> =
             state.drained.iter().filter(|d| now >= *d.1 + DRAIN_RETENTION).map(|d| d.0.clone()).collect();
-        if hosts.is_empty() || !state.pending.is_empty() || self.lease_end(state) <= now {
+        if hosts.is_empty()
+            || !state.takes_changes
+            || !state.pending.is_empty()
+            || self.lease_end(state) <= now
+        {
             return;
         }
         let change = Change::Forget { hosts };
@@ -183,6 +190,9 @@
                 return;
             };
             match held.head.plan(&command) {
+                Plan::Change(..) if !state.takes_changes => {
+                    self.answer(source, Code::NoPrimary, vec![], out);
+                }
                 Plan::Change(change, next) => {
                     self.change(change, *next, vec![(source, Code::Ok, vec![])], out)
                 }
--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -12,7 +12,7 @@
         let wait = self.config.lease / 2;
         // One that joins may be a voter without having been told yet: with no view of its own it can't know better
         // than whoever asks, and a promise never does harm.
-        let may_be_voter = self.view.is_none() || self.is_voter();
+        let may_be_voter = self.view.is_none() || (self.is_voter() && !self.given_up());
         if !may_be_voter || !self.fit() {
             return Err(wait);
         }
@@ -142,6 +142,7 @@
         out: &mut Vec<Output>,
     ) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch && v.primary == from.id);
+        let follows = follows && !self.given_up();
         let held = self.held.as_mut().filter(|_| follows && self.promised == epoch);
         let message = match held {
             Some(held) if seq <= held.disk.seq => {
@@ -166,7 +167,7 @@
 
     pub(super) fn on_renew(&mut self, from: MemberInfo, epoch: u64, stamp: u64, out: &mut Vec<Output>) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch && v.primary == from.id);
-        let ok = follows && self.promised == epoch;
+        let ok = follows && self.promised == epoch && !self.given_up();
         if ok {
             let until = self.now + self.config.lease;
             self.grant = Some(Grant { to: from.id, epoch, until });
--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -136,6 +136,7 @@
         let random = 77 * (n as u64 + 1) + u64::from(self.nodes[n].life);
         let node = &mut self.nodes[n];
         node.life += 1;
+        node.wake = ms(0);
         node.left = false;
         node.member = Some(Member::new(config, &node.records, self.now, random));
         self.push(ms(0), n, Event::Wake);
@@ -161,6 +162,18 @@
         self.boot(n, false);
     }
 
+    /// The records on a machine's disk.
+    pub fn records(&self, n: usize) -> &[Vec<u8>] {
+        &self.nodes[n].records
+    }
+
+    /// Starts a stopped machine as somebody else, with other records on its disk.
+    pub fn restart_as(&mut self, n: usize, id: u64, records: Vec<Vec<u8>>) {
+        self.nodes[n].seat.id = id;
+        self.nodes[n].records = records;
+        self.boot(n, false);
+    }
+
     pub fn leave(&mut self, n: usize) {
         self.step(n, Input::Leave);
     }
--- a/crates/fennelpin-cli/src/failure.rs
+++ b/crates/fennelpin-cli/src/failure.rs
@@ -124,6 +124,41 @@
         /// The file.
         name: String,
     },
+    /// A folder can't be recovered from.
+    #[snafu(display("not recovered, nothing is changed"))]
+    NotRecovered {
+        /// Why.
+        source: control_plane::recovery::Refusal,
+    },
+    /// Another disk knows a later view than the one that was to be recovered from.
+    #[snafu(display(
+        "{} knows a later view (epoch {later}) than {} (epoch {epoch}): recover from a replica of that one",
+        other.display(), dir.display()
+    ))]
+    LaterView {
+        /// The folder that knows more.
+        other: PathBuf,
+        /// Its view's epoch.
+        later: u64,
+        /// The folder that was to be recovered from.
+        dir: PathBuf,
+        /// Its view's epoch.
+        epoch: u64,
+    },
+    /// A file can't be copied.
+    #[snafu(display("cannot keep a copy as {}", path.display()))]
+    NoCopy {
+        /// The copy.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// There are no random numbers.
+    #[snafu(display("no random numbers: {detail}"))]
+    NoRandom {
+        /// Why.
+        detail: String,
+    },
     /// The system on this machine can't be run.
     #[snafu(display("{what}"))]
     Local {
@@ -143,7 +178,7 @@
             | Failure::NoCompletion { .. }
             | Failure::Configuration { .. } => 2,
             Failure::ControlPlane { source: Root::NoControl | Root::NoDisk } => 2,
-            Failure::Refused { .. } => 3,
+            Failure::Refused { .. } | Failure::NotRecovered { .. } | Failure::LaterView { .. } => 3,
             _ => 1,
         }
     }
--- a/crates/fennelpin-cli/src/main.rs
+++ b/crates/fennelpin-cli/src/main.rs
@@ -88,6 +88,9 @@
         Verb::Config(Config::Rollback(rollback)) => config::rollback(&rollback).map(done),
         Verb::Store(Store::Inspect(dir)) => store::inspect(&dir).map(done),
         Verb::Store(Store::Verify(dir)) => store::verify(&dir).map(done),
+        Verb::Store(Store::Recover { lost, others, dir, .. }) => {
+            store::recover(&dir, &lost, &others).map(done)
+        }
         Verb::Store(Store::Rewrite { dir, .. }) => store::rewrite(&dir).map(done),
         Verb::Local(plan) => local::run(&plan).map(done),
     }
--- a/crates/fennelpin-cli/src/options.rs
+++ b/crates/fennelpin-cli/src/options.rs
@@ -155,6 +155,17 @@
     Inspect(PathBuf),
     /// Look at each record.
     Verify(PathBuf),
+    /// Go on from a replica's files alone, where a majority is lost for good.
+    Recover {
+        /// That the member doesn't run.
+        stopped: bool,
+        /// The members that are given up, by name or identity.
+        lost: Vec<String>,
+        /// Folders of other members that were lost but whose disks are there: none may know a later view.
+        others: Vec<PathBuf>,
+        /// The folder.
+        dir: PathBuf,
+    },
     /// Write them anew.
     Rewrite {
         /// That the member doesn't run.
@@ -284,7 +295,22 @@
         let dir = dir();
         verb("rewrite", "write a stopped member's files anew", construct!(Store::Rewrite { stopped, dir }))
     };
-    verb("store", "look at a member's files", construct!([inspect, verify, rewrite]))
+    let recover = {
+        let stopped = long("stopped").help("the member doesn't run").req_flag(true);
+        let lost = long("lost")
+            .help("all other voters, which are given up for good: names or identities, with commas between")
+            .argument::<String>("MEMBER,...")
+            .map(|list| list.split(',').map(|m| m.trim().to_owned()).filter(|m| !m.is_empty()).collect())
+            .fallback(Vec::new());
+        let others = long("other")
+            .help("the folder of another stopped member: it may not know a later view")
+            .argument::<PathBuf>("DIR")
+            .many();
+        let dir = dir();
+        let recover = construct!(Store::Recover { stopped, lost, others, dir });
+        verb("recover", "go on from a stopped replica's files alone, a majority being lost for good", recover)
+    };
+    verb("store", "look at a member's files", construct!([inspect, verify, rewrite, recover]))
 }
 
 fn local() -> impl Parser<Local> {
