--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -1,6 +1,7 @@
 //! A member of the control plane: voter, copy, candidate, primary. Takes inputs with the time and says what to
 //! send, write and answer. Safety rests on epochs; leases only say who may act and when others may stand.
 
+mod acknowledged;
 mod candidate;
 mod commands;
 mod disk;
@@ -8,12 +9,18 @@
 mod leave;
 mod membership;
 mod primary;
+mod recovery;
+mod summary;
 mod view;
 mod voter;
 
+pub use candidate::{candidate_of, ElectionPhase};
+pub use recovery::ReplayError;
+pub use summary::{DiskState, GrantSummary, MemberSummary, RoleSummary};
 pub use view::{choose_replicas, majority_shortfall};
 
 use crate::ledger::Ledger;
+use acknowledged::Acknowledged;
 use candidate::CandidateState;
 use commands::LocalCommand;
 use configuration::{Code, Document, FaultBudget};
@@ -21,7 +28,7 @@
 use leave::Departure;
 use primary::PrimaryState;
 use protocol::{Command, MemberInfo, Message, Record, View};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,7 +37,8 @@
 pub struct Config {
     /// Its own seat.
     pub me: MemberInfo,
-    /// Set only where the whole system starts for the first time and the disk is empty: the voters of view 0.
+    /// The voters of view 0, for those that are among them since the whole system started for the first time; a
+    /// view on the disk goes before.
     pub bootstrap_voters: Option<Vec<MemberInfo>>,
     /// What may be lost at once.
     pub budget: FaultBudget,
@@ -152,6 +160,15 @@
     until: Duration,
 }
 
+/// That nothing which was acknowledged before a moment is missing in a ledger that goes so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proof {
+    /// The moment, by this process's clock.
+    pub at: Duration,
+    /// Number of the last change that was acknowledged then.
+    pub committed: u64,
+}
+
 /// The ledger as a copy holds it.
 #[derive(Clone, Debug)]
 struct ReplicaLedger {
@@ -192,27 +209,44 @@
     seen: u64,
     view: Option<View>,
     held: Option<ReplicaLedger>,
-    /// Number of the last change that this disk knows to be acknowledged.
-    committed: u64,
-    /// While records are read: the ledger after each change since the last that is known to be acknowledged.
-    history: VecDeque<Ledger>,
+    /// What this disk knows to be acknowledged.
+    acknowledged: Acknowledged,
+    /// Why the records can't be relied on: such a member has no say and holds no ledger.
+    unsound: Option<ReplayError>,
     /// What is to be shown at the first step.
     restored: Option<Ledger>,
     grant: Option<Grant>,
+    /// The latest that a primary proved.
+    proof: Option<Proof>,
+    /// What this life counts from in the clocks and numbers that others send back: an answer to an earlier life isn't
+    /// taken for one to this.
+    life_base: u64,
     peers: BTreeMap<u64, Peer>,
     role: Role,
     /// When it may stand next.
     election_at: Duration,
     disk: Disk,
     local: BTreeMap<u64, LocalCommand>,
+    /// Where this life's numbers of forwarded commands begin: drawn, so that an answer to a command of an
+    /// earlier life is never taken for the answer to one of this life.
+    forward_base: u64,
     /// The primary and its epoch, as others tell.
     hint: Option<(u64, MemberInfo)>,
     /// Set once the process is asked to end.
     departure: Option<Departure>,
 }
 
+/// Spreads `random` over all bits, in a way of its own (SplitMix64), as [`Member::draw`] uses it too.
+fn forward_base(random: u64) -> u64 {
+    let mixed = random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
 impl Member {
-    /// A member whose disk holds these records. `random` only spreads what several members do.
+    /// A member whose disk holds these records. `random` differs from life to life; it spreads
+    /// what several members do and tells the commands of one life from those of another.
     pub fn new(config: Config, records: &[Vec<u8>], now: Duration, random: u64) -> Self {
         let mut member = Self {
             now,
@@ -223,15 +257,18 @@
             seen: 0,
             view: None,
             held: None,
-            committed: 0,
-            history: VecDeque::new(),
+            acknowledged: Acknowledged::default(),
+            unsound: None,
             restored: None,
             grant: None,
+            proof: None,
+            life_base: random.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15),
             peers: BTreeMap::new(),
             role: Role::Idle,
             election_at: now,
             disk: Disk::default(),
             local: BTreeMap::new(),
+            forward_base: forward_base(random),
             hint: None,
             departure: None,
             config,
@@ -240,42 +277,30 @@
             let before = voters.clone();
             member.view = Some(View { epoch: 0, primary: 0, replicas: vec![], voters, before });
         }
-        records.iter().filter_map(|r| protocol::read_one(r).ok()).for_each(|r| member.recover(r));
-        member.history.clear();
+        member.recover(records);
         member.disk.kept(records.iter().map(Vec::len).sum());
         let start = if member.restarted { member.config.lease } else { Duration::ZERO };
         member.election_at = now + start + member.election_delay();
         member
     }
 
-    fn recover(&mut self, record: Record) {
-        match record {
-            Record::Promised { epoch } => self.promised = self.promised.max(epoch),
-            Record::Accepted { view, snapshot } => {
-                self.promised = self.promised.max(view.epoch);
-                let ledger = snapshot.and_then(|s| Ledger::of(&s).ok());
-                // Whether the view was agreed on is not known yet.
-                self.history = ledger.iter().cloned().collect();
-                self.held = ledger.map(|l| ReplicaLedger { head: l.clone(), disk: l });
-                self.view = Some(view);
-            }
-            Record::Change { seq, change, .. } => {
-                let next = self.held.as_ref().filter(|h| h.head.seq + 1 == seq);
-                if let Some(next) = next.and_then(|h| h.head.after(&change).ok()) {
-                    self.history.push_back(next.clone());
-                    self.held = Some(ReplicaLedger { head: next.clone(), disk: next });
-                }
+    fn recover(&mut self, records: &[Vec<u8>]) {
+        let recovered = match recovery::replay(records) {
+            Ok(recovered) => recovered,
+            Err(error) => {
+                // What was promised isn't known: nothing is promised, accepted or held any more.
+                self.view = None;
+                self.unsound = Some(error);
+                return;
             }
-            Record::Committed { seq } => {
-                self.committed = seq;
-                while self.history.front().is_some_and(|l| l.seq < seq) {
-                    self.history.pop_front();
-                }
-                let known = self.history.front().filter(|l| l.seq == seq).cloned();
-                self.restored = known.or_else(|| self.restored.take());
-            }
-        }
-        self.seen = self.seen.max(self.promised);
+        };
+        self.promised = recovered.promised;
+        self.seen = recovered.promised;
+        self.view = recovered.view.or(self.view.take());
+        self.held = recovered.held.map(|l| ReplicaLedger { head: l.clone(), disk: l });
+        self.restored = recovered.acknowledged.clone();
+        self.acknowledged = Acknowledged::recovered(recovered.acknowledged);
+        self.acknowledged.view_begins(self.held.as_ref().map(|h| &h.disk));
     }
 
     /// Takes one input; what has to be done is added to `out`, which ends with the next time to wake.
@@ -314,8 +339,8 @@
             Message::Prepare { epoch, candidate } => self.on_prepare(from, epoch, candidate, out),
             Message::InstallView { view, snapshot } => self.on_install(from, view, snapshot, out),
             Message::AppendChange { epoch, seq, change } => self.on_append(from, epoch, seq, change, out),
-            Message::RenewLease { epoch, stamp, committed } => {
-                self.on_renew(from, epoch, stamp, out);
+            Message::RenewLease { epoch, stamp, committed, heard } => {
+                self.on_renew(from, epoch, stamp, (committed, heard), out);
                 self.record_committed(epoch, committed);
             }
             Message::FetchLedger { epoch } => self.on_fetch(from, epoch, out),
@@ -339,9 +364,9 @@
                 self.see(seen);
                 self.on_appended(from.id, epoch, seq, ok, out);
             }
-            Message::LeaseReply { epoch, stamp, ok, seen, fit } => {
+            Message::LeaseReply { epoch, stamp, ok, seen, fit, clock } => {
                 self.see(seen);
-                self.on_renewed(from, epoch, stamp, ok, fit, out);
+                self.on_renewed(from, epoch, stamp, ok, (fit, clock), out);
             }
             Message::ForwardCommand { id, command } => self.on_ask(from, id, command),
             Message::CommandResult { id, code, text } => self.on_answer(id, code, text, out),
@@ -395,12 +420,11 @@
         self.view.as_ref().is_some_and(|v| v.seat(self.me()).is_some())
     }
 
-    /// A copy notes what the primary of its view has acknowledged, for its next life.
+    /// A replica notes what the primary of its view has acknowledged, for its next life.
     fn record_committed(&mut self, epoch: u64, seq: u64) {
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
-        let has = self.held.as_ref().is_some_and(|h| h.disk.seq >= seq);
-        if follows && has && seq > self.committed {
-            self.committed = seq;
+        let Some(held) = self.held.as_ref().filter(|h| follows && h.disk.seq >= seq) else { return };
+        if self.acknowledged.acknowledge(seq, &held.disk) {
             self.write(&Record::Committed { seq }, After::Nothing);
         }
     }
@@ -485,20 +509,26 @@
         self.promised
     }
 
-    /// Since when, at most, this member may have missed what the primary acknowledged.
-    pub fn age(&self, now: Duration) -> Duration {
+    /// What is proved of how fresh the acknowledged ledger is that this member may show; nothing before a primary
+    /// has been heard of in this life.
+    pub fn proof(&self, now: Duration) -> Option<Proof> {
         match &self.role {
-            Role::Primary(state) if self.lease_end(state) > now => Duration::ZERO,
-            _ => match self.grant {
-                Some(g) => now.saturating_sub(g.until.saturating_sub(self.config.lease)),
-                None => now.saturating_sub(self.started) + self.config.lease,
-            },
+            Role::Primary(state) if self.lease_end(state) > now => {
+                Some(Proof { at: now, committed: state.committed_seq() })
+            }
+            _ => self.proof,
         }
     }
 
-    /// Whether the disk takes writes.
+    /// Why this member can't rely on its records, where that is so: it promises, accepts and holds nothing until
+    /// its disk is emptied.
+    pub fn unsound(&self) -> Option<&ReplayError> {
+        self.unsound.as_ref()
+    }
+
+    /// Whether the disk takes writes and its records can be relied on.
     pub fn fit(&self) -> bool {
-        self.disk.fit(self.now, self.config.stall)
+        self.unsound.is_none() && self.disk.fit(self.now, self.config.stall)
     }
 
     fn next_wake(&self) -> Duration {
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -16,6 +16,8 @@
 const LEASE_COUNTED_SHARE: f64 = 0.9;
 const RESEND_INTERVAL: f64 = 0.2;
 const MIN_VIEW_AGE: f64 = 0.3;
+/// Acknowledged changes that the primary's own disk need not know to be acknowledged while more follow.
+const MAX_UNRECORDED_COMMITS: u64 = 4;
 /// Hosts that left are forgotten after this.
 const DRAIN_RETENTION: Duration = Duration::from_secs(120);
 
@@ -42,6 +44,8 @@
     pub(super) acked: BTreeMap<u64, u64>,
     /// When the latest lease that a voter granted was asked for.
     pub(super) stamps: BTreeMap<u64, Duration>,
+    /// The clock that each voter told with its latest answer.
+    clocks: BTreeMap<u64, u64>,
     renew_at: Duration,
     again_at: Duration,
     /// Voters that haven't accepted the view yet.
@@ -72,6 +76,7 @@
             shown: false,
             pending: VecDeque::new(),
             stamps: BTreeMap::new(),
+            clocks: BTreeMap::new(),
             renew_at: now,
             again_at: now,
             lacking,
@@ -79,6 +84,11 @@
             inbox: VecDeque::new(),
         }
     }
+
+    /// Number of the last change that is acknowledged.
+    pub(super) fn committed_seq(&self) -> u64 {
+        self.committed.seq
+    }
 }
 
 impl Member {
@@ -132,6 +142,7 @@
 
     fn renew(&mut self, out: &mut Vec<Output>) {
         let (now, lease, me) = (self.now, self.config.lease, self.me());
+        let leased = self.acts();
         let (Role::Primary(state), Some(view)) = (&mut self.role, self.view.clone()) else { return };
         let epoch = state.epoch;
         let mut sends: Vec<(u64, Message)> = Vec::new();
@@ -142,7 +153,9 @@
                 if state.lacking.contains(&id) && !view.replicas.contains(&id) {
                     sends.push((id, Message::InstallView { view: view.clone(), snapshot: None }));
                 }
-                sends.push((id, Message::RenewLease { epoch, stamp, committed }));
+                // Without a lease others may have acted since: no proof.
+                let heard = state.clocks.get(&id).copied().filter(|_| leased).unwrap_or(0);
+                sends.push((id, Message::RenewLease { epoch, stamp, committed, heard }));
             }
         }
         if now >= state.again_at {
@@ -272,7 +285,9 @@
     pub(super) fn record_own_commits(&mut self) {
         if let Role::Primary(state) = &self.role {
             let (epoch, seq, more) = (state.epoch, state.committed.seq, !state.pending.is_empty());
-            if !more {
+            // Where changes never cease to come, it is noted from time to time all the same.
+            let known = self.acknowledged.seq();
+            if !more || seq >= known + MAX_UNRECORDED_COMMITS {
                 self.record_committed(epoch, seq);
             }
         }
@@ -294,7 +309,7 @@
         epoch: u64,
         stamp: u64,
         ok: bool,
-        fit: bool,
+        (fit, clock): (bool, u64),
         out: &mut Vec<Output>,
     ) {
         if let Some(peer) = self.peers.get_mut(&from.id) {
@@ -310,6 +325,7 @@
             let stamp = Duration::from_millis(stamp);
             let latest = state.stamps.entry(from.id).or_insert(stamp);
             *latest = stamp.max(*latest);
+            state.clocks.insert(from.id, clock);
             state.lacking.remove(&from.id);
             // What came before the lease waits for it.
             self.commit(out);
--- a/crates/control-plane/src/recovery.rs
+++ b/crates/control-plane/src/recovery.rs
@@ -4,7 +4,7 @@
 
 use crate::ledger::Ledger;
 use crate::member::generation::next_generation;
-use crate::shell::identity::{latest, Identity};
+use crate::shell::identity::{latest, FoundLedger, Identity, IdentityError, LedgerOwner};
 use protocol::{MemberInfo, Record, View};
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::collections::BTreeSet;
@@ -19,6 +19,12 @@
     /// The identity's file tells none.
     #[snafu(display("no identity is kept here"))]
     NoIdentity,
+    /// The identity can't be read.
+    #[snafu(display("the identity"))]
+    Identity { source: IdentityError },
+    /// The ledger is another member's.
+    #[snafu(display("the ledger belongs to {owner:016x}, the identity's file to {identity:016x}"))]
+    OtherOwner { owner: u64, identity: u64 },
     /// A record can't be understood.
     #[snafu(display("record {number} can't be understood"))]
     Unreadable { number: usize, source: protocol::Broken },
@@ -61,7 +67,11 @@
     /// # Errors
     /// Where the member isn't a replica of the latest view that it accepted, or a record isn't as it should be.
     pub fn read(identity: &[Vec<u8>], records: &[Vec<u8>]) -> Result<Self, Refusal> {
-        let identity = latest(identity).context(NoIdentitySnafu)?;
+        let identity = latest(identity).context(IdentitySnafu)?.context(NoIdentitySnafu)?;
+        let FoundLedger { owner, records } = FoundLedger::of(records.to_vec());
+        if let Some(owner) = owner.map(|o| o.id).filter(|id| *id != identity.id) {
+            return OtherOwnerSnafu { owner, identity: identity.id }.fail();
+        }
         let (mut promised, mut committed) = (0, 0);
         let mut latest: Option<(View, Option<Ledger>)> = None;
         for (index, record) in records.iter().enumerate() {
@@ -142,6 +152,8 @@
         let records =
             [Record::Accepted { view, snapshot }, Record::Promised { epoch }, Record::Committed { seq }];
         let identity = Identity { id, life: self.identity.life, initial_voters: Vec::new() };
-        Ok((protocol::write_one(&identity), records.iter().map(protocol::write_one).collect()))
+        let owner = protocol::write_one(&LedgerOwner { identity: identity.clone() });
+        let records = records.iter().map(protocol::write_one);
+        Ok((protocol::write_one(&identity), std::iter::once(owner).chain(records).collect()))
     }
 }
--- a/crates/control-plane/tests/recovery.rs
+++ b/crates/control-plane/tests/recovery.rs
@@ -6,7 +6,7 @@
 use cluster::{ms, Cluster};
 use configuration::Code;
 use control_plane::recovery::{latest_view, Refusal, Survivor};
-use control_plane::shell::identity::Identity;
+use control_plane::shell::identity::{FoundLedger, Identity};
 use std::time::Duration;
 
 const SOON: Duration = ms(8000);
@@ -34,7 +34,8 @@
     let (identity, records) = survivor.recovered(&names(&survivor), NEW).unwrap();
     let identity: Identity = protocol::read_one(&identity).unwrap();
     assert_eq!((identity.id, identity.life, identity.initial_voters.len()), (NEW, 5, 0));
-    cluster.restart_as(n, NEW, records);
+    // The ledger's file begins with whose it is.
+    cluster.restart_as(n, NEW, FoundLedger::of(records).records);
 }
 
 #[test]
--- a/crates/fennelpin-cli/tests/recover.rs
+++ b/crates/fennelpin-cli/tests/recover.rs
@@ -2,7 +2,7 @@
 
 use append_log::AppendLog;
 use control_plane::recovery::latest_view;
-use control_plane::shell::identity::{latest, Identity};
+use control_plane::shell::identity::{latest, FoundLedger, Identity, LedgerOwner};
 use protocol::{Addr, MemberInfo, Record, Snapshot, View};
 use std::path::Path;
 use std::process::{Command, Output};
@@ -28,7 +28,8 @@
         AppendLog::open(dir, name).unwrap().0.append(&all).unwrap();
     };
     write("identity", &[protocol::write_one(&identity)]);
-    write("ledger", &records.map(|r| protocol::write_one(&r)));
+    let owner = protocol::write_one(&LedgerOwner { identity });
+    write("ledger", &[vec![owner], records.map(|r| protocol::write_one(&r)).to_vec()].concat());
 }
 
 fn recover(arguments: &[&str], dir: &Path) -> Output {
@@ -62,9 +63,11 @@
     assert_eq!(output.status.code(), Some(0), "{}", errors(&output));
     let told = String::from_utf8_lossy(&output.stdout);
     assert!(told.contains("given up: core-1") && told.contains("given up: core-3"), "{told}");
-    let identity = latest(&records(&dir, "identity")).unwrap();
+    let identity = latest(&records(&dir, "identity")).unwrap().unwrap();
     assert!(identity.id != 2 && identity.initial_voters.is_empty());
-    let ledger = records(&dir, "ledger");
+    let found = FoundLedger::of(records(&dir, "ledger"));
+    assert_eq!(found.owner.map(|o| o.id), Some(identity.id));
+    let ledger = found.records;
     assert!(latest_view(&ledger) > EPOCH << 20, "no election of the old members reaches it");
     let alone = ledger.iter().any(|r| match protocol::read_one(r) {
         Ok(Record::Accepted { view, .. }) => view.voters.len() == 1 && view.voters[0].id == identity.id,
