--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -5,6 +5,7 @@
 mod candidate;
 mod commands;
 mod disk;
+pub(crate) mod generation;
 mod leave;
 mod membership;
 mod primary;
@@ -334,6 +335,7 @@
             Input::Reachable { seat } => self.on_reachable(&seat),
             Input::Leave => self.on_leave(out),
         }
+        self.end_if_given_up();
         self.run_departure(out);
         self.run_primary(out);
         self.run_candidate(out);
