--- a/crates/control-plane/src/shell/start.rs
+++ b/crates/control-plane/src/shell/start.rs
@@ -248,16 +248,3 @@
     let grace = Duration::try_from_secs_f64(grace_s).unwrap_or_default();
     grace.saturating_sub(BEFORE_KILL).min(MAX_LEAVE_TIME)
 }
-
-/// Tells the member again and again who is in touch: members without a say send it nothing, and one that came while
-/// it couldn't join would be taken for gone.
-async fn announce(links: Links, events: Events, period: Duration) {
-    loop {
-        sleep(period).await;
-        for seat in links.seats().into_iter().skip(1) {
-            if events.send(Event::LinkEvent(LinkEvent::Hello(seat))).is_err() {
-                return;
-            }
-        }
-    }
-}
