--- a/crates/simulator/src/drawn.rs
+++ b/crates/simulator/src/drawn.rs
@@ -21,11 +21,14 @@
     Double,
     /// [`Plan::storm`].
     Storm,
+    /// [`Plan::promises`].
+    Promises,
 }
 
 impl Mode {
     /// All modes.
-    pub const ALL: [Mode; 6] = [Self::Drawn, Self::Rough, Self::Long, Self::Aimed, Self::Double, Self::Storm];
+    pub const ALL: [Mode; 7] =
+        [Self::Drawn, Self::Rough, Self::Long, Self::Aimed, Self::Double, Self::Storm, Self::Promises];
 
     /// Its name on the command line.
     pub fn name(self) -> &'static str {
@@ -36,6 +39,7 @@
             Self::Aimed => "aimed",
             Self::Double => "double",
             Self::Storm => "storm",
+            Self::Promises => "promises",
         }
     }
 
@@ -53,6 +57,7 @@
             Self::Aimed => Plan::aimed(seed),
             Self::Double => Plan::double(seed),
             Self::Storm => Plan::storm(seed),
+            Self::Promises => Plan::promises(seed),
         }
     }
 }
@@ -154,6 +159,16 @@
         Self { members, losses, strict: true, orders, ..Self::calm(seed) }
     }
 
+    /// Agents in one of two runs; they may be started again at any time.
+    fn with_agents(mut self, draw: &mut Draw) -> Self {
+        self.agents = [0, 2][draw.index(2)];
+        for _ in 0..self.agents {
+            let at = ms(draw.below(self.length.as_millis() as u64));
+            self.faults.push((at, Fault::Agent(draw.index(self.agents), draw.between(50, 1500))));
+        }
+        self
+    }
+
     /// Cuts and freezes of 15 to 25 s, one way too, by member, pair and zone; members are restarted while they are cut
     /// off; other faults follow as soon as the budget allows.
     pub fn long(seed: u64) -> Self {
@@ -184,7 +199,7 @@
             at += length + draw.between(0, 5000);
         }
         plan.length = at + ms(14_000);
-        plan
+        plan.with_agents(&mut draw)
     }
 
     /// Faults aimed at moments, as far as the budget allows them, beside some that bring the moments about.
@@ -209,7 +224,7 @@
             plan.aimed.push(aimed);
         }
         plan.length = at + ms(12_000);
-        plan
+        plan.with_agents(&mut draw)
     }
 
     /// Faults aimed at moments whatever the budget says, but no more disks lost in all than it allows: only safety is
@@ -231,6 +246,18 @@
         plan
     }
 
+    /// As [`Plan::rough`], and voters are killed right after they have promised, and are back at once.
+    pub fn promises(seed: u64) -> Self {
+        let mut draw = Draw::new(seed, 0x9405);
+        let mut plan = Self { strict: true, orders: Some(Orders::default()), ..Self::rough(seed) };
+        for _ in 0..12 {
+            let fault = Fault::Kill(0, draw.between(1, 40));
+            let (nth, delay) = (1 + draw.below(40) as u32, Duration::from_micros(draw.below(2500)));
+            plan.aimed.push(Aimed { moment: Moment::Promised, nth, delay, who: Who::Subject, fault });
+        }
+        plan
+    }
+
     /// 300 changes and more while members are away, short and long.
     pub fn storm(seed: u64) -> Self {
         let mut draw = Draw::new(seed, 0x5708);
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,5 +1,6 @@
 //! The machines: how members come, start and end.
 
+use super::readers::Place;
 use super::{Node, Until, What, World};
 use crate::faults::Moment;
 use crate::plan::ms;
@@ -13,6 +14,9 @@
 /// A machine counts as lost for this after it has come: its start, and the time to catch up.
 const NEW: Duration = Duration::from_millis(4300);
 
+/// The voters of view 0: the first so many machines.
+pub(super) const INITIAL_VOTERS: usize = 3;
+
 impl World<'_> {
     pub(super) fn add(&mut self, id: u64) {
         let n = self.nodes.len() as u32;
@@ -36,12 +40,13 @@
             wake: ms(0),
             disk: (false, false, 1),
             held_back: vec![],
-            initial_voter: n < 3,
+            initial_voter: (n as usize) < INITIAL_VOTERS,
             lost_until: ms(0),
             new_until: self.now + NEW,
             until: Until::default(),
             stood_still: ms(0),
             shown: None,
+            view_ledger: None,
         });
     }
 
@@ -50,10 +55,17 @@
             return;
         }
         let first = match self.plan.strict {
-            true => self.nodes[n].initial_voter,
+            true => {
+                let forgets = self.plan.planted == Planted::InitialVotersForgotten;
+                self.nodes[n].initial_voter && (!forgets || self.nodes[n].records.is_empty())
+            }
             false => self.nodes[n].life == 0 && n < self.plan.members,
         };
-        let seeds: Vec<MemberInfo> = self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
+        // Their identities follow from their addresses, whatever became of their disks.
+        let seeds = match self.plan.strict {
+            true => self.initial_voters.clone(),
+            false => self.nodes.iter().take(INITIAL_VOTERS).map(|n| n.seat.clone()).collect(),
+        };
         let random = u64::from(self.rng.next_u32());
         let losses = self.plan.losses - u32::from(self.plan.planted == Planted::TooFewReplicas);
         let node = &mut self.nodes[n];
@@ -78,6 +90,7 @@
             stall: ms(600),
         };
         node.member = Some(Member::new(config, &node.records, self.now, random));
+        self.open_station(Place::Member(n));
         self.at(self.now, n, What::Hello);
         self.nodes[n].shown = None;
         self.step(n, Input::Tick);
@@ -88,6 +101,7 @@
     pub(super) fn down(&mut self, n: usize, back: Duration) {
         // What the dead process still had under way comes to nothing, but for what the disk made of it.
         self.nodes[n].member = None;
+        self.close_station(Place::Member(n));
         if self.plan.strict {
             self.end_writes(n);
             self.nodes[n].frozen = false;
