--- a/crates/replication/src/client.rs
+++ b/crates/replication/src/client.rs
@@ -71,8 +71,7 @@
         }
         let (mirror_next, learnt, coordinators, taken) = shared.update(|mirror, _| {
             let learnt = (mirror.fleet().mark != fleet).then(|| mirror.fleet().clone());
-            let taken = (mirror.document().version, mirror.ledger());
-            (mirror.next_tick(), learnt, mirror.coordinators(), taken)
+            (mirror.next_tick(), learnt, mirror.coordinators(), mirror.shown())
         });
         puller.set_coordinators(coordinators);
         if let Some(learnt) = learnt {
@@ -126,7 +125,11 @@
                     None => News { age_ms: UNCONFIRMED, ..*news },
                 };
                 let taken = self.shared.update(|mirror, now| mirror.apply(now, &news));
-                puller.answered(now, link, news.member, news.age_ms, taken)
+                let actions = puller.answered(now, link, news.member, news.age_ms, taken);
+                if puller.none_fresh() {
+                    self.shared.update(|mirror, _| mirror.show_withheld());
+                }
+                actions
             }
         }
     }
