Members and mirrors can be cloned

Cause: a model checker keeps many states of one member side by side and steps each further. Change: Clone is derived on Member, on the parts of its state, and on Mirror with its parts; nothing else changes.

--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -36,7 +36,7 @@
     Witnesses,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct CandidateState {
     pub(super) epoch: u64,
     phase: Phase,
--- a/crates/control-plane/src/member/commands.rs
+++ b/crates/control-plane/src/member/commands.rs
@@ -9,7 +9,7 @@
 const ASK_AGAIN: Duration = Duration::from_millis(250);
 
 /// A command of a caller of this member.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct LocalCommand {
     command: Command,
     since: Duration,
--- a/crates/control-plane/src/member/disk.rs
+++ b/crates/control-plane/src/member/disk.rs
@@ -12,7 +12,7 @@
 const REWRITE_GROWTH: usize = 4;
 
 /// What follows once a record is on disk.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum After {
     /// A promise may be spoken of.
     Promise { to: MemberInfo, epoch: u64 },
@@ -26,7 +26,7 @@
     Nothing,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Disk {
     queue: Vec<(Vec<u8>, After)>,
     out: Option<PendingWrite>,
@@ -35,7 +35,7 @@
     refused: Option<Duration>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct PendingWrite {
     ticket: u64,
     since: Duration,
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -157,7 +157,7 @@
     disk: Ledger,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Peer {
     seat: MemberInfo,
     heard: Duration,
@@ -165,7 +165,7 @@
     fit: bool,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Role {
     Idle,
     Candidate(Box<CandidateState>),
@@ -173,7 +173,7 @@
 }
 
 /// A member.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Member {
     config: Config,
     now: Duration,
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -27,7 +27,7 @@
 /// Hosts that left are forgotten after this.
 const DRAIN_RETENTION: Duration = Duration::from_secs(120);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Pending {
     change: Option<Change>,
     ledger: Ledger,
@@ -35,7 +35,7 @@
     answers: Vec<(Source, Code, Vec<u8>)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct PrimaryState {
     pub(super) epoch: u64,
     since: Duration,
--- a/crates/replication/src/mirror.rs
+++ b/crates/replication/src/mirror.rs
@@ -21,6 +21,7 @@
 const MARK_BITS: u32 = 16;
 
 /// A record with what is needed to hand it on.
+#[derive(Clone)]
 struct Kept<T> {
     record: T,
     /// Number of the source's change that brought it, or a later one.
@@ -30,6 +31,7 @@
 }
 
 /// What a change of the ledger, or several, did to the drains.
+#[derive(Clone)]
 struct DrainChange {
     /// Number of the change that it leads to.
     seq: u64,
@@ -38,7 +40,7 @@
 }
 
 /// One life of a source.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Source {
     seq: u64,
     /// Whoever has less than this is told all: what went since isn't known any more.
@@ -69,6 +71,7 @@
 }
 
 /// The mirror. Takes only what is newer than what it has; hands on exactly what a puller lacks.
+#[derive(Clone)]
 pub struct Mirror {
     member: u64,
     beat: Duration,
