Model checking of members and ledger by a search of our own

Cause: safety under takeover, change of members, wiped disks and repeated orders was shown by drawn schedules only. Change: crates/model-check searches every run with a bounded number of deviations from a default schedule, over the code's own Member, Ledger, Mirror and StartFacts; claims are checked on what members say, write and answer.

--- /dev/null
+++ b/crates/model-check/src/cluster/planted.rs
@@ -0,0 +1,108 @@
+//! Bugs planted round the members, to see whether the search finds them.
+
+use protocol::{LedgerPosition, Message, Record, Snapshot};
+
+/// A time beyond each run, in ms of any clock.
+const FAR_AHEAD_MS: u64 = 3_600_000;
+
+/// A bug planted into disks, the network or what members are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// None.
+    Nothing,
+    /// A restarted member has forgotten its promises.
+    ForgottenPromises,
+    /// A wiped member comes back with its old identity.
+    OldIdentity,
+    /// The new voters alone agree on a view: those that left are taken to have said yes, and to grant leases.
+    NewVotersAlone,
+    /// Leases are granted in the name of voters that can't be reached.
+    UnfoundedLease,
+    /// The ledger is taken over as it was at the start of its view, without the changes since.
+    ShortLedger,
+    /// Views reach replicas without the calls that were taken.
+    ForgottenCalls,
+    /// A replica's word is given before the change is on its disk.
+    EarlyWord,
+    /// A restarted member holds what it shows to be fresh.
+    FreshAfterStart,
+    /// A reader that has lost sight of a member begins anew, with whatever it is told first.
+    ForgetfulReader,
+    /// A change reaches the other replicas with another content.
+    RewrittenChange,
+}
+
+impl Planted {
+    /// All bugs with their names.
+    pub const ALL: &'static [(&'static str, Planted)] = &[
+        ("none", Planted::Nothing),
+        ("forgotten-promises", Planted::ForgottenPromises),
+        ("old-identity", Planted::OldIdentity),
+        ("new-voters-alone", Planted::NewVotersAlone),
+        ("unfounded-lease", Planted::UnfoundedLease),
+        ("short-ledger", Planted::ShortLedger),
+        ("forgotten-calls", Planted::ForgottenCalls),
+        ("early-word", Planted::EarlyWord),
+        ("fresh-after-start", Planted::FreshAfterStart),
+        ("forgetful-reader", Planted::ForgetfulReader),
+        ("rewritten-change", Planted::RewrittenChange),
+    ];
+
+    /// What a disk gives back at a start.
+    pub(super) fn read_back(self, records: &[Vec<u8>]) -> Vec<Vec<u8>> {
+        let promise = |r: &Vec<u8>| matches!(protocol::read_one(r), Ok(Record::Promised { .. }));
+        let keeps = |r: &&Vec<u8>| self != Planted::ForgottenPromises || !promise(r);
+        records.iter().filter(keeps).cloned().collect()
+    }
+
+    /// What becomes of a message on its way; `at_start` is the sender's ledger at the start of its view.
+    pub(super) fn rewrite(self, message: Message, at_start: Option<&Snapshot>) -> Message {
+        match (self, message) {
+            (Planted::ShortLedger, Message::LedgerReply { epoch, tag, snapshot }) => {
+                let snapshot = at_start.cloned().unwrap_or(snapshot);
+                Message::LedgerReply { epoch, tag: LedgerPosition { seq: snapshot.seq, ..tag }, snapshot }
+            }
+            (Planted::ForgottenCalls, Message::InstallView { view, snapshot: Some(snapshot) }) => {
+                let snapshot = Some(Snapshot { taken: Vec::new(), ..snapshot });
+                Message::InstallView { view, snapshot }
+            }
+            (Planted::RewrittenChange, Message::AppendChange { epoch, seq, change }) => {
+                Message::AppendChange { epoch, seq, change: other_content(change) }
+            }
+            (_, message) => message,
+        }
+    }
+
+    /// What somebody else answers a message in place of its receiver.
+    pub(super) fn forged_answers(self, message: &Message, receiver: u64, reachable: bool) -> Vec<Message> {
+        match (self, message) {
+            (Planted::NewVotersAlone, Message::InstallView { view, .. }) => {
+                let old = view.before.iter().any(|s| s.id == receiver) && view.seat(receiver).is_none();
+                let epoch = view.epoch;
+                let lease =
+                    Message::LeaseReply { epoch, stamp: FAR_AHEAD_MS, ok: true, seen: epoch, fit: true };
+                match old {
+                    true => vec![Message::InstallReply { epoch, ok: true, seen: epoch }, lease],
+                    false => Vec::new(),
+                }
+            }
+            (Planted::UnfoundedLease, Message::RenewLease { epoch, stamp, .. }) if !reachable => {
+                vec![Message::LeaseReply { epoch: *epoch, stamp: *stamp, ok: true, seen: *epoch, fit: true }]
+            }
+            (Planted::EarlyWord, Message::AppendChange { epoch, seq, .. }) => {
+                vec![Message::AppendReply { epoch: *epoch, seq: *seq, ok: true, seen: *epoch }]
+            }
+            _ => Vec::new(),
+        }
+    }
+}
+
+fn other_content(change: protocol::Change) -> protocol::Change {
+    match change {
+        protocol::Change::Configure { base, amend, body } => {
+            let text = String::from_utf8_lossy(&body).replace("h.example", "x.example");
+            protocol::Change::Configure { base, amend, body: text.into_bytes() }
+        }
+        other => other,
+    }
+}
