A first start interrupted by a loss of power, as a trace

Cause: found by reading what the model's machines are told at a start: the initial voters are told only where the ledger's file is empty, so members that had promised and held no view came back as no voters.

--- a/crates/model-check/src/cluster/mod.rs
+++ b/crates/model-check/src/cluster/mod.rs
@@ -99,6 +99,24 @@
         Ok(Self { scenario, start: world })
     }
 
+    /// Members that all lose power as soon as a majority has promised an epoch, before any holds a view, and
+    /// start again after a time.
+    ///
+    /// # Errors
+    /// Where that breaks a claim.
+    pub fn first_start_interrupted(scenario: Scenario, down: Duration) -> Result<Self, Breach> {
+        let mut world = World::new(&scenario);
+        while !world.most_promised() && world.now() < START_TIME {
+            let action = world.default_action();
+            world = world.after(&scenario, &action)?;
+        }
+        for machine in 0..scenario.machines {
+            world = world.after(&scenario, &Action::Crash(machine, down))?;
+        }
+        world.begin(&scenario);
+        Ok(Self { scenario, start: world })
+    }
+
     /// What is searched.
     pub fn scenario(&self) -> &Scenario {
         &self.scenario
--- a/crates/model-check/src/cluster/world.rs
+++ b/crates/model-check/src/cluster/world.rs
@@ -138,6 +138,12 @@
         self.machines.iter().any(acts)
     }
 
+    /// Whether all seeds but one have promised an epoch.
+    pub fn most_promised(&self) -> bool {
+        let promised = |m: &&Arc<Machine>| m.process.as_ref().is_some_and(|p| p.member.promised() > 0);
+        self.machines.iter().filter(promised).count() + 1 >= SEEDS
+    }
+
     /// The newest version of the configuration that was confirmed to an operator.
     pub fn newest_confirmed(&self) -> u64 {
         self.facts.newest_confirmed
@@ -203,7 +209,8 @@
 
     // What can happen.
 
-    pub(super) fn default_action(&self) -> Action {
+    /// What happens next if nothing deviates.
+    pub fn default_action(&self) -> Action {
         if !self.network.is_empty() {
             return Action::Deliver(0);
         }
--- a/crates/model-check/tests/cluster.rs
+++ b/crates/model-check/tests/cluster.rs
@@ -4,7 +4,7 @@
 use model_check::cluster::{Action, Cluster, Faults, Planted, Scenario};
 use model_check::cluster::{AGREED, ANSWER, FENCED, FORWARD, IDENTITY, KEPT, ONE_CONTENT, PROMISE};
 use model_check::models;
-use model_check::search::{replay, search, Bounds, Outcome};
+use model_check::search::{replay, search, Bounds, Model, Outcome};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -75,3 +75,15 @@
     let scenario = Scenario { faults, faults_until: until.0, length: until.1, ..models::takeover() };
     holds("stood still", scenario, 2);
 }
+
+/// All machines lose power while the members agree on their first primary: some have promised, none holds a view.
+#[test]
+fn the_first_start_goes_on_after_a_loss_of_power() {
+    let scenario = Scenario { length: ms(9000), ..Scenario::default() };
+    let restarted = Cluster::first_start_interrupted(scenario, ms(50)).unwrap();
+    let mut world = restarted.start();
+    while restarted.left(&world) > 0 && !world.somebody_acts() {
+        world = restarted.apply(&world, &world.default_action()).unwrap();
+    }
+    assert!(world.somebody_acts(), "{:?}", world.describe());
+}
