--- a/crates/model-check/src/cluster/claims.rs
+++ b/crates/model-check/src/cluster/claims.rs
@@ -108,9 +108,26 @@
         self.wiped.insert(id);
     }
 
+    /// A view counts on the voters of one before it only where old and new voters agreed on that one.
+    fn follows_agreed(&self, epoch: u64, before: &[u64]) -> Result<(), Breach> {
+        let set = |ids: &[u64]| ids.iter().copied().collect::<BTreeSet<u64>>();
+        let before = set(before);
+        let brought = |v: &&ViewFacts| set(&v.voters) == before && set(&v.before) != before;
+        let mut changes = self.views.range(..epoch).map(|v| v.1).filter(brought).peekable();
+        if changes.peek().is_none() || changes.any(ViewFacts::agreed) {
+            return Ok(());
+        }
+        let detail =
+            format!("{epoch} counts on the voters of a view that old and new voters haven't agreed on");
+        Err(Breach::new(AGREED, detail))
+    }
+
     fn see_view(&mut self, view: &View) -> Result<&mut ViewFacts, Breach> {
         let (voters, before) = (ids(&view.voters), ids(&view.before));
         let hash = hash_of((view.primary, &view.replicas, &voters, &before));
+        if !self.views.contains_key(&view.epoch) {
+            self.follows_agreed(view.epoch, &before)?;
+        }
         let facts = self.views.entry(view.epoch).or_insert_with(|| ViewFacts {
             hash,
             replicas: view.replicas.clone(),
