Model of members whose disks open slowly

Cause: how fresh a member calls itself was counted from the end of its start; a slow disk could make that later than what it has. Change: model age-slow-start (1.5 s until the disk is open) and its test; two lints.

--- a/crates/model-check/src/cluster/world.rs
+++ b/crates/model-check/src/cluster/world.rs
@@ -4,7 +4,7 @@
 use super::faults::{ms, Action, Faults, Way};
 use super::machine::{control, inner, Machine, PendingWrite, Start, LEASE};
 use super::mirror::StateMirror;
-use super::operator::{Operators, Request, Result as OrderResult, MOST_ATTEMPTS, RETRY_PAUSE};
+use super::operator::{Operators, Result as OrderResult, MOST_ATTEMPTS, RETRY_PAUSE};
 use super::planted::Planted;
 use super::Scenario;
 use crate::canonical;
@@ -674,7 +674,7 @@
         let target = self.machines.iter().position(|m| inner(m.index) == to.addr);
         let up = target.filter(|t| self.machines[*t].process.is_some() && self.reaches(n, *t));
         let view = self.machines[n].process.as_ref().and_then(|p| p.member.view());
-        for (from, answer) in planted.forged_answers(&message, &to, up.is_some(), view) {
+        for (from, answer) in planted.forged_answers(&message, to, up.is_some(), view) {
             self.post(from, n, n, answer);
         }
         if let Some(target) = up {
@@ -899,10 +899,3 @@
         self.orders.iter().enumerate().filter(move |(_, o)| waits(o)).map(|(number, _)| number)
     }
 }
-
-impl Request {
-    /// Whether it is a configuration.
-    pub fn changes(self) -> bool {
-        matches!(self, Request::Change | Request::Rival | Request::Repeat)
-    }
-}
--- a/crates/model-check/src/models.rs
+++ b/crates/model-check/src/models.rs
@@ -33,6 +33,7 @@
         "orders" => orders(),
         "reads" => reads(),
         "age" => Scenario { ages: true, ..reads() },
+        "age-slow-start" => Scenario { opening: ms(1500), ages: true, ..reads() },
         "order-of-messages" => order_of_messages(),
         "old-and-new" => old_and_new(),
         "removal" => removal(),
--- a/crates/model-check/tests/cluster.rs
+++ b/crates/model-check/tests/cluster.rs
@@ -33,6 +33,7 @@
 #[case("orders")]
 #[case("reads")]
 #[case("age")]
+#[case("age-slow-start")]
 #[case("order-of-messages")]
 fn one_deviation_of_any_kind_breaks_nothing(#[case] name: &str) {
     holds(name, models::scenario(name).unwrap(), 1);
