--- a/crates/control-plane/src/member/acknowledged.rs
+++ b/crates/control-plane/src/member/acknowledged.rs
@@ -12,7 +12,7 @@
 const LEDGER_FRAME_BYTES: usize = 1 << 10;
 
 /// The newest ledger that is known to be acknowledged, and those after it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Acknowledged {
     /// All changes up to this one are said to be acknowledged, on disk.
     seq: u64,
@@ -26,7 +26,7 @@
 }
 
 /// A ledger, and the record of the change that led to it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Later {
     ledger: Ledger,
     /// None for the ledger that a view begins with.
--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -53,7 +53,7 @@
     Witnesses,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct CandidateState {
     pub(super) epoch: u64,
     pub(super) phase: ElectionPhase,
--- a/crates/control-plane/src/member/leave.rs
+++ b/crates/control-plane/src/member/leave.rs
@@ -17,7 +17,7 @@
 const RECENT_GRANT: f64 = 0.5;
 
 /// The process is to end.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Departure {
     since: Duration,
     /// A later view in which this member has no part is on the disks of all its replicas.
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -178,7 +178,7 @@
     disk: Ledger,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Peer {
     seat: MemberInfo,
     heard: Duration,
@@ -188,7 +188,7 @@
     leaving: Option<Duration>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Role {
     Idle,
     Candidate(Box<CandidateState>),
@@ -196,7 +196,7 @@
 }
 
 /// A member.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Member {
     config: Config,
     now: Duration,
@@ -218,7 +218,7 @@
     /// What this disk knows to be acknowledged.
     acknowledged: Acknowledged,
     /// Why the records can't be relied on: such a member has no say and holds no ledger.
-    unsound: Option<ReplayError>,
+    unsound: Option<Arc<ReplayError>>,
     /// What is to be shown at the first step.
     restored: Option<Ledger>,
     grant: Option<Grant>,
@@ -302,7 +302,7 @@
             Err(error) => {
                 // What was promised isn't known: nothing is promised, accepted or held any more.
                 self.view = None;
-                self.unsound = Some(error);
+                self.unsound = Some(Arc::new(error));
                 return;
             }
         };
@@ -535,7 +535,7 @@
     /// Why this member can't rely on its records, where that is so: it promises, accepts and holds nothing until
     /// its disk is emptied.
     pub fn unsound(&self) -> Option<&ReplayError> {
-        self.unsound.as_ref()
+        self.unsound.as_deref()
     }
 
     /// Whether the disk takes writes and its records can be relied on.
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -21,7 +21,7 @@
 /// Hosts that left are forgotten after this.
 const DRAIN_RETENTION: Duration = Duration::from_secs(120);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Pending {
     change: Option<Change>,
     pub(super) ledger: Ledger,
@@ -29,7 +29,7 @@
     answers: Vec<(Source, Code, Vec<u8>)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct PrimaryState {
     pub(super) epoch: u64,
     pub(super) since: Duration,
--- a/crates/replication/src/mirror/hosts.rs
+++ b/crates/replication/src/mirror/hosts.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Order in which hosts were first seen.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct Arrivals {
     numbers: HashMap<String, u64>,
     last: u64,
--- a/crates/replication/src/mirror/mod.rs
+++ b/crates/replication/src/mirror/mod.rs
@@ -42,18 +42,28 @@
 }
 
 /// The mirror. Takes only what is newer than what it has; hands on exactly what a puller lacks.
+#[derive(Clone)]
 pub struct Mirror {
     member: u64,
     generation: u64,
     ledger: LedgerMirror,
     sources: Sources,
     fleet: Fleet,
-    fresh: Option<Duration>,
+    /// Until when it is proved that nothing is missing here, in ns of this process's clock; negative for a time before
+    /// its start, as proofs that others hand on may be older than this process.
+    fresh: Option<i64>,
     withheld: Withheld,
     /// What [`Mirror::next_tick`] found, and at which generation; finding it looks at every record.
     due: Cell<Option<(u64, Option<Duration>)>>,
 }
 
+const NANOSECONDS_PER_MS: i64 = 1_000_000;
+
+/// A time of this process's clock, in ns.
+fn nanoseconds(time: Duration) -> i64 {
+    i64::try_from(time.as_nanos()).unwrap_or(i64::MAX)
+}
+
 impl Mirror {
     /// An empty one. `member` is this process's identity, 0 where it is no member; `beat` is the time between
     /// a host's heartbeats.
@@ -135,14 +145,17 @@
     /// it has had no proof at all.
     pub fn age_ms(&self, now: Duration) -> u32 {
         match self.fresh {
-            Some(at) => u32::try_from(now.saturating_sub(at).as_millis()).unwrap_or(UNCONFIRMED),
+            Some(at) => {
+                let age = nanoseconds(now).saturating_sub(at).max(0) / NANOSECONDS_PER_MS;
+                u32::try_from(age).unwrap_or(UNCONFIRMED)
+            }
             None => UNCONFIRMED,
         }
     }
 
     /// There was proof that nothing acknowledged before `at` is missing here.
     pub fn proved(&mut self, at: Duration) {
-        self.fresh = self.fresh.max(Some(at));
+        self.fresh = self.fresh.max(Some(nanoseconds(at)));
     }
 
     /// Takes the ledger's acknowledged state from this process's own ledger. True where it was newer.
@@ -213,7 +226,8 @@
             self.changed(shown);
         }
         if age_ms != UNCONFIRMED {
-            self.proved(now.saturating_sub(Duration::from_millis(age_ms.into())));
+            let at = nanoseconds(now).saturating_sub(i64::from(age_ms) * NANOSECONDS_PER_MS);
+            self.fresh = self.fresh.max(Some(at));
         }
     }
 
--- a/crates/replication/src/mirror/sources.rs
+++ b/crates/replication/src/mirror/sources.rs
@@ -12,6 +12,7 @@
 const CLOSING_BEATS: u32 = 4;
 
 /// A record with what is needed to hand it on.
+#[derive(Clone)]
 struct Kept<T> {
     record: T,
     /// Number of the source's change that brought it, or a later one.
@@ -21,7 +22,7 @@
 }
 
 /// One life of a source.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Source {
     seq: u64,
     /// Whoever has less than this is told all: what went since isn't known any more.
@@ -33,6 +34,7 @@
 }
 
 /// All sources that are known.
+#[derive(Clone)]
 pub(super) struct Sources {
     /// Time between a host's heartbeats.
     beat: Duration,
