--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -204,6 +204,12 @@
     restarted: bool,
     random: u64,
     promised: u64,
+    /// The candidate that the latest promise of this life was given to.
+    promised_to: Option<u64>,
+    /// No other candidate is preferred until then.
+    held_back_until: Duration,
+    /// How often in a row the time for fetching a ledger was too short.
+    fetch_doublings: u32,
     /// The highest epoch seen anywhere.
     seen: u64,
     view: Option<View>,
@@ -226,6 +232,8 @@
     election_at: Duration,
     disk: Disk,
     local: BTreeMap<u64, LocalCommand>,
+    /// Since when no primary is known here; none where one is.
+    without_primary: Option<Duration>,
     /// Where this life's numbers of forwarded commands begin: drawn, so that an answer to a command of an
     /// earlier life is never taken for the answer to one of this life.
     forward_base: u64,
@@ -253,6 +261,9 @@
             restarted: !records.is_empty(),
             random: random | 1,
             promised: 0,
+            promised_to: None,
+            held_back_until: now,
+            fetch_doublings: 0,
             seen: 0,
             view: None,
             held: None,
@@ -267,6 +278,7 @@
             election_at: now,
             disk: Disk::default(),
             local: BTreeMap::new(),
+            without_primary: Some(now),
             forward_base: forward_base(random),
             hint: None,
             departure: None,
