--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,5 +1,6 @@
 //! The machines: how members come, start and end.
 
+use super::readers::Place;
 use super::{Node, Until, What, World};
 use crate::faults::Moment;
 use crate::plan::ms;
@@ -42,6 +43,7 @@
             until: Until::default(),
             stood_still: ms(0),
             shown: None,
+            view_ledger: None,
         });
     }
 
@@ -50,7 +52,10 @@
             return;
         }
         let first = match self.plan.strict {
-            true => self.nodes[n].initial_voter,
+            true => {
+                let forgets = self.plan.planted == Planted::InitialVotersForgotten;
+                self.nodes[n].initial_voter && (!forgets || self.nodes[n].records.is_empty())
+            }
             false => self.nodes[n].life == 0 && n < self.plan.members,
         };
         let seeds: Vec<MemberInfo> = self.nodes.iter().take(3).map(|n| n.seat.clone()).collect();
@@ -78,6 +83,7 @@
             stall: ms(600),
         };
         node.member = Some(Member::new(config, &node.records, self.now, random));
+        self.open_station(Place::Member(n));
         self.at(self.now, n, What::Hello);
         self.nodes[n].shown = None;
         self.step(n, Input::Tick);
@@ -88,6 +94,7 @@
     pub(super) fn down(&mut self, n: usize, back: Duration) {
         // What the dead process still had under way comes to nothing, but for what the disk made of it.
         self.nodes[n].member = None;
+        self.close_station(Place::Member(n));
         if self.plan.strict {
             self.end_writes(n);
             self.nodes[n].frozen = false;
