--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -21,7 +21,7 @@
 /// Hosts that left are forgotten after this.
 const DRAIN_RETENTION: Duration = Duration::from_secs(120);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Pending {
     change: Option<Change>,
     pub(super) ledger: Ledger,
@@ -29,12 +29,14 @@
     answers: Vec<(Source, Code, Vec<u8>)>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct PrimaryState {
     pub(super) epoch: u64,
     pub(super) since: Duration,
     /// Since when this member has acted, in this view and in those of its own before.
     pub(super) acting_since: Duration,
+    /// Whether its replicas are enough for the budget; else nothing new may be acknowledged.
+    pub(super) takes_changes: bool,
     committed: Ledger,
     /// Whether its ledger was shown: not before the first lease, as others may act already.
     shown: bool,
@@ -67,6 +69,7 @@
             epoch,
             since: now,
             acting_since,
+            takes_changes: true,
             acked: view.replicas.iter().map(|c| (*c, ledger.seq)).collect(),
             drained: ledger.drains.iter().map(|d| (d.clone(), now)).collect(),
             committed: ledger,
@@ -175,7 +178,11 @@
         let Role::Primary(state) = &self.role else { return };
         let hosts: Vec<String> =
             state.drained.iter().filter(|d| now >= *d.1 + DRAIN_RETENTION).map(|d| d.0.clone()).collect();
-        if hosts.is_empty() || !state.pending.is_empty() || self.lease_end(state) <= now {
+        if hosts.is_empty()
+            || !state.takes_changes
+            || !state.pending.is_empty()
+            || self.lease_end(state) <= now
+        {
             return;
         }
         let change = Change::Forget { hosts };
@@ -196,6 +203,9 @@
                 return;
             };
             match held.head.plan(&command) {
+                Plan::Change(..) if !state.takes_changes => {
+                    self.answer(source, Code::NoPrimary, vec![], out);
+                }
                 Plan::Change(change, next) => {
                     self.change(change, *next, vec![(source, Code::Ok, vec![])], out)
                 }
