A majority of too few voters goes on, and takes no change until more have joined

Cause: with a budget of two machines, one of the three initial voters' disks lost before the fourth and fifth had joined left a majority that could not make three replicas; only a primary adds voters, so nobody ever acted. Change: a candidate with a majority's promises that hears no more within half a lease makes a view with the replicas there are, only where the voters are too few for the budget anyway; its primary takes no change until the view has enough replicas. ElectionPhase::Copies is Replicas.

--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -7,7 +7,7 @@
 use super::acknowledged::ledger_bytes;
 use super::disk::After;
 use super::primary::PrimaryState;
-use super::view::choose_replicas;
+use super::view::{choose_replicas, majority_shortfall};
 use super::{Member, Output, Role};
 use crate::ledger::Ledger;
 use protocol::{LedgerPosition, MemberInfo, Message, Record, Snapshot, View};
@@ -48,7 +48,7 @@
     /// It has a majority's promises and takes the ledger from a replica.
     Fetch,
     /// It waits for the new view's replicas to have the view and the ledger on disk.
-    Copies,
+    Replicas,
     /// It waits for a majority of the voters to have the view on disk.
     Witnesses,
 }
@@ -70,6 +70,9 @@
     agreed: Option<u64>,
     /// Since when it has acted, where it changes its own view.
     acting_since: Option<Duration>,
+    /// Nobody else has promised in time: fewer replicas than the budget asks for will do, where there are too few
+    /// voters for the budget anyway.
+    accepts_few_replicas: bool,
 }
 
 impl CandidateState {
@@ -87,6 +90,7 @@
             change,
             agreed,
             acting_since: None,
+            accepts_few_replicas: false,
         }
     }
 }
@@ -290,9 +294,11 @@
         let replicas = choose_replicas(&self.config.budget, &staying)
             .or_else(|| choose_replicas(&self.config.budget, &leaving.collect::<Vec<_>>()))
             .or_else(|| {
-                // Even all voters together are too few: they hold what there is, and take no change until more come.
+                // Too few voters for the budget: those there are hold the ledger, and take no change until more come.
                 let all: Vec<&MemberInfo> = voters.iter().collect();
-                let too_few = choose_replicas(&self.config.budget, &all).is_none();
+                let short =
+                    candidacy.accepts_few_replicas && majority_shortfall(&self.config.budget, &all) > 0;
+                let too_few = short || choose_replicas(&self.config.budget, &all).is_none();
                 too_few.then(|| staying.iter().map(|s| s.id).collect())
             });
         let Some(replicas) = replicas.filter(|_| voters.iter().any(|s| s.id == me)) else { return };
@@ -311,7 +317,7 @@
         self.write(&Record::Accepted { view: view.clone(), snapshot }, after);
         let now = self.now;
         if let Role::Candidate(candidacy) = &mut self.role {
-            (candidacy.phase, candidacy.since) = (ElectionPhase::Copies, now);
+            (candidacy.phase, candidacy.since) = (ElectionPhase::Replicas, now);
             candidacy.tell_at = now + self.config.lease.mul_f64(STILL_AT_IT_INTERVAL);
             candidacy.target = Some((view, ledger));
         }
@@ -334,7 +340,7 @@
             return;
         }
         candidacy.installed.insert(from);
-        if candidacy.phase == ElectionPhase::Copies
+        if candidacy.phase == ElectionPhase::Replicas
             && view.replicas.iter().all(|c| candidacy.installed.contains(c))
         {
             candidacy.phase = ElectionPhase::Witnesses;
@@ -369,7 +375,7 @@
         let half = self.config.lease / 2;
         match (candidacy.phase, &candidacy.target) {
             (ElectionPhase::Fetch, _) => half * (1 << self.fetch_doublings),
-            (ElectionPhase::Copies, Some((_, ledger))) => {
+            (ElectionPhase::Replicas, Some((_, ledger))) => {
                 half + Duration::from_secs(1)
                     .mul_f64(ledger_bytes(ledger) as f64 / f64::from(MIN_TRANSFER_RATE))
             }
@@ -388,6 +394,20 @@
         }
     }
 
+    /// Where a majority has promised and its time is over, too few replicas are better than no view: only a primary
+    /// can add voters. False where that doesn't help.
+    fn goes_on_with_few(&mut self, out: &mut Vec<Output>) -> bool {
+        let now = self.now;
+        let Role::Candidate(candidacy) = &mut self.role else { return false };
+        if candidacy.phase != ElectionPhase::Prepare || candidacy.accepts_few_replicas {
+            return false;
+        }
+        candidacy.accepts_few_replicas = true;
+        candidacy.since = now;
+        self.promises_changed(out);
+        matches!(&self.role, Role::Candidate(candidacy) if candidacy.phase != ElectionPhase::Prepare)
+    }
+
     pub(super) fn run_candidate(&mut self, out: &mut Vec<Output>) {
         let Role::Candidate(candidacy) = &self.role else { return };
         // One that leaves stands no more; a primary goes on changing its view until it has handed over.
@@ -396,6 +416,9 @@
             if candidacy.phase == ElectionPhase::Fetch {
                 self.fetch_doublings = (self.fetch_doublings + 1).min(MAX_FETCH_DOUBLINGS);
             }
+            if !leaves && self.goes_on_with_few(out) {
+                return;
+            }
             return self.give_up(self.now);
         }
         if self.moves_ledger_until().is_some() {
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -50,7 +50,7 @@
     again_at: Duration,
     /// Voters that haven't accepted the view yet.
     pub(super) lacking: BTreeSet<u64>,
-    /// Copies that can't go on.
+    /// Replicas that can't go on.
     pub(super) broken: BTreeSet<u64>,
     pub(super) inbox: VecDeque<(Source, Command)>,
     drained: BTreeMap<String, Duration>,
--- a/crates/control-plane/tests/second_loss.rs
+++ b/crates/control-plane/tests/second_loss.rs
@@ -4,6 +4,7 @@
 mod cluster;
 
 use cluster::{budget, ms, Cluster, LEASE};
+use configuration::Code;
 use control_plane::member::majority_shortfall;
 use protocol::{MemberInfo, Message};
 use rstest::rstest;
@@ -280,3 +281,29 @@
     let took = cluster.apply(1, 2);
     assert!(took < ms(4000), "{took:?}");
 }
+
+/// Machines of which two may be lost, before the fourth and fifth have joined: all power goes, and one disk with it.
+#[rstest]
+#[case::of_the_primary(0)]
+#[case::of_a_replica(1)]
+#[case::of_another(2)]
+fn one_of_three_disks_is_lost_before_more_have_joined(#[case] part: usize) {
+    let mut cluster = Cluster::start(budget(2, 0, 0), &["r/a", "r/b", "r/c"]);
+    cluster.apply(0, 1);
+    let lost = cluster.replicas()[part];
+    (0..3).for_each(|n| cluster.kill(n));
+    cluster.run(ms(300));
+    (0..3).filter(|n| *n != lost).for_each(|n| cluster.restart(n));
+    // The machine itself stays away: nobody takes its place.
+    cluster.until(SOON, |c| c.primary().is_some()).expect("the two others go on");
+    assert_eq!(cluster.version(), Some(1));
+    let refused = cluster.call(cluster.primary().unwrap(), Cluster::configure(1, 2));
+    cluster.run(ms(4000));
+    assert_ne!(cluster.answer(refused), Some(Code::Ok), "two replicas don't bear two losses");
+    let (fourth, fifth) = (cluster.add("r/a"), cluster.add("r/b"));
+    cluster.until(SOON, |c| c.votes(fourth) && c.votes(fifth)).expect("both join");
+    cluster.apply(1, 3);
+    assert_eq!(cluster.replicas().len(), 3);
+    cluster.kill(cluster.replicas()[0]);
+    cluster.apply(3, 4);
+}
