--- a/crates/control-plane/src/member/commands.rs
+++ b/crates/control-plane/src/member/commands.rs
@@ -15,7 +15,7 @@
 const CUT_OFF_PATIENCE: Duration = Duration::from_millis(250);
 
 /// A command of a caller of this member.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct LocalCommand {
     command: Command,
     since: Duration,
--- a/crates/control-plane/src/member/disk.rs
+++ b/crates/control-plane/src/member/disk.rs
@@ -18,7 +18,7 @@
 const MAX_WRITE_BYTES: usize = 16 << 20;
 
 /// What follows once a record is on disk.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) enum After {
     /// A promise may be spoken of.
     Promise { to: MemberInfo, epoch: u64 },
@@ -32,7 +32,7 @@
     Nothing,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Disk {
     queue: Vec<(Vec<u8>, After)>,
     out: Option<PendingWrite>,
@@ -46,13 +46,13 @@
 }
 
 /// What follows once a write is done, with the record where it is a change.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Done {
     after: After,
     change: Option<Vec<u8>>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct PendingWrite {
     ticket: u64,
     since: Duration,
--- a/crates/replication/src/mirror/ledger.rs
+++ b/crates/replication/src/mirror/ledger.rs
@@ -13,6 +13,7 @@
 const DRAIN_CHANGES: usize = 8;
 
 /// A document that was in force, or is.
+#[derive(Clone)]
 struct PastDocument {
     document: Arc<Document>,
     /// Bytes of its items that the one before doesn't have.
@@ -20,6 +21,7 @@
 }
 
 /// What a change of the ledger, or several, did to the drains.
+#[derive(Clone)]
 struct DrainChange {
     /// Number of the change that it leads to.
     seq: u64,
@@ -39,6 +41,7 @@
 }
 
 /// The ledger as far as this process knows it to be acknowledged.
+#[derive(Clone)]
 pub(super) struct LedgerMirror {
     /// Number of the last change.
     pub(super) seq: u64,
