http1: one module for each concern, public paths as before

Cause: crates/http1/src/lib.rs held limits, errors, fields, framing, both kinds of heads, chunks, bodies and reason phrases in one file of 584 lines.

Change: moves only, into error, limits, fields, framing, head (what both heads share), request, response, chunk, body and status; lib.rs has the crate's page and re-exports each public item at its old path. Items that another module uses are pub(crate) now, with a doc comment. Compared as sorted lines (without indents), old and new differ only in visibility, module and use lines, blank lines and those comments. No test was touched.

--- /dev/null
+++ b/crates/http1/src/status.rs
@@ -0,0 +1,20 @@
+//! The words after a status.
+
+/// The usual words after a status.
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
