Late promises count while a ledger is fetched; who left is no voter again at once

Change: a promise that tells of no higher view than the one fetched counts; after the fetch, where no view can be made yet, the candidate gathers promises again. Who said that it leaves joins again after nine leases at the earliest.

--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -196,10 +196,21 @@
         out: &mut Vec<Output>,
     ) {
         let Role::Candidate(candidacy) = &mut self.role else { return };
-        if candidacy.epoch != epoch || candidacy.phase != ElectionPhase::Prepare {
+        if candidacy.epoch != epoch {
+            return;
+        }
+        let fetches = candidacy.phase == ElectionPhase::Fetch;
+        if candidacy.phase != ElectionPhase::Prepare && !fetches {
             return;
         }
         match has {
+            // The ledger that is on its way is that of the highest view known so far: a higher one comes too late.
+            Some(has) if granted && fetches => {
+                let highest = candidacy.promises.values().map(|p| p.0.epoch).max();
+                if highest.is_some_and(|highest| has.0.epoch <= highest) {
+                    candidacy.promises.insert(from.id, has);
+                }
+            }
             Some(has) if granted => {
                 candidacy.promises.insert(from.id, has);
                 self.promises_changed(out);
@@ -253,10 +264,12 @@
         snapshot: &Snapshot,
         out: &mut Vec<Output>,
     ) {
-        let Role::Candidate(candidacy) = &self.role else { return };
+        let Role::Candidate(candidacy) = &mut self.role else { return };
         if candidacy.epoch != epoch || candidacy.phase != ElectionPhase::Fetch {
             return;
         }
+        // Where no view can be made yet, more promises may come.
+        candidacy.phase = ElectionPhase::Prepare;
         let highest = candidacy.promises.values().map(|p| &p.0).max_by_key(|v| v.epoch).cloned();
         if let Some((highest, ledger)) = highest.zip(Ledger::of(snapshot).ok()) {
             self.fetch_doublings = 0;
--- a/crates/control-plane/src/member/leave.rs
+++ b/crates/control-plane/src/member/leave.rs
@@ -13,6 +13,9 @@
 const MAX_HAND_OVER_LEASES: u32 = 3;
 /// A member that said it leaves and isn't heard to be back counts as leaving for so many leases.
 const LEAVING_COUNTED_LEASES: u32 = 3;
+/// A member that said it leaves isn't made a voter again for so many leases: it may serve on for some time, and is
+/// counted as heard of for some leases after its end.
+const NO_RETURN_LEASES: u32 = 9;
 /// A share of a lease: how lately a voter has to have granted one to count on it.
 const RECENT_GRANT: f64 = 0.5;
 
@@ -51,6 +54,12 @@
         said.is_some_and(|at| self.now < at + LEAVING_COUNTED_LEASES * self.config.lease)
     }
 
+    /// Whether a member has said that it is about to end, so lately that what was heard of it since may be its last.
+    pub(super) fn left_lately(&self, id: u64) -> bool {
+        let said = self.peers.get(&id).and_then(|p| p.leaving);
+        said.is_some_and(|at| self.now < at + NO_RETURN_LEASES * self.config.lease)
+    }
+
     /// Whether a member's disk takes writes, as far as known.
     pub(super) fn peer_fit(&self, id: u64) -> bool {
         self.peers.get(&id).is_none_or(|p| p.fit)
--- a/crates/control-plane/src/member/membership.rs
+++ b/crates/control-plane/src/member/membership.rs
@@ -98,7 +98,7 @@
         let (now, lease, me) = (self.now, self.config.lease, self.me());
         let joins = self.peers.values().filter(|p| {
             let known = !p.seat.zone.is_empty() && now < p.heard + JOIN_WITHIN_LEASES * lease;
-            known && p.fit && view.seat(p.seat.id).is_none() && !self.peer_leaving(p.seat.id)
+            known && p.fit && view.seat(p.seat.id).is_none() && !self.left_lately(p.seat.id)
         });
         let mut beside = Vec::new();
         for joiner in joins.map(|p| &p.seat) {
--- a/crates/control-plane/tests/second_loss.rs
+++ b/crates/control-plane/tests/second_loss.rs
@@ -307,3 +307,23 @@
     cluster.kill(cluster.replicas()[0]);
     cluster.apply(3, 4);
 }
+
+/// A voter that leaves for good serves on for a while, and is heard of until its end: it doesn't become a voter again,
+/// beside which the next loss would leave no majority.
+#[test]
+fn one_that_left_for_good_is_no_voter_again() {
+    let mut cluster = Cluster::start(budget(1, 0, 0), &["r/a", "r/b", "r/c", "r/a"]);
+    cluster.apply(0, 1);
+    cluster.until(SOON, |c| c.current().voters.len() == 4 && c.current().settled()).expect("four voters");
+    let leaver = cluster.primary().unwrap();
+    cluster.leave(leaver);
+    cluster
+        .until(SOON, |c| !c.acts(leaver) && c.primary().is_some() && !c.votes(leaver))
+        .expect("it is dropped");
+    cluster.run(ms(1200));
+    cluster.kill(leaver);
+    cluster.until(ms(10_000), |c| c.votes(leaver)).map_or((), |_| panic!("{:?}", cluster.views()));
+    let next = cluster.primary().unwrap();
+    cluster.kill(next);
+    cluster.apply(1, 2);
+}
