--- a/crates/control-plane/tests/second_loss.rs
+++ b/crates/control-plane/tests/second_loss.rs
@@ -322,7 +322,8 @@
         .expect("it is dropped");
     cluster.run(ms(1200));
     cluster.kill(leaver);
-    cluster.until(ms(10_000), |c| c.votes(leaver)).map_or((), |_| panic!("{:?}", cluster.views()));
+    let again = cluster.until(ms(10_000), |c| c.votes(leaver));
+    assert!(again.is_none(), "{:?}", cluster.views());
     let next = cluster.primary().unwrap();
     cluster.kill(next);
     cluster.apply(1, 2);
