A member that said it leaves is kept from joining for five leases, not nine

A member that was asked to end and came back stayed without a say for nine leases, and calls that it takes wait in the simulator meanwhile. Change: five leases. The case that it is for (heard of for up to two leases after it left the voters) is still covered.

--- a/crates/control-plane/src/member/leave.rs
+++ b/crates/control-plane/src/member/leave.rs
@@ -15,7 +15,7 @@
 const LEAVING_COUNTED_LEASES: u32 = 3;
 /// A member that said it leaves isn't made a voter again for so many leases: it may serve on for some time, and is
 /// counted as heard of for some leases after its end.
-const NO_RETURN_LEASES: u32 = 9;
+const NO_RETURN_LEASES: u32 = 5;
 /// A share of a lease: how lately a voter has to have granted one to count on it.
 const RECENT_GRANT: f64 = 0.5;
 
