A proxy about to end takes no request that could not be over in time

Cause: after SIGTERM a proxy took new requests for as long as it ran, whatever time they might need.

Change: a shutdown has two times: every request is taken for 2.5 s, and later ones only where their deadline is over before the process is. Others get 503 with Retry-After and Connection: close before a host hears of them.

The new test of ending.rs fails without the mend (502 for 503); the five of the file pass.

--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -6,6 +6,7 @@
 use crate::idle_clients::IdleClients;
 use crate::pool::Pool;
 use crate::routes::Routes;
+use crate::shutdown::Shutdown;
 use crate::world::World;
 use balancing::{Attempt, Load, Outcome, Policy, ServiceInfo, Settings};
 use configuration::{Boot, Document, Limits};
@@ -48,7 +49,8 @@
     /// Told when the first attempt goes out.
     began: Notify,
     pub(crate) hints: RefCell<Hints>,
-    pub(crate) stopping: Cell<bool>,
+    /// Set once the process is told to end.
+    pub(crate) shutdown: Cell<Option<Shutdown>>,
     pub(crate) idle_clients: RefCell<IdleClients>,
     pub(crate) most_clients: usize,
     most_bodies: usize,
@@ -85,7 +87,7 @@
             outs: Cell::new(0),
             began: Notify::new(),
             hints: RefCell::default(),
-            stopping: Cell::new(false),
+            shutdown: Cell::default(),
             idle_clients: RefCell::default(),
             most_clients: (fds * CLIENTS_SHARE) as usize,
             most_bodies: (memory * BODIES_SHARE) as usize,
@@ -128,7 +130,12 @@
 
     /// Whether requests are to come here.
     pub(crate) fn ready(&self) -> bool {
-        !self.stopping.get() && self.known.borrow().as_ref().is_some_and(|k| k.has_hosts)
+        self.shutdown.get().is_none() && self.known.borrow().as_ref().is_some_and(|k| k.has_hosts)
+    }
+
+    /// Whether a request with this deadline may be given to a host now.
+    pub(crate) fn takes(&self, deadline: Duration) -> bool {
+        self.shutdown.get().is_none_or(|shutdown| shutdown.takes(self.now(), deadline))
     }
 
     /// Connections that one host of this service takes from this process.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 mod request;
 pub mod routes;
 mod serve;
+mod shutdown;
 mod wire;
 mod world;
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use crate::counters::{Counters, SharedCounters};
+use crate::shutdown::{Shutdown, BEFORE_KILL};
 use crate::world::World;
 use crate::{front, hint_listener, hints, readiness};
 use configuration::Boot;
@@ -36,10 +37,6 @@
     },
 }
 
-/// Told to stop, new requests are taken for so long at least: until the platform has noticed.
-const SERVE_ON: Duration = Duration::from_millis(2500);
-/// All is answered by so long before the platform's kill.
-const BEFORE_KILL: Duration = Duration::from_millis(700);
 const SWEEP: Duration = Duration::from_secs(1);
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -132,13 +129,13 @@
         }
     }
     log::info!("stopping");
-    core.stopping.set(true);
     let grace = Duration::try_from_secs_f64(boot.bounds.grace_s).unwrap_or_default();
-    let last = Instant::now() + grace.saturating_sub(BEFORE_KILL);
-    let until = last.min(Instant::now() + SERVE_ON);
+    let shutdown = Shutdown::begin(core.now(), grace);
+    core.shutdown.set(Some(shutdown));
+    let last = core.at(shutdown.answers_until);
     loop {
         tokio::select! {
-            _ = sleep_until(until) => break,
+            _ = sleep_until(core.at(shutdown.full_service_until)) => break,
             came = front.accept() => accepted(came, &welcome).await,
         }
     }
--- a/crates/proxy/tests/ending.rs
+++ b/crates/proxy/tests/ending.rs
@@ -64,6 +64,41 @@
     });
 }
 
+#[test]
+fn what_could_not_be_over_before_the_end_is_sent_on_in_time() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let mut proxy = proxy(Setup { grace_s: 6.0, ..Setup::default() }, &host).await;
+        let mut idle = proxy.client().await;
+        let mut late = proxy.ask("/live/a").await;
+        let mut stream = host.conn().await;
+        stream.begin("seal", &[1]).await;
+        late.until("piece 1\n\n").await;
+        proxy.tell_to_stop();
+        // Once the platform has noticed, connections that stand idle go.
+        idle.closed().await;
+        // A stream of eight seconds would be cut by the process's end: it is refused before any host hears of it.
+        for path in ["/live/b", "/once/b", "/pure/b", "/more/b"] {
+            let answer = proxy.ask(path).await.message().await.unwrap();
+            assert_eq!((answer.status(), answer.field("connection")), (503, Some("close")), "{path}");
+            assert!(answer.field("retry-after").is_some(), "{path}: {}", answer.head);
+        }
+        assert!(host.unasked());
+        // What is over before the process is, is still served, and so is what was taken before.
+        let mut short = proxy.client().await;
+        short.send(&request("/once/c", "short", "Fennelpin-Deadline-Ms: 700\r\n")).await;
+        host.conn().await.answer("in time").await;
+        let answer = short.message().await.unwrap();
+        assert_eq!((answer.body.as_str(), answer.field("connection")), ("in time", Some("close")));
+        stream.events(&[2]).await;
+        stream.send("0\r\n\r\n").await;
+        let answer = late.message().await.unwrap();
+        assert_eq!((answer.whole, answer.body), (true, events([1, 2])));
+        let counted = proxy.done.await.unwrap().unwrap();
+        assert_eq!((counted.passed, counted.cut), (2, 0));
+    });
+}
+
 #[test]
 fn what_is_still_out_at_the_end_is_told_the_truth() {
     story(async {
