--- a/tools/mixed_days.py
+++ b/tools/mixed_days.py
@@ -117,7 +117,8 @@
     def roll(self):
         """Machines that are stopped and started in turn."""
         where = {"on": "core"} if self.draw.random() < 0.5 else {"share": self.share()}
-        return where | {"x": 1.0, "gap_s": self.pick(1.0, 2.0), "how": self.pick("", "busy", "", "leader meet")}
+        at_once = self.pick(1.0, 1.0, 2.0, 3.0)
+        return where | {"x": at_once, "gap_s": self.pick(0.5, 1.0, 2.0), "how": self.pick("", "busy", "", "leader meet", "remove")}
 
     def entries(self, kinds, fields, most):
         """Some entries, in the order of their moments."""
