The proxy's last requests before its end are refused, not sent out and given up

Cause: until the last moment before its end the proxy sent new requests to hosts, and those that it took from the listener's queue after it had told all connections to end were sent out too and broken off in the same step: 502 "it may have run" to clients of calls that may not be repeated, though hosts answered each in under a millisecond. Found by real processes: proxies that were asked to end under steady traffic.

Change: for the last 300 ms a request that has been read is refused (503, a promise that holds: no host has heard of it) and its connection closed; what is out goes on until the end as before.

Measured: crates/proxy/tests/ending.rs a_request_that_comes_in_the_last_moments_is_refused_and_not_given_up fails without (a 502), passes with; all tests of the crate pass.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -34,6 +34,8 @@
     Open,
     /// Those that stand idle go.
     Leaving,
+    /// A new request is refused: no host would have the time to answer it.
+    Refusing,
     /// All go, each with an answer.
     Over,
 }
@@ -153,6 +155,13 @@
         }
         return false;
     }
+    if *closing.borrow() >= Phase::Refusing {
+        let id = request.head.fields.get("fennelpin-attempt-id");
+        if Answer::own(Code::Leaving, id, Some(CROWDED)).write(core, stream, true).await {
+            linger(stream).await;
+        }
+        return false;
+    }
     let stage = AnswerProgress::default();
     let over = async {
         let _ = closing.wait_for(|p| *p == Phase::Over).await;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -40,6 +40,8 @@
 const SERVE_ON: Duration = Duration::from_millis(2500);
 /// All is answered by so long before the platform's kill.
 const BEFORE_KILL: Duration = Duration::from_millis(700);
+/// For so long before that no new request is taken: a host would have no time to answer it.
+const LAST_REQUESTS: Duration = Duration::from_millis(300);
 const SWEEP: Duration = Duration::from_secs(1);
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -135,18 +137,21 @@
     core.stopping.set(true);
     let grace = Duration::try_from_secs_f64(boot.bounds.grace_s).unwrap_or_default();
     let last = Instant::now() + grace.saturating_sub(BEFORE_KILL);
-    let until = last.min(Instant::now() + SERVE_ON);
+    let refusing = (last - LAST_REQUESTS).max(Instant::now());
+    let until = refusing.min(Instant::now() + SERVE_ON);
     loop {
         tokio::select! {
             _ = sleep_until(until) => break,
             came = front.accept() => accepted(came, &welcome).await,
         }
     }
-    let _ = close.send(front::Phase::Leaving);
-    while Instant::now() < last && open.get() > 0 {
-        tokio::select! {
-            _ = tokio::time::sleep(LOOK) => {}
-            came = front.accept() => accepted(came, &welcome).await,
+    for (phase, end) in [(front::Phase::Leaving, refusing), (front::Phase::Refusing, last)] {
+        let _ = close.send(phase);
+        while Instant::now() < end && open.get() > 0 {
+            tokio::select! {
+                _ = tokio::time::sleep(LOOK) => {}
+                came = front.accept() => accepted(came, &welcome).await,
+            }
         }
     }
     // What the machine has taken for us by now is answered too: closing the listener would reset it.
--- a/crates/proxy/tests/ending.rs
+++ b/crates/proxy/tests/ending.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::*;
+use tokio::net::TcpStream;
 
 fn short() -> Setup {
     Setup { grace_s: 1.7, ..Setup::default() }
@@ -100,3 +101,52 @@
         assert_eq!((counted.requests, counted.sent, counted.passed, counted.connects), (1, 1, 1, 1));
     });
 }
+
+/// A request whose answer can't be awaited any more is refused before a host hears of it: sent out and given up, it
+/// could neither be answered nor sent again.
+#[test]
+fn a_request_that_comes_in_the_last_moments_is_refused_and_not_given_up() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let mut proxy = proxy(short(), &host).await;
+        // The platform's clients keep coming to the end, and the host answers each at once.
+        let clients: Vec<_> = (0..8).map(|n| tokio::task::spawn_local(keep_asking(proxy.front, n))).collect();
+        let answers = tokio::task::spawn_local(async move {
+            loop {
+                let mut conn = host.conn().await;
+                tokio::task::spawn_local(async move {
+                    while let Some(request) = conn.message().await {
+                        let id = request.field("fennelpin-attempt-id").unwrap_or("none");
+                        conn.send(&good(id, "done")).await;
+                    }
+                });
+            }
+        });
+        proxy.tell_to_stop();
+        let mut refused = 0;
+        for client in clients {
+            for status in client.await.unwrap() {
+                assert!([200, 503].contains(&status), "neither an answer nor a promise: {status}");
+                refused += usize::from(status == 503);
+            }
+        }
+        assert!(refused > 0, "the last ones are refused");
+        answers.abort();
+        proxy.done.await.unwrap().unwrap();
+    });
+}
+
+/// Sends one request after the other, each on a connection of its own, until nobody listens; the answers' statuses.
+async fn keep_asking(front: std::net::SocketAddrV4, client: usize) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for n in 0.. {
+        let Ok(stream) = TcpStream::connect(std::net::SocketAddr::V4(front)).await else { break };
+        let mut peer = Peer::new(stream);
+        peer.send(&request("/once/a", &format!("{client}-{n}"), "")).await;
+        // One that the end of the process meets unread has no answer.
+        if let Some(answer) = peer.message().await {
+            statuses.push(answer.status());
+        }
+    }
+    statuses
+}
