An early refusal is seen behind another's answer, and where it names no attempt

Cause: while a long body is written the proxy looks for the answer that ends the writing, but only at the first head that has come, and only by its attempt's id. A host that turned the request away early, behind an answer too many or without an id, and read no more was written to until the deadline: 504 in place of another host's answer.

Change: heads are looked at past whole answers to others, and by the same rule (`belongs`) that judges answers once the request is written.

--- a/crates/proxy/src/exchange/host_request.rs
+++ b/crates/proxy/src/exchange/host_request.rs
@@ -1,6 +1,6 @@
 //! A request as its host gets it, and the sending of it.
 
-use super::matching::{whose, Whose};
+use super::matching::belongs;
 use super::{Exchange, Picked, ATTEMPT_ID, DEADLINE_SLACK};
 use crate::attempt::End;
 use crate::connections::{self, NoLink};
@@ -76,7 +76,7 @@
         loop {
             let head = self.head(picked);
             let mark = self.request.head.fields.get(ATTEMPT_ID).unwrap_or_default();
-            let ours = |answer: &ResponseHead| whose(answer, mark) == Whose::Ours;
+            let ours = |answer: &ResponseHead, nobody_answered| belongs(answer, mark, nobody_answered);
             // From here on bytes may be the host's, also where this is dropped half-way.
             self.stage.set_out(true);
             let send = link.send(&head, &self.request.body, &mut written, ours);
--- a/crates/proxy/src/exchange/matching.rs
+++ b/crates/proxy/src/exchange/matching.rs
@@ -43,6 +43,16 @@
     }
 }
 
+/// Whether an answer belongs to the attempt with this id. Without an id it can only be a refusal, and only where
+/// nobody was answered on this connection before.
+pub(super) fn belongs(head: &ResponseHead, id: &[u8], nobody_answered: bool) -> bool {
+    match whose(head, id) {
+        Whose::Ours => true,
+        Whose::Unnamed => nobody_answered && refuses(head),
+        Whose::Other => false,
+    }
+}
+
 impl Exchange<'_> {
     /// The head of the answer to this request, past answers to others; whether there were any.
     pub(super) async fn answer(
@@ -55,11 +65,8 @@
         let mark = self.request.head.fields.get(ATTEMPT_ID).unwrap_or_default();
         for strays in 0..=MAX_STRAY_ANSWERS {
             let head = watch.guard(self, link, out, async |l: &mut Link| l.head(to_head).await).await?;
-            match whose(&head, mark) {
-                Whose::Ours => return Ok((head, strays > 0)),
-                // Without an id it can only be ours where nobody was answered on this connection before.
-                Whose::Unnamed if refuses(&head) && strays == 0 && !link.used => return Ok((head, false)),
-                Whose::Unnamed | Whose::Other => {}
+            if belongs(&head, mark, strays == 0 && !link.used) {
+                return Ok((head, strays > 0));
             }
             self.core.tally.add(|c| c.strays += 1);
             let (mut body, mut bytes) = (Body::new(head.framing), BytesMut::new());
--- a/crates/proxy/src/hostlink.rs
+++ b/crates/proxy/src/hostlink.rs
@@ -36,6 +36,17 @@
     (100..200).contains(&head.status)
 }
 
+/// Takes a body off the front of a buffer; false where it isn't there to its end.
+fn pass_over(buf: &mut BytesMut, mut body: Body) -> bool {
+    loop {
+        match body.take(buf) {
+            Ok(Piece::Data(_)) => {}
+            Ok(Piece::End) => return true,
+            Ok(Piece::More) | Err(_) => return false,
+        }
+    }
+}
+
 /// A connection to a host.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -61,13 +72,14 @@
     }
 
     /// Writes a request, and stops where its answer is there before all is written: a host may refuse a large
-    /// body and read no more of it. `written` counts what the system took, also where this fails.
+    /// body and read no more of it. `ours` tells whether a head begins the answer, given whether nobody was answered
+    /// on this connection before. `written` counts what the system took, also where this fails.
     pub(crate) async fn send(
         &mut self,
         head: &[u8],
         body: &[u8],
         written: &mut usize,
-        ours: impl Fn(&ResponseHead) -> bool,
+        ours: impl Fn(&ResponseHead, bool) -> bool,
     ) -> std::io::Result<()> {
         // Until it is written to its end, no other request may follow.
         self.partial = true;
@@ -82,7 +94,7 @@
                     if got? == 0 {
                         return Ok(());
                     }
-                    if self.final_head().is_some_and(|head| ours(&head)) {
+                    if self.has_answer(&ours) {
                         return Ok(());
                     }
                 }
@@ -90,15 +102,23 @@
         }
     }
 
-    /// The head of the answer that stands in the buffer, past interim ones, which stays there.
-    fn final_head(&self) -> Option<ResponseHead> {
+    /// Whether the head of an answer to the request stands in the buffer, past interim ones and answers to others.
+    fn has_answer(&self, ours: impl Fn(&ResponseHead, bool) -> bool) -> bool {
         let mut rest = self.buf.clone();
+        let mut nobody_answered = !self.used;
         while let Ok(Some(head)) = ResponseHead::take(&mut rest, MOST_HEAD, false) {
-            if !is_interim(&head) {
-                return Some(head);
+            if is_interim(&head) {
+                continue;
+            }
+            if ours(&head, nobody_answered) {
+                return true;
+            }
+            nobody_answered = false;
+            if !pass_over(&mut rest, Body::new(head.framing)) {
+                return false;
             }
         }
-        None
+        false
     }
 
     async fn more(&mut self) -> Result<(), Lost> {
--- a/crates/proxy/tests/matching.rs
+++ b/crates/proxy/tests/matching.rs
@@ -61,6 +61,30 @@
     });
 }
 
+/// A host that turns a long body away reads no more of it, and what it said before belongs to another.
+#[rstest]
+#[case::named("Fennelpin-Attempt-Id: one\r\n", 1)]
+#[case::unnamed("", 0)]
+fn an_early_refusal_is_seen_before_the_body_is_written(#[case] id: &str, #[case] strays: usize) {
+    story(async {
+        let mut one = Host::new("h1", "s").await;
+        let mut two = Host::new("h2", "s").await;
+        let proxy = wide(Setup::default(), &[&one, &two]).await;
+        let mut client = proxy.client().await;
+        client.send(&large_request("/once/a")).await;
+        let (mut first, other) = first_of(&mut one, &mut two).await;
+        first.head().await.unwrap();
+        let refusal =
+            format!("HTTP/1.1 503 Full\r\n{id}Fennelpin-Not-Executed: full\r\nContent-Length: 2\r\n\r\nno");
+        first.send(&(good("zero", "stray").repeat(strays) + &refusal)).await;
+        // The host keeps the connection, and reads no more of it.
+        let mut second = other.conn().await;
+        assert_eq!(second.answer("second").await.body.len(), LARGE);
+        assert_eq!(client.message().await.unwrap().body, "second");
+        first.closed().await;
+    });
+}
+
 /// From the first byte on no promise can be given that a request has not run.
 #[test]
 fn half_written_at_the_process_s_end_it_may_have_run() {
