The attempt's id and the host's seal pass, whatever a Connection field lists

Cause: a field that a message's `Connection` lists is left out on the way. One that listed `Fennelpin-Attempt-Id` sent the request to a host without its id, where no answer can be told to be its own; one that listed the seal took it off a success.

Change: the two fields that tie an answer to its request and its host always pass; others that are listed stay here.

Measured: crates/proxy/tests/matching.rs what_ties_an_answer_to_its_request_is_passed_on_whatever_the_connection_lists fails without, passes with; all tests of the crate pass.

--- a/crates/proxy/src/exchange/host_request.rs
+++ b/crates/proxy/src/exchange/host_request.rs
@@ -5,7 +5,7 @@
 use crate::attempt::End;
 use crate::connections::{self, NoLink};
 use crate::hostlink::Link;
-use crate::wire::field;
+use crate::wire::{self, field};
 use balancing::Outcome;
 use configuration::Route;
 use http1::ResponseHead;
@@ -42,7 +42,7 @@
                 || is("fennelpin-deadline-ms")
                 || (is("priority") && picked.priority.is_some())
                 || (is("last-event-id") && place.is_some());
-            if !ours && !head.fields.hop_by_hop(name) {
+            if !ours && !wire::stays_here(&head.fields, name) {
                 field(&mut out, name, value);
             }
         }
--- a/crates/proxy/src/exchange/writer.rs
+++ b/crates/proxy/src/exchange/writer.rs
@@ -84,7 +84,7 @@
         for (name, value) in head.fields.iter() {
             let length =
                 name.eq_ignore_ascii_case(b"content-length") && (framing.is_some() || head.status == 204);
-            if !length && !head.fields.hop_by_hop(name) {
+            if !length && !wire::stays_here(&head.fields, name) {
                 field(&mut out, name, value);
             }
         }
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -1,6 +1,7 @@
 //! Bytes in and out of a socket, by shared reference so that one side can be watched while the other writes.
 
 use bytes::BytesMut;
+use http1::Fields;
 use std::io::{self, IoSlice};
 use tokio::net::TcpStream;
 
@@ -55,6 +56,15 @@
     matches!(recv(stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT), Err(rustix::io::Errno::AGAIN))
 }
 
+/// What ties an answer to its request and to its host, whatever a head says of its connection.
+const END_TO_END: [&str; 2] = ["fennelpin-attempt-id", "fennelpin-host-seal"];
+
+/// Whether a field concerns only the connection that it came on.
+pub(crate) fn stays_here(fields: &Fields, name: &[u8]) -> bool {
+    let passes = END_TO_END.iter().any(|n| name.eq_ignore_ascii_case(n.as_bytes()));
+    !passes && fields.hop_by_hop(name)
+}
+
 /// Appends a line of a head.
 pub(crate) fn field(out: &mut Vec<u8>, name: &[u8], value: &[u8]) {
     out.extend_from_slice(name);
--- a/crates/proxy/tests/matching.rs
+++ b/crates/proxy/tests/matching.rs
@@ -85,6 +85,26 @@
     });
 }
 
+/// What a head lists as its connection's own concerns is left out, but never what ties an answer to its request.
+#[test]
+fn what_ties_an_answer_to_its_request_is_passed_on_whatever_the_connection_lists() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.client().await;
+        let lists =
+            "Connection: keep-alive, Fennelpin-Attempt-Id, Fennelpin-Host-Seal, X-Own\r\nX-Own: 1\r\n";
+        client.send(&request("/once/a", "one", lists)).await;
+        let mut conn = host.conn().await;
+        let asked = conn.reply(&format!("200 OK\r\n{SEAL}\r\n{lists}Content-Length: 4"), "done").await;
+        assert_eq!((asked.field("fennelpin-attempt-id"), asked.field("x-own")), (Some("one"), None));
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.status(), answer.body.as_str()), (200, "done"));
+        assert_eq!(answer.field("fennelpin-attempt-id"), Some("one"));
+        assert_eq!((answer.field("fennelpin-host-seal"), answer.field("x-own")), (Some("seal"), None));
+    });
+}
+
 /// From the first byte on no promise can be given that a request has not run.
 #[test]
 fn half_written_at_the_process_s_end_it_may_have_run() {
