A candidate waits for slow disks once its candidacies end for want of answers

Cause: with one of three members gone, both others have to write before either may act. A candidate gives each step half a lease, while a disk is relied on up to the stall limit (500 and 600 ms in service). Where writes take longer than the first and less than the second, every candidacy ended before the promise had come, the next one asked for another write, and nobody ever acted. Found by real processes behind a relay on a busy machine: orders were held back for 20 s while a witness was cut off (lease 300 ms, writes of 150 to 250 ms).

Change: once a candidacy has ended in a step that waits for others' disks, the next ones give such steps as long as a disk may take that is still relied on, until the member acts or takes a view. First candidacies are as before.

--- a/crates/control-plane/src/member/candidate.rs
+++ b/crates/control-plane/src/member/candidate.rs
@@ -373,6 +373,7 @@
             let mut state = PrimaryState::new(epoch, self.now, acting_since, ledger, &view, lacking);
             let held_by: Vec<&MemberInfo> = view.replicas.iter().filter_map(|id| view.seat(*id)).collect();
             state.takes_changes = choose_replicas(&self.config.budget, &held_by).is_some();
+            self.waits_for_slow_disks = false;
             self.role = Role::Primary(Box::new(state));
             self.run_primary(out);
         }
@@ -387,12 +388,24 @@
     fn phase_time(&self, candidacy: &CandidateState) -> Duration {
         let half = self.config.lease / 2;
         match (candidacy.phase, &candidacy.target) {
+            (ElectionPhase::PreVote, _) => half,
             (ElectionPhase::Fetch, _) => half * (1 << self.fetch_doublings),
             (ElectionPhase::Replicas, Some((_, ledger))) => {
-                half + Duration::from_secs(1)
-                    .mul_f64(ledger_bytes(ledger) as f64 / f64::from(MIN_TRANSFER_RATE))
+                self.write_time()
+                    + Duration::from_secs(1)
+                        .mul_f64(ledger_bytes(ledger) as f64 / f64::from(MIN_TRANSFER_RATE))
             }
-            _ => half,
+            _ => self.write_time(),
+        }
+    }
+
+    /// How long a candidate waits for what others have to write before they answer: half a lease or, once that was too
+    /// short, as long as a disk may take that is still relied on.
+    fn write_time(&self) -> Duration {
+        let half = self.config.lease / 2;
+        match self.waits_for_slow_disks {
+            true => half.max(self.config.stall + half / 4),
+            false => half,
         }
     }
 
@@ -426,8 +439,12 @@
         // One that leaves stands no more; a primary goes on changing its view until it has handed over.
         let leaves = self.departure.is_some() && candidacy.agreed.is_none();
         if self.now >= candidacy.since + self.phase_time(candidacy) || leaves {
-            if candidacy.phase == ElectionPhase::Fetch {
-                self.fetch_doublings = (self.fetch_doublings + 1).min(MAX_FETCH_DOUBLINGS);
+            match candidacy.phase {
+                ElectionPhase::PreVote => {}
+                ElectionPhase::Fetch => {
+                    self.fetch_doublings = (self.fetch_doublings + 1).min(MAX_FETCH_DOUBLINGS);
+                }
+                _ => self.waits_for_slow_disks = true,
             }
             if !leaves && self.goes_on_with_few(out) {
                 return;
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -211,6 +211,8 @@
     held_back_until: Duration,
     /// How often in a row the time for fetching a ledger was too short.
     fetch_doublings: u32,
+    /// A candidacy of its own has ended for want of answers since it last acted or took a view.
+    waits_for_slow_disks: bool,
     /// The highest epoch seen anywhere.
     seen: u64,
     view: Option<View>,
@@ -265,6 +267,7 @@
             promised_to: None,
             held_back_until: now,
             fetch_doublings: 0,
+            waits_for_slow_disks: false,
             seen: 0,
             view: None,
             held: None,
--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -137,6 +137,7 @@
             }
             Ok(ledger) if fits && self.fit() => {
                 self.promised = epoch;
+                self.waits_for_slow_disks = false;
                 self.step_down();
                 self.election_at = self.now + self.config.lease + self.election_delay();
                 let record = Record::Accepted { view: view.clone(), snapshot };
--- a/crates/control-plane/tests/slow_links.rs
+++ b/crates/control-plane/tests/slow_links.rs
@@ -1,5 +1,5 @@
-//! Takeovers with large ledgers over slow links: three members, links that carry so many bytes a second in order,
-//! and disks, all in simulated time.
+//! Takeovers with large ledgers over slow links, and on slow disks: three members, links that carry so many bytes a
+//! second in order, and disks, all in simulated time.
 
 use configuration::{Code, FaultBudget};
 use control_plane::member::{Config, Input, Member, Output};
@@ -12,6 +12,8 @@
 const LEASE: Duration = Duration::from_millis(1000);
 const DELAY: Duration = Duration::from_millis(2);
 const SYNC: Duration = Duration::from_millis(2);
+/// A disk whose writes take longer than so is no longer relied on.
+const STALL: Duration = Duration::from_millis(600);
 /// What one link queues, as `shell/links.rs` has it; one message always fits.
 const MAX_QUEUED_BYTES: usize = 4 << 20;
 const FAST: f64 = 125e6;
@@ -25,6 +27,8 @@
 struct World {
     now: Duration,
     rate: f64,
+    /// How long a write takes.
+    sync: Duration,
     members: HashMap<u64, Member>,
     events: HashMap<u64, Event>,
     order: BinaryHeap<Reverse<(Duration, u64)>>,
@@ -46,6 +50,7 @@
         let mut world = Self {
             now: Duration::ZERO,
             rate: FAST,
+            sync: SYNC,
             members: HashMap::new(),
             events: HashMap::new(),
             order: BinaryHeap::new(),
@@ -61,7 +66,7 @@
                 budget: FaultBudget { machine_losses: 1, zones: 0, region_losses: 0 },
                 lease: LEASE,
                 patience: Duration::from_millis(3500),
-                stall: Duration::from_millis(600),
+                stall: STALL,
             };
             let member = Member::new(config, &[], Duration::ZERO, seed * 31 + id);
             world.members.insert(id, member);
@@ -87,7 +92,7 @@
         for output in out {
             match output {
                 Output::Send { to: other, message } => self.send(to, other.id, &message),
-                Output::Write { ticket, .. } => self.at(self.now + SYNC, Event::Wrote { to, ticket }),
+                Output::Write { ticket, .. } => self.at(self.now + self.sync, Event::Wrote { to, ticket }),
                 Output::Answer { ticket, code, .. } => {
                     self.answers.insert(ticket, code);
                 }
@@ -227,3 +232,29 @@
     assert_eq!(world.order(3, &configure(0, bytes / 2)), Some(Code::OtherBase));
     assert_eq!(world.order(4, &configure(1, bytes)), Some(Code::Ok));
 }
+
+/// Both that are left have to write before either may act. Where a write takes longer than a candidate usually waits,
+/// and less than what makes a disk one that isn't relied on, one of them acts all the same.
+#[rstest]
+#[case::usual(Duration::from_millis(20), 3)]
+#[case::slow(Duration::from_millis(450), 6)]
+#[case::longer_than_half_a_lease(Duration::from_millis(510), 12)]
+#[case::almost_stalled(STALL - Duration::from_millis(10), 12)]
+fn a_takeover_ends_however_slow_the_disks_are(
+    #[case] sync: Duration,
+    #[case] most_s: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let mut world = World::new(seed);
+    assert_eq!(world.order(1, &configure(0, 10 * KIB)), Some(Code::Ok));
+    let lost = world.acting().unwrap();
+    world.sync = sync;
+    world.members.remove(&lost);
+    let took = world.until(Duration::from_secs(120), |w| w.acting().is_some());
+    let took = took.expect("somebody acts in the end");
+    println!("writes take {sync:?}, seed {seed}: {took:?}");
+    assert!(took <= Duration::from_secs(most_s), "{took:?}");
+    world.sync = SYNC;
+    assert_eq!(world.order(2, &configure(0, 10 * KIB)), Some(Code::Ok));
+    assert_eq!(world.order(3, &configure(1, 10 * KIB)), Some(Code::Ok));
+}
