--- a/crates/proxy/src/exchange/host_request.rs
+++ b/crates/proxy/src/exchange/host_request.rs
@@ -1,11 +1,11 @@
 //! A request as its host gets it, and the sending of it.
 
-use super::matching::{whose, Whose};
+use super::matching::belongs;
 use super::{Exchange, Picked, ATTEMPT_ID, DEADLINE_SLACK};
 use crate::attempt::End;
 use crate::connections::{self, NoLink};
 use crate::hostlink::Link;
-use crate::wire::field;
+use crate::wire::{self, field};
 use balancing::Outcome;
 use configuration::Route;
 use http1::ResponseHead;
@@ -42,7 +42,7 @@
                 || is("fennelpin-deadline-ms")
                 || (is("priority") && picked.priority.is_some())
                 || (is("last-event-id") && place.is_some());
-            if !ours && !head.fields.hop_by_hop(name) {
+            if !ours && !wire::stays_here(&head.fields, name) {
                 field(&mut out, name, value);
             }
         }
@@ -76,7 +76,7 @@
         loop {
             let head = self.head(picked);
             let mark = self.request.head.fields.get(ATTEMPT_ID).unwrap_or_default();
-            let ours = |answer: &ResponseHead| whose(answer, mark) == Whose::Ours;
+            let ours = |answer: &ResponseHead, nobody_answered| belongs(answer, mark, nobody_answered);
             // From here on bytes may be the host's, also where this is dropped half-way.
             self.stage.set_out(true);
             let send = link.send(&head, &self.request.body, &mut written, ours);
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -7,6 +7,9 @@
 /// All is answered by so long before the platform's kill.
 pub(crate) const BEFORE_KILL: Duration = Duration::from_millis(700);
 
+/// For so long before that, the time that is left is looked at whatever the grace: a host may need as long to answer.
+const LAST_REQUESTS: Duration = Duration::from_millis(300);
+
 /// A shutdown under way. All times count from the process's start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Shutdown {
@@ -20,7 +23,8 @@
     /// A shutdown that begins now; the platform kills the process after `grace`.
     pub(crate) fn begin(now: Duration, grace: Duration) -> Self {
         let answers_until = now + grace.saturating_sub(BEFORE_KILL);
-        Self { full_service_until: answers_until.min(now + FULL_SERVICE), answers_until }
+        let full_service_until = answers_until.saturating_sub(LAST_REQUESTS).min(now + FULL_SERVICE);
+        Self { full_service_until, answers_until }
     }
 
     /// Whether a request that comes now may be given to a host: later ones only where they are over before the process
