Simulator: members without a say are told who acts, as a process's mirror tells them

Cause: a member's mirror and pulls were played only where a run had agents, so members that no view names as voters never heard of a primary and answered "no primary".

Change: every member has its mirror in every run, and hears from it who acts before each command, as the event loop does; what is drawn for pulls is drawn apart, so that schedules stay what they were.

--- a/crates/simulator/src/world/callers.rs
+++ b/crates/simulator/src/world/callers.rs
@@ -24,6 +24,7 @@
             .collect();
         if !up.is_empty() {
             let member = up[self.pick(up.len() as u64) as usize];
+            self.member_learns(member);
             // Calls without a clear answer are made again, elsewhere.
             let stale: Vec<u64> = self
                 .operator
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -143,12 +143,16 @@
     view_ledger: Option<protocol::Snapshot>,
 }
 
+/// Sets what is drawn for pulls apart from what is drawn for members.
+const STATION_SALT: u64 = 0x0057_a710;
+
 type Due = Reverse<(Duration, u64, usize)>;
 
 struct World<'p> {
     plan: &'p Plan,
     now: Duration,
     rng: Pcg32,
+    station_rng: Pcg32,
     nodes: Vec<Node>,
     /// The voters of view 0, as they were when the system began.
     initial_voters: Vec<MemberInfo>,
@@ -182,6 +186,7 @@
         plan,
         now: ms(1000),
         rng: Pcg32::seed_from_u64(plan.seed),
+        station_rng: Pcg32::seed_from_u64(plan.seed ^ STATION_SALT),
         nodes: Vec::new(),
         initial_voters: Vec::new(),
         queue: BinaryHeap::new(),
--- a/crates/simulator/src/world/orders.rs
+++ b/crates/simulator/src/world/orders.rs
@@ -290,6 +290,7 @@
         let ticket = FIRST_TICKET + self.orders.numbers;
         let is_order = matches!(asked, Asked::Order(_));
         self.orders.attempts.insert(ticket, Attempt { asked, content, known: self.orders.newest });
+        self.note(|_| format!("call {ticket} of content {content:?} goes to {member}"));
         let way = Duration::from_micros(300 + self.pick(1000));
         self.at(self.now + way, member, What::Order { ticket });
         if is_order {
@@ -324,6 +325,7 @@
 
     /// A member answers a call: what may not be is a breach, whether the answer is lost or not.
     pub(super) fn order_answered(&mut self, n: usize, ticket: u64, code: Code, body: &[u8]) {
+        self.note(|_| format!("call {ticket} is answered by {n} with {code:?}"));
         let Some(attempt) = self.orders.attempts.remove(&ticket) else {
             return self.breach(n, format!("an answer to call {ticket}, which is not open"));
         };
