A granted lease holds to its end: no candidacy beside it, released by its holder only

A member that asks others whether they would promise went on as a candidate when it then granted a lease. A willing answer that came late made it promise itself an epoch while that lease was in force; with one more voter it could act, and take changes, while the holder still answered reads. 2. ReleaseLease was taken from anybody with a high enough epoch. A candidate whose disk refuses its own promise (a full disk) sends it to all voters, who dropped the leases that they had granted to somebody else, and were free for a third member. In both the former primary read back the configuration before the newest for up to 0.9 s.

Change: who grants a lease gives up its candidacy; a lease is released by whom it was granted to only. The simulator checks after each step that no two members act at once, frozen ones too.

Measured: tests/leases.rs, 5 cases; 2 fail without the change (somebody else's release, and the late willing answer). Tests of control-plane and simulator pass.

--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -356,7 +356,7 @@
                 self.record_committed(epoch, committed);
             }
             Message::FetchLedger { epoch } => self.on_fetch(from, epoch, out),
-            Message::ReleaseLease { epoch } => self.on_release(epoch),
+            Message::ReleaseLease { epoch } => self.on_release(from.id, epoch),
             Message::Leaving { .. } => self.on_peer_leaving(from.id),
             Message::PreVoteReply { willing, seen, wait_ms } => {
                 self.on_pre_vote_reply(from, willing, seen, wait_ms, out)
@@ -508,7 +508,13 @@
 
     /// Whether this member acts now.
     pub fn acts(&self) -> bool {
-        matches!(&self.role, Role::Primary(state) if self.lease_end(state) > self.now)
+        self.acts_at(self.now)
+    }
+
+    /// Whether this member acts at a time, no earlier than that of its latest step, at which nothing has reached it
+    /// since.
+    pub fn acts_at(&self, now: Duration) -> bool {
+        matches!(&self.role, Role::Primary(state) if self.lease_end(state) > now)
     }
 
     /// The latest view that this member accepted.
--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -194,6 +194,7 @@
         let follows = self.view.as_ref().is_some_and(|v| v.epoch == epoch && v.primary == from.id);
         let ok = follows && self.promised == epoch && !self.given_up();
         if ok {
+            self.withdraw_candidacy();
             let until = self.now + self.config.lease;
             self.grant = Some(Grant { to: from.id, epoch, until });
             self.election_at = until + self.election_delay();
@@ -208,6 +209,13 @@
         out.push(Output::Send { to: from, message });
     }
 
+    /// Whoever grants a lease stands no more: it would be its own first voter while the lease is in force.
+    fn withdraw_candidacy(&mut self) {
+        if matches!(self.role, Role::Candidate(_)) {
+            self.step_down();
+        }
+    }
+
     /// This voter's clock as it tells it to a primary.
     fn clock(&self) -> u64 {
         self.life_base.wrapping_add(self.now.as_millis() as u64)
@@ -233,8 +241,9 @@
         }
     }
 
-    pub(super) fn on_release(&mut self, epoch: u64) {
-        if self.grant.is_some_and(|g| g.epoch <= epoch) {
+    /// The holder of a lease needs it no more. Somebody else's word says nothing of it.
+    pub(super) fn on_release(&mut self, from: u64, epoch: u64) {
+        if self.grant.is_some_and(|g| g.to == from && g.epoch <= epoch) {
             self.grant = None;
             self.election_at = self.now + self.election_delay();
         }
--- /dev/null
+++ b/crates/control-plane/tests/leases.rs
@@ -0,0 +1,145 @@
+//! A lease that was granted holds to its end: neither a candidacy of the voter's own nor a word of somebody else lets
+//! another primary begin while the holder may still answer reads. One voter, message by message.
+
+use configuration::FaultBudget;
+use control_plane::member::{Config, Input, Member, Output};
+use protocol::{Addr, MemberInfo, Message, View};
+use rstest::rstest;
+use std::time::Duration;
+
+const LEASE: Duration = Duration::from_millis(1000);
+/// Identities: who holds the lease, who grants it, and the third voter.
+const HOLDER: u64 = 1;
+const VOTER: u64 = 2;
+const THIRD: u64 = 3;
+/// The view's epoch, and one above it.
+const EPOCH: u64 = (1 << 20) | HOLDER;
+const LATER_EPOCH: u64 = (2 << 20) | THIRD;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn seat(id: u64) -> MemberInfo {
+    let addr = Addr { ip: id as u32, port: 7660 };
+    MemberInfo {
+        id,
+        name: format!("core-{id}"),
+        addr,
+        control: addr,
+        zone: format!("z{id}"),
+        region: "r".into(),
+    }
+}
+
+/// A witness of a view whose primary is [`HOLDER`].
+struct Voter {
+    now: Duration,
+    member: Member,
+}
+
+impl Voter {
+    fn started() -> Self {
+        let config = Config {
+            me: seat(VOTER),
+            bootstrap_voters: None,
+            budget: FaultBudget { machine_losses: 1, ..FaultBudget::default() },
+            lease: LEASE,
+            patience: ms(3500),
+            stall: ms(600),
+        };
+        let mut voter = Self { now: ms(0), member: Member::new(config, &[], ms(0), 7) };
+        let voters: Vec<MemberInfo> = [HOLDER, VOTER, THIRD].map(seat).to_vec();
+        let view = View {
+            epoch: EPOCH,
+            primary: HOLDER,
+            replicas: vec![HOLDER, THIRD],
+            voters: voters.clone(),
+            before: voters,
+        };
+        let sent = voter.hears(HOLDER, Message::InstallView { view, snapshot: None });
+        assert!(matches!(sent[..], [Message::InstallReply { ok: true, .. }]), "{sent:?}");
+        voter
+    }
+
+    /// One input, and the messages that come of it; writes are on disk at once.
+    fn step(&mut self, input: Input) -> Vec<Message> {
+        let (mut sent, mut inputs) = (Vec::new(), vec![input]);
+        while let Some(input) = inputs.pop() {
+            let mut out = Vec::new();
+            self.member.step(self.now, input, &mut out);
+            for output in out {
+                match output {
+                    Output::Send { message, .. } => sent.push(message),
+                    Output::Write { ticket, .. } => inputs.push(Input::Wrote { ticket, result: Ok(()) }),
+                    _ => {}
+                }
+            }
+        }
+        sent
+    }
+
+    fn hears(&mut self, from: u64, message: Message) -> Vec<Message> {
+        self.now += ms(1);
+        self.step(Input::Message { from: seat(from), message })
+    }
+
+    /// Grants a lease to its holder.
+    fn grants(&mut self) {
+        let renewal = Message::RenewLease { epoch: EPOCH, stamp: 1, committed: 0, heard: 0 };
+        let sent = self.hears(HOLDER, renewal);
+        assert!(sent.iter().any(|m| matches!(m, Message::LeaseReply { ok: true, .. })), "{sent:?}");
+    }
+
+    /// Whether it would promise somebody else an epoch.
+    fn would_promise(&mut self) -> bool {
+        let sent = self.hears(THIRD, Message::PreVote { seen: EPOCH, view: EPOCH });
+        sent.iter().any(|m| matches!(m, Message::PreVoteReply { willing: true, .. }))
+    }
+
+    /// Time passes until it asks the others whether they would promise.
+    fn asks_for_pre_votes(&mut self) {
+        for _ in 0..3000 {
+            self.now += ms(1);
+            let sent = self.step(Input::Tick);
+            if sent.iter().any(|m| matches!(m, Message::PreVote { .. })) {
+                return;
+            }
+        }
+        panic!("it doesn't stand");
+    }
+}
+
+/// Such a word comes from a candidate whose disk refuses its promise: it says that no lease of its own holds anybody
+/// back, and nothing about those of others.
+#[rstest]
+#[case::of_the_holder(HOLDER, EPOCH, true)]
+#[case::of_the_holder_as_a_candidate(HOLDER, LATER_EPOCH, true)]
+#[case::of_somebody_else(THIRD, LATER_EPOCH, false)]
+#[case::of_an_earlier_lease(HOLDER, EPOCH - 1, false)]
+fn a_lease_is_released_by_its_holder_only(#[case] from: u64, #[case] epoch: u64, #[case] released: bool) {
+    let mut voter = Voter::started();
+    voter.grants();
+    assert!(!voter.would_promise());
+    voter.hears(from, Message::ReleaseLease { epoch });
+    assert_eq!(voter.would_promise(), released);
+}
+
+/// The holder was out of touch for a lease, is heard again while the voter's question is under way, and only then
+/// comes the answer of the third, who has lost touch meanwhile.
+#[test]
+fn who_grants_a_lease_stands_no_more() {
+    let mut voter = Voter::started();
+    voter.asks_for_pre_votes();
+    voter.grants();
+    let willing = Message::PreVoteReply { willing: true, seen: EPOCH, wait_ms: 0 };
+    let sent = voter.hears(THIRD, willing);
+    assert!(!sent.iter().any(|m| matches!(m, Message::Prepare { .. })), "{sent:?}");
+    assert!(voter.member.promised() == EPOCH, "it promised itself {}", voter.member.promised());
+    // Once the lease has ended it stands again.
+    voter.now += LEASE;
+    voter.asks_for_pre_votes();
+    let willing = Message::PreVoteReply { willing: true, seen: EPOCH, wait_ms: 0 };
+    let sent = voter.hears(THIRD, willing);
+    assert!(sent.iter().any(|m| matches!(m, Message::Prepare { .. })), "{sent:?}");
+}
--- a/crates/simulator/src/world/checks.rs
+++ b/crates/simulator/src/world/checks.rs
@@ -53,6 +53,21 @@
         self.report.breaches.push(format!("{:?} node {n}: {what}", self.now));
     }
 
+    /// No two members act at once, whoever stands still: one that acts answers reads by what it holds alone.
+    pub(super) fn check_one_acts(&mut self, n: usize) {
+        let acts = |n: usize| {
+            let member = self.nodes[n].member.as_ref();
+            member.is_some_and(|member| member.acts_at(self.clock(n)))
+        };
+        if !acts(n) {
+            return;
+        }
+        if let Some(other) = (0..self.nodes.len()).find(|other| *other != n && acts(*other)) {
+            let views = self.views();
+            self.breach(n, format!("acts while {other} acts: {views}"));
+        }
+    }
+
     /// What has to hold a while after each fault, whether it has healed or not.
     pub(super) fn look(&mut self) {
         let quiet = self.now.saturating_sub(self.calm_since);
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -266,6 +266,7 @@
             self.perform(n, output);
         }
         self.station_shows(n);
+        self.check_one_acts(n);
         let now = self.now;
         let acts = self.someone_acts();
         match (acts, self.gap_from) {
