Model checker: guessed bases hold, in the ledger and among members

The claim that a refused order never takes effect is checked in both. A planted refusal of such orders is found in both.

--- a/crates/model-check/src/cluster/operator.rs
+++ b/crates/model-check/src/cluster/operator.rs
@@ -20,6 +20,8 @@
     Change,
     /// Another content with the base and version of the latest change: the order of a second operator.
     Rival,
+    /// An order on the version that the next change is going to lead to.
+    Guess,
     /// The latest change once more, byte for byte.
     Repeat,
     /// The first change once more, after others.
@@ -84,6 +86,11 @@
     .into_bytes()
 }
 
+/// The version that a change which is order `number` leads to.
+fn next_version(newest: u64, number: usize) -> u64 {
+    newest + 10 + number as u64
+}
+
 impl Operators {
     /// Makes a request an order; its number.
     pub(super) fn make(&mut self, request: Request, newest: u64) -> usize {
@@ -99,7 +106,11 @@
                 Order { known: newest, attempts: 0, at: None, result: Result::Open, ..latest }
             }
             (Request::Rival, Some(latest)) => self.change(latest.base, latest.version, newest),
-            _ => self.change(newest, newest + 10 + number as u64, newest),
+            (Request::Guess, _) => {
+                let base = next_version(newest, number + 1);
+                self.change(base, next_version(base, number), newest)
+            }
+            _ => self.change(newest, next_version(newest, number), newest),
         };
         self.orders.push(order);
         number
--- a/crates/model-check/src/cluster/planted.rs
+++ b/crates/model-check/src/cluster/planted.rs
@@ -1,5 +1,6 @@
 //! Bugs planted round the members, to see whether the search finds them.
 
+use configuration::Code;
 use protocol::{LedgerPosition, MemberInfo, Message, Record, Snapshot, View};
 
 /// A bug planted into disks, the network or what members are told.
@@ -27,6 +28,8 @@
     ForgetfulReader,
     /// A change reaches the other replicas with another content.
     RewrittenChange,
+    /// An order that builds on a version above the one in force is refused.
+    EarlyRefusal,
 }
 
 impl Planted {
@@ -43,8 +46,17 @@
         ("fresh-after-start", Planted::FreshAfterStart),
         ("forgetful-reader", Planted::ForgetfulReader),
         ("rewritten-change", Planted::RewrittenChange),
+        ("early-refusal", Planted::EarlyRefusal),
     ];
 
+    /// What a caller is answered.
+    pub(super) fn answer(self, code: Code) -> Code {
+        match (self, code) {
+            (Planted::EarlyRefusal, Code::BaseNotInForce) => Code::OtherBase,
+            (_, code) => code,
+        }
+    }
+
     /// What a disk gives back at a start.
     pub(super) fn read_back(self, records: &[Vec<u8>]) -> Vec<Vec<u8>> {
         let promise = |r: &Vec<u8>| matches!(protocol::read_one(r), Ok(Record::Promised { .. }));
--- a/crates/model-check/src/cluster/world/members.rs
+++ b/crates/model-check/src/cluster/world/members.rs
@@ -70,7 +70,10 @@
             }
             _ if mute => {}
             Output::Send { to, message } => self.send(run, n, &to, message)?,
-            Output::Answer { ticket, code, body } => self.answered(n, ticket, code, &body)?,
+            Output::Answer { ticket, code, body } => {
+                let code = run.scenario.planted.answer(code);
+                self.answered(n, ticket, code, &body)?;
+            }
             Output::Publish { seq, document, drains } => {
                 let epoch = self.epoch(n);
                 let facts = Arc::make_mut(&mut self.facts);
--- a/crates/model-check/src/models.rs
+++ b/crates/model-check/src/models.rs
@@ -17,6 +17,7 @@
     "membership",
     "joiner",
     "orders",
+    "guessed-bases",
     "reads",
     "age",
     "order-of-messages",
@@ -31,6 +32,7 @@
         "membership" => membership(),
         "joiner" => joiner(),
         "orders" => orders(),
+        "guessed-bases" => guessed_bases(),
         "reads" => reads(),
         "age" => Scenario { ages: true, ..reads() },
         "age-slow-start" => Scenario { opening: ms(1500), ages: true, ..reads() },
@@ -130,6 +132,19 @@
     }
 }
 
+/// An order whose base comes into force only a second later, a rival of that base.
+pub fn guessed_bases() -> Scenario {
+    Scenario {
+        steps: vec![
+            step(100, 0, Request::Change),
+            step(150, 1, Request::Guess),
+            step(1100, 0, Request::Change),
+            step(1110, 2, Request::Rival),
+        ],
+        ..orders()
+    }
+}
+
 /// A member that is cut off or stands still, reads at any member, a reader from the start and a fresh one.
 pub fn reads() -> Scenario {
     Scenario {
--- a/crates/model-check/src/orders.rs
+++ b/crates/model-check/src/orders.rs
@@ -33,6 +33,8 @@
     PlansOnSafe,
     /// An order is told from another by its version alone.
     KnownByVersion,
+    /// An order that builds on a version above the one in force is refused.
+    EarlyRefusal,
 }
 
 impl Planted {
@@ -44,6 +46,7 @@
         ("early-confirmation", Planted::EarlyConfirmation),
         ("plans-on-safe", Planted::PlansOnSafe),
         ("known-by-version", Planted::KnownByVersion),
+        ("early-refusal", Planted::EarlyRefusal),
     ];
 }
 
@@ -163,9 +166,12 @@
     fn plan(&self, ledger: &Ledger, order: usize) -> Plan {
         let version = self.orders[order].version;
         let known = || ledger.document.version == version;
-        match self.planted == Planted::KnownByVersion && known() {
-            true => Plan::Answer(Code::Ok, vec![]),
-            false => ledger.plan(&self.command(order)),
+        match (self.planted, ledger.plan(&self.command(order))) {
+            (Planted::KnownByVersion, _) if known() => Plan::Answer(Code::Ok, vec![]),
+            (Planted::EarlyRefusal, Plan::Answer(Code::BaseNotInForce, told)) => {
+                Plan::Answer(Code::OtherBase, told)
+            }
+            (_, plan) => plan,
         }
     }
 
