Simulator: operators guess bases, and a refused order may never be in force

Operators send one order of ten (storm: three of a hundred) on a version that nobody knows to be in force: one that another order under way leads to, or one that may never come. The single operator of drawn and rough runs does so too, and now keeps the versions whose orders were refused: none of them may be read or shown. No clear answer is due to such an order.

--- a/crates/simulator/src/drawn.rs
+++ b/crates/simulator/src/drawn.rs
@@ -100,6 +100,7 @@
             again: 30,
             pause: [ms(60), ms(200), ms(500)][self.index(3)],
             padding: 0,
+            guessed: 10,
         }
     }
 
@@ -270,6 +271,7 @@
             again: 5,
             pause: ms(8),
             padding: [0, 200, 4000][draw.index(3)],
+            guessed: 3,
         });
         let mut at = draw.between(2500, 4500);
         for _ in 0..2 {
--- a/crates/simulator/src/plan.rs
+++ b/crates/simulator/src/plan.rs
@@ -55,11 +55,22 @@
     pub pause: Duration,
     /// Bytes by which configurations are longer.
     pub padding: usize,
+    /// Of a hundred orders, those that build on a version which isn't known to be in force.
+    pub guessed: u64,
 }
 
 impl Default for Orders {
     fn default() -> Self {
-        Self { operators: 2, at_once: 2, lost: 20, late: ms(500), again: 30, pause: ms(160), padding: 0 }
+        Self {
+            operators: 2,
+            at_once: 2,
+            lost: 20,
+            late: ms(500),
+            again: 30,
+            pause: ms(160),
+            padding: 0,
+            guessed: 10,
+        }
     }
 }
 
--- a/crates/simulator/src/shrink.rs
+++ b/crates/simulator/src/shrink.rs
@@ -118,8 +118,8 @@
     let orders = plan.orders.map_or("None".to_owned(), |o| {
         let (late, pause) = (time(o.late), time(o.pause));
         format!(
-            "Some(Orders {{ operators: {}, at_once: {}, lost: {}, late: {late}, again: {}, pause: {pause}, padding: {} }})",
-            o.operators, o.at_once, o.lost, o.again, o.padding
+            "Some(Orders {{ operators: {}, at_once: {}, lost: {}, late: {late}, again: {}, pause: {pause}, padding: {}, guessed: {} }})",
+            o.operators, o.at_once, o.lost, o.again, o.padding, o.guessed
         )
     });
     let Plan { seed, members, losses, strict, safety_only, agents, .. } = plan;
--- a/crates/simulator/src/world/bugs.rs
+++ b/crates/simulator/src/world/bugs.rs
@@ -132,6 +132,7 @@
         match (self.plan.planted, code) {
             (Planted::TimeoutConfirmed, Code::Unclear) => Code::Ok,
             (Planted::TimeoutRefused, Code::Unclear) => Code::OtherBase,
+            (Planted::EarlyRefused, Code::BaseNotInForce) => Code::OtherBase,
             (_, code) => code,
         }
     }
--- a/crates/simulator/src/world/callers.rs
+++ b/crates/simulator/src/world/callers.rs
@@ -18,6 +18,22 @@
         }
     }
 
+    /// Whom an operator calls: at the first try one that may be in trouble, afterwards one that is well. What one that
+    /// stood still answers before it hears of others is watched closely, so reads often go to such a one.
+    pub(super) fn called_member(&mut self, reads: bool, again: bool) -> Option<usize> {
+        let up: Vec<usize> = (0..self.nodes.len())
+            .filter(|n| self.nodes[*n].member.is_some() && !self.nodes[*n].gone)
+            .collect();
+        let well: Vec<usize> = up.iter().copied().filter(|n| self.is_well(*n)).collect();
+        let frozen: Vec<usize> = up.iter().copied().filter(|n| self.nodes[*n].frozen).collect();
+        let from = match again && !well.is_empty() {
+            true => well,
+            false if reads && !frozen.is_empty() && self.pick(4) > 0 => frozen,
+            false => up,
+        };
+        (!from.is_empty()).then(|| from[self.pick(from.len() as u64) as usize])
+    }
+
     pub(super) fn call(&mut self) {
         let up: Vec<usize> = (0..self.nodes.len())
             .filter(|n| self.nodes[*n].member.is_some() && !self.nodes[*n].frozen)
--- a/crates/simulator/src/world/checks.rs
+++ b/crates/simulator/src/world/checks.rs
@@ -26,6 +26,9 @@
         if version < self.operator.newest {
             self.breach(n, format!("{version} shown after {} was acknowledged", self.operator.newest));
         }
+        if let Err(breach) = self.operator.in_force(version) {
+            self.breach(n, breach);
+        }
         if let Some(lost) = self.operator.drained.iter().find(|d| !drains.contains(d)) {
             let lost = lost.clone();
             self.breach(n, format!("drain of {lost} lost"));
@@ -95,7 +98,7 @@
             .operator
             .calls
             .values()
-            .find(|c| c.made > self.calm_since + ms(3000) && end > c.made + ms(4000));
+            .find(|c| !c.guess && c.made > self.calm_since + ms(3000) && end > c.made + ms(4000));
         if let Some(stuck) = stuck.cloned().filter(|_| !self.plan.safety_only) {
             self.report.breaches.push(format!("no answer since {:?} to {:?}", stuck.made, stuck.version));
         }
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod checks;
 mod disk;
+mod guesses;
 mod moments;
 mod network;
 mod nodes;
--- a/crates/simulator/tests/planted.rs
+++ b/crates/simulator/tests/planted.rs
@@ -29,6 +29,7 @@
 #[case(Planted::AnswersMixedUp, Mode::Double, 20)]
 #[case(Planted::TimeoutConfirmed, Mode::Double, 20)]
 #[case(Planted::TimeoutRefused, Mode::Double, 20)]
+#[case(Planted::EarlyRefused, Mode::Double, 20)]
 #[case(Planted::ForgetsPromises, Mode::Promises, 500)]
 #[case(Planted::MirrorGoesBack, Mode::Aimed, 20)]
 #[case(Planted::WipedVotes, Mode::Rough, 60)]
