--- a/crates/simulator/src/operator.rs
+++ b/crates/simulator/src/operator.rs
@@ -58,7 +58,10 @@
         self.next += 1;
         let guess = kind == GUESSING_KIND && !self.calls.values().any(|c| c.guess);
         let (base, version) = match guess {
-            true => (self.versions.max(self.newest) + LIKELY_RISE, self.versions + GUESSED_RISE),
+            true => {
+                let base = self.versions.max(self.newest) + LIKELY_RISE;
+                (base, base + GUESSED_RISE)
+            }
             false => self.next_change(kind),
         };
         let (command, version) = match kind % 4 {
