Fingerprint: a body that names a key twice is not the order that it resembles

Cause: the content of an order was hashed as serde_json's Value, which keeps the last of several values of one key. A body that says version 9 and then version 3, invalid by itself, was confirmed where the order with version 3 had been taken, and so was one with an unknown field twice in an item.

Change: content.rs reads a body with a visitor of its own; a key named twice makes it no content, so that it is compared byte by byte.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -45,6 +45,7 @@
 #![warn(missing_docs)]
 
 pub mod accepted;
+mod content;
 pub mod feed;
 pub mod history;
 pub mod ledger;
--- a/crates/control-plane/tests/orders.rs
+++ b/crates/control-plane/tests/orders.rs
@@ -93,6 +93,16 @@
 #[case::other_version(r#"{"version":4,"routes":[],"services":[{"name":"s","note":"a"}]}"#, false)]
 #[case::a_field_more(r#"{"version":3,"routes":[],"services":[{"name":"s","note":"a","x":null}]}"#, false)]
 #[case::cut_short(r#"{"version":3,"routes":[],"services":[{"name":"s","note":"a"}"#, false)]
+#[case::a_key_twice(r#"{"version":9,"version":3,"routes":[],"services":[{"name":"s","note":"a"}]}"#, false)]
+#[case::an_inner_key_twice(
+    r#"{"version":3,"routes":[],"services":[{"name":"s","note":"b","note":"a"}]}"#,
+    false
+)]
+#[case::text_in_place_of_the_value(
+    r#"{"version":3,"routes":[],"services":[{"name":"s","note":{"$serde_json::private::RawValue":""a""}}]}"#,
+    false
+)]
+#[case::bytes_after_it(r#"{"version":3,"routes":[],"services":[{"name":"s","note":"a"}]} x"#, false)]
 fn equal_content_in_other_bytes_is_the_same_order(#[case] again: &str, #[case] same: bool) {
     let ledger = taken(&Ledger::default(), &order(0, 2, "x"));
     let ledger = taken(&ledger, &order(2, 3, "a"));
