A member that leaves says so to all members, and again for as long as it runs

Cause: it said so once, to the voters, and was kept from joining for five leases by time alone. One that served on for longer was still heard of by its links, and was made a voter again; so was one whose word a new primary, or one started again, had never got, and a member without a vote told nobody.

Now it tells all members it knows, with a vote or without, every half lease until its end. The message is the one there was. Five leases after its last word are longer than one that has ended counts as heard of (three).

Tests: departure.rs, seven cases; six fail without the change, one (a member back in another life is a voter again) held before. All tests of the crate pass.

--- a/crates/control-plane/src/member/leave.rs
+++ b/crates/control-plane/src/member/leave.rs
@@ -7,15 +7,18 @@
 use super::view::choose_replicas;
 use super::{Member, Output, Role};
 use protocol::{MemberInfo, Message, View};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A primary that can't hand over keeps its lease for so many leases; then whoever is left may take over.
 const MAX_HAND_OVER_LEASES: u32 = 3;
 /// A member that said it leaves and isn't heard to be back counts as leaving for so many leases.
 const LEAVING_COUNTED_LEASES: u32 = 3;
-/// A member that said it leaves isn't made a voter again for so many leases: it may serve on for some time, and is
-/// counted as heard of for some leases after its end.
+/// A member that said it leaves isn't made a voter for so many leases after it last said so: longer than one that has
+/// ended counts as heard of.
 const NO_RETURN_LEASES: u32 = 5;
+/// A share of a lease: how often a member that leaves says so again, for as long as it runs.
+const SAY_AGAIN_INTERVAL: f64 = 0.5;
 /// A share of a lease: how lately a voter has to have granted one to count on it.
 const RECENT_GRANT: f64 = 0.5;
 
@@ -23,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Departure {
     since: Duration,
+    /// When it is next said to all others.
+    say_at: Duration,
     /// A later view in which this member has no part is on the disks of all its replicas.
     succeeded: bool,
     /// It was said that the process may end.
@@ -34,9 +39,21 @@
         if self.departure.is_some() {
             return;
         }
-        self.departure = Some(Departure { since: self.now, succeeded: false, over: false });
+        let (since, say_at) = (self.now, self.now);
+        self.departure = Some(Departure { since, say_at, succeeded: false, over: false });
+        self.say_leaving(out);
+    }
+
+    /// Tells all others again and again, with a say or without: any of them may be the next to choose voters, and what
+    /// else is heard of this member until its end doesn't tell that it leaves.
+    fn say_leaving(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        let Some(departure) = self.departure.as_mut().filter(|d| now >= d.say_at) else { return };
+        departure.say_at = now + self.config.lease.mul_f64(SAY_AGAIN_INTERVAL);
         let epoch = self.view.as_ref().map_or(0, |v| v.epoch);
-        for id in self.other_voters() {
+        let others: BTreeSet<u64> =
+            self.other_voters().into_iter().chain(self.peers.keys().copied()).collect();
+        for id in others {
             self.send(id, Message::Leaving { epoch }, out);
         }
     }
@@ -54,7 +71,8 @@
         said.is_some_and(|at| self.now < at + LEAVING_COUNTED_LEASES * self.config.lease)
     }
 
-    /// Whether a member has said that it is about to end, so lately that what was heard of it since may be its last.
+    /// Whether a member has said that it is about to end, so lately that what was heard of it since may be its last. Who
+    /// is back in another life says nothing of the kind, and joins once this time is over.
     pub(super) fn left_lately(&self, id: u64) -> bool {
         let said = self.peers.get(&id).and_then(|p| p.leaving);
         said.is_some_and(|at| self.now < at + NO_RETURN_LEASES * self.config.lease)
@@ -82,6 +100,7 @@
 
     /// Yields once others can go on, and ends once nothing rests on this member.
     pub(super) fn run_departure(&mut self, out: &mut Vec<Output>) {
+        self.say_leaving(out);
         let Some(departure) = self.departure.as_ref().filter(|d| !d.over) else { return };
         let waited = self.now >= departure.since + MAX_HAND_OVER_LEASES * self.config.lease;
         let deserted = self.other_voters().iter().all(|id| self.peer_leaving(*id));
@@ -113,16 +132,15 @@
         view.majority(stays) && choose_replicas(&self.config.budget, &seats).is_some()
     }
 
-    fn other_voters(&self) -> Vec<u64> {
+    fn other_voters(&self) -> BTreeSet<u64> {
         let voters = self.view.iter().flat_map(|v| v.voters.iter().chain(&v.before));
-        let others: std::collections::BTreeSet<u64> =
-            voters.map(|s| s.id).filter(|id| *id != self.me()).collect();
-        others.into_iter().collect()
+        voters.map(|s| s.id).filter(|id| *id != self.me()).collect()
     }
 
     pub(super) fn departure_wake(&self) -> Option<Duration> {
-        let departure = self.departure.as_ref().filter(|d| !d.over)?;
+        let departure = self.departure.as_ref()?;
         let end = departure.since + MAX_HAND_OVER_LEASES * self.config.lease;
-        (end > self.now).then_some(end)
+        let hands_over = !departure.over && end > self.now;
+        Some(if hands_over { end.min(departure.say_at) } else { departure.say_at })
     }
 }
--- /dev/null
+++ b/crates/control-plane/tests/departure.rs
@@ -0,0 +1,94 @@
+//! A member that leaves for good isn't made a voter again, however long it serves on and whoever is the primary
+//! (`docs/design/hardening/3-second-loss.md`).
+
+mod cluster;
+
+use cluster::{budget, ms, Cluster};
+use rstest::rstest;
+
+const SOON: std::time::Duration = ms(8000);
+
+/// Four voters of which one is enough to be lost; one of them leaves and has no vote any more.
+fn four_of_which_one_leaves() -> (Cluster, usize) {
+    let mut cluster = Cluster::start(budget(1, 0, 0), &["r/a", "r/b", "r/c", "r/a"]);
+    cluster.apply(0, 1);
+    cluster.until(SOON, |c| c.current().voters.len() == 4 && c.current().settled()).expect("four voters");
+    let leaver = cluster.primary().unwrap();
+    cluster.leave(leaver);
+    let dropped = |c: &Cluster| c.primary().is_some() && !c.votes(leaver) && c.current().settled();
+    cluster.until(SOON, dropped).expect("it is dropped");
+    (cluster, leaver)
+}
+
+/// The next loss leaves a majority.
+fn bears_a_loss(mut cluster: Cluster) {
+    let next = cluster.primary().unwrap();
+    cluster.kill(next);
+    let took = cluster.apply(1, 2);
+    assert!(took < ms(4000), "{took:?}");
+}
+
+#[rstest]
+#[case::three_leases(3000)]
+#[case::six_leases(6000)]
+#[case::twelve_leases(12_000)]
+fn one_that_serves_on_is_no_voter_again(#[case] serves_on: u64) {
+    let (mut cluster, leaver) = four_of_which_one_leaves();
+    let again = cluster.until(ms(serves_on), |c| c.votes(leaver));
+    assert!(again.is_none(), "while it serves on: {:?}", cluster.views());
+    cluster.kill(leaver);
+    let again = cluster.until(ms(10_000), |c| c.votes(leaver));
+    assert!(again.is_none(), "after its end: {:?}", cluster.views());
+    bears_a_loss(cluster);
+}
+
+/// Who takes over, or has been started again since, knows of the departure too.
+#[rstest]
+#[case::by_another(false)]
+#[case::by_one_started_again(true)]
+fn a_takeover_does_not_bring_it_back(#[case] others_start_again: bool) {
+    let (mut cluster, leaver) = four_of_which_one_leaves();
+    cluster.run(ms(3000));
+    let first = cluster.primary().unwrap();
+    cluster.kill(first);
+    for n in (0..4).filter(|n| others_start_again && ![first, leaver].contains(n)) {
+        cluster.kill(n);
+        cluster.restart(n);
+    }
+    cluster.run(ms(100));
+    cluster.restart(first);
+    let again = cluster.until(ms(4000), |c| c.votes(leaver));
+    assert!(again.is_none(), "while it serves on: {:?}", cluster.views());
+    cluster.kill(leaver);
+    let again = cluster.until(ms(10_000), |c| c.votes(leaver));
+    assert!(again.is_none(), "after its end: {:?}", cluster.views());
+    bears_a_loss(cluster);
+}
+
+/// A member without a vote leaves: nobody counts on it when the next voter makes room.
+#[test]
+fn a_spare_that_left_takes_nobodys_place() {
+    let mut cluster = Cluster::start(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a"]);
+    cluster.apply(0, 1);
+    cluster.run(ms(4000));
+    let spare = (0..4).find(|n| !cluster.votes(*n)).expect("three voters, one of each zone");
+    cluster.leave(spare);
+    cluster.until(SOON, |c| c.left(spare)).expect("it may end at once");
+    cluster.run(ms(20));
+    cluster.kill(spare);
+    let leaver = cluster.primary().unwrap();
+    cluster.leave(leaver);
+    let voted = cluster.until(ms(4000), |c| c.votes(spare));
+    assert!(voted.is_none(), "{:?}", cluster.views());
+}
+
+/// A member that ended as planned and is back in another life is a voter again.
+#[test]
+fn one_that_is_back_is_a_voter_again() {
+    let (mut cluster, leaver) = four_of_which_one_leaves();
+    cluster.until(SOON, |c| c.left(leaver)).expect("it ends");
+    cluster.kill(leaver);
+    cluster.run(ms(300));
+    cluster.restart(leaver);
+    cluster.until(SOON, |c| c.votes(leaver)).expect("it joins again");
+}
