Lives on a full disk with the clock set back: numbers that others remember count

Cause: a member that starts on a full disk knows neither its last life's number nor, after its clock went back, a clock above it. Others took its life for an older one and dropped all that hosts told it after four beats; below the kept number both lives had the same number, and the new one's first changes were passed over as known.

Change: the low 20 bits of a life's number are drawn at random; a member that hears of a higher number of its own, by what it pulls or by the vector of whoever pulls from it, goes on above that and tells everything anew. Members hand such a number on.

--- a/crates/control-plane/src/feed.rs
+++ b/crates/control-plane/src/feed.rs
@@ -29,6 +29,9 @@
     fn change<R>(&self, change: impl FnOnce(&mut Roster, &replication::Mirror, Duration) -> R) -> R {
         let mut roster = self.roster.lock().unwrap_or_else(PoisonError::into_inner);
         self.shared.update(|mirror, now| {
+            if let Some(later) = mirror.later_life(self.id, roster.mark().life) {
+                roster.follow_life(later);
+            }
             let result = change(&mut roster, mirror, now);
             if let Some(source) = roster.take_news() {
                 // Its age says nothing of what the primary acknowledged.
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod feed;
 pub mod history;
 pub mod ledger;
+pub mod life;
 pub mod member;
 pub mod recovery;
 pub mod roster;
--- a/crates/control-plane/src/roster.rs
+++ b/crates/control-plane/src/roster.rs
@@ -1,5 +1,6 @@
 //! What hosts and coordinators tell this member: its own source, numbered by itself. No I/O and no clock.
 
+use crate::life;
 use configuration::Code;
 use protocol::{Addr, Caller, CoordinatorRecord, HostRecord, Mark, MemberInfo, SourceNews};
 use replication::phase;
@@ -172,6 +173,19 @@
         self.mark
     }
 
+    /// Others know a life of this member with a higher number, and would take this one's records for older: it goes
+    /// on under a number above that, and everything is told anew.
+    pub fn follow_life(&mut self, later: u64) {
+        let next = life::following(later, 0, self.mark.life);
+        if next <= later {
+            return;
+        }
+        self.mark.life = next;
+        self.untold = true;
+        self.changed_hosts = self.hosts.keys().cloned().collect();
+        self.changed_coordinators = self.coordinators.keys().cloned().collect();
+    }
+
     fn host_changed(&mut self, host: &str) {
         self.mark.seq += 1;
         self.changed_hosts.insert(host.to_owned());
--- a/crates/control-plane/src/shell/identity.rs
+++ b/crates/control-plane/src/shell/identity.rs
@@ -5,6 +5,7 @@
 //! its ledger is one whose promises are forgotten: it is never used again. A ledger without the identity's file
 //! says itself whose it is.
 
+use crate::life;
 use binrw::binrw;
 use protocol::MemberInfo;
 use snafu::{ResultExt, Snafu};
@@ -92,8 +93,7 @@
     pub bootstrap: bool,
     /// A number drawn at random.
     pub random: u64,
-    /// The time of day in ms; a life is never numbered lower, so that one whose number couldn't be kept (a
-    /// full disk) still follows the one before.
+    /// The time of day in ms: where the disk doesn't keep the numbers of lives, they still follow each other.
     pub clock_ms: u64,
 }
 
@@ -114,7 +114,7 @@
     /// The identity of the life that starts now, given what the disk held.
     pub fn identity(&self, kept: Option<Identity>) -> Identity {
         if let Some(kept) = kept {
-            return Identity { life: self.clock_ms.max(kept.life + 1), ..kept };
+            return Identity { life: self.life_after(kept.life), ..kept };
         }
         let is_initial_voter = self.bootstrap && self.seeds.contains(&self.control);
         let initial_voters = match is_initial_voter {
@@ -126,7 +126,11 @@
         } else {
             self.random.max(1)
         };
-        Identity { id, life: self.clock_ms.max(1), initial_voters }
+        Identity { id, life: self.life_after(0), initial_voters }
+    }
+
+    fn life_after(&self, before: u64) -> u64 {
+        life::following(before, self.clock_ms, self.random)
     }
 
     /// The identity of the life that starts now, given what both files held.
--- a/crates/replication/src/mirror/mod.rs
+++ b/crates/replication/src/mirror/mod.rs
@@ -297,6 +297,17 @@
         (!news.is_empty()).then_some(news)
     }
 
+    /// The highest number of a life of member `id` that makes the one numbered `life` count as over.
+    pub fn later_life(&self, id: u64, life: u64) -> Option<u64> {
+        self.sources.later_life(id, life)
+    }
+
+    /// Takes note of lives that a puller knows by its vector and that are newer than those known here.
+    pub fn hear_of_lives(&mut self, vector: &[Mark]) {
+        let heard = self.sources.hear_of_lives(vector);
+        self.changed(heard);
+    }
+
     /// The newest record of a host among all sources but `own` (a member's identity).
     pub fn host_elsewhere(&self, own: u64, host: &str) -> Option<&HostRecord> {
         self.sources.host_elsewhere(own, host)
--- a/crates/replication/src/mirror/sources.rs
+++ b/crates/replication/src/mirror/sources.rs
@@ -118,6 +118,26 @@
         self.lives.range((id, 0)..=(id, u64::MAX)).next_back().map(|((_, life), _)| *life)
     }
 
+    /// The highest number of a life of `id` that is known to be above `life`, or to be over though it isn't below.
+    pub(super) fn later_life(&self, id: u64, life: u64) -> Option<u64> {
+        let newer = self.newest_life(id).filter(|newest| *newest > life);
+        let buried = self.buried.get(&id).copied().filter(|upto| *upto >= life);
+        newer.max(buried)
+    }
+
+    /// Takes note of lives that a puller knows and that are newer than those known here: their members have to
+    /// hear of them. What they had to say isn't known. True where there were some.
+    pub(super) fn hear_of_lives(&mut self, vector: &[Mark]) -> bool {
+        let mut heard = false;
+        for mark in vector.iter().filter(|mark| mark.seq != u64::MAX) {
+            if self.newest_life(mark.id).is_some_and(|newest| newest < mark.life) {
+                self.lives.insert((mark.id, mark.life), Source::default());
+                heard = true;
+            }
+        }
+        heard
+    }
+
     /// A source is no more. True where that is new.
     pub(super) fn retire(&mut self, now: Duration, id: u64) -> bool {
         let Some(life) = self.newest_life(id) else { return false };
--- a/crates/replication/src/serve.rs
+++ b/crates/replication/src/serve.rs
@@ -21,6 +21,7 @@
 pub async fn answer(shared: &SharedMirror, pull: &Pull) -> News {
     let mut changes = shared.changes();
     let since = shared.now();
+    shared.update(|mirror, _| mirror.hear_of_lives(&pull.sources));
     let until = shared.at(since) + Duration::from_millis(pull.wait_ms.into()).min(LONGEST_WAIT);
     // Of the same moment as the age: a standstill makes both greater.
     let held = |now: Duration, news: News| {
