--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod feed;
 pub mod history;
 pub mod ledger;
+pub mod life;
 pub mod member;
 pub mod recovery;
 pub mod roster;
