A client that has left is looked at before anything goes to a host

Cause: beside an exchange the client's end was looked at second. A request read late, or a second try that began in the same turn as the client's end came, still went out on an idle connection.

Change: the client's end is polled first, so nothing more is written to a host once it can be read.

Measured: proxy's tests gone_clients.rs, 8 passed; without the change 7 of the 8 fail (the one of a client that leaves while its answer is held up passed before). All of proxy's tests pass.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -159,11 +159,12 @@
     };
     let done = tokio::select! {
         biased;
-        done = exchange::run(core, stream, &request, &stage) => done,
+        // Looked at first: nothing more goes to a host for a client that has left, however late that is read.
         () = gone(stream, buf) => {
             core.tally.add(|c| c.left += 1);
             return false;
         }
+        done = exchange::run(core, stream, &request, &stage) => done,
         () = over => {
             if !stage.started() {
                 let code = stage.refusal(Code::Leaving);
