Before a configuration is known a long head or body gets 503, not 431 or 413

Cause: the bounds that stand in until a configuration comes were told to clients as if they were the operator's. What they are, nobody knows then: a request that all configurations allow could be denied for good.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -137,7 +137,11 @@
         Ok(request) => request,
         Err(Refused::Gone) => return false,
         Err(Refused::Because(code)) => {
-            let answer = Answer::own(code, id.as_deref(), (code == Code::Crowded).then_some(CROWDED));
+            // Before a configuration is known nobody can say that a request is too large.
+            let unknown = matches!(code, Code::TooLarge | Code::HeadTooLarge) && core.known().is_none();
+            let code = if unknown { Code::NoConfiguration } else { code };
+            let comes_back = matches!(code, Code::Crowded | Code::NoConfiguration);
+            let answer = Answer::own(code, id.as_deref(), comes_back.then_some(CROWDED));
             if answer.write(core, stream, true).await {
                 linger(stream).await;
             }
