The time of a request sent ahead runs from when it came

Cause: a request that a client sends before the answer to the one in front of it counted as arrived when it was its turn. Its host was handed the whole deadline again, and it was held past its route's.

Change: beside what is read ahead stands when it came.

--- a/crates/proxy/src/front.rs
+++ b/crates/proxy/src/front.rs
@@ -85,6 +85,7 @@
 
 async fn client(core: &Rc<Core>, stream: &TcpStream, crowded: bool, mut closing: watch::Receiver<Phase>) {
     let mut buf = BytesMut::new();
+    let mut came = Instant::now();
     let leave = Rc::new(Notify::new());
     loop {
         if buf.is_empty() {
@@ -115,24 +116,27 @@
             if over {
                 continue;
             }
+            came = Instant::now();
         }
         // Boxed: only connections with a request under way hold what one needs.
-        if !Box::pin(one(core, stream, &mut buf, crowded, &mut closing)).await {
+        if !Box::pin(one(core, stream, &mut buf, &mut came, crowded, &mut closing)).await {
             return;
         }
     }
 }
 
-/// Takes and answers one request; false where the connection is to end.
+/// Takes and answers one request; false where the connection is to end. `came` is when the latest bytes in `buf`
+/// were there.
 async fn one(
     core: &Rc<Core>,
     stream: &TcpStream,
     buf: &mut BytesMut,
+    came: &mut Instant,
     crowded: bool,
     closing: &mut watch::Receiver<Phase>,
 ) -> bool {
     let limits = core.limits();
-    let (read, id) = read(core, stream, buf, &limits).await;
+    let (read, id) = read(core, stream, buf, *came, &limits).await;
     let request = match read {
         Ok(request) => request,
         Err(Refused::Gone) => return false,
@@ -164,7 +168,7 @@
     let done = tokio::select! {
         biased;
         // Looked at first: nothing more goes to a host for a client that has left, however late that is read.
-        () = gone(stream, buf) => {
+        () = gone(stream, buf, came) => {
             core.tally.add(|c| c.left += 1);
             return false;
         }
@@ -201,15 +205,16 @@
     let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
 }
 
-/// Reads a request whole; beside it the identity of the attempt, as far as it is known.
+/// Reads a request whole, whose first bytes were there at `arrived`; beside it the identity of the attempt, as far
+/// as it is known.
 async fn read(
     core: &Rc<Core>,
     stream: &TcpStream,
     buf: &mut BytesMut,
+    arrived: Instant,
     limits: &Limits,
 ) -> (Result<Request, Refused>, Option<Vec<u8>>) {
-    let arrived = Instant::now();
-    let by = arrived + Duration::from_millis(limits.header_timeout_ms);
+    let by = Instant::now() + Duration::from_millis(limits.header_timeout_ms);
     let head = match timeout_at(by, read_head(stream, buf, limits.max_header_bytes)).await {
         Ok(Ok(head)) => head,
         Ok(Err(refused)) => return (Err(refused), None),
@@ -299,11 +304,11 @@
     }
 }
 
-/// Resolves when the client has left; what it sends ahead is kept.
-async fn gone(stream: &TcpStream, buf: &mut BytesMut) {
+/// Resolves when the client has left; what it sends ahead is kept, and when it `came`.
+async fn gone(stream: &TcpStream, buf: &mut BytesMut, came: &mut Instant) {
     while buf.len() < AHEAD {
         match wire::fill(stream, buf).await {
-            Ok(n) if n > 0 => {}
+            Ok(n) if n > 0 => *came = Instant::now(),
             _ => return,
         }
     }
