An answer whose host never pauses is cut at its deadline too

Cause: the deadline of an answer that has begun was only looked at while nothing was there to be read: a host that always has more ready, a stream's or a large answer's, held its request for ever.

Change: what comes later than 200 ms past the deadline isn't passed on; the answer is cut and shows it.

Measured: deadlines.rs, 43 passed; without the change the three cases without end fail (nothing after 20 s). All of proxy's tests pass.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -35,6 +35,8 @@
 const MAX_BUFFERED_ANSWER: usize = 256 * 1024;
 /// After its deadline a host is given this long to say so itself.
 const DEADLINE_SLACK: Duration = Duration::from_millis(50);
+/// After its deadline what has come of an answer is passed on for this long at most.
+const OVERTIME: Duration = Duration::from_millis(200);
 /// Longest Retry-After of our own where the policy has not named one, and its share of the target.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 const RETRY_AFTER_SHARE: f64 = 0.1;
@@ -226,6 +228,12 @@
         self.core.at(self.trial.deadline())
     }
 
+    /// Whether an answer that still goes on is cut, though more of it is there: a host that never pauses would
+    /// hold it for ever.
+    fn overtime(&self) -> bool {
+        Instant::now() >= self.end() + OVERTIME
+    }
+
     async fn attempt(&mut self, picked: Picked) -> AttemptResult {
         let mut link = match self.send(&picked).await {
             Ok(link) => link,
--- a/crates/proxy/src/exchange/stream.rs
+++ b/crates/proxy/src/exchange/stream.rs
@@ -107,6 +107,9 @@
     async fn later_piece(&mut self, link: &mut Link, body: &mut Body) -> Result<Option<Bytes>, Stop> {
         let end = self.end() + DEADLINE_SLACK;
         let mut waits = self.may_go_on();
+        if self.overtime() {
+            return Err(Stop::Late);
+        }
         loop {
             let since = Instant::now();
             let until = if waits { end.min(since + stall(self.route)) } else { end };
--- a/crates/proxy/src/exchange/whole.rs
+++ b/crates/proxy/src/exchange/whole.rs
@@ -87,6 +87,10 @@
                 return AttemptResult::Answered(Done::Cut);
             }
             match timeout_at(self.end() + DEADLINE_SLACK, link.piece(&mut body)).await {
+                Ok(Ok(Some(_))) if self.overtime() => {
+                    picked.out.end(Outcome::Silent, None);
+                    return AttemptResult::Answered(Done::Cut);
+                }
                 Ok(Ok(Some(data))) => {
                     picked.out.heard();
                     sent = writer.write(self, &head, &data).await;
--- a/crates/proxy/tests/deadlines.rs
+++ b/crates/proxy/tests/deadlines.rs
@@ -140,8 +140,11 @@
 #[case::once_unread("/once/a", Play::ReadsNothing)]
 #[case::live_begun("/live/a", Play::BeginsAStream)]
 #[case::more_begun("/more/a", Play::BeginsAStream)]
+#[case::live_without_end("/live/a", Play::SendsEventsWithoutEnd)]
+#[case::more_without_end("/more/a", Play::SendsEventsWithoutEnd)]
 #[case::pure_large("/pure/a", Play::BeginsALargeAnswer)]
 #[case::once_large("/once/a", Play::BeginsALargeAnswer)]
+#[case::pure_large_without_end("/pure/a", Play::SendsALargeAnswerWithoutEnd)]
 #[case::pure_small("/pure/a", Play::BeginsASmallAnswer)]
 #[case::refusal("/once/a", Play::RefusesWithoutEnd)]
 fn at_its_route_s_deadline_a_request_is_at_its_end(#[case] path: &str, #[case] how: Play) {
