--- a/crates/control-plane/tests/cut_off.rs
+++ b/crates/control-plane/tests/cut_off.rs
@@ -1,11 +1,256 @@
 //! Members that are cut off, one way or both, or stand still for twenty seconds: what they take for proof, what they
 //! answer, and that the others go on. Simulated time; what a cut holds up comes when it ends.
 
-mod cut_core;
-
-use configuration::Code;
-use cut_core::{configuration, ms, replace, Core, ACK, CUT, LEASE, READ};
+use configuration::{Code, FaultBudget};
+use control_plane::member::{Config, Input, Member, Output};
+use protocol::{Addr, Command, MemberInfo};
 use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+const LEASE: Duration = Duration::from_millis(1000);
+/// The longest that an order may wait (`ack_ms` of the deployments).
+const ACK: Duration = Duration::from_millis(4000);
+const CUT: Duration = Duration::from_secs(20);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn seat(n: usize) -> MemberInfo {
+    let addr = Addr { ip: n as u32 + 1, port: 7660 };
+    MemberInfo {
+        id: n as u64 + 1,
+        name: format!("core-{n}"),
+        addr,
+        control: addr,
+        zone: format!("zone-{n}"),
+        region: "r".into(),
+    }
+}
+
+fn configuration(version: u64) -> Vec<u8> {
+    format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","hostname":"h","path_prefix":"/","route_class":"pure",
+        "deadline_ms":1000,"service":"s"}}],"services":[{{"name":"s"}}],"limits":{{}}}}"#
+    )
+    .into_bytes()
+}
+
+fn replace(base: u64, version: u64) -> Command {
+    Command::Configure { base, amend: false, body: configuration(version) }
+}
+
+const READ: Command = Command::Read { reserved: 0 };
+
+/// What waits for a member.
+#[derive(Debug)]
+struct Waiting {
+    at: Duration,
+    /// Whose message it is; none for what comes from its own disk or callers.
+    from: Option<usize>,
+    input: Input,
+}
+
+struct Node {
+    member: Member,
+    /// Time of its start: its clock counts from there.
+    origin: Duration,
+    records: Vec<Vec<u8>>,
+    inbox: VecDeque<Waiting>,
+    wake: Duration,
+    frozen: bool,
+    shown: u64,
+}
+
+/// A core on simulated time. A message takes 1 ms, a write 2 ms.
+struct Core {
+    now: Duration,
+    nodes: Vec<Node>,
+    losses: u32,
+    /// From whom to whom nothing comes through for now.
+    cut: BTreeSet<(usize, usize)>,
+    answers: BTreeMap<u64, (Duration, Code, Vec<u8>)>,
+    tickets: u64,
+}
+
+impl Core {
+    /// One whose members have agreed on a primary.
+    fn started(members: usize, losses: u32) -> Self {
+        let mut core =
+            Self { now: ms(0), nodes: vec![], losses, cut: [].into(), answers: [].into(), tickets: 0 };
+        for n in 0..members {
+            let node = core.node(n, vec![]);
+            core.nodes.push(node);
+        }
+        core.run(ms(3000));
+        core
+    }
+
+    fn node(&self, n: usize, records: Vec<Vec<u8>>) -> Node {
+        let members = if self.nodes.is_empty() { 3.max(n + 1) } else { self.nodes.len() };
+        let voters = (0..members.max(2 * self.losses as usize + 1)).map(seat).collect();
+        let config = Config {
+            me: seat(n),
+            bootstrap_voters: Some(voters).filter(|_| records.is_empty()),
+            budget: FaultBudget { machine_losses: self.losses, ..FaultBudget::default() },
+            lease: LEASE,
+            patience: ms(3500),
+            stall: ms(600),
+        };
+        let random = self.now.as_millis() as u64 * 16 + n as u64;
+        Node {
+            member: Member::new(config, &records, ms(0), random),
+            origin: self.now,
+            records,
+            inbox: VecDeque::new(),
+            wake: self.now,
+            frozen: false,
+            shown: 0,
+        }
+    }
+
+    /// The process is killed and starts again from its disk.
+    fn restart(&mut self, n: usize) {
+        let records = std::mem::take(&mut self.nodes[n].records);
+        self.nodes[n] = self.node(n, records);
+    }
+
+    fn cut(&mut self, from: usize, to: usize) {
+        self.cut.insert((from, to));
+    }
+
+    /// Nobody in `side` hears or is heard by the others.
+    fn cut_off(&mut self, side: &[usize]) {
+        for a in 0..self.nodes.len() {
+            for b in side.iter().copied().filter(|_| !side.contains(&a)) {
+                self.cut.extend([(a, b), (b, a)]);
+            }
+        }
+    }
+
+    fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    fn primary(&self) -> usize {
+        let acting = (0..self.nodes.len()).filter(|n| self.nodes[*n].member.acts() && !self.nodes[*n].frozen);
+        acting.max_by_key(|n| self.nodes[*n].member.promised()).expect("one acts")
+    }
+
+    fn replicas(&self) -> Vec<usize> {
+        let view = self.nodes[self.primary()].member.view().unwrap();
+        (0..self.nodes.len()).filter(|n| view.replicas.contains(&seat(*n).id)).collect()
+    }
+
+    fn others(&self, than: &[usize]) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|n| !than.contains(n)).collect()
+    }
+
+    /// Since the latest proof; `None` where there was none in its life.
+    fn age(&self, n: usize) -> Option<Duration> {
+        let clock = self.now - self.nodes[n].origin;
+        self.nodes[n].member.proof(clock).map(|proof| clock - proof.at)
+    }
+
+    fn call(&mut self, n: usize, command: Command) -> u64 {
+        self.tickets += 1;
+        let input = Input::Command { ticket: self.tickets, command };
+        self.nodes[n].inbox.push_back(Waiting { at: self.now, from: None, input });
+        self.tickets
+    }
+
+    /// Calls and waits for the answer, for [`ACK`] at most: how long it took, its code and its body.
+    fn asked(&mut self, n: usize, command: Command) -> (Duration, Code, Vec<u8>) {
+        let (since, ticket) = (self.now, self.call(n, command));
+        while self.now < since + ACK {
+            self.run(ms(1));
+            if let Some((at, code, body)) = self.answers.get(&ticket) {
+                return (*at - since, *code, body.clone());
+            }
+        }
+        panic!("no answer from {n} in {ACK:?}");
+    }
+
+    /// As the operator: sends the same again, to one member after the other, until it gets a clear answer.
+    fn order(&mut self, to: &[usize], command: Command) -> (Duration, Code) {
+        let since = self.now;
+        for n in to.iter().cycle() {
+            let (_, code, _) = self.asked(*n, command.clone());
+            if code.status() < 500 {
+                return (self.now - since, code);
+            }
+            assert!(self.now < since + 2 * ACK, "no clear answer");
+        }
+        unreachable!()
+    }
+
+    fn run(&mut self, long: Duration) {
+        let end = self.now + long;
+        loop {
+            for n in 0..self.nodes.len() {
+                while self.turn(n) {}
+            }
+            if self.now >= end {
+                return;
+            }
+            self.now += ms(1);
+        }
+    }
+
+    /// One input of a member; false where nothing is due.
+    fn turn(&mut self, n: usize) -> bool {
+        let (now, cut, node) = (self.now, &self.cut, &mut self.nodes[n]);
+        if node.frozen {
+            return false;
+        }
+        let due = |w: &Waiting| w.at <= now && w.from.is_none_or(|from| !cut.contains(&(from, n)));
+        let input = match node.inbox.iter().position(due).and_then(|i| node.inbox.remove(i)) {
+            Some(waiting) => waiting.input,
+            None if node.wake <= now => Input::Tick,
+            None => return false,
+        };
+        node.wake = now + LEASE;
+        let mut out = Vec::new();
+        node.member.step(now - node.origin, input, &mut out);
+        for output in out {
+            self.perform(n, output);
+        }
+        true
+    }
+
+    fn perform(&mut self, n: usize, output: Output) {
+        let now = self.now;
+        match output {
+            Output::Send { to, message } => {
+                let to = to.addr.ip as usize - 1;
+                let input = Input::Message { from: seat(n), message };
+                self.nodes[to].inbox.push_back(Waiting { at: now + ms(1), from: Some(n), input });
+            }
+            Output::Write { ticket, records, rewrite } => {
+                let node = &mut self.nodes[n];
+                if rewrite {
+                    node.records.clear();
+                }
+                node.records.extend(records);
+                let input = Input::Wrote { ticket, result: Ok(()) };
+                node.inbox.push_back(Waiting { at: now + ms(2), from: None, input });
+            }
+            Output::Answer { ticket, code, body } => {
+                assert!(self.answers.insert(ticket, (now, code, body)).is_none(), "answered once");
+            }
+            Output::Publish { document, .. } | Output::Restore { document, .. } => {
+                self.nodes[n].shown = document.version;
+            }
+            Output::Wake { at } => self.nodes[n].wake = self.nodes[n].origin + at,
+            Output::Left => {}
+        }
+    }
+
+    fn thaw(&mut self, n: usize) {
+        self.nodes[n].frozen = false;
+    }
+}
 
 #[test]
 fn in_calm_times_all_have_fresh_proof() {
@@ -41,7 +286,7 @@
     }
     core.run(ms(1000));
     assert!(core.age(sleeper).unwrap() < ms(600), "then the primary proves it anew");
-    let clock = core.clock(sleeper);
+    let clock = core.now - core.nodes[sleeper].origin;
     assert!(core.nodes[sleeper].member.proof(clock).unwrap().committed >= 2);
 }
 
