--- a/crates/control-plane/src/member/membership.rs
+++ b/crates/control-plane/src/member/membership.rs
@@ -138,8 +138,12 @@
         };
         // The voters there are have to be a majority of those to come, who may be lost before they have accepted.
         let room = MOST_VOTERS.saturating_sub(voters.len() + added.len());
-        beside.truncate(room.min(voters.len().saturating_sub(1 + added.len()).max(1)));
+        let room = room.min(voters.len().saturating_sub(1 + added.len()).max(1));
         let allowed = shortfall(&[]).max(0);
+        // Where a majority may be lost, the one that helps most may stand anywhere among them.
+        let helps = |joiner: &&MemberInfo| shortfall(std::slice::from_ref(*joiner));
+        let best = beside.iter().min_by_key(helps).filter(|best| room > 0 && helps(best) < allowed).cloned();
+        beside.truncate(room);
         while !beside.is_empty() && shortfall(&beside) > allowed {
             let without = |left_out: usize| {
                 let rest = beside.iter().enumerate().filter(|b| b.0 != left_out);
@@ -148,6 +152,9 @@
             let worst = (0..beside.len()).rev().min_by_key(|n| without(*n));
             worst.map(|n| beside.remove(n));
         }
+        if beside.is_empty() {
+            beside.extend(best);
+        }
         beside
     }
 
