Orders: a body that ends too soon is no refusal; one plain number alone is a base

Found by review of what lies between an operator's socket and the ledger. A body that ended before its told length, or in the middle of its chunks, got 400, which ends a call of the operator's: the order that was meant may have been taken by way of another connection. It gets 408 now and the connection is closed; bytes that are no chunks still get 400. Fennelpin-Base-Version was taken from the first of two headers, and with a plus sign; both get 400 with code 121 now.

--- a/crates/control-plane/src/shell/call.rs
+++ b/crates/control-plane/src/shell/call.rs
@@ -44,6 +44,12 @@
     History(Option<u64>),
 }
 
+/// The version that a header names: decimal digits alone, with no sign.
+fn read_base(text: &str) -> Option<u64> {
+    let digits = text.trim_matches([' ', '\t']);
+    digits.bytes().all(|byte| byte.is_ascii_digit()).then(|| digits.parse().ok()).flatten()
+}
+
 impl Head {
     /// What method and path ask for.
     ///
@@ -89,7 +95,7 @@
         let amend = self == Head::Amend;
         Ok(match self {
             Head::Replace | Head::Amend => {
-                let base = base.and_then(|b| b.trim().parse().ok()).ok_or(Code::NoBase)?;
+                let base = base.and_then(read_base).ok_or(Code::NoBase)?;
                 Call::Configure { base, amend, body }
             }
             Head::Read => Call::Read,
--- a/crates/control-plane/src/shell/control.rs
+++ b/crates/control-plane/src/shell/control.rs
@@ -5,13 +5,15 @@
 use configuration::Code;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +21,8 @@
 use tokio::sync::{watch, Semaphore};
 use tokio::time::{sleep, timeout};
 
+/// Names the version that an order builds on.
+const BASE_VERSION: &str = "fennelpin-base-version";
 /// Largest body in bytes.
 pub const LARGEST_BODY: usize = 4 << 20;
 /// Time for a head, and for the next call on a connection.
@@ -189,15 +193,35 @@
         let body = match timeout(BODY_TIME, Limited::new(body, LARGEST_BODY).collect()).await {
             Err(_) => return Err(Code::SlowClient),
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(Code::TooLarge),
+            // The caller may have meant more: that is no refusal of what it meant.
+            Ok(Err(e)) if is_cut_short(e.as_ref()) => return Err(Code::SlowClient),
             Ok(Err(_)) => return Err(Code::Unreadable),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        let base = parts.headers.get("fennelpin-base-version").and_then(|v| v.to_str().ok());
-        let call = head.with(base, body)?;
+        let call = head.with(only_value(&parts.headers, BASE_VERSION), body)?;
         Ok(self.desk.run(call).await)
     }
 }
 
+/// The value of a header that stands there once.
+fn only_value<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next()?;
+    values.next().is_none().then(|| first.to_str().ok()).flatten()
+}
+
+/// Whether a body ended before its told length, or its connection broke.
+fn is_cut_short(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return matches!(error.kind(), io::ErrorKind::UnexpectedEof | io::ErrorKind::ConnectionReset);
+        }
+        cause = error.source();
+    }
+    false
+}
+
 fn bump(count: &Cell<u64>) {
     count.set(count.get() + 1);
 }
--- a/crates/control-plane/tests/calls.rs
+++ b/crates/control-plane/tests/calls.rs
@@ -30,6 +30,12 @@
 #[case::missing(None, Err(Code::NoBase))]
 #[case::word(Some("x"), Err(Code::NoBase))]
 #[case::below_zero(Some("-1"), Err(Code::NoBase))]
+#[case::largest(Some("18446744073709551615"), Ok(u64::MAX))]
+#[case::beyond_the_largest(Some("18446744073709551616"), Err(Code::NoBase))]
+#[case::signed(Some("+7"), Err(Code::NoBase))]
+#[case::blank(Some("  "), Err(Code::NoBase))]
+#[case::fraction(Some("7.0"), Err(Code::NoBase))]
+#[case::list(Some("7, 7"), Err(Code::NoBase))]
 fn bases(#[case] text: Option<&str>, #[case] base: Result<u64, Code>) {
     let body = Bytes::from_static(b"{}");
     let call = base.map(|base| Call::Configure { base, amend: true, body: body.clone() });
