Process tests: links cut by a relay, a recovered member, agents and proxies started again

What was missing: real processes whose links are cut, both ways or one way, for longer than all leases; a member that goes on alone after `store recover`; agents and proxies that are started again under traffic.

A TCP relay of the tests stands at the members' addresses, reads from a connection's first message who calls, and holds back what a cut direction carries. Hosts of the tests do by turns what a test asks for. A test that fails prints what its processes said.

--- a/crates/configuration/src/boot.rs
+++ b/crates/configuration/src/boot.rs
@@ -99,6 +99,10 @@
     /// "machines" on one need addresses of their own.
     #[serde(default)]
     pub agent: Option<SocketAddrV4>,
+    /// Where a member listens for the system's own messages, where that isn't the machine's address with the first
+    /// port: others still reach it there, through a relay.
+    #[serde(default)]
+    pub member: Option<SocketAddrV4>,
 }
 
 /// What a process may use.
--- a/crates/fennelpin-cli/src/local/fleet.rs
+++ b/crates/fennelpin-cli/src/local/fleet.rs
@@ -122,6 +122,8 @@
     plan: Plan,
     children: BTreeMap<String, Child>,
     env: Vec<(String, String)>,
+    /// By member: where it listens for the system's own messages, if not where others reach it.
+    listeners: BTreeMap<u8, SocketAddrV4>,
 }
 
 impl Fleet {
@@ -136,7 +138,7 @@
             TcpListener::bind(addr)
                 .map_err(|e| broken(format!("{addr}: {e}; another --net or --port helps")))?;
         }
-        Ok(Fleet { plan, children: BTreeMap::new(), env: Vec::new() })
+        Ok(Fleet { plan, children: BTreeMap::new(), env: Vec::new(), listeners: BTreeMap::new() })
     }
 
     /// Sets a variable of the environment for what is started from now on.
@@ -144,6 +146,11 @@
         self.env.push((name.to_owned(), value.to_owned()));
     }
 
+    /// Lets member `n` listen at another address than the one at which others reach it: through a relay.
+    pub fn set_listener(&mut self, n: u8, addr: SocketAddrV4) {
+        self.listeners.insert(n, addr);
+    }
+
     /// The plan.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -176,7 +183,10 @@
     /// # Errors
     /// Where that doesn't work.
     pub fn start(&mut self, program: Program, n: u8, bootstrap: bool) -> Result<(), Failure> {
-        let settings = self.plan.settings(program, n, bootstrap);
+        let mut settings = self.plan.settings(program, n, bootstrap);
+        if let (Program::ControlPlane, Some(listener)) = (program, self.listeners.get(&n)) {
+            settings["bind"]["member"] = json!(listener);
+        }
         let machine = settings["node_name"].as_str().unwrap_or_default().to_owned();
         let file = self.plan.dir.join(format!("{machine}-{}.json", program.name()));
         let failed = |e: std::io::Error| broken(format!("{machine}: {e}"));
--- a/crates/fennelpin-cli/tests/bad_days/control.rs
+++ b/crates/fennelpin-cli/tests/bad_days/control.rs
@@ -119,10 +119,16 @@
         Self { members, ..self }
     }
 
+    /// The order that comes next.
+    pub fn next(&self) -> Order {
+        let base = self.newest();
+        Order::new(base, base + 1, "v")
+    }
+
     /// Sends the next order and waits for its acknowledgement.
     pub fn order(&mut self) {
-        let base = self.newest();
-        self.send(Order::new(base, base + 1, "v"));
+        let next = self.next();
+        self.send(next);
     }
 
     pub fn send(&mut self, order: Order) {
@@ -150,6 +156,12 @@
         Some(self.times[at])
     }
 
+    /// The newest version that was acknowledged at a moment.
+    pub fn newest_at(&self, moment: Instant) -> u64 {
+        let acknowledged = self.times.partition_point(|at| *at <= moment);
+        acknowledged.checked_sub(1).map_or(0, |last| self.taken[last].version)
+    }
+
     /// How many were acknowledged.
     pub fn count(&self) -> usize {
         self.taken.len()
--- a/crates/fennelpin-cli/tests/bad_days/hosts.rs
+++ b/crates/fennelpin-cli/tests/bad_days/hosts.rs
@@ -15,9 +15,12 @@
 /// An operator's wait for one member.
 const SECOND: Duration = Duration::from_secs(1);
 
+/// A client's wait for an answer.
+const CLIENT_WAIT: Duration = Duration::from_secs(10);
+
 /// What a host does with a request.
 #[derive(Clone, Copy, Debug)]
-enum Turn {
+pub enum Turn {
     Answer,
     /// The connection is reset once the request has been read.
     Reset,
@@ -33,7 +36,8 @@
     End,
 }
 
-const TURNS: [Turn; 12] = [
+/// All of it, by turns.
+pub const ALL_TURNS: &[Turn] = &[
     Turn::Answer,
     Turn::Reset,
     Turn::Answer,
@@ -57,15 +61,15 @@
     _beats: Vec<Sender<()>>,
 }
 
-/// Starts hosts at these addresses, which beat at these members.
-pub fn start(addrs: &[SocketAddrV4], controls: &[SocketAddr]) -> Hosts {
+/// Starts hosts at these addresses, which beat at these members and do with their requests what `turns` says.
+pub fn start(addrs: &[SocketAddrV4], controls: &[SocketAddr], turns: &'static [Turn]) -> Hosts {
     let heard = Heard::default();
-    let turns = Arc::new(AtomicUsize::new(0));
+    let taken = Arc::new(AtomicUsize::new(0));
     let mut beats = Vec::new();
     for (n, addr) in addrs.iter().enumerate() {
         let id = format!("i-{}-{n}", std::process::id());
         let listener = TcpListener::bind(addr).unwrap();
-        let host = Host { id: id.clone(), heard: heard.clone(), turns: turns.clone() };
+        let host = Host { id: id.clone(), heard: heard.clone(), turns, taken: taken.clone() };
         std::thread::spawn(move || accept(&listener, &host));
         let (end, ended) = channel();
         let (addr, controls) = (*addr, controls.to_vec());
@@ -95,7 +99,8 @@
 struct Host {
     id: String,
     heard: Heard,
-    turns: Arc<AtomicUsize>,
+    turns: &'static [Turn],
+    taken: Arc<AtomicUsize>,
 }
 
 fn accept(listener: &TcpListener, host: &Host) {
@@ -106,6 +111,36 @@
     }
 }
 
+/// A client's connection.
+pub fn connect(to: SocketAddrV4) -> Option<TcpStream> {
+    let stream = TcpStream::connect(to).ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream.set_read_timeout(Some(CLIENT_WAIT)).ok()?;
+    Some(stream)
+}
+
+/// The identity of the request with this body.
+pub fn attempt_id(body: &str) -> String {
+    format!("{body}-id")
+}
+
+/// Sends a client's request; none where the connection has ended.
+pub fn send(stream: &mut TcpStream, route: &str, body: &str) -> Option<()> {
+    let (id, length) = (attempt_id(body), body.len());
+    let text = format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: h.example\r\nFennelpin-Attempt-Id: {id}\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(text.as_bytes()).ok()
+}
+
+/// Whether a request that may run twice is served.
+pub fn served(front: SocketAddrV4) -> bool {
+    let Some(mut stream) = connect(front) else { return false };
+    let answer = send(&mut stream, "pure", "first").and_then(|()| Text::read(&mut stream, &mut Vec::new()));
+    answer.is_some_and(|a| a.status() == 200)
+}
+
 /// A message read whole: its head in lower case and its body.
 #[derive(Debug)]
 pub struct Text {
@@ -162,7 +197,7 @@
                 continue;
             }
             *self.heard.lock().unwrap().entry(request.body.clone()).or_default() += 1;
-            let turn = TURNS[self.turns.fetch_add(1, Ordering::Relaxed) % TURNS.len()];
+            let turn = self.turns[self.taken.fetch_add(1, Ordering::Relaxed) % self.turns.len()];
             let answer = self.answer(&request, &request.body);
             match turn {
                 Turn::Answer => stream.write_all(answer.as_bytes())?,
--- a/crates/fennelpin-cli/tests/bad_days/second_loss.rs
+++ b/crates/fennelpin-cli/tests/bad_days/second_loss.rs
@@ -25,7 +25,7 @@
     stage.start(4);
     let members = [primary, witness, 4];
     let primary = stage.settled(&members);
-    operator = after(&stage, operator, &members);
+    operator = stage.only(operator, &members);
     some(&mut operator);
 
     // Right after it is settled, the primary is gone with its disk.
@@ -40,7 +40,7 @@
     let members = [left[0], left[1], 5];
     let primary = stage.settled(&members);
     let backup = stage.backups(&members, primary)[0];
-    operator = after(&stage, operator, &members);
+    operator = stage.only(operator, &members);
     some(&mut operator);
     stage.wipe(backup);
     let left: Vec<u8> = members.into_iter().filter(|n| *n != backup).collect();
@@ -48,11 +48,6 @@
     left.iter().for_each(|n| operator.read_back(stage.control(*n)));
 }
 
-/// The operator's list follows the members.
-fn after(stage: &Stage, operator: Operator, members: &[u8]) -> Operator {
-    operator.at(members.iter().map(|n| stage.control(*n)).collect())
-}
-
 #[test]
 fn a_replica_that_leaves_for_good_hands_over_before_it_has_ended() {
     let all = [1, 2, 3, 4, 5];
--- a/crates/fennelpin-cli/tests/bad_days/stage.rs
+++ b/crates/fennelpin-cli/tests/bad_days/stage.rs
@@ -1,11 +1,13 @@
 //! The processes of a test, at addresses of their own, and what they say of themselves.
 
 use crate::control::{Operator, LONG, SECOND};
+use crate::relay::{self, Cuts};
 use fennelpin_cli::control::{ask, Call};
 use fennelpin_cli::local::fleet::{Fleet, Plan, Program};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::sync::Arc;
 use std::time::Instant;
 
 /// Second number of all addresses.
@@ -14,6 +16,10 @@
 const PORTS: std::ops::Range<u16> = 28_000..29_000;
 /// Lines of a log that are shown where a test fails.
 const LINES: usize = 40;
+/// Third number of the addresses at which members behind a relay listen.
+const BEHIND_RELAY: u8 = 3;
+/// Short waits, so that takeovers are quick.
+const QUICK: [(&str, &str); 3] = [("LEASE_MS", "300"), ("STALL_MS", "250"), ("PATIENCE_MS", "1000")];
 /// Ports of one system.
 const BLOCK: u16 = 10;
 
@@ -29,6 +35,8 @@
 /// A running system.
 pub struct Stage {
     pub fleet: Fleet,
+    /// What is cut between the members, where they are behind a relay.
+    pub cuts: Arc<Cuts>,
     _dir: tempfile::TempDir,
     _ports: TcpListener,
 }
@@ -36,15 +44,33 @@
 impl Stage {
     /// So many members and machines with agent and proxy. Leases are short, so that takeovers are.
     pub fn new(members: u8, proxies: u8) -> Self {
-        Self::with(members, proxies, &[("LEASE_MS", "300"), ("STALL_MS", "250"), ("PATIENCE_MS", "1000")])
+        Self::with(members, proxies, &QUICK, |_| ())
+    }
+
+    /// As [`Stage::new`], each member behind a relay.
+    pub fn relayed(members: u8, proxies: u8) -> Self {
+        let cuts = Arc::new(Cuts::default());
+        let behind_relay = |fleet: &mut Fleet| {
+            for n in 1..=members {
+                let port = fleet.plan().port;
+                let outside = SocketAddrV4::new(*fleet.plan().control(n).ip(), port);
+                let inside = SocketAddrV4::new(Ipv4Addr::new(127, NET, BEHIND_RELAY, n), port);
+                let listener = TcpListener::bind(outside).unwrap();
+                relay::start(listener, format!("core-{n}"), inside.into(), cuts.clone());
+                fleet.set_listener(n, inside);
+            }
+        };
+        let mut stage = Self::with(members, proxies, &QUICK, behind_relay);
+        stage.cuts = cuts;
+        stage
     }
 
     /// One with the settings that are in force in service, for tests that judge how long something takes.
     pub fn as_in_service(members: u8, proxies: u8) -> Self {
-        Self::with(members, proxies, &[])
+        Self::with(members, proxies, &[], |_| ())
     }
 
-    fn with(members: u8, proxies: u8, settings: &[(&str, &str)]) -> Self {
+    fn with(members: u8, proxies: u8, settings: &[(&str, &str)], prepare: impl FnOnce(&mut Fleet)) -> Self {
         let dir = tempfile::tempdir().unwrap();
         let (port, held) = ports();
         let program = env!("CARGO_BIN_EXE_fennelpin-cli").into();
@@ -53,8 +79,9 @@
         for (key, value) in settings {
             fleet.env(&format!("FENNELPIN_CLI_{key}"), value);
         }
+        prepare(&mut fleet);
         fleet.start_all().unwrap();
-        Self { fleet, _dir: dir, _ports: held }
+        Self { fleet, cuts: Arc::default(), _dir: dir, _ports: held }
     }
 
     pub fn control(&self, n: u8) -> SocketAddr {
@@ -71,15 +98,30 @@
         Operator::new(members.iter().map(|n| self.control(*n)).collect())
     }
 
+    /// The operator with these members on its list.
+    pub fn only(&self, operator: Operator, members: &[u8]) -> Operator {
+        operator.at(members.iter().map(|n| self.control(*n)).collect())
+    }
+
     fn name(n: u8) -> String {
         format!("core-{n}/control-plane")
     }
 
     fn signal(&self, n: u8, signal: Signal) {
-        let pid = Pid::from_raw(self.fleet.pid(&Self::name(n)).unwrap() as i32).unwrap();
+        self.signal_program(&Self::name(n), signal);
+    }
+
+    /// Sends a signal to a program, by machine and program: `edge-1/proxy`.
+    pub fn signal_program(&self, name: &str, signal: Signal) {
+        let pid = Pid::from_raw(self.fleet.pid(name).unwrap() as i32).unwrap();
         kill_process(pid, signal).unwrap();
     }
 
+    /// Waits until a program that was asked to end has done so.
+    pub fn await_end(&mut self, name: &str) {
+        assert!(self.fleet.await_end(name, LONG), "{name} doesn't end");
+    }
+
     /// The member stands still.
     pub fn freeze(&self, n: u8) {
         self.signal(n, Signal::STOP);
@@ -92,7 +134,7 @@
     /// Asks a member to end and waits until it has.
     pub fn leave(&mut self, n: u8) {
         self.signal(n, Signal::TERM);
-        assert!(self.fleet.await_end(&Self::name(n), LONG), "core-{n} doesn't end");
+        self.await_end(&Self::name(n));
     }
 
     pub fn kill(&mut self, n: u8) {
@@ -146,6 +188,17 @@
         members.iter().map(of).collect()
     }
 
+    /// The last lines of what a machine's programs have logged.
+    pub fn logs(&self, machine: &str) -> String {
+        let of = |program: &str| {
+            let file = self.fleet.plan().dir.join(format!("{machine}-{program}.log"));
+            let log = std::fs::read_to_string(file).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            format!("{machine}/{program}:\n{}\n", lines[lines.len().saturating_sub(LINES)..].join("\n"))
+        };
+        ["control-plane", "agent", "proxy"].map(of).concat()
+    }
+
     fn settled_now(&self, members: &[u8]) -> Option<u8> {
         let statuses: Option<Vec<Value>> = members.iter().map(|n| self.status(*n)).collect();
         let statuses = statuses?;
@@ -182,6 +235,17 @@
     }
 }
 
+impl Drop for Stage {
+    /// Whatever a test fails for, the processes' own words help to find the cause.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let members: Vec<u8> = (1..=self.fleet.plan().members).collect();
+            eprintln!("{}", self.say(&members));
+            (1..=self.fleet.plan().proxies).for_each(|n| eprintln!("{}", self.logs(&format!("edge-{n}"))));
+        }
+    }
+}
+
 /// Waits until a condition holds.
 pub fn until<T>(what: &str, mut holds: impl FnMut() -> Option<T>) -> T {
     let end = Instant::now() + LONG;
--- a/crates/fennelpin-cli/tests/bad_days/wrong_caller.rs
+++ b/crates/fennelpin-cli/tests/bad_days/wrong_caller.rs
@@ -44,13 +44,10 @@
     let mut tally = Tally::default();
     let mut kept: Option<(TcpStream, Vec<u8>)> = None;
     for n in 0..REQUESTS {
-        let (id, body) = (format!("{route}-{number}-{n}-id"), format!("{route}-{number}-{n}"));
-        let (mut stream, mut buffer) = kept.take().unwrap_or_else(|| (connect(front), Vec::new()));
-        let text = format!(
-            "POST /{route}/x HTTP/1.1\r\nHost: h.example\r\nFennelpin-Attempt-Id: {id}\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        stream.write_all(text.as_bytes()).unwrap();
+        let body = format!("{route}-{number}-{n}");
+        let (mut stream, mut buffer) =
+            kept.take().unwrap_or_else(|| (hosts::connect(front).unwrap(), Vec::new()));
+        hosts::send(&mut stream, route, &body).unwrap();
         let Some(answer) = Text::read(&mut stream, &mut buffer) else {
             tally.broken_off += 1;
             continue;
@@ -62,7 +59,11 @@
             assert!(answer.status() >= 500, "{answer:?}");
             tally.failed += 1;
         }
-        assert_eq!(answer.field("fennelpin-attempt-id"), Some(id.as_str()), "{answer:?}");
+        assert_eq!(
+            answer.field("fennelpin-attempt-id"),
+            Some(hosts::attempt_id(&body).as_str()),
+            "{answer:?}"
+        );
         if answer.field("connection") != Some("close") {
             kept = Some((stream, buffer));
         }
@@ -70,13 +71,6 @@
     tally
 }
 
-fn connect(to: SocketAddrV4) -> TcpStream {
-    let stream = TcpStream::connect(to).unwrap();
-    stream.set_nodelay(true).unwrap();
-    stream.set_read_timeout(Some(WAIT)).unwrap();
-    stream
-}
-
 #[test]
 fn hosts_that_reset_fall_silent_and_say_too_much_get_nothing_twice_and_mix_nothing_up() {
     let stage = Stage::new(3, 2);
@@ -86,10 +80,10 @@
     let first = Call { name: "Configuration.Replace", base: Some(0), body: Some(body.as_bytes()) };
     assert_eq!(until_clear(&mut controls, &first).status, 200);
     let addrs: Vec<SocketAddrV4> = (1..=4).map(|n| plan.host(n)).collect();
-    let hosts = hosts::start(&addrs, &controls);
+    let hosts = hosts::start(&addrs, &controls, hosts::ALL_TURNS);
     let fronts = plan.fronts();
     for front in &fronts {
-        until("the proxy knows the hosts", || served(*front).then_some(()));
+        until("the proxy knows the hosts", || hosts::served(*front).then_some(()));
     }
 
     let tallies: Vec<(&str, Tally)> = std::thread::scope(|scope| {
@@ -114,16 +108,6 @@
     assert!(served < all, "the hosts did nothing wrong");
 }
 
-/// Whether a request that may run twice is served.
-fn served(front: SocketAddrV4) -> bool {
-    let Ok(mut stream) = TcpStream::connect(front) else { return false };
-    let _ = stream.set_read_timeout(Some(WAIT));
-    let text = "POST /pure/x HTTP/1.1\r\nHost: h.example\r\nFennelpin-Attempt-Id: 1\r\nConnection: close\r\n\
-                Content-Length: 5\r\n\r\nfirst";
-    let sent = stream.write_all(text.as_bytes()).is_ok();
-    sent && Text::read(&mut stream, &mut Vec::new()).is_some_and(|a| a.status() == 200)
-}
-
 /// Calls that come in one piece on one connection are answered one by one, in their order.
 #[test]
 fn pipelined_calls_of_the_control_api_get_their_own_answers() {
