A SIGHUP that comes while a program starts no longer ends it

Cause: each program took the signal only after it had read its settings, so that one that came before (settings that change while a machine starts) had its default effect: the process was killed. processes.rs sends it to all programs and noted that one just started may not listen for it yet.

Change: the signal is taken before the settings are read, by all three programs.

Measured: tests/signals.rs settings_that_change_before_they_are_read_end_no_program, for each program: the settings come through a pipe, so the signal comes before they do. Three of three fail without (ended by signal 1), pass with. The crate's settings and command_line tests pass.

--- a/crates/fennelpin-cli/src/roles.rs
+++ b/crates/fennelpin-cli/src/roles.rs
@@ -4,6 +4,7 @@
 use crate::operator::Operator;
 use crate::options::From;
 use crate::{settings, world};
+use configuration::Boot;
 use snafu::ResultExt;
 use std::future::Future;
 use tokio::runtime::Builder;
@@ -50,13 +51,19 @@
     })
 }
 
+/// Reads the settings, once the signal that they have changed ends the process no more. (The handler stays.)
+fn read_settings(from: &From) -> Result<Boot, Failure> {
+    let _hangup = signal(SignalKind::hangup()).context(StartSnafu)?;
+    settings::read(&from.settings)
+}
+
 /// A member of the control plane.
 ///
 /// # Errors
 /// Where the settings are wrong, or an address or the disk can't be had.
 pub fn control_plane(from: &From, operator: &Operator) -> Result<(), Failure> {
-    let boot = settings::read(&from.settings)?;
     run(async {
+        let boot = read_settings(from)?;
         let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
         control_plane::shell::run(boot, operator.tuning(), seeds, stop(from)?)
             .await
@@ -69,8 +76,8 @@
 /// # Errors
 /// Where the settings are wrong, or its address can't be had.
 pub fn agent(from: &From) -> Result<(), Failure> {
-    let boot = settings::read(&from.settings)?;
     run(async {
+        let boot = read_settings(from)?;
         let seeds = settings::follow_seeds(from.settings.clone(), &boot).context(StartSnafu)?;
         agent::run(boot, seeds, stop(from)?).await.context(AgentSnafu)
     })
@@ -81,10 +88,9 @@
 /// # Errors
 /// Where the settings are wrong, or an address can't be had.
 pub fn proxy(from: &From) -> Result<(), Failure> {
-    let boot = settings::read(&from.settings)?;
     run(async {
-        // Nothing of what a proxy uses changes in the file; the signal is taken so that it doesn't end the process.
-        let _hangup = signal(SignalKind::hangup()).context(StartSnafu)?;
+        // Nothing of what a proxy uses changes in the file.
+        let boot = read_settings(from)?;
         let world = world::follow(&boot);
         let counters = proxy::serve(boot, world, stop(from)?).await.context(ProxySnafu)?;
         log::info!("counters {counters:?}");
--- /dev/null
+++ b/crates/fennelpin-cli/tests/signals.rs
@@ -0,0 +1,76 @@
+//! Signals that come while a program is only starting.
+
+use fennelpin_cli::local::fleet::Program;
+use rstest::rstest;
+use rustix::fs::{mknodat, FileType, Mode, CWD};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::fs::File;
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// What doesn't happen within this time doesn't happen.
+const LONG: Duration = Duration::from_secs(20);
+
+/// A program's settings, and where it listens once it runs.
+fn settings(program: Program, dir: &Path) -> (Value, SocketAddr) {
+    // Each program has an address of its own.
+    let ip = Ipv4Addr::new(127, 19, std::process::id() as u8, 1 + program as u8);
+    let port = TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap().port().min(65_000);
+    let at = |offset: u16| SocketAddr::from((ip, port + offset));
+    let (name, listens, bind) = match program {
+        Program::ControlPlane => ("control-plane", at(6), json!({"control": at(6)})),
+        Program::Agent => ("agent", at(1), json!({"agent": at(1)})),
+        Program::Proxy => ("proxy", at(7), json!({"front": at(7), "readiness": at(8), "agent": at(1)})),
+    };
+    let settings = json!({"role": name, "node_name": "n", "zone": "a", "ip_addr": ip, "bind": bind,
+        "port_range": [port, port + 5], "state_dir": dir.join("disk")});
+    (settings, listens)
+}
+
+fn start(program: &str, settings: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_fennelpin-cli"))
+        .args([program, "--until-input-ends", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+/// The program reads its settings from a pipe, so that it can be told that they have changed before it knows them.
+#[rstest]
+fn settings_that_change_before_they_are_read_end_no_program(
+    #[values(Program::ControlPlane, Program::Agent, Program::Proxy)] program: Program,
+) {
+    let dir = tempfile::tempdir().unwrap();
+    std::fs::create_dir(dir.path().join("disk")).unwrap();
+    let (settings, listens) = settings(program, dir.path());
+    let path = dir.path().join("settings.json");
+    mknodat(CWD, &path, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).unwrap();
+    let mut child = start(settings["role"].as_str().unwrap(), &path);
+    // Opens once the program has opened the other end.
+    let mut pipe = File::options().write(true).open(&path).unwrap();
+    // Whoever reads the settings again finds a plain file.
+    let plain = dir.path().join("plain.json");
+    std::fs::write(&plain, settings.to_string()).unwrap();
+    std::fs::rename(&plain, &path).unwrap();
+    kill_process(Pid::from_child(&child), Signal::HUP).unwrap();
+    // Fails where nobody reads any more.
+    let _ = pipe.write_all(settings.to_string().as_bytes());
+    drop(pipe);
+
+    let end = Instant::now() + LONG;
+    while TcpStream::connect(listens).is_err() {
+        let ended = child.try_wait().unwrap();
+        assert!(ended.is_none(), "{program:?} has ended: {ended:?}");
+        assert!(Instant::now() < end, "{program:?} doesn't listen");
+        std::thread::yield_now();
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
