--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -388,9 +388,22 @@
 struct Seat {
     phase: Phase,
     since: Instant,
+    /// Asked to leave. It is left standing if its client turns out to have sent a request meanwhile.
+    leaving: bool,
     leave: Arc<Notify>,
 }
 
+/// How a new connection came to its seat.
+#[derive(Clone, Copy)]
+enum Admission {
+    /// There was a free seat.
+    Free,
+    /// All were taken; this one was asked to leave for it.
+    InPlaceOf(u64),
+    /// All were taken and none could be asked to leave.
+    Extra,
+}
+
 /// The connections served, and who goes when a new one needs room.
 #[derive(Default)]
 struct Seats {
@@ -402,29 +415,54 @@
     fn take(&mut self, now: Instant) -> (u64, Arc<Notify>) {
         self.next += 1;
         let leave = Arc::new(Notify::new());
-        self.taken.insert(self.next, Seat { phase: Phase::Asking, since: now, leave: leave.clone() });
+        let seat = Seat { phase: Phase::Asking, since: now, leaving: false, leave: leave.clone() };
+        self.taken.insert(self.next, seat);
         (self.next, leave)
     }
 
+    /// How many are taken, without those that were asked to leave.
+    fn staying(&self) -> usize {
+        self.taken.values().filter(|s| !s.leaving).count()
+    }
+
+    /// How many stand idle, without those that were asked to leave.
+    fn idlers(&self) -> usize {
+        self.taken.values().filter(|s| s.phase == Phase::Idle && !s.leaving).count()
+    }
+
+    /// Whether this one was asked to leave and still has nothing to say.
+    fn leaves(&self, seat: u64) -> bool {
+        self.taken.get(&seat).is_some_and(|s| s.leaving)
+    }
+
+    /// Whether this one is there to stay.
+    fn stays(&self, seat: u64) -> bool {
+        self.taken.get(&seat).is_some_and(|s| !s.leaving)
+    }
+
     fn enter(&mut self, seat: u64, phase: Phase, now: Instant) {
         if let Some(s) = self.taken.get_mut(&seat) {
-            (s.phase, s.since) = (phase, now);
+            (s.phase, s.since, s.leaving) = (phase, now, false);
         }
     }
 
     /// Asks the one that has been of no use for longest to leave: a crowd that says nothing, or stays
     /// after its one request, must not keep others out. Unless `full`, only one that stands idle goes.
-    fn make_room(&mut self, now: Instant, full: bool, patience: Duration) -> bool {
+    /// Whether it goes is seen once its client's connection has been looked at: a request that waits there
+    /// unread, as after a standstill of this process, keeps it its seat.
+    fn make_room(&mut self, now: Instant, full: bool, patience: Duration) -> Option<u64> {
         let goes = |s: &Seat| match s.phase {
             Phase::Asking => full && now - s.since >= patience,
             Phase::Idle => now - s.since >= MAKES_ROOM,
             Phase::Busy => false,
         };
-        let useless = self.taken.iter().filter(|(_, s)| goes(s));
+        let useless = self.taken.iter_mut().filter(|(_, s)| !s.leaving && goes(s));
         let order = |a: &Seat, b: &Seat| (a.phase, a.since).partial_cmp(&(b.phase, b.since));
         let first = useless.min_by(|a, b| order(a.1, b.1).unwrap_or(std::cmp::Ordering::Equal));
-        let seat = first.map(|(n, _)| *n).and_then(|n| self.taken.remove(&n));
-        seat.inspect(|s| s.leave.notify_one()).is_some()
+        let (number, seat) = first?;
+        seat.leaving = true;
+        seat.leave.notify_one();
+        Some(*number)
     }
 }
 
@@ -505,18 +543,44 @@
     }
 
     fn crowded(&self, share: f64) -> bool {
-        self.seats().taken.len() as f64 > share * self.limits.clients() as f64
+        self.seats().staying() as f64 > share * self.limits.clients() as f64
+    }
+
+    /// Asks the connection that has been of no use for longest to leave.
+    fn make_room(&self, full: bool) -> Option<u64> {
+        self.seats().make_room(Instant::now(), full, self.limits.patience)
+    }
+
+    /// Whether a request is refused for want of seats, as the one that was to leave for it has not, and no
+    /// other can. Those who had a seat before all were taken keep it.
+    fn refuses(&self, admission: Admission) -> bool {
+        let without_seat = match admission {
+            Admission::Free => false,
+            Admission::InPlaceOf(other) => self.seats().stays(other),
+            Admission::Extra => true,
+        };
+        without_seat && self.crowded(1.0) && self.make_room(true).is_none()
+    }
+
+    /// Waits until this seat has to be left.
+    async fn told_to_leave(&self, seat: u64, leave: &Notify) {
+        loop {
+            leave.notified().await;
+            // What was asked before its client's last request holds no more.
+            if self.seats().leaves(seat) {
+                self.counters.inc("clients.made_room");
+                return;
+            }
+        }
     }
 
     /// What stands beyond the share of this process, as there is another now, goes as far as it is of no use.
     fn make_half(&self) {
-        let now = Instant::now();
-        let over = self.seats().taken.len().saturating_sub(self.limits.clients());
+        let over = self.seats().staying().saturating_sub(self.limits.clients());
         for _ in 0..over {
-            if !self.seats().make_room(now, true, self.limits.patience) {
+            if self.make_room(true).is_none() {
                 return;
             }
-            self.counters.inc("clients.made_room");
         }
     }
 
@@ -526,27 +590,27 @@
         (stream, from, guard): (TcpStream, SocketAddr, Option<Guard>),
         closing: &watch::Receiver<bool>,
     ) {
-        let now = Instant::now();
         let (clients, most) = (self.limits.clients(), self.limits.most());
-        let full = self.seats().taken.len() >= clients;
-        let idlers = self.seats().taken.values().filter(|s| s.phase == Phase::Idle).count();
+        let full = self.seats().staying() >= clients;
+        let idlers = self.seats().idlers();
         let crowded = full || idlers as f64 > IDLERS * clients as f64;
-        let made_room = crowded && self.seats().make_room(now, full, self.limits.patience);
-        if made_room {
-            self.counters.inc("clients.made_room");
-        }
-        let extra = full && !made_room;
+        let leaver = if crowded { self.make_room(full) } else { None };
+        let admission = match leaver {
+            _ if !full => Admission::Free,
+            Some(leaver) => Admission::InPlaceOf(leaver),
+            None => Admission::Extra,
+        };
         if self.clients.load(Ordering::Relaxed) >= most {
             self.counters.inc("clients.dropped_at_cap");
             log::warn!(from:%, end = "at_cap"; "client");
             return;
         }
         self.clients.fetch_add(1, Ordering::Relaxed);
-        let (number, leave) = self.seats().take(now);
+        let (number, leave) = self.seats().take(Instant::now());
         let (shared, closing) = (self.clone(), closing.clone());
         tokio::spawn(async move {
             let conn = Conn::new(stream, INPUT, OUTPUT);
-            let (served, code) = client(conn, &shared, number, extra, leave, closing).await;
+            let (served, code) = client(conn, &shared, number, admission, leave, closing).await;
             shared.seats().taken.remove(&number);
             shared.clients.fetch_sub(1, Ordering::Relaxed);
             drop(guard);
@@ -621,7 +685,7 @@
     mut conn: Conn,
     shared: &Shared,
     seat: u64,
-    extra: bool,
+    admission: Admission,
     leave: Arc<Notify>,
     mut closing: watch::Receiver<bool>,
 ) -> (u64, &'static str) {
@@ -641,7 +705,7 @@
                     Err(_) => return (served, "io_error"),
                 },
                 _ = closing.wait_for(|c| *c) => return (served, "stopping"),
-                _ = leave.notified() => return (served, "made_room"),
+                () = shared.told_to_leave(seat, &leave) => return (served, "made_room"),
                 _ = tokio::time::sleep_until(end.into()) => return (served, if served == 0 { "silent" } else { "idle" }),
             }
         }
@@ -652,7 +716,7 @@
         let read = tokio::select! {
             biased;
             read = tokio::time::timeout_at((since + SLOW_REQUEST).into(), read_request(&mut conn, MOST_BODY)) => read,
-            _ = leave.notified() => return (served, "made_room"),
+            () = shared.told_to_leave(seat, &leave) => return (served, "made_room"),
         };
         let (mut request, keep) = match read.unwrap_or(Err(HttpError::Slow)) {
             Ok(read) => read,
@@ -670,8 +734,7 @@
         let arrived = request.arrived;
         shared.seats().enter(seat, Phase::Busy, Instant::now());
         let _open = shared.counters.open();
-        // Those who had a seat before it was full keep it.
-        let over = extra && shared.crowded(1.0);
+        let over = shared.refuses(admission);
         let answer = if over {
             shared.counters.inc("answered.refused.client_cap");
             let answer = shared.service.no_seat(&request);
