A 421 for the version that a client expects takes no host out

Cause: a 421 counted as "another host is at this address", which puts a host out until the roster says otherwise. A host also answers it to `Expect-Version`, which a client's own header may hold: one client could put out all hosts.

Change: to a request with `Expect-Version` a 421 is a refusal like others, and the connections stay.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -249,8 +249,10 @@
         };
         let load = load(&head.fields);
         if refuses(&head) {
+            // Turned away for the version that its client expects, it says nothing of who the host is.
+            let expects_version = self.request.head.fields.get("expect-version").is_some();
             let outcome = match head.status {
-                421 => Outcome::OtherHost,
+                421 if !expects_version => Outcome::OtherHost,
                 429 | 503 => Outcome::Full,
                 _ => Outcome::TurnedAway,
             };
--- /dev/null
+++ b/crates/proxy/tests/passed_on.rs
@@ -0,0 +1,148 @@
+//! What a host gets of a client's request, and a client of a host's answer: the fields that belong to the other
+//! end are passed on unchanged, at each try.
+
+mod common;
+use common::*;
+use rstest::rstest;
+
+/// What a client says of its prompt, in its own way of writing.
+const PROMPT: [&str; 3] = [
+    "Fennelpin-Model-Name: m:Adapter/7 (x)",
+    "Fennelpin-Token-Counts: 1460,80",
+    "fennelpin-PROMPT-prefix: 5c1E07a2:800,91bd3f06:410,  e4402b7d:250",
+];
+
+/// More parts than would fit on one short line.
+fn long_prefix() -> String {
+    let parts: Vec<String> = (0..120).map(|n| format!("{:016X}:{n}", u64::MAX - n)).collect();
+    format!("Fennelpin-Prompt-Prefix: {}", parts.join(","))
+}
+
+fn fields(lines: &[String]) -> String {
+    lines.iter().map(|l| format!("{l}\r\n")).collect()
+}
+
+fn assert_passed_on(asked: &Message, lines: &[String]) {
+    for line in lines {
+        assert_eq!(asked.head.lines().filter(|l| l == line).count(), 1, "{line} in {}", asked.head);
+    }
+    for name in ["fennelpin-model-name", "fennelpin-token-counts", "fennelpin-prompt-prefix"] {
+        let named = asked.head.lines().filter(|l| l.to_ascii_lowercase().starts_with(name));
+        assert_eq!(named.count(), 1, "{name} in {}", asked.head);
+    }
+}
+
+#[rstest]
+#[case::plain(PROMPT.map(str::to_owned).to_vec())]
+#[case::long(vec![PROMPT[0].to_owned(), PROMPT[1].to_owned(), long_prefix()])]
+#[case::unreadable(vec![
+    "Fennelpin-Model-Name:".to_owned() + " ",
+    "Fennelpin-Token-Counts: many,few".to_owned(),
+    "Fennelpin-Prompt-Prefix: no parts at all".to_owned(),
+])]
+fn what_a_client_says_of_its_prompt_reaches_each_host_unchanged(
+    #[case] lines: Vec<String>,
+    #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
+) {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.client().await;
+        client.send(&request(path, "one", &fields(&lines))).await;
+        let lines: Vec<String> = lines.iter().map(|l| l.trim_end().to_owned()).collect();
+        let (mut first, other) = first_of(&mut one, &mut two).await;
+        assert_passed_on(&trimmed(first.refuse().await), &lines);
+        let mut second = other.conn().await;
+        assert_passed_on(&trimmed(second.answer("done").await), &lines);
+    });
+}
+
+/// Blanks at the end of a line aren't part of a value.
+fn trimmed(message: Message) -> Message {
+    let head: Vec<&str> = message.head.lines().map(str::trim_end).collect();
+    Message { head: head.join("\r\n"), ..message }
+}
+
+#[test]
+fn a_resumed_stream_s_prompt_is_the_client_s() {
+    story(async {
+        let (mut one, mut two) = (Host::new("h1", "s").await, Host::new("h2", "s").await);
+        let proxy = Proxy::new(&[&one, &two]).await;
+        let mut client = proxy.client().await;
+        let lines = PROMPT.map(str::to_owned);
+        client.send(&request("/more/a", "one", &fields(&lines))).await;
+        let (mut first, other) = first_of(&mut one, &mut two).await;
+        assert_passed_on(&first.begin("seal", &[1]).await, &lines);
+        client.until("piece 1\n\n").await;
+        drop(first);
+        let asked = other.conn().await.message().await.unwrap();
+        assert_eq!(asked.field("last-event-id"), Some("1"));
+        assert_passed_on(&asked, &lines);
+    });
+}
+
+/// Where the system sets no priority the client's own stays, as do the versions that it and its host speak of.
+#[test]
+fn priority_and_versions_pass_where_the_system_sets_none() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("/pure/a", "one", "Priority: 3\r\nExpect-Version: 4\r\n")).await;
+        let lines = "200 OK\r\nFennelpin-Host-Seal: seal\r\nVersions: 4\r\nContent-Length: 4";
+        let asked = host.conn().await.reply(lines, "done").await;
+        assert_eq!((asked.field("priority"), asked.field("expect-version")), (Some("3"), Some("4")));
+        assert_eq!(client.message().await.unwrap().field("versions"), Some("4"));
+    });
+}
+
+/// An event may begin with the version from which on it counts.
+#[rstest]
+fn an_event_with_a_version_passes_as_it_is(#[values("/live/a", "/more/a")] path: &str) {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.ask(path).await;
+        let mut conn = host.conn().await;
+        conn.begin("seal", &[1]).await;
+        let event = "versions: 5\nid: 2\ndata: piece 2\n\n";
+        conn.send(&format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len())).await;
+        let answer = client.message().await.unwrap();
+        assert_eq!((answer.whole, answer.body), (true, events([1]) + event));
+    });
+}
+
+/// A host that turns a request away for the version that its client expects is still the host that it was.
+#[test]
+fn a_client_that_expects_another_version_takes_no_host_out() {
+    story(async {
+        let mut host = Host::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.client().await;
+        client.send(&request("/pure/a", "one", "Expect-Version: 9\r\n")).await;
+        let mut conn = host.conn().await;
+        conn.reply("421 Other\r\nFennelpin-Not-Executed: version\r\nContent-Length: 0", "").await;
+        assert_eq!(client.message().await.unwrap().status(), 503);
+        let mut other = proxy.client().await;
+        let served = async {
+            loop {
+                other.send(&request("/pure/a", "two", "")).await;
+                let answer = other.message().await.unwrap();
+                if answer.status() == 200 {
+                    break answer;
+                }
+            }
+        };
+        let play = async {
+            tokio::select! {
+                Some(_) = conn.message() => conn.send(&good("two", "done")).await,
+                mut new = host.conn() => drop(new.answer("done").await),
+            }
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            answer = served => assert_eq!(answer.body, "done"),
+            () = play => unreachable!("the host goes on"),
+        }
+    });
+}
