An answer without a length goes to today's clients in chunks

Cause: such an answer was passed on as it came, its end shown by the end of the client's connection. A proxy that is killed half-way lets the kernel end that connection in order: the cut answer looks whole.

Change: HTTP/1.1 clients get it in chunks, and keep their connection; a host's end in order ends it, a reset cuts it. Only HTTP/1.0 clients still see the connection's end, with a reset where the answer was cut. A resumable stream is still not taken at an end that may be a cut.

All of proxy's tests pass.

--- a/crates/proxy/src/exchange/stream.rs
+++ b/crates/proxy/src/exchange/stream.rs
@@ -54,8 +54,8 @@
             };
             let data = match next {
                 Ok(Some(data)) => data,
-                // A stream that goes on here has no end of its own to show: this may be a cut.
-                Ok(None) if body.ends_with_connection() && writer.marks_end() => {
+                // One that can go on elsewhere is not taken at an end that may be a cut.
+                Ok(None) if body.ends_with_connection() && resumable && writer.marks_end() => {
                     return self.broken(Stop::Lost, picked);
                 }
                 Ok(None) => break,
--- a/crates/proxy/src/exchange/writer.rs
+++ b/crates/proxy/src/exchange/writer.rs
@@ -21,13 +21,13 @@
             return writer;
         }
         let old = exchange.request.head.minor == 0;
+        let resumable = exchange.route.resumable;
         let framing = match head.framing {
-            // Where its end can't be told from a cut, neither can ours.
-            Framing::UntilEnd => Framing::UntilEnd,
-            _ if exchange.route.resumable && old => Framing::UntilEnd,
-            _ if exchange.route.resumable => Framing::Chunked,
-            Framing::Chunked if old => Framing::UntilEnd,
-            framing => framing,
+            Framing::Length(length) if !resumable => Framing::Length(length),
+            // An old client knows no chunks.
+            _ if old => Framing::UntilEnd,
+            // The end of a connection also comes where this process is killed: the answer shows its own.
+            _ => Framing::Chunked,
         };
         exchange.stage.set_until_end(framing == Framing::UntilEnd);
         Self { framing, close: closes(exchange.core, exchange.request) || framing == Framing::UntilEnd }
