Test: an order under way when the primary makes a new view is confirmed in that view

The case was looked at in the review and held; it had no test. With the reset of what was asked taken out of step_down the primary's own caller waits out its patience and gets no clear answer.

--- a/crates/control-plane/tests/orders.rs
+++ b/crates/control-plane/tests/orders.rs
@@ -321,6 +321,25 @@
     assert_eq!(cluster.answer_to(old, 4), Code::OtherBase);
 }
 
+/// A replica is lost while an order waits for it: the primary makes a view without it. What waited is dropped with the
+/// old view, and planned anew in the next, for its own callers and for those of others.
+#[test]
+fn an_order_under_way_when_the_primary_makes_a_new_view_is_confirmed_in_that_view() {
+    let mut cluster = Cluster::new(3);
+    let (primary, witness) = (cluster.primary(), cluster.witness());
+    let replica = (0..3).find(|n| ![primary, witness].contains(n)).unwrap();
+    cluster.run_ms(2000);
+    cluster.cut(replica);
+    cluster.command(primary, 1, order(0, 2, "a"));
+    cluster.command(witness, 1, order(0, 2, "a"));
+    cluster.command(witness, 2, order(0, 2, "rival"));
+    cluster.run_ms(100);
+    assert_eq!([1, 2].map(|ticket| cluster.answered(witness, ticket)), [None, None]);
+    let codes = [(primary, 1), (witness, 1), (witness, 2)].map(|(n, ticket)| cluster.answer_to(n, ticket));
+    assert_eq!(codes, [Code::Ok, Code::Ok, Code::OtherBase]);
+    assert!(cluster.acts(primary));
+}
+
 /// What a member answers stands even where the primary freezes: a caller's order is asked of the next primary as
 /// soon as that one acts, and not only when the caller tries again.
 #[test]
