Test: the processes are told of changed settings once they run

Cause: the test sends SIGHUP to all programs when the members have settled; agents and proxies may not have begun by then, on a busy machine, and one that has no handler yet is ended by the signal: it then never has the newest configuration in force.

Change: it waits until agents and proxies listen. All that it checked before is checked as before.

--- a/crates/fennelpin-cli/tests/processes.rs
+++ b/crates/fennelpin-cli/tests/processes.rs
@@ -136,6 +136,21 @@
         }
     }
 
+    /// Waits until all agents and proxies listen; members do, as they take configurations.
+    fn all_listen(&self) {
+        let plan = self.fleet.plan();
+        let end = Instant::now() + LONG;
+        for front in plan.fronts() {
+            let agent = SocketAddrV4::new(*front.ip(), plan.port + 1);
+            for addr in [front, agent] {
+                while TcpStream::connect(addr).is_err() {
+                    assert!(Instant::now() < end, "nobody listens at {addr}");
+                    std::thread::yield_now();
+                }
+            }
+        }
+    }
+
     fn signal(&self, name: &str, signal: Signal) {
         let pid = Pid::from_raw(self.fleet.pid(name).unwrap() as i32).unwrap();
         kill_process(pid, signal).unwrap();
@@ -205,7 +220,8 @@
     for round in 0..6 {
         let primary = story.settled();
         if round == 0 {
-            // Changed settings: all go on. (One that has just been started may not listen for signals yet.)
+            // Changed settings: all go on. (One that the system has only just made doesn't take signals yet.)
+            story.all_listen();
             let names: Vec<String> = story.fleet.names().into_iter().map(str::to_owned).collect();
             names.iter().for_each(|name| story.signal(name, Signal::HUP));
         }
