--- /dev/null
+++ b/src/net/http/incoming.rs
@@ -0,0 +1,67 @@
+//! Where connections come from: a listener, or a thread that accepts for several.
+
+use crate::ops::turnover::Beside;
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+/// A connection that another thread has accepted; `guard` is dropped with it.
+pub struct Handed {
+    /// The socket, set to non-blocking.
+    pub stream: std::net::TcpStream,
+    /// Where it comes from.
+    pub from: SocketAddr,
+    /// Counts it for as long as it lives.
+    pub guard: Guard,
+}
+
+/// Something that lives as long as a connection.
+pub type Guard = Box<dyn std::any::Any + Send>;
+
+/// A listener that is left alone once another process has taken over.
+pub struct Gated {
+    /// The listener.
+    pub listener: TcpListener,
+    /// How this process stands to another.
+    pub beside: watch::Receiver<Beside>,
+}
+
+impl Gated {
+    /// The next connection.
+    ///
+    /// # Errors
+    /// If the system has none to give, as descriptors have run out.
+    pub async fn accept(&mut self) -> std::io::Result<(TcpStream, SocketAddr)> {
+        loop {
+            // The other end of the watch goes only where there is never another process.
+            if self.beside.wait_for(|b| *b != Beside::Replaced).await.is_err() {
+                return self.listener.accept().await;
+            }
+            tokio::select! {
+                came = self.listener.accept() => return came,
+                changed = self.beside.changed() => if changed.is_err() { return self.listener.accept().await },
+            }
+        }
+    }
+}
+
+/// Where connections come from.
+pub enum Incoming {
+    /// A listener of one's own.
+    Listener(Gated),
+    /// A thread that accepts for several.
+    Handed(mpsc::UnboundedReceiver<Handed>),
+}
+
+impl Incoming {
+    pub(super) async fn accept(&mut self) -> std::io::Result<(TcpStream, SocketAddr, Option<Guard>)> {
+        match self {
+            Self::Listener(l) => l.accept().await.map(|(stream, from)| (stream, from, None)),
+            Self::Handed(mail) => match mail.recv().await {
+                Some(h) => Ok((TcpStream::from_std(h.stream)?, h.from, Some(h.guard))),
+                // The one that accepts has ended: no more will come.
+                None => std::future::pending().await,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/net/http/read.rs
@@ -0,0 +1,123 @@
+//! Reading messages from a [`Conn`]: a request whole, a response's head and then its body as it comes.
+
+use super::message::{Headers, HttpError, Request};
+use super::INPUT;
+use crate::net::conn::Conn;
+use bytes::{Bytes, BytesMut};
+use http1::{Framing, HeadLimits, RequestHead, ResponseHead, Step};
+use std::time::Instant;
+
+const MOST_HEAD: HeadLimits = HeadLimits { bytes: INPUT, fields: 64 };
+
+async fn more(conn: &mut Conn, started: bool) -> Result<(), HttpError> {
+    match conn.fill().await? {
+        0 if started => Err(HttpError::Cut),
+        0 => Err(HttpError::Closed),
+        _ => Ok(()),
+    }
+}
+
+fn request_head(conn: &mut Conn) -> Result<Option<RequestHead>, HttpError> {
+    let Some((head, n)) = RequestHead::read(conn.input.contiguous(), MOST_HEAD)? else { return Ok(None) };
+    conn.input.consume(n);
+    Ok(Some(head))
+}
+
+/// Reads a response's head: its status and headers.
+pub async fn response_head(conn: &mut Conn) -> Result<(u16, Headers), HttpError> {
+    loop {
+        if let Some((head, n)) = ResponseHead::read(conn.input.contiguous(), MOST_HEAD, false)? {
+            conn.input.consume(n);
+            return Ok((head.status, Headers::of(head.fields)?));
+        }
+        if conn.input.free() == 0 {
+            return Err(HttpError::HeadTooLarge);
+        }
+        more(conn, !conn.input.is_empty()).await?;
+    }
+}
+
+/// A body on its way in.
+pub struct Body {
+    framing: Framing,
+    body: http1::Body,
+}
+
+impl Body {
+    fn new(framing: Framing) -> Self {
+        Self { framing, body: http1::Body::new(framing) }
+    }
+
+    /// The body of a response with these headers.
+    pub fn of_response(headers: &Headers) -> Result<Self, HttpError> {
+        Ok(Self::new(Framing::of(&headers.0)?.unwrap_or(Framing::UntilEnd)))
+    }
+
+    /// Whether its length is told and beyond a limit.
+    fn beyond(&self, most: usize) -> bool {
+        matches!(self.framing, Framing::Length(n) if n > most as u64)
+    }
+
+    /// Appends what comes next to `out`; false at the end.
+    pub async fn next(&mut self, conn: &mut Conn, out: &mut BytesMut) -> Result<bool, HttpError> {
+        loop {
+            let input = if self.body.in_data() { conn.input.first() } else { conn.input.contiguous() };
+            match self.body.step(input)? {
+                Step::Data(n) => {
+                    out.extend_from_slice(input.get(..n).unwrap_or_default());
+                    conn.input.consume(n);
+                    return Ok(true);
+                }
+                Step::Frame(n) => conn.input.consume(n),
+                Step::End => return Ok(false),
+                Step::More => match more(conn, true).await {
+                    Err(HttpError::Cut) if self.body.ends_with_connection() => return Ok(false),
+                    step => step?,
+                },
+            }
+        }
+    }
+
+    /// Reads the whole body, up to a limit.
+    pub async fn whole(mut self, conn: &mut Conn, most: usize) -> Result<Bytes, HttpError> {
+        let mut out = BytesMut::new();
+        if self.beyond(most) {
+            return Err(HttpError::BodyTooLarge);
+        }
+        while self.next(conn, &mut out).await? {
+            if out.len() > most {
+                return Err(HttpError::BodyTooLarge);
+            }
+        }
+        Ok(out.freeze())
+    }
+}
+
+pub(super) async fn read_request(conn: &mut Conn, most: usize) -> Result<(Request, bool), HttpError> {
+    let head = loop {
+        if !conn.input.is_empty() {
+            if let Some(head) = request_head(conn)? {
+                break head;
+            }
+            if conn.input.free() == 0 {
+                return Err(HttpError::HeadTooLarge);
+            }
+        }
+        more(conn, !conn.input.is_empty()).await?;
+    };
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let (method, target, keep) = (text(head.method()), text(head.target()), head.keeps_alive());
+    let body = Body::new(head.framing.unwrap_or(Framing::Length(0)));
+    let headers = Headers::of(head.fields)?;
+    if body.beyond(most) {
+        return Err(HttpError::BodyTooLarge);
+    }
+    if headers.0.has_token("Expect", "100-continue") {
+        conn.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    }
+    let body = body.whole(conn, most).await?;
+    let (path, query) = target.split_once('?').unwrap_or((&target, ""));
+    let (path, query) = (path.to_owned(), query.to_owned());
+    let (arrived, latest) = (Instant::now(), None);
+    Ok((Request { method, path, query, headers, body, arrived, latest }, keep))
+}
