net::link by concern: its life, the connection at work, writing, reading

Change: moves only. mod.rs keeps what others see (mail, gauge, setup, dialects), run.rs a link's life and what came before its connection, connection.rs the connection at work, writing.rs and reading.rs the two directions. The literal that made a Link is its function new.

--- /dev/null
+++ b/src/net/link/run.rs
@@ -0,0 +1,138 @@
+//! A link's life: it connects, works, and hands back what never ran once the connection has ended.
+
+use super::connection::Link;
+use super::{LinkMail, LinkSetup, CANCEL_HEAD};
+use crate::core::{CallPart, Mail};
+use crate::interface::{Outcome, RequestId};
+use crate::net::conn::Conn;
+use std::collections::VecDeque;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+use tokio::io::AsyncWriteExt;
+
+const INPUT: usize = 16 * 1024;
+const OUTPUT: usize = 16 * 1024;
+/// Reason codes of connections that ended over what the host sent.
+const SPOILT: [&str; 3] = ["bad_frame", "unknown_part", "host_refused_frame"];
+
+pub(super) async fn run(mut setup: LinkSetup) {
+    let mut queue = VecDeque::new();
+    loop {
+        let mut held = Held::default();
+        let conn = match connect(&mut setup, &mut queue, &mut held).await {
+            Ok(conn) => conn,
+            Err(e) => {
+                setup.mail.close();
+                setup.log_end("connect_failed", &e.to_string());
+                (0..held.probes).for_each(|_| take_unconnected(&mut setup, &mut queue, LinkMail::Probe));
+                refuse_all(&mut setup, queue);
+                return;
+            }
+        };
+        setup.counters.inc("links.opened");
+        let mut link = Link::new(setup, conn, queue);
+        for _ in 0..held.probes {
+            link.take(LinkMail::Probe);
+        }
+        let (code, detail) = match held.release && !link.busy() {
+            true => ("released", String::new()),
+            false => link.serve().await,
+        };
+        link.setup.log_end(code, &detail);
+        let closed = matches!(code, "host_closed" | "extra_bytes" | "worn");
+        link.setup.gauge.parts.fetch_sub(link.gone, Ordering::Relaxed);
+        if matches!(code, "host_closed" | "host_reset" | "write_failed") {
+            link.setup.pace.ended(link.heard, Instant::now(), link.setup.connect_timeout);
+        } else {
+            // The end is ours: the host has to see it before the core hears of it.
+            let _ = link.conn.stream.shutdown().await;
+            tokio::time::sleep(CANCEL_HEAD).await;
+        }
+        let unused = link.sending.is_none() && link.out.is_empty() && closed;
+        // A host that sends what can't be read is alive; the parts that waited there may have run.
+        link.fail_started(if SPOILT.contains(&code) { Outcome::Error } else { Outcome::Reset });
+        (setup, queue) = (link.setup, link.queue);
+        // A host that closes an unused connection while a call is on its way to it has refused nothing.
+        while let Some(mail) = unused.then(|| setup.mail.try_recv().ok()).flatten() {
+            take_unconnected(&mut setup, &mut queue, mail);
+        }
+        if !unused || queue.is_empty() {
+            setup.mail.close();
+            refuse_all(&mut setup, queue);
+            return;
+        }
+    }
+}
+
+/// What came while a connection was being opened and needs it.
+#[derive(Default)]
+struct Held {
+    probes: usize,
+    release: bool,
+}
+
+/// Connects, and meanwhile takes what comes: a part given up before the connection is up is over at once and
+/// never goes out on it. What needs the connection is held until it is there.
+async fn connect(
+    setup: &mut LinkSetup,
+    queue: &mut VecDeque<Vec<CallPart>>,
+    held: &mut Held,
+) -> std::io::Result<Conn> {
+    let addr = setup.addr.clone();
+    let connecting = Conn::connect(&addr, setup.connect_timeout, INPUT, OUTPUT);
+    tokio::pin!(connecting);
+    loop {
+        tokio::select! {
+            biased;
+            Some(mail) = setup.mail.recv() => match mail {
+                LinkMail::Probe => held.probes += 1,
+                LinkMail::Release => held.release = true,
+                mail => take_unconnected(setup, queue, mail),
+            },
+            opened = &mut connecting => return opened,
+        }
+    }
+}
+
+/// Takes an attempt out of the calls that have not begun; whether it was there.
+pub fn take_out(queue: &mut VecDeque<Vec<CallPart>>, part: RequestId, attempt: u32) -> bool {
+    let this = |p: &CallPart| (p.part, p.attempt) == (part, attempt);
+    let there = queue.iter().flatten().any(this);
+    queue.iter_mut().for_each(|c| c.retain(|p| !this(p)));
+    queue.retain(|c| !c.is_empty());
+    there
+}
+
+pub(super) fn take_unconnected(setup: &mut LinkSetup, queue: &mut VecDeque<Vec<CallPart>>, mail: LinkMail) {
+    match mail {
+        LinkMail::Call(parts) => queue.push_back(parts),
+        LinkMail::Cancel(part, attempt, outcome) => {
+            if take_out(queue, part, attempt) {
+                // Never sent, so never ran, whatever it was given up for.
+                let never = if outcome == Outcome::Timeout { Outcome::Moot } else { outcome };
+                setup.ended(part, attempt, never);
+            }
+        }
+        LinkMail::Retract(part, attempt) => {
+            if take_out(queue, part, attempt) {
+                setup.ended(part, attempt, Outcome::Moot);
+            }
+        }
+        LinkMail::Probe => {
+            let failed = Mail::Probed(setup.server, Outcome::ConnectFailed, None);
+            let _ = setup.core.send(failed);
+        }
+        LinkMail::StopAt(at) => setup.stop_at = at,
+        LinkMail::Release => {}
+    }
+}
+
+/// No connection came about: nothing that waits for it has run.
+fn refuse_all(setup: &mut LinkSetup, mut queue: VecDeque<Vec<CallPart>>) {
+    while let Ok(mail) = setup.mail.try_recv() {
+        take_unconnected(setup, &mut queue, mail);
+    }
+    for p in queue.into_iter().flatten() {
+        setup.ended(p.part, p.attempt, Outcome::ConnectFailed);
+    }
+}
