--- /dev/null
+++ b/src/front/opensearch/many.rs
@@ -0,0 +1,84 @@
+//! Several searches in one request, all at once.
+
+use super::answer::Failure;
+use super::dsl::Search;
+use super::params::{json_body, Params};
+use super::{illegal, ok, Answered, OpenSearch, Terms};
+use crate::net::http::Request;
+use serde_json::{json, Value};
+use std::future::Future;
+use std::pin::Pin;
+use tokio::task::JoinSet;
+
+/// Searches that one `_msearch` may hold.
+const MOST_SEARCHES: usize = 32;
+
+impl OpenSearch {
+    pub(super) fn msearch(
+        &self,
+        default: &str,
+        request: &Request,
+    ) -> Pin<Box<dyn Future<Output = Answered> + Send>> {
+        let front = self.clone();
+        let prepared = self.prepare_many(default, request);
+        let arrived = request.arrived;
+        Box::pin(async move {
+            let mut running = JoinSet::new();
+            let prepared = prepared?;
+            let mut answers: Vec<Value> = vec![Value::Null; prepared.len()];
+            for (n, (name, one)) in prepared.into_iter().enumerate() {
+                let front = front.clone();
+                running.spawn(async move {
+                    let answer = match one {
+                        Ok((search, terms)) => {
+                            front.run(name.clone(), search.clone(), terms).await.map(|m| {
+                                let mut body = m.search(&name, &search, arrived.elapsed().as_millis());
+                                body["status"] = 200.into();
+                                body
+                            })
+                        }
+                        Err(e) => Err(e),
+                    };
+                    (n, answer.unwrap_or_else(|e| e.body(&name)))
+                });
+            }
+            while let Some(done) = running.join_next().await {
+                let (n, answer) = done.map_err(|e| Failure::new(500, "exception", e.to_string()))?;
+                answers[n] = answer;
+            }
+            Ok(ok(&json!({"took": arrived.elapsed().as_millis() as u64, "responses": answers})))
+        })
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn prepare_many(
+        &self,
+        default: &str,
+        request: &Request,
+    ) -> Result<Vec<(String, Result<(Search, Terms), Failure>)>, Failure> {
+        let params = Params::read(request, &["timeout", "allow_partial_search_results"])?;
+        let body = std::str::from_utf8(&request.body).map_err(|_| illegal("the body is no text".into()))?;
+        let Some(body) = body.strip_suffix('\n') else {
+            return Err(illegal("The msearch request must be terminated by a newline [\n]".into()));
+        };
+        let lines: Vec<&str> = body.split('\n').collect();
+        if !lines.len().is_multiple_of(2) || lines.len() / 2 > MOST_SEARCHES {
+            return Err(illegal(format!("an msearch is up to {MOST_SEARCHES} pairs of lines")));
+        }
+        let one = |pair: &[&str]| {
+            let head = json_body(pair[0].as_bytes())?;
+            let fields = head.as_object().into_iter().flatten();
+            if let Some((key, _)) = fields.clone().find(|(k, v)| *k != "index" || !v.is_string()) {
+                return Err(illegal(format!("key [{key}] is not supported in the metadata section")));
+            }
+            let name = head["index"].as_str().unwrap_or(default).to_owned();
+            let search = (|| -> Result<_, Failure> {
+                let index = self.index(&name)?;
+                let terms = self.terms(request, &params, index)?;
+                Ok((self.reader(index).search(&json_body(pair[1].as_bytes())?)?, terms))
+            })();
+            Ok((name, search))
+        };
+        lines.chunks(2).map(one).collect()
+    }
+}
