A host that answers stays in use while its heartbeats are late

Cause: heartbeats may come seconds late. A host without one for two and a half periods was left out at once, however well it answered; with most heartbeats late at the same time the few others were given all requests.

Change: a silent host that has answered here within a second counts as before. Where fewer than a quarter of the hosts are well, those that have only stopped sending heartbeats are used too.

Measured: balancing's tests late_beats.rs, 3 passed; without the change two fail (none of 100 requests to a host that answers; all 36 at once to the one of nine with a heartbeat in time). All of balancing's tests pass.

--- a/crates/balancing/src/choice.rs
+++ b/crates/balancing/src/choice.rs
@@ -27,7 +27,8 @@
 const OVERDUE: f64 = 1.5;
 /// A pause between the events of a stream beyond which its host looks dark.
 const PAUSE: Duration = Duration::from_millis(400);
-/// With fewer than one in so many hosts well, those that look bad without being dark are used too.
+/// With fewer than one in so many hosts well, those that look bad without being dark, or have only stopped
+/// sending heartbeats, are used too.
 const PANIC: usize = 4;
 /// When to come back: nothing known; all full.
 const UNKNOWN: Duration = Duration::from_millis(500);
@@ -132,7 +133,7 @@
         // The home is the same whatever was tried: it is where others send such prompts.
         let prompt = order::key(ask.parts);
         let home = prompt.filter(|_| service.model()).and_then(|p| {
-            let well = hosts.iter().filter(|(_, h)| h.usable() && !h.health.out() && !h.info.silent);
+            let well = hosts.iter().filter(|(_, h)| h.usable() && !h.health.out() && !h.lost(now));
             well.max_by_key(|(_, h)| order::weight(p, h.place)).map(|(k, _)| *k)
         });
         let cost = |keys: &[usize]| -> Vec<Candidate> {
@@ -151,10 +152,12 @@
         }
 
         let mut fit: Vec<usize> =
-            opens.iter().filter(|(_, h)| !h.health.out() && !h.info.silent).map(|(k, _)| *k).collect();
+            opens.iter().filter(|(_, h)| !h.health.out() && !h.lost(now)).map(|(k, _)| *k).collect();
         if !fit.is_empty() && fit.len() * PANIC < known {
-            let bad = opens.iter().filter(|(_, h)| h.health.out() && !h.health.dark() && !h.info.silent);
-            fit.extend(bad.map(|(k, _)| *k));
+            let bad = |h: &Host| h.health.out() && !h.health.dark() && !h.info.silent;
+            // With so many silent at once it is rather their heartbeats that have trouble.
+            let silent = |h: &Host| h.lost(now) && !h.health.out();
+            fit.extend(opens.iter().filter(|(_, h)| bad(h) || silent(h)).map(|(k, _)| *k));
         }
         let mut listed: Vec<usize> = Vec::new();
         if fit.is_empty() {
--- a/crates/balancing/src/host.rs
+++ b/crates/balancing/src/host.rs
@@ -100,6 +100,8 @@
 
 /// Time constant with which lateness is forgotten, in ms.
 const FORGET_MS: f64 = 800.0;
+/// What came from a host shows it alive for so long.
+const HEARD: Duration = Duration::from_secs(1);
 
 impl Host {
     pub(crate) fn new(info: HostInfo, service: usize, now: Duration, late_comer: bool) -> Self {
@@ -145,9 +147,15 @@
         !self.info.draining && !self.moved && !self.gone
     }
 
+    /// Whether its heartbeats have stopped and nothing else has come from it lately. Heartbeats may be seconds
+    /// late: a host that answers here is there.
+    pub(crate) fn lost(&self, now: Duration) -> bool {
+        self.info.silent && self.heard.is_none_or(|t| now.saturating_sub(t) > HEARD)
+    }
+
     /// Whether it may be listed.
     pub(crate) fn fit(&self, now: Duration) -> bool {
-        self.usable() && !self.health.out() && !self.info.silent && !self.full(now)
+        self.usable() && !self.health.out() && !self.lost(now) && !self.full(now)
     }
 
     pub(crate) fn full(&self, now: Duration) -> bool {
--- a/crates/balancing/src/policy.rs
+++ b/crates/balancing/src/policy.rs
@@ -312,7 +312,7 @@
                 if back {
                     host.health.heard_elsewhere(now);
                 }
-                if back || info.draining || info.silent {
+                if back || info.draining || host.lost(now) {
                     self.unlist(key);
                 }
                 return;
