--- a/crates/control-plane/tests/cut_off_groups.rs
+++ b/crates/control-plane/tests/cut_off_groups.rs
@@ -231,3 +231,17 @@
         version = core.all_agree_on(version, unclear);
     }
 }
+
+/// Clocks that drift by far more than a tenth against each other: two act at once, and the check sees it.
+#[test]
+#[should_panic(expected = "act at")]
+fn clocks_that_drift_too_far_are_found_out() {
+    let mut core = Core::started(3, 1);
+    let primary = core.primary();
+    for n in 0..3 {
+        core.set_drift(n, if n == primary { -300_000 } else { 300_000 });
+    }
+    core.run(LEASE);
+    core.cut_side(&[primary], Way::Neither);
+    core.run(LEASE * 2);
+}
--- a/crates/simulator/src/drawn.rs
+++ b/crates/simulator/src/drawn.rs
@@ -23,12 +23,22 @@
     Storm,
     /// [`Plan::promises`].
     Promises,
+    /// [`Plan::zones`].
+    Zones,
 }
 
 impl Mode {
     /// All modes.
-    pub const ALL: [Mode; 7] =
-        [Self::Drawn, Self::Rough, Self::Long, Self::Aimed, Self::Double, Self::Storm, Self::Promises];
+    pub const ALL: [Mode; 8] = [
+        Self::Drawn,
+        Self::Rough,
+        Self::Long,
+        Self::Aimed,
+        Self::Double,
+        Self::Storm,
+        Self::Promises,
+        Self::Zones,
+    ];
 
     /// Its name on the command line.
     pub fn name(self) -> &'static str {
@@ -40,6 +50,7 @@
             Self::Double => "double",
             Self::Storm => "storm",
             Self::Promises => "promises",
+            Self::Zones => "zones",
         }
     }
 
@@ -58,6 +69,7 @@
             Self::Double => Plan::double(seed),
             Self::Storm => Plan::storm(seed),
             Self::Promises => Plan::promises(seed),
+            Self::Zones => Plan::zones(seed),
         }
     }
 }
@@ -246,6 +258,49 @@
         plan
     }
 
+    /// Budgets by zone or region, six or nine machines in three of them: cuts of 15 to 25 s of a whole one, one way too,
+    /// losses of power and kills of all its machines at once, single troubles beside, as soon as the budget allows.
+    /// Members' clocks run up to 4 % fast or slow in half of the runs.
+    pub fn zones(seed: u64) -> Self {
+        let mut draw = Draw::new(seed, 0x2093);
+        let (orders, drift_ppm) = (Some(draw.orders()), [0, 40_000][draw.index(2)]);
+        let (zone_losses, region_losses) = [(1, 0), (0, 1)][draw.index(2)];
+        let (members, seeds_share_a_zone) = ([6, 6, 9][draw.index(3)], draw.below(3) == 0);
+        let (losses, strict) = (0, true);
+        let mut plan = Self { members, losses, zone_losses, region_losses, drift_ppm, ..Self::calm(seed) };
+        plan = Self { seeds_share_a_zone, strict, orders, ..plan };
+        let mut at = draw.between(4500, 6500);
+        for _ in 0..2 + draw.below(3) {
+            let (zone, way) = (draw.index(3), draw.way());
+            let (long, short) = (draw.between(15_000, 25_000), draw.between(100, 3000));
+            let inside = |n: &usize| if seeds_share_a_zone { n / 2 % 3 == zone } else { n % 3 == zone };
+            let machines: Vec<usize> = (0..members).filter(inside).collect();
+            let length = match draw.below(5) {
+                0 | 1 => {
+                    plan.faults.push((at, Fault::CutZone(zone, long, way)));
+                    let one = machines[draw.index(machines.len())];
+                    plan.faults.push((at + draw.between(500, 14_000), Fault::Kill(one, short)));
+                    long
+                }
+                2 => {
+                    plan.faults.extend(machines.iter().map(|n| (at, Fault::Power(*n, short))));
+                    short
+                }
+                3 => {
+                    plan.faults.extend(machines.iter().map(|n| (at, Fault::Freeze(*n, long))));
+                    long
+                }
+                _ => {
+                    plan.faults.extend(machines.iter().map(|n| (at, Fault::Wipe(*n, short))));
+                    short
+                }
+            };
+            at += length + draw.between(0, 5000);
+        }
+        plan.length = at + ms(14_000);
+        plan.with_agents(&mut draw)
+    }
+
     /// As [`Plan::rough`], and voters are killed right after they have promised, and are back at once.
     pub fn promises(seed: u64) -> Self {
         let mut draw = Draw::new(seed, 0x9405);
--- a/crates/simulator/src/plan.rs
+++ b/crates/simulator/src/plan.rs
@@ -17,6 +17,14 @@
     pub members: usize,
     /// Machines that may be lost at once.
     pub losses: u32,
+    /// Zones that may be lost at once, where zones are counted in place of machines.
+    pub zone_losses: u32,
+    /// Regions that may be lost at once, where regions are counted.
+    pub region_losses: u32,
+    /// Whether machines stand in their zones by twos, so that two of the three seeds share one.
+    pub seeds_share_a_zone: bool,
+    /// By how much members' clocks run fast or slow at most, in millionths.
+    pub drift_ppm: u32,
     /// How long it goes on.
     pub length: Duration,
     /// Faults by their time.
@@ -92,6 +100,10 @@
             seed,
             members,
             losses,
+            zone_losses: 0,
+            region_losses: 0,
+            seeds_share_a_zone: false,
+            drift_ppm: 0,
             length,
             faults: vec![],
             planted: Planted::Nothing,
--- a/crates/simulator/src/shrink.rs
+++ b/crates/simulator/src/shrink.rs
@@ -122,9 +122,10 @@
             o.operators, o.at_once, o.lost, o.again, o.padding
         )
     });
-    let Plan { seed, members, losses, strict, safety_only, agents, .. } = plan;
+    let Plan { seed, members, losses, zone_losses, region_losses, strict, safety_only, agents, .. } = plan;
+    let Plan { seeds_share_a_zone, drift_ppm, .. } = plan;
     format!(
-        "Plan {{ members: {members}, losses: {losses}, length: {}, faults: vec![{}], aimed: vec![{}], strict: {strict}, safety_only: {safety_only}, agents: {agents}, orders: {orders}, ..Plan::calm({seed}) }}",
+        "Plan {{ members: {members}, losses: {losses}, zone_losses: {zone_losses}, region_losses: {region_losses}, seeds_share_a_zone: {seeds_share_a_zone}, drift_ppm: {drift_ppm}, length: {}, faults: vec![{}], aimed: vec![{}], strict: {strict}, safety_only: {safety_only}, agents: {agents}, orders: {orders}, ..Plan::calm({seed}) }}",
         time(plan.length),
         faults.join(", "),
         aimed.join(", ")
--- a/crates/simulator/src/world/budget.rs
+++ b/crates/simulator/src/world/budget.rs
@@ -4,6 +4,7 @@
 use super::{What, World};
 use crate::faults::{Fault, TERM_TIME};
 use crate::plan::ms;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How long a machine still counts as lost after it is back.
@@ -29,6 +30,14 @@
         }
     }
 
+    /// What the budget counts a machine by: itself, or the zone or region that it stands in.
+    fn counted_part(&self, n: usize) -> usize {
+        match self.plan.zone_losses + self.plan.region_losses {
+            0 => n,
+            _ => self.zone_of(n),
+        }
+    }
+
     fn gate(&self, fault: Fault) -> Gate {
         let struck = self.struck(fault);
         let all = matches!(fault, Fault::KillAll(_) | Fault::PowerAll(..));
@@ -45,23 +54,24 @@
             let more = self.disks_lost + loses_disk > self.plan.losses;
             return if more { Gate::Never } else { Gate::Open };
         }
-        let may_be_lost = if all { 0 } else { (self.plan.losses as usize).saturating_sub(struck.len()) };
-        if !all && struck.len() > self.plan.losses as usize {
+        let parts: BTreeSet<usize> = struck.iter().map(|n| self.counted_part(*n)).collect();
+        let most = self.plan.losses.max(self.plan.zone_losses).max(self.plan.region_losses) as usize;
+        let may_be_lost = if all { 0 } else { most.saturating_sub(parts.len()) };
+        if !all && parts.len() > most {
             return Gate::Never;
         }
-        let mut others: Vec<Duration> = (0..self.nodes.len())
-            .filter(|n| all || !struck.contains(n))
-            .map(|n| {
-                let node = &self.nodes[n];
+        // Until when each part of the others counts as lost.
+        let mut others: BTreeMap<usize, Duration> = BTreeMap::new();
+        for n in 0..self.nodes.len() {
+            let (node, part) = (&self.nodes[n], self.counted_part(n));
+            if all || !parts.contains(&part) {
                 // Where all go at once, new ones go too.
-                if all {
-                    node.lost_until
-                } else {
-                    node.lost_until.max(node.new_until)
-                }
-            })
-            .filter(|until| *until > self.now)
-            .collect();
+                let until = if all { node.lost_until } else { node.lost_until.max(node.new_until) };
+                let known = others.entry(part).or_default();
+                *known = until.max(*known);
+            }
+        }
+        let mut others: Vec<Duration> = others.into_values().filter(|until| *until > self.now).collect();
         others.sort_unstable_by(|a, b| b.cmp(a));
         match others.get(may_be_lost) {
             Some(until) => Gate::At(*until),
--- a/crates/simulator/src/world/mod.rs
+++ b/crates/simulator/src/world/mod.rs
@@ -137,6 +137,8 @@
     until: Until,
     /// How long its process stood still in all.
     stood_still: Duration,
+    /// By how much its clock runs fast, in millionths.
+    drift_ppm: i64,
     /// What it last showed as acknowledged in this life.
     shown: Option<Vec<u8>>,
     /// The ledger that its latest view began with, for a planted bug.
@@ -145,6 +147,10 @@
 
 /// Sets what is drawn for pulls apart from what is drawn for members.
 const STATION_SALT: u64 = 0x0057_a710;
+/// As [`STATION_SALT`], for the drift of clocks.
+const DRIFT_SALT: u64 = 0x00d2_1f70;
+/// Parts of a second in which the drift of clocks is told.
+const MILLION: i64 = 1_000_000;
 
 type Due = Reverse<(Duration, u64, usize)>;
 
@@ -153,6 +159,7 @@
     now: Duration,
     rng: Pcg32,
     station_rng: Pcg32,
+    drift_rng: Pcg32,
     nodes: Vec<Node>,
     /// The voters of view 0, as they were when the system began.
     initial_voters: Vec<MemberInfo>,
@@ -187,6 +194,7 @@
         now: ms(1000),
         rng: Pcg32::seed_from_u64(plan.seed),
         station_rng: Pcg32::seed_from_u64(plan.seed ^ STATION_SALT),
+        drift_rng: Pcg32::seed_from_u64(plan.seed ^ DRIFT_SALT),
         nodes: Vec::new(),
         initial_voters: Vec::new(),
         queue: BinaryHeap::new(),
@@ -308,9 +316,30 @@
 
     /// A member's clock.
     fn clock(&self, n: usize) -> Duration {
-        match self.plan.planted {
-            Planted::ClockStopsInFreeze => self.now - self.nodes[n].stood_still,
+        let node = &self.nodes[n];
+        let passed = match self.plan.planted {
+            Planted::ClockStopsInFreeze => self.now - node.stood_still,
             _ => self.now,
+        };
+        let passed = passed.as_nanos() as i128;
+        let drift = passed * i128::from(node.drift_ppm) / i128::from(MILLION);
+        Duration::from_nanos((passed + drift) as u64)
+    }
+
+    /// How long it takes until a member's clock has gone on by so much.
+    fn true_delay(&self, n: usize, delay: Duration) -> Duration {
+        match self.nodes[n].drift_ppm {
+            0 => delay,
+            // Rounded up, so that nobody wakes too early.
+            ppm => delay.mul_f64(MILLION as f64 / (MILLION + ppm) as f64) + Duration::from_micros(2),
+        }
+    }
+
+    fn draw_drift(&mut self) -> i64 {
+        let most = i64::from(self.plan.drift_ppm);
+        match most {
+            0 => 0,
+            _ => i64::from(self.drift_rng.next_u32()) % (2 * most + 1) - most,
         }
     }
 
@@ -336,7 +365,7 @@
             Output::Publish { seq, document, drains } => self.shown(n, seq, &document, &drains),
             Output::Restore { seq, document, drains } => self.restored(n, seq, &document, &drains),
             Output::Wake { at } => {
-                let at = at + (self.now - self.clock(n));
+                let at = self.now + self.true_delay(n, at.saturating_sub(self.clock(n)));
                 self.nodes[n].wake = at;
                 self.at(at, n, What::Wake);
             }
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -154,13 +154,22 @@
         }
     }
 
+    /// The zone, or the region where regions are counted, of a machine.
+    pub(super) fn zone_of(&self, machine: usize) -> usize {
+        match self.plan.seeds_share_a_zone {
+            true => machine / 2 % ZONES,
+            false => machine % ZONES,
+        }
+    }
+
     /// Members in a zone that haven't gone.
     pub(super) fn zone(&self, zone: usize) -> Vec<usize> {
-        (0..self.nodes.len()).filter(|n| n % ZONES == zone % ZONES && !self.nodes[*n].gone).collect()
+        let inside = |n: &usize| self.zone_of(*n) == zone % ZONES;
+        (0..self.nodes.len()).filter(|n| inside(n) && !self.nodes[*n].gone).collect()
     }
 
     pub(super) fn cut_zone(&mut self, zone: usize, way: Option<bool>, on: bool) {
-        let inside = |n: usize| n % ZONES == zone % ZONES;
+        let inside = |n: usize| self.zone_of(n) == zone % ZONES;
         // Machines that are yet to come have numbers, too.
         let agents = AGENTS..AGENTS + self.plan.agents;
         let all: Vec<usize> = (0..MOST_MACHINES).chain(agents).collect();
--- a/crates/simulator/src/world/nodes.rs
+++ b/crates/simulator/src/world/nodes.rs
@@ -1,5 +1,6 @@
 //! The machines: how members come, start and end.
 
+use super::network::ZONES;
 use super::readers::Place;
 use super::{Node, Until, What, World};
 use crate::faults::Moment;
@@ -21,14 +22,20 @@
     pub(super) fn add(&mut self, id: u64) {
         let n = self.nodes.len() as u32;
         let addr = Addr { ip: 0x0a00_0001 + n, port: 7660 };
-        let zone = format!("z{}", n % 3);
+        let part = self.zone_of(n as usize);
+        let (zone, region) = match self.plan.region_losses {
+            0 => (format!("z{part}"), "r".to_owned()),
+            // Two zones in each region.
+            _ => (format!("z{part}-{}", n as usize / ZONES % 2), format!("r{part}")),
+        };
+        let drift_ppm = self.draw_drift();
         let seat = MemberInfo {
             id,
             name: format!("core-{n}"),
             addr,
             control: Addr { port: 80, ..addr },
             zone,
-            region: "r".into(),
+            region,
         };
         self.nodes.push(Node {
             seat,
@@ -45,6 +52,7 @@
             new_until: self.now + NEW,
             until: Until::default(),
             stood_still: ms(0),
+            drift_ppm,
             shown: None,
             view_ledger: None,
         });
@@ -67,7 +75,13 @@
             false => self.nodes.iter().take(INITIAL_VOTERS).map(|n| n.seat.clone()).collect(),
         };
         let random = u64::from(self.rng.next_u32());
-        let losses = self.plan.losses - u32::from(self.plan.planted == Planted::TooFewReplicas);
+        let fewer = u32::from(self.plan.planted == Planted::TooFewReplicas);
+        let budget = FaultBudget {
+            machine_losses: self.plan.losses.saturating_sub(fewer),
+            zones: self.plan.zone_losses.saturating_sub(fewer),
+            region_losses: self.plan.region_losses.saturating_sub(fewer),
+        };
+        let now = self.clock(n);
         let node = &mut self.nodes[n];
         node.life += 1;
         if self.plan.planted == Planted::ForgetsPromises {
@@ -84,12 +98,12 @@
             bootstrap_voters: (first
                 || (self.plan.planted == Planted::WipedVotes && node.records.is_empty()))
             .then_some(seeds),
-            budget: FaultBudget { machine_losses: losses, zones: 0, region_losses: 0 },
+            budget,
             lease: ms(1000),
             patience: ms(900),
             stall: ms(600),
         };
-        node.member = Some(Member::new(config, &node.records, self.now, random));
+        node.member = Some(Member::new(config, &node.records, now, random));
         self.open_station(Place::Member(n));
         self.at(self.now, n, What::Hello);
         self.nodes[n].shown = None;
--- a/crates/simulator/src/world/readers.rs
+++ b/crates/simulator/src/world/readers.rs
@@ -159,6 +159,14 @@
         from.machine() != to.machine() && self.cut.contains_key(&(from.machine(), to.machine()))
     }
 
+    /// The clock of a place's process.
+    fn station_clock(&self, place: Place) -> Duration {
+        match place {
+            Place::Member(n) => self.clock(n),
+            Place::Agent(_) | Place::Proxy(_) => self.now,
+        }
+    }
+
     /// Something reaches a place; while its process stands still it waits.
     fn reach_station(&mut self, delay: Duration, place: Place, life: u32, event: Event) {
         self.at(self.now + delay, 0, What::Station { place, life, event });
@@ -180,7 +188,7 @@
                 return;
             }
         }
-        let now = self.now;
+        let now = self.station_clock(place);
         let Some(station) = self.stations.get_mut(&place) else { return };
         let before = station.mirror.generation();
         let actions = match event {
@@ -234,7 +242,7 @@
 
     /// What follows each event: pulls that waited are answered, the puller hears of members, the next tick is set.
     fn follow_up(&mut self, place: Place, before: u64) {
-        let now = self.now;
+        let now = self.station_clock(place);
         let Some(station) = self.stations.get_mut(&place) else { return };
         if station.mirror.generation() != before {
             let mark = station.mirror.fleet().mark;
@@ -256,7 +264,11 @@
         if station.tick_at <= now || next < station.tick_at {
             station.tick_at = next;
             let life = station.life;
-            self.reach_station(next - now, place, life, Event::Tick);
+            let delay = match place {
+                Place::Member(n) => self.true_delay(n, next - now),
+                Place::Agent(_) | Place::Proxy(_) => next - now,
+            };
+            self.reach_station(delay, place, life, Event::Tick);
         }
     }
 
@@ -310,7 +322,7 @@
 
     /// Whether a pull could be answered by news.
     fn pulled_again(&mut self, place: Place, waits: Waiting) -> bool {
-        let now = self.now;
+        let now = self.station_clock(place);
         let Some(station) = self.stations.get_mut(&place) else { return true };
         match station.mirror.news_for(now, &waits.pull) {
             Some(news) => {
@@ -325,7 +337,7 @@
     }
 
     fn waited(&mut self, place: Place, number: u64) {
-        let now = self.now;
+        let now = self.station_clock(place);
         let Some(station) = self.stations.get_mut(&place) else { return };
         let Some(index) = station.waiting.iter().position(|w| w.number == number) else { return };
         let waits = station.waiting.swap_remove(index);
@@ -355,7 +367,7 @@
 
     /// After each step of a member, its mirror hears who is in the control plane and how fresh its ledger is.
     pub(super) fn station_shows(&mut self, n: usize) {
-        let now = self.now;
+        let now = self.clock(n);
         let node = &self.nodes[n];
         let Some(member) = node.member.as_ref() else { return };
         let Some(station) = self.stations.get_mut(&Place::Member(n)) else { return };
--- a/crates/simulator/tests/modes.rs
+++ b/crates/simulator/tests/modes.rs
@@ -10,6 +10,7 @@
 #[case(Mode::Double, 80)]
 #[case(Mode::Storm, 6)]
 #[case(Mode::Promises, 100)]
+#[case(Mode::Zones, 12)]
 fn schedules_of_a_mode_break_nothing(#[case] mode: Mode, #[case] many: u64) {
     let broken: Vec<_> =
         (0..many).map(|seed| (seed, run(&mode.plan(seed)).breaches)).filter(|r| !r.1.is_empty()).collect();
@@ -17,6 +18,19 @@
     assert!(broken.is_empty(), "{mode:?}: {broken:#?}, the first one made small: {small:?}");
 }
 
+/// Whole zones are cut off, lose power, stand still and lose their disks, in runs with clocks that drift and without.
+#[test]
+fn zones_are_lost_whole() {
+    let struck: Vec<Fault> =
+        (0..12).flat_map(|seed| run(&Plan::zones(seed)).struck).map(|(_, fault)| fault).collect();
+    let times = |of: fn(&Fault) -> bool| struck.iter().filter(|fault| of(fault)).count();
+    assert!(times(|fault| matches!(fault, Fault::CutZone(..))) >= 4, "{struck:?}");
+    assert!(times(|fault| matches!(fault, Fault::Power(..))) >= 4, "{struck:?}");
+    assert!(times(|fault| matches!(fault, Fault::Freeze(..))) >= 4, "{struck:?}");
+    assert!(times(|fault| matches!(fault, Fault::Wipe(..))) >= 4, "{struck:?}");
+    assert!((0..12).any(|seed| Plan::zones(seed).drift_ppm > 0));
+}
+
 /// A run of a mode is the same again, agents and operators with it.
 #[rstest]
 fn a_run_of_a_mode_is_the_same_again(#[values(Mode::Long, Mode::Aimed, Mode::Double)] mode: Mode) {
