Those who go count for the majority of a view until the change of voters is settled

Cause: a view that changes voters needs majorities of both sets, but a member that stands only in the set before refused to accept it, and promised nothing once it had no seat. With one more lost in the middle of a change (voters b c d, before a b c, b lost) the set before had no majority although a was there: for good.

Now whoever stands in either set accepts the view and promises, as the candidate already asked it to.

--- a/crates/control-plane/src/member/voter.rs
+++ b/crates/control-plane/src/member/voter.rs
@@ -12,7 +12,9 @@
         let wait = self.config.lease / 2;
         // One that joins may be a voter without having been told yet: with no view of its own it can't know better
         // than whoever asks, and a promise never does harm.
-        let may_be_voter = self.view.is_none() || (self.is_voter() && !self.given_up());
+        // Until a change of voters is settled, those who go count as well.
+        let counts = self.view.as_ref().is_none_or(|v| v.counts(self.me()));
+        let may_be_voter = counts && !self.given_up();
         if !may_be_voter || !self.fit() {
             return Err(wait);
         }
@@ -129,7 +131,7 @@
         let held = self.view.as_ref().is_some_and(|v| v.epoch == epoch);
         let copy = view.replicas.contains(&self.me());
         let ledger = snapshot.as_ref().map(Ledger::of).transpose();
-        let fits = view.seat(self.me()).is_some() && epoch >= self.promised && copy == snapshot.is_some();
+        let fits = view.counts(self.me()) && epoch >= self.promised && copy == snapshot.is_some();
         match ledger {
             _ if held && epoch >= self.promised => {
                 let message = Message::InstallReply { epoch, ok: true, seen: self.promised };
--- a/crates/protocol/src/membership.rs
+++ b/crates/protocol/src/membership.rs
@@ -101,6 +101,11 @@
         self.voters.iter().find(|s| s.id == id)
     }
 
+    /// Whether an identity counts for a majority: a voter, or one of those before.
+    pub fn counts(&self, id: u64) -> bool {
+        self.voters.iter().chain(&self.before).any(|s| s.id == id)
+    }
+
     /// Whether those that `has` names are a majority of the voters, and of the voters before.
     pub fn majority(&self, has: impl Fn(u64) -> bool) -> bool {
         let most = |seats: &[MemberInfo]| 2 * seats.iter().filter(|s| has(s.id)).count() > seats.len();
