A voter that was never heard of is silent since the takeover, not since the latest view

Cause: for a voter of which a primary had heard nothing in its life (all started again, this one gone) silence counted anew from each view of its own. Right after a view nobody seemed doubtful, so members joined beside a lost voter in place of it, and the next loss left no majority.

Now it counts, as for the others, from a lease before the takeover.

--- a/crates/control-plane/src/member/membership.rs
+++ b/crates/control-plane/src/member/membership.rs
@@ -51,9 +51,10 @@
     }
 
     /// Time since anything came from a voter, in whichever view. Before this member acted voters had no reason to
-    /// speak to it, but for the lease that it waited before it took over.
+    /// speak to it, but for the lease that it waited before it took over; that counts as well for one that was never
+    /// heard of.
     fn silence(&self, state: &PrimaryState, id: u64) -> Duration {
-        let heard = self.peers.get(&id).map_or(state.since, |p| p.heard);
+        let heard = self.peers.get(&id).map_or(Duration::ZERO, |p| p.heard);
         self.now.saturating_sub(heard.max(state.acting_since.saturating_sub(self.config.lease)))
     }
 
