A voter that leaves waits until it is dropped or replaced, where it is about to be

Cause: a member without the ledger ended as soon as no change of voters was half-way, while it was a voter still. Of four voters one was gone then for some tenths of a second, until the primary had dropped it, and the next loss in that time left two of four: nobody acted for good. So in removals, replacements, with two that leave at once, and where a spare takes a leaver's place.

Now it waits for the settled view without it, where it knows of a member that may take its place or there are more voters than the budget of machines needs.

--- a/crates/control-plane/src/member/leave.rs
+++ b/crates/control-plane/src/member/leave.rs
@@ -116,12 +116,19 @@
         }
     }
 
-    /// Whether neither the ledger nor a change of voters rests on this member any more.
+    /// Whether neither the ledger nor a majority rests on this member any more.
     fn succeeded(&self) -> bool {
-        let free = |v: &View| v.settled() && !v.replicas.contains(&self.me());
+        let free = |v: &View| v.settled() && !v.replicas.contains(&self.me()) && !self.gives_up_vote(v);
         self.view.as_ref().is_none_or(free) || self.departure.as_ref().is_some_and(|d| d.succeeded)
     }
 
+    /// Whether this member is a voter that the primary is about to drop, or to replace by one that joins. Until it has
+    /// done so the next loss would leave too few if this member ended.
+    fn gives_up_vote(&self, view: &View) -> bool {
+        let others_join = self.peers.values().any(|p| view.seat(p.seat.id).is_none() && self.may_join(p));
+        view.seat(self.me()).is_some() && (others_join || self.can_spare_a_voter(view))
+    }
+
     /// Whether those who answered lately and stay are a majority, with enough replicas among them.
     fn others_can_go_on(&self) -> bool {
         let (Role::Primary(state), Some(view)) = (&self.role, &self.view) else { return false };
--- a/crates/control-plane/src/member/membership.rs
+++ b/crates/control-plane/src/member/membership.rs
@@ -3,7 +3,7 @@
 use super::candidate::ViewChange;
 use super::primary::{PrimaryState, RENEW_INTERVAL};
 use super::view::{choose_replicas, majority_shortfall};
-use super::Member;
+use super::{Member, Peer};
 use protocol::{MemberInfo, View};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -94,13 +94,21 @@
         choose_replicas(&self.config.budget, &seats).is_some()
     }
 
+    /// Whether a member without a say may be made a voter.
+    pub(super) fn may_join(&self, peer: &Peer) -> bool {
+        let heard_of = self.now < peer.heard + JOIN_WITHIN_LEASES * self.config.lease;
+        heard_of && peer.fit && !peer.seat.zone.is_empty() && !self.left_lately(peer.seat.id)
+    }
+
+    /// Whether there are more voters than the loss of machines needs, so that one that leaves is dropped.
+    pub(super) fn can_spare_a_voter(&self, view: &View) -> bool {
+        view.voters.len() > 2 * self.config.budget.machine_losses as usize + 1
+    }
+
     /// Members without a say that come: in the place of a voter that is lost or leaves, or beside the others.
     fn joining(&self, state: &PrimaryState, view: &View, change: &mut ViewChange) {
-        let (now, lease, me) = (self.now, self.config.lease, self.me());
-        let joins = self.peers.values().filter(|p| {
-            let known = !p.seat.zone.is_empty() && now < p.heard + JOIN_WITHIN_LEASES * lease;
-            known && p.fit && view.seat(p.seat.id).is_none() && !self.left_lately(p.seat.id)
-        });
+        let (lease, me) = (self.config.lease, self.me());
+        let joins = self.peers.values().filter(|p| view.seat(p.seat.id).is_none() && self.may_join(p));
         let mut beside = Vec::new();
         for joiner in joins.map(|p| &p.seat) {
             let at_home = view.voters.iter().find(|v| v.addr == joiner.addr);
@@ -156,8 +164,7 @@
     /// left, or one without whom a loss of its zone or region leaves a majority.
     fn voter_to_drop(&self, state: &PrimaryState, view: &View) -> Option<u64> {
         let (lease, me) = (self.config.lease, self.me());
-        let least = 2 * self.config.budget.machine_losses as usize + 1;
-        if view.voters.len() <= least {
+        if !self.can_spare_a_voter(view) {
             return None;
         }
         // Of an even number of voters one can go without a loss of room.
