--- a/crates/control-plane/src/member/membership.rs
+++ b/crates/control-plane/src/member/membership.rs
@@ -32,7 +32,7 @@
         }
         self.joining(state, view, &mut change);
         if change.add.is_empty() {
-            change.remove.extend(self.voter_to_drop(state, view));
+            change.remove.extend(self.voters_to_drop(state, view));
         }
         let moves = (!state.takes_changes && self.enough_answer(state, view))
             || !change.exclude.is_empty()
@@ -160,26 +160,32 @@
         beside
     }
 
-    /// A voter to go without another in its place: one that leaves or has been silent for long, where enough are
-    /// left, or one without whom a loss of its zone or region leaves a majority.
-    fn voter_to_drop(&self, state: &PrimaryState, view: &View) -> Option<u64> {
-        let (lease, me) = (self.config.lease, self.me());
+    /// Voters to go without others in their place: one that leaves or has been silent for long, where enough are left,
+    /// and those without whom a loss of their zone or region leaves a majority. They go at once: between two changes
+    /// the next loss may come.
+    fn voters_to_drop(&self, state: &PrimaryState, view: &View) -> BTreeSet<u64> {
+        let mut dropped = BTreeSet::new();
         if !self.can_spare_a_voter(view) {
-            return None;
+            return dropped;
         }
+        let (lease, me) = (self.config.lease, self.me());
         // Of an even number of voters one can go without a loss of room.
         let even = view.voters.len().is_multiple_of(2);
         let patience = if even { REPLACE_AFTER_LEASES } else { REMOVE_AFTER_LEASES };
         let others = || view.voters.iter().filter(|v| v.id != me);
         let leaves = others().find(|v| self.peer_leaving(v.id));
         let silent = || others().find(|v| self.silence(state, v.id) > patience * lease);
-        let drop = leaves.or_else(silent).map(|v| v.id);
-        drop.or_else(|| self.voter_in_the_way(view))
+        dropped.extend(leaves.or_else(silent).map(|v| v.id));
+        while let Some(voter) = self.voter_in_the_way(view, &dropped) {
+            dropped.insert(voter);
+        }
+        dropped
     }
 
-    /// A voter of a zone or region that holds so many that its loss would leave no majority.
-    fn voter_in_the_way(&self, view: &View) -> Option<u64> {
-        let voters: Vec<MemberInfo> = view.voters.iter().map(|s| self.fresh(s)).collect();
+    /// Of the voters that stay, one of a zone or region that holds so many that its loss would leave no majority.
+    fn voter_in_the_way(&self, view: &View, dropped: &BTreeSet<u64>) -> Option<u64> {
+        let stays = |s: &&MemberInfo| !dropped.contains(&s.id);
+        let voters: Vec<MemberInfo> = view.voters.iter().filter(stays).map(|s| self.fresh(s)).collect();
         let shortfall = |without: u64| {
             let seats: Vec<&MemberInfo> = voters.iter().filter(|s| s.id != without).collect();
             majority_shortfall(&self.config.budget, &seats)
--- a/crates/control-plane/tests/cluster/mod.rs
+++ b/crates/control-plane/tests/cluster/mod.rs
@@ -6,31 +6,62 @@
 use control_plane::member::{Config, Input, Member, Output};
 use protocol::{Addr, Command, MemberInfo, Message, View};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 pub const LEASE: Duration = Duration::from_millis(1000);
 const NETWORK: Duration = Duration::from_millis(1);
 const DISK: Duration = Duration::from_millis(2);
 const LINK_REPORT: Duration = Duration::from_millis(1000);
+/// A process that was asked to end ends after this at the latest, and so soon once it may.
+const LEAVE_TIME: Duration = Duration::from_millis(5000);
+const LAST_WORDS: Duration = Duration::from_millis(50);
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
 /// What may be lost: machines, zones, regions.
-pub fn budget(machine_losses: u32, zones: u32, region_losses: u32) -> FaultBudget {
+pub const fn budget(machine_losses: u32, zones: u32, region_losses: u32) -> FaultBudget {
     FaultBudget { machine_losses, zones, region_losses }
 }
 
+#[derive(Clone)]
 enum Event {
     Wake,
-    Deliver { from: MemberInfo, message: Box<Message> },
-    Wrote { ticket: u64, records: Vec<Vec<u8>>, rewrite: bool },
+    Deliver {
+        from: MemberInfo,
+        message: Box<Message>,
+    },
+    Wrote {
+        ticket: u64,
+        records: Vec<Vec<u8>>,
+        rewrite: bool,
+    },
     Links,
+    /// A process that was asked to end has had its time.
+    End,
+}
+
+impl Event {
+    /// Whether it is a step of a change of the view, and not one that recurs while nothing changes.
+    fn is_step(&self) -> bool {
+        match self {
+            Event::Deliver { message, .. } => !matches!(
+                **message,
+                Message::RenewLease { .. }
+                    | Message::LeaseReply { .. }
+                    | Message::ForwardCommand { .. }
+                    | Message::CommandResult { .. }
+            ),
+            Event::Wrote { .. } | Event::End => true,
+            Event::Wake | Event::Links => false,
+        }
+    }
 }
 
 /// Whether a message from one machine to another is lost.
-type Loses = Box<dyn Fn(usize, usize, &Message) -> bool>;
+type Loses = Rc<dyn Fn(usize, usize, &Message) -> bool>;
 
 /// A view as one machine sees it: identities.
 #[derive(Debug)]
@@ -43,6 +74,7 @@
     pub before: Vec<u64>,
 }
 
+#[derive(Clone)]
 struct Node {
     seat: MemberInfo,
     member: Option<Member>,
@@ -51,9 +83,12 @@
     records: Vec<Vec<u8>>,
     cut: bool,
     left: bool,
+    /// The process ends once nothing is left to hand over.
+    ends: bool,
     wake: Duration,
 }
 
+#[derive(Clone)]
 pub struct Cluster {
     pub now: Duration,
     budget: FaultBudget,
@@ -62,6 +97,8 @@
     events: u64,
     tickets: u64,
     answers: BTreeMap<u64, (Code, Vec<u8>)>,
+    /// Steps of changes so far: moments at which something may strike.
+    pub steps: u64,
     /// Writes of these members take so long.
     pub slow_disks: BTreeMap<usize, Duration>,
     /// Messages that are lost: from, to, message.
@@ -81,6 +118,7 @@
             events: 0,
             tickets: 0,
             answers: BTreeMap::new(),
+            steps: 0,
             slow_disks: BTreeMap::new(),
             loses: None,
             sizes: (0, usize::MAX),
@@ -112,7 +150,16 @@
             region: region.into(),
         };
         let (records, wake) = (vec![], ms(0));
-        self.nodes.push(Node { seat, member: None, life: 0, records, cut: false, left: false, wake });
+        self.nodes.push(Node {
+            seat,
+            member: None,
+            life: 0,
+            records,
+            cut: false,
+            left: false,
+            ends: false,
+            wake,
+        });
         n
     }
 
@@ -137,7 +184,7 @@
         let node = &mut self.nodes[n];
         node.life += 1;
         node.wake = ms(0);
-        node.left = false;
+        (node.left, node.ends) = (false, false);
         node.member = Some(Member::new(config, &node.records, self.now, random));
         self.push(ms(0), n, Event::Wake);
         self.push(ms(1), n, Event::Links);
@@ -178,6 +225,43 @@
         self.step(n, Input::Leave);
     }
 
+    /// The process is asked to end, and ends once it may.
+    pub fn terminate(&mut self, n: usize) {
+        self.nodes[n].ends = true;
+        self.push(LEAVE_TIME, n, Event::End);
+        self.leave(n);
+    }
+
+    /// The process ends at once; what it was writing is on its disk.
+    pub fn kill_after_write(&mut self, n: usize) {
+        let life = self.nodes[n].life;
+        let node = &mut self.nodes[n];
+        for (_, _, event) in self.queue.values().filter(|e| e.0 == n && e.1 == life) {
+            if let Event::Wrote { records, rewrite, .. } = event {
+                if *rewrite {
+                    node.records.clear();
+                }
+                node.records.extend(records.iter().cloned());
+            }
+        }
+        self.kill(n);
+    }
+
+    /// The number of a machine's life: another one for each process, and for none in between.
+    pub fn life(&self, n: usize) -> u32 {
+        self.nodes[n].life
+    }
+
+    /// Whether a machine's process runs.
+    pub fn runs(&self, n: usize) -> bool {
+        self.nodes[n].member.is_some()
+    }
+
+    /// How many machines there have been.
+    pub fn machines(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// Whether the process may end.
     pub fn left(&self, n: usize) -> bool {
         self.nodes[n].left
@@ -258,7 +342,12 @@
                 self.nodes[n].wake = at;
                 self.push(at.saturating_sub(self.now), n, Event::Wake);
             }
-            Output::Left => self.nodes[n].left = true,
+            Output::Left => {
+                self.nodes[n].left = true;
+                if self.nodes[n].ends {
+                    self.push(LAST_WORDS, n, Event::End);
+                }
+            }
             Output::Publish { .. } | Output::Restore { .. } => {}
         }
     }
@@ -287,12 +376,16 @@
                 }
                 self.push(LINK_REPORT, n, Event::Links);
             }
+            Event::End => self.kill(n),
         }
     }
 
     /// Lets the next thing happen that is due until then.
     fn next(&mut self, until: Duration) -> bool {
-        let Some(((at, _), (n, life, event))) = self.queue.pop_first() else { return false };
+        let Some(((at, _), (n, life, event))) = self.queue.pop_first() else {
+            self.now = until;
+            return false;
+        };
         if at > until {
             self.queue.insert((at, 0), (n, life, event));
             self.now = until;
@@ -300,6 +393,7 @@
         }
         self.now = self.now.max(at);
         if self.nodes[n].life == life && self.nodes[n].member.is_some() {
+            self.steps += u64::from(event.is_step());
             self.happen(n, event);
         }
         true
--- a/crates/control-plane/tests/second_loss.rs
+++ b/crates/control-plane/tests/second_loss.rs
@@ -134,8 +134,9 @@
     cluster.run(ms(3500));
     // Installing views doesn't reach the new one, but all else does.
     let new = cluster.add("r/d");
-    cluster.loses =
-        Some(Box::new(move |_, to, message| to == new && matches!(message, Message::InstallView { .. })));
+    cluster.loses = Some(std::rc::Rc::new(move |_, to, message| {
+        to == new && matches!(message, Message::InstallView { .. })
+    }));
     cluster.until(SOON, |c| c.votes(new) && c.current().settled()).expect("it becomes a voter");
     assert_eq!(cluster.view(new).epoch, 0);
     cluster.kill(first);
