--- a/crates/control-plane/src/member/membership.rs
+++ b/crates/control-plane/src/member/membership.rs
@@ -3,7 +3,7 @@
 use super::candidate::ViewChange;
 use super::primary::{PrimaryState, RENEW_INTERVAL};
 use super::view::{choose_replicas, majority_shortfall};
-use super::Member;
+use super::{Member, Peer};
 use protocol::{MemberInfo, View};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -32,7 +32,7 @@
         }
         self.joining(state, view, &mut change);
         if change.add.is_empty() {
-            change.remove.extend(self.voter_to_drop(state, view));
+            change.remove.extend(self.voters_to_drop(state, view));
         }
         let moves = (!state.takes_changes && self.enough_answer(state, view))
             || !change.exclude.is_empty()
@@ -51,9 +51,10 @@
     }
 
     /// Time since anything came from a voter, in whichever view. Before this member acted voters had no reason to
-    /// speak to it, but for the lease that it waited before it took over.
+    /// speak to it, but for the lease that it waited before it took over; that counts as well for one that was never
+    /// heard of.
     fn silence(&self, state: &PrimaryState, id: u64) -> Duration {
-        let heard = self.peers.get(&id).map_or(state.since, |p| p.heard);
+        let heard = self.peers.get(&id).map_or(Duration::ZERO, |p| p.heard);
         self.now.saturating_sub(heard.max(state.acting_since.saturating_sub(self.config.lease)))
     }
 
@@ -93,13 +94,21 @@
         choose_replicas(&self.config.budget, &seats).is_some()
     }
 
+    /// Whether a member without a say may be made a voter.
+    pub(super) fn may_join(&self, peer: &Peer) -> bool {
+        let heard_of = self.now < peer.heard + JOIN_WITHIN_LEASES * self.config.lease;
+        heard_of && peer.fit && !peer.seat.zone.is_empty() && !self.left_lately(peer.seat.id)
+    }
+
+    /// Whether there are more voters than the loss of machines needs, so that one that leaves is dropped.
+    pub(super) fn can_spare_a_voter(&self, view: &View) -> bool {
+        view.voters.len() > 2 * self.config.budget.machine_losses as usize + 1
+    }
+
     /// Members without a say that come: in the place of a voter that is lost or leaves, or beside the others.
     fn joining(&self, state: &PrimaryState, view: &View, change: &mut ViewChange) {
-        let (now, lease, me) = (self.now, self.config.lease, self.me());
-        let joins = self.peers.values().filter(|p| {
-            let known = !p.seat.zone.is_empty() && now < p.heard + JOIN_WITHIN_LEASES * lease;
-            known && p.fit && view.seat(p.seat.id).is_none() && !self.left_lately(p.seat.id)
-        });
+        let (lease, me) = (self.config.lease, self.me());
+        let joins = self.peers.values().filter(|p| view.seat(p.seat.id).is_none() && self.may_join(p));
         let mut beside = Vec::new();
         for joiner in joins.map(|p| &p.seat) {
             let at_home = view.voters.iter().find(|v| v.addr == joiner.addr);
@@ -158,27 +167,32 @@
         beside
     }
 
-    /// A voter to go without another in its place: one that leaves or has been silent for long, where enough are
-    /// left, or one without whom a loss of its zone or region leaves a majority.
-    fn voter_to_drop(&self, state: &PrimaryState, view: &View) -> Option<u64> {
-        let (lease, me) = (self.config.lease, self.me());
-        let least = 2 * self.config.budget.machine_losses as usize + 1;
-        if view.voters.len() <= least {
-            return None;
+    /// Voters to go without others in their place: one that leaves or has been silent for long, where enough are left,
+    /// and those without whom a loss of their zone or region leaves a majority. They go at once: between two changes
+    /// the next loss may come.
+    fn voters_to_drop(&self, state: &PrimaryState, view: &View) -> BTreeSet<u64> {
+        let mut dropped = BTreeSet::new();
+        if !self.can_spare_a_voter(view) {
+            return dropped;
         }
+        let (lease, me) = (self.config.lease, self.me());
         // Of an even number of voters one can go without a loss of room.
         let even = view.voters.len().is_multiple_of(2);
         let patience = if even { REPLACE_AFTER_LEASES } else { REMOVE_AFTER_LEASES };
         let others = || view.voters.iter().filter(|v| v.id != me);
         let leaves = others().find(|v| self.peer_leaving(v.id));
         let silent = || others().find(|v| self.silence(state, v.id) > patience * lease);
-        let drop = leaves.or_else(silent).map(|v| v.id);
-        drop.or_else(|| self.voter_in_the_way(view))
+        dropped.extend(leaves.or_else(silent).map(|v| v.id));
+        while let Some(voter) = self.voter_in_the_way(view, &dropped) {
+            dropped.insert(voter);
+        }
+        dropped
     }
 
-    /// A voter of a zone or region that holds so many that its loss would leave no majority.
-    fn voter_in_the_way(&self, view: &View) -> Option<u64> {
-        let voters: Vec<MemberInfo> = view.voters.iter().map(|s| self.fresh(s)).collect();
+    /// Of the voters that stay, one of a zone or region that holds so many that its loss would leave no majority.
+    fn voter_in_the_way(&self, view: &View, dropped: &BTreeSet<u64>) -> Option<u64> {
+        let stays = |s: &&MemberInfo| !dropped.contains(&s.id);
+        let voters: Vec<MemberInfo> = view.voters.iter().filter(stays).map(|s| self.fresh(s)).collect();
         let shortfall = |without: u64| {
             let seats: Vec<&MemberInfo> = voters.iter().filter(|s| s.id != without).collect();
             majority_shortfall(&self.config.budget, &seats)
