Told to stop three seconds ago, no stream is begun that the end could cut

Cause: a process that is told to stop takes requests until its grace is over. A stream that came late and lasted longer was cut at the end, though its client could have gone to another machine.

Change: a request on a streaming route that comes more than 3 s after the signal, and whose deadline lies beyond the grace, is refused (503, not run) before a host hears of it. Shorter streams and other requests are served on.

--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -27,6 +27,9 @@
 /// Time between two calls of the policy at least, while attempts are out.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Told to stop, streams that may outlast the process are taken for so long.
+const LAST_STREAMS: Duration = Duration::from_secs(3);
+
 /// What is known since the last news.
 pub(crate) struct RoutingTable {
     document: Arc<Document>,
@@ -49,6 +52,9 @@
     began: Notify,
     pub(crate) hints: RefCell<Hints>,
     pub(crate) stopping: Cell<bool>,
+    /// When it was told to stop, and how long after that the platform ends it.
+    told_to_stop: Cell<Option<Instant>>,
+    grace: Duration,
     pub(crate) idle_clients: RefCell<IdleClients>,
     pub(crate) most_clients: usize,
     most_bodies: usize,
@@ -86,6 +92,8 @@
             began: Notify::new(),
             hints: RefCell::default(),
             stopping: Cell::new(false),
+            told_to_stop: Cell::new(None),
+            grace: seconds(bounds.grace_s),
             idle_clients: RefCell::default(),
             most_clients: (fds * CLIENTS_SHARE) as usize,
             most_bodies: (memory * BODIES_SHARE) as usize,
@@ -136,6 +144,19 @@
         self.known.borrow().as_ref().and_then(|k| k.conns.get(service).copied()).unwrap_or(4)
     }
 
+    /// The process is told to stop.
+    pub(crate) fn stop(&self) {
+        self.stopping.set(true);
+        self.told_to_stop.set(Some(Instant::now()));
+    }
+
+    /// Whether a stream that comes now could be cut by the end of this process, though its client could have gone
+    /// elsewhere: the platform has long been told.
+    pub(crate) fn too_late_for_stream(&self, arrived: Instant, deadline: Instant) -> bool {
+        let Some(told) = self.told_to_stop.get() else { return false };
+        arrived > told + LAST_STREAMS && deadline > told + self.grace
+    }
+
     /// While attempts are out, tells the policy that time passes: a stall of this process shows in a gap.
     pub(crate) async fn tick(&self) {
         loop {
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -74,8 +74,12 @@
     let ms = |ms: f64| Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX / 4);
     let asked = fields.text("fennelpin-deadline-ms").and_then(|v| v.parse().ok()).filter(|v: &f64| *v >= 0.0);
     let time = asked.unwrap_or(f64::INFINITY).min(route.deadline_ms);
+    let deadline = arrived.saturating_add(ms(time));
+    if route.kind == Kind::Streaming && core.too_late_for_stream(request.arrived, core.at(deadline)) {
+        return refuse(Code::Leaving, Some(RETRY_AFTER.1)).await;
+    }
     core.policy.borrow_mut().arrived(core.now(), service);
-    let trial = RetryState::new(route.idempotent(), route.max_tries, arrived.saturating_add(ms(time)));
+    let trial = RetryState::new(route.idempotent(), route.max_tries, deadline);
     let mut exchange = Exchange {
         core,
         client,
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -132,7 +132,7 @@
         }
     }
     log::info!("stopping");
-    core.stopping.set(true);
+    core.stop();
     let grace = Duration::try_from_secs_f64(boot.bounds.grace_s).unwrap_or_default();
     let last = Instant::now() + grace.saturating_sub(BEFORE_KILL);
     let until = last.min(Instant::now() + SERVE_ON);
