--- a/crates/proxy/src/core.rs
+++ b/crates/proxy/src/core.rs
@@ -133,9 +133,10 @@
         self.shutdown.get().is_none() && self.known.borrow().as_ref().is_some_and(|k| k.has_hosts)
     }
 
-    /// Whether a request with this deadline may be given to a host now.
-    pub(crate) fn takes(&self, deadline: Duration) -> bool {
-        self.shutdown.get().is_none_or(|shutdown| shutdown.takes(self.now(), deadline))
+    /// Whether a request with this deadline may be given to a host now; `repeatable` where it is answered whole and may
+    /// run twice.
+    pub(crate) fn takes(&self, deadline: Duration, repeatable: bool) -> bool {
+        self.shutdown.get().is_none_or(|shutdown| shutdown.takes(self.now(), deadline, repeatable))
     }
 
     /// Connections that one host of this service takes from this process.
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -75,7 +75,7 @@
     let asked = fields.text("fennelpin-deadline-ms").and_then(|v| v.parse().ok()).filter(|v: &f64| *v >= 0.0);
     let time = asked.unwrap_or(f64::INFINITY).min(route.deadline_ms);
     let deadline = arrived.saturating_add(ms(time));
-    if !core.takes(deadline) {
+    if !core.takes(deadline, route.kind == Kind::Pure) {
         // Whoever asks again reaches another machine, which may serve at once.
         return refuse(Code::Leaving, Some(RETRY_AFTER.0)).await;
     }
