A member without a say that lost touch with the primary says so within 0.25 s

Cause: it knows who acts by what others told it, and kept to that for as long as it was cut off: each call there was handed on to nobody and waited for 3.5 s, where voters answer within 0.25 s.

Change: whom nothing was heard of for three leases, neither a message nor a link that is up, isn't taken for the primary by hearsay. The status of a process that just woke tells whether it acts by the clock of now, not by that of its latest step.

The line of the status has no test of its own; what it asks (acts_at) is asserted in cut_off.rs.

--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -32,6 +32,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Whom nothing was heard of for so many leases is out of touch. Links tell once a lease that they are up.
+const IN_TOUCH_LEASES: u32 = 3;
+
 /// What a member is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -494,11 +497,18 @@
                 // Who has no say grants no leases, and knows by what others tell alone.
                 let newer = |epoch: u64| self.view.as_ref().is_none_or(|v| epoch > v.epoch);
                 let told = || self.hint.as_ref().filter(|h| !self.is_voter() || newer(h.0));
+                let told = || told().filter(|h| self.in_touch_with(h.1.id));
                 granted.or_else(|| told().map(|h| h.1.clone()))
             }
         }
     }
 
+    /// Whether a member was heard of lately, itself or by a link to it; one never heard of may be about to be reached.
+    fn in_touch_with(&self, id: u64) -> bool {
+        let silent_at = |heard: Duration| heard + IN_TOUCH_LEASES * self.config.lease;
+        self.peers.get(&id).is_none_or(|peer| self.now < silent_at(peer.heard))
+    }
+
     /// Takes who is the primary in the view of an epoch, as others tell. It only says whom to hand commands to.
     pub fn learn_primary(&mut self, epoch: u64, primary: MemberInfo) {
         if primary.id != self.me() && self.hint.as_ref().is_none_or(|h| epoch >= h.0) {
--- a/crates/control-plane/src/shell/status.rs
+++ b/crates/control-plane/src/shell/status.rs
@@ -31,7 +31,7 @@
         let now = self.origin.elapsed();
         MemberStatus {
             view: self.member.view().cloned(),
-            acts: self.member.acts(),
+            acts: self.member.acts_at(now),
             primary: self.member.primary(),
             promised: self.member.promised(),
             fit: self.member.fit(),
--- a/crates/control-plane/tests/cut_off.rs
+++ b/crates/control-plane/tests/cut_off.rs
@@ -59,6 +59,8 @@
     let calls = [core.call(old, READ), core.call(old, replace(5, 6)), core.call(old, replace(7, 9))];
     core.nodes[old].inbox.rotate_right(3);
     core.thaw(old);
+    // Before anything has reached it, too: its status is asked for by people.
+    assert!(!core.nodes[old].member.acts_at(core.clock(old)));
     core.turn(old);
     assert!(!core.nodes[old].member.acts());
     core.run(ACK);
--- /dev/null
+++ b/crates/control-plane/tests/without_a_say.rs
@@ -0,0 +1,111 @@
+//! A member without a say knows who acts by what others tell alone: it hands calls on while it is in touch with that
+//! member, and sends its callers elsewhere once it isn't.
+
+use configuration::{Code, FaultBudget};
+use control_plane::member::{Config, Input, Member, Output};
+use protocol::{Addr, Command, MemberInfo, Message};
+use rstest::rstest;
+use std::time::Duration;
+
+const LEASE: Duration = Duration::from_millis(1000);
+const READ: Command = Command::Read { reserved: 0 };
+const EPOCH: u64 = 1 << 20;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn seat(id: u64) -> MemberInfo {
+    let addr = Addr { ip: id as u32, port: 7660 };
+    MemberInfo { id, name: format!("core-{id}"), addr, control: addr, zone: "z".into(), region: "r".into() }
+}
+
+/// A member that no view names, and what it answered.
+struct Mirroring {
+    now: Duration,
+    member: Member,
+    forwarded: usize,
+    answers: Vec<(u64, Duration, Code)>,
+}
+
+impl Mirroring {
+    fn told_of(primary: u64) -> Self {
+        let config = Config {
+            me: seat(9),
+            bootstrap_voters: None,
+            budget: FaultBudget { machine_losses: 1, ..FaultBudget::default() },
+            lease: LEASE,
+            patience: ms(3500),
+            stall: ms(600),
+        };
+        let member = Member::new(config, &[], ms(0), 7);
+        let mut mirroring = Self { now: ms(0), member, forwarded: 0, answers: vec![] };
+        mirroring.member.learn_primary(EPOCH, seat(primary));
+        mirroring
+    }
+
+    fn step(&mut self, input: Input) {
+        let mut out = Vec::new();
+        self.member.step(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Send { message: Message::ForwardCommand { .. }, .. } => self.forwarded += 1,
+                Output::Answer { ticket, code, .. } => self.answers.push((ticket, self.now, code)),
+                _ => {}
+            }
+        }
+    }
+
+    /// Time passes; its link to the primary says every second that it is up, or nothing.
+    fn run(&mut self, long: Duration, linked_to: Option<u64>) {
+        let end = self.now + long;
+        while self.now < end {
+            self.now += ms(1);
+            let reports = (self.now.as_millis() as u64).is_multiple_of(1000);
+            match linked_to.filter(|_| reports) {
+                Some(primary) => self.step(Input::Reachable { seat: seat(primary) }),
+                None => self.step(Input::Tick),
+            }
+        }
+    }
+
+    /// How long a call took and what it came to, where its primary answers nothing.
+    fn call(&mut self, ticket: u64, linked_to: Option<u64>) -> (Duration, Code) {
+        let since = self.now;
+        self.step(Input::Command { ticket, command: READ });
+        self.run(ms(4000), linked_to);
+        let answer = self.answers.iter().find(|answer| answer.0 == ticket).expect("an answer");
+        (answer.1 - since, answer.2)
+    }
+}
+
+#[test]
+fn it_hands_on_to_whom_it_was_told_of() {
+    let mut mirroring = Mirroring::told_of(1);
+    let (took, code) = mirroring.call(1, Some(1));
+    assert!(mirroring.forwarded > 0);
+    assert_eq!((took, code), (ms(3500), Code::Unclear));
+}
+
+/// Whom it was told of and has never heard of itself, it may be about to reach.
+#[test]
+fn who_was_never_heard_of_is_tried() {
+    let mut mirroring = Mirroring::told_of(1);
+    mirroring.step(Input::Command { ticket: 1, command: READ });
+    assert_eq!(mirroring.forwarded, 1);
+}
+
+/// Five and twenty seconds after it lost touch callers are told within 0.25 s that no primary has their call; once it
+/// is in touch again their calls are handed on.
+#[rstest]
+fn it_knows_when_it_has_lost_touch(#[values(5, 20)] seconds: u64) {
+    let mut mirroring = Mirroring::told_of(1);
+    mirroring.run(ms(3000), Some(1));
+    mirroring.run(ms(seconds * 1000), None);
+    let (took, code) = mirroring.call(1, None);
+    assert!(took <= ms(250) && code == Code::NoPrimary, "{code:?} after {took:?}");
+    assert_eq!(mirroring.forwarded, 0);
+    mirroring.run(ms(1000), Some(1));
+    mirroring.step(Input::Command { ticket: 2, command: READ });
+    assert_eq!(mirroring.forwarded, 1);
+}
