A proxy waits for its port while the process before it still holds it

Cause: a proxy that found one of its addresses in use as it started ended at once, where a member waits for three seconds.

Change: the proxy waits as members do. (The agent, which listens for its proxy alone, doesn't yet.)

--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -42,6 +42,8 @@
 const BEFORE_KILL: Duration = Duration::from_millis(700);
 /// For so long before that no new request is taken: a host would have no time to answer it.
 const LAST_REQUESTS: Duration = Duration::from_millis(300);
+/// Longest wait for a listener's port: the process before may not be gone quite yet.
+const BIND_TIMEOUT: Duration = Duration::from_secs(3);
 const SWEEP: Duration = Duration::from_secs(1);
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -60,7 +62,15 @@
 
 async fn listen(purpose: &'static str, addr: Option<SocketAddrV4>) -> Result<TcpListener, Error> {
     let addr = addr.ok_or(Error::NoAddress { purpose })?;
-    TcpListener::bind(addr).await.context(ListenSnafu { addr })
+    let until = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match TcpListener::bind(addr).await {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && Instant::now() < until => {
+                tokio::time::sleep(LOOK).await;
+            }
+            done => return done.context(ListenSnafu { addr }),
+        }
+    }
 }
 
 async fn follow(core: Rc<Core>, mut world: watch::Receiver<Option<Arc<World>>>) {
