--- a/crates/coordinator/src/bin/fennelpin-adapter/wire.rs
+++ b/crates/coordinator/src/bin/fennelpin-adapter/wire.rs
@@ -204,6 +204,7 @@
             id,
             class,
             tenant,
+            arrived_at: None,
             deadline,
             is_retry,
         }))
--- a/crates/coordinator/src/core/table/queries.rs
+++ b/crates/coordinator/src/core/table/queries.rs
@@ -85,6 +85,7 @@
                 id,
                 class: new.class,
                 tenant: new.tenant,
+                arrived_at: Some(self.clock.at(new.arrived_at)),
                 deadline: self.clock.at(deadline),
                 is_retry: new.is_retry,
             },
--- a/crates/coordinator/src/decision/arrival.rs
+++ b/crates/coordinator/src/decision/arrival.rs
@@ -38,6 +38,7 @@
             id,
             class,
             tenant,
+            arrived_at: _,
             deadline,
             is_retry,
         } = event
--- a/crates/coordinator/src/interface.rs
+++ b/crates/coordinator/src/interface.rs
@@ -259,6 +259,9 @@
         class: ClassId,
         /// Its tenant.
         tenant: Option<TenantId>,
+        /// When it arrived, which is earlier than now if it had to wait for this router, as while
+        /// the process stood still; `None` if that isn't known.
+        arrived_at: Option<Duration>,
         /// When its client stops waiting.
         deadline: Duration,
         /// Whether it is a client's retry; `None` if clients don't mark retries.
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -35,7 +35,7 @@
 //! let (query, part) = (RequestId(0), RequestId(1));
 //! for event in [
 //!     Event::ServerList { kind: ListKind::Full, entries: vec![server] },
-//!     Event::Query { id: query, class: ClassId(0), tenant: None, deadline: ms(3000), is_retry: None },
+//!     Event::Query { id: query, class: ClassId(0), tenant: None, arrived_at: None, deadline: ms(3000), is_retry: None },
 //!     Event::Part { id: part, query, shard: 0, weight: 1.0 },
 //!     Event::TurnEnded,
 //! ] {
--- a/crates/coordinator/tests/decision/admission.rs
+++ b/crates/coordinator/tests/decision/admission.rs
@@ -2,6 +2,7 @@
 
 use crate::harness::*;
 use coordinator::*;
+use std::time::Duration;
 
 #[test]
 fn a_query_without_server_for_its_shard_is_rejected_at_once() {
@@ -52,6 +53,45 @@
     );
 }
 
+/// Once, first attempts that a pause of the process had held up were taken for retries, which have most of their time
+/// behind them: the first burst after a start was rejected.
+#[test]
+fn queries_when_held_up_by_a_pause_of_the_process_are_still_first_attempts() {
+    let mut harness = Harness::new(settings());
+    harness.client_wait = 2000;
+    harness.waited = Some(0);
+    harness.submit_query(0, &[(2, 1.0)]);
+    // Too short for the router to notice that it stood still.
+    harness.now += 90;
+    harness.waited = Some(90);
+    for _ in 0..7 {
+        let (id, _, out) = harness.submit_query(0, &[(2, 1.0)]);
+        assert_eq!(final_actions(&out, id), 0, "{out:?}");
+    }
+}
+
+/// Once, how long a part had been waited for went into what is learned of its server, however many times the usual that
+/// was: after one pause of the process the only server of a shard counted as overloaded for seconds.
+#[test]
+fn queries_when_answers_waited_out_a_pause_of_the_process_are_admitted_after_it() {
+    let mut harness = Harness::new(settings());
+    harness.run_turn(vec![entry_changed(1, ServerState::Gone, None)]);
+    for latency in [Duration::from_micros(300), ms(100)] {
+        let burst: Vec<RequestId> = (0..4)
+            .map(|_| harness.submit_query(0, &[(0, 1.0)]).1[0])
+            .collect();
+        harness.now += latency.as_millis() as u64;
+        for part in burst {
+            harness.answer_part_after(part, 0, latency);
+        }
+    }
+    harness.run_until(harness.now + 2000);
+    for _ in 0..8 {
+        let (id, _, out) = harness.submit_query(0, &[(0, 1.0)]);
+        assert_eq!(final_actions(&out, id), 0, "{out:?}");
+    }
+}
+
 /// The share of the time left that suits one fleet overloads another.
 #[test]
 fn queries_that_miss_their_latency_target_make_admission_stricter() {
--- a/crates/coordinator/tests/decision/arrival.rs
+++ b/crates/coordinator/tests/decision/arrival.rs
@@ -74,6 +74,7 @@
             id,
             class: ClassId(0),
             tenant: None,
+            arrived_at: None,
             deadline,
             is_retry: repeat,
         };
--- a/crates/coordinator/tests/decision/harness.rs
+++ b/crates/coordinator/tests/decision/harness.rs
@@ -64,6 +64,8 @@
     next_id: u64,
     /// How long clients wait, in ms.
     pub client_wait: u64,
+    /// How long queries waited for the router, in ms; `None` if it isn't told.
+    pub waited: Option<u64>,
 }
 
 impl Harness {
@@ -76,6 +78,7 @@
             log: vec![],
             next_id: 0,
             client_wait: 3000,
+            waited: None,
         };
         let servers: Vec<ServerEntry> = (0..4).map(server_entry).collect();
         harness.run_turn(vec![Event::ServerList {
@@ -113,11 +116,12 @@
         weights: &[(u32, f64)],
     ) -> (RequestId, Vec<RequestId>, Vec<Action>) {
         let id = RequestId(self.next_id);
-        let deadline = ms(self.now + self.client_wait);
+        let deadline = ms(self.now + self.client_wait - self.waited.unwrap_or_default());
         let mut events = vec![Event::Query {
             id,
             class: ClassId(class),
             tenant: None,
+            arrived_at: self.waited.map(|waited| ms(self.now - waited)),
             deadline,
             is_retry: None,
         }];
@@ -196,7 +200,17 @@
 
     /// Answers a part after `latency` ms, without a load report.
     pub fn answer_part(&mut self, part: RequestId, attempt: u32, latency: u64) -> Vec<Action> {
-        let (outcome, latency) = (Outcome::Ok, ms(latency));
+        self.answer_part_after(part, attempt, ms(latency))
+    }
+
+    /// As [`Self::answer_part`], with a finer latency.
+    pub fn answer_part_after(
+        &mut self,
+        part: RequestId,
+        attempt: u32,
+        latency: Duration,
+    ) -> Vec<Action> {
+        let outcome = Outcome::Ok;
         self.run_turn(vec![Event::AttemptEnded {
             part,
             attempt,
--- a/crates/coordinator/tests/decision/router.rs
+++ b/crates/coordinator/tests/decision/router.rs
@@ -105,6 +105,7 @@
                 id,
                 class: ClassId(0),
                 tenant: None,
+                arrived_at: None,
                 deadline,
                 is_retry: None,
             },
--- a/crates/coordinator/tests/deployments.rs
+++ b/crates/coordinator/tests/deployments.rs
@@ -359,6 +359,7 @@
             id,
             class: ClassId(0),
             tenant: None,
+            arrived_at: None,
             deadline: ms(deadline),
             is_retry: None,
         };
--- a/crates/coordinator/tests/fleet.rs
+++ b/crates/coordinator/tests/fleet.rs
@@ -166,6 +166,7 @@
                         id,
                         class,
                         tenant,
+                        arrived_at: None,
                         deadline,
                         is_retry: repeat,
                     });
--- a/crates/coordinator/tests/recorded_decisions.rs
+++ b/crates/coordinator/tests/recorded_decisions.rs
@@ -487,6 +487,7 @@
             id: query,
             class: ClassId(class),
             tenant,
+            arrived_at: None,
             deadline: us(self.now) + wait,
             is_retry: repeat,
         });
