--- a/crates/coordinator/src/decision/arrival.rs
+++ b/crates/coordinator/src/decision/arrival.rs
@@ -38,7 +38,7 @@
             id,
             class,
             tenant,
-            arrived_at: _,
+            arrived_at,
             deadline,
             is_retry,
         } = event
@@ -50,7 +50,8 @@
             return;
         }
         let deadline_at = seconds(deadline);
-        let target_at = self.latency_target_at(class, deadline_at, is_retry);
+        let arrived_at = arrived_at.map(seconds);
+        let target_at = self.latency_target_at(class, arrived_at, deadline_at, is_retry);
         let tenant_rate = tenant.and_then(|t| self.tenant_rates.get_mut(t.0 as usize));
         if let Some(rate) = tenant_rate {
             rate.add(self.now, RATE_TIME_CONSTANT_S);
@@ -91,10 +92,11 @@
     /// equally long. The client's last retry waits for what is left of its time-out, so the start
     /// can be worked out from the deadline. A client that waits for less than the target is served
     /// within that wait. If clients mark retries, the mark decides. The guess errs for a first
-    /// attempt that was held up on its way here.
+    /// attempt that was held up on its way here, unless it is told when it arrived.
     fn latency_target_at(
         &mut self,
         class: ClassId,
+        arrived_at: Option<f64>,
         deadline_at: f64,
         is_retry: Option<bool>,
     ) -> f64 {
@@ -102,7 +104,9 @@
         let target = seconds(settings.latency_target);
         let client_timeout = seconds(settings.client_timeout);
         let tolerance = EQUAL_WAIT_SHARE * client_timeout;
-        let wait = deadline_at - self.now;
+        let may_be_held_up = arrived_at.is_none();
+        let arrived_at = arrived_at.unwrap_or(self.now).min(self.now);
+        let wait = deadline_at - arrived_at;
         let usual = &mut self.usual_waits[class.0 as usize];
         let equal = (wait - usual.length).abs() < tolerance;
         usual.vote(wait, equal);
@@ -110,15 +114,15 @@
         if wait < target {
             return deadline_at;
         }
-        let held_up_here =
-            self.now == self.standstill.until && usual - wait < self.now - self.standstill.from;
-        if held_up_here {
+        let standstill_began = self.standstills.ended_now(self.now);
+        let held_up = |began| may_be_held_up && usual - wait < self.now - began;
+        if standstill_began.is_some_and(held_up) {
             return deadline_at - usual + target;
         }
         let first_attempt = is_retry.map_or((wait - usual).abs() < tolerance, |retry| !retry);
         if first_attempt {
-            return self.now + target;
+            return arrived_at + target;
         }
-        self.now.min(deadline_at - client_timeout) + target
+        arrived_at.min(deadline_at - client_timeout) + target
     }
 }
--- a/crates/coordinator/src/decision/attempt_results.rs
+++ b/crates/coordinator/src/decision/attempt_results.rs
@@ -35,7 +35,9 @@
         // the server.
         let connection_at_fault = lost && self.unused_connections_drop();
         let own_delay = connection_at_fault || self.sent_before_standstill(attempt);
-        if !own_delay {
+        if own_delay {
+            self.learn_latency_without_standstill(&ended, outcome, seconds(latency));
+        } else {
             self.learn_latencies(&ended, outcome, seconds(latency));
         }
         if !connection_at_fault {
@@ -47,7 +49,8 @@
 
     /// Whether an attempt was in flight while this router stood still, until just now.
     fn sent_before_standstill(&self, attempt: &Attempt) -> bool {
-        attempt.sent_at < self.standstill.from && self.now == self.standstill.until
+        let began = self.standstills.just_over(self.now);
+        began.is_some_and(|began| attempt.sent_at < began)
     }
 
     fn cancel_other_attempts(&self, part: RequestId, actions: &mut Vec<Action>) {
@@ -77,6 +80,26 @@
         }
     }
 
+    /// Learns from an answer that waited out a standstill of this router: the part took as long as
+    /// the router ran meanwhile, or longer. That is little, but better than the guess of a router
+    /// that has no other answers yet.
+    fn learn_latency_without_standstill(
+        &mut self,
+        ended: &ClosedAttempt,
+        outcome: Outcome,
+        latency: f64,
+    ) {
+        let stood_still = self.standstills.time_since(ended.attempt.sent_at);
+        let answered = outcome == Outcome::Ok && stood_still > 0.0;
+        let Some(class) = ended.query_class.filter(|_| answered) else {
+            return;
+        };
+        if !self.latencies.is_known(class) {
+            let running = (latency - stood_still).max(0.0);
+            self.latencies.record(class, self.now, running);
+        }
+    }
+
     /// Takes the load from a report, or infers it from the outcome.
     fn learn_load_from_answer(
         &mut self,
--- a/crates/coordinator/src/decision/latency.rs
+++ b/crates/coordinator/src/decision/latency.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether there are enough latencies of this class for a quantile.
+    pub(super) fn is_known(&self, class: ClassId) -> bool {
+        self.by_class[class.0 as usize].len() >= MIN_SAMPLES
+    }
+
     fn expire(&mut self, since: f64) {
         for window in &mut self.by_class {
             window.expire(since, MIN_SAMPLES);
--- a/crates/coordinator/src/decision/load.rs
+++ b/crates/coordinator/src/decision/load.rs
@@ -195,7 +195,8 @@
             .max(mean / 2.0)
             .max(MIN_EXPECTED_S);
         let ratio = (latency / expected).clamp(LATENCY_RATIO_BOUNDS.min, LATENCY_RATIO_BOUNDS.max);
-        let past = self.latency_ratio(known);
+        // How long parts are waited for right now has no bound of its own.
+        let past = self.latency_ratio(known).min(LATENCY_RATIO_BOUNDS.max);
         // A part that was cut short would have taken longer: it says nothing good.
         if mean <= 0.0 || (cut_short && ratio < past) {
             return;
--- a/crates/coordinator/src/decision/router.rs
+++ b/crates/coordinator/src/decision/router.rs
@@ -9,7 +9,7 @@
 use super::retry_budget::RetryWindow;
 use super::server::Server;
 use super::server_list::ListSubscription;
-use super::stall_detection::Standstill;
+use super::stall_detection::Standstills;
 use super::statistics::DecayingRate;
 use super::work::{Attempt, Part, Query};
 use crate::interface::{
@@ -56,7 +56,7 @@
     pub(super) admission: AdmissionControl,
     pub(super) subscription: ListSubscription,
     pub(super) crashes: Crashes,
-    pub(super) standstill: Standstill,
+    pub(super) standstills: Standstills,
     /// When the wake-up that was asked for last is due.
     pub(super) next_wake_at: f64,
 }
@@ -94,7 +94,7 @@
             admission: AdmissionControl::default(),
             subscription: ListSubscription::default(),
             crashes: Crashes::default(),
-            standstill: Standstill::default(),
+            standstills: Standstills::default(),
             next_wake_at: 0.0,
             settings,
         }
--- a/crates/coordinator/src/decision/statistics.rs
+++ b/crates/coordinator/src/decision/statistics.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// The number of latencies.
+    pub(super) fn len(&self) -> usize {
+        self.samples.len()
+    }
+
     /// Drops the latencies measured before a time, but keeps the `min_samples` latest.
     pub(super) fn expire(&mut self, since: f64, min_samples: usize) {
         while self.samples.len() > min_samples
