Failing tests: an event stream that a shutdown truncates, and a shutdown without room for pauses

The schedule of the shutdown counts from when the process notices the signal and ends 75 ms before the kill: a quota's pause of a tenth of a second at the signal and one at the end go beyond it.

--- a/crates/proxy/tests/streams_at_shutdown.rs
+++ b/crates/proxy/tests/streams_at_shutdown.rs
@@ -129,3 +129,67 @@
         assert_eq!((response.status(), response.complete), (status, true));
     });
 }
+
+/// A host may answer a route of another kind with a stream of events.
+#[rstest]
+#[case::mutating("/once/a")]
+#[case::pure("/pure/a")]
+fn event_stream_on_another_route_when_it_may_outlast_the_grace_is_not_begun(#[case] path: &str) {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let mut proxy = Proxy::with_grace(GRACE_S, &host).await;
+        proxy.signal_stop();
+        while proxy.readiness_status().await == 200 {}
+        let mut client = proxy.send_request(path).await;
+        let mut conn = host.accept().await;
+        conn.start_stream("seal", &[1]).await;
+        let response = client.read_message().await.expect("an answer or a refusal");
+        assert_eq!((response.status(), response.complete), (502, true));
+    });
+}
+
+#[test]
+fn event_stream_on_another_route_in_a_shutdown_is_relayed_once_it_is_complete() {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let mut proxy = Proxy::with_grace(GRACE_S, &host).await;
+        proxy.signal_stop();
+        while proxy.readiness_status().await == 200 {}
+        let mut client = proxy.send_request("/pure/a").await;
+        let mut conn = host.accept().await;
+        conn.start_stream("seal", &[1, 2]).await;
+        conn.send("0\r\n\r\n").await;
+        let response = client.read_message().await.expect("an answer");
+        assert_eq!((response.complete, response.body), (true, events([1, 2])));
+    });
+}
+
+/// The longest time for which a quota of processor time pauses a process at once.
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Keeps this thread, which the proxy runs on too, from running anything else.
+fn pause_process() {
+    let began_at = Instant::now();
+    while began_at.elapsed() < LONGEST_PAUSE {
+        std::hint::spin_loop();
+    }
+}
+
+/// The platform counts the grace from when it sends the signal, and the kernel's pauses know of no deadline.
+#[test]
+fn process_when_paused_at_the_signal_ends_early_enough_for_a_pause_at_its_end() {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let mut proxy = Proxy::with_grace(GRACE_S, &host).await;
+        let mut client = proxy.send_request("/live/a").await;
+        let mut stream = host.accept().await;
+        stream.start_stream("seal", &[1]).await;
+        client.read_until("piece 1\n\n").await;
+        let signalled_at = Instant::now();
+        proxy.signal_stop();
+        pause_process();
+        proxy.serving.await.unwrap().unwrap();
+        let left = Duration::from_secs_f64(GRACE_S).saturating_sub(signalled_at.elapsed());
+        assert!(left >= LONGEST_PAUSE, "{left:?} before the kill");
+    });
+}
