proxy: a shutdown leaves room for pauses; no event stream is begun that it may truncate

Cause: a host's event stream on a pure or mutating route was relayed as it came, in a shutdown too, though such requests are admitted for longer than streams; and the last moments left 75 ms for a process that a quota stops for up to 0.1 s, at the signal as well. Change: such a stream is read whole in a shutdown if its deadline lies behind the end, as a large response is; it is truncated 0.3 s before the kill and the process ends 0.2 s before it (0.15 s and 75 ms before).

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -110,7 +110,10 @@
             .fields
             .get_str("content-type")
             .is_some_and(|value| value.starts_with("text/event-stream"));
-        let streaming = self.route.kind == RouteKind::Streaming || is_event_stream;
+        // Whether such a request is admitted in a shutdown doesn't go by the end of a stream: it is begun only when it is
+        // complete.
+        let streaming = self.route.kind == RouteKind::Streaming
+            || (is_event_stream && !self.may_be_truncated_by_shutdown());
         if success && streaming && !self.has_no_body(head) {
             ResponseKind::Stream
         } else {
--- a/crates/proxy/src/exchange/buffered.rs
+++ b/crates/proxy/src/exchange/buffered.rs
@@ -78,8 +78,7 @@
     /// Reserves memory for a large response that the end of the process might truncate: until it is complete, a rejection
     /// can still take its place. `None` where the process isn't ending before the deadline, or there is no memory.
     fn reserve_for_shutdown(&self) -> Option<BodyReservation> {
-        let shutdown = self.state.shutdown.get()?;
-        if !shutdown.may_truncate(self.retry.deadline()) {
+        if !self.may_be_truncated_by_shutdown() {
             return None;
         }
         let memory = &self.state.body_memory;
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Whether the end of the process may truncate a response that begins now.
+    fn may_be_truncated_by_shutdown(&self) -> bool {
+        let shutdown = self.state.shutdown.get();
+        shutdown.is_some_and(|shutdown| shutdown.may_truncate(self.retry.deadline()))
+    }
+
     /// Ends a request that no attempt answered.
     async fn end_without_response(&mut self, rejection: Rejection) -> ConnectionOutcome {
         if self.progress.started() {
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -12,10 +12,13 @@
 const FULL_SERVICE: Duration = Duration::from_millis(2500);
 /// Requests whose response has not begun get a local reply so long before the platform kills the process.
 const REPLY_MARGIN: Duration = Duration::from_millis(700);
+/// The longest time for which a quota of processor time pauses the process at once.
+const LONGEST_PAUSE: Duration = Duration::from_millis(100);
+/// The process waits for its connections to end until so long before the platform kills it. The platform counts from when
+/// it sent the signal: one pause may have kept the process from noticing it, and another one may come at the end.
+const EXIT_MARGIN: Duration = LONGEST_PAUSE.saturating_mul(2);
 /// Responses that have begun are truncated so long before the platform kills the process. Connections end meanwhile.
-const TRUNCATION_MARGIN: Duration = Duration::from_millis(150);
-/// The process waits for its connections to end until so long before the platform kills it.
-const EXIT_MARGIN: Duration = Duration::from_millis(75);
+const TRUNCATION_MARGIN: Duration = EXIT_MARGIN.saturating_add(LONGEST_PAUSE);
 /// In the last moments before the local replies a request has to fit into the time that is left, as a host may need as
 /// long.
 const LAST_REQUESTS: Duration = Duration::from_millis(300);
