Failing test: SIGTERM in the first moments of a start; soak with quota, faults, start series

Cause: the soak had no pauses, no faulty hosts, no clients that leave, and allowed a process to end by SIGTERM within 0.2 s of its start.

--- a/crates/fennelpin-cli/tests/soak/clients.rs
+++ b/crates/fennelpin-cli/tests/soak/clients.rs
@@ -4,7 +4,7 @@
 use super::recorder::{Recorder, RequestEnd, RequestKind, RequestRecord};
 use super::response::Connection;
 use super::stop_signal::StopSignal;
-use super::stream_hosts::Work;
+use super::stream_hosts::{Work, BREAKING_SUFFIX};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::io::Write;
@@ -28,9 +28,13 @@
     Pipelining,
     /// Sends a request's body some time after its head.
     Slow,
+    /// Closes the connection at times before the response is there.
+    Impatient,
 }
 
-const HABITS: [Habit; 5] = [
+/// The habits without faults, and the one that comes with them.
+const HABITS: [Habit; 6] = [
+    Habit::Impatient,
     Habit::Polite,
     Habit::Persistent,
     Habit::Pipelining,
@@ -56,6 +60,8 @@
 pub struct Client<'a> {
     number: usize,
     habit: Habit,
+    /// Whether hosts break off some of its responses.
+    faults: bool,
     random: Pcg64Mcg,
     requests: u64,
     fronts: &'a FrontSelection,
@@ -70,11 +76,17 @@
         fronts: &'a FrontSelection,
         recorder: &'a Recorder,
         stop: &'a StopSignal,
+        faults: bool,
     ) -> Self {
         let state = u128::from(seed) << 64 | (number as u128) << 1 | 1;
         Self {
             number,
-            habit: HABITS[number % HABITS.len()],
+            habit: if faults {
+                HABITS[number % HABITS.len()]
+            } else {
+                HABITS[1 + number % (HABITS.len() - 1)]
+            },
+            faults,
             random: Pcg64Mcg::new(state),
             requests: 0,
             fronts,
@@ -135,6 +147,9 @@
                 sent_at,
             });
         }
+        if self.gives_up(&under_way) {
+            return false;
+        }
         if under_way.len() < count {
             // What was sent whole before may still have its response.
             self.read_responses(front, connection, under_way);
@@ -143,6 +158,16 @@
         self.read_responses(front, connection, under_way)
     }
 
+    /// Whether the client leaves now, some time after its request.
+    fn gives_up(&mut self, under_way: &[SentRequest]) -> bool {
+        if self.habit != Habit::Impatient || self.random.random_bool(0.6) {
+            return false;
+        }
+        let patience = Duration::from_millis(self.random.random_range(0..600));
+        self.stop.wait(patience);
+        !under_way.is_empty()
+    }
+
     fn read_responses(
         &mut self,
         front: &Front,
@@ -214,7 +239,9 @@
 
     fn draw_request(&mut self) -> Request {
         self.requests += 1;
-        let id = format!("c{}-{}", self.number, self.requests);
+        let breaks = self.faults && self.random.random_bool(0.04);
+        let suffix = if breaks { BREAKING_SUFFIX } else { "" };
+        let id = format!("c{}-{}{suffix}", self.number, self.requests);
         let (kind, events) = match self.random.random_range(0..10) {
             0..4 => (RequestKind::Pure, 0),
             4..6 => (RequestKind::Mutating, 0),
--- a/crates/fennelpin-cli/tests/soak/driver.rs
+++ b/crates/fennelpin-cli/tests/soak/driver.rs
@@ -1,6 +1,7 @@
 //! Plays the platform: sends the signals of a schedule, kills what doesn't end in time, and starts what has ended.
 
 use super::harness::cluster::TestCluster;
+use super::quota::Quota;
 use super::recorder::{ProcessEvent, Recorder};
 use super::schedule::{Action, Event, Target};
 use super::settings::GRACE;
@@ -9,12 +10,13 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
+use std::collections::BTreeSet;
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
 use std::time::{Duration, Instant};
 
 /// Time between two looks at the processes.
-const TICK: Duration = Duration::from_millis(5);
+const TICK: Duration = Duration::from_millis(2);
 /// A process that is asked to end so soon after its start may not have its handlers yet, and ends by the signal.
 const START_TIME: Duration = Duration::from_millis(200);
 /// Longest time from the end of a process to its next start.
@@ -43,6 +45,8 @@
     Terminating {
         since: Instant,
         started_at: Instant,
+        /// It stood still meanwhile by a fault.
+        was_frozen: bool,
     },
     Killed,
     Down {
@@ -50,17 +54,34 @@
     },
 }
 
+impl ProcessState {
+    /// A running process gets SIGTERM.
+    fn terminate(&mut self, is_frozen: bool) {
+        let now = Instant::now();
+        if let ProcessState::Running { since: started_at } = *self {
+            *self = ProcessState::Terminating {
+                since: now,
+                started_at,
+                was_frozen: is_frozen,
+            };
+        }
+    }
+}
+
 /// The platform.
 pub struct Driver<'a> {
     pub cluster: TestCluster,
     recorder: &'a Recorder,
     random: Pcg64Mcg,
     processes: Vec<(Target, ProcessState)>,
+    quota: Quota,
+    /// Processes that a fault has stopped.
+    frozen: BTreeSet<String>,
     pause: StopSignal,
 }
 
 impl<'a> Driver<'a> {
-    pub fn new(cluster: TestCluster, recorder: &'a Recorder, seed: u64) -> Self {
+    pub fn new(cluster: TestCluster, recorder: &'a Recorder, seed: u64, quota: Quota) -> Self {
         let plan = cluster.processes.plan();
         let members = (1..=plan.members).map(|number| (Program::ControlPlane, number));
         let edges = (1..=plan.proxies)
@@ -75,6 +96,8 @@
             recorder,
             random: Pcg64Mcg::new(u128::from(seed) << 8 | 7),
             processes,
+            quota,
+            frozen: BTreeSet::new(),
             pause: StopSignal::default(),
         }
     }
@@ -87,23 +110,45 @@
             while let Some(event) = coming.next_if(|event| event.at <= start.elapsed()) {
                 self.apply(event);
             }
-            self.look_after_processes();
-            self.pause.wait(TICK);
+            self.tick();
+        }
+        // Faults end with the schedule.
+        for event in coming {
+            self.apply(event);
         }
     }
 
     /// Goes on until all processes run.
-    pub fn settle(&mut self) {
-        while !self.all_run() {
-            self.look_after_processes();
-            self.pause.wait(TICK);
+    fn settle(&mut self) {
+        self.play_until(|| true);
+    }
+
+    /// Goes on until `done`, and until all processes run.
+    pub fn play_until(&mut self, done: impl Fn() -> bool) {
+        while !self.all_run() || !done() {
+            self.tick();
         }
     }
 
+    fn tick(&mut self) {
+        self.look_after_processes();
+        self.quota.enforce(&self.cluster, &self.frozen);
+        self.pause.wait(TICK);
+    }
+
+    /// Ends the quota. How often it has stopped a process.
+    pub fn end_quota(&mut self) -> u64 {
+        self.quota.release(&self.cluster);
+        self.quota.stops
+    }
+
     /// Brings about a loss, and starts what it ended. Before it, all have run for as long as a machine that is back still
     /// counts as lost.
     pub fn lose(&mut self, loss: FinalLoss) {
-        self.pause.wait(CATCH_UP);
+        let quiet_until = Instant::now() + CATCH_UP;
+        while Instant::now() < quiet_until {
+            self.tick();
+        }
         let plan = self.cluster.processes.plan();
         let wiped = self.random.random_range(1..=plan.members);
         let disk = plan.disk(wiped);
@@ -155,15 +200,18 @@
         self.recorder
             .record_process(&name, ProcessEvent::Signalled(signal));
         self.cluster.signal_program(&name, signal);
+        let is_frozen = if signal == Signal::STOP {
+            self.frozen.insert(name)
+        } else if signal == Signal::CONT {
+            self.frozen.remove(&name)
+        } else {
+            self.frozen.contains(&name)
+        };
         let state = self.state(target);
-        match (signal, *state) {
-            (Signal::TERM, ProcessState::Running { since: started_at }) => {
-                *state = ProcessState::Terminating {
-                    since: Instant::now(),
-                    started_at,
-                };
-            }
-            (Signal::KILL, _) => *state = ProcessState::Killed,
+        match (signal, state) {
+            (Signal::TERM, state @ ProcessState::Running { .. }) => state.terminate(is_frozen),
+            (Signal::KILL, state) => *state = ProcessState::Killed,
+            (Signal::STOP, ProcessState::Terminating { was_frozen, .. }) => *was_frozen = true,
             _ => {}
         }
     }
@@ -190,15 +238,20 @@
         let name = target.process_name();
         if let Some(status) = self.cluster.processes.take_exit_status(&name) {
             self.check_end(&name, state, status);
+            self.frozen.remove(&name);
             let delay = Duration::from_millis(self.random.random_range(0..MAX_RESTART_DELAY_MS));
             return ProcessState::Down {
                 restart_at: Instant::now() + delay,
             };
         }
         match state {
-            ProcessState::Terminating { since, .. } if since.elapsed() > GRACE => {
-                self.recorder
-                    .record_failure(format!("{name} outlasted its grace"));
+            ProcessState::Terminating {
+                since, was_frozen, ..
+            } if since.elapsed() > GRACE => {
+                if !was_frozen {
+                    self.recorder
+                        .record_failure(format!("{name} outlasted its grace"));
+                }
                 self.cluster.signal_program(&name, Signal::KILL);
                 ProcessState::Killed
             }
@@ -223,7 +276,9 @@
 
     fn check_end(&self, name: &str, state: ProcessState, status: ExitStatus) {
         let expected = match state {
-            ProcessState::Terminating { since, started_at } => {
+            ProcessState::Terminating {
+                since, started_at, ..
+            } => {
                 let was_starting = since.duration_since(started_at) < START_TIME;
                 status.success() || (was_starting && status.signal().is_some())
             }
--- a/crates/fennelpin-cli/tests/soak/main.rs
+++ b/crates/fennelpin-cli/tests/soak/main.rs
@@ -5,6 +5,7 @@
 //!
 //! ```text
 //! SOAK_SEEDS=1..51 SOAK_LOGS=found cargo test --release -p fennelpin-cli --test soak -- --nocapture
+//! SOAK_SEEDS=1..51 SOAK_QUOTA_MS=3 SOAK_FAULTS=true ...
 //! SOAK_SEEDS=1..3 SOAK_EDGES=100 SOAK_CLIENTS=150 SOAK_SECONDS=30 ...
 //! ```
 
@@ -15,6 +16,7 @@
 mod driver;
 mod front_selection;
 mod operator;
+mod quota;
 mod recorder;
 mod response;
 mod rules;
--- a/crates/fennelpin-cli/tests/soak/operator.rs
+++ b/crates/fennelpin-cli/tests/soak/operator.rs
@@ -18,9 +18,10 @@
 /// How long a call is sent again and again. Members may be away for longer than a grace.
 const GIVE_UP_AFTER: Duration = Duration::from_secs(20);
 
-/// A change that builds on the one before. All have the same routes, and one that tells the version.
+/// A change that builds on the one before. It changes all routes, and one tells the version.
 pub fn change(version: u64) -> ChangeRequest {
-    let deadline_ms = DEADLINE.as_millis();
+    // No shorter than what clients bear: it is theirs that counts.
+    let deadline_ms = DEADLINE.as_millis() + u128::from(version % 3) * 250;
     let route = |name: &str, path: &str, kind: &str| {
         format!(
             r#"{{"name":"{name}","hostname":"h.example","path_prefix":"/{path}/","route_class":"{kind}","deadline_ms":{deadline_ms},"target_ms":200,"service":"s","max_tries":2,"resumable":{}}}"#,
--- a/crates/fennelpin-cli/tests/soak/recorder.rs
+++ b/crates/fennelpin-cli/tests/soak/recorder.rs
@@ -129,13 +129,15 @@
         self.requests.lock().unwrap().push(request);
     }
 
-    /// A host begins to run a request.
-    pub fn record_run(&self, id: &str, host: &str) {
+    /// A host begins to run a request. How often that has happened by now.
+    pub fn record_run(&self, id: &str, host: &str) -> usize {
         let mut runs = self.runs.lock().unwrap();
-        runs.entry(id.to_owned()).or_default().push(RunRecord {
+        let runs = runs.entry(id.to_owned()).or_default();
+        runs.push(RunRecord {
             host: host.to_owned(),
             at: Instant::now(),
         });
+        runs.len()
     }
 
     /// A host's word that it is draining was acknowledged just now.
--- a/crates/fennelpin-cli/tests/soak/rules.rs
+++ b/crates/fennelpin-cli/tests/soak/rules.rs
@@ -2,6 +2,7 @@
 
 use super::recorder::{ProcessEvent, Recording, RequestEnd, RequestRecord, RunRecord};
 use super::settings::GRACE;
+use super::stream_hosts::BREAKING_SUFFIX;
 use rustix::process::Signal;
 use std::collections::BTreeMap;
 use std::fmt;
@@ -19,6 +20,8 @@
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// A machine is in touch once nothing has happened to it and to the members for so long.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Longest time for which a fault freezes a process.
+const MAX_FREEZE: Duration = Duration::from_millis(2500);
 /// Longest time from a request to its end beyond its deadline.
 const MAX_OVERTIME: Duration = Duration::from_secs(1);
 
@@ -98,9 +101,13 @@
             runs,
         });
     }
+    let broken_off = request.id.ends_with(BREAKING_SUFFIX);
+    let in_trouble = was_frozen(recording, request);
     match &request.end {
         RequestEnd::Answered { status } => match status {
             200 => {}
+            502 if broken_off => {}
+            502 | 504 if in_trouble => {}
             503 if !request.kind.idempotent() && runs > 0 => {
                 found.push(Violation::RejectedButRan(record()));
             }
@@ -110,14 +117,17 @@
             _ => found.push(Violation::UnexpectedStatus(record())),
         },
         RequestEnd::Truncated | RequestEnd::Unanswered => {
-            if is_lost(recording, request, runs > 0) {
+            let excused = broken_off || in_trouble;
+            if !excused && is_lost(recording, request, runs > 0) {
                 found.push(Violation::Lost(record()));
             }
         }
+        RequestEnd::TimedOut if in_trouble => {}
         RequestEnd::TimedOut => found.push(Violation::HeldBack(record())),
         RequestEnd::Malformed { .. } => found.push(Violation::Mixed(record())),
     }
-    if request.ended_at.duration_since(request.turn_at) > request.deadline + MAX_OVERTIME {
+    let held_for = request.ended_at.duration_since(request.turn_at);
+    if !in_trouble && held_for > request.deadline + MAX_OVERTIME {
         found.push(Violation::HeldBack(record()));
     }
     found
@@ -152,6 +162,17 @@
         .map(|record| record.at)
 }
 
+/// Whether a fault froze the request's proxy from shortly before the request to its end.
+fn was_frozen(recording: &Recording, request: &RequestRecord) -> bool {
+    let proxy = format!("edge-{}/proxy", request.edge);
+    recording.processes.iter().any(|record| {
+        record.process == proxy
+            && record.event == ProcessEvent::Signalled(Signal::STOP)
+            && record.at + MAX_FREEZE + CONTACT_TIME >= request.sent_at
+            && record.at <= request.ended_at
+    })
+}
+
 /// Whether the request was in flight at SIGTERM and ended shortly before the kill.
 fn outlasted_the_grace(recording: &Recording, request: &RequestRecord) -> bool {
     terminations(recording, request).any(|at| {
@@ -219,7 +240,9 @@
         }
     }
     last_events.values().all(|record| match record.event {
-        ProcessEvent::Started => run.at.duration_since(record.at) >= CONTACT_TIME,
+        ProcessEvent::Started | ProcessEvent::Signalled(Signal::CONT) => {
+            run.at.duration_since(record.at) >= CONTACT_TIME
+        }
         // It has not started again yet.
         ProcessEvent::Signalled(_) => false,
     })
--- a/crates/fennelpin-cli/tests/soak/run.rs
+++ b/crates/fennelpin-cli/tests/soak/run.rs
@@ -7,6 +7,7 @@
 use super::harness::cluster::TestCluster;
 use super::harness::{faulty_hosts, wait_until};
 use super::operator;
+use super::quota::Quota;
 use super::recorder::{Recorder, Recording, RequestEnd, VersionRecord};
 use super::rules::{self, Violation};
 use super::schedule;
@@ -33,8 +34,19 @@
 /// Violations that a report names, at most.
 const MAX_NAMED: usize = 12;
 
+/// What a run had beside the planned work.
+#[derive(Default)]
+struct Conditions {
+    /// 0 without a quota.
+    quota_ms: u64,
+    /// How often the quota stopped a process.
+    quota_stops: u64,
+    faults: bool,
+}
+
 /// What came of a run.
 pub struct Report {
+    conditions: Conditions,
     seed: u64,
     edges: u8,
     events: usize,
@@ -49,9 +61,12 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(
             f,
-            "seed {} edges {}: {} signals and rewrites, {} changes (longest {} ms), requests {:?}, {} violations",
+            "seed {} edges {} quota {} ms ({} stops) faults {}: {} signals and rewrites, {} changes (longest {} ms), requests {:?}, {} violations",
             self.seed,
             self.edges,
+            self.conditions.quota_ms,
+            self.conditions.quota_stops,
+            self.conditions.faults,
             self.events,
             self.changes,
             self.longest_change.as_millis(),
@@ -67,31 +82,42 @@
 
 /// Plays the run of a seed.
 pub fn run_seed(settings: &SoakSettings, seed: u64) -> Report {
-    let events = schedule::draw(seed, settings.edges, settings.members, settings.duration);
+    let faults = settings.faults.unwrap_or(schedule::draw_faults(seed));
+    let quota_ms = settings.quota_ms.unwrap_or(schedule::draw_quota_ms(seed));
+    let (edges, members) = (settings.edges, settings.members);
+    let events = schedule::draw(seed, edges, members, settings.duration, faults);
     let recorder = Arc::new(Recorder::default());
     let hosts_stop = Arc::new(StopSignal::default());
     let (cluster, _hosts) = start_cluster(settings, seed, &recorder, &hosts_stop);
     let fronts = FrontSelection::new(fronts(&cluster));
     let members: Vec<SocketAddr> = (1..=settings.members).map(|n| cluster.control(n)).collect();
-    let mut driver = Driver::new(cluster, &recorder, seed);
+    let share = (quota_ms > 0).then_some(Duration::from_millis(quota_ms));
+    let mut driver = Driver::new(cluster, &recorder, seed, Quota::new(share));
     let stop = StopSignal::default();
     std::thread::scope(|scope| {
         scope.spawn(|| fronts.probe_until(&stop));
         scope.spawn(|| operator::change_until(members.clone(), seed, &recorder, &stop));
         scope.spawn(|| operator::read_until(&members, seed, &recorder, &stop));
+        let mut clients = Vec::new();
         for number in 0..settings.clients {
-            let client = Client::new(number, seed, &fronts, &recorder, &stop);
-            scope.spawn(|| client.run());
+            let client = Client::new(number, seed, &fronts, &recorder, &stop, faults);
+            clients.push(scope.spawn(|| client.run()));
         }
         driver.play(&events, settings.duration);
         stop.raise();
         // The clients' last requests are still under way while processes end and start.
-        driver.settle();
+        driver.play_until(|| clients.iter().all(|client| client.is_finished()));
     });
     driver.lose(FINAL_LOSSES[seed as usize % FINAL_LOSSES.len()]);
+    let quota_stops = driver.end_quota();
     check_settled(&driver.cluster, &members, &recorder);
     hosts_stop.raise();
-    let report = report(seed, settings, events.len(), &recorder.take());
+    let mut report = report(seed, settings, events.len(), &recorder.take());
+    report.conditions = Conditions {
+        quota_ms,
+        quota_stops,
+        faults,
+    };
     keep_logs(settings, &driver.cluster, &report);
     report
 }
@@ -178,6 +204,7 @@
         .iter()
         .map(|change| change.answered_at.duration_since(change.sent_at));
     Report {
+        conditions: Conditions::default(),
         seed,
         edges: settings.edges,
         events,
--- a/crates/fennelpin-cli/tests/soak/schedule.rs
+++ b/crates/fennelpin-cli/tests/soak/schedule.rs
@@ -65,6 +65,9 @@
     HangupsRoundTermination,
     /// One proxy is stopped again and again, also while it starts.
     RepeatedTermination,
+    /// Both programs of a machine get SIGTERM every few hundredths of a second: in the first moments of their starts, and
+    /// more than once while they end.
+    TerminationInStarts,
     /// Agents are killed.
     KillAgents,
     /// Members are stopped one after the other.
@@ -73,19 +76,20 @@
     KillMember,
 }
 
-const ALL_SERIES: [Series; 8] = [
+const ALL_SERIES: [Series; 9] = [
     Series::RollEdges,
     Series::StopAllEdges,
     Series::Hangups,
     Series::HangupsRoundTermination,
     Series::RepeatedTermination,
+    Series::TerminationInStarts,
     Series::KillAgents,
     Series::RollMembers,
     Series::KillMember,
 ];
 
-/// Draws the events of a run in order of time.
-pub fn draw(seed: u64, edges: u8, members: u8, duration: Duration) -> Vec<Event> {
+/// Draws the events of a run in order of time, with unplanned ones if there are faults.
+pub fn draw(seed: u64, edges: u8, members: u8, duration: Duration, faults: bool) -> Vec<Event> {
     let mut drawer = Drawer {
         random: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
         edges,
@@ -97,12 +101,33 @@
         let series = ALL_SERIES[drawer.random.random_range(0..ALL_SERIES.len())];
         drawer.draw_series(series, start);
     }
+    if faults {
+        drawer.freezes(duration);
+    }
     let mut events = drawer.events;
-    events.retain(|event| event.at < duration);
+    // Whatever is frozen is thawed.
+    let is_thaw = |event: &Event| event.action == Action::Signal(Signal::CONT);
+    events.retain(|event| event.at < duration || is_thaw(event));
     events.sort_by_key(|event| event.at);
     events
 }
 
+/// The processor time of a quota that a seed draws: none for two seeds in three.
+pub fn draw_quota_ms(seed: u64) -> u64 {
+    const SHARES_MS: [u64; 3] = [3, 5, 8];
+    let draws_none = seed % 3 != 2;
+    if draws_none {
+        0
+    } else {
+        SHARES_MS[(seed / 3) as usize % SHARES_MS.len()]
+    }
+}
+
+/// Whether a seed draws faults beside the planned work.
+pub fn draw_faults(seed: u64) -> bool {
+    seed.is_multiple_of(2)
+}
+
 /// Draws when hosts begin to drain; most never do.
 pub fn draw_drain_times(seed: u64, hosts: usize, duration: Duration) -> Vec<Option<Duration>> {
     let mut random = Pcg64Mcg::new(u128::from(seed) << 8 | 9);
@@ -159,6 +184,7 @@
             Series::Hangups => self.hangups(start),
             Series::HangupsRoundTermination => self.hangups_round_termination(start),
             Series::RepeatedTermination => self.repeated_termination(start),
+            Series::TerminationInStarts => self.termination_in_starts(start),
             Series::KillAgents => self.kill_agents(start),
             Series::RollMembers => self.roll_members(start),
             Series::KillMember => {
@@ -223,6 +249,33 @@
         }
     }
 
+    fn termination_in_starts(&mut self, start: Duration) {
+        let edge = self.some_edge();
+        let mut at = start;
+        while at < start + Duration::from_secs(7) {
+            self.stop_edge(at, edge);
+            at += self.millis(5, 90);
+        }
+    }
+
+    /// Processes stand still for a while: no planned work.
+    fn freezes(&mut self, duration: Duration) {
+        for _ in 0..self.random.random_range(1..6) {
+            let at = self.millis(500, duration.as_millis() as u64);
+            let (program, number) = match self.random.random_range(0..4) {
+                0 => {
+                    let member = self.random.random_range(1..=self.members);
+                    (Program::ControlPlane, member)
+                }
+                1 => (Program::Agent, self.some_edge()),
+                _ => (Program::Proxy, self.some_edge()),
+            };
+            self.signal(at, program, number, Signal::STOP);
+            let thaw = at + self.millis(50, 2500);
+            self.signal(thaw, program, number, Signal::CONT);
+        }
+    }
+
     fn kill_agents(&mut self, start: Duration) {
         let gap = self.millis(50, 600);
         for n in 0..self.random.random_range(2..8) {
--- a/crates/fennelpin-cli/tests/soak/settings.rs
+++ b/crates/fennelpin-cli/tests/soak/settings.rs
@@ -21,6 +21,12 @@
     pub members: u8,
     /// Concurrent clients over all proxies.
     pub clients: usize,
+    /// Processor time that each process gets in a tenth of a second, in milliseconds: 0 for no quota, `None` for what the
+    /// seed draws.
+    pub quota_ms: Option<u64>,
+    /// Whether hosts break off, clients give up and processes freeze, beside the planned work; `None` for what the seed
+    /// draws.
+    pub faults: Option<bool>,
     /// For how long clients and signals come.
     pub duration: Duration,
     /// Where the logs of runs that broke a rule are kept.
@@ -28,15 +34,18 @@
 }
 
 impl SoakSettings {
-    /// `SOAK_SEEDS`, `SOAK_EDGES`, `SOAK_MEMBERS`, `SOAK_CLIENTS`, `SOAK_SECONDS`, `SOAK_LOGS`; each has a default.
+    /// `SOAK_SEEDS`, `SOAK_EDGES`, `SOAK_MEMBERS`, `SOAK_CLIENTS`, `SOAK_SECONDS`, `SOAK_QUOTA_MS`, `SOAK_FAULTS` (`true`
+    /// or `false`), `SOAK_LOGS`; each has a default.
     pub fn from_env() -> Self {
-        let seeds: String = read("SOAK_SEEDS", "1..3".to_owned());
+        let seeds: String = read("SOAK_SEEDS", "1..4".to_owned());
         let (first, end) = seeds.split_once("..").expect("SOAK_SEEDS is FROM..TO");
         Self {
             seeds: first.parse().unwrap()..end.parse().unwrap(),
             edges: read("SOAK_EDGES", 4),
             members: read("SOAK_MEMBERS", 3),
             clients: read("SOAK_CLIENTS", 32),
+            quota_ms: read_optional("SOAK_QUOTA_MS"),
+            faults: read_optional("SOAK_FAULTS"),
             duration: Duration::from_secs(read("SOAK_SECONDS", 14)),
             kept_logs: env::var_os("SOAK_LOGS").map(PathBuf::from),
         }
@@ -44,8 +53,11 @@
 }
 
 fn read<T: FromStr>(name: &str, default: T) -> T {
-    env::var(name).map_or(default, |text| {
-        text.parse()
-            .unwrap_or_else(|_| panic!("{name} is no value: {text}"))
-    })
+    read_optional(name).unwrap_or(default)
+}
+
+fn read_optional<T: FromStr>(name: &str) -> Option<T> {
+    let text = env::var(name).ok()?;
+    let value = text.parse();
+    Some(value.unwrap_or_else(|_| panic!("{name} is no value: {text}")))
 }
--- a/crates/fennelpin-cli/tests/soak/stream_hosts.rs
+++ b/crates/fennelpin-cli/tests/soak/stream_hosts.rs
@@ -15,6 +15,9 @@
 /// Requests that a host says it can run at once.
 const CAPACITY: u32 = 64;
 
+/// The end of the id of a request whose response its first host breaks off.
+pub const BREAKING_SUFFIX: &str = "-breaks";
+
 /// What a host is to do for a request; the request's body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
@@ -180,8 +183,11 @@
                 stream.write_all(text.as_bytes())?;
                 continue;
             };
-            self.recorder.record_run(&work.id, &self.id);
+            let runs = self.recorder.record_run(&work.id, &self.id);
             self.stop.wait(work.delay);
+            if runs == 1 && work.id.ends_with(BREAKING_SUFFIX) {
+                return self.break_off(&mut stream, &request, &work);
+            }
             if work.events == 0 {
                 self.respond(&mut stream, &request, &work)?;
             } else {
@@ -211,6 +217,26 @@
         stream.write_all(text.as_bytes())
     }
 
+    /// Writes the beginning of a response; the connection ends with it.
+    fn break_off(
+        &self,
+        stream: &mut TcpStream,
+        request: &HttpMessage,
+        work: &Work,
+    ) -> std::io::Result<()> {
+        let head = self.head(request);
+        let text = if work.events == 0 {
+            format!("{head}Content-Length: 1000\r\n\r\nhalf")
+        } else {
+            let event = event(1);
+            format!(
+                "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n",
+                event.len()
+            )
+        };
+        stream.write_all(text.as_bytes())
+    }
+
     fn respond_with_stream(
         &self,
         stream: &mut TcpStream,
--- a/crates/fennelpin-cli/tests/startup_signals.rs
+++ b/crates/fennelpin-cli/tests/startup_signals.rs
@@ -51,23 +51,44 @@
         .unwrap()
 }
 
+/// A program that reads its settings from a pipe, at the moment at which it waits for them; and the pipe.
+fn start_reading_settings(program: Program, dir: &Path) -> (Child, File, Value, SocketAddr) {
+    std::fs::create_dir(dir.join("disk")).unwrap();
+    let (settings, listens) = settings(program, dir);
+    let path = dir.join("settings.json");
+    mknodat(CWD, &path, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).unwrap();
+    let child = start(settings["role"].as_str().unwrap(), &path);
+    // Opens once the program has opened the other end.
+    let pipe = File::options().write(true).open(&path).unwrap();
+    // Whoever reads the settings again finds a plain file.
+    let plain = dir.join("plain.json");
+    std::fs::write(&plain, settings.to_string()).unwrap();
+    std::fs::rename(&plain, &path).unwrap();
+    (child, pipe, settings, listens)
+}
+
+/// The platform may stop a program in the first moments of its start. That is a stop like others.
+#[rstest]
+fn program_when_sigterm_comes_before_settings_are_read_then_ends_in_order(
+    #[values(Program::ControlPlane, Program::Agent, Program::Proxy)] program: Program,
+) {
+    let dir = tempfile::tempdir().unwrap();
+    let (mut child, mut pipe, settings, _) = start_reading_settings(program, dir.path());
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    // Fails where nobody reads any more.
+    let _ = pipe.write_all(settings.to_string().as_bytes());
+    drop(pipe);
+    let status = child.wait().unwrap();
+    assert!(status.success(), "{program:?}: {status}");
+}
+
 /// The program reads its settings from a pipe, so that it can be told that they have changed before it knows them.
 #[rstest]
 fn program_when_sighup_comes_before_settings_are_read_then_keeps_running(
     #[values(Program::ControlPlane, Program::Agent, Program::Proxy)] program: Program,
 ) {
     let dir = tempfile::tempdir().unwrap();
-    std::fs::create_dir(dir.path().join("disk")).unwrap();
-    let (settings, listens) = settings(program, dir.path());
-    let path = dir.path().join("settings.json");
-    mknodat(CWD, &path, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).unwrap();
-    let mut child = start(settings["role"].as_str().unwrap(), &path);
-    // Opens once the program has opened the other end.
-    let mut pipe = File::options().write(true).open(&path).unwrap();
-    // Whoever reads the settings again finds a plain file.
-    let plain = dir.path().join("plain.json");
-    std::fs::write(&plain, settings.to_string()).unwrap();
-    std::fs::rename(&plain, &path).unwrap();
+    let (mut child, mut pipe, settings, listens) = start_reading_settings(program, dir.path());
     kill_process(Pid::from_child(&child), Signal::HUP).unwrap();
     // Fails where nobody reads any more.
     let _ = pipe.write_all(settings.to_string().as_bytes());
