Programs handle their signals before anything else; the soak's allowance of 0.2 s is out

Change: main makes the runtime with its handlers first for the three programs (ProgramRuntime); a signal that has come meanwhile is a stop like others. The soak no longer goes by 0.2 s but by whether the process had a handler for the signal.

--- a/crates/fennelpin-cli/src/lib.rs
+++ b/crates/fennelpin-cli/src/lib.rs
@@ -18,6 +18,7 @@
 
 // The three programs.
 mod fleet_updates;
+pub mod program_runtime;
 pub mod programs;
 
 // The operators' commands.
--- a/crates/fennelpin-cli/src/main.rs
+++ b/crates/fennelpin-cli/src/main.rs
@@ -5,16 +5,19 @@
 use bpaf::ParseFailure;
 use fennelpin_cli::command_line::{self, Command, ConfigCommand, Options, StoreCommand};
 use fennelpin_cli::error::{CliError, EXIT_WRONG_INPUT};
+use fennelpin_cli::local::cluster::Program;
 use fennelpin_cli::operator_settings::OperatorSettings;
+use fennelpin_cli::program_runtime::ProgramRuntime;
 use fennelpin_cli::{config_commands, local, logging, programs, status_report, store_commands};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    let program_runtime = runs_a_program().then(ProgramRuntime::start);
     let options = match command_line::options().run_inner(bpaf::Args::current_args()) {
         Ok(options) => options,
         Err(failure) => return print_parse_failure(failure),
     };
-    match run(options) {
+    match run(options, program_runtime) {
         Ok(code) => code,
         Err(error) => {
             // A terminal gets the error without the time that a log line has.
@@ -24,6 +27,15 @@
     }
 }
 
+/// Whether the command line names one of the programs that the platform starts. It is parsed only after their signals are
+/// handled.
+fn runs_a_program() -> bool {
+    std::env::args_os().any(|argument| {
+        let programs = [Program::ControlPlane, Program::Agent, Program::Proxy];
+        programs.iter().any(|program| argument == program.name())
+    })
+}
+
 /// Prints what the parser gives in place of options: help, completions or an error.
 fn print_parse_failure(failure: ParseFailure) -> ExitCode {
     match failure {
@@ -42,17 +54,28 @@
     }
 }
 
-fn run(options: Options) -> Result<ExitCode, CliError> {
+fn run(
+    options: Options,
+    program_runtime: Option<Result<ProgramRuntime, CliError>>,
+) -> Result<ExitCode, CliError> {
     let mut settings = OperatorSettings::read(options.operator.as_deref())?;
     settings.log_level = options.level.unwrap_or(settings.log_level);
     settings.log_format = options.format.unwrap_or(settings.log_format);
     logging::start(settings.log_level, settings.log_format);
+    let runtime = || program_runtime.unwrap_or_else(ProgramRuntime::start);
     match options.command {
         Command::ControlPlane(program) => {
-            return Ok(log_result(programs::control_plane(&program, &settings)))
+            let run = |runtime| programs::control_plane(runtime, &program, &settings);
+            return Ok(log_result(runtime().and_then(run)));
+        }
+        Command::Agent(program) => {
+            let run = |runtime| programs::agent(runtime, &program);
+            return Ok(log_result(runtime().and_then(run)));
+        }
+        Command::Proxy(program) => {
+            let run = |runtime| programs::proxy(runtime, &program);
+            return Ok(log_result(runtime().and_then(run)));
         }
-        Command::Agent(program) => return Ok(log_result(programs::agent(&program))),
-        Command::Proxy(program) => return Ok(log_result(programs::proxy(&program))),
         Command::Config(command) => return run_config(command),
         Command::Store(command) => run_store(command)?,
         Command::Status(options) => status_report::run(&options)?,
--- a/crates/fennelpin-cli/src/programs.rs
+++ b/crates/fennelpin-cli/src/programs.rs
@@ -3,28 +3,26 @@
 use crate::command_line::ProgramOptions;
 use crate::error::{AgentSnafu, CliError, ControlPlaneSnafu, ProxySnafu, StartupSnafu};
 use crate::operator_settings::OperatorSettings;
+use crate::program_runtime::{ProgramRuntime, ProgramSignals};
 use crate::{fleet_updates, process_settings};
-use configuration::ProcessSettings;
 use snafu::ResultExt;
 use std::future::Future;
-use tokio::runtime::Builder;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::oneshot;
-use tokio::task::LocalSet;
 
 /// Runs a member of the control plane until it is asked to end.
 ///
 /// # Errors
 /// Where the settings are invalid, or an address or the disk isn't available.
 pub fn control_plane(
+    runtime: ProgramRuntime,
     options: &ProgramOptions,
     operator: &OperatorSettings,
 ) -> Result<(), CliError> {
-    run_on_this_thread(async {
-        let settings = read_settings(options)?;
+    runtime.run(async |signals| {
+        let settings = process_settings::read(&options.settings)?;
         let seeds = process_settings::follow_seeds(options.settings.clone(), &settings)
             .context(StartupSnafu)?;
-        let shutdown = shutdown_signal(options)?;
+        let shutdown = shutdown_signal(options, signals)?;
         control_plane::runtime::run(settings, operator.runtime_settings(), seeds, shutdown)
             .await
             .context(ControlPlaneSnafu)
@@ -35,12 +33,12 @@
 ///
 /// # Errors
 /// Where the settings are invalid, or its address isn't available.
-pub fn agent(options: &ProgramOptions) -> Result<(), CliError> {
-    run_on_this_thread(async {
-        let settings = read_settings(options)?;
+pub fn agent(runtime: ProgramRuntime, options: &ProgramOptions) -> Result<(), CliError> {
+    runtime.run(async |signals| {
+        let settings = process_settings::read(&options.settings)?;
         let seeds = process_settings::follow_seeds(options.settings.clone(), &settings)
             .context(StartupSnafu)?;
-        let shutdown = shutdown_signal(options)?;
+        let shutdown = shutdown_signal(options, signals)?;
         agent::run(settings, seeds, shutdown)
             .await
             .context(AgentSnafu)
@@ -51,12 +49,12 @@
 ///
 /// # Errors
 /// Where the settings are invalid, or an address isn't available.
-pub fn proxy(options: &ProgramOptions) -> Result<(), CliError> {
-    run_on_this_thread(async {
+pub fn proxy(runtime: ProgramRuntime, options: &ProgramOptions) -> Result<(), CliError> {
+    runtime.run(async |signals| {
         // A proxy uses nothing of the file that may change.
-        let settings = read_settings(options)?;
+        let settings = process_settings::read(&options.settings)?;
         let fleet = fleet_updates::follow(&settings);
-        let counters = proxy::serve(settings, fleet, shutdown_signal(options)?)
+        let counters = proxy::serve(settings, fleet, shutdown_signal(options, signals)?)
             .await
             .context(ProxySnafu)?;
         log::info!("counters {counters:?}");
@@ -64,26 +62,11 @@
     })
 }
 
-fn run_on_this_thread<F>(program: F) -> Result<(), CliError>
-where
-    F: Future<Output = Result<(), CliError>>,
-{
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(StartupSnafu)?;
-    LocalSet::new().block_on(&runtime, program)
-}
-
-/// Reads the settings once SIGHUP, which tells that they have changed, doesn't end the process any more. (The handler
-/// stays.)
-fn read_settings(options: &ProgramOptions) -> Result<ProcessSettings, CliError> {
-    let _hangup = signal(SignalKind::hangup()).context(StartupSnafu)?;
-    process_settings::read(&options.settings)
-}
-
 /// Completes when the process is asked to end: by SIGTERM, by SIGINT or, where wanted, by the end of standard input.
-fn shutdown_signal(options: &ProgramOptions) -> Result<impl Future<Output = ()>, CliError> {
+fn shutdown_signal(
+    options: &ProgramOptions,
+    signals: ProgramSignals,
+) -> Result<impl Future<Output = ()>, CliError> {
     let input = options
         .until_input_ends
         .then(watch_standard_input)
@@ -96,12 +79,9 @@
             None => std::future::pending().await,
         }
     };
-    let mut terminate = signal(SignalKind::terminate()).context(StartupSnafu)?;
-    let mut interrupt = signal(SignalKind::interrupt()).context(StartupSnafu)?;
     Ok(async move {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            () = signals.shutdown() => {}
             () = input_end => {}
         }
     })
--- a/crates/fennelpin-cli/tests/soak/driver.rs
+++ b/crates/fennelpin-cli/tests/soak/driver.rs
@@ -17,8 +17,6 @@
 
 /// Time between two looks at the processes.
 const TICK: Duration = Duration::from_millis(2);
-/// A process that is asked to end so soon after its start may not have its handlers yet, and ends by the signal.
-const START_TIME: Duration = Duration::from_millis(200);
 /// Longest time from the end of a process to its next start.
 const MAX_RESTART_DELAY_MS: u64 = 500;
 
@@ -39,12 +37,14 @@
 #[derive(Clone, Copy, Debug)]
 enum ProcessState {
     Running {
-        since: Instant,
+        /// It got a signal that the kernel still acted on, as the process had no handlers yet.
+        was_signalled_early: bool,
     },
     /// It got SIGTERM.
     Terminating {
         since: Instant,
-        started_at: Instant,
+        /// It had no handlers yet, so that the kernel may have ended it.
+        was_early: bool,
         /// It stood still meanwhile by a fault.
         was_frozen: bool,
     },
@@ -55,15 +55,10 @@
 }
 
 impl ProcessState {
-    /// A running process gets SIGTERM.
-    fn terminate(&mut self, is_frozen: bool) {
-        let now = Instant::now();
-        if let ProcessState::Running { since: started_at } = *self {
-            *self = ProcessState::Terminating {
-                since: now,
-                started_at,
-                was_frozen: is_frozen,
-            };
+    /// A process that has just been started.
+    fn started() -> Self {
+        ProcessState::Running {
+            was_signalled_early: false,
         }
     }
 }
@@ -86,10 +81,9 @@
         let members = (1..=plan.members).map(|number| (Program::ControlPlane, number));
         let edges = (1..=plan.proxies)
             .flat_map(|number| [(Program::Agent, number), (Program::Proxy, number)]);
-        let since = Instant::now();
         let processes = members
             .chain(edges)
-            .map(|(program, number)| (Target { program, number }, ProcessState::Running { since }))
+            .map(|(program, number)| (Target { program, number }, ProcessState::started()))
             .collect();
         Self {
             cluster,
@@ -194,9 +188,10 @@
 
     fn signal(&mut self, target: Target, signal: Signal) {
         let name = target.process_name();
-        if self.cluster.processes.pid(&name).is_none() {
+        let Some(pid) = self.cluster.processes.pid(&name) else {
             return;
-        }
+        };
+        let is_early = !handles(pid, signal);
         self.recorder
             .record_process(&name, ProcessEvent::Signalled(signal));
         self.cluster.signal_program(&name, signal);
@@ -208,10 +203,37 @@
             self.frozen.contains(&name)
         };
         let state = self.state(target);
-        match (signal, state) {
-            (Signal::TERM, state @ ProcessState::Running { .. }) => state.terminate(is_frozen),
-            (Signal::KILL, state) => *state = ProcessState::Killed,
-            (Signal::STOP, ProcessState::Terminating { was_frozen, .. }) => *was_frozen = true,
+        match (signal, *state) {
+            (
+                Signal::TERM,
+                ProcessState::Running {
+                    was_signalled_early,
+                },
+            ) => {
+                *state = ProcessState::Terminating {
+                    since: Instant::now(),
+                    was_early: is_early || was_signalled_early,
+                    was_frozen: is_frozen,
+                };
+            }
+            (Signal::HUP, ProcessState::Running { .. }) if is_early => {
+                *state = ProcessState::Running {
+                    was_signalled_early: true,
+                };
+            }
+            (Signal::KILL, _) => *state = ProcessState::Killed,
+            (
+                Signal::STOP,
+                ProcessState::Terminating {
+                    since, was_early, ..
+                },
+            ) => {
+                *state = ProcessState::Terminating {
+                    since,
+                    was_early,
+                    was_frozen: true,
+                };
+            }
             _ => {}
         }
     }
@@ -269,19 +291,17 @@
         processes
             .start(target.program, target.number, false)
             .unwrap();
-        ProcessState::Running {
-            since: Instant::now(),
-        }
+        ProcessState::started()
     }
 
     fn check_end(&self, name: &str, state: ProcessState, status: ExitStatus) {
         let expected = match state {
-            ProcessState::Terminating {
-                since, started_at, ..
-            } => {
-                let was_starting = since.duration_since(started_at) < START_TIME;
-                status.success() || (was_starting && status.signal().is_some())
+            ProcessState::Terminating { was_early, .. } => {
+                status.success() || (was_early && status.signal().is_some())
             }
+            ProcessState::Running {
+                was_signalled_early: true,
+            } => status.signal() == Some(Signal::HUP.as_raw()),
             ProcessState::Killed => true,
             ProcessState::Running { .. } | ProcessState::Down { .. } => false,
         };
@@ -303,3 +323,14 @@
         std::fs::write(&file, settings.to_string()).unwrap();
     }
 }
+
+/// Whether a process has a handler for a signal. In the first moments of a start, before its own code runs, it has none.
+fn handles(pid: u32, signal: Signal) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let caught = status
+        .lines()
+        .find_map(|line| line.strip_prefix("SigCgt:"))
+        .and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    let bit = 1_u64 << (signal.as_raw() - 1);
+    caught.is_some_and(|mask| mask & bit != 0)
+}
--- a/crates/fennelpin-cli/tests/soak/run.rs
+++ b/crates/fennelpin-cli/tests/soak/run.rs
@@ -106,7 +106,11 @@
         driver.play(&events, settings.duration);
         stop.raise();
         // The clients' last requests are still under way while processes end and start.
-        driver.play_until(|| clients.iter().all(|client| client.is_finished()));
+        driver.play_until(|| {
+            clients
+                .iter()
+                .all(std::thread::ScopedJoinHandle::is_finished)
+        });
     });
     driver.lose(FINAL_LOSSES[seed as usize % FINAL_LOSSES.len()]);
     let quota_stops = driver.end_quota();
