--- a/crates/fennelpin-cli/tests/soak/rules.rs
+++ b/crates/fennelpin-cli/tests/soak/rules.rs
@@ -1,6 +1,6 @@
 //! What must hold, whatever the platform plans.
 
-use super::recorder::{ProcessEvent, Recording, RequestEnd, RequestRecord, RunRecord};
+use super::recorder::{ProcessEvent, Recording, RequestEnd, RequestKind, RequestRecord, RunRecord};
 use super::settings::GRACE;
 use super::stream_hosts::BREAKING_SUFFIX;
 use rustix::process::Signal;
@@ -117,7 +117,11 @@
             _ => found.push(Violation::UnexpectedStatus(record())),
         },
         RequestEnd::Truncated | RequestEnd::Unanswered => {
-            let excused = broken_off || in_trouble;
+            let is_stream = matches!(
+                request.kind,
+                RequestKind::Stream | RequestKind::ResumableStream
+            );
+            let excused = (broken_off && is_stream) || in_trouble;
             if !excused && is_lost(recording, request, runs > 0) {
                 found.push(Violation::Lost(record()));
             }
