--- a/tools/mixed_days.py
+++ b/tools/mixed_days.py
@@ -80,7 +80,8 @@
     def how(self, kind):
         """The words of `how`."""
         words = [self.draw.pick(*kind.variants)]
-        if kind.name in trouble_kinds.HOST_KINDS:
+        # Where all hosts of a service go for good, nothing is left that could be served.
+        if kind.name in trouble_kinds.HOST_KINDS and "gone" not in words:
             words.append(self.draw.pick(*trouble_kinds.HOST_CHOICES))
         if kind.is_cut:
             words.append(self.draw.pick(*trouble_kinds.CUT_REPLIES))
--- a/tools/tests/test_trouble_kinds.py
+++ b/tools/tests/test_trouble_kinds.py
@@ -62,6 +62,12 @@
                 words = {word for variant in kind.variants for word in variant.split()}
                 self.assertLessEqual(words, drawn[kind.name], kind.name)
 
+    def test_hosts_that_go_for_good_are_never_all_of_a_service(self):
+        for seed in range(300):
+            for entry in mixed_days.Day(seed, "mixed").faults():
+                words = entry["how"].split()
+                self.assertFalse("gone" in words and {"all", "across"} & set(words), entry)
+
     def test_kinds_that_the_deployment_lacks_are_not_drawn(self):
         allowed = mixed_days.kinds_listed(LISTED)
         for seed in range(200):
