A member that has lost contact with the primary sends hosts to other members

Cause: a member that is partitioned off acknowledged heartbeats and named itself, or a member whose link had just gone down, as the target of the next; a new host that kept to it was unseen by all others for as long as the partition lasted. It marks no host as silent meanwhile, as it can't know who calls elsewhere.

--- a/crates/control-plane/src/host_registry/entry.rs
+++ b/crates/control-plane/src/host_registry/entry.rs
@@ -25,6 +25,13 @@
     ended_at: Option<Duration>,
 }
 
+/// Whether hosts that haven't called for long are published as silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SilentHosts {
+    Mark,
+    Keep,
+}
+
 /// What becomes of a host as time passes.
 pub(super) enum Expiry {
     Unchanged,
@@ -76,6 +83,7 @@
         &mut self,
         now: Duration,
         heartbeat_timeout: Duration,
+        silent_hosts: SilentHosts,
         call_seq_elsewhere: impl FnOnce() -> Option<u64>,
     ) -> Expiry {
         if self.ended_at.is_some_and(|at| now >= at + ENDED_RETENTION) {
@@ -92,7 +100,7 @@
         if call_seq_elsewhere().is_some_and(|seq| seq > self.published.call_seq) {
             return self.forget(now);
         }
-        if self.published.heartbeat_expired {
+        if self.published.heartbeat_expired || silent_hosts == SilentHosts::Keep {
             return Expiry::Unchanged;
         }
         self.published.heartbeat_expired = true;
--- a/crates/control-plane/src/host_registry/mod.rs
+++ b/crates/control-plane/src/host_registry/mod.rs
@@ -8,11 +8,11 @@
 mod request;
 
 pub use entry::KnownCoordinator;
-pub use heartbeat_target::heartbeat_target;
+pub use heartbeat_target::{heartbeat_target, heartbeat_target_elsewhere};
 pub use request::{Heartbeat, HostRequest};
 
 use crate::incarnation;
-use entry::{Expiry, HostEntry};
+use entry::{Expiry, HostEntry, SilentHosts};
 use protocol::{CoordinatorRecord, HostRecord, OriginUpdate, OriginVersion, Subscriber};
 use replication::phase;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -192,9 +192,28 @@
         &mut self,
         now: Duration,
         call_seq_elsewhere: impl Fn(&str) -> Option<u64>,
+    ) -> bool {
+        self.expire(now, SilentHosts::Mark, call_seq_elsewhere)
+    }
+
+    /// As [`HostRegistry::tick`], at a member that has sent its hosts to other members and doesn't hear of these: hosts
+    /// that are silent here may call there.
+    pub fn tick_without_contact(
+        &mut self,
+        now: Duration,
+        call_seq_elsewhere: impl Fn(&str) -> Option<u64>,
+    ) -> bool {
+        self.expire(now, SilentHosts::Keep, call_seq_elsewhere)
+    }
+
+    fn expire(
+        &mut self,
+        now: Duration,
+        silent_hosts: SilentHosts,
+        call_seq_elsewhere: impl Fn(&str) -> Option<u64>,
     ) -> bool {
         let before = self.version.sequence;
-        self.expire_hosts(now, call_seq_elsewhere);
+        self.expire_hosts(now, silent_hosts, call_seq_elsewhere);
         self.expire_coordinators(now);
         self.version.sequence != before
     }
@@ -245,19 +264,24 @@
         self.changed_hosts.insert(host.to_owned());
     }
 
-    fn expire_hosts(&mut self, now: Duration, call_seq_elsewhere: impl Fn(&str) -> Option<u64>) {
+    fn expire_hosts(
+        &mut self,
+        now: Duration,
+        silent_hosts: SilentHosts,
+        call_seq_elsewhere: impl Fn(&str) -> Option<u64>,
+    ) {
         let timeout = self.heartbeat_timeout;
         let mut changed = Vec::new();
-        self.hosts.retain(
-            |id, host| match host.expire(now, timeout, || call_seq_elsewhere(id)) {
+        self.hosts.retain(|id, host| {
+            match host.expire(now, timeout, silent_hosts, || call_seq_elsewhere(id)) {
                 Expiry::Unchanged => true,
                 Expiry::Changed => {
                     changed.push(id.clone());
                     true
                 }
                 Expiry::Drop => false,
-            },
-        );
+            }
+        });
         for id in changed {
             self.host_changed(&id);
         }
--- a/crates/control-plane/src/host_registry/request.rs
+++ b/crates/control-plane/src/host_registry/request.rs
@@ -94,6 +94,14 @@
         }
     }
 
+    /// What it says, unless it tells the host's end.
+    pub fn heartbeat(&self) -> Option<&Heartbeat> {
+        match self {
+            HostRequest::Heartbeat { heartbeat, .. } => Some(heartbeat),
+            HostRequest::Depart { .. } => None,
+        }
+    }
+
     /// Whether the host says that it is draining or gone.
     pub fn is_leaving(&self) -> bool {
         match self {
--- a/crates/control-plane/src/registry_publisher.rs
+++ b/crates/control-plane/src/registry_publisher.rs
@@ -1,8 +1,8 @@
 //! Publishes this member's host registry into the mirror that others pull from.
 
 use crate::host_registry::{HostRegistry, HostRequest};
-use protocol::{CoordinatorRecord, HostRecord, Subscriber};
-use replication::{Mirror, SharedMirror, Update};
+use protocol::{CoordinatorRecord, HostRecord, MemberInfo, Subscriber};
+use replication::{Mirror, SharedMirror, Update, STALE_AGE_MS};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -64,12 +64,22 @@
         })
     }
 
+    /// The members of the control plane, where this member has lost contact with the primary.
+    pub fn members_when_contact_is_lost(&self) -> Option<Vec<MemberInfo>> {
+        self.mirror.update(|mirror, now| {
+            has_lost_contact(mirror, now).then(|| mirror.control_plane().members.clone())
+        })
+    }
+
     /// Notes that a coordinator or another member pulls.
     pub fn record_pull(&self, subscriber: &Subscriber) {
         self.change(|registry, _, now| registry.record_pull(now, subscriber));
     }
 
     /// Lets time pass: notes what is silent or ended long ago. To be called a few times in a heartbeat interval.
+    ///
+    /// A member that has lost contact with the primary sends its hosts to other members, and can't know whether they
+    /// call there: it marks none as silent.
     pub fn tick(&self) {
         self.change(|registry, mirror, now| {
             let call_seq_elsewhere = |host: &str| {
@@ -77,7 +87,11 @@
                     .host_at_other_origins(self.member_id, host)
                     .map(|record| record.call_seq)
             };
-            registry.tick(now, call_seq_elsewhere)
+            if has_lost_contact(mirror, now) {
+                registry.tick_without_contact(now, call_seq_elsewhere)
+            } else {
+                registry.tick(now, call_seq_elsewhere)
+            }
         });
         self.mirror.update(Mirror::tick);
     }
@@ -133,3 +147,8 @@
         self.registry.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether committed changes may have been missed for so long that the member counts as partitioned off.
+fn has_lost_contact(mirror: &Mirror, now: Duration) -> bool {
+    mirror.age_ms(now) > STALE_AGE_MS
+}
--- a/crates/control-plane/src/runtime/request_handler.rs
+++ b/crates/control-plane/src/runtime/request_handler.rs
@@ -6,7 +6,7 @@
 use super::status_page::{self, StatusPage};
 use super::{run_command, CommandReply, Event, Events, MemberStatus};
 use crate::configuration_history::ConfigurationHistory;
-use crate::host_registry::{heartbeat_target, HostRequest};
+use crate::host_registry::{heartbeat_target, heartbeat_target_elsewhere, HostRequest};
 use crate::registry_publisher::RegistryPublisher;
 use bytes::Bytes;
 use configuration::ResultCode;
@@ -101,8 +101,10 @@
         if request.is_leaving() {
             return self.drain(opened, request.host()).await;
         }
-        let reachable = opened.peers.reachable_members();
-        match heartbeat_target(request.host(), opened.me.id, &reachable) {
+        let call_seq = request
+            .heartbeat()
+            .map_or(0, |heartbeat| heartbeat.call_seq);
+        match next_heartbeat_target(opened, request.host(), call_seq) {
             Some(member) => {
                 let target = SocketAddrV4::from(&member.control_addr);
                 Reply::json(json!({"beat_target": target.to_string()}).to_string())
@@ -150,6 +152,16 @@
     }
 }
 
+/// The member that a host's later heartbeats should go to; `None` if that is this one.
+fn next_heartbeat_target(opened: &OpenMember, host: &str, call_seq: u64) -> Option<MemberInfo> {
+    let own_id = opened.me.id;
+    if let Some(members) = opened.publisher.members_when_contact_is_lost() {
+        return heartbeat_target_elsewhere(host, call_seq, own_id, &members).cloned();
+    }
+    let reachable = opened.peers.reachable_members();
+    heartbeat_target(host, own_id, &reachable).cloned()
+}
+
 /// The versions that this member saw in force, newest last, or the configuration of one of them.
 fn history(opened: &OpenMember, version: Option<u64>) -> Reply {
     let history = opened.history.borrow();
--- a/crates/control-plane/tests/host_registry.rs
+++ b/crates/control-plane/tests/host_registry.rs
@@ -1,7 +1,9 @@
 //! The host registry: what hosts and coordinators tell this member.
 
 use configuration::ResultCode;
-use control_plane::host_registry::{heartbeat_target, Heartbeat, HostRegistry, HostRequest};
+use control_plane::host_registry::{
+    heartbeat_target, heartbeat_target_elsewhere, Heartbeat, HostRegistry, HostRequest,
+};
 use protocol::{Addr, HostRecord, MemberInfo, Subscriber};
 use replication::phase;
 use rstest::rstest;
@@ -135,6 +137,25 @@
     assert!(!registry.tick(ms(8699), unknown_elsewhere));
 }
 
+#[test]
+fn host_when_silent_without_contact_is_not_marked_until_contact_is_back() {
+    let mut registry = registry();
+    registry.heartbeat(ms(0), "a", &heartbeat(1), None);
+    changed(&mut registry);
+    assert!(!registry.tick_without_contact(ms(60_000), unknown_elsewhere));
+    assert!(registry.tick(ms(60_001), unknown_elsewhere));
+    assert!(changed(&mut registry).unwrap().heartbeat_expired);
+}
+
+#[test]
+fn host_when_known_to_call_elsewhere_is_forgotten_without_contact_too() {
+    let mut registry = registry();
+    registry.heartbeat(ms(0), "a", &heartbeat(4), None);
+    changed(&mut registry);
+    assert!(registry.tick_without_contact(ms(2700), |_| Some(9)));
+    assert_eq!(changed(&mut registry).unwrap().phase, phase::FORGOTTEN);
+}
+
 #[test]
 fn host_when_it_calls_another_member_is_forgotten() {
     let mut registry = registry();
@@ -382,3 +403,24 @@
     assert_eq!(heartbeat_target("i", 1, &[]), None);
     assert_eq!(heartbeat_target("i", 1, &reachable[..1]), None);
 }
+
+/// A host that calls again and again is sent to each other member in turn, and never back to the one that it called.
+#[test]
+fn heartbeat_targets_when_contact_is_lost_are_the_other_members_in_turn() {
+    let members: Vec<MemberInfo> = (1..=5)
+        .map(|id| MemberInfo {
+            id,
+            ..MemberInfo::default()
+        })
+        .collect();
+    let target = |call_seq| heartbeat_target_elsewhere("i-1", call_seq, 3, &members).map(|m| m.id);
+    let mut turns: Vec<u64> = (100..104).filter_map(target).collect();
+    assert_eq!(target(104), turns.first().copied(), "the turns repeat");
+    turns.sort_unstable();
+    assert_eq!(turns, [1, 2, 4, 5]);
+    assert_eq!(
+        heartbeat_target_elsewhere("i-1", 7, 3, &members[2..3]),
+        None
+    );
+    assert_eq!(heartbeat_target_elsewhere("i-1", 7, 3, &[]), None);
+}
--- a/crates/fennelpin-cli/tests/fault_injection/partition.rs
+++ b/crates/fennelpin-cli/tests/fault_injection/partition.rs
@@ -5,6 +5,7 @@
     call_until_conclusive, configuration_version, PendingCall, TestOperator, READ,
 };
 use crate::harness::cluster::{MemberRole, TestCluster};
+use crate::harness::heartbeat::HostRecord;
 use crate::harness::relay::Direction;
 use crate::harness::wait_until;
 use fennelpin_cli::local::cluster::Program;
@@ -181,3 +182,65 @@
     let shown = cluster.versions_in_force(LASTING);
     assert!(shown.is_sorted(), "never back: {shown:?}");
 }
+
+/// Whether a member knows a host.
+fn knows_host(cluster: &TestCluster, n: u8, id: &str) -> bool {
+    let status = cluster.status(n).unwrap_or_default();
+    let hosts = status["hosts"].as_array().cloned().unwrap_or_default();
+    hosts.iter().any(|host| host["id"] == id)
+}
+
+/// The id of a host that a member keeps while all members are reachable.
+fn host_kept_by(cluster: &TestCluster, member: u8) -> String {
+    let member_id = |n: u8| {
+        let status = cluster.status(n).unwrap();
+        u64::from_str_radix(status["id"].as_str().unwrap(), 16).unwrap()
+    };
+    let ids = ALL.map(member_id);
+    let best_for = |host: &String| {
+        ids.iter()
+            .max_by_key(|id| replication::rendezvous_weight(host, &id.to_be_bytes()))
+            .copied()
+    };
+    (0..)
+        .map(|n| format!("i-{n}"))
+        .find(|host| best_for(host) == Some(member_id(member)))
+        .unwrap()
+}
+
+/// A new host whose first call reaches a member that is partitioned off, and that keeps to what it is told: the others
+/// would not hear of it for as long as the partition lasts.
+#[rstest]
+#[case::both_ways(LostDirections::Both)]
+#[case::unheard(LostDirections::Outward)]
+#[case::deaf(LostDirections::Inward)]
+fn host_when_its_member_is_partitioned_then_it_is_sent_to_another(#[case] lost: LostDirections) {
+    let cluster = TestCluster::relayed(3, 1);
+    cluster.operator(&ALL).apply_next();
+    let old = cluster.member_with_role(&ALL, MemberRole::Backup);
+    let others: Vec<u8> = ALL.into_iter().filter(|n| *n != old).collect();
+    let id = host_kept_by(&cluster, old);
+    cluster.partitions.set(partitions(lost, old, &others));
+    let host = HostRecord {
+        id,
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "z".into(),
+        capacity: 4,
+    };
+    let controls: Vec<_> = others.iter().map(|n| cluster.control(*n)).collect();
+    let (mut sequence, mut member) = (0, cluster.control(old));
+    wait_until(
+        "the host calls a member that is not partitioned off",
+        || {
+            sequence += 1;
+            member = host.heartbeat_target(sequence, member).unwrap_or(member);
+            controls.contains(&member).then_some(())
+        },
+    );
+    host.heartbeat_target(sequence + 1, member);
+    for n in others {
+        wait_until(&format!("core-{n} knows the host"), || {
+            knows_host(&cluster, n, &host.id).then_some(())
+        });
+    }
+}
--- a/crates/fennelpin-cli/tests/harness/heartbeat.rs
+++ b/crates/fennelpin-cli/tests/harness/heartbeat.rs
@@ -1,8 +1,8 @@
 //! Heartbeats by which hosts register with the members.
 
 use super::CALL_TIMEOUT;
-use fennelpin_cli::control_client::{call_member, ControlCall};
-use serde_json::json;
+use fennelpin_cli::control_client::{call_member, ControlAnswer, ControlCall};
+use serde_json::{json, Value};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
@@ -38,6 +38,23 @@
 impl HostRecord {
     /// Sends a heartbeat to one member after the other until one acknowledges it. Whether one did.
     pub fn send_heartbeat(&self, phase: HostPhase, sequence: u64, controls: &[SocketAddr]) -> bool {
+        controls
+            .iter()
+            .any(|control| self.call(phase, sequence, *control).is_some())
+    }
+
+    /// Sends a heartbeat to a member that has to acknowledge it. The member that later ones should go to, if it names one.
+    pub fn heartbeat_target(&self, sequence: u64, control: SocketAddr) -> Option<SocketAddr> {
+        let answer = self.call(HostPhase::Ready, sequence, control);
+        let body = answer.expect("each member acknowledges heartbeats").body;
+        let body: Value = serde_json::from_slice(&body).unwrap();
+        body["beat_target"]
+            .as_str()
+            .map(|target| target.parse().unwrap())
+    }
+
+    /// A member's answer, if it acknowledges the heartbeat.
+    fn call(&self, phase: HostPhase, sequence: u64, control: SocketAddr) -> Option<ControlAnswer> {
         let name = format!("Hosts.Heartbeat/{}", self.id);
         let body =
             json!({"service": "s", "address": self.address, "zone": self.zone, "version": "v1",
@@ -48,8 +65,7 @@
             base_version: None,
             body: Some(body.as_bytes()),
         };
-        controls.iter().any(|control| {
-            call_member(*control, &call, CALL_TIMEOUT).is_ok_and(|answer| answer.status == 200)
-        })
+        let answer = call_member(control, &call, CALL_TIMEOUT).ok()?;
+        (answer.status == 200).then_some(answer)
     }
 }
