--- a/crates/simulator/src/bin/simulator.rs
+++ b/crates/simulator/src/bin/simulator.rs
@@ -89,7 +89,7 @@
     let to = number("to", "one beyond the last seed", 1000);
     let jobs = number("jobs", "threads", 4);
     let mode = bpaf::long("mode")
-        .help("how plans are drawn: drawn, rough, long, aimed, double, storm, promises")
+        .help("how plans are drawn: drawn, rough, long, aimed, double, storm, promises, zones, halves")
         .argument::<String>("MODE")
         .parse(|name| Mode::from_name(&name).ok_or("no such mode"))
         .fallback(Mode::Drawn);
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -59,6 +59,9 @@
     CutPair(usize, usize, Duration),
     /// All machines of a zone, agents too, are cut off from the others.
     CutZone(usize, Duration, CutDirection),
+    /// The members are cut into two parts, whatever the budget of losses says; all others reach both. Bit N of the mask
+    /// names the part of machine N.
+    Split(u32, Duration),
     /// An agent's process is killed and started again without its state.
     Agent(usize, Duration),
 }
@@ -104,6 +107,7 @@
             Self::Full(_, d) | Self::KillAll(d) | Self::PowerAll(d, _) => d,
             Self::Term(_, d) => d + GRACEFUL_SHUTDOWN_TIME,
             Self::CutPair(_, _, d) | Self::CutZone(_, d, _) | Self::Agent(_, d) => d,
+            Self::Split(_, d) => d,
             Self::Retire(_) | Self::Join => Duration::ZERO,
         }
     }
@@ -125,6 +129,7 @@
             Self::Term(n, _) => Self::Term(n, d),
             Self::CutPair(a, b, _) => Self::CutPair(a, b, d),
             Self::CutZone(zone, _, way) => Self::CutZone(zone, d, way),
+            Self::Split(parts, _) => Self::Split(parts, d),
             Self::Agent(k, _) => Self::Agent(k, d),
             Self::Retire(_) | Self::Join => self,
         }
--- a/crates/simulator/src/plan.rs
+++ b/crates/simulator/src/plan.rs
@@ -35,6 +35,9 @@
     pub seeded_bug: SeededBug,
     /// More is lost at once than the budget allows: only safety is checked, not that a primary acts.
     pub safety_only: bool,
+    /// With [`Plan::safety_only`]: while no fault lasts, a primary has to act and requests are answered in time, whatever
+    /// was lost at once before.
+    pub recovers: bool,
     /// Faults that wait for a trigger.
     pub triggered_faults: Vec<TriggeredFault>,
     /// Faults wait until the budget allows them (unless [`Plan::safety_only`] is set), disks keep a random part of
@@ -121,6 +124,7 @@
             faults: vec![],
             seeded_bug: SeededBug::Nothing,
             safety_only: false,
+            recovers: false,
             triggered_faults: vec![],
             strict: false,
             workload: None,
--- a/crates/simulator/src/shrink.rs
+++ b/crates/simulator/src/shrink.rs
@@ -140,6 +140,7 @@
         Fault::CutZone(zone, _, direction) => {
             format!("CutZone({zone}, {d}, CutDirection::{direction:?})")
         }
+        Fault::Split(parts, _) => format!("Split({parts:#b}, {d})"),
         Fault::Agent(k, _) => format!("Agent{}", member_and_duration(k)),
     };
     format!("Fault::{text}")
@@ -198,6 +199,7 @@
         clock_drift_ppm,
         strict,
         safety_only,
+        recovers,
         agents,
         ..
     } = plan;
@@ -205,7 +207,7 @@
         "Plan {{ members: {members}, machine_losses: {machine_losses}, zone_losses: {zone_losses}, \
          region_losses: {region_losses}, seeds_share_a_zone: {seeds_share_a_zone}, \
          clock_drift_ppm: {clock_drift_ppm}, duration: {}, faults: vec![{}], triggered_faults: vec![{}], \
-         strict: {strict}, safety_only: {safety_only}, agents: {agents}, workload: {workload}, \
+         strict: {strict}, safety_only: {safety_only}, recovers: {recovers}, agents: {agents}, workload: {workload}, \
          ..Plan::without_faults({seed}) }}",
         duration_as_code(plan.duration),
         faults.join(", "),
--- a/crates/simulator/src/world/budget.rs
+++ b/crates/simulator/src/world/budget.rs
@@ -38,7 +38,7 @@
             }
             Fault::KillAll(_) | Fault::PowerAll(..) => (0..self.nodes.len()).collect(),
             Fault::CutZone(zone, ..) => self.zone(zone),
-            Fault::Join | Fault::Agent(..) => vec![],
+            Fault::Join | Fault::Agent(..) | Fault::Split(..) => vec![],
         }
     }
 
--- a/crates/simulator/src/world/checks.rs
+++ b/crates/simulator/src/world/checks.rs
@@ -111,7 +111,7 @@
         let quiet = self.now.saturating_sub(self.quiet_since);
         let started_at = self.gap_started_at.unwrap_or(self.now);
         let gap = self.now.saturating_sub(started_at).min(quiet);
-        if gap > MAX_TIME_WITHOUT_PRIMARY && !self.plan.safety_only {
+        if gap > MAX_TIME_WITHOUT_PRIMARY && self.is_liveness_due() {
             let memberships = self.describe_memberships();
             let description = format!("nobody has acted for {gap:?}: {memberships}");
             self.report_violation(0, Violation::new(description));
@@ -123,6 +123,12 @@
         self.schedule(self.now + CHECK_INTERVAL, 0, EventKind::RunChecks);
     }
 
+    /// Whether a primary has to act, and requests have to be answered in time.
+    pub(super) fn is_liveness_due(&self) -> bool {
+        let recovers_now = self.plan.recovers && self.lasting_faults == 0;
+        !self.plan.safety_only || recovers_now
+    }
+
     /// The membership that each member knows, for people.
     fn describe_memberships(&self) -> String {
         let describe = |node: &Node| {
@@ -135,7 +141,7 @@
 
     /// Checks what has to hold in the end, and completes the report.
     pub(super) fn finish(mut self, end: Duration) -> Report {
-        if !self.plan.safety_only {
+        if self.is_liveness_due() {
             self.check_final_primary(end);
             self.check_final_calls(end);
         }
--- a/crates/simulator/src/world/fault_injection.rs
+++ b/crates/simulator/src/world/fault_injection.rs
@@ -16,6 +16,7 @@
 impl World<'_> {
     /// Injects a fault, and schedules its end.
     pub(super) fn inject(&mut self, fault: Fault) {
+        self.lasting_faults += 1;
         self.quiet_since = if self.plan.strict {
             self.now
         } else {
@@ -62,6 +63,7 @@
                 }
             }
             Fault::CutZone(zone, _, direction) => self.cut_zone(zone, direction, true),
+            Fault::Split(parts, _) => self.split(parts, true),
             Fault::Agent(k, d) => self.restart_agent(k, d),
             Fault::KillAll(d) => self.stop_all(d, None),
             Fault::PowerAll(d, wiped) => self.stop_all(d, wiped),
@@ -122,6 +124,7 @@
     /// A fault ends. Where several of one kind overlap, the last one counts.
     pub(super) fn heal(&mut self, fault: Fault) {
         self.trace(|_| format!("heals: {fault:?}"));
+        self.lasting_faults -= 1;
         let now = self.now;
         let lasts = |until: Duration| self.plan.strict && until > now;
         match fault {
@@ -131,6 +134,7 @@
             Fault::Slow(n, ..) if lasts(self.nodes[n].fault_ends.slow) => {}
             Fault::CutPair(a, b, _) => self.cut_links(&[(a, b), (b, a)], false),
             Fault::CutZone(zone, _, direction) => self.cut_zone(zone, direction, false),
+            Fault::Split(parts, _) => self.split(parts, false),
             Fault::Freeze(n, _) => self.thaw(n),
             Fault::Cut(n, _, direction) => self.cut_machine(n, direction, false),
             Fault::Stall(n, _) => {
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -277,6 +277,16 @@
             .collect()
     }
 
+    /// Cuts the members into two parts, or joins them again. Machines that have yet to join have a part, too.
+    pub(super) fn split(&mut self, parts: u32, cut: bool) {
+        let part = |n: usize| parts >> n & 1;
+        let links: Vec<(usize, usize)> = (0..MAX_MACHINES)
+            .flat_map(|a| (0..MAX_MACHINES).map(move |b| (a, b)))
+            .filter(|(a, b)| part(*a) != part(*b))
+            .collect();
+        self.cut_links(&links, cut);
+    }
+
     /// Cuts all machines of a zone off from the others, or joins them again.
     pub(super) fn cut_zone(&mut self, zone: usize, direction: CutDirection, cut: bool) {
         let is_inside = |n: usize| self.zone_of(n) == zone % ZONES;
--- a/crates/simulator/src/world/responses.rs
+++ b/crates/simulator/src/world/responses.rs
@@ -119,7 +119,7 @@
 
     /// Whether a request has to be answered in time, by when it was created.
     fn is_response_due(&self, created_at: Duration) -> bool {
-        !self.plan.safety_only && created_at > self.quiet_since + QUIET_AFTER_FAULT
+        self.is_liveness_due() && created_at > self.quiet_since + QUIET_AFTER_FAULT
     }
 
     fn check_response_time(&mut self, n: usize, number: u64) {
--- a/crates/simulator/src/world/state.rs
+++ b/crates/simulator/src/world/state.rs
@@ -58,6 +58,8 @@
     pub(super) traced_primary: Option<usize>,
     /// Disks that are lost for good.
     pub(super) lost_disks: u32,
+    /// Faults that have struck and not healed.
+    pub(super) lasting_faults: u32,
     /// When the latest fault struck or healed.
     pub(super) quiet_since: Duration,
     /// Since when no primary has acted.
@@ -91,6 +93,7 @@
             trigger_counts: BTreeMap::new(),
             traced_primary: None,
             lost_disks: 0,
+            lasting_faults: 0,
             quiet_since: START_TIME,
             gap_started_at: None,
             acting: 0,
--- a/crates/simulator/src/world/subscriber_checks.rs
+++ b/crates/simulator/src/world/subscriber_checks.rs
@@ -51,7 +51,7 @@
         }
         let quiet = self.now.saturating_sub(self.quiet_since.max(started_at));
         let is_quiet = quiet > MAX_DISCOVERY_TIME + MAX_READ_LAG;
-        let is_due = is_quiet && self.reaches_everyone(process) && !self.plan.safety_only;
+        let is_due = is_quiet && self.reaches_everyone(process) && self.is_liveness_due();
         if is_due && in_force.version < due {
             let version = in_force.version;
             let description = format!(
--- a/crates/simulator/tests/modes.rs
+++ b/crates/simulator/tests/modes.rs
@@ -14,6 +14,7 @@
 #[case(Mode::Storm, 6)]
 #[case(Mode::Promises, 100)]
 #[case(Mode::Zones, 12)]
+#[case(Mode::Halves, 60)]
 fn no_violation_when_plans_of_a_mode_run(#[case] mode: Mode, #[case] many: u64) {
     let violating: Vec<_> = (0..many)
         .map(|seed| (seed, run(&mode.plan(seed)).violations))
@@ -55,10 +56,55 @@
     assert!((0..12).any(|seed| Plan::zones(seed).clock_drift_ppm > 0));
 }
 
+/// How many other faults strike while members are split.
+fn overlaps(injected: &[(Duration, Fault)]) -> usize {
+    let lasts = |(at, fault): &(Duration, Fault)| *at..*at + fault.duration();
+    let is_split = |fault: &Fault| matches!(fault, Fault::Split(..));
+    let splits = injected.iter().filter(|(_, fault)| is_split(fault));
+    let others = |time: &std::ops::Range<Duration>| {
+        let inside = |(at, fault): &&(Duration, Fault)| !is_split(fault) && time.contains(at);
+        injected.iter().filter(inside).count()
+    };
+    splits.map(lasts).map(|time| others(&time)).sum()
+}
+
+/// Members are cut into halves whatever the budget says, and lose each other for other reasons meanwhile.
+#[test]
+fn halves_are_cut_apart_under_other_faults_when_mode_is_halves() {
+    let runs: Vec<_> = (0..12).map(|seed| run(&Plan::halves(seed))).collect();
+    let splits = |fault: &Fault| matches!(fault, Fault::Split(..));
+    let injected = runs.iter().map(|r| &r.injected_faults);
+    let many = injected.clone().flatten().filter(|f| splits(&f.1)).count();
+    assert!(many >= 24, "{many} splits");
+    let overlapping: usize = injected.map(|faults| overlaps(faults)).sum();
+    assert!(overlapping >= 24, "{overlapping} faults during splits");
+    assert!(runs.iter().all(|run| run.acknowledged > 0));
+}
+
+/// With four members in two halves nobody has a majority: a primary acts again soon after they are joined, and all that
+/// was acknowledged is there.
+#[test]
+fn primary_acts_again_when_halves_without_a_majority_are_joined() {
+    let (at, lasts) = (Duration::from_secs(6), Duration::from_secs(9));
+    let report = run(&Plan {
+        members: 4,
+        strict: true,
+        safety_only: true,
+        recovers: true,
+        workload: Some(ClientWorkload::default()),
+        faults: vec![(at, Fault::Split(0b0011, lasts))],
+        duration: Duration::from_secs(25),
+        ..Plan::without_faults(11)
+    });
+    assert!(report.violations.is_empty(), "{:?}", report.violations);
+    let longest = report.gaps.iter().max().copied().unwrap_or_default();
+    assert!(longest < lasts + Duration::from_secs(3), "{longest:?}");
+}
+
 /// Runs with agents and several clients are deterministic, too.
 #[rstest]
 fn run_is_the_same_when_plan_of_a_mode_is_repeated(
-    #[values(Mode::Long, Mode::Aimed, Mode::Double)] mode: Mode,
+    #[values(Mode::Long, Mode::Aimed, Mode::Double, Mode::Halves)] mode: Mode,
 ) {
     let (a, b) = (run(&mode.plan(3)), run(&mode.plan(3)));
     assert_eq!(
