Voters grow after a recovery that may lose two machines; none is dropped for its place too early

Cause: the measure of what a majority lacks counted at most as many lost machines as there are voters, so a second voter made it worse: after 'store recover' on a system that bears two losses nobody could ever join, and no change was taken again. And a voter of a zone or region with two of three voters was dropped before others had come: two voters, and the loss of either left no majority. Change: the loss counts in full where fewer are there than may be lost; a voter is dropped for its place only where a majority of the others then survives.

--- a/crates/control-plane/src/member/membership_change.rs
+++ b/crates/control-plane/src/member/membership_change.rs
@@ -245,23 +245,54 @@
         let departing = others().find(|v| self.is_peer_departing(v.id));
         let silent = || others().find(|v| self.silence(primary, v.id) > remove_after);
         removed.extend(departing.or_else(silent).map(|v| v.id));
-        while let Some(voter) = self.voter_in_large_group(membership, &removed) {
-            removed.insert(voter);
-        }
+        removed.extend(self.voters_in_the_way(membership, &removed));
         removed
     }
 
-    /// Of the voters that stay, one of a zone or region with so many voters that its loss would leave no majority.
-    fn voter_in_large_group(
+    /// Of the voters that stay, those without whom a majority survives the loss of any zone or region. None where too
+    /// few others are there for that: fewer voters would bear the loss of fewer zones or regions.
+    fn voters_in_the_way(
         &self,
         membership: &MembershipConfig,
         removed: &BTreeSet<u64>,
-    ) -> Option<u64> {
+    ) -> BTreeSet<u64> {
+        let mut without = removed.clone();
+        while let Some(voter) = self.voter_in_large_group(membership, &without) {
+            without.insert(voter);
+        }
+        if self.survives_without(membership, &without) {
+            without
+        } else {
+            BTreeSet::new()
+        }
+    }
+
+    /// Whether a majority of the other voters survives any loss within the fault budget.
+    fn survives_without(&self, membership: &MembershipConfig, removed: &BTreeSet<u64>) -> bool {
+        let staying = self.voters_that_stay(membership, removed);
+        let staying: Vec<&MemberInfo> = staying.iter().collect();
+        majority_shortfall(&self.config.fault_budget, &staying) <= 0
+    }
+
+    fn voters_that_stay(
+        &self,
+        membership: &MembershipConfig,
+        removed: &BTreeSet<u64>,
+    ) -> Vec<MemberInfo> {
         let voters = membership.voters.iter();
-        let staying: Vec<MemberInfo> = voters
+        voters
             .filter(|v| !removed.contains(&v.id))
             .map(|v| self.latest_info(v))
-            .collect();
+            .collect()
+    }
+
+    /// Of the voters that stay, one of a zone or region with so many voters that its loss would leave no majority.
+    fn voter_in_large_group(
+        &self,
+        membership: &MembershipConfig,
+        removed: &BTreeSet<u64>,
+    ) -> Option<u64> {
+        let staying = self.voters_that_stay(membership, removed);
         let shortfall_without = |id: u64| {
             let rest: Vec<&MemberInfo> = staying.iter().filter(|v| v.id != id).collect();
             majority_shortfall(&self.config.fault_budget, &rest)
--- a/crates/control-plane/src/member/replica_placement.rs
+++ b/crates/control-plane/src/member/replica_placement.rs
@@ -33,15 +33,19 @@
 
 /// How many voters a majority lacks after the worst loss of machines, zones or regions within the fault budget. It lacks
 /// none if this is 0 or less.
+///
+/// The loss counts in full where fewer machines, zones or regions are there than may be lost: so each voter that comes
+/// in another one brings the voters nearer to what the budget needs.
 pub fn majority_shortfall(budget: &FaultBudget, voters: &[&MemberInfo]) -> i64 {
-    let machines = (budget.machine_losses as usize).min(voters.len());
+    let machines = budget.machine_losses as usize;
     let zones = largest_groups(voters, budget.zones, |v| &v.zone);
     let regions = largest_groups(voters, budget.region_losses, |v| &v.region);
     let lost = machines.max(zones).max(regions);
     2 * lost as i64 + 1 - voters.len() as i64
 }
 
-/// The number of voters in the `count` largest groups. A voter whose group is unknown forms one of its own.
+/// The number of voters in the `count` largest groups; one for each group that there isn't. A voter whose group is
+/// unknown forms one of its own.
 fn largest_groups<'v>(
     voters: &[&'v MemberInfo],
     count: u32,
@@ -55,5 +59,10 @@
     }
     let mut sizes: Vec<usize> = sizes.into_values().collect();
     sizes.sort_unstable_by(|a, b| b.cmp(a));
-    sizes.into_iter().take(count as usize).sum()
+    let missing_groups = std::iter::repeat(1);
+    sizes
+        .into_iter()
+        .chain(missing_groups)
+        .take(count as usize)
+        .sum()
 }
--- a/crates/control-plane/tests/recovery.rs
+++ b/crates/control-plane/tests/recovery.rs
@@ -4,23 +4,13 @@
 mod support;
 
 use configuration::ResultCode;
-use control_plane::recovery::{latest_epoch, RecoveredRecords, RecoveryError, SurvivingReplica};
-use control_plane::runtime::identity::{Identity, StoredLog};
+use control_plane::recovery::{latest_epoch, RecoveryError, SurvivingReplica};
 use std::time::Duration;
 use support::event_cluster::Cluster;
-use support::ms;
+use support::recovered::{identity, names, recover, RECOVERED_ID};
+use support::{budget, ms};
 
 const SOON: Duration = ms(8000);
-const NEW: u64 = 0xabcdef;
-
-fn identity(cluster: &Cluster, n: usize) -> Vec<Vec<u8>> {
-    let identity = Identity {
-        id: cluster.id(n),
-        incarnation: 5,
-        ..Identity::default()
-    };
-    vec![protocol::encode_record(&identity)]
-}
 
 /// Three members of which all but one replica are lost; that replica.
 fn all_but_one_lost() -> (Cluster, usize) {
@@ -30,33 +20,6 @@
     (cluster, left)
 }
 
-fn names(survivor: &SurvivingReplica) -> Vec<String> {
-    survivor
-        .other_voters()
-        .iter()
-        .map(|s| s.name.clone())
-        .collect()
-}
-
-fn recover(cluster: &mut Cluster, n: usize) {
-    let survivor = SurvivingReplica::read(&identity(cluster, n), cluster.records(n)).unwrap();
-    let RecoveredRecords {
-        identity,
-        log: records,
-    } = survivor.recover(&names(&survivor), NEW).unwrap();
-    let identity: Identity = protocol::decode_record(&identity).unwrap();
-    assert_eq!(
-        (
-            identity.id,
-            identity.incarnation,
-            identity.initial_voters.len()
-        ),
-        (NEW, 5, 0)
-    );
-    // The ledger's file begins with whose it is.
-    cluster.restart_as(n, NEW, StoredLog::from_records(records).records);
-}
-
 #[test]
 fn requests_when_no_majority_is_left_then_none_is_applied() {
     let (mut cluster, left) = all_but_one_lost();
@@ -93,6 +56,28 @@
     cluster.apply(2, 3);
 }
 
+/// Where two machines may be lost, five voters are needed: the one that is left grows to them one by one.
+#[test]
+fn recovered_replica_when_two_losses_are_allowed_then_five_voters_are_there() {
+    let mut cluster = Cluster::start(budget(2, 0, 0), &["r/a", "r/b", "r/c", "r/a", "r/b"]);
+    cluster.apply(0, 1);
+    cluster.run(ms(5000));
+    let left = cluster.replicas()[1];
+    (0..5).for_each(|n| cluster.kill(n));
+    recover(&mut cluster, left);
+    for zone in ["r/c", "r/a", "r/b", "r/c"] {
+        cluster.add(zone);
+    }
+    cluster
+        .until(SOON, |c| {
+            c.current().voters.len() == 5 && c.current().is_stable()
+        })
+        .expect("five voters");
+    cluster.apply(1, 2);
+    cluster.kill(left);
+    cluster.apply(2, 3);
+}
+
 /// Members that were given up come back, as a majority of their own, before and after others have joined.
 #[test]
 fn given_up_members_when_they_come_back_then_they_follow() {
@@ -164,7 +149,7 @@
     let more = [all.clone(), vec!["core-9".into()]].concat();
     for wrong in [&all[..1], &[], &more] {
         assert!(
-            matches!(survivor.recover(wrong, NEW), Err(RecoveryError::Lost { wanted }) if wanted == all)
+            matches!(survivor.recover(wrong, RECOVERED_ID), Err(RecoveryError::Lost { wanted }) if wanted == all)
         );
     }
     let by_id: Vec<String> = survivor
@@ -172,7 +157,7 @@
         .iter()
         .map(|s| format!("{:016x}", s.id))
         .collect();
-    assert!(survivor.recover(&by_id, NEW).is_ok());
+    assert!(survivor.recover(&by_id, RECOVERED_ID).is_ok());
 }
 
 #[test]
--- a/crates/control-plane/tests/second_loss.rs
+++ b/crates/control-plane/tests/second_loss.rs
@@ -255,6 +255,10 @@
 #[case::one_of_four(budget(1, 0, 0), &["r/a", "r/b", "r/c", "r/a"], -1)]
 #[case::two_of_five(budget(2, 0, 0), &["r/a", "r/a", "r/b", "r/b", "r/c"], 0)]
 #[case::two_of_four(budget(2, 0, 0), &["r/a", "r/b", "r/c", "r/a"], 1)]
+#[case::two_of_two(budget(2, 0, 0), &["r/a", "r/b"], 3)]
+#[case::two_of_one(budget(2, 0, 0), &["r/a"], 4)]
+#[case::two_zones_of_two(budget(2, 2, 0), &["r/a", "r/b"], 3)]
+#[case::two_zones_of_one(budget(2, 2, 0), &["r/a"], 4)]
 #[case::zone_of_three(budget(1, 1, 0), &["r/a", "r/b", "r/c"], 0)]
 #[case::zone_with_two_of_four(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a"], 1)]
 #[case::zone_with_two_of_five(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a", "r/b"], 0)]
@@ -281,6 +285,39 @@
     );
 }
 
+/// Of three first voters two stand in one zone or region: while no others are there, none of them is dropped. With two
+/// voters the loss of either would leave nobody who acts.
+#[rstest]
+#[case::zones(budget(1, 1, 0), &["r/a", "r/a", "r/b"], "r/c")]
+#[case::regions(budget(1, 0, 1), &["r/a", "r/b", "s/c"], "t/d")]
+#[case::regions_alone(budget(0, 0, 1), &["r/a", "r/b", "s/c"], "t/d")]
+#[case::regions_later(budget(0, 0, 1), &["s/c", "r/a", "r/b"], "t/d")]
+fn voter_when_others_are_few_then_not_dropped_for_its_place(
+    #[case] budget: configuration::FaultBudget,
+    #[case] zones: &[&str],
+    #[case] joins: &str,
+) {
+    let mut cluster = Cluster::start(budget, zones);
+    cluster.run(ms(15_000));
+    assert_eq!(
+        cluster.current().voters.len(),
+        3,
+        "{:?}",
+        cluster.memberships()
+    );
+    assert_eq!(cluster.sizes.1, 3, "fewest voters at any time");
+    // Once one more is there, a majority survives the loss of any zone or region.
+    cluster.add(joins);
+    cluster
+        .until(ms(15_000), |c| {
+            let voters = c.current().voters;
+            let all: Vec<&MemberInfo> = voters.iter().collect();
+            c.current().is_stable() && majority_shortfall(&budget, &all) <= 0
+        })
+        .expect("a membership that bears the loss");
+    assert!(cluster.sizes.1 >= 3, "fewest voters at any time");
+}
+
 /// Which members are voters depends on where they are: any zone may be lost, and a majority is left.
 #[rstest]
 #[case::four(budget(1, 1, 0), &["r/a", "r/b", "r/c", "r/a"])]
--- a/crates/control-plane/tests/support/event_cluster.rs
+++ b/crates/control-plane/tests/support/event_cluster.rs
@@ -230,24 +230,48 @@
 
     /// The process ends at once; what it was writing is on its disk.
     pub fn kill_after_write(&mut self, n: usize) {
+        for (records, rewrite) in self.unfinished_writes(n) {
+            self.store(n, records, rewrite);
+        }
+        self.kill(n);
+    }
+
+    /// The process ends at once; of the last records that it was appending the first half is on its disk. A rewritten
+    /// file takes the place of the old one whole, or not at all.
+    pub fn kill_in_write(&mut self, n: usize) {
+        let mut writes = self.unfinished_writes(n);
+        let last = writes.pop();
+        for (records, rewrite) in writes {
+            self.store(n, records, rewrite);
+        }
+        if let Some((mut records, false)) = last {
+            records.truncate(records.len() / 2);
+            self.store(n, records, false);
+        }
+        self.kill(n);
+    }
+
+    /// The writes that a machine's process has under way, in their order, and whether each takes the file's place.
+    fn unfinished_writes(&self, n: usize) -> Vec<(Vec<Vec<u8>>, bool)> {
         let incarnation = self.nodes[n].incarnation;
-        let node = &mut self.nodes[n];
-        for (_, _, event) in self
+        let own = self
             .queue
             .values()
-            .filter(|e| e.0 == n && e.1 == incarnation)
-        {
-            if let Event::Wrote {
+            .filter(|e| e.0 == n && e.1 == incarnation);
+        own.filter_map(|(_, _, event)| match event {
+            Event::Wrote {
                 records, rewrite, ..
-            } = event
-            {
-                if *rewrite {
-                    node.records.clear();
-                }
-                node.records.extend(records.iter().cloned());
-            }
+            } => Some((records.clone(), *rewrite)),
+            _ => None,
+        })
+        .collect()
+    }
+
+    fn store(&mut self, n: usize, records: Vec<Vec<u8>>, rewrite: bool) {
+        if rewrite {
+            self.nodes[n].records.clear();
         }
-        self.kill(n);
+        self.nodes[n].records.extend(records);
     }
 
     /// The number of a machine's incarnation: another one for each process, and for none in between.
@@ -423,10 +447,7 @@
                 records,
                 rewrite,
             } => {
-                if rewrite {
-                    self.nodes[n].records.clear();
-                }
-                self.nodes[n].records.extend(records);
+                self.store(n, records, rewrite);
                 self.step(
                     n,
                     Input::WriteCompleted {
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod event_cluster;
 pub mod partition_cluster;
+pub mod recovered;
 pub mod request_cluster;
 
 use configuration::FaultBudget;
