proxy: a large response that can't be buffered in a shutdown is answered by an error

Cause: a response above 4 MiB, or one for which the process had no memory, was begun in a shutdown whose end may truncate it: a 200 without its end (LOST). Change: where the end of the process may truncate it, such a response isn't begun: the client gets the reply that a request in flight gets at the end.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -11,7 +11,7 @@
 use crate::state::InFlightAttempt;
 use crate::upstream::UpstreamConnection;
 use balancing::{HostLoad, Outcome};
-use configuration::RouteKind;
+use configuration::{ResultCode, RouteKind};
 use http1::ResponseHead;
 
 /// What came of one attempt.
@@ -20,6 +20,8 @@
     Answered(ConnectionOutcome),
     /// The attempt brought no response to forward.
     Failed(AttemptOutcome),
+    /// The response can't be forwarded, and no other host's could.
+    Rejected(ResultCode),
     /// The host was silent, and another one was selected.
     FailedOver(SelectedHost),
 }
--- a/crates/proxy/src/exchange/buffered.rs
+++ b/crates/proxy/src/exchange/buffered.rs
@@ -11,6 +11,7 @@
 use crate::upstream::{self, BodyRead, UpstreamConnection};
 use balancing::Outcome;
 use bytes::{Bytes, BytesMut};
+use configuration::ResultCode;
 use http1::{BodyDecoder, Framing, ResponseHead};
 use tokio::time::timeout_at;
 
@@ -52,6 +53,11 @@
         }
         match read {
             Ok(BodyRead::Complete) => self.on_complete_body(response, body.freeze()).await,
+            // Begun, it might be truncated: an error can still take its place.
+            Ok(BodyRead::OverLimit) if self.may_be_truncated_by_shutdown() => {
+                let code = self.progress.code_unless_run(ResultCode::Leaving);
+                AttemptResult::Rejected(code)
+            }
             Ok(BodyRead::OverLimit) => {
                 response.host.attempt.record_load(response.load);
                 self.relay_large(response, decoder, body).await
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -148,6 +148,7 @@
                     host = next;
                     continue;
                 }
+                AttemptResult::Rejected(code) => return Err(Rejection::new(code)),
                 AttemptResult::Failed(outcome) => outcome,
             };
             let decision = self.retry.on_attempt_ended(self.state.now(), outcome);
--- a/crates/proxy/tests/streams_at_shutdown.rs
+++ b/crates/proxy/tests/streams_at_shutdown.rs
@@ -130,6 +130,49 @@
     });
 }
 
+/// What the proxy buffers of a large response in a shutdown, at most.
+const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+
+/// A response that can't be buffered until it is complete is answered by an error before a byte of it is out: begun, the
+/// end of the process would truncate it.
+#[rstest]
+#[case::too_large("/pure/a", MAX_BUFFERED_BYTES + LARGE_BODY_BYTES, 256)]
+#[case::too_large_mutating("/once/a", MAX_BUFFERED_BYTES + LARGE_BODY_BYTES, 256)]
+#[case::without_memory("/pure/a", LARGE_BODY_BYTES, 8)]
+fn large_response_in_a_shutdown_when_it_cannot_be_buffered_is_not_begun(
+    #[case] path: &str,
+    #[case] body_bytes: usize,
+    #[case] memory_mb: u64,
+) {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let options = ProxyOptions {
+            grace_s: GRACE_S,
+            memory_mb,
+            ..ProxyOptions::default()
+        };
+        let mut proxy = Proxy::with_options(options).await;
+        proxy
+            .apply_fleet(configuration(1, ROUTES), vec![host.info.clone()])
+            .await;
+        proxy.signal_stop();
+        while proxy.readiness_status().await == 200 {}
+        let mut client = proxy.send_request(path).await;
+        let mut conn = host.accept().await;
+        conn.read_message().await.unwrap();
+        // All but the last byte, which never comes.
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal: seal\r\n\
+             Content-Length: {body_bytes}\r\n\r\n"
+        );
+        let body = "x".repeat(body_bytes - 1);
+        // The proxy may close the connection before all is read, which ends this task.
+        tokio::task::spawn_local(async move { conn.send(&format!("{head}{body}")).await });
+        let response = client.read_message().await.expect("an answer or a refusal");
+        assert_eq!((response.status(), response.complete), (502, true));
+    });
+}
+
 /// A host may answer a route of another kind with a stream of events.
 #[rstest]
 #[case::mutating("/once/a")]
