Soak: what excuses each request is told by reason; unexplained closes break a rule

Change: each request is served, excused with a reason, or breaks a rule; the report counts the reasons. More than three requests that cross a close while their proxy neither ends nor starts break a rule.

--- a/crates/fennelpin-cli/tests/soak/rules.rs
+++ b/crates/fennelpin-cli/tests/soak/rules.rs
@@ -22,6 +22,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Longest time for which a fault freezes a process.
 const MAX_FREEZE: Duration = Duration::from_millis(2500);
+/// Requests of a run that may cross a close while their proxy neither ends nor starts.
+const MAX_CROSSED_CLOSES: usize = 3;
 /// Longest time from a request to its end beyond its deadline.
 const MAX_OVERTIME: Duration = Duration::from_secs(1);
 
@@ -48,6 +50,36 @@
     Failure(String),
 }
 
+/// Why a request that wasn't served breaks no rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Excuse {
+    /// It was rejected before it ran.
+    Rejected,
+    /// Its host broke off.
+    HostBrokeOff,
+    /// A fault froze its proxy.
+    ProxyFrozen,
+    /// It came behind a response whose end closed the connection, and was not passed on.
+    BehindIncomplete,
+    /// It was not passed on, and its proxy was ending, gone or starting.
+    ProcessGone,
+    /// It was not passed on: it may have crossed the close of its connection, for which no end of a process is to be seen.
+    CrossedTheClose,
+    /// Its deadline was over.
+    AtDeadline,
+    /// It was in flight at SIGTERM and was truncated shortly before the kill.
+    OutlastedTheGrace,
+    /// It got a status in the last second of a shutdown.
+    EndOfProcess,
+}
+
+/// What becomes of a request in the eyes of the rules.
+enum Verdict {
+    Served,
+    Excused(Excuse),
+    Broken(Violation),
+}
+
 impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         let mut request = |what: &str, request: &RequestRecord| {
@@ -86,6 +118,7 @@
     for request in &recording.requests {
         found.extend(judge_request(recording, request));
     }
+    found.extend(unexplained_closes(recording));
     found.extend(stale_reads(recording));
     found.extend(sent_to_draining(recording));
     found
@@ -101,40 +134,82 @@
             runs,
         });
     }
-    let broken_off = request.id.ends_with(BREAKING_SUFFIX);
+    if let Verdict::Broken(violation) = judge_end(recording, request, runs) {
+        found.push(violation);
+    }
     let in_trouble = was_frozen(recording, request);
+    let held_for = request.ended_at.duration_since(request.turn_at);
+    if !in_trouble && held_for > request.deadline + MAX_OVERTIME {
+        found.push(Violation::HeldBack(record()));
+    }
+    found
+}
+
+/// Judges how a request ended.
+fn judge_end(recording: &Recording, request: &RequestRecord, runs: usize) -> Verdict {
     match &request.end {
-        RequestEnd::Answered { status } => match status {
-            200 => {}
-            502 if broken_off => {}
-            502 | 504 if in_trouble => {}
-            503 if !request.kind.idempotent() && runs > 0 => {
-                found.push(Violation::RejectedButRan(record()));
-            }
-            503 => {}
-            504 if is_at_deadline(request) => {}
-            502 if ends_with_the_process(recording, request) => {}
-            _ => found.push(Violation::UnexpectedStatus(record())),
-        },
+        RequestEnd::Answered { status } => judge_status(recording, request, runs, *status),
         RequestEnd::Truncated | RequestEnd::Unanswered => {
-            let is_stream = matches!(
-                request.kind,
-                RequestKind::Stream | RequestKind::ResumableStream
-            );
-            let excused = (broken_off && is_stream) || in_trouble;
-            if !excused && is_lost(recording, request, runs > 0) {
-                found.push(Violation::Lost(record()));
+            match loss_excuse(recording, request, runs > 0) {
+                Some(excuse) => Verdict::Excused(excuse),
+                None => Verdict::Broken(Violation::Lost(request.clone())),
             }
         }
-        RequestEnd::TimedOut if in_trouble => {}
-        RequestEnd::TimedOut => found.push(Violation::HeldBack(record())),
-        RequestEnd::Malformed { .. } => found.push(Violation::Mixed(record())),
+        RequestEnd::TimedOut if was_frozen(recording, request) => {
+            Verdict::Excused(Excuse::ProxyFrozen)
+        }
+        RequestEnd::TimedOut => Verdict::Broken(Violation::HeldBack(request.clone())),
+        RequestEnd::Malformed { .. } => Verdict::Broken(Violation::Mixed(request.clone())),
     }
-    let held_for = request.ended_at.duration_since(request.turn_at);
-    if !in_trouble && held_for > request.deadline + MAX_OVERTIME {
-        found.push(Violation::HeldBack(record()));
+}
+
+fn judge_status(
+    recording: &Recording,
+    request: &RequestRecord,
+    runs: usize,
+    status: u16,
+) -> Verdict {
+    let in_trouble = was_frozen(recording, request);
+    match status {
+        200 => Verdict::Served,
+        502 if is_broken_off(request) => Verdict::Excused(Excuse::HostBrokeOff),
+        502 | 504 if in_trouble => Verdict::Excused(Excuse::ProxyFrozen),
+        503 if !request.kind.idempotent() && runs > 0 => {
+            Verdict::Broken(Violation::RejectedButRan(request.clone()))
+        }
+        503 => Verdict::Excused(Excuse::Rejected),
+        504 if is_at_deadline(request) => Verdict::Excused(Excuse::AtDeadline),
+        502 if ends_with_the_process(recording, request) => Verdict::Excused(Excuse::EndOfProcess),
+        _ => Verdict::Broken(Violation::UnexpectedStatus(request.clone())),
     }
-    found
+}
+
+/// Counts the requests that weren't served by what excuses them.
+pub fn excuses(recording: &Recording) -> BTreeMap<Excuse, usize> {
+    let mut counts = BTreeMap::new();
+    for request in &recording.requests {
+        let runs = recording.runs.get(&request.id).map_or(0, Vec::len);
+        if let Verdict::Excused(excuse) = judge_end(recording, request, runs) {
+            *counts.entry(excuse).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// Closes that no end of a process explains may cross a few requests, but not more.
+fn unexplained_closes(recording: &Recording) -> Option<Violation> {
+    let crossed = excuses(recording).get(&Excuse::CrossedTheClose).copied();
+    crossed
+        .filter(|count| *count > MAX_CROSSED_CLOSES)
+        .map(|count| {
+            Violation::Failure(format!(
+                "{count} requests crossed a close that no end of a process explains"
+            ))
+        })
+}
+
+fn is_broken_off(request: &RequestRecord) -> bool {
+    request.id.ends_with(BREAKING_SUFFIX)
 }
 
 fn held(request: &RequestRecord) -> Duration {
@@ -145,11 +220,33 @@
     request.ended_at + DEADLINE_SLACK >= request.began_at + request.deadline
 }
 
-/// Whether a connection that ended without a complete response cost a request that was not to be lost.
-fn is_lost(recording: &Recording, request: &RequestRecord, passed_on: bool) -> bool {
-    let crossed_the_close =
-        !passed_on && (request.behind_incomplete || held(request) <= LOSS_SLACK);
-    !crossed_the_close && !is_at_deadline(request) && !outlasted_the_grace(recording, request)
+/// What excuses a connection that ended without a complete response; nothing if the request was not to be lost.
+fn loss_excuse(recording: &Recording, request: &RequestRecord, passed_on: bool) -> Option<Excuse> {
+    let is_stream = matches!(
+        request.kind,
+        RequestKind::Stream | RequestKind::ResumableStream
+    );
+    let may_cross = !passed_on && held(request) <= LOSS_SLACK;
+    let reasons = [
+        (Excuse::HostBrokeOff, is_broken_off(request) && is_stream),
+        (Excuse::ProxyFrozen, was_frozen(recording, request)),
+        (
+            Excuse::BehindIncomplete,
+            !passed_on && request.behind_incomplete,
+        ),
+        (
+            Excuse::ProcessGone,
+            may_cross && is_process_ending(recording, request),
+        ),
+        (Excuse::CrossedTheClose, may_cross),
+        (Excuse::AtDeadline, is_at_deadline(request)),
+        (
+            Excuse::OutlastedTheGrace,
+            outlasted_the_grace(recording, request),
+        ),
+    ];
+    let mut holding = reasons.into_iter().filter(|(_, holds)| *holds);
+    holding.next().map(|(excuse, _)| excuse)
 }
 
 /// When the request's proxy was asked to end.
@@ -166,6 +263,21 @@
         .map(|record| record.at)
 }
 
+/// Whether the request's proxy was asked to end, killed or started from a grace before the request to its end.
+fn is_process_ending(recording: &Recording, request: &RequestRecord) -> bool {
+    let proxy = format!("edge-{}/proxy", request.edge);
+    recording.processes.iter().any(|record| {
+        let ends_or_starts = matches!(
+            record.event,
+            ProcessEvent::Started | ProcessEvent::Signalled(Signal::TERM | Signal::KILL)
+        );
+        record.process == proxy
+            && ends_or_starts
+            && record.at + GRACE + LOSS_SLACK >= request.sent_at
+            && record.at <= request.ended_at
+    })
+}
+
 /// Whether a fault froze the request's proxy from shortly before the request to its end.
 fn was_frozen(recording: &Recording, request: &RequestRecord) -> bool {
     let proxy = format!("edge-{}/proxy", request.edge);
--- a/crates/fennelpin-cli/tests/soak/run.rs
+++ b/crates/fennelpin-cli/tests/soak/run.rs
@@ -9,7 +9,7 @@
 use super::operator;
 use super::quota::Quota;
 use super::recorder::{Recorder, Recording, RequestEnd, VersionRecord};
-use super::rules::{self, Violation};
+use super::rules::{self, Excuse, Violation};
 use super::schedule;
 use super::settings::{SoakSettings, GRACE_S};
 use super::stop_signal::StopSignal;
@@ -52,6 +52,8 @@
     events: usize,
     /// Requests by how they ended.
     ends: BTreeMap<String, usize>,
+    /// Requests that weren't served, by what excuses them.
+    excuses: BTreeMap<Excuse, usize>,
     changes: usize,
     longest_change: Duration,
     pub violations: Vec<Violation>,
@@ -61,7 +63,7 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(
             f,
-            "seed {} edges {} quota {} ms ({} stops) faults {}: {} signals and rewrites, {} changes (longest {} ms), requests {:?}, {} violations",
+            "seed {} edges {} quota {} ms ({} stops) faults {}: {} signals and rewrites, {} changes (longest {} ms), requests {:?}, excused {:?}, {} violations",
             self.seed,
             self.edges,
             self.conditions.quota_ms,
@@ -71,6 +73,7 @@
             self.changes,
             self.longest_change.as_millis(),
             self.ends,
+            self.excuses,
             self.violations.len()
         )?;
         for violation in self.violations.iter().take(MAX_NAMED) {
@@ -213,6 +216,7 @@
         edges: settings.edges,
         events,
         ends,
+        excuses: rules::excuses(recording),
         changes: recording.acknowledged.len(),
         longest_change: times.max().unwrap_or_default(),
         violations: rules::violations(recording),
