The agent waits for its port as members and proxies do, by one crate

Cause: an agent that was started while the one before still had its port ended at once; members and proxies each had a loop of their own.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -62,9 +62,11 @@
     shutdown: impl Future<Output = ()>,
 ) -> Result<(), Error> {
     let addr = SocketAddrV4::from(&agent_addr(&settings));
-    let listener = TcpListener::bind(addr)
-        .await
-        .context(ListenSnafu { addr })?;
+    tokio::pin!(shutdown);
+    let listener = tokio::select! {
+        () = &mut shutdown => return Ok(()),
+        bound = bind_retry::bind(addr) => bound.context(ListenSnafu { addr })?,
+    };
     let shared = SharedMirror::new(mirror(&settings));
     let (control, control_receiver) = mpsc::unbounded_channel();
     let mut puller = puller(&settings);
@@ -77,7 +79,7 @@
         control_receiver,
     );
     tokio::select! {
-        () = shutdown => {}
+        () = &mut shutdown => {}
         () = pulling => {}
         () = follow_seeds(&settings, seeds, &control) => {}
         () = accept_proxies(&listener, &shared, &control) => {}
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, sleep_until};
 
 /// Why the proxy can't start.
 #[derive(Debug, Snafu)]
@@ -39,10 +39,6 @@
     },
 }
 
-/// How long a port in use is waited for: the process before this one may not have ended quite yet.
-const BIND_TIMEOUT: Duration = Duration::from_secs(3);
-/// Pause between two attempts to bind.
-const BIND_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// How often expired connections to hosts are closed.
 const POOL_CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -135,15 +131,7 @@
 
 async fn bind(purpose: &'static str, addr: Option<SocketAddrV4>) -> Result<TcpListener, Error> {
     let addr = addr.ok_or(Error::NoAddress { purpose })?;
-    let deadline = Instant::now() + BIND_TIMEOUT;
-    loop {
-        match TcpListener::bind(addr).await {
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < deadline => {
-                sleep(BIND_RETRY_INTERVAL).await;
-            }
-            result => return result.context(ListenSnafu { addr }),
-        }
-    }
+    bind_retry::bind(addr).await.context(ListenSnafu { addr })
 }
 
 /// Starts to send and take prefix hints, where the settings leave a port for them.
