proxy: an ejection, a host's return and a shutdown's rejections are counted and logged

Cause: neither a counter nor a log line told that a host was ejected or came back, or that a shutdown rejected requests. Change: balancing tells each change of a host's health (HealthTransition); the proxy counts it (hosts_ejected, hosts_reinstated) and writes one line; rejected_at_shutdown counts what a shutdown rejects, the first one is logged.

--- a/crates/balancing/src/lib.rs
+++ b/crates/balancing/src/lib.rs
@@ -36,7 +36,8 @@
 mod time;
 
 pub use load_balancer::LoadBalancer;
+pub use outlier_ejection::{HealthChange, HostError};
 pub use types::{
-    AttemptId, HostChoice, HostInfo, HostLoad, LoadBalancerSettings, Outcome, PrefixHint,
-    PromptPart, RequestContext, ServiceInfo,
+    AttemptId, HealthTransition, HostChoice, HostInfo, HostLoad, LoadBalancerSettings, Outcome,
+    PrefixHint, PromptPart, RequestContext, ServiceInfo,
 };
--- a/crates/balancing/src/load_balancer.rs
+++ b/crates/balancing/src/load_balancer.rs
@@ -2,8 +2,8 @@
 
 use crate::state::BalancerState;
 use crate::types::{
-    AttemptId, HostChoice, HostInfo, HostLoad, LoadBalancerSettings, Outcome, PrefixHint,
-    PromptPart, RequestContext, ServiceInfo,
+    AttemptId, HealthTransition, HostChoice, HostInfo, HostLoad, LoadBalancerSettings, Outcome,
+    PrefixHint, PromptPart, RequestContext, ServiceInfo,
 };
 use std::time::Duration;
 
@@ -60,6 +60,11 @@
         self.state.pending_hint.take()
     }
 
+    /// Takes the changes of hosts' health since the last call, oldest first.
+    pub fn take_health_transitions(&mut self) -> Vec<HealthTransition> {
+        std::mem::take(&mut self.state.health_transitions)
+    }
+
     /// Takes in the hint of another proxy that it sent a prompt to a host. Hints about unknown hosts, or about more
     /// tokens than a cache holds, are ignored.
     pub fn on_prefix_hint(
--- a/crates/balancing/src/outlier_ejection.rs
+++ b/crates/balancing/src/outlier_ejection.rs
@@ -19,7 +19,7 @@
 
 /// An error of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum HostError {
+pub enum HostError {
     /// It answered that it failed.
     ErrorResponse,
     /// No connection came up, or it broke.
@@ -28,6 +28,20 @@
     Timeout,
 }
 
+/// A change of a host's health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthChange {
+    /// It was healthy and is ejected.
+    Ejected {
+        /// What ejected it.
+        error: HostError,
+        /// Time until it is probed first.
+        duration: Duration,
+    },
+    /// It was ejected and is healthy again.
+    Reinstated,
+}
+
 /// Ejection order among ejected hosts: the one that looks best comes first.
 pub(crate) type EjectionSeverity = (Duration, Option<Duration>);
 
@@ -46,7 +60,17 @@
 
 impl HostHealth {
     /// Records an error, which ejects the host unless it is a single failed answer.
-    pub(crate) fn on_error(&mut self, now: Duration, error: HostError) {
+    pub(crate) fn on_error(&mut self, now: Duration, error: HostError) -> Option<HealthChange> {
+        let was_ejected = self.is_ejected();
+        self.record_error(now, error);
+        let is_new = !was_ejected && self.is_ejected();
+        is_new.then_some(HealthChange::Ejected {
+            error,
+            duration: self.ejection,
+        })
+    }
+
+    fn record_error(&mut self, now: Duration, error: HostError) {
         let was_probe = std::mem::take(&mut self.probe_in_flight);
         if error == HostError::ErrorResponse && !was_probe && !self.failures_suffice(now) {
             return;
@@ -93,11 +117,12 @@
     }
 
     /// Records a good answer: the host is healthy again.
-    pub(crate) fn on_success(&mut self) {
-        self.ejected_until = None;
+    pub(crate) fn on_success(&mut self) -> Option<HealthChange> {
+        let ejected_until = self.ejected_until.take();
         self.consecutive_failures = 0;
         self.probe_in_flight = false;
         self.timed_out = false;
+        ejected_until.map(|_| HealthChange::Reinstated)
     }
 
     /// Records that a probe is sent.
--- a/crates/balancing/src/state/attempts.rs
+++ b/crates/balancing/src/state/attempts.rs
@@ -3,9 +3,9 @@
 use super::BalancerState;
 use crate::host::{Host, HostKey};
 use crate::host_choice::ChosenHost;
-use crate::outlier_ejection::HostError;
+use crate::outlier_ejection::{HealthChange, HostError};
 use crate::time::as_ms;
-use crate::types::{AttemptId, HostChoice, HostLoad, Outcome, RequestContext};
+use crate::types::{AttemptId, HealthTransition, HostChoice, HostLoad, Outcome, RequestContext};
 use std::time::Duration;
 
 /// A host that refused a request gets no other one for this time.
@@ -125,7 +125,9 @@
             return;
         };
         host.last_response_at = Some(now);
-        host.health.on_success();
+        let change = host.health.on_success();
+        self.health_transitions
+            .extend(change.map(|change| host.health_transition(change)));
         if is_timed {
             host.lateness.add(now, late_ms);
             if let Some(service) = self.services.get_mut(host.service.0) {
@@ -192,6 +194,9 @@
             age: now.saturating_sub(attempt.sent_at.max(self.resumed_at.min(now))),
             host_silent: !attempt.has_response && silent_since_sent,
         };
+        let change = host.health_change_at_end(now, &ended);
+        self.health_transitions
+            .extend(change.map(|change| host.health_transition(change)));
         let may_be_idle = host.on_attempt_ended(now, &ended);
         match load {
             _ if !may_be_idle => self.mark_busy(now, key),
@@ -203,44 +208,64 @@
 }
 
 impl Host {
-    /// Updates what is known of the host by an attempt's end. Whether the host may be idle now.
+    /// Updates the host's health by an attempt's end.
+    fn health_change_at_end(
+        &mut self,
+        now: Duration,
+        ended: &EndedAttempt,
+    ) -> Option<HealthChange> {
+        let is_timeout = ended.host_silent
+            && (ended.outcome == Outcome::TimedOut
+                || (ended.outcome == Outcome::Cancelled && ended.age >= CANCELLED_AS_TIMEOUT));
+        match ended.outcome {
+            Outcome::Succeeded | Outcome::Overloaded | Outcome::Refused => self.health.on_success(),
+            Outcome::Failed => self.health.on_error(now, HostError::ErrorResponse),
+            Outcome::ConnectFailed | Outcome::ConnectionLost => {
+                self.health.on_error(now, HostError::Connection)
+            }
+            Outcome::TimedOut | Outcome::Cancelled if is_timeout => {
+                self.health.on_error(now, HostError::Timeout)
+            }
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::Misdirected => {
+                self.end_probe_without_verdict(ended);
+                None
+            }
+        }
+    }
+
+    /// Updates what else is known of the host by an attempt's end. Whether the host may be idle now.
     fn on_attempt_ended(&mut self, now: Duration, ended: &EndedAttempt) -> bool {
         if came_from_host(ended.outcome) {
             self.last_response_at = Some(now);
         }
         match ended.outcome {
-            Outcome::Succeeded => {
-                self.health.on_success();
-                return true;
-            }
-            Outcome::Failed => self.health.on_error(now, HostError::ErrorResponse),
+            Outcome::Succeeded => true,
             Outcome::Overloaded | Outcome::Refused => {
-                self.health.on_success();
                 self.overloaded_until = Some(now + OVERLOAD_BACKOFF);
+                false
             }
             Outcome::Misdirected => {
                 self.misdirected = true;
-                self.end_probe_without_verdict(ended);
-            }
-            Outcome::ConnectFailed | Outcome::ConnectionLost => {
-                self.health.on_error(now, HostError::Connection);
-            }
-            Outcome::TimedOut if ended.host_silent => {
-                self.health.on_error(now, HostError::Timeout);
+                false
             }
-            Outcome::TimedOut => {
+            Outcome::TimedOut if !ended.host_silent => {
                 self.lateness.add(now, as_ms(ended.age));
-                self.end_probe_without_verdict(ended);
-            }
-            Outcome::Cancelled if ended.host_silent && ended.age >= CANCELLED_AS_TIMEOUT => {
-                self.health.on_error(now, HostError::Timeout);
-            }
-            Outcome::Cancelled => {
-                self.end_probe_without_verdict(ended);
-                return true;
+                false
             }
+            Outcome::Failed
+            | Outcome::ConnectFailed
+            | Outcome::ConnectionLost
+            | Outcome::TimedOut => false,
+            Outcome::Cancelled => !(ended.host_silent && ended.age >= CANCELLED_AS_TIMEOUT),
+        }
+    }
+
+    fn health_transition(&self, change: HealthChange) -> HealthTransition {
+        HealthTransition {
+            host_id: self.info.id.clone(),
+            service: self.info.service.clone(),
+            change,
         }
-        false
     }
 
     fn end_probe_without_verdict(&mut self, ended: &EndedAttempt) {
--- a/crates/balancing/src/state/mod.rs
+++ b/crates/balancing/src/state/mod.rs
@@ -10,7 +10,7 @@
 use crate::random::Random;
 use crate::retry_budget::RetryLimits;
 use crate::service::{Service, ServiceKey};
-use crate::types::{LoadBalancerSettings, PrefixHint};
+use crate::types::{HealthTransition, LoadBalancerSettings, PrefixHint};
 use slab::Slab;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -34,6 +34,8 @@
     pub(crate) hints_complete_since: Option<Duration>,
     /// The hint that the latest choice gives to other proxies.
     pub(crate) pending_hint: Option<PrefixHint>,
+    /// Changes of hosts' health that haven't been taken yet.
+    pub(crate) health_transitions: Vec<HealthTransition>,
     /// Whether the whole system starts for the first time.
     pub(crate) is_first_start: bool,
     last_call_at: Option<Duration>,
@@ -60,6 +62,7 @@
             },
             hints_complete_since: None,
             pending_hint: None,
+            health_transitions: Vec::new(),
             is_first_start: false,
             last_call_at: None,
             resumed_at: Duration::ZERO,
--- a/crates/balancing/src/types.rs
+++ b/crates/balancing/src/types.rs
@@ -1,5 +1,6 @@
 //! What goes into and comes out of the load balancer.
 
+use crate::outlier_ejection::HealthChange;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -139,6 +140,17 @@
     Cancelled,
 }
 
+/// A change of a host's health, for logs and counters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HealthTransition {
+    /// Identity of the host.
+    pub host_id: Arc<str>,
+    /// The host's service.
+    pub service: Arc<str>,
+    /// What has changed.
+    pub change: HealthChange,
+}
+
 /// Tells other proxies that a host has a prompt's prefix in its cache.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PrefixHint {
--- a/crates/balancing/tests/outlier_ejection.rs
+++ b/crates/balancing/tests/outlier_ejection.rs
@@ -1,7 +1,7 @@
 //! Which hosts are ejected, for how long, and how they come back.
 
 mod common;
-use balancing::{AttemptId, LoadBalancer, Outcome, RequestContext};
+use balancing::{AttemptId, HealthChange, HostError, LoadBalancer, Outcome, RequestContext};
 use common::*;
 use rstest::rstest;
 use std::sync::Arc;
@@ -67,6 +67,45 @@
     assert!(tried.len() <= 8, "{tried:?}");
 }
 
+/// One transition when a host that was healthy is ejected, none for each probe that fails, one when it is back.
+#[rstest]
+#[case(Outcome::ConnectFailed, HostError::Connection, 300)]
+#[case(Outcome::ConnectionLost, HostError::Connection, 300)]
+#[case(Outcome::Failed, HostError::ErrorResponse, 300)]
+fn health_transitions_when_ejected_and_back_are_told_once(
+    #[case] outcome: Outcome,
+    #[case] error: HostError,
+    #[case] ejected_ms: u64,
+) {
+    let (mut balancer, _) = balancer_with(0, 3);
+    serve_requests(&mut balancer, 0, 4000, true, |_| outcome);
+    let ejected = balancer.take_health_transitions();
+    assert_eq!(ejected.len(), 1, "{ejected:?}");
+    assert_eq!(
+        (&*ejected[0].host_id, &*ejected[0].service),
+        ("plain-0", "plain")
+    );
+    let duration = ms(ejected_ms);
+    assert_eq!(ejected[0].change, HealthChange::Ejected { error, duration });
+    serve_requests(&mut balancer, 4000, 8000, true, |_| Outcome::Succeeded);
+    let back = balancer.take_health_transitions();
+    assert_eq!(back.len(), 1, "{back:?}");
+    assert_eq!(back[0].change, HealthChange::Reinstated);
+    assert!(balancer.take_health_transitions().is_empty());
+}
+
+#[test]
+fn health_transition_when_a_host_is_silent_names_the_timeout() {
+    let (mut balancer, _) = balancer_with(0, 3);
+    let a = send_to_first_host(&mut balancer, 0);
+    tick_until(&mut balancer, 0, 300);
+    balancer.on_attempt_ended(ms(300), a, Outcome::TimedOut, None);
+    let changes: Vec<_> = balancer.take_health_transitions();
+    let (error, duration) = (HostError::Timeout, ms(600));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].change, HealthChange::Ejected { error, duration });
+}
+
 #[rstest]
 #[case(true)]
 #[case(false)]
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -50,6 +50,12 @@
     invalid_hints;
     /// Requests that failed over from a silent host to another.
     failovers;
+    /// Hosts that were healthy and were ejected.
+    hosts_ejected;
+    /// Hosts that were ejected and are healthy again.
+    hosts_reinstated;
+    /// Requests that were rejected because the process is about to end.
+    rejected_at_shutdown;
 }
 
 /// Counters of one thread, shared by `Rc`, so that they can be read while the proxy serves.
--- a/crates/proxy/src/local_reply.rs
+++ b/crates/proxy/src/local_reply.rs
@@ -64,6 +64,9 @@
             408 | 421 | 429 | 503 => state.counters.add(|c| c.local_rejections += 1),
             _ => state.counters.add(|c| c.local_errors += 1),
         }
+        if self.code == ResultCode::Leaving {
+            count_shutdown_rejection(state);
+        }
         let mut message = self.head.clone();
         if close {
             push_field(&mut message, "Connection", "close");
@@ -77,3 +80,11 @@
         matches!(timeout(CLIENT_WRITE_TIMEOUT, write).await, Ok(Ok(())))
     }
 }
+
+/// Counts a request that is rejected because the process is about to end; the first one is logged.
+fn count_shutdown_rejection(state: &ProxyState) {
+    if state.counters.get().rejected_at_shutdown == 0 {
+        log::info!("rejecting requests: the process is about to end");
+    }
+    state.counters.add(|c| c.rejected_at_shutdown += 1);
+}
--- a/crates/proxy/src/state/in_flight.rs
+++ b/crates/proxy/src/state/in_flight.rs
@@ -56,6 +56,7 @@
             .load_balancer
             .borrow_mut()
             .on_first_byte(self.state.now(), self.attempt);
+        self.state.report_health_transitions();
     }
 
     /// More came of a response that has begun.
@@ -102,6 +103,7 @@
             outcome,
             load,
         );
+        self.state.report_health_transitions();
     }
 }
 
--- a/crates/proxy/src/state/mod.rs
+++ b/crates/proxy/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod clock;
 mod fleet_update;
+mod health_report;
 mod in_flight;
 mod routing_table;
 
--- a/crates/proxy/tests/host_failures.rs
+++ b/crates/proxy/tests/host_failures.rs
@@ -773,3 +773,31 @@
         assert!(other.has_no_connection());
     });
 }
+
+/// A host that refuses connections is ejected once, however many requests find it so, and is reinstated by an answer.
+#[test]
+fn host_when_ejected_and_back_is_counted_once() {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let proxy = Proxy::new(&[&host]).await;
+        let mut client = proxy.send_request("/pure/a").await;
+        drop(host.accept().await);
+        assert_ne!(client.read_message().await.unwrap().status(), 200);
+        let counted = proxy.counters.get();
+        assert_eq!((counted.hosts_ejected, counted.hosts_reinstated), (1, 0));
+        // The only host is used again as soon as its ejection is over.
+        loop {
+            let mut client = proxy.send_request("/pure/a").await;
+            let mut conn = tokio::select! {
+                conn = host.accept() => conn,
+                _ = client.read_message() => continue,
+            };
+            conn.respond_ok("one").await;
+            if client.read_message().await.unwrap().status() == 200 {
+                break;
+            }
+        }
+        let counted = proxy.counters.get();
+        assert_eq!((counted.hosts_ejected, counted.hosts_reinstated), (1, 1));
+    });
+}
--- a/crates/proxy/tests/streams_at_shutdown.rs
+++ b/crates/proxy/tests/streams_at_shutdown.rs
@@ -236,3 +236,18 @@
         assert!(left >= LONGEST_PAUSE, "{left:?} before the kill");
     });
 }
+
+#[test]
+fn requests_that_a_shutdown_rejects_are_counted() {
+    run_async_test(async {
+        let host = FakeHost::new("h1", "s").await;
+        let mut proxy = Proxy::with_grace(GRACE_S, &host).await;
+        proxy.signal_stop();
+        while proxy.readiness_status().await == 200 {}
+        for rejected in 1..=2 {
+            let mut client = proxy.send_request("/live/a").await;
+            assert_eq!(client.read_message().await.unwrap().status(), 503);
+            assert_eq!(proxy.counters.get().rejected_at_shutdown, rejected);
+        }
+    });
+}
