Module circles opened in configuration and the members' runtime; long functions split

Change: the bodies of the operators' calls are read in request_body.rs; what a member tells of itself is data in member_status.rs; a lost zone is drawn by PlanRng. Nothing else changes.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -16,6 +16,7 @@
 mod error;
 mod item;
 mod process_settings;
+mod request_body;
 mod result_code;
 mod schema;
 mod validation;
--- a/crates/control-plane/src/runtime/event_loop.rs
+++ b/crates/control-plane/src/runtime/event_loop.rs
@@ -1,8 +1,8 @@
 //! The event loop: hands what happens to the state machine, one input after the other.
 
 use super::control_server::ControlCounters;
+use super::member_status::PublishedControlPlane;
 use super::peer_connections::{PeerConnections, PeerEvent};
-use super::status::PublishedControlPlane;
 use super::storage::{StorageEvent, Write};
 use super::transitions::{Recorder, TransitionLog};
 use super::{CommandReply, Event};
--- /dev/null
+++ b/crates/control-plane/src/runtime/member_status.rs
@@ -0,0 +1,25 @@
+//! What a member tells of itself: to callers, and in the mirror.
+
+use protocol::{MemberInfo, MembershipConfig};
+use std::time::Duration;
+
+/// The state machine's status.
+#[derive(Debug)]
+pub(super) struct MemberStatus {
+    pub(super) membership: Option<MembershipConfig>,
+    /// Whether it is primary and has a lease.
+    pub(super) is_acting_primary: bool,
+    pub(super) primary: Option<MemberInfo>,
+    pub(super) promised_epoch: u64,
+    pub(super) is_disk_healthy: bool,
+    /// Time since the latest contact with a primary; `None` before the first.
+    pub(super) since_primary_contact: Option<Duration>,
+}
+
+/// What was last published of the control plane.
+#[derive(Default, PartialEq)]
+pub(super) struct PublishedControlPlane {
+    pub(super) epoch: u64,
+    pub(super) primary: u64,
+    pub(super) members: Vec<MemberInfo>,
+}
--- a/crates/control-plane/src/runtime/mod.rs
+++ b/crates/control-plane/src/runtime/mod.rs
@@ -9,7 +9,7 @@
 //! | [`storage`], [`identity`], `host_cache.rs` | the state directory |
 //! | [`peer_connections`], `inbound.rs`, `seeds.rs`, [`connection`] | connections to and from other processes |
 //! | [`control_server`], [`control_request`], `request_handler.rs`, `status_page.rs` | the control API |
-//! | [`transitions`], `status.rs` | log lines, counters, and what others see of the member |
+//! | [`transitions`], `status.rs`, `member_status.rs` | log lines, counters, and what others see of the member |
 
 pub mod connection;
 pub mod control_request;
@@ -18,6 +18,7 @@
 mod host_cache;
 pub mod identity;
 mod inbound;
+mod member_status;
 mod outputs;
 pub mod peer_connections;
 mod request_handler;
@@ -29,10 +30,10 @@
 pub mod transitions;
 
 use configuration::{ProcessSettings, ResultCode};
+use member_status::MemberStatus;
 use peer_connections::PeerEvent;
 use protocol::Command;
 use snafu::Snafu;
-use status::MemberStatus;
 use std::future::Future;
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- a/crates/control-plane/src/runtime/status.rs
+++ b/crates/control-plane/src/runtime/status.rs
@@ -2,29 +2,8 @@
 
 use super::control_server::ControlCounters;
 use super::event_loop::EventLoop;
+use super::member_status::{MemberStatus, PublishedControlPlane};
 use protocol::{MemberInfo, MembershipConfig};
-use std::time::Duration;
-
-/// The state machine's status.
-#[derive(Debug)]
-pub(super) struct MemberStatus {
-    pub(super) membership: Option<MembershipConfig>,
-    /// Whether it is primary and has a lease.
-    pub(super) is_acting_primary: bool,
-    pub(super) primary: Option<MemberInfo>,
-    pub(super) promised_epoch: u64,
-    pub(super) is_disk_healthy: bool,
-    /// Time since the latest contact with a primary; `None` before the first.
-    pub(super) since_primary_contact: Option<Duration>,
-}
-
-/// What was last published of the control plane.
-#[derive(Default, PartialEq)]
-pub(super) struct PublishedControlPlane {
-    epoch: u64,
-    primary: u64,
-    members: Vec<MemberInfo>,
-}
 
 impl EventLoop {
     /// The state machine's status now.
--- a/crates/simulator/src/modes/plan_rng.rs
+++ b/crates/simulator/src/modes/plan_rng.rs
@@ -160,4 +160,37 @@
             _ => self.fault(members, length),
         }
     }
+
+    /// The loss of a whole zone or region at this time, and how long it lasts: a cut, with a kill inside meanwhile; or
+    /// the power, the processes or the disks of all its machines.
+    pub(super) fn zone_loss(
+        &mut self,
+        at: Duration,
+        members: usize,
+        seeds_share_a_zone: bool,
+    ) -> (Vec<(Duration, Fault)>, Duration) {
+        let (zone, way) = (self.index(3), self.direction());
+        let (long, short) = (self.between(15_000, 25_000), self.between(100, 3000));
+        let is_inside = |n: &usize| {
+            let zone_of = if seeds_share_a_zone { n / 2 % 3 } else { n % 3 };
+            zone_of == zone
+        };
+        let machines: Vec<usize> = (0..members).filter(is_inside).collect();
+        let at_all =
+            |fault: &dyn Fn(usize) -> Fault| machines.iter().map(|n| (at, fault(*n))).collect();
+        match self.below(5) {
+            0 | 1 => {
+                let one = machines[self.index(machines.len())];
+                let killed_at = at + self.between(500, 14_000);
+                let faults = vec![
+                    (at, Fault::CutZone(zone, long, way)),
+                    (killed_at, Fault::Kill(one, short)),
+                ];
+                (faults, long)
+            }
+            2 => (at_all(&|n| Fault::Power(n, short)), short),
+            3 => (at_all(&|n| Fault::Freeze(n, long)), long),
+            _ => (at_all(&|n| Fault::Wipe(n, short)), short),
+        }
+    }
 }
--- a/crates/simulator/src/modes/within_budget.rs
+++ b/crates/simulator/src/modes/within_budget.rs
@@ -97,40 +97,8 @@
         };
         let mut at = draw.between(4500, 6500);
         for _ in 0..2 + draw.below(3) {
-            let (zone, way) = (draw.index(3), draw.direction());
-            let (long, short) = (draw.between(15_000, 25_000), draw.between(100, 3000));
-            let inside = |n: &usize| {
-                if seeds_share_a_zone {
-                    n / 2 % 3 == zone
-                } else {
-                    n % 3 == zone
-                }
-            };
-            let machines: Vec<usize> = (0..members).filter(inside).collect();
-            let length = match draw.below(5) {
-                0 | 1 => {
-                    plan.faults.push((at, Fault::CutZone(zone, long, way)));
-                    let one = machines[draw.index(machines.len())];
-                    plan.faults
-                        .push((at + draw.between(500, 14_000), Fault::Kill(one, short)));
-                    long
-                }
-                2 => {
-                    plan.faults
-                        .extend(machines.iter().map(|n| (at, Fault::Power(*n, short))));
-                    short
-                }
-                3 => {
-                    plan.faults
-                        .extend(machines.iter().map(|n| (at, Fault::Freeze(*n, long))));
-                    long
-                }
-                _ => {
-                    plan.faults
-                        .extend(machines.iter().map(|n| (at, Fault::Wipe(*n, short))));
-                    short
-                }
-            };
+            let (faults, length) = draw.zone_loss(at, members, seeds_share_a_zone);
+            plan.faults.extend(faults);
             at += length + draw.between(0, 5000);
         }
         plan.duration = at + ms(14_000);
