proxy: a request's body has to be complete by the request's deadline

Cause: a body that came in pieces was bounded by idle_timeout_ms between them alone; a client could hold a connection and memory for it long past the time at which anybody would serve the request. Change: the earlier of the client's and the route's deadline bounds the body as well; then 408, and no host hears of it. How long a request may take is one module (deadline.rs). Result: body_that_is_incomplete_at_the_deadline_is_rejected, 4 cases, fail without the change (no reply within 20 s) and pass with it.

--- a/crates/proxy/src/client/request_reader.rs
+++ b/crates/proxy/src/client/request_reader.rs
@@ -1,6 +1,7 @@
 //! Reads a client's request completely, within the operators' limits, before any host hears of it.
 
 use super::Request;
+use crate::deadline::time_allowed;
 use crate::headers::ATTEMPT_ID;
 use crate::socket;
 use crate::state::{BodyReservation, ProxyState};
@@ -12,6 +13,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at, Instant};
 
+/// The longest time for a body whose request has no deadline. Between its pieces the operator's idle time-out counts.
+const MAX_BODY_TIME: Duration = Duration::from_secs(3600);
+
 /// Why there is no request to serve.
 #[derive(Debug)]
 pub(super) enum ReadError {
@@ -71,9 +75,10 @@
             .await
             .unwrap_or(Err(PartError::Rejected(ResultCode::SlowClient)))
             .map_err(|error| error.for_attempt(None))?;
-        let body = self
-            .read_body(&head)
+        let body_deadline = self.body_deadline(&head, received_at);
+        let body = timeout_at(body_deadline, self.read_body(&head))
             .await
+            .unwrap_or(Err(PartError::Rejected(ResultCode::SlowClient)))
             .map_err(|error| error.for_attempt(head.fields.get(ATTEMPT_ID)))?;
         Ok(Request {
             head,
@@ -83,6 +88,14 @@
         })
     }
 
+    /// By when the body has to be complete: after its deadline nobody would serve the request.
+    fn body_deadline(&self, head: &RequestHead, received_at: Instant) -> Instant {
+        let table = self.state.routing_table();
+        let route = table.and_then(|table| table.routes.find(head.host()?, head.path()).cloned());
+        let allowed = time_allowed(head, route.as_deref());
+        received_at + allowed.min(MAX_BODY_TIME)
+    }
+
     async fn read_head(&mut self) -> Result<RequestHead, PartError> {
         let limits = HeadLimits::with_max_bytes(self.limits.max_header_bytes);
         loop {
--- a/crates/proxy/src/exchange/admission.rs
+++ b/crates/proxy/src/exchange/admission.rs
@@ -1,7 +1,8 @@
 //! First step: finds the route and the service of a request, and decides whether it is admitted.
 
 use crate::client::Request;
-use crate::headers::{ATTEMPT_ID, DEADLINE_MS};
+use crate::deadline::time_allowed;
+use crate::headers::ATTEMPT_ID;
 use crate::local_reply::LocalReply;
 use crate::response_progress::{ConnectionOutcome, ResponseProgress};
 use crate::routes;
@@ -105,17 +106,10 @@
 
 /// The deadline of a request, as time since the start of the process: the earlier of its own and its route's.
 pub(super) fn deadline(state: &ProxyState, request: &Request, route: &Route) -> Duration {
-    let client_ms = request
-        .head
-        .fields
-        .get_str(DEADLINE_MS)
-        .and_then(|value| value.parse().ok())
-        .filter(|ms: &f64| *ms >= 0.0)
-        .unwrap_or(f64::INFINITY);
     state
         .clock
         .since_start(request.received_at)
-        .saturating_add(duration_from_ms(client_ms.min(route.deadline_ms)))
+        .saturating_add(time_allowed(&request.head, Some(route)))
 }
 
 /// Whether a request with this deadline may be given to a host at this time in the life of the process.
@@ -130,9 +124,3 @@
     // A retry reaches another proxy, which may serve it at once.
     Err(Rejection::retry_after(ResultCode::Leaving, MIN_RETRY_AFTER))
 }
-
-/// A duration of milliseconds; what is out of range counts as no limit.
-pub(super) fn duration_from_ms(ms: f64) -> Duration {
-    // A quarter, so that a few can be added up.
-    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX / 4)
-}
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -19,10 +19,11 @@
 mod host_wait;
 mod streaming;
 
-use self::admission::{duration_from_ms, Rejection, MAX_RETRY_AFTER, MIN_RETRY_AFTER};
+use self::admission::{Rejection, MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use self::attempt::AttemptResult;
 use self::client_writer::ClientWriter;
 use crate::client::Request;
+use crate::deadline::duration_from_ms;
 use crate::event_stream::EventOffset;
 use crate::headers::{LAST_EVENT_ID, PROMPT_PREFIX, TOKEN_COUNTS};
 use crate::response_progress::{ConnectionOutcome, ResponseProgress};
--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -1,11 +1,11 @@
 //! Relays a stream as it comes, and resumes it at another host where the route allows it.
 
-use super::admission::duration_from_ms;
 use super::attempt::{AttemptResult, HostResponse};
 use super::client_writer::ClientWriter;
 use super::host_selection::SelectedHost;
 use super::host_wait::{HostWait, WaitError};
 use super::Exchange;
+use crate::deadline::duration_from_ms;
 use crate::event_stream::EventSplitter;
 use crate::response_progress::ConnectionOutcome;
 use crate::upstream::{self, UpstreamConnection};
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod client;
 pub mod counters;
+mod deadline;
 pub mod event_stream;
 mod exchange;
 mod fleet;
--- a/crates/proxy/tests/deadlines.rs
+++ b/crates/proxy/tests/deadlines.rs
@@ -295,3 +295,42 @@
     }
     true
 }
+
+/// A body that comes in pieces, each well within the idle time-out, has to be complete by the deadline of its request:
+/// the client's own, or else its route's. No host hears of it.
+#[rstest]
+#[case::of_the_route("/pure/a", "Content-Length: 1000000\r\n")]
+#[case::of_the_client("/pure/a", "Content-Length: 1000000\r\nFennelpin-Deadline-Ms: 200\r\n")]
+#[case::of_the_client_without_a_route(
+    "/none/a",
+    "Content-Length: 1000000\r\nFennelpin-Deadline-Ms: 200\r\n"
+)]
+#[case::chunked("/once/a", "Transfer-Encoding: chunked\r\n")]
+fn body_that_is_incomplete_at_the_deadline_is_rejected(#[case] path: &str, #[case] fields: &str) {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let proxy = proxy_with_short_deadlines(&[&host]).await;
+        let mut client = proxy.client().await;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: one\r\n{fields}\r\n"
+        );
+        let since = Instant::now();
+        client.send(&head).await;
+        let mut pieces = tokio::time::interval(Duration::from_millis(20));
+        let response = loop {
+            tokio::select! {
+                response = client.read_message() => break response,
+                _ = pieces.tick() => {}
+            }
+            client.send("1\r\nx\r\n").await;
+        };
+        let response = response.expect("a reply");
+        assert_eq!((response.status(), response.complete), (408, true));
+        assert!(
+            since.elapsed() < DEADLINE + TOLERANCE,
+            "{:?}",
+            since.elapsed()
+        );
+        assert!(host.has_no_connection());
+    });
+}
