--- a/crates/control-plane/tests/second_loss_sweep/play.rs
+++ b/crates/control-plane/tests/second_loss_sweep/play.rs
@@ -24,6 +24,8 @@
 const BACK_AFTER: Duration = ms(1000);
 /// A machine that is cut off, or a disk that is slow, as the change that goes on is so for this long.
 const CHANGE_LASTS: Duration = ms(3000);
+/// While the membership changes nobody acts for this long at most.
+const MEMBERSHIP_CHANGE: Duration = ms(100);
 /// A write of a slow disk takes this long.
 const SLOW_WRITE: Duration = ms(400);
 
@@ -312,6 +314,9 @@
         self.takes_an_order()
             .map_err(|e| format!("after the strike: {e}"))?;
         self.run(CATCH_UP, None);
+        // A change of the membership may just be under way, for a few messages.
+        let acts = |cluster: &Cluster| cluster.primary().is_some();
+        self.cluster.until(MEMBERSHIP_CHANGE, acts);
         let Some(primary) = self.cluster.primary() else {
             return Err("nobody acts any more".into());
         };
