Soak: a body that is incomplete at its deadline may get 408, if no host heard of the request

Before that change such a request was answered after its body's end, with 504. The check was wrong for the new reply. Change: 408 is accepted only at the request's deadline and only if no host ran the request; where one ran it, it breaks a rule (REFUSED).

--- a/crates/fennelpin-cli/tests/soak/rules.rs
+++ b/crates/fennelpin-cli/tests/soak/rules.rs
@@ -67,6 +67,8 @@
     CrossedTheClose,
     /// Its deadline was over.
     AtDeadline,
+    /// Its deadline was over before the client had sent all of it.
+    SlowBody,
     /// It was in flight at SIGTERM and was truncated shortly before the kill.
     OutlastedTheGrace,
     /// It got a status in the last second of a shutdown.
@@ -177,6 +179,9 @@
         503 if !request.kind.idempotent() && runs > 0 => {
             Verdict::Broken(Violation::RejectedButRan(request.clone()))
         }
+        408 if runs > 0 => Verdict::Broken(Violation::RejectedButRan(request.clone())),
+        // Its body was not complete by its deadline.
+        408 if is_at_deadline(request) => Verdict::Excused(Excuse::SlowBody),
         503 => Verdict::Excused(Excuse::Rejected),
         504 if is_at_deadline(request) => Verdict::Excused(Excuse::AtDeadline),
         502 if ends_with_the_process(recording, request) => Verdict::Excused(Excuse::EndOfProcess),
