--- a/tools/mixed_days.py
+++ b/tools/mixed_days.py
@@ -1,184 +1,176 @@
 #!/usr/bin/env python3
 """Draws days that mix every kind of trouble, long and short, at any moment and more than once, for `fleetbench run`.
 
-    tools/mixed_days.py FOLDER FROM TO [--long | --planned]     FOLDER lies outside the repository; a day for each seed FROM to TO-1
+    tools/mixed_days.py FOLDER FROM TO [--long | --planned | --core] [--kinds FILE]
 
-The same seed draws the same day. `--long` makes the troubles of the control side last up to 22 s and storms hold up to
-300 changes. `--planned` has planned work alone, in series that overlap, beside what clients do. The names of days are labels only.
+FOLDER lies outside the repository; it gets a day for each seed FROM to TO-1, and the same seed draws the same day. `--long` makes the
+troubles of the control side last up to 22 s and storms hold up to 300 changes. `--planned` has planned work alone, in series that overlap,
+beside what clients do. `--core` has many troubles of the control side, in groups within one `contact_ms`. FILE is what `fleetbench kinds
+SITE` prints: kinds that it doesn't name aren't drawn. The names of days are labels only.
 """
 
+import argparse
 import pathlib
 import random
-import sys
+import re
+
+import trouble_kinds
+from trouble_kinds import Group
 
-# What a trouble's `how` may hold besides its own words, for those that strike machines.
-AFTERWARDS = ("", "", "", " meet", " race", " hard", " drain", " race drain", " meet drain")
 # The moments, in seconds, between which troubles begin.
 FIRST_MOMENT, LAST_MOMENT = 0.5, 27.0
 # How long troubles last, in seconds: most are short, some of a long day's are not.
 SHORT, LONG = (0.2, 6.0), (6.0, 22.0)
-
-CONTROL_FAULTS = (
-    "node_freeze", "core_cut", "core_cut", "node_kill", "herd_kill", "after_ack_wipe", "after_ack_kill", "disk_slow",
-    "disk_full", "disk_stall", "ack_lost", "clock_step", "node_slow", "replace_core", "replace_core",
-)
-OTHER_FAULTS = (
-    "burst", "hot_key", "srv_crash", "answer_lost", "garble", "node_cut", "retry_abuse", "give_up", "srv_slow",
-    "srv_grey", "srv_cut", "replace_with_reuse", "reset_conns", "node_kill",
-)
-PLANS = (
-    "config_change", "config_storm", "config_storm", "config_race", "config_race", "bad_config", "big_config", "release",
-    "scale_out", "scale_in", "roll_term", "roll_term", "seed_turnover", "hup",
-)
-# Planned work alone has more of what stops processes.
-PLANS_ALONE = PLANS + ("roll_term", "roll_term", "hup", "hup")
-# What clients do by themselves; no machine or link is in trouble by it.
-CLIENT_FAULTS = ("burst", "hot_key", "hot_key", "retry_abuse", "give_up")
-# How many entries of planned work a day has at most, and one of planned work alone.
-MOST_PLANNED, MOST_PLANNED_ALONE = 6, 14
-CLOSINGS = ("power_off_all", "wipe_after_ack", "kill_all")
+# Troubles of a group begin within this many seconds of each other: the bench's `contact_ms`.
+GROUP_SPAN = 3.0
+# How likely a trouble belongs to the group of the one before.
+GROUP_CHANCE, GROUP_CHANCE_CORE = 0.35, 0.7
+# How many entries a day has at most: planned work, that of a day of planned work alone, troubles by group.
+MOST_PLANNED, MOST_PLANNED_ALONE, MOST_CONTROL, MOST_CONTROL_CORE, MOST_OTHER = 6, 14, 6, 10, 4
+CLOSING_CHANCE = 0.8
+SORTS = ("mixed", "long", "planned", "core")
 
 
-class Day:
-    """One day that is being drawn."""
+class Draw:
+    """Random numbers by a seed, and the figures drawn from them."""
 
-    def __init__(self, seed, long, planned):
-        self.draw = random.Random(seed)
+    def __init__(self, seed, long):
+        self.random = random.Random(seed)
         self.long = long
-        self.planned = planned
 
     def pick(self, *words):
-        """One of some words."""
-        return self.draw.choice(words)
+        """One of some values."""
+        return self.random.choice(words)
+
+    def number(self, least, most):
+        """A whole number between the two, both included."""
+        return self.random.randint(least, most)
+
+    def chance(self, probability):
+        """Whether something with this probability comes about."""
+        return self.random.random() < probability
 
     def length(self):
-        """How long a trouble lasts."""
-        return round(self.draw.uniform(*(LONG if self.long and self.draw.random() < 0.4 else SHORT)), 2)
+        """How long a trouble lasts, in seconds."""
+        return round(self.random.uniform(*(LONG if self.long and self.chance(0.4) else SHORT)), 2)
 
     def share(self, most=0.5):
         """A share of the things that fit."""
-        return round(self.draw.uniform(0.1, most), 2)
-
-    def machine(self, *ways):
-        """Which counted machine is struck, and what is done to it afterwards."""
-        return self.pick("", "leader", "leader", "turn", "seed", *ways) + self.pick(*AFTERWARDS)
-
-    def fault(self, kind, control):
-        """The fields of a fault."""
-        strike = {"for_s": self.length()}
-        if control and kind in ("node_freeze", "node_slow", "node_kill"):
-            words = self.machine() + (self.pick("", " power") if kind == "node_kill" else "")
-            return strike | {"on": "core", "count": 1, "how": words.strip()}
-        fields = {
-            "node_slow": lambda: {"share": self.share(0.3), "x": self.pick(3, 6)},
-            "core_cut": lambda: {"count": 1, "how": self.core_cut()},
-            "herd_kill": lambda: {"on": "core", "how": self.pick("", "power", "taken", "taken all")},
-            "after_ack_wipe": lambda: {"how": self.pick("", "oldest", "timed")},
-            "after_ack_kill": lambda: {"how": self.pick("", "kill", "timed", "taken", "taken gone")},
-            "disk_slow": lambda: {"count": 1, "x": self.pick(10, 30), "how": self.pick("", "leader")},
-            "disk_full": lambda: {"count": 1, "how": self.pick("", "leader")},
-            "disk_stall": lambda: {"count": 1, "how": self.pick("", "leader")},
-            "ack_lost": lambda: {"x": self.pick(0.3, 0.5, 0.7)},
-            "clock_step": lambda: {"x": self.pick(700, 2000, 8000), "share": self.share(), "how": self.pick("back", "ahead")},
-            "replace_core": lambda: {"x": self.pick(0.3, 1.0, 3.0), "how": self.pick("", "planned", "oldest")},
-            "burst": lambda: {"x": self.pick(1.3, 1.6)},
-            "hot_key": lambda: {"share": self.share(0.3)},
-            "srv_crash": lambda: {"share": self.share(0.2), "how": self.pick("", "dark", "gone")},
-            "answer_lost": lambda: {"share": 0.5, "x": 0.05, "how": self.pick("", "reset")},
-            "garble": lambda: {"share": 0.5, "x": 0.03, "how": self.pick("", "extra", "extra late", "unframed", "early")},
-            "node_cut": lambda: {"share": self.share(0.2), "how": self.pick("", "all", "servers")},
-            "retry_abuse": lambda: {"share": self.share(0.3), "x": 2},
-            "give_up": lambda: {"share": self.share(0.3), "x": 200},
-            "srv_slow": lambda: {"share": self.share(0.2), "x": 4},
-            "srv_grey": lambda: {"share": self.share(0.2), "x": 0.4, "how": self.pick("errors", "shed", "hang", "reset", "mute")},
-            "srv_cut": lambda: {"share": self.share(0.2), "how": self.pick("", "fronts", "one_way", "reset")},
-            "replace_with_reuse": lambda: {"share": self.share(0.2), "how": self.pick("", "drain", "dark")},
-            "reset_conns": lambda: {"share": self.share(), "x": 0.5},
-            "node_kill": lambda: {"share": self.share(0.2), "how": self.pick("", "power")},
-        }
-        return strike | fields[kind]()
-
-    def core_cut(self):
-        """How a core machine is cut off."""
-        words = self.pick("", "leader", "turn") + self.pick("", " all", " near", " one_way", " seeds", " both", " both seeds")
-        return (words + self.pick(*AFTERWARDS)).strip()
-
-    def plan(self, kind):
-        """The fields of planned work."""
-        storm = (60, 300) if self.long else (8, 60)
-        fields = {
-            "config_change": lambda: {"how": self.pick("route", "weights", "timeout", "idle")},
-            "config_storm": lambda: {"count": self.draw.randint(*storm), "gap_s": self.pick(0.05, 0.1, 0.3)},
-            "config_race": lambda: {"count": self.draw.randint(2, 10), "gap_s": self.pick(0.3, 1.0)},
-            "bad_config": lambda: {"count": 4, "gap_s": 0.5},
-            "big_config": lambda: {"count": self.pick(100, 400, 1500)},
-            "release": lambda: {"share": self.share(), "x": 1.0, "gap_s": 1.0},
-            "scale_out": lambda: {"share": 0.3, "gap_s": 2.0},
-            "scale_in": lambda: {"share": 0.15, "how": self.pick("", "spot")},
-            "roll_term": lambda: self.roll(),
-            "seed_turnover": lambda: {},
-            "hup": lambda: {"share": self.share(), "gap_s": 2.0},
-        }
-        return fields[kind]()
-
-    def roll(self):
-        """Machines that are stopped and started in turn."""
-        where = {"on": "core"} if self.draw.random() < 0.5 else {"share": self.share()}
-        at_once = self.pick(1.0, 1.0, 2.0, 3.0)
-        return where | {"x": at_once, "gap_s": self.pick(0.5, 1.0, 2.0), "how": self.pick("", "busy", "", "leader meet", "remove")}
-
-    def entries(self, kinds, fields, most):
+        return round(self.random.uniform(0.1, most), 2)
+
+
+class Day:
+    """One day that is being drawn."""
+
+    def __init__(self, seed, sort, allowed=None):
+        self.seed, self.sort, self.allowed = seed, sort, allowed
+        self.draw = Draw(seed, sort == "long")
+
+    def is_drawn(self, kind):
+        """Whether the deployment has a kind."""
+        if self.allowed is None:
+            return kind.name not in trouble_kinds.RARE_KINDS
+        return kind.name in self.allowed
+
+    def kinds(self, *groups):
+        """The kinds of some groups, each as often as its weight says."""
+        kinds = (kind for kind in trouble_kinds.ALL_KINDS if kind.group in groups and self.is_drawn(kind))
+        return [kind for kind in kinds for _ in range(kind.weight)]
+
+    def how(self, kind):
+        """The words of `how`."""
+        words = [self.draw.pick(*kind.variants)]
+        if kind.name in trouble_kinds.HOST_KINDS:
+            words.append(self.draw.pick(*trouble_kinds.HOST_CHOICES))
+        if kind.is_cut:
+            words.append(self.draw.pick(*trouble_kinds.CUT_REPLIES))
+        if kind.chooses_machines:
+            words.insert(0, self.draw.pick(*trouble_kinds.MACHINE_CHOICES))
+            words.append(self.draw.pick(*trouble_kinds.AFTERWARDS))
+        return " ".join(dict.fromkeys(" ".join(words).split()))
+
+    def entry(self, kind, moment):
+        """One entry of the day."""
+        entry = {"at": round(moment, 2), "kind": kind.name}
+        if kind.group is not Group.PLANNED:
+            entry["for_s"] = self.draw.length()
+        return entry | kind.fields(self.draw) | {"how": self.how(kind)}
+
+    def entries(self, kinds, most):
         """Some entries, in the order of their moments."""
-        drawn = []
-        for _ in range(self.draw.randint(2, most)):
-            kind = self.pick(*kinds)
-            moment = round(self.draw.uniform(FIRST_MOMENT, LAST_MOMENT), 2)
-            drawn.append({"at": moment, "kind": kind} | fields(kind))
+        chance = GROUP_CHANCE_CORE if self.sort == "core" else GROUP_CHANCE
+        drawn, moment = [], None
+        for _ in range(self.draw.number(2, most)):
+            if moment is not None and self.draw.chance(chance):
+                moment = min(moment + self.draw.random.uniform(0, GROUP_SPAN), LAST_MOMENT)
+            else:
+                moment = self.draw.random.uniform(FIRST_MOMENT, LAST_MOMENT)
+            drawn.append(self.entry(self.draw.pick(*kinds), moment))
         return sorted(drawn, key=lambda entry: entry["at"])
 
-    def all_faults(self):
-        """Faults of every kind."""
-        control = self.entries(CONTROL_FAULTS, lambda kind: self.fault(kind, True), 6)
-        other = self.entries(OTHER_FAULTS, lambda kind: self.fault(kind, False), 4)
+    def faults(self):
+        """What isn't planned."""
+        if self.sort == "planned":
+            return self.entries(self.kinds(Group.CLIENT), MOST_OTHER)
+        control = self.entries(self.kinds(Group.CONTROL), MOST_CONTROL_CORE if self.sort == "core" else MOST_CONTROL)
+        other = self.entries(self.kinds(Group.OTHER, Group.CLIENT), MOST_OTHER)
         return sorted(control + other, key=lambda entry: entry["at"])
 
-    def client_faults(self):
-        """What clients do."""
-        return self.entries(CLIENT_FAULTS, lambda kind: self.fault(kind, False), 4)
-
-    def text(self, name, seed):
+    def plan(self):
+        """Planned work."""
+        kinds = self.kinds(Group.PLANNED)
+        if self.sort != "planned":
+            return self.entries(kinds, MOST_PLANNED)
+        # Planned work alone has more of what stops processes.
+        stops = [kind for kind in kinds if kind.name in ("roll_term", "hup")]
+        return self.entries(kinds + stops, MOST_PLANNED_ALONE)
+
+    def closing(self):
+        """The final fault, if there is one."""
+        if not self.draw.chance(CLOSING_CHANCE):
+            return None
+        closing = {"kind": self.draw.pick(*trouble_kinds.CLOSINGS), "down_s": round(self.draw.random.uniform(0.4, 1.6), 2)}
+        return closing | {"how": self.draw.pick(*trouble_kinds.CLOSING_VARIANTS)}
+
+    def text(self, name):
         """The day as TOML."""
-        if self.planned:
-            plan = self.entries(PLANS_ALONE, self.plan, MOST_PLANNED_ALONE)
-        else:
-            plan = self.entries(PLANS, self.plan, MOST_PLANNED)
-        faults = self.client_faults() if self.planned else self.all_faults()
-        lines = [f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}"]
-        if self.draw.random() < 0.8:
-            closing = {"kind": self.pick(*CLOSINGS), "down_s": round(self.draw.uniform(0.4, 1.6), 2)}
-            how = self.pick("", "", "timed", "taken", "oldest")
-            lines.append(f"closing = {table(closing | ({'how': how} if how else {}))}")
+        plan, faults, closing = self.plan(), self.faults(), self.closing()
+        lines = [f'name = "{name}"', 'slot = "trouble"', f"seed = {self.seed}"]
+        if closing:
+            lines.append(f"closing = {inline_table(closing)}")
         for title, entries in (("plan", plan), ("faults", faults)):
-            lines += [f"{title} = ["] + [f"  {table(entry)}," for entry in entries] + ["]"]
+            lines += [f"{title} = ["] + [f"  {inline_table(entry)}," for entry in entries] + ["]"]
         return "\n".join(lines) + "\n"
 
 
-def table(entry):
-    """An entry as an inline table; empty words are left out."""
+def inline_table(entry):
+    """An entry as an inline table of TOML; empty words are left out."""
     fields = (f'{name} = "{value}"' if isinstance(value, str) else f"{name} = {value}" for name, value in entry.items() if value != "")
     return "{ " + ", ".join(fields) + " }"
 
 
+def kinds_listed(text):
+    """The names of kinds in what `fleetbench kinds SITE` prints."""
+    return set(re.findall(r"^([a-z]+_[a-z_]+|burst|garble|release|hup): ", text, re.MULTILINE))
+
+
 def main():
-    arguments = [word for word in sys.argv[1:] if not word.startswith("--")]
-    folder, first, end = pathlib.Path(arguments[0]), int(arguments[1]), int(arguments[2])
-    long, planned = "--long" in sys.argv, "--planned" in sys.argv
-    sort = "long" if long else "planned" if planned else "mixed"
-    folder.mkdir(parents=True, exist_ok=True)
-    for seed in range(first, end):
-        name = f"{sort}-{seed}"
-        (folder / f"{name}.toml").write_text(Day(seed, long, planned).text(name, seed))
-        print(folder / f"{name}.toml")
+    """Writes the days."""
+    parser = argparse.ArgumentParser(description="Draws days that mix every kind of trouble.")
+    parser.add_argument("folder", type=pathlib.Path)
+    parser.add_argument("first", type=int)
+    parser.add_argument("end", type=int)
+    sorts = parser.add_mutually_exclusive_group()
+    for sort in SORTS[1:]:
+        sorts.add_argument(f"--{sort}", dest="sort", action="store_const", const=sort, default="mixed")
+    parser.add_argument("--kinds", type=pathlib.Path)
+    options = parser.parse_args()
+    allowed = options.kinds and kinds_listed(options.kinds.read_text())
+    options.folder.mkdir(parents=True, exist_ok=True)
+    for seed in range(options.first, options.end):
+        name = f"{options.sort}-{seed}"
+        (options.folder / f"{name}.toml").write_text(Day(seed, options.sort, allowed).text(name))
+        print(options.folder / f"{name}.toml")
 
 
 if __name__ == "__main__":
--- a/tools/site_variants.py
+++ b/tools/site_variants.py
@@ -37,15 +37,25 @@
     return re.sub(r"(?<=\[tolerate\]\n)machines = \d+\nzones = \d+", f"machines = {machines}\nzones = {zones_lost}", text)
 
 
-def five_cores(text):
-    """Five core machines, of which two may be lost."""
-    for name in zones(text)[:2]:
-        text, count = re.subn(rf'(class = "core", zone = "{name}", count =) 1', r"\1 2", text)
+def core_machines(text, counts):
+    """Core machines by zone, of which two may be lost."""
+    for name, machines in zip(zones(text), counts):
+        text, count = re.subn(rf'(class = "core", zone = "{name}", count =) 1', rf"\1 {machines}", text)
         if count != 1:
             raise SystemExit(f"{name} has no core machine: fewer than five can't bear the loss of two")
     return tolerate(text, 2, 0)
 
 
+def five_cores(text):
+    """Five core machines, of which two may be lost."""
+    return core_machines(text, (2, 2, 1))
+
+
+def eight_cores(text):
+    """Eight core machines, of which two may be lost."""
+    return core_machines(text, (3, 3, 2))
+
+
 def more_zones(text):
     """Two more zones of clients and proxies, without core machines or hosts of their own."""
     added = dict(zip(zones(text), ("northfield", "southfield")))
@@ -105,7 +115,7 @@
 
 VARIANTS = {
     change.__name__.replace("_", "-"): change
-    for change in (five_cores, more_zones, half_processor, slow_disks, short_bounds, zone_lost, other_names, health_open, all_at_once)
+    for change in (five_cores, eight_cores, more_zones, half_processor, slow_disks, short_bounds, zone_lost, other_names, health_open, all_at_once)
 }
 
 
