--- a/crates/configuration/src/process_settings.rs
+++ b/crates/configuration/src/process_settings.rs
@@ -192,6 +192,8 @@
     pub quota_excess: f64,
     /// Excess that is borne beside this, in the limit's unit (default 0).
     pub quota_margin: f64,
+    /// For how long after its last answer a watch can be resumed, in s (default 20).
+    pub history_s: f64,
 }
 
 impl Default for Bounds {
@@ -218,6 +220,7 @@
             quota_window_s: 8.0,
             quota_excess: 0.1,
             quota_margin: 0.0,
+            history_s: 20.0,
         }
     }
 }
--- a/crates/configuration/src/result_code.rs
+++ b/crates/configuration/src/result_code.rs
@@ -50,6 +50,8 @@
     Leaving = 203,
     /// The disk has not answered yet, so the member does not know its id.
     Opening = 204,
+    /// No clear answer came in time, and the call may have taken effect or may yet do so.
+    OutcomeUnknown = 205,
     /// There is no such call.
     NoSuchCall = 300,
     /// The call takes another HTTP method.
@@ -86,6 +88,18 @@
     KeysOutdated = 412,
     /// The hosts are overloaded: the request, or another in its place, would be answered too late.
     HostsOverloaded = 413,
+    /// Another holder has the lock.
+    LockHeld = 500,
+    /// The lock isn't the caller's any more.
+    LockLost = 501,
+    /// The cell has another revision than the expected one.
+    RevisionConflict = 502,
+    /// The cell doesn't exist.
+    NoCell = 503,
+    /// The puts that a watch asks for aren't kept any more.
+    HistoryGone = 504,
+    /// Locks, numbers and cells have used up their memory.
+    CoordinationFull = 505,
 }
 
 /// What belongs to a code.
@@ -119,6 +133,7 @@
         Self::DiskFull,
         Self::Leaving,
         Self::Opening,
+        Self::OutcomeUnknown,
         Self::NoSuchCall,
         Self::OtherMethod,
         Self::TooLarge,
@@ -137,6 +152,12 @@
         Self::QuotaExceeded,
         Self::KeysOutdated,
         Self::HostsOverloaded,
+        Self::LockHeld,
+        Self::LockLost,
+        Self::RevisionConflict,
+        Self::NoCell,
+        Self::HistoryGone,
+        Self::CoordinationFull,
     ];
 
     /// The number.
@@ -184,6 +205,7 @@
             Self::DiskFull => (503, "the disk refuses writes"),
             Self::Leaving => (503, "this process is leaving"),
             Self::Opening => (503, "the disk has not answered yet"),
+            Self::OutcomeUnknown => (504, "no clear answer in time; it may take effect"),
             Self::NoSuchCall => (404, "no such call"),
             Self::OtherMethod => (405, "another method"),
             Self::TooLarge => (413, "the body is too large"),
@@ -202,6 +224,12 @@
             Self::QuotaExceeded => (429, "the tenant's quota is used up"),
             Self::KeysOutdated => (503, "which keys hold isn't known here now"),
             Self::HostsOverloaded => (503, "the hosts are overloaded"),
+            Self::LockHeld => (409, "another holder has the lock"),
+            Self::LockLost => (409, "the lock is not the caller's any more"),
+            Self::RevisionConflict => (412, "the cell has another revision"),
+            Self::NoCell => (404, "no such cell"),
+            Self::HistoryGone => (410, "the puts after this revision are not kept any more"),
+            Self::CoordinationFull => (429, "locks, numbers and cells have used up their memory"),
         };
         Details { status, text }
     }
--- a/crates/configuration/tests/json_formats.rs
+++ b/crates/configuration/tests/json_formats.rs
@@ -264,6 +264,7 @@
     assert_eq!(bounds.quota_window_s, 9.0);
     assert_eq!(bounds.quota_excess, 0.2);
     assert_eq!(bounds.quota_margin, 190_000.0);
+    assert_eq!(bounds.history_s, 21.0);
 }
 
 #[test]
@@ -313,4 +314,5 @@
     assert_eq!(bounds.quota_window_s, 8.0);
     assert_eq!(bounds.quota_excess, 0.1);
     assert_eq!(bounds.quota_margin, 0.0);
+    assert_eq!(bounds.history_s, 20.0);
 }
--- a/crates/control-plane/examples/restart_cost.rs
+++ b/crates/control-plane/examples/restart_cost.rs
@@ -46,6 +46,7 @@
         lease_duration: Duration::from_secs(1),
         request_timeout: Duration::from_millis(3500),
         disk_stall_timeout: Duration::from_millis(600),
+        watch_history: Duration::from_secs(20),
     }
 }
 
--- a/crates/control-plane/src/applied_requests.rs
+++ b/crates/control-plane/src/applied_requests.rs
@@ -16,23 +16,25 @@
 pub const MIN_RETAINED_REQUESTS: usize = 4096;
 const MAX_CHUNKS: usize = MIN_RETAINED_REQUESTS / CHUNK_REQUESTS;
 
-/// The latest requests that were applied, oldest first.
+/// The latest requests that were applied, oldest first. A copy costs the same however many there are.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AppliedRequests {
-    full: VecDeque<Arc<[AppliedRequest]>>,
-    tail: Vec<AppliedRequest>,
+    full: Arc<VecDeque<Arc<[AppliedRequest]>>>,
+    tail: Arc<Vec<AppliedRequest>>,
 }
 
 impl AppliedRequests {
     /// Adds a request whose base version is newer than those of all requests before it.
     pub fn push(&mut self, request: AppliedRequest) {
-        self.tail.push(request);
-        if self.tail.len() < CHUNK_REQUESTS {
+        let tail = Arc::make_mut(&mut self.tail);
+        tail.push(request);
+        if tail.len() < CHUNK_REQUESTS {
             return;
         }
-        self.full.push_back(std::mem::take(&mut self.tail).into());
-        if self.full.len() > MAX_CHUNKS {
-            self.full.pop_front();
+        let full = Arc::make_mut(&mut self.full);
+        full.push_back(std::mem::take(tail).into());
+        if full.len() > MAX_CHUNKS {
+            full.pop_front();
         }
     }
 
@@ -41,7 +43,7 @@
         self.full
             .iter()
             .flat_map(|chunk| chunk.iter())
-            .chain(&self.tail)
+            .chain(self.tail.iter())
     }
 
     /// The request that was applied to a version, if it is retained.
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -25,6 +25,7 @@
 //!     lease_duration: Duration::from_millis(1000),
 //!     request_timeout: Duration::from_millis(3500),
 //!     disk_stall_timeout: Duration::from_millis(600),
+//!     watch_history: Duration::from_secs(20),
 //! };
 //! let mut now = Duration::ZERO;
 //! let mut member = Member::new(config, &[], now, 1);
--- a/crates/control-plane/src/member/commands.rs
+++ b/crates/control-plane/src/member/commands.rs
@@ -3,7 +3,7 @@
 use super::transfer_time::{command_bytes, extra_flight_time};
 use super::{Member, Output};
 use configuration::ResultCode;
-use protocol::{Command, MemberInfo, Message};
+use protocol::{Command, CoordinationRequest, MemberInfo, Message};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -16,6 +16,10 @@
 /// The longest that a command waits for its answer at such a member.
 const PARTITIONED_COMMAND_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The longest that a call for locks, numbers or cells waits for its answer: its caller turns to another member after a
+/// second. It is also what a watch may take beyond the time that it waits.
+const COORDINATION_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Where an answer goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum CommandSource {
@@ -32,8 +36,8 @@
     received_at: Duration,
     /// The latest primary that got the command; none if it has to be sent to the next one.
     last_sent: Option<SentCommand>,
-    /// Whether any primary may have got it.
-    may_have_run: bool,
+    /// How many times a primary was sent it.
+    times_sent: u32,
     /// A primary that hasn't answered gets the command again after this time.
     retry_interval: Duration,
 }
@@ -51,7 +55,7 @@
             command,
             received_at: now,
             last_sent: None,
-            may_have_run: false,
+            times_sent: 0,
         }
     }
 
@@ -65,19 +69,62 @@
 
     /// The result if no answer arrives in time.
     fn timeout_code(&self) -> ResultCode {
-        if self.may_have_run {
+        if self.times_sent > 0 {
             ResultCode::Unclear
         } else {
             ResultCode::NoPrimary
         }
     }
 
+    /// How long it may wait here, if commands may wait for `request_timeout`.
+    fn timeout(&self, request_timeout: Duration) -> Duration {
+        match &self.command {
+            Command::Coordinate {
+                request: CoordinationRequest::Watch { wait_ms, .. },
+            } => Duration::from_millis(u64::from(*wait_ms)) + COORDINATION_TIMEOUT,
+            Command::Coordinate { .. } => COORDINATION_TIMEOUT.min(request_timeout),
+            _ => request_timeout,
+        }
+    }
+
+    /// What the caller is told in place of a result. 429 and 503 promise to callers of locks, numbers and cells that the
+    /// call never takes effect: one that was sent more than once may, whatever one copy was answered.
+    fn told_code(&self, code: ResultCode) -> ResultCode {
+        let is_promise = matches!(code.status(), 429 | 503);
+        let may_take_effect = code == ResultCode::Unclear || self.times_sent > 1;
+        match self.command {
+            Command::Coordinate { .. } if is_promise && may_take_effect => {
+                ResultCode::OutcomeUnknown
+            }
+            _ => code,
+        }
+    }
+
     fn next_retry(&self, own_id: u64) -> Option<Duration> {
         let sent = self.last_sent.filter(|r| r.primary != own_id)?;
         Some(sent.at + self.retry_interval)
     }
 }
 
+/// How long commands may wait for their answers.
+#[derive(Clone, Copy, Debug)]
+struct CommandWait {
+    request_timeout: Duration,
+    /// Whether this member is partitioned off.
+    is_partitioned: bool,
+}
+
+impl CommandWait {
+    fn of(self, command: &LocalCommand) -> Duration {
+        let timeout = command.timeout(self.request_timeout);
+        if self.is_partitioned {
+            timeout.min(PARTITIONED_COMMAND_TIMEOUT)
+        } else {
+            timeout
+        }
+    }
+}
+
 /// The commands that callers of this member wait for.
 #[derive(Clone, Debug)]
 pub(super) struct LocalCommands {
@@ -127,7 +174,7 @@
         for (ticket, command) in &mut self.by_ticket {
             if command.is_due(primary, own_id, now) {
                 command.last_sent = Some(SentCommand { primary, at: now });
-                command.may_have_run = true;
+                command.times_sent += 1;
                 due.push((*ticket, command.command.clone()));
             }
         }
@@ -135,10 +182,10 @@
     }
 
     /// The commands that have waited too long, with the result that their callers get.
-    fn timed_out(&self, now: Duration, timeout: Duration) -> Vec<(u64, ResultCode)> {
+    fn timed_out(&self, now: Duration, wait_limit: CommandWait) -> Vec<(u64, ResultCode)> {
         let commands = self.by_ticket.iter();
         commands
-            .filter(|(_, command)| now >= command.received_at + timeout)
+            .filter(|(_, command)| now >= command.received_at + wait_limit.of(command))
             .map(|(ticket, command)| (*ticket, command.timeout_code()))
             .collect()
     }
@@ -189,7 +236,8 @@
     ) {
         match source {
             CommandSource::Local { ticket } => {
-                if self.commands.by_ticket.remove(&ticket).is_some() {
+                if let Some(command) = self.commands.by_ticket.remove(&ticket) {
+                    let code = command.told_code(code);
                     out.push(Output::Answer { ticket, code, body });
                 }
             }
@@ -209,8 +257,8 @@
     pub(super) fn run_commands(&mut self, out: &mut Vec<Output>) {
         let is_known = self.primary().is_some();
         self.commands.record_primary(is_known, self.now);
-        let timeout = self.command_timeout();
-        for (ticket, code) in self.commands.timed_out(self.now, timeout) {
+        let wait_limit = self.command_wait();
+        for (ticket, code) in self.commands.timed_out(self.now, wait_limit) {
             self.answer(CommandSource::Local { ticket }, code, Vec::new(), out);
         }
         if let Some(primary) = self.primary() {
@@ -244,19 +292,19 @@
         Some(since + PARTITIONED_AFTER_LEASES * self.config.lease_duration)
     }
 
-    /// How long a command may wait here now.
-    fn command_timeout(&self) -> Duration {
-        let timeout = self.config.request_timeout;
-        match self.partitioned_at() {
-            Some(at) if self.now >= at => PARTITIONED_COMMAND_TIMEOUT.min(timeout),
-            _ => timeout,
+    /// How long commands may wait here now.
+    fn command_wait(&self) -> CommandWait {
+        let is_partitioned = self.partitioned_at().is_some_and(|at| self.now >= at);
+        CommandWait {
+            request_timeout: self.config.request_timeout,
+            is_partitioned,
         }
     }
 
     pub(super) fn commands_wake(&self) -> Option<Duration> {
-        let timeout = self.command_timeout();
+        let wait_limit = self.command_wait();
         let commands = &self.commands.by_ticket;
-        let ends = commands.values().map(|c| c.received_at + timeout);
+        let ends = commands.values().map(|c| c.received_at + wait_limit.of(c));
         let retries = commands.values().filter_map(|c| c.next_retry(self.me()));
         let partitioned = self
             .partitioned_at()
--- a/crates/control-plane/src/member/committed_state.rs
+++ b/crates/control-plane/src/member/committed_state.rs
@@ -138,5 +138,7 @@
     let applied_requests =
         state.applied_requests.iter().count() * std::mem::size_of::<protocol::AppliedRequest>();
     let drains: usize = state.drains.iter().map(|d| d.len() + 4).sum();
-    routes + services + tenants + limits + applied_requests + drains + SNAPSHOT_OVERHEAD_BYTES
+    let coordination = state.coordination.bytes();
+    let configured = routes + services + tenants + limits;
+    configured + applied_requests + drains + coordination + SNAPSHOT_OVERHEAD_BYTES
 }
--- /dev/null
+++ b/crates/control-plane/src/member/coordination_requests.rs
@@ -0,0 +1,301 @@
+//! The primary serves locks, numbers, cells and watches.
+//!
+//! What changes something goes the way of every change: to the disks of all replicas before it is answered. What only
+//! reads is answered from the committed state, under the lease: whatever was acknowledged before the request was sent is
+//! there. A lock is renewed in the primary's memory alone, as the next primary counts its whole time anew.
+
+use super::commands::CommandSource;
+use super::coordination_answer::{list_cells, list_locks, reply};
+use super::replication::PendingAnswer;
+use super::{Member, Output};
+use configuration::ResultCode;
+use coordination::{Answer, Decision, HistoryRetention, LockDeadlines, ParkedWatch, Watches};
+use protocol::{Change, CoordinationChange, CoordinationRequest};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Puts are kept for this much longer than watches may be resumed: calls are under way for some time.
+const RETENTION_MARGIN: Duration = Duration::from_secs(5);
+/// And by this part of that time.
+const RETENTION_MARGIN_FRACTION: f64 = 0.25;
+
+/// What a primary keeps in memory of the locks and watches.
+#[derive(Clone, Debug)]
+pub(super) struct CoordinationService {
+    pub(super) deadlines: LockDeadlines,
+    retention: HistoryRetention,
+    watches: Watches<CommandSource>,
+}
+
+impl CoordinationService {
+    /// Watches can be resumed for `history` after their last answer.
+    pub(super) fn new(history: Duration) -> Self {
+        let retention = history + history.mul_f64(RETENTION_MARGIN_FRACTION) + RETENTION_MARGIN;
+        Self {
+            deadlines: LockDeadlines::default(),
+            retention: HistoryRetention::new(retention),
+            watches: Watches::default(),
+        }
+    }
+
+    /// Whether a caller's watch waits.
+    pub(super) fn has_watch(&self, source: CommandSource) -> bool {
+        self.watches.contains(&source)
+    }
+
+    pub(super) fn wake(&self) -> Option<Duration> {
+        let wakes = [self.watches.next_expiry(), self.retention.next_at()];
+        wakes.into_iter().flatten().min()
+    }
+
+    /// A change was made that a caller asked for: its lock lasts from now on. `before` is the state before it, `fence`
+    /// the fencing token given last.
+    fn record_change(
+        &mut self,
+        change: &CoordinationChange,
+        before: &coordination::CoordinationState,
+        fence: u64,
+        now: Duration,
+    ) {
+        match change {
+            CoordinationChange::LockAcquired {
+                name,
+                holder,
+                hold_ms,
+                ..
+            } => {
+                let same_holder = before.lock(name).filter(|lock| *lock.holder == **holder);
+                let deadlines = &mut self.deadlines;
+                deadlines.extend(name, same_holder, fence, *hold_ms, now);
+            }
+            CoordinationChange::LockExtended { name, hold_ms } => {
+                if let Some(lock) = before.lock(name) {
+                    let deadlines = &mut self.deadlines;
+                    deadlines.extend(name, Some(lock), lock.fence, *hold_ms, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A request was answered without a change: the lock that it took or renewed lasts from now on.
+    fn record_answer(
+        &mut self,
+        request: &CoordinationRequest,
+        answer: &Answer,
+        state: &coordination::CoordinationState,
+        now: Duration,
+    ) {
+        let extended = match (request, answer) {
+            (CoordinationRequest::AcquireLock { name, hold_ms, .. }, Answer::Acquired { .. })
+            | (CoordinationRequest::RenewLock { name, hold_ms, .. }, Answer::Renewed) => {
+                Some((name, *hold_ms))
+            }
+            _ => None,
+        };
+        if let Some((name, hold_ms)) = extended {
+            if let Some(lock) = state.lock(name) {
+                let deadlines = &mut self.deadlines;
+                deadlines.extend(name, Some(lock), lock.fence, hold_ms, now);
+            }
+        }
+    }
+}
+
+impl Member {
+    /// Runs a request under the primary's lease.
+    pub(super) fn run_coordination_request(
+        &mut self,
+        source: CommandSource,
+        request: CoordinationRequest,
+        out: &mut Vec<Output>,
+    ) {
+        match request {
+            CoordinationRequest::ReadCell { name } => {
+                self.answer_from_committed(source, |state| state.read(&name), out);
+            }
+            CoordinationRequest::Watch {
+                group,
+                after,
+                wait_ms,
+            } => {
+                let wait = Duration::from_millis(u64::from(wait_ms));
+                self.run_watch(source, group.into(), after, wait, out);
+            }
+            CoordinationRequest::ListLocks { .. } | CoordinationRequest::ListCells { .. } => {
+                self.answer_list(source, &request, out);
+            }
+            request => self.run_coordination_change(source, &request, out),
+        }
+    }
+
+    fn answer_from_committed(
+        &mut self,
+        source: CommandSource,
+        read: impl FnOnce(&coordination::CoordinationState) -> Answer,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(primary) = self.role.primary() else {
+            return;
+        };
+        let answer = read(&primary.replication.committed().coordination);
+        self.answer_coordination(source, &answer, out);
+    }
+
+    fn answer_coordination(
+        &mut self,
+        source: CommandSource,
+        answer: &Answer,
+        out: &mut Vec<Output>,
+    ) {
+        let (code, body) = reply(answer);
+        self.answer(source, code, body, out);
+    }
+
+    fn answer_list(
+        &mut self,
+        source: CommandSource,
+        request: &CoordinationRequest,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(primary) = self.role.primary() else {
+            return;
+        };
+        let state = &primary.replication.committed().coordination;
+        let body = match request {
+            CoordinationRequest::ListCells { group } => list_cells(state, group),
+            _ => list_locks(state, &primary.coordination.deadlines, self.now),
+        };
+        self.answer(source, ResultCode::Ok, body, out);
+    }
+
+    fn run_coordination_change(
+        &mut self,
+        source: CommandSource,
+        request: &CoordinationRequest,
+        out: &mut Vec<Output>,
+    ) {
+        let now = self.now;
+        let (Some(primary), Some(log)) = (self.role.primary_mut(), &self.log) else {
+            return;
+        };
+        let appended = log.appended();
+        let deadlines = &primary.coordination.deadlines;
+        match appended.coordination.decide(request, deadlines, now) {
+            Decision::Change(_) if !primary.accepts_changes() => {
+                self.answer(source, ResultCode::NoPrimary, vec![], out);
+            }
+            Decision::Change(change) => {
+                let replicated = Change::Coordinate {
+                    change: change.clone(),
+                };
+                // What the state decided fits the state.
+                let Ok(next) = appended.apply(&replicated) else {
+                    return;
+                };
+                let fence = next.coordination.last_fence();
+                let before = &appended.coordination;
+                primary
+                    .coordination
+                    .record_change(&change, before, fence, now);
+                let (code, body) = reply(&next.coordination.answer_to(&change));
+                let answer = PendingAnswer::new(source, code, body);
+                self.replicate(replicated, next, vec![answer], out);
+            }
+            Decision::Answer(answer) => {
+                let state = &appended.coordination;
+                primary
+                    .coordination
+                    .record_answer(request, &answer, state, now);
+                // An answer that the committed state gives too doesn't depend on changes in flight.
+                let committed = &primary.replication.committed().coordination;
+                let deadlines = &primary.coordination.deadlines;
+                let is_settled =
+                    committed.decide(request, deadlines, now) == Decision::Answer(answer.clone());
+                if is_settled || !primary.replication.has_pending() {
+                    return self.answer_coordination(source, &answer, out);
+                }
+                let (code, body) = reply(&answer);
+                let waiting = PendingAnswer::new(source, code, body);
+                primary.replication.answer_with_last(waiting);
+            }
+        }
+    }
+
+    fn run_watch(
+        &mut self,
+        source: CommandSource,
+        group: Arc<str>,
+        after: u64,
+        wait: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let until = self.now + wait;
+        let Some(primary) = self.role.primary_mut() else {
+            return;
+        };
+        let committed = &primary.replication.committed().coordination;
+        if let Some(answer) = committed.watch(&group, after) {
+            return self.answer_coordination(source, &answer, out);
+        }
+        let watch = ParkedWatch {
+            caller: source,
+            group,
+            after,
+            until,
+        };
+        if primary.coordination.watches.park(watch).is_err() {
+            self.answer(source, ResultCode::Crowded, vec![], out);
+        }
+    }
+
+    /// Watches are told of what has just been committed.
+    pub(super) fn answer_watches(&mut self, out: &mut Vec<Output>) {
+        let Some(primary) = self.role.primary_mut() else {
+            return;
+        };
+        let committed = &primary.replication.committed().coordination;
+        let ready = primary.coordination.watches.take_ready(committed);
+        for (source, answer) in ready {
+            self.answer_coordination(source, &answer, out);
+        }
+    }
+
+    /// Ends the watches that have waited for their time, and drops puts that aren't kept any more.
+    pub(super) fn run_coordination_timers(&mut self, out: &mut Vec<Output>) {
+        let now = self.now;
+        if !self.is_acting_primary() {
+            return;
+        }
+        let (Some(primary), Some(log)) = (self.role.primary_mut(), &self.log) else {
+            return;
+        };
+        let committed = &primary.replication.committed().coordination;
+        let expired = primary.coordination.watches.take_expired(committed, now);
+        let trims = if primary.accepts_changes() {
+            let service = &mut primary.coordination;
+            // A lock whose change is in flight has its deadline already.
+            service.deadlines.retain_held(&log.appended().coordination);
+            let mut trims = service.retention.due_trims(committed, now);
+            let appended = &log.appended().coordination;
+            trims.extend(service.deadlines.due_releases(appended, now));
+            trims
+        } else {
+            Vec::new()
+        };
+        for (source, answer) in expired {
+            self.answer_coordination(source, &answer, out);
+        }
+        for change in trims {
+            self.replicate_trim(change, out);
+        }
+    }
+
+    fn replicate_trim(&mut self, change: CoordinationChange, out: &mut Vec<Output>) {
+        let change = Change::Coordinate { change };
+        let next = self.log.as_ref().map(|log| log.appended().apply(&change));
+        if let Some(Ok(next)) = next {
+            self.replicate(change, next, Vec::new(), out);
+        }
+    }
+}
--- a/crates/control-plane/src/member/dispatch.rs
+++ b/crates/control-plane/src/member/dispatch.rs
@@ -38,6 +38,23 @@
                     epoch,
                     requested_at_ms,
                     commit_index,
+                    fleet_index: commit_index,
+                    echoed_clock_ms,
+                };
+                self.on_lease_request(from, request, out);
+            }
+            Message::RenewLeaseWithFleetIndex {
+                epoch,
+                requested_at_ms,
+                commit_index,
+                echoed_clock_ms,
+                fleet_index,
+            } => {
+                let request = LeaseRequest {
+                    epoch,
+                    requested_at_ms,
+                    commit_index,
+                    fleet_index,
                     echoed_clock_ms,
                 };
                 self.on_lease_request(from, request, out);
--- a/crates/control-plane/src/member/installation.rs
+++ b/crates/control-plane/src/member/installation.rs
@@ -227,7 +227,8 @@
         let replicas = membership.replicas.iter();
         let replicas: Vec<&MemberInfo> = replicas.filter_map(|id| membership.voter(*id)).collect();
         let accepts_changes = choose_replicas(&self.config.fault_budget, &replicas).is_some();
-        let mut primary = PrimaryState::new(&membership, state, self.now);
+        let watch_history = self.config.watch_history;
+        let mut primary = PrimaryState::new(&membership, state, watch_history, self.now);
         primary.continue_since(acting_since);
         primary.await_accept(awaiting_accept);
         primary.accept_changes(accepts_changes);
--- a/crates/control-plane/src/member/interface.rs
+++ b/crates/control-plane/src/member/interface.rs
@@ -21,6 +21,8 @@
     pub request_timeout: Duration,
     /// A write that takes at least this long counts as stalled.
     pub disk_stall_timeout: Duration,
+    /// How long after its last answer a watch can be resumed.
+    pub watch_history: Duration,
 }
 
 /// Why the disk refused a write.
--- a/crates/control-plane/src/member/lease.rs
+++ b/crates/control-plane/src/member/lease.rs
@@ -33,10 +33,40 @@
     /// The primary's clock when it asked.
     pub(super) requested_at_ms: u64,
     pub(super) commit_index: u64,
+    /// Index of the last committed change of the configuration or the drains.
+    pub(super) fleet_index: u64,
     /// This voter's clock as of its latest reply; 0 if the primary has none or its lease has lapsed.
     pub(super) echoed_clock_ms: u64,
 }
 
+impl LeaseRequest {
+    /// The message; in the form of releases without locks, numbers and cells where these would understand it.
+    fn into_message(self) -> Message {
+        let Self {
+            epoch,
+            requested_at_ms,
+            commit_index,
+            fleet_index,
+            echoed_clock_ms,
+        } = self;
+        if fleet_index == commit_index {
+            return Message::RenewLease {
+                epoch,
+                requested_at_ms,
+                commit_index,
+                echoed_clock_ms,
+            };
+        }
+        Message::RenewLeaseWithFleetIndex {
+            epoch,
+            requested_at_ms,
+            commit_index,
+            echoed_clock_ms,
+            fleet_index,
+        }
+    }
+}
+
 /// A voter's answer to a [`LeaseRequest`].
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LeaseReply {
@@ -147,13 +177,14 @@
             }
             // Without a lease another primary may have acted since: the echo would prove nothing.
             let echo = primary.leases.voter_clock_ms(voter).filter(|_| is_leased);
-            let renew = Message::RenewLease {
+            let request = LeaseRequest {
                 epoch: primary.epoch(),
                 requested_at_ms: now.as_millis() as u64,
                 commit_index: primary.commit_index(),
+                fleet_index: primary.fleet_index(),
                 echoed_clock_ms: echo.unwrap_or(0),
             };
-            messages.push((voter, renew));
+            messages.push((voter, request.into_message()));
         }
         for (to, message) in messages {
             self.send(to, message, out);
@@ -205,7 +236,7 @@
         });
         self.election_at = until + self.election_delay();
         self.contact
-            .record_echo(request.commit_index, request.echoed_clock_ms, self.now);
+            .record_echo(request.fleet_index, request.echoed_clock_ms, self.now);
     }
 
     /// The primary takes a voter's answer.
--- a/crates/control-plane/src/member/mod.rs
+++ b/crates/control-plane/src/member/mod.rs
@@ -9,6 +9,8 @@
 mod candidate;
 mod commands;
 mod committed_state;
+mod coordination_answer;
+mod coordination_requests;
 mod departure;
 mod dispatch;
 mod early_proposals;
@@ -226,9 +228,9 @@
     fn show_restored_state(&mut self, out: &mut Vec<Output>) {
         if let Some(state) = self.restored.take() {
             out.push(Output::RestoreState {
-                index: state.index,
+                index: state.fleet_index,
                 configuration: state.configuration,
-                drains: state.drains.into_iter().collect(),
+                drains: state.drains.iter().cloned().collect(),
             });
         }
     }
--- a/crates/control-plane/src/member/primary.rs
+++ b/crates/control-plane/src/member/primary.rs
@@ -2,6 +2,7 @@
 //! configuration when members come and go.
 
 use super::commands::CommandSource;
+use super::coordination_requests::CoordinationService;
 use super::early_proposals::EarlyProposals;
 use super::lease::HeldLeases;
 use super::replication::{PendingAnswer, Replication};
@@ -35,6 +36,7 @@
     /// Commands that wait to be run, in order.
     proposals: VecDeque<(CommandSource, Command)>,
     pub(super) early_proposals: EarlyProposals,
+    pub(super) coordination: CoordinationService,
     /// When each draining host was recorded here.
     drained_at: BTreeMap<String, Duration>,
 }
@@ -43,6 +45,7 @@
     pub(super) fn new(
         membership: &MembershipConfig,
         state: ReplicatedState,
+        watch_history: Duration,
         now: Duration,
     ) -> Self {
         Self {
@@ -57,6 +60,7 @@
             replication: Replication::new(state, &membership.replicas, now),
             proposals: VecDeque::new(),
             early_proposals: EarlyProposals::default(),
+            coordination: CoordinationService::new(watch_history),
         }
     }
 
@@ -94,6 +98,11 @@
         self.replication.committed().index
     }
 
+    /// Index of the last committed change of the configuration or the drains.
+    pub(super) fn fleet_index(&self) -> u64 {
+        self.replication.committed().fleet_index
+    }
+
     pub(super) fn is_awaiting_accept(&self, voter: u64) -> bool {
         self.awaiting_accept.contains(&voter)
     }
@@ -127,7 +136,9 @@
     /// Whether a command waits to be run.
     pub(super) fn has_proposal(&self, source: CommandSource) -> bool {
         let mut proposals = self.proposals.iter();
-        proposals.any(|(other, _)| *other == source) || self.early_proposals.contains(source)
+        proposals.any(|(other, _)| *other == source)
+            || self.early_proposals.contains(source)
+            || self.coordination.has_watch(source)
     }
 
     /// Keeps track of when hosts were drained.
@@ -135,7 +146,7 @@
         match change {
             Change::Drain { host } => drop(self.drained_at.insert(host.clone(), now)),
             Change::Forget { hosts } => self.drained_at.retain(|host, _| !hosts.contains(host)),
-            Change::Configure { .. } => {}
+            Change::Configure { .. } | Change::Coordinate { .. } => {}
         }
     }
 
@@ -169,6 +180,7 @@
         self.renew_leases(out);
         self.retransmit_changes(out);
         self.forget_drained_hosts(out);
+        self.run_coordination_timers(out);
     }
 
     /// Whether this member is the primary and holds its lease now.
@@ -228,7 +240,12 @@
             let Some((source, command)) = proposal else {
                 return;
             };
-            self.run_proposal(source, command, out);
+            match command {
+                Command::Coordinate { request } => {
+                    self.run_coordination_request(source, request, out);
+                }
+                command => self.run_proposal(source, command, out),
+            }
         }
     }
 
@@ -263,14 +280,21 @@
         if !self.is_acting_primary() {
             return;
         }
+        let now = self.now;
         let Some(primary) = self.role.primary_mut() else {
             return;
         };
+        primary.coordination.deadlines.begin(now);
         let committed = primary.replication.commit();
         if committed.needs_publishing {
             self.publish(out);
+        }
+        if committed.has_advanced || committed.needs_publishing {
             self.record_own_commits();
         }
+        if committed.has_advanced {
+            self.answer_watches(out);
+        }
         for answer in committed.answers {
             self.answer(answer.source, answer.code, answer.body, out);
         }
@@ -295,7 +319,7 @@
         };
         let state = primary.replication.committed();
         out.push(Output::PublishState {
-            index: state.index,
+            index: state.fleet_index,
             configuration: state.configuration.clone(),
             drains: state.drains.iter().cloned().collect(),
         });
@@ -306,6 +330,7 @@
         let wakes = [
             primary.replication.wake(),
             primary.early_proposals.next_expiry(),
+            primary.coordination.wake(),
             Some(primary.next_renewal_at),
         ];
         wakes.into_iter().flatten().min()
--- a/crates/control-plane/src/member/primary_contact.rs
+++ b/crates/control-plane/src/member/primary_contact.rs
@@ -1,21 +1,21 @@
 //! How fresh the committed state is that a member may show to callers.
 //!
 //! As with ReadIndex in Raft (Ongaro's thesis, section 6.4) a primary confirms that it still held its lease after a
-//! moment, and tells its commit index. Here the moment is the voter's own: the voter sends its clock with each lease
+//! moment, and tells the index of the last committed change that the fleet is told of. Here the moment is the voter's own: the voter sends its clock with each lease
 //! reply, and the primary echoes it with a later lease request, but only while its lease lasts.
 
 use super::random::clock_base_ms;
 use super::Member;
 use std::time::Duration;
 
-/// A moment at which the primary held its lease, and how far the state was committed then. No change that was
-/// acknowledged before the moment is missing from a state that goes as far as the commit index.
+/// A moment at which the primary held its lease, and how far the state was committed then. No change of the configuration
+/// or the drains that was acknowledged before the moment is missing from a state that goes as far as the index.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PrimaryContact {
     /// The moment, by this process's clock.
     pub at: Duration,
-    /// Index of the last change that was committed then.
-    pub commit_index: u64,
+    /// Index of the last change of the configuration or the drains that was committed then.
+    pub fleet_index: u64,
 }
 
 /// The latest primary contact of this incarnation.
@@ -45,12 +45,12 @@
     }
 
     /// A primary echoed this voter's clock.
-    pub(super) fn record_echo(&mut self, commit_index: u64, echoed_clock_ms: u64, now: Duration) {
+    pub(super) fn record_echo(&mut self, fleet_index: u64, echoed_clock_ms: u64, now: Duration) {
         let at = Duration::from_millis(echoed_clock_ms.wrapping_sub(self.clock_base_ms));
         // 0 stands for no echo, and the clock of an earlier incarnation lies in this one's future.
         let is_of_this_incarnation = echoed_clock_ms != 0 && at <= now;
         if is_of_this_incarnation {
-            self.record(PrimaryContact { at, commit_index });
+            self.record(PrimaryContact { at, fleet_index });
         }
     }
 
@@ -68,7 +68,7 @@
         match self.role.primary() {
             Some(primary) if self.lease_end(primary) > now => Some(PrimaryContact {
                 at: now,
-                commit_index: primary.commit_index(),
+                fleet_index: primary.fleet_index(),
             }),
             _ => self.contact.latest(),
         }
@@ -80,9 +80,9 @@
             return;
         };
         let at = self.lease_end(primary).min(self.now);
-        let commit_index = primary.commit_index();
+        let fleet_index = primary.fleet_index();
         if !at.is_zero() {
-            self.contact.record(PrimaryContact { at, commit_index });
+            self.contact.record(PrimaryContact { at, fleet_index });
         }
     }
 }
--- a/crates/control-plane/src/member/replay.rs
+++ b/crates/control-plane/src/member/replay.rs
@@ -29,7 +29,7 @@
         /// Position of the record, from 0.
         record: usize,
         /// Why.
-        source: configuration::InvalidConfiguration,
+        source: crate::replicated_state::SnapshotError,
     },
     /// A change comes without a state before it.
     #[snafu(display("record {record}: a change without a ledger"))]
--- a/crates/control-plane/src/member/replication.rs
+++ b/crates/control-plane/src/member/replication.rs
@@ -45,8 +45,10 @@
 /// What has become committed.
 #[derive(Debug)]
 pub(super) struct NewlyCommitted {
-    /// Whether the committed state has to be published.
+    /// Whether the committed configuration or drains have to be published.
     pub(super) needs_publishing: bool,
+    /// Whether any change became committed.
+    pub(super) has_advanced: bool,
     pub(super) answers: Vec<PendingAnswer>,
 }
 
@@ -136,16 +138,18 @@
     /// Commits what all replicas have on disk.
     pub(super) fn commit(&mut self) -> NewlyCommitted {
         let commit_index = self.match_index.values().copied().min().unwrap_or(0);
-        let index_before = self.committed.index;
+        let (index_before, fleet_index_before) = (self.committed.index, self.committed.fleet_index);
         let mut answers = Vec::new();
         while let Some(change) = self.pending.pop_front_if(|p| p.state.index <= commit_index) {
             self.committed = change.state;
             answers.extend(change.answers);
         }
         let has_advanced = self.committed.index > index_before;
-        let needs_publishing = has_advanced || !std::mem::replace(&mut self.is_published, true);
+        let is_news = self.committed.fleet_index > fleet_index_before;
+        let needs_publishing = is_news || !std::mem::replace(&mut self.is_published, true);
         NewlyCommitted {
             needs_publishing,
+            has_advanced,
             answers,
         }
     }
--- a/crates/control-plane/src/member/transfer_time.rs
+++ b/crates/control-plane/src/member/transfer_time.rs
@@ -26,6 +26,8 @@
         Change::Configure { body, .. } => body.len(),
         Change::Drain { host } => host.len(),
         Change::Forget { hosts } => hosts.iter().map(String::len).sum(),
+        // Small: their values are bounded.
+        Change::Coordinate { .. } => 0,
     }
 }
 
--- a/crates/control-plane/src/replicated_state.rs
+++ b/crates/control-plane/src/replicated_state.rs
@@ -1,10 +1,11 @@
-//! The replicated state: the configuration in force, the requests that led to it, and the hosts that drain. A pure state
-//! machine.
+//! The replicated state: the configuration in force, the requests that led to it, the hosts that drain, and the
+//! applications' locks, numbers and cells. A pure state machine.
 
 use crate::applied_requests::{request_fingerprint, AppliedRequests};
 use configuration::{Configuration, InvalidConfiguration, ResultCode};
-use protocol::{Change, Command, Snapshot};
-use snafu::Snafu;
+use coordination::CoordinationState;
+use protocol::{Change, Command, CoordinationSnapshot, Snapshot};
+use snafu::{OptionExt, ResultExt, Snafu};
 use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -18,12 +19,16 @@
 pub struct ReplicatedState {
     /// Index of the last change.
     pub index: u64,
+    /// Index of the last change of what the fleet is told: the configuration and the drains.
+    pub fleet_index: u64,
     /// The configuration. Version 0 stands for none.
     pub configuration: Arc<Configuration>,
     /// The latest requests that were applied.
     pub applied_requests: AppliedRequests,
     /// Hosts that are draining or gone, oldest first.
-    pub drains: VecDeque<String>,
+    pub drains: Arc<VecDeque<String>>,
+    /// Locks, numbers and cells of applications.
+    pub coordination: CoordinationState,
 }
 
 /// What a command comes to in a state.
@@ -46,6 +51,12 @@
         /// The version in force.
         in_force: u64,
     },
+    /// It doesn't fit the locks, numbers and cells.
+    #[snafu(display("{source}"))]
+    Coordination {
+        /// Why.
+        source: coordination::ApplyError,
+    },
     /// It leads to no valid configuration.
     #[snafu(display("{detail}"))]
     Invalid {
@@ -61,11 +72,26 @@
     pub fn code(&self) -> ResultCode {
         match self {
             Self::OtherBase { .. } => ResultCode::OtherBase,
+            Self::Coordination { .. } => ResultCode::OutcomeUnknown,
             Self::Invalid { code, .. } => *code,
         }
     }
 }
 
+/// Why a snapshot can't be read.
+#[derive(Debug, Snafu)]
+pub enum SnapshotError {
+    /// Its configuration is invalid.
+    #[snafu(context(false), display("{source}"))]
+    Configuration {
+        /// Why.
+        source: InvalidConfiguration,
+    },
+    /// The revisions of a group of cells don't fit together.
+    #[snafu(display("a group of cells lacks a revision"))]
+    Cells,
+}
+
 impl From<InvalidConfiguration> for ChangeError {
     fn from(error: InvalidConfiguration) -> Self {
         Self::Invalid {
@@ -104,6 +130,8 @@
             }
             Command::Drain { host } => self.plan_change(Change::Drain { host: host.clone() }),
             Command::Configure { base, amend, body } => self.plan_request(*base, *amend, body),
+            // What it comes to depends on the primary's clock too: `Member::run_coordination_request` decides.
+            Command::Coordinate { .. } => Plan::Answer(ResultCode::OutcomeUnknown, vec![]),
         }
     }
 
@@ -176,6 +204,9 @@
     pub fn apply(&self, change: &Change) -> Result<ReplicatedState, ChangeError> {
         let mut next = self.clone();
         next.index += 1;
+        if !matches!(change, Change::Coordinate { .. }) {
+            next.fleet_index = next.index;
+        }
         match change {
             Change::Configure {
                 base_version,
@@ -187,8 +218,13 @@
                 let request = request_fingerprint(*base_version, *is_amendment, body);
                 next.applied_requests.push(request);
             }
-            Change::Drain { host } => next.drains.push_back(host.clone()),
-            Change::Forget { hosts } => next.drains.retain(|d| !hosts.contains(d)),
+            Change::Drain { host } => Arc::make_mut(&mut next.drains).push_back(host.clone()),
+            Change::Forget { hosts } => {
+                Arc::make_mut(&mut next.drains).retain(|d| !hosts.contains(d));
+            }
+            Change::Coordinate { change } => {
+                next.coordination.apply(change).context(CoordinationSnafu)?;
+            }
         }
         Ok(next)
     }
@@ -219,23 +255,39 @@
             configuration,
             applied_requests: self.applied_requests.iter().cloned().collect(),
             drains: self.drains.iter().cloned().collect(),
+            coordination: self.coordination_snapshot(),
         }
     }
 
+    /// None if there never was a lock, a number or a cell: the snapshot is then as releases without them write it.
+    fn coordination_snapshot(&self) -> Option<CoordinationSnapshot> {
+        let is_used = !self.coordination.is_unused();
+        is_used.then(|| self.coordination.snapshot(self.fleet_index))
+    }
+
     /// The state of a snapshot.
     ///
     /// # Errors
-    /// If the snapshot's configuration is invalid.
-    pub fn from_snapshot(snapshot: &Snapshot) -> Result<ReplicatedState, InvalidConfiguration> {
+    /// If the snapshot's configuration is invalid, or the revisions of its cells don't fit together.
+    pub fn from_snapshot(snapshot: &Snapshot) -> Result<ReplicatedState, SnapshotError> {
         let configuration = match snapshot.configuration.as_str() {
             "" => Configuration::default(),
             text => Configuration::read(text.as_bytes(), 0)?,
         };
+        let coordination = match &snapshot.coordination {
+            Some(coordination) => {
+                CoordinationState::from_snapshot(coordination).context(CellsSnafu)?
+            }
+            None => CoordinationState::default(),
+        };
+        let told = snapshot.coordination.as_ref();
         Ok(ReplicatedState {
             index: snapshot.index,
+            fleet_index: told.map_or(snapshot.index, |told| told.fleet_index),
             configuration: Arc::new(configuration),
             applied_requests: snapshot.applied_requests.iter().cloned().collect(),
-            drains: snapshot.drains.iter().cloned().collect(),
+            drains: Arc::new(snapshot.drains.iter().cloned().collect()),
+            coordination,
         })
     }
 }
--- a/crates/control-plane/src/runtime/control_request.rs
+++ b/crates/control-plane/src/runtime/control_request.rs
@@ -1,9 +1,11 @@
-//! Requests of hosts and operators to the control API, decoded from method, path, header and body.
+//! Requests of hosts, operators and applications to the control API, decoded from method, path, header and body.
 
+use super::coordination_endpoint::CoordinationEndpoint;
 use crate::host_registry::HostRequest;
 use bytes::Bytes;
 use configuration::ResultCode;
 use hyper::Method;
+use protocol::CoordinationRequest;
 
 /// What method and path ask for, before the body is read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +22,8 @@
     Status,
     /// The versions that were in force, or the configuration of one of them.
     History(Option<u64>),
+    /// Locks, numbers, cells and watches.
+    Coordination(CoordinationEndpoint),
 }
 
 /// A request.
@@ -42,15 +46,21 @@
     Status,
     /// The versions that were in force, or the configuration of one of them.
     History(Option<u64>),
+    /// A call for locks, numbers, cells or watches.
+    Coordinate(CoordinationRequest),
 }
 
 impl Endpoint {
-    /// The endpoint of a method and a path.
+    /// The endpoint of a method and a path, with the query if there is one.
     ///
     /// # Errors
-    /// [`ResultCode::NoSuchCall`] for an unknown path, [`ResultCode::OtherMethod`] for the wrong method.
-    pub fn decode(method: &Method, path: &str) -> Result<Endpoint, ResultCode> {
-        let endpoint = Self::of_path(path)?;
+    /// [`ResultCode::NoSuchCall`] for an unknown path, [`ResultCode::OtherMethod`] for the wrong method, and the errors
+    /// of [`CoordinationEndpoint::of_operation`].
+    pub fn decode(method: &Method, path_and_query: &str) -> Result<Endpoint, ResultCode> {
+        let (path, query) = path_and_query
+            .split_once('?')
+            .unwrap_or((path_and_query, ""));
+        let endpoint = Self::of_path(path, query)?;
         let expected = if endpoint.is_read() {
             Method::GET
         } else {
@@ -62,7 +72,7 @@
         Ok(endpoint)
     }
 
-    fn of_path(path: &str) -> Result<Endpoint, ResultCode> {
+    fn of_path(path: &str, query: &str) -> Result<Endpoint, ResultCode> {
         let operation = path
             .strip_prefix("/fennelpin/")
             .ok_or(ResultCode::NoSuchCall)?;
@@ -81,16 +91,17 @@
                 Ok(Endpoint::History(Some(version)))
             }
             _ if operation.starts_with("Hosts.") => Ok(Endpoint::Host(path.to_owned())),
-            _ => Err(ResultCode::NoSuchCall),
+            _ => CoordinationEndpoint::of_operation(operation, query).map(Endpoint::Coordination),
         }
     }
 
     /// Whether it changes nothing.
     pub fn is_read(&self) -> bool {
-        matches!(
-            self,
-            Endpoint::Read | Endpoint::Status | Endpoint::History(_)
-        )
+        match self {
+            Endpoint::Read | Endpoint::Status | Endpoint::History(_) => true,
+            Endpoint::Coordination(endpoint) => endpoint.is_read(),
+            Endpoint::Replace | Endpoint::Amend | Endpoint::Host(_) => false,
+        }
     }
 
     /// Whether its body may be long.
@@ -98,14 +109,16 @@
         matches!(self, Endpoint::Replace | Endpoint::Amend)
     }
 
-    /// The request with its body and the value of `Fennelpin-Base-Version`.
+    /// The request with its body and the value of `Fennelpin-Base-Version`. `attempt` is a number that no other request
+    /// has.
     ///
     /// # Errors
-    /// [`ResultCode::NoBase`], and the errors of [`HostRequest::decode`].
+    /// [`ResultCode::NoBase`], and the errors of [`HostRequest::decode`] and [`CoordinationEndpoint::into_request`].
     pub fn into_request(
         self,
         base_version: Option<&str>,
         body: Bytes,
+        attempt: u64,
     ) -> Result<ControlRequest, ResultCode> {
         let amend = self == Endpoint::Amend;
         Ok(match self {
@@ -119,6 +132,9 @@
             Endpoint::Status => ControlRequest::Status,
             Endpoint::History(version) => ControlRequest::History(version),
             Endpoint::Host(path) => ControlRequest::Host(HostRequest::decode(&path, &body)?),
+            Endpoint::Coordination(endpoint) => {
+                ControlRequest::Coordinate(endpoint.into_request(&body, attempt)?)
+            }
         })
     }
 }
--- a/crates/control-plane/src/runtime/control_server.rs
+++ b/crates/control-plane/src/runtime/control_server.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::http::uri::PathAndQuery;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,6 +15,7 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
+use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
@@ -127,6 +129,7 @@
     connection_slots: Semaphore,
     body_slots: Semaphore,
     counters: Rc<ControlCounters>,
+    next_attempt: Cell<u64>,
     shutdown: watch::Receiver<bool>,
 }
 
@@ -144,6 +147,7 @@
             connection_slots: Semaphore::new(max_connections),
             body_slots: Semaphore::new(MAX_CONCURRENT_BODIES),
             counters,
+            next_attempt: Cell::new(first_attempt()),
             shutdown,
         })
     }
@@ -212,7 +216,9 @@
 
     async fn reply_to(&self, request: Request<Incoming>) -> Result<Reply, ResultCode> {
         let (parts, body) = request.into_parts();
-        let endpoint = Endpoint::decode(&parts.method, parts.uri.path())?;
+        let path = parts.uri.path_and_query();
+        let path = path.map_or(parts.uri.path(), PathAndQuery::as_str);
+        let endpoint = Endpoint::decode(&parts.method, path)?;
         let _slot = if endpoint.has_large_body() {
             Some(self.body_slot().await?)
         } else {
@@ -220,10 +226,17 @@
         };
         let body = read_body(body).await?;
         let base_version = only_value(&parts.headers, BASE_VERSION_HEADER);
-        let request = endpoint.into_request(base_version, body)?;
+        let request = endpoint.into_request(base_version, body, self.next_attempt())?;
         Ok(self.handler.handle(request).await)
     }
 
+    /// A number for the next request that no other one has, here or at another member.
+    fn next_attempt(&self) -> u64 {
+        let attempt = self.next_attempt.get();
+        self.next_attempt.set(attempt.wrapping_add(1));
+        attempt
+    }
+
     async fn body_slot(&self) -> Result<SemaphorePermit<'_>, ResultCode> {
         match timeout(BODY_SLOT_TIMEOUT, self.body_slots.acquire()).await {
             Ok(Ok(permit)) => Ok(permit),
@@ -232,6 +245,12 @@
     }
 }
 
+/// Far from the numbers that other members and other lives of this one give.
+fn first_attempt() -> u64 {
+    // The hasher's keys are random, and differ between processes.
+    RandomState::new().hash_one(0)
+}
+
 async fn read_body(body: Incoming) -> Result<Bytes, ResultCode> {
     match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await {
         Err(_) => Err(ResultCode::SlowClient),
--- a/crates/control-plane/src/runtime/mod.rs
+++ b/crates/control-plane/src/runtime/mod.rs
@@ -8,13 +8,14 @@
 //! | `event_loop.rs`, `outputs.rs` | hand inputs to the state machine, carry out its outputs |
 //! | [`storage`], [`identity`], `host_cache.rs` | the state directory |
 //! | [`peer_connections`], `inbound.rs`, `seeds.rs`, [`connection`] | connections to and from other processes |
-//! | [`control_server`], [`control_request`], `request_handler.rs`, `status_page.rs` | the control API |
+//! | [`control_server`], [`control_request`], [`coordination_endpoint`], `request_handler.rs`, `status_page.rs` | the control API |
 //! | `quota_server.rs` | quota requests of proxies |
 //! | [`transitions`], `status.rs`, `member_status.rs` | log lines, counters, and what others see of the member |
 
 pub mod connection;
 pub mod control_request;
 pub mod control_server;
+pub mod coordination_endpoint;
 mod event_loop;
 mod host_cache;
 pub mod identity;
@@ -115,7 +116,7 @@
 /// What a member answers a command.
 struct CommandReply {
     code: ResultCode,
-    /// The configuration that was read, or a detail of the failure.
+    /// The configuration that was read, what an application is told as JSON, or a detail of the failure.
     body: Vec<u8>,
 }
 
--- a/crates/control-plane/src/runtime/request_handler.rs
+++ b/crates/control-plane/src/runtime/request_handler.rs
@@ -1,4 +1,5 @@
-//! Handles requests of hosts and operators: those about hosts with the host registry, the rest with the member.
+//! Handles requests of hosts, operators and applications: those about hosts with the host registry, the rest with the
+//! member.
 
 use super::control_request::ControlRequest;
 use super::control_server::{HandleRequest, Reply};
@@ -11,7 +12,7 @@
 use crate::registry_publisher::RegistryPublisher;
 use bytes::Bytes;
 use configuration::ResultCode;
-use protocol::{Command, MemberInfo};
+use protocol::{Command, CoordinationRequest, MemberInfo};
 use serde_json::json;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
@@ -25,6 +26,8 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time that a host waits for its drain.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time that a call for locks, numbers or cells takes, and a watch beyond the time that it waits.
+const COORDINATION_TIMEOUT: Duration = Duration::from_millis(950);
 /// Longest time that a request waits for the disk at the start.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -131,6 +134,36 @@
         }
     }
 
+    /// A call for locks, numbers, cells or watches. One that may take effect without the caller's knowing gets no
+    /// promise that it doesn't.
+    async fn coordinate(&self, request: CoordinationRequest) -> Reply {
+        let wait_ms = match &request {
+            CoordinationRequest::Watch { wait_ms, .. } => *wait_ms,
+            _ => 0,
+        };
+        if let CoordinationRequest::FreeLock { name } = &request {
+            log::warn!(lock = name.as_str(); "an operator frees a lock");
+        }
+        let is_watch = wait_ms > 0;
+        let wait = Duration::from_millis(u64::from(wait_ms)) + COORDINATION_TIMEOUT;
+        let command = Command::Coordinate { request };
+        let mut shutdown = self.shutdown.clone();
+        let reply = tokio::select! {
+            reply = run_command(&self.events, command, wait) => reply,
+            _ = shutdown.wait_for(|shutdown| *shutdown), if is_watch => {
+                return Reply::from_code(ResultCode::Leaving);
+            }
+        };
+        match reply.code {
+            ResultCode::Unclear => Reply::from_code(ResultCode::OutcomeUnknown),
+            code if reply.body.is_empty() => Reply::from_code(code),
+            code => Reply {
+                code,
+                body: Some(reply.body.into()),
+            },
+        }
+    }
+
     async fn status(&self) -> Reply {
         let is_leaving = *self.shutdown.borrow();
         let opened = self.opened.borrow().clone();
@@ -227,6 +260,7 @@
                 self.configure(base, amend, body).await
             }
             ControlRequest::Host(request) => self.host(&opened, &request).await,
+            ControlRequest::Coordinate(request) => self.coordinate(request).await,
         }
     }
 }
--- a/crates/control-plane/src/runtime/start/mod.rs
+++ b/crates/control-plane/src/runtime/start/mod.rs
@@ -40,6 +40,8 @@
 const MIN_TIME_BEFORE_KILL: Duration = Duration::from_millis(1500);
 /// Time for replies that are under way at the end.
 const LAST_REPLIES_TIME: Duration = Duration::from_millis(200);
+/// The longest time for which watches can be resumed, in s.
+const MAX_WATCH_HISTORY_S: f64 = 3600.0;
 
 /// Starts a member, runs it until `shutdown`, and ends it.
 ///
@@ -115,6 +117,9 @@
         lease_duration: settings.lease_duration,
         request_timeout: settings.command_timeout,
         disk_stall_timeout: settings.disk_stall_timeout,
+        watch_history: Duration::from_secs_f64(
+            process.bounds.history_s.clamp(0.0, MAX_WATCH_HISTORY_S),
+        ),
     };
     let member = Member::new(config, &stored.records, now, random()?);
     if let Some(error) = member.replay_error() {
--- a/crates/control-plane/src/runtime/status.rs
+++ b/crates/control-plane/src/runtime/status.rs
@@ -44,8 +44,7 @@
                 mirror.set_control_plane(current.epoch, current.primary, current.members.clone());
             }
             // A contact proves nothing about changes that haven't come yet.
-            if let Some(contact) = contact.filter(|contact| mirror.index() >= contact.commit_index)
-            {
+            if let Some(contact) = contact.filter(|contact| mirror.index() >= contact.fleet_index) {
                 mirror.record_primary_contact(contact.at);
             }
         });
--- a/crates/control-plane/tests/control_requests.rs
+++ b/crates/control-plane/tests/control_requests.rs
@@ -58,7 +58,7 @@
         amend: true,
         body: body.clone(),
     });
-    assert_eq!(Endpoint::Amend.into_request(text, body), request);
+    assert_eq!(Endpoint::Amend.into_request(text, body, 0), request);
 }
 
 #[rstest]
@@ -73,7 +73,7 @@
 ) {
     let endpoint = Endpoint::decode(&Method::POST, path).unwrap();
     assert_eq!(
-        endpoint.into_request(None, Bytes::from_static(body)),
+        endpoint.into_request(None, Bytes::from_static(body), 0),
         request.map(ControlRequest::Host)
     );
 }
--- a/crates/control-plane/tests/log_rewrites.rs
+++ b/crates/control-plane/tests/log_rewrites.rs
@@ -12,6 +12,7 @@
 use control_plane::replicated_state::{Plan, ReplicatedState, MAX_CONFIGURATION_BYTES};
 use protocol::{AppliedRequest, Change, Command, MemberInfo, MembershipConfig, Message, Record};
 use rstest::rstest;
+use std::sync::Arc;
 use std::time::Duration;
 use support::{member_config, LEASE};
 
@@ -481,7 +482,7 @@
     };
     let mut ledger = *next;
     assert!(whole.len() > MAX_CONFIGURATION_BYTES - 200 && whole.len() < MAX_CONFIGURATION_BYTES);
-    ledger.drains = (0..10_000).map(|n| format!("{n:0>256}")).collect();
+    ledger.drains = Arc::new((0..10_000).map(|n| format!("{n:0>256}")).collect());
     let append = Message::AppendChange {
         epoch: 1,
         index: 1,
--- a/crates/control-plane/tests/partition.rs
+++ b/crates/control-plane/tests/partition.rs
@@ -63,7 +63,7 @@
             .member
             .primary_contact(clock)
             .unwrap()
-            .commit_index
+            .fleet_index
             >= 2
     );
 }
--- a/crates/control-plane/tests/slow_peer_connections.rs
+++ b/crates/control-plane/tests/slow_peer_connections.rs
@@ -87,6 +87,7 @@
                 lease_duration: LEASE_DURATION,
                 request_timeout: Duration::from_millis(3500),
                 disk_stall_timeout: DISK_STALL_TIMEOUT,
+                watch_history: Duration::from_secs(20),
             };
             let member = Member::new(config, &[], Duration::ZERO, seed * 31 + id);
             cluster.members.insert(id, member);
--- a/crates/control-plane/tests/stored_data.rs
+++ b/crates/control-plane/tests/stored_data.rs
@@ -117,6 +117,7 @@
         configuration: VERSION_3.into(),
         applied_requests: vec![request_fingerprint(0, false, VERSION_3.as_bytes())],
         drains: vec!["i-1".into(), "i-2".into()],
+        coordination: None,
     }
 }
 
@@ -129,6 +130,7 @@
             request_fingerprint(3, false, VERSION_3.as_bytes()),
         ],
         drains: vec!["i-3".into()],
+        coordination: None,
     }
 }
 
@@ -425,6 +427,7 @@
         lease_duration: Duration::from_millis(1000),
         request_timeout: Duration::from_millis(3500),
         disk_stall_timeout: Duration::from_millis(600),
+        watch_history: Duration::from_secs(20),
     };
     let member = Member::new(config, &records, Duration::ZERO, 1);
     assert!(member.replay_error().is_none());
--- a/crates/control-plane/tests/support/mod.rs
+++ b/crates/control-plane/tests/support/mod.rs
@@ -44,5 +44,6 @@
         lease_duration: LEASE,
         request_timeout: REQUEST_TIMEOUT,
         disk_stall_timeout: DISK_STALL_TIMEOUT,
+        watch_history: Duration::from_secs(20),
     }
 }
--- a/crates/control-plane/tests/support/request_cluster.rs
+++ b/crates/control-plane/tests/support/request_cluster.rs
@@ -36,6 +36,21 @@
     Wake {
         node: usize,
     },
+    Command {
+        node: usize,
+        ticket: u64,
+        command: Command,
+    },
+}
+
+impl Event {
+    /// The member that it is for.
+    fn node(&self) -> usize {
+        match self {
+            Event::Deliver { to, .. } => *to,
+            Event::Wrote { node, .. } | Event::Wake { node } | Event::Command { node, .. } => *node,
+        }
+    }
 }
 
 struct Node {
@@ -59,6 +74,7 @@
     kept_back: Vec<Event>,
     cut: BTreeSet<usize>,
     paused: BTreeSet<usize>,
+    frozen: BTreeMap<usize, Vec<Event>>,
     sent: Vec<(usize, usize, Message)>,
     forwarded: BTreeMap<usize, usize>,
 }
@@ -98,6 +114,7 @@
             kept_back: Vec::new(),
             cut: BTreeSet::new(),
             paused: BTreeSet::new(),
+            frozen: BTreeMap::new(),
             sent: Vec::new(),
             forwarded: BTreeMap::new(),
         };
@@ -167,6 +184,24 @@
         self.paused.insert(n);
     }
 
+    /// A member stands still until [`thaw`](Self::thaw); what comes for it waits.
+    pub fn freeze(&mut self, n: usize) {
+        self.frozen.entry(n).or_default();
+    }
+
+    /// A member goes on, with all that has waited for it.
+    pub fn thaw(&mut self, n: usize) {
+        for event in self.frozen.remove(&n).unwrap_or_default() {
+            self.schedule(Duration::ZERO, event);
+        }
+        self.schedule(Duration::ZERO, Event::Wake { node: n });
+    }
+
+    /// Whether a member stands still.
+    pub fn is_frozen(&self, n: usize) -> bool {
+        self.frozen.contains_key(&n)
+    }
+
     /// Keeps something back from now on.
     pub fn hold(&mut self, held: Held) {
         self.held = Some(held);
@@ -218,9 +253,22 @@
 
     /// A caller's command at a member.
     pub fn command(&mut self, n: usize, ticket: u64, command: Command) {
+        if let Some(waiting) = self.frozen.get_mut(&n) {
+            waiting.push(Event::Command {
+                node: n,
+                ticket,
+                command,
+            });
+            return;
+        }
         self.step(n, Input::Command { ticket, command });
     }
 
+    /// A member's view of itself; none while it is down.
+    pub fn member(&self, n: usize) -> Option<&Member> {
+        self.nodes[n].member.as_ref()
+    }
+
     /// What a call of a member's present incarnation was answered.
     pub fn answered(&self, n: usize, ticket: u64) -> Option<ResultCode> {
         self.nodes[n].answers.get(&ticket).map(|a| a.0)
@@ -287,6 +335,10 @@
             return;
         };
         self.now = self.now.max(at);
+        if let Some(waiting) = self.frozen.get_mut(&event.node()) {
+            waiting.push(event);
+            return;
+        }
         match event {
             Event::Deliver { from, to, message } => {
                 if self.cut.contains(&from) || self.cut.contains(&to) {
@@ -328,6 +380,11 @@
                     },
                 );
             }
+            Event::Command {
+                node,
+                ticket,
+                command,
+            } => self.step(node, Input::Command { ticket, command }),
             Event::Wake { node } => {
                 if self.nodes[node].wake <= self.now {
                     self.step(node, Input::Tick);
--- a/crates/control-plane/tests/transitions.rs
+++ b/crates/control-plane/tests/transitions.rs
@@ -68,6 +68,7 @@
         lease_duration: LEASE,
         request_timeout: Duration::from_millis(3500),
         disk_stall_timeout: Duration::from_millis(600),
+        watch_history: Duration::from_secs(20),
     }
 }
 
--- a/crates/fennelpin-cli/src/command_line/mod.rs
+++ b/crates/fennelpin-cli/src/command_line/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: its options, and their parsers.
 
 mod config;
+mod coordination;
 mod local;
 mod members;
 mod program;
@@ -10,6 +11,7 @@
 pub use config::{
     ApplyOptions, CheckOptions, ConfigCommand, DiffOptions, FileKind, RollbackOptions, ShowOptions,
 };
+pub use coordination::{CellsCommand, LocksCommand};
 pub use local::LocalOptions;
 pub use program::ProgramOptions;
 pub use status::StatusOptions;
@@ -45,6 +47,10 @@
     Status(StatusOptions),
     /// Work with configurations.
     Config(ConfigCommand),
+    /// Look at applications' locks.
+    Locks(LocksCommand),
+    /// Look at applications' cells.
+    Cells(CellsCommand),
     /// Look at a member's files.
     Store(StoreCommand),
     /// Run the whole system on this machine.
@@ -98,6 +104,8 @@
 fn command() -> impl Parser<Command> {
     let status = status::parser().map(Command::Status);
     let config = config::parser().map(Command::Config);
+    let locks = coordination::locks_parser().map(Command::Locks);
+    let cells = coordination::cells_parser().map(Command::Cells);
     let store = store::parser().map(Command::Store);
     let local = local::parser().map(Command::Local);
     let codes = subcommand("codes", "list the result codes", bpaf::pure(Command::Codes));
@@ -114,6 +122,8 @@
     construct!([
         status,
         config,
+        locks,
+        cells,
         store,
         local,
         codes,
--- a/crates/fennelpin-cli/src/lib.rs
+++ b/crates/fennelpin-cli/src/lib.rs
@@ -23,6 +23,7 @@
 
 // The operators' commands.
 pub mod config_commands;
+pub mod coordination_commands;
 pub mod local;
 pub mod status_report;
 pub mod store_commands;
--- a/crates/fennelpin-cli/src/main.rs
+++ b/crates/fennelpin-cli/src/main.rs
@@ -8,7 +8,9 @@
 use fennelpin_cli::local::cluster::Program;
 use fennelpin_cli::operator_settings::OperatorSettings;
 use fennelpin_cli::program_runtime::ProgramRuntime;
-use fennelpin_cli::{config_commands, local, logging, programs, status_report, store_commands};
+use fennelpin_cli::{
+    config_commands, coordination_commands, local, logging, programs, status_report, store_commands,
+};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -77,6 +79,8 @@
             return Ok(log_result(runtime().and_then(run)));
         }
         Command::Config(command) => return run_config(command),
+        Command::Locks(command) => coordination_commands::run_locks(&command)?,
+        Command::Cells(command) => coordination_commands::run_cells(&command)?,
         Command::Store(command) => run_store(command)?,
         Command::Status(options) => status_report::run(&options)?,
         Command::Local(options) => local::run(&options)?,
--- a/crates/fennelpin-cli/tests/operator_commands.rs
+++ b/crates/fennelpin-cli/tests/operator_commands.rs
@@ -267,3 +267,39 @@
         done.stdout
     );
 }
+
+#[test]
+fn locks_and_cells_when_listed_then_show_holders_and_values() {
+    let operator = Operator::new();
+    let members = fennelpin_cli::control_client::ControlClient {
+        addresses: vec![operator.cluster.control(1)],
+        timeout: std::time::Duration::from_secs(10),
+    };
+    let post = |name: &str, body: &str| {
+        let call = fennelpin_cli::control_client::ControlCall {
+            name,
+            base_version: None,
+            body: Some(body.as_bytes()),
+        };
+        assert_eq!(members.call(&call).unwrap().status, 200, "{name}");
+    };
+    post(
+        "Locks.Begin/night",
+        r#"{"holder":"desk-1","hold_ms":60000}"#,
+    );
+    post("Cells.Replace/plan.a", r#"{"value":"ready","enabled":0}"#);
+    let locks = operator.run(&["locks", "list"], &[]);
+    assert!(locks.stdout.contains("night"), "{}", locks.stdout);
+    assert!(locks.stdout.contains("desk-1"), "{}", locks.stdout);
+    let groups = operator.run(&["cells", "list"], &[]);
+    assert!(groups.stdout.contains("plan."), "{}", groups.stdout);
+    let cells = operator.run(&["cells", "list"], &["plan."]);
+    assert!(cells.stdout.contains("ready"), "{}", cells.stdout);
+    assert_eq!(operator.run(&["locks", "free"], &["night"]).code, 0);
+    let locks = operator.run(&["locks", "list"], &[]);
+    assert!(!locks.stdout.contains("night"), "{}", locks.stdout);
+    post(
+        "Locks.Begin/night",
+        r#"{"holder":"desk-2","hold_ms":60000}"#,
+    );
+}
--- a/crates/model-check/src/cluster/machine.rs
+++ b/crates/model-check/src/cluster/machine.rs
@@ -148,6 +148,7 @@
             lease_duration: LEASE,
             request_timeout: REQUEST_TIMEOUT,
             disk_stall_timeout: DISK_STALL_TIMEOUT,
+            watch_history: Duration::from_secs(20),
         };
         self.identity = Some(identity);
         let spread = random.wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -245,8 +246,7 @@
             return;
         }
         let proof = self.member.primary_contact(now);
-        if let Some(proof) = proof.filter(|proof| self.mirror.read().index() >= proof.commit_index)
-        {
+        if let Some(proof) = proof.filter(|proof| self.mirror.read().index() >= proof.fleet_index) {
             self.mirror.get().record_primary_contact(proof.at);
         }
     }
--- a/crates/model-check/src/cluster/world/requests.rs
+++ b/crates/model-check/src/cluster/world/requests.rs
@@ -61,7 +61,7 @@
                 observations.acknowledge_drain(host);
                 Ok(())
             }
-            Command::Read { .. } => Ok(()),
+            Command::Read { .. } | Command::Coordinate { .. } => Ok(()),
         }
     }
 
@@ -103,6 +103,7 @@
                 observations.reject(request.content, request.base, &request.json())?;
             }
             Command::Drain { host } => observations.acknowledge_drain(host),
+            Command::Coordinate { .. } => {}
         }
         self.clients.requests[number].outcome = if code == ResultCode::Ok {
             RequestOutcome::Acknowledged
--- a/crates/protocol/src/codec.rs
+++ b/crates/protocol/src/codec.rs
@@ -5,13 +5,14 @@
 //! | `Vec<T>` | number of items (`u32`), then the items |
 //! | `Vec<u8>`, `String` | number of bytes (`u32`), then the bytes; strings are UTF-8 |
 //! | `Option<T>` | 0, or 1 and the value |
+//! | `Option<T>` at the end of a record or message | nothing, or the value |
 //! | `bool` | one byte; any other than 0 is true |
 //!
 //! The functions come in pairs: `read_*` for `parse_with` and `write_*` for `write_with` of a field.
 
 use crate::error::{ContentSnafu, DecodeError};
 use binrw::{BinRead, BinResult, BinWrite, Endian};
-use std::io::{Cursor, Read, Seek};
+use std::io::{Cursor, Read, Seek, SeekFrom};
 
 /// The most memory in bytes that is reserved for a list or string because of its stated length alone. A damaged length
 /// thus costs no memory.
@@ -158,6 +159,30 @@
         .try_for_each(|one| one.write_options(writer, endian, ()))
 }
 
+/// Reads an optional value behind which nothing follows: records of releases that don't know it end before it.
+#[binrw::parser(reader, endian)]
+pub(crate) fn read_trailing<T>() -> BinResult<Option<T>>
+where
+    T: for<'a> BinRead<Args<'a> = ()>,
+{
+    let at = reader.stream_position()?;
+    let end = reader.seek(SeekFrom::End(0))?;
+    reader.seek(SeekFrom::Start(at))?;
+    if at == end {
+        return Ok(None);
+    }
+    T::read_options(reader, endian, ()).map(Some)
+}
+
+#[binrw::writer(writer, endian)]
+pub(crate) fn write_trailing<T>(one: &Option<T>) -> BinResult<()>
+where
+    T: for<'a> BinWrite<Args<'a> = ()>,
+{
+    one.iter()
+        .try_for_each(|one| one.write_options(writer, endian, ()))
+}
+
 #[binrw::parser(reader, endian)]
 pub(crate) fn read_bool() -> BinResult<bool> {
     Ok(u8::read_options(reader, endian, ())? != 0)
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -13,6 +13,7 @@
 #![warn(missing_docs)]
 
 mod codec;
+mod coordination;
 mod error;
 mod format;
 mod frame;
@@ -24,6 +25,10 @@
 mod updates;
 
 pub use codec::{decode_record, encode_record};
+pub use coordination::{
+    CellGroupRecord, CellRecord, CoordinationChange, CoordinationRequest, CoordinationSnapshot,
+    LockRecord, NumberRecord,
+};
 pub use error::DecodeError;
 pub use format::{FRAME_VERSION, MAX_FRAME_BYTES};
 pub use frame::{decode, encode};
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -139,7 +139,21 @@
         /// force now. It proves to the voter that the primary acted after that moment.
         echoed_clock_ms: u64,
     },
-    /// The answer to [`Message::RenewLease`].
+    /// As [`Message::RenewLease`], where the last committed change was none of the configuration or the drains.
+    #[brw(magic(26u8))]
+    RenewLeaseWithFleetIndex {
+        /// Epoch of the primary's membership configuration.
+        epoch: u64,
+        /// As in [`Message::RenewLease`].
+        requested_at_ms: u64,
+        /// Index of the last committed change.
+        commit_index: u64,
+        /// As in [`Message::RenewLease`].
+        echoed_clock_ms: u64,
+        /// Index of the last committed change of the configuration or the drains.
+        fleet_index: u64,
+    },
+    /// The answer to [`Message::RenewLease`] and [`Message::RenewLeaseWithFleetIndex`].
     #[brw(magic(17u8))]
     LeaseReply {
         /// Epoch of the membership configuration.
--- a/crates/protocol/src/replicated_state.rs
+++ b/crates/protocol/src/replicated_state.rs
@@ -1,9 +1,10 @@
 //! The replicated state: its changes and snapshots, and the commands that lead to changes.
 
 use crate::codec::{
-    read_bool, read_bytes, read_list, read_string, read_strings, write_bool, write_bytes,
-    write_list, write_string, write_strings,
+    read_bool, read_bytes, read_list, read_string, read_strings, read_trailing, write_bool,
+    write_bytes, write_list, write_string, write_strings, write_trailing,
 };
+use crate::coordination::{CoordinationChange, CoordinationRequest, CoordinationSnapshot};
 use binrw::binrw;
 
 /// How far a replica's log goes.
@@ -49,6 +50,10 @@
     #[br(parse_with = read_strings)]
     #[bw(write_with = write_strings)]
     pub drains: Vec<String>,
+    /// Locks, numbers and cells; none if there never were any. The last field: it has no bytes if there is none.
+    #[br(parse_with = read_trailing)]
+    #[bw(write_with = write_trailing)]
+    pub coordination: Option<CoordinationSnapshot>,
 }
 
 /// One step of the replicated state.
@@ -86,9 +91,15 @@
         #[bw(write_with = write_strings)]
         hosts: Vec<String>,
     },
+    /// A lock, a number or a cell has changed.
+    #[brw(magic(4u8))]
+    Coordinate {
+        /// The change.
+        change: CoordinationChange,
+    },
 }
 
-/// A call of a host or an operator, forwarded to the primary.
+/// A call of a host, an operator or an application, forwarded to the primary.
 #[binrw]
 #[brw(little)]
 #[derive(Clone, Debug, PartialEq)]
@@ -121,4 +132,10 @@
         #[bw(write_with = write_string)]
         host: String,
     },
+    /// A call for locks, numbers or cells.
+    #[brw(magic(4u8))]
+    Coordinate {
+        /// The call.
+        request: CoordinationRequest,
+    },
 }
--- a/crates/protocol/tests/samples/mod.rs
+++ b/crates/protocol/tests/samples/mod.rs
@@ -1,4 +1,5 @@
 //! Sample values of every message and record, each field different from its default.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use protocol::{
     Addr, AppliedRequest, Change, Command, ConfigurationUpdate, ControlPlaneInfo,
@@ -56,6 +57,7 @@
             },
         ],
         drains: texts(&["i-1", "i-2"]),
+        coordination: None,
     }
 }
 
--- a/crates/simulator/src/world/machines.rs
+++ b/crates/simulator/src/world/machines.rs
@@ -103,6 +103,7 @@
             lease_duration: LEASE,
             request_timeout: REQUEST_TIMEOUT,
             disk_stall_timeout: DISK_STALL_TIMEOUT,
+            watch_history: Duration::from_secs(20),
         };
         let member = Member::new(config, &node.records, now, random);
         self.nodes[n].member = Some(member);
--- a/crates/simulator/src/world/member_mirrors.rs
+++ b/crates/simulator/src/world/member_mirrors.rs
@@ -54,7 +54,7 @@
         }
         if let Some(proof) = member
             .primary_contact(now)
-            .filter(|proof| subscriber.mirror.index() >= proof.commit_index)
+            .filter(|proof| subscriber.mirror.index() >= proof.fleet_index)
         {
             subscriber.mirror.record_primary_contact(proof.at);
         }
--- a/crates/simulator/src/world/network.rs
+++ b/crates/simulator/src/world/network.rs
@@ -84,6 +84,7 @@
     matches!(
         message,
         Message::RenewLease { .. }
+            | Message::RenewLeaseWithFleetIndex { .. }
             | Message::LeaseReply { .. }
             | Message::AppendChange { .. }
             | Message::AppendReply { .. }
