--- a/crates/control-plane/tests/support/request_cluster.rs
+++ b/crates/control-plane/tests/support/request_cluster.rs
@@ -62,6 +62,8 @@
     rewrites: usize,
     wake: Duration,
     answers: BTreeMap<u64, (ResultCode, Vec<u8>)>,
+    /// Index of the state that it published last.
+    published: Option<u64>,
 }
 
 /// Members that know each other, on one clock.
@@ -104,6 +106,7 @@
             rewrites: 0,
             wake: Duration::ZERO,
             answers: BTreeMap::new(),
+            published: None,
         };
         let mut cluster = Self {
             nodes: (0..count).map(node).collect(),
@@ -264,6 +267,11 @@
         self.step(n, Input::Command { ticket, command });
     }
 
+    /// Index of the state that a member published last.
+    pub fn published(&self, n: usize) -> Option<u64> {
+        self.nodes[n].published
+    }
+
     /// A member's view of itself; none while it is down.
     pub fn member(&self, n: usize) -> Option<&Member> {
         self.nodes[n].member.as_ref()
@@ -442,9 +450,10 @@
                 let after = at.saturating_sub(self.now);
                 self.schedule(after, Event::Wake { node: n });
             }
-            Output::PublishState { .. }
-            | Output::RestoreState { .. }
-            | Output::DepartureComplete => {}
+            Output::PublishState { index, .. } | Output::RestoreState { index, .. } => {
+                self.nodes[n].published = Some(index);
+            }
+            Output::DepartureComplete => {}
         }
     }
 }
