--- a/crates/control-plane/tests/control_requests.rs
+++ b/crates/control-plane/tests/control_requests.rs
@@ -4,7 +4,9 @@
 use configuration::ResultCode;
 use control_plane::host_registry::HostRequest;
 use control_plane::runtime::control_request::{ControlRequest, Endpoint};
+use control_plane::runtime::coordination_endpoint::CoordinationEndpoint;
 use hyper::Method;
+use protocol::CoordinationRequest;
 use rstest::rstest;
 
 #[rstest]
@@ -77,3 +79,94 @@
         request.map(ControlRequest::Host)
     );
 }
+
+#[rstest]
+#[case("POST", "Locks.Begin/l1f", CoordinationEndpoint::AcquireLock("l1f".into()))]
+#[case("POST", "Locks.Heartbeat/l1f", CoordinationEndpoint::RenewLock("l1f".into()))]
+#[case("POST", "Locks.Finish/l1f", CoordinationEndpoint::ReleaseLock("l1f".into()))]
+#[case("POST", "Locks.Free/l1f", CoordinationEndpoint::FreeLock("l1f".into()))]
+#[case("GET", "Locks.List", CoordinationEndpoint::ListLocks)]
+#[case("POST", "numbers/n2", CoordinationEndpoint::NextNumber("n2".into()))]
+#[case("POST", "Cells.Replace/g1.2d", CoordinationEndpoint::PutCell("g1.2d".into()))]
+#[case("GET", "Cells.Read/g1.2d", CoordinationEndpoint::ReadCell("g1.2d".into()))]
+#[case("GET", "Cells.List", CoordinationEndpoint::ListCells(String::new()))]
+#[case("GET", "Cells.List/g1.", CoordinationEndpoint::ListCells("g1.".into()))]
+#[case("GET", "watch/g1.?after=930&wait_ms=2000", CoordinationEndpoint::Watch { group: "g1.".into(), query: "after=930&wait_ms=2000".into() })]
+fn coordination_endpoint_when_decoded_follows_method_and_path(
+    #[case] method: Method,
+    #[case] operation: &str,
+    #[case] endpoint: CoordinationEndpoint,
+) {
+    let path = format!("/fennelpin/{operation}");
+    let decoded = Endpoint::decode(&method, &path);
+    assert_eq!(decoded, Ok(Endpoint::Coordination(endpoint)));
+    let other = if method == Method::GET {
+        Method::POST
+    } else {
+        Method::GET
+    };
+    assert_eq!(
+        Endpoint::decode(&other, &path),
+        Err(ResultCode::OtherMethod)
+    );
+}
+
+#[rstest]
+#[case::no_name("Locks.Begin/")]
+#[case::no_name_at_all("numbers")]
+#[case::two_parts("Cells.Read/g1/a")]
+#[case::group_without_dot("watch/g1")]
+#[case::dot_before_the_end("watch/g1.a.")]
+fn coordination_endpoint_with_a_name_that_cannot_be_one_is_rejected(#[case] operation: &str) {
+    let path = format!("/fennelpin/{operation}");
+    for method in [Method::GET, Method::POST] {
+        assert_eq!(Endpoint::decode(&method, &path), Err(ResultCode::BadValue));
+    }
+}
+
+fn watch(query: &str) -> Result<ControlRequest, ResultCode> {
+    let path = format!("/fennelpin/watch/g.{query}");
+    Endpoint::decode(&Method::GET, &path)?.into_request(None, Bytes::new(), 0)
+}
+
+#[rstest]
+#[case::both("?after=7&wait_ms=2000", 7, 2000)]
+#[case::other_order("?wait_ms=1.5&after=7", 7, 1)]
+#[case::no_wait("?after=0", 0, 0)]
+#[case::longest("?after=1&wait_ms=99999999", 1, 30_000)]
+fn watch_when_decoded_has_its_revision_and_its_wait(
+    #[case] query: &str,
+    #[case] after: u64,
+    #[case] wait_ms: u32,
+) {
+    let group = "g.".into();
+    let request = CoordinationRequest::Watch {
+        group,
+        after,
+        wait_ms,
+    };
+    assert_eq!(watch(query), Ok(ControlRequest::Coordinate(request)));
+}
+
+#[rstest]
+#[case::no_revision("?wait_ms=10")]
+#[case::no_query("")]
+#[case::word("?after=x")]
+#[case::below_zero("?after=1&wait_ms=-1")]
+#[case::not_a_number("?after=1&wait_ms=NaN")]
+fn watch_without_a_revision_or_with_an_invalid_wait_is_rejected(#[case] query: &str) {
+    assert_eq!(watch(query), Err(ResultCode::BadValue));
+}
+
+#[rstest]
+#[case::zero("0")]
+#[case::below_zero("-5")]
+#[case::too_long("600001")]
+fn lock_for_an_impossible_time_is_rejected(#[case] hold_ms: &str) {
+    let endpoint = Endpoint::decode(&Method::POST, "/fennelpin/Locks.Begin/l").unwrap();
+    let body = Bytes::from(format!(r#"{{"holder":"a","hold_ms":{hold_ms}}}"#));
+    assert_eq!(
+        endpoint.into_request(None, body, 0),
+        Err(ResultCode::BadValue)
+    );
+}
--- a/crates/control-plane/tests/coordination_histories/applications.rs
+++ b/crates/control-plane/tests/coordination_histories/applications.rs
@@ -2,7 +2,8 @@
 //! of cells, and watchers.
 
 use crate::checker::{group, Event, Given, History, Hold, Put, PutOutcome, Read, Watched};
-use crate::schedule::{Random, Schedule, LENGTH_MS, MEMBERS};
+use crate::random::Random;
+use crate::schedule::{Schedule, LENGTH_MS, MEMBERS};
 use crate::support::request_cluster::Cluster;
 use configuration::ResultCode;
 use protocol::{Command, CoordinationRequest};
--- a/crates/control-plane/tests/coordination_histories/main.rs
+++ b/crates/control-plane/tests/coordination_histories/main.rs
@@ -10,6 +10,7 @@
 mod applications;
 mod broken_histories;
 mod checker;
+mod random;
 mod schedule;
 
 use applications::Applications;
--- a/crates/control-plane/tests/coordination_histories/schedule.rs
+++ b/crates/control-plane/tests/coordination_histories/schedule.rs
@@ -1,5 +1,6 @@
 //! Which faults come when, drawn from a seed.
 
+use crate::random::Random;
 use crate::support::request_cluster::Cluster;
 
 /// Members of the cluster, of which one may be lost at a time.
@@ -13,26 +14,6 @@
 const MIN_FAULT_MS: u64 = 300;
 const FAULT_SPREAD_MS: u64 = 3_500;
 
-/// Random numbers by xorshift; the same for the same seed.
-pub struct Random(u64);
-
-impl Random {
-    pub fn new(seed: u64) -> Self {
-        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
-    }
-
-    pub fn below(&mut self, bound: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) % bound
-    }
-
-    pub fn one_in(&mut self, bound: u64) -> bool {
-        self.below(bound) == 0
-    }
-}
-
 /// The kinds of faults of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Faults {
--- a/crates/fake-hosts/src/scripted.rs
+++ b/crates/fake-hosts/src/scripted.rs
@@ -362,6 +362,14 @@
     }
 }
 
+fn write_response(output: &mut TcpStream, status: u16, body: &str) -> std::io::Result<()> {
+    let length = body.len();
+    write!(
+        output,
+        "HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
 fn speak_http(
     host: usize,
     stream: TcpStream,
@@ -416,11 +424,7 @@
         } else {
             answers.remove(0)
         };
-        write!(
-            output,
-            "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        )?;
+        write_response(&mut output, status, &body)?;
     }
 }
 
--- a/crates/fennelpin-cli/tests/coordination_faults/applications.rs
+++ b/crates/fennelpin-cli/tests/coordination_faults/applications.rs
@@ -5,6 +5,7 @@
 use crate::faults::ALL;
 use crate::harness::cluster::TestCluster;
 use crate::harness::{wait_until, TIMEOUT};
+use crate::random::Random;
 use fennelpin_cli::control_client::ControlAnswer;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -27,22 +28,6 @@
 const HOLD_SPREAD_MS: u64 = 600;
 const WATCH_WAIT_MS: u64 = 300;
 
-/// Random numbers by xorshift; the same for the same seed.
-pub struct Random(u64);
-
-impl Random {
-    pub fn new(seed: u64) -> Self {
-        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
-    }
-
-    pub fn below(&mut self, bound: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        (self.0 >> 11) % bound
-    }
-}
-
 /// What the threads share.
 struct Shared {
     addresses: Vec<SocketAddr>,
@@ -249,7 +234,7 @@
                 break;
             }
         }
-        let gives_back = lost_at.is_none() && self.random.below(3) > 0;
+        let gives_back = lost_at.is_none() && !self.random.one_in(3);
         // A holder that dies counts on its lock until it takes it anew: that is after its time at the latest here.
         let end = match lost_at {
             Some(lost_at) => lost_at.min(until),
@@ -287,7 +272,7 @@
         };
         self.values += 1;
         let value = format!("{}-{}", self.number, self.values);
-        let is_conditional = self.random.below(3) > 0;
+        let is_conditional = !self.random.one_in(3);
         let body = if is_conditional {
             json!({"value": value, "enabled": revision})
         } else {
--- a/crates/fennelpin-cli/tests/coordination_faults/faults.rs
+++ b/crates/fennelpin-cli/tests/coordination_faults/faults.rs
@@ -1,7 +1,8 @@
 //! Faults in series, drawn from a seed; some overlap.
 
-use crate::applications::{Applications, Random};
+use crate::applications::Applications;
 use crate::harness::cluster::TestCluster;
+use crate::random::Random;
 use std::time::Duration;
 
 pub const MEMBERS: u8 = 3;
@@ -126,7 +127,7 @@
     ) -> &'static str {
         cluster.wait_until_stable(&ALL);
         cluster.wipe(target);
-        let with_power_loss = self.random.below(2) == 0;
+        let with_power_loss = self.random.one_in(2);
         if with_power_loss {
             let others = ALL.iter().filter(|n| **n != target);
             others.clone().for_each(|n| cluster.kill(*n));
--- a/crates/fennelpin-cli/tests/coordination_faults/main.rs
+++ b/crates/fennelpin-cli/tests/coordination_faults/main.rs
@@ -11,6 +11,9 @@
 #[path = "../../../control-plane/tests/coordination_histories/checker.rs"]
 mod checker;
 
+#[path = "../../../control-plane/tests/coordination_histories/random.rs"]
+mod random;
+
 mod applications;
 mod connection;
 mod faults;
--- a/crates/load-test/src/engine.rs
+++ b/crates/load-test/src/engine.rs
@@ -370,10 +370,7 @@
             tried.ended = epoch.now();
             let retry = retry_after_us(&headers);
             let extra = !conn.input.is_empty();
-            let close = headers
-                .get("Connection")
-                .is_some_and(|v| v.eq_ignore_ascii_case("close"));
-            if !close && !extra {
+            if !closes_connection(&headers) && !extra {
                 self.idle.borrow_mut()[c].push(conn);
             }
             return Exchange::Answer(status, retry, body, extra);
@@ -417,6 +414,12 @@
     }
 }
 
+/// Whether the host closes the connection behind this answer.
+fn closes_connection(headers: &Headers) -> bool {
+    let connection = headers.get("Connection");
+    connection.is_some_and(|value| value.eq_ignore_ascii_case("close"))
+}
+
 /// `Retry-After` in microseconds, where it is a time.
 fn retry_after_us(headers: &Headers) -> Option<u64> {
     let seconds = headers.get("Retry-After")?.parse::<f64>().ok()?;
