--- a/review/fleet.py
+++ b/review/fleet.py
@@ -40,12 +40,13 @@
     numbers = list(range(20, 250))
     random.shuffle(numbers)
     for net in numbers:
-        with socket.socket() as probe:
-            try:
-                probe.bind((f"127.{net}.0.1", CONTROL))
-                return net
-            except OSError:
-                continue
+        try:
+            for place, port in (("0.1", CONTROL), ("1.1", FRONT), ("2.1", HOST_PORT)):
+                with socket.socket() as probe:
+                    probe.bind((f"127.{net}.{place}", port))
+        except OSError:
+            continue
+        return net
     raise CannotRun("no free loopback network")
 
 
@@ -61,10 +62,17 @@
         self.file.flush()
 
 
+def interrupt(_number, _frame):
+    """Ends the script by way of its `finally`, so that no process is left."""
+    raise KeyboardInterrupt
+
+
 class Fleet:
     """Core machines, edge machines and hosts of one run."""
 
     def __init__(self, record, cores=3, edges=2):
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, interrupt)
         self.record = record
         self.net = free_net()
         self.dir = pathlib.Path(tempfile.mkdtemp(prefix="fennelpin-review-"))
--- a/review/host.py
+++ b/review/host.py
@@ -1,6 +1,6 @@
 """A model host: a stand-in that speaks what PROTOCOL.md says of hosts.
 
-It sends heartbeats, answers with its seal and the request's id, runs a request only if `Fennelpin-Expected-Host` is its
+It sends heartbeats, answers health checks, works on `capacity` requests at once, answers with its seal and the request's id, runs a request only if `Fennelpin-Expected-Host` is its
 own id, and writes one line for each request that it runs. Its answers are streams of events, or short bodies.
 """
 
@@ -24,8 +24,10 @@
 parser.add_argument("--parts", type=int, default=1, help="an event is written in so many pieces, as its tokens are made")
 parser.add_argument("--work-ms", type=float, default=20.0)
 options = parser.parse_args()
+HEALTH_PATH = "/health"
 IP, PORT = options.address.rsplit(":", 1)
 LOG = open(options.log, "a", encoding="utf-8")
+SLOTS = asyncio.Semaphore(options.capacity)
 SEAL = f"{random.getrandbits(16):04x}.{random.getrandbits(32):08x}"
 
 
@@ -110,20 +112,29 @@
             await reader.readexactly(int(headers.get("content-length", "0")))
             attempt = headers.get("fennelpin-attempt-id", "")
             common = f"Fennelpin-Attempt-Id: {attempt}\r\nFennelpin-Host-Seal: {SEAL}\r\n"
-            if headers.get("fennelpin-expected-host", options.id) != options.id:
-                writer.write(f"HTTP/1.1 421 Misdirected Request\r\n{common}Content-Length: 0\r\n\r\n".encode())
+            if lines[0].startswith(f"GET {HEALTH_PATH} "):
+                async with SLOTS:
+                    writer.write(f"HTTP/1.1 200 OK\r\nFennelpin-Host-Id: {options.id}\r\nContent-Length: 0\r\n\r\n".encode())
                 continue
-            note(f"run {attempt} {method} {path} {headers.get('last-event-id', '')}")
-            if path.startswith("/stream"):
-                if not await stream(writer, headers, attempt, f"HTTP/1.1 200 OK\r\n{common}"):
-                    return
+            if not attempt:
+                writer.write(b"HTTP/1.1 400 Bad Request\r\nFennelpin-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
                 continue
-            await asyncio.sleep(options.work_ms / 1000)
-            body = f"done {attempt}\n".encode()
-            writer.write(f"HTTP/1.1 200 OK\r\n{common}Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-                         + body)
-            await writer.drain()
-            note(f"whole {attempt}")
+            if headers.get("fennelpin-expected-host", options.id) != options.id:
+                writer.write(f"HTTP/1.1 421 Misdirected Request\r\n{common}Fennelpin-Not-Executed: 1\r\n"
+                             "Content-Length: 0\r\n\r\n".encode())
+                continue
+            async with SLOTS:
+                note(f"run {attempt} {method} {path} {headers.get('last-event-id', '')}")
+                if path.startswith("/stream"):
+                    if not await stream(writer, headers, attempt, f"HTTP/1.1 200 OK\r\n{common}"):
+                        return
+                    continue
+                await asyncio.sleep(options.work_ms / 1000)
+                body = f"done {attempt}\n".encode()
+                writer.write(f"HTTP/1.1 200 OK\r\n{common}Content-Type: text/plain\r\nContent-Length: {len(body)}\r\n\r\n"
+                             .encode() + body)
+                await writer.drain()
+                note(f"whole {attempt}")
     except (OSError, asyncio.IncompleteReadError, ValueError):
         pass
     finally:
