Count streams whose host closes its connection inside an event

Cause: what the proxy shows could not tell the hypotheses of the incident apart: nothing said how a host ended a stream. Change: EventBoundary follows an event stream without keeping bytes, ResponseBody uses it for bodies that only the connection ends, and the counter interrupted_events is in the line of counters.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -46,6 +46,8 @@
     stray_responses;
     /// Responses of hosts that were malformed or ended early.
     broken_responses;
+    /// Event streams whose host closed its connection inside an event.
+    interrupted_events;
     /// Datagrams received that were not valid hints.
     invalid_hints;
     /// Requests that failed over to another host because the first one didn't respond in time.
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -4,7 +4,7 @@
 use super::host_selection::SelectedHost;
 use super::host_wait::{HostWait, WaitError};
 use super::Exchange;
-use crate::headers::{EXPECT_VERSION, HOST_SEAL};
+use crate::headers::{is_event_stream, EXPECT_VERSION, HOST_SEAL};
 use crate::response_matching::is_refusal;
 use crate::response_progress::ConnectionOutcome;
 use crate::retry::AttemptOutcome;
@@ -109,14 +109,10 @@
         if encoded || unsealed || has_unmarked_refusal_status {
             return ResponseKind::Invalid;
         }
-        let is_event_stream = head
-            .fields
-            .get_str("content-type")
-            .is_some_and(|value| value.starts_with("text/event-stream"));
         // During a shutdown, requests on non-streaming routes are admitted without regard to how long a stream may
         // last. An event stream on such a route is therefore buffered until it is complete.
         let streaming = self.route.kind == RouteKind::Streaming
-            || (is_event_stream && !self.may_be_truncated_by_shutdown());
+            || (is_event_stream(&head.fields) && !self.may_be_truncated_by_shutdown());
         if success && streaming && !self.has_no_body(head) {
             ResponseKind::Stream
         } else {
--- a/crates/proxy/src/exchange/await_response.rs
+++ b/crates/proxy/src/exchange/await_response.rs
@@ -4,9 +4,9 @@
 use super::{Exchange, MAX_BUFFERED_BYTES};
 use crate::response_matching::ResponseMatcher;
 use crate::state::InFlightAttempt;
-use crate::upstream::{self, BodyRead, UpstreamConnection};
+use crate::upstream::{self, BodyRead, ResponseBody, UpstreamConnection};
 use bytes::BytesMut;
-use http1::{BodyDecoder, ResponseHead};
+use http1::ResponseHead;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -46,10 +46,10 @@
                 });
             }
             self.state.counters.add(|c| c.stray_responses += 1);
-            let mut decoder = BodyDecoder::new(head.framing);
-            let mut body = BytesMut::new();
+            let mut body = ResponseBody::new(&head);
+            let mut skipped = BytesMut::new();
             let skip_body = async |c: &mut UpstreamConnection| {
-                c.read_body(&mut decoder, &mut body, MAX_BUFFERED_BYTES)
+                c.read_body(&mut body, &mut skipped, MAX_BUFFERED_BYTES)
                     .await
             };
             match wait.read(self, connection, attempt, skip_body).await? {
@@ -74,9 +74,9 @@
         }
         let state = self.state.clone();
         tokio::task::spawn_local(async move {
-            let mut decoder = BodyDecoder::new(head.framing);
-            let mut body = BytesMut::new();
-            let read = connection.read_body(&mut decoder, &mut body, MAX_REFUSAL_BODY_BYTES);
+            let mut body = ResponseBody::new(&head);
+            let mut skipped = BytesMut::new();
+            let read = connection.read_body(&mut body, &mut skipped, MAX_REFUSAL_BODY_BYTES);
             if let Ok(Ok(BodyRead::Complete)) = timeout(REFUSAL_READ_TIMEOUT, read).await {
                 upstream::release(&state, &host, connection, &head);
             }
--- a/crates/proxy/src/exchange/buffered.rs
+++ b/crates/proxy/src/exchange/buffered.rs
@@ -8,11 +8,11 @@
 use crate::response_progress::ConnectionOutcome;
 use crate::retry::AttemptOutcome;
 use crate::state::BodyReservation;
-use crate::upstream::{self, BodyRead, UpstreamConnection};
+use crate::upstream::{self, BodyRead, ResponseBody, UpstreamConnection};
 use balancing::Outcome;
 use bytes::{Bytes, BytesMut};
 use configuration::ResultCode;
-use http1::{BodyDecoder, Framing, ResponseHead};
+use http1::{Framing, ResponseHead};
 use tokio::time::timeout_at;
 
 /// The same limit for a response that the end of the process might truncate during a shutdown.
@@ -30,7 +30,7 @@
             response.host.attempt.record_response_start();
         }
         wait.mark_response_started();
-        let mut decoder = BodyDecoder::new(response.head.framing);
+        let mut decoder = ResponseBody::new(&response.head);
         let mut body = BytesMut::new();
         let mut read = self
             .read_body_up_to(
@@ -72,7 +72,7 @@
         limit: usize,
         response: &mut HostResponse,
         wait: &mut HostWait,
-        decoder: &mut BodyDecoder,
+        decoder: &mut ResponseBody,
         body: &mut BytesMut,
     ) -> Result<BodyRead, WaitError> {
         let read_body = async |c: &mut UpstreamConnection| c.read_body(decoder, body, limit).await;
@@ -135,7 +135,7 @@
     async fn relay_large(
         &mut self,
         mut response: HostResponse,
-        mut decoder: BodyDecoder,
+        mut decoder: ResponseBody,
         start: BytesMut,
     ) -> AttemptResult {
         let mut writer = ClientWriter::new(self, &response.head);
--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -8,11 +8,10 @@
 use crate::deadline::duration_from_ms;
 use crate::event_stream::EventSplitter;
 use crate::response_progress::ConnectionOutcome;
-use crate::upstream::{self, UpstreamConnection};
+use crate::upstream::{self, ResponseBody, UpstreamConnection};
 use balancing::Outcome;
 use bytes::{Bytes, BytesMut};
 use configuration::Route;
-use http1::BodyDecoder;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
@@ -34,7 +33,7 @@
 
 /// State of relaying a stream from one host.
 struct StreamRelay {
-    decoder: BodyDecoder,
+    body: ResponseBody,
     writer: ClientWriter,
     splitter: EventSplitter,
     /// Whether data from this host has been sent to the client.
@@ -53,7 +52,7 @@
             self.state.counters.add(|c| c.resumed_streams += 1);
         }
         let mut relay = StreamRelay {
-            decoder: BodyDecoder::new(response.head.framing),
+            body: ResponseBody::new(&response.head),
             writer: ClientWriter::new(self, &response.head),
             splitter: EventSplitter::new(MAX_EVENT_BYTES),
             has_data: false,
@@ -87,19 +86,19 @@
         wait: &mut HostWait,
         relay: &mut StreamRelay,
     ) -> Result<Option<Bytes>, WaitError> {
-        let decoder = &mut relay.decoder;
+        let body = &mut relay.body;
         let connection = &mut response.connection;
         let piece = if relay.has_data {
-            self.read_next_piece(connection, decoder).await?
+            self.read_next_piece(connection, body).await?
         } else {
-            let read_piece = async |c: &mut UpstreamConnection| c.read_body_piece(decoder).await;
+            let read_piece = async |c: &mut UpstreamConnection| c.read_body_piece(body).await;
             let attempt = &response.host.attempt;
             wait.read(self, connection, attempt, read_piece).await?
         };
         let resumable = self.route.resumable;
         match piece {
             // The end of the connection may also be a failure, so a resumable stream is resumed at another host.
-            None if resumable && relay.decoder.is_close_delimited() && relay.writer.marks_end() => {
+            None if resumable && relay.body.is_close_delimited() && relay.writer.marks_end() => {
                 Err(WaitError::Broken)
             }
             None => Ok(None),
@@ -124,6 +123,9 @@
             upstream::release(self.state, &host.id, connection, &head);
         }
         host.attempt.finish(Outcome::Succeeded, None);
+        if relay.body.is_inside_event() {
+            self.state.counters.add(|c| c.interrupted_events += 1);
+        }
         let rest = relay.splitter.take_incomplete();
         if !rest.is_empty() && !relay.writer.write_piece(self, &head, &rest).await {
             return AttemptResult::Answered(ConnectionOutcome::Truncated);
@@ -147,7 +149,7 @@
     async fn read_next_piece(
         &mut self,
         connection: &mut UpstreamConnection,
-        decoder: &mut BodyDecoder,
+        body: &mut ResponseBody,
     ) -> Result<Option<Bytes>, WaitError> {
         if self.is_past_max_overrun() {
             return Err(WaitError::DeadlinePassed);
@@ -161,7 +163,7 @@
             } else {
                 deadline
             };
-            match timeout_at(wake_at, connection.read_body_piece(decoder)).await {
+            match timeout_at(wake_at, connection.read_body_piece(body)).await {
                 Ok(piece) => return piece.map_err(|_| WaitError::Broken),
                 Err(_) if wake_at >= deadline => return Err(WaitError::DeadlinePassed),
                 Err(_) if connection.host_active_since(waiting_since) => {}
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -30,6 +30,11 @@
 pub(crate) const PRIORITY: &str = "Priority";
 /// Length of a body in bytes.
 pub(crate) const CONTENT_LENGTH: &str = "Content-Length";
+/// Media type of a body, with optional parameters.
+pub(crate) const CONTENT_TYPE: &str = "Content-Type";
+
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// Fields that identify the request and the host of a response. They are forwarded even if `Connection` lists them.
 const ALWAYS_FORWARDED: [&str; 2] = [ATTEMPT_ID, HOST_SEAL];
@@ -42,6 +47,14 @@
     always || !fields.is_hop_by_hop(name)
 }
 
+/// Whether the body is announced as a stream of server-sent events.
+pub(crate) fn is_event_stream(fields: &Fields) -> bool {
+    let media_type = fields
+        .get_str(CONTENT_TYPE)
+        .and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// Appends a field line to a message head.
 pub(crate) fn push_field(head: &mut Vec<u8>, name: impl AsRef<[u8]>, value: impl AsRef<[u8]>) {
     head.extend_from_slice(name.as_ref());
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -10,6 +10,7 @@
 use crate::socket;
 use crate::state::Clock;
 use crate::upstream::pool::ConnectionPermit;
+use crate::upstream::response_body::ResponseBody;
 use bytes::{Bytes, BytesMut};
 use http1::{BodyDecoder, Decoded, HeadLimits, ParseError, ResponseHead};
 use snafu::Snafu;
@@ -163,7 +164,7 @@
     /// Reads the next piece of a body; `None` at the end of the body. Cancel-safe.
     pub(crate) async fn read_body_piece(
         &mut self,
-        body: &mut BodyDecoder,
+        body: &mut ResponseBody,
     ) -> Result<Option<Bytes>, UpstreamError> {
         loop {
             match body.decode(&mut self.buf)? {
@@ -181,7 +182,7 @@
     /// with the same arguments continues.
     pub(crate) async fn read_body(
         &mut self,
-        body: &mut BodyDecoder,
+        body: &mut ResponseBody,
         out: &mut BytesMut,
         max_bytes: usize,
     ) -> Result<BodyRead, UpstreamError> {
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -3,6 +3,8 @@
 pub(crate) mod acquire;
 pub(crate) mod connection;
 pub mod pool;
+pub(crate) mod response_body;
 
 pub(crate) use acquire::{acquire, connect, release, AcquireError, ConnectTarget};
 pub(crate) use connection::{BodyRead, UpstreamConnection, UpstreamError};
+pub(crate) use response_body::ResponseBody;
