--- a/crates/proxy/src/exchange/buffered.rs
+++ b/crates/proxy/src/exchange/buffered.rs
@@ -145,9 +145,9 @@
             let data = match timeout_at(self.response_deadline(), piece).await {
                 Ok(Ok(Some(data))) if !self.is_past_max_overrun() => data,
                 Ok(Ok(None)) => return self.finish_large(response, writer).await,
-                Ok(Err(_)) => {
-                    self.state.counters.add(|c| c.broken_responses += 1);
-                    response.host.attempt.finish(Outcome::ConnectionLost, None);
+                Ok(Err(error)) => {
+                    let error = self.on_read_error(&error);
+                    self.on_wait_error(error, response.host.attempt);
                     return AttemptResult::Answered(ConnectionOutcome::Truncated);
                 }
                 Ok(Ok(Some(_))) | Err(_) => {
--- a/crates/proxy/src/exchange/host_wait.rs
+++ b/crates/proxy/src/exchange/host_wait.rs
@@ -64,10 +64,7 @@
             let wake_at = self.wake_at(now, times_out_at, deadline);
             match timeout_at(wake_at, read(connection)).await {
                 Ok(Ok(done)) => return Ok(done),
-                Ok(Err(error)) => {
-                    log::debug!("can't read the host's response: {error}");
-                    return Err(WaitError::Broken);
-                }
+                Ok(Err(error)) => return Err(exchange.on_read_error(&error)),
                 Err(_) if Instant::now() >= deadline => return Err(WaitError::DeadlinePassed),
                 Err(_) => {}
             }
@@ -101,3 +98,14 @@
         }
     }
 }
+
+impl Exchange<'_> {
+    /// Logs why a host's response, or the rest of it, can't be read.
+    pub(super) fn on_read_error(&self, error: &UpstreamError) -> WaitError {
+        log::debug!("can't read the host's response: {error}");
+        if matches!(error, UpstreamError::ClosedInsideEvent) {
+            self.state.counters.add(|c| c.interrupted_events += 1);
+        }
+        WaitError::Broken
+    }
+}
--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -123,9 +123,6 @@
             upstream::release(self.state, &host.id, connection, &head);
         }
         host.attempt.finish(Outcome::Succeeded, None);
-        if relay.body.is_inside_event() {
-            self.state.counters.add(|c| c.interrupted_events += 1);
-        }
         let rest = relay.splitter.take_incomplete();
         if !rest.is_empty() && !relay.writer.write_piece(self, &head, &rest).await {
             return AttemptResult::Answered(ConnectionOutcome::Truncated);
@@ -164,7 +161,7 @@
                 deadline
             };
             match timeout_at(wake_at, connection.read_body_piece(body)).await {
-                Ok(piece) => return piece.map_err(|_| WaitError::Broken),
+                Ok(piece) => return piece.map_err(|error| self.on_read_error(&error)),
                 Err(_) if wake_at >= deadline => return Err(WaitError::DeadlinePassed),
                 Err(_) if connection.host_active_since(waiting_since) => {}
                 Err(_) => {
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -33,6 +33,9 @@
     /// The host closed the connection.
     #[snafu(display("the host closed the connection"))]
     Closed,
+    /// The host closed the connection inside an event of a stream whose end nothing else marks.
+    #[snafu(display("the host closed the connection inside an event"))]
+    ClosedInsideEvent,
     /// The received bytes are not a valid response.
     #[snafu(context(false), display("{source}"))]
     Malformed {
@@ -162,6 +165,9 @@
     }
 
     /// Reads the next piece of a body; `None` at the end of the body. Cancel-safe.
+    ///
+    /// # Errors
+    /// If the socket fails, the body is malformed, or the connection is closed where the body can't end.
     pub(crate) async fn read_body_piece(
         &mut self,
         body: &mut ResponseBody,
@@ -171,7 +177,7 @@
                 Decoded::Data(data) => return Ok(Some(data)),
                 Decoded::End => return Ok(None),
                 Decoded::Incomplete => match self.read_more().await {
-                    Err(UpstreamError::Closed) if body.is_close_delimited() => return Ok(None),
+                    Err(UpstreamError::Closed) => return body.on_close().map(|()| None),
                     result => result?,
                 },
             }
--- a/crates/proxy/src/upstream/response_body.rs
+++ b/crates/proxy/src/upstream/response_body.rs
@@ -2,11 +2,12 @@
 
 use crate::event_boundary::EventBoundary;
 use crate::headers::is_event_stream;
+use crate::upstream::connection::UpstreamError;
 use bytes::BytesMut;
 use http1::{BodyDecoder, Decoded, ParseError, ResponseHead};
 
-/// Decodes the body of a response. If only the end of the connection ends the body, it also tells what such an end
-/// means.
+/// Decodes the body of a response. If only the end of the connection ends the body, it also tells whether the body can
+/// end there.
 #[derive(Debug)]
 pub(crate) struct ResponseBody {
     decoder: BodyDecoder,
@@ -31,10 +32,20 @@
         self.decoder.is_close_delimited()
     }
 
-    /// Whether the received bytes end inside an event of a close-delimited event stream.
-    pub(crate) fn is_inside_event(&self) -> bool {
-        self.boundary
-            .is_some_and(|boundary| boundary.is_inside_event())
+    /// Ends the body at an orderly close of the connection. The kernel closes the connections of a crashed host in an
+    /// orderly way too, so that the close alone does not show that an event stream is complete.
+    ///
+    /// # Errors
+    /// [`UpstreamError::Closed`] if the framing marks the end of the body;
+    /// [`UpstreamError::ClosedInsideEvent`] if an event is incomplete.
+    pub(crate) fn on_close(&self) -> Result<(), UpstreamError> {
+        if !self.is_close_delimited() {
+            return Err(UpstreamError::Closed);
+        }
+        match self.boundary {
+            Some(boundary) if boundary.is_inside_event() => Err(UpstreamError::ClosedInsideEvent),
+            _ => Ok(()),
+        }
     }
 
     /// Removes the next piece of the body, with any framing before it, from the front of `buf`.
