Soak: half of the streams that may run once end with their host's connection

Cause: the soak's hosts knew chunked streams only, so it could not meet the fault of incident stream-ends. Change: a stream's framing is part of the work that a client asks for; a host that breaks off such a stream stops inside an event.

--- a/crates/fennelpin-cli/tests/soak/clients.rs
+++ b/crates/fennelpin-cli/tests/soak/clients.rs
@@ -4,7 +4,7 @@
 use super::recorder::{Recorder, RequestEnd, RequestKind, RequestRecord};
 use super::response::Connection;
 use super::stop_signal::StopSignal;
-use super::stream_hosts::{Work, BREAKING_SUFFIX};
+use super::stream_hosts::{StreamFraming, Work, BREAKING_SUFFIX};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::io::Write;
@@ -251,6 +251,12 @@
                 self.random.random_range(1..25),
             ),
         };
+        // Every second stream that may run once ends with its host's connection.
+        let framing = if kind == RequestKind::Stream && self.requests.is_multiple_of(2) {
+            StreamFraming::CloseDelimited
+        } else {
+            StreamFraming::Chunked
+        };
         let long = self.random.random_bool(0.15);
         let max_gap_ms = if long { 400 } else { 40 };
         let max_delay_ms = if long { 1500 } else { 40 };
@@ -265,6 +271,7 @@
             delay: Duration::from_millis(self.random.random_range(0..max_delay_ms)),
             events,
             gap: Duration::from_millis(self.random.random_range(0..max_gap_ms)),
+            framing,
         };
         Request {
             kind,
--- a/crates/fennelpin-cli/tests/soak/run.rs
+++ b/crates/fennelpin-cli/tests/soak/run.rs
@@ -30,7 +30,7 @@
     FinalLoss::DiskAndProcesses,
 ];
 /// Body of the request that shows that a proxy serves: no delay, no events.
-const FIRST_REQUEST: &str = "first:0:0:0";
+const FIRST_REQUEST: &str = "first:0:0:0:chunked";
 /// Violations that a report names, at most.
 const MAX_NAMED: usize = 12;
 
--- a/crates/fennelpin-cli/tests/soak/stream_hosts.rs
+++ b/crates/fennelpin-cli/tests/soak/stream_hosts.rs
@@ -18,6 +18,56 @@
 /// The end of the id of a request whose response its first host breaks off.
 pub const BREAKING_SUFFIX: &str = "-breaks";
 
+/// What marks the end of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamFraming {
+    /// The last chunk.
+    Chunked,
+    /// The end of the host's connection.
+    CloseDelimited,
+}
+
+impl StreamFraming {
+    /// The head's last lines.
+    fn head_end(self) -> &'static str {
+        match self {
+            Self::Chunked => {
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            }
+            Self::CloseDelimited => "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+        }
+    }
+
+    /// The bytes that carry this part of a stream.
+    fn frame(self, part: &str) -> String {
+        match self {
+            Self::Chunked => format!("{:x}\r\n{part}\r\n", part.len()),
+            Self::CloseDelimited => part.to_owned(),
+        }
+    }
+}
+
+impl fmt::Display for StreamFraming {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Self::Chunked => "chunked",
+            Self::CloseDelimited => "close",
+        })
+    }
+}
+
+impl FromStr for StreamFraming {
+    type Err = MalformedWork;
+
+    fn from_str(text: &str) -> Result<Self, MalformedWork> {
+        match text {
+            "chunked" => Ok(Self::Chunked),
+            "close" => Ok(Self::CloseDelimited),
+            _ => Err(MalformedWork),
+        }
+    }
+}
+
 /// What a host is to do for a request; the request's body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
@@ -28,12 +78,18 @@
     pub events: u64,
     /// Time between two events.
     pub gap: Duration,
+    /// What marks the end of a stream; without meaning for a plain response.
+    pub framing: StreamFraming,
 }
 
 impl fmt::Display for Work {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         let (delay, gap) = (self.delay.as_millis(), self.gap.as_millis());
-        write!(f, "{}:{delay}:{}:{gap}", self.id, self.events)
+        write!(
+            f,
+            "{}:{delay}:{}:{gap}:{}",
+            self.id, self.events, self.framing
+        )
     }
 }
 
@@ -46,7 +102,7 @@
 
     fn from_str(text: &str) -> Result<Self, MalformedWork> {
         let parts: Vec<&str> = text.split(':').collect();
-        let [id, delay, events, gap] = parts[..] else {
+        let [id, delay, events, gap, framing] = parts[..] else {
             return Err(MalformedWork);
         };
         let number = |text: &str| text.parse::<u64>().map_err(|_| MalformedWork);
@@ -55,6 +111,7 @@
             delay: Duration::from_millis(number(delay)?),
             events: number(events)?,
             gap: Duration::from_millis(number(gap)?),
+            framing: framing.parse()?,
         })
     }
 }
@@ -192,6 +249,9 @@
                 self.respond(&mut stream, &request, &work)?;
             } else {
                 self.respond_with_stream(&mut stream, &request, &work)?;
+                if work.framing == StreamFraming::CloseDelimited {
+                    return Ok(());
+                }
             }
         }
         Ok(())
@@ -228,11 +288,13 @@
         let text = if work.events == 0 {
             format!("{head}Content-Length: 1000\r\n\r\nhalf")
         } else {
-            let event = event(1);
-            format!(
-                "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n",
-                event.len()
-            )
+            let framing = work.framing;
+            let start = match framing {
+                StreamFraming::Chunked => event(1),
+                // Between two events nobody could tell this from a complete stream.
+                StreamFraming::CloseDelimited => event(1) + "id: 2\nda",
+            };
+            format!("{head}{}{}", framing.head_end(), framing.frame(&start))
         };
         stream.write_all(text.as_bytes())
     }
@@ -244,17 +306,18 @@
         work: &Work,
     ) -> std::io::Result<()> {
         let head = self.head(request);
-        let text =
-            format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-        stream.write_all(text.as_bytes())?;
+        let framing = work.framing;
+        stream.write_all((head + framing.head_end()).as_bytes())?;
         let resumed_after = request
             .field("last-event-id")
             .map_or(0, |id| id.parse().unwrap_or(0));
         for id in resumed_after + 1..=work.events {
-            let event = event(id);
-            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            stream.write_all(framing.frame(&event(id)).as_bytes())?;
             self.stop.wait(work.gap);
         }
-        stream.write_all(b"0\r\n\r\n")
+        match framing {
+            StreamFraming::Chunked => stream.write_all(b"0\r\n\r\n"),
+            StreamFraming::CloseDelimited => stream.shutdown(std::net::Shutdown::Write),
+        }
     }
 }
