Proxy's tests: one way to start a proxy with one host, and with two

Cause: 66 tests began with the same three to five lines. Change: Proxy::with_one_host and with_two_hosts; no check changes.

--- a/crates/proxy/tests/api_keys.rs
+++ b/crates/proxy/tests/api_keys.rs
@@ -155,8 +155,7 @@
 #[test]
 fn configuration_without_tenants_forwards_the_fields_unchanged() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         let fields = "Fennelpin-Key: k\r\nFennelpin-Tenant: t\r\n";
         client.send(&request("/pure/a", "one", fields)).await;
--- a/crates/proxy/tests/client_connections.rs
+++ b/crates/proxy/tests/client_connections.rs
@@ -66,8 +66,7 @@
 #[test]
 fn chunked_body_reaches_the_host_with_a_length() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&(head("Transfer-Encoding: chunked\r\n") + "3\r\nhel\r\n"))
@@ -89,8 +88,7 @@
 #[test]
 fn expect_continue_gets_an_interim_response() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&head("Expect: 100-continue\r\nContent-Length: 2\r\n"))
@@ -113,8 +111,7 @@
 #[test]
 fn pipelined_requests_are_answered_in_order() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&(request("/pure/a", "one", "") + &request("/once/b", "two", "")))
@@ -248,8 +245,7 @@
 #[case("/live/a")]
 fn client_disconnect_closes_the_host_connection(#[case] path: &str) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let client = proxy.send_request(path).await;
         let mut conn = host.accept().await;
         conn.read_message().await.unwrap();
@@ -262,8 +258,7 @@
 #[test]
 fn client_disconnect_during_a_stream_closes_the_host_connection() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/more/a").await;
         let mut conn = host.accept().await;
         conn.start_stream("seal", &[1]).await;
@@ -367,8 +362,7 @@
 #[test]
 fn response_to_head_has_no_body() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         let head = |path: &str| {
             format!("HEAD {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: one\r\n\r\n")
--- a/crates/proxy/tests/client_disconnects.rs
+++ b/crates/proxy/tests/client_disconnects.rs
@@ -75,8 +75,7 @@
     #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/pure/a").await;
         let mut conn = host.accept().await;
         conn.respond_ok("warm").await;
@@ -166,8 +165,7 @@
 #[test]
 fn client_disconnect_under_backpressure_closes_the_host_connection() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let client = proxy.send_request("/live/a").await;
         let mut conn = host.accept().await;
         conn.start_stream("seal", &[]).await;
--- a/crates/proxy/tests/close_delimited_responses.rs
+++ b/crates/proxy/tests/close_delimited_responses.rs
@@ -44,8 +44,7 @@
     #[values(0, BUFFERED_BODY_BYTES, STREAMED_BODY_BYTES)] length: usize,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let (mut client, conn) = start_response(&mut host, &proxy, path, length).await;
         drop(conn);
         let response = client.read_message().await.expect("a response");
@@ -65,8 +64,7 @@
     #[values(0, BUFFERED_BODY_BYTES, STREAMED_BODY_BYTES)] length: usize,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let (mut client, conn) = start_response(&mut host, &proxy, path, length).await;
         conn.reset();
         if let Some(response) = client.read_message().await {
@@ -90,8 +88,7 @@
     #[case] length: usize,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let (mut client, conn) = start_response(&mut host, &proxy, path, length).await;
         let head = client.read_head().await.expect("a response");
         assert!(head.contains("Transfer-Encoding: chunked\r\n"), "{head}");
@@ -109,8 +106,7 @@
 #[rstest]
 fn http10_client_sees_how_the_stream_ended(#[values(true, false)] reset: bool) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/live/a", "one", "").replace("HTTP/1.1", "HTTP/1.0"))
--- a/crates/proxy/tests/close_delimited_streams.rs
+++ b/crates/proxy/tests/close_delimited_streams.rs
@@ -45,8 +45,7 @@
     run_async_test(async {
         let (stream, boundaries) = stream_with_line_end(line_end);
         for length in 0..=stream.len() {
-            let mut host = FakeHost::new("h1", "s").await;
-            let proxy = Proxy::new(&[&host]).await;
+            let (mut host, proxy) = Proxy::with_one_host().await;
             let mut client = proxy.send_request(path).await;
             respond_and_close(host.accept().await, EVENT_STREAM, &stream[..length]).await;
             let response = client.read_message().await.expect("a response");
@@ -73,8 +72,7 @@
 #[case::inside_an_event("id: 1\ndata: a\n\nid: 2\nda", false)]
 fn http10_client_sees_a_reset_only_inside_an_event(#[case] body: &str, #[case] complete: bool) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/live/a", "one", "").replace("HTTP/1.1", "HTTP/1.0"))
@@ -91,11 +89,7 @@
     #[values("\n", "\r\n", "\r")] line_end: &str,
 ) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/more/a", "one", "").replace("HTTP/1.1", version))
@@ -148,8 +142,7 @@
     #[case] complete: bool,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/live/a").await;
         respond_and_close(host.accept().await, content_type, r#"{"a":1}"#).await;
         let response = client.read_message().await.expect("a response");
@@ -166,8 +159,7 @@
 #[case::interrupted("\n", false)]
 fn end_of_an_event_of_several_megabytes_is_found(#[case] ending: &str, #[case] complete: bool) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/live/a").await;
         let conn = host.accept().await;
         let body = format!("data: {}{ending}", "0123456789".repeat(300_000));
--- a/crates/proxy/tests/common/proxy_under_test.rs
+++ b/crates/proxy/tests/common/proxy_under_test.rs
@@ -152,6 +152,21 @@
         proxy
     }
 
+    /// Starts a proxy with [`ROUTES`] and one host.
+    pub async fn with_one_host() -> (FakeHost, Self) {
+        let host = FakeHost::new("h1", "s").await;
+        let proxy = Self::new(&[&host]).await;
+        (host, proxy)
+    }
+
+    /// Starts a proxy with [`ROUTES`] and two hosts.
+    pub async fn with_two_hosts() -> (FakeHost, FakeHost, Self) {
+        let host_1 = FakeHost::new("h1", "s").await;
+        let host_2 = FakeHost::new("h2", "s").await;
+        let proxy = Self::new(&[&host_1, &host_2]).await;
+        (host_1, host_2, proxy)
+    }
+
     /// Starts a proxy with [`ROUTES`] and one host, whose graceful shutdown may take `grace_s` seconds.
     pub async fn with_grace(grace_s: f64, host: &FakeHost) -> Self {
         let proxy = Self::with_options(ProxyOptions {
--- a/crates/proxy/tests/configuration_changes.rs
+++ b/crates/proxy/tests/configuration_changes.rs
@@ -50,8 +50,7 @@
     #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request(path).await;
         let mut conn = host.accept().await;
         conn.read_message().await.unwrap();
@@ -87,8 +86,7 @@
     #[values("/live/a", "/more/a")] path: &str,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request(path).await;
         let mut conn = host.accept().await;
         conn.start_stream("seal", &[1]).await;
@@ -105,8 +103,7 @@
 #[test]
 fn half_read_request_is_served_after_a_configuration_change() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         let head = "POST /pure/a HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: one\r\n\
                     Expect: 100-continue\r\nContent-Length: 10\r\n\r\n";
--- a/crates/proxy/tests/deadlines.rs
+++ b/crates/proxy/tests/deadlines.rs
@@ -53,8 +53,7 @@
     #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         let started_at = Instant::now();
         client.send(&request(path, "one", line)).await;
@@ -79,11 +78,7 @@
 #[rstest]
 fn failover_gets_the_remaining_time(#[values("/pure/a", "/more/a")] path: &str) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let _client = proxy.send_request(path).await;
         let (mut first, other) = first_connection(&mut host_1, &mut host_2).await;
         let before = time_left(&first.read_message().await.unwrap());
@@ -106,11 +101,7 @@
 #[test]
 fn resumed_stream_gets_the_remaining_time() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/more/a").await;
         let (mut first, other) = first_connection(&mut host_1, &mut host_2).await;
         let before = time_left(&first.start_stream("seal", &[1]).await);
--- a/crates/proxy/tests/forwarded_fields.rs
+++ b/crates/proxy/tests/forwarded_fields.rs
@@ -58,11 +58,7 @@
     #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
 ) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         client
             .send(&request(path, "one", &field_lines(&lines)))
@@ -87,11 +83,7 @@
 #[test]
 fn resumed_stream_keeps_the_client_prompt_fields() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         let lines = PROMPT_FIELDS.map(str::to_owned);
         client
@@ -112,8 +104,7 @@
 #[test]
 fn priority_and_versions_are_forwarded_when_the_proxy_sets_none() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&request(
@@ -139,8 +130,7 @@
 #[rstest]
 fn event_with_a_version_is_forwarded_unchanged(#[values("/live/a", "/more/a")] path: &str) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request(path).await;
         let mut conn = host.accept().await;
         conn.start_stream("seal", &[1]).await;
@@ -160,8 +150,7 @@
 #[test]
 fn version_mismatch_does_not_eject_the_host() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/pure/a", "one", "Expect-Version: 9\r\n"))
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -6,8 +6,7 @@
 #[test]
 fn plain_request_and_response_are_forwarded_unchanged() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         assert_eq!(proxy.readiness_status().await, 200);
         let mut client = proxy.client().await;
         client
@@ -63,11 +62,7 @@
 #[test]
 fn refused_request_is_retried_at_another_host() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         client.send(&request("/once/a", "one", "")).await;
         let (first, other) = tokio::select! {
@@ -84,8 +79,7 @@
 #[test]
 fn stream_is_forwarded_as_it_comes() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         for path in ["/live/a", "/more/a"] {
             let mut client = proxy.client().await;
             client
@@ -107,11 +101,7 @@
 #[test]
 fn broken_resumable_stream_is_resumed_at_another_host() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         client.send(&request("/more/a", "one", "")).await;
         let (mut first, other) = tokio::select! {
--- a/crates/proxy/tests/host_failures.rs
+++ b/crates/proxy/tests/host_failures.rs
@@ -129,11 +129,7 @@
 #[test]
 fn request_refused_by_all_hosts_gets_retry_after() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/once/a").await;
         let (mut first, other) = first_connection(&mut host_1, &mut host_2).await;
         first.respond_refusal().await;
@@ -150,11 +146,7 @@
 #[test]
 fn refusal_body_is_not_waited_for() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/once/a", "one", "Fennelpin-Deadline-Ms: 40\r\n"))
@@ -350,11 +342,7 @@
 #[test]
 fn last_host_error_is_forwarded_when_all_fail() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/pure/a").await;
         let (mut first, other) = first_connection(&mut host_1, &mut host_2).await;
         first.respond("500 Own\r\nContent-Length: 5", "first").await;
@@ -392,8 +380,7 @@
 async fn proxy_with_idle_connection(
     lines: &str,
 ) -> (FakeHost, Proxy, TestConnection, TestConnection) {
-    let mut host = FakeHost::new("h1", "s").await;
-    let proxy = Proxy::new(&[&host]).await;
+    let (mut host, proxy) = Proxy::with_one_host().await;
     let mut client = proxy.send_request("/once/a").await;
     let mut conn = host.accept().await;
     conn.respond(
@@ -569,8 +556,7 @@
 #[test]
 fn large_response_is_streamed_through() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let body = "0123456789".repeat(100_000);
         for _ in 0..2 {
             let mut client = proxy.send_request("/pure/a").await;
@@ -594,8 +580,7 @@
 #[case::chunks("Transfer-Encoding: chunked", "80e80\r\n")]
 fn truncated_large_response_looks_incomplete(#[case] framing: &str, #[case] start: &str) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/pure/a").await;
         let body = start.to_owned() + &"0123456789".repeat(40_000);
         let respond = async {
@@ -612,8 +597,7 @@
 #[rstest]
 fn truncated_close_delimited_response_ends_with_a_reset(#[values(true, false)] reset: bool) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         // An HTTP/1.0 client does not support chunked encoding, so only the connection shows it the end of the
         // response.
         let mut client = proxy.client().await;
@@ -691,8 +675,7 @@
     #[case] status: u16,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         let deadline = if sent {
             ""
@@ -717,8 +700,7 @@
 #[test]
 fn host_response_at_the_deadline_is_forwarded() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/quick/once/a").await;
         let mut conn = host.accept().await;
         let received = conn.read_message().await.unwrap();
@@ -738,11 +720,7 @@
 #[rstest]
 fn request_fails_over_from_a_silent_host(#[values("/pure/a", "/more/a")] path: &str) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request(path).await;
         let (mut silent, other) = first_connection(&mut host_1, &mut host_2).await;
         silent.read_message().await.unwrap();
@@ -766,11 +744,7 @@
 #[test]
 fn non_idempotent_request_waits_for_a_silent_host() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/once/a", "one", "Fennelpin-Deadline-Ms: 900\r\n"))
@@ -788,8 +762,7 @@
 #[test]
 fn ejection_and_reinstatement_of_a_host_are_counted_once() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/pure/a").await;
         drop(host.accept().await);
         assert_ne!(client.read_message().await.unwrap().status(), 200);
--- a/crates/proxy/tests/response_ends.rs
+++ b/crates/proxy/tests/response_ends.rs
@@ -200,11 +200,7 @@
     /// Plays the row. A second host answers what the proxy asks of it. Returns what the client got, how many attempts
     /// were made and how many responses counted as broken.
     async fn play(self, close_kind: CloseKind) -> (Option<ReceivedResponse>, u64, u64) {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         let text = request(self.exchange.path, "one", "Connection: close\r\n");
         client
--- a/crates/proxy/tests/response_matching.rs
+++ b/crates/proxy/tests/response_matching.rs
@@ -116,8 +116,7 @@
 #[test]
 fn attempt_id_and_seal_are_forwarded_despite_connection_lists() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         let lists =
             "Connection: keep-alive, Fennelpin-Attempt-Id, Fennelpin-Host-Seal, X-Own\r\nX-Own: 1\r\n";
@@ -174,8 +173,7 @@
 #[test]
 fn response_with_two_attempt_ids_matches_no_attempt() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/once/a").await;
         let mut conn = host.accept().await;
         conn.respond(
@@ -191,8 +189,7 @@
 #[test]
 fn request_with_two_attempt_ids_reaches_no_host() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/once/a", "one", "Fennelpin-Attempt-Id: two\r\n"))
@@ -206,11 +203,7 @@
 #[test]
 fn success_status_is_never_a_refusal() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/once/a").await;
         let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
         conn.respond(
@@ -241,8 +234,7 @@
     #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.client().await;
         let request_without_body = format!(
             "{method} {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: zero\r\n\r\n"
@@ -316,11 +308,7 @@
 #[case::comment(": still here\n\n", false)]
 fn stream_is_not_resumed_after_data_without_id(#[case] event: &str, #[case] truncated: bool) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/more/a").await;
         let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
         conn.start_stream("seal", &[1]).await;
@@ -427,8 +415,7 @@
     #[values("H", "HTTP/1.1 200 OK\r\nFennelpin-Att", "\r\n")] trailing: &str,
 ) {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/once/a").await;
         let mut conn = host.accept().await;
         conn.read_message().await.unwrap();
@@ -445,8 +432,7 @@
 #[test]
 fn new_host_at_a_reused_address_gets_its_own_connections() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/once/a").await;
         let mut old = host.accept().await;
         assert_eq!(
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -11,11 +11,7 @@
 #[case::garbage("zz\r\n")]
 fn broken_stream_that_is_not_resumable_is_truncated(#[case] ending: &str) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/live/a").await;
         let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
         conn.start_stream("seal", &[1, 2]).await;
@@ -34,11 +30,7 @@
 #[case::garbage("zz\r\n")]
 fn broken_resumable_stream_continues_without_gaps(#[case] ending: &str) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.client().await;
         client
             .send(&request("/more/a", "one", "Last-Event-Id: 7\r\n"))
@@ -72,11 +64,7 @@
 #[test]
 fn stream_broken_before_its_first_event_uses_the_next_host_head() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/more/a").await;
         let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
         conn.start_stream("first", &[]).await;
@@ -98,11 +86,7 @@
 #[test]
 fn resume_refused_by_all_hosts_truncates_the_stream() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/more/a").await;
         let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
         conn.start_stream("first", &[1, 2]).await;
@@ -122,11 +106,7 @@
     #[case] body: &str,
 ) {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/more/a").await;
         let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
         conn.start_stream("first", &[1, 2]).await;
@@ -140,8 +120,7 @@
 #[test]
 fn resumable_stream_forwards_complete_events_only() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/more/a").await;
         let mut conn = host.accept().await;
         conn.start_stream("seal", &[1]).await;
@@ -159,11 +138,7 @@
 #[test]
 fn stalled_stream_is_resumed_before_its_client_gives_up() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut client = proxy.send_request("/more/a").await;
         let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
         conn.start_stream("first", &[1]).await;
@@ -229,8 +204,7 @@
 #[test]
 fn stalled_stream_is_waited_for_without_another_host() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/more/a").await;
         let mut conn = host.accept().await;
         conn.start_stream("first", &[1]).await;
@@ -250,8 +224,7 @@
 #[test]
 fn stream_with_a_content_length_is_forwarded() {
     run_async_test(async {
-        let mut host = FakeHost::new("h1", "s").await;
-        let proxy = Proxy::new(&[&host]).await;
+        let (mut host, proxy) = Proxy::with_one_host().await;
         let mut client = proxy.send_request("/live/a").await;
         let text = events([1, 2]);
         let lines = format!(
@@ -267,11 +240,7 @@
 #[test]
 fn load_in_a_stream_head_is_reported_at_once() {
     run_async_test(async {
-        let (mut host_1, mut host_2) = (
-            FakeHost::new("h1", "s").await,
-            FakeHost::new("h2", "s").await,
-        );
-        let proxy = Proxy::new(&[&host_1, &host_2]).await;
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
         let mut first = proxy.send_request("/live/a").await;
         let (mut busy, other) = first_connection(&mut host_1, &mut host_2).await;
         busy.respond(
--- a/crates/proxy/tests/wire_format.rs
+++ b/crates/proxy/tests/wire_format.rs
@@ -29,8 +29,7 @@
     Fennelpin-Expected-Host: other\r\nFennelpin-Prompt-Prefix: 1f:100,2a:7\r\nFennelpin-Token-Counts: 107,20\r\nX-Empty:\r\n";
 
 async fn record_requests(transcript: &mut Transcript) {
-    let mut host = FakeHost::new("h1", "s").await;
-    let proxy = Proxy::new(&[&host]).await;
+    let (mut host, proxy) = Proxy::with_one_host().await;
     for (path, fields) in [
         ("/pure/a?b=c", REQUEST_FIELDS),
         ("/more/a", REQUEST_FIELDS),
@@ -112,8 +111,7 @@
 ];
 
 async fn record_responses(transcript: &mut Transcript) {
-    let mut host = FakeHost::new("h1", "s").await;
-    let proxy = Proxy::new(&[&host]).await;
+    let (mut host, proxy) = Proxy::with_one_host().await;
     let fields = "X-Own: a  b\r\nConnection: X-Hop, Fennelpin-Host-Seal\r\nx-hop: 1\r\nKeep-Alive: timeout=5\r\n\
         Fennelpin-Host-Seal: seal\r\nFennelpin-Host-Load: 1,2,3\r\nServer: s";
     for (method, path, version, lines, body) in RESPONSES {
