--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,10 +14,10 @@
 //! | `readiness` | HTTP server for the platform's readiness probe |
 //!
 //! Decisions without I/O have modules of their own: [`retry`] (whether another attempt is made), [`event_stream`]
-//! (complete events, position to resume from), [`event_boundary`] (whether a stream stops inside an event), [`upstream::pool`] (which connection is used), [`routes`] (route and
-//! service of a request), [`tenants`] (sender of a request), `response_matching` (which attempt a response belongs to),
-//! `shutdown` (which requests are still admitted). The crate [`balancing`] selects the hosts; [`http1`] parses
-//! HTTP/1.1.
+//! (complete events, position to resume from), [`event_boundary`] (whether a stream stops inside an event),
+//! [`upstream::pool`] (which connection is used), [`routes`] (route and service of a request), [`tenants`] (sender of a
+//! request), `response_matching` (which attempt a response belongs to), `shutdown` (which requests are still admitted).
+//! The crate [`balancing`] selects the hosts; [`http1`] parses HTTP/1.1.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
