--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -38,12 +39,16 @@
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
         self.start = time.monotonic()
+        self.lock = threading.Lock()
 
     def line(self, text):
-        line = f"{time.monotonic() - self.start:9.3f} s  {text}"
-        self.file.write(line + "\n")
-        self.file.flush()
-        print(line, flush=True)
+        with self.lock:
+            line = f"{time.monotonic() - self.start:9.3f} s  {text}\n"
+            if not self.file.closed:
+                self.file.write(line)
+                self.file.flush()
+            sys.stdout.write(line)
+            sys.stdout.flush()
 
     def close(self):
         self.file.close()
