--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -48,6 +48,8 @@
     broken_responses;
     /// Event streams whose host closed its connection inside an event.
     interrupted_events;
+    /// Complete bodies of hosts that nothing but an orderly close of the connection ended.
+    close_delimited_bodies;
     /// Datagrams received that were not valid hints.
     invalid_hints;
     /// Requests that failed over to another host because the first one didn't respond in time.
--- a/crates/proxy/src/exchange/buffered.rs
+++ b/crates/proxy/src/exchange/buffered.rs
@@ -52,7 +52,10 @@
                 .await;
         }
         match read {
-            Ok(BodyRead::Complete) => self.on_complete_body(response, body.freeze()).await,
+            Ok(BodyRead::Complete) => {
+                self.record_body_end(&decoder);
+                self.on_complete_body(response, body.freeze()).await
+            }
             // Once started, the response might be truncated. An error can still be sent in its place.
             Ok(BodyRead::OverLimit) if self.may_be_truncated_by_shutdown() => {
                 let code = self.progress.code_unless_run(ResultCode::Leaving);
@@ -144,7 +147,10 @@
             let piece = response.connection.read_body_piece(&mut decoder);
             let data = match timeout_at(self.response_deadline(), piece).await {
                 Ok(Ok(Some(data))) if !self.is_past_max_overrun() => data,
-                Ok(Ok(None)) => return self.finish_large(response, writer).await,
+                Ok(Ok(None)) => {
+                    self.record_body_end(&decoder);
+                    return self.finish_large(response, writer).await;
+                }
                 Ok(Err(error)) => {
                     let error = self.on_read_error(&error);
                     self.on_wait_error(error, response.host.attempt);
--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -96,6 +96,9 @@
             wait.read(self, connection, attempt, read_piece).await?
         };
         let resumable = self.route.resumable;
+        if piece.is_none() {
+            self.record_body_end(&relay.body);
+        }
         match piece {
             // The end of the connection may also be a failure, so a resumable stream is resumed at another host.
             None if resumable && relay.body.is_close_delimited() && relay.writer.marks_end() => {
