A resumable stream that its host ends in order without a length is complete

Cause: on such a route the proxy took each orderly end of the host's connection for a break. It charged the host with a lost connection and asked another one, whose answer ended the same way.

Change: a close is judged by whether its host still runs. A host that accepts a new connection closed the first one itself; the address of a process that crashed refuses it, and the stream is resumed as after a reset (also for clients of HTTP/1.0, for whom a crash between two events looked complete). At the end of a stream its last event counts as one also where its lines end with CR alone. Why it works: a close and a crash look the same on the stream's own connection, and differ at the listening socket, which a process loses when it ends.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -50,6 +50,8 @@
     interrupted_events;
     /// Complete bodies of hosts that nothing but an orderly close of the connection ended.
     close_delimited_bodies;
+    /// Streams that such a close ended, and whose host refused a new connection: its process had crashed.
+    streams_ended_by_crash;
     /// Datagrams received that were not valid hints.
     invalid_hints;
     /// Requests that failed over to another host because the first one didn't respond in time.
--- a/crates/proxy/src/event_stream.rs
+++ b/crates/proxy/src/event_stream.rs
@@ -47,6 +47,8 @@
     line_start: usize,
     /// Id of the incomplete event at the front of `buf`, if its id line was read.
     id: Option<String>,
+    /// Whether the stream has ended, so that no LF follows a CR at the end of `buf`.
+    ended: bool,
     max_event_bytes: usize,
 }
 
@@ -57,6 +59,7 @@
             buf: BytesMut::new(),
             line_start: 0,
             id: None,
+            ended: false,
             max_event_bytes,
         }
     }
@@ -75,6 +78,11 @@
         Ok(())
     }
 
+    /// Records that the stream has ended. A CR at its very end ends a line.
+    pub fn end(&mut self) {
+        self.ended = true;
+    }
+
     /// Takes the next complete event; `None` if none is buffered.
     pub fn next_event(&mut self) -> Option<Event> {
         loop {
@@ -85,6 +93,7 @@
                 (b'\n', _) => 1,
                 (_, Some(b'\n')) => 2,
                 (_, Some(_)) => 1,
+                (_, None) if self.ended => 1,
                 (_, None) => return None,
             };
             if let Some(id) = event_id(&rest[..line_length]) {
--- a/crates/proxy/src/exchange/client_writer.rs
+++ b/crates/proxy/src/exchange/client_writer.rs
@@ -62,12 +62,6 @@
         exchange.write_to_client(&out, b"").await
     }
 
-    /// Whether the framing marks the end of the response, so that the client can tell it from a broken connection. The
-    /// end must then not be written unless the response is known to be complete.
-    pub(super) fn marks_end(&self) -> bool {
-        self.framing != Framing::CloseDelimited
-    }
-
     /// Writes the end of the response.
     pub(super) async fn finish(
         &mut self,
--- a/crates/proxy/src/exchange/host_request.rs
+++ b/crates/proxy/src/exchange/host_request.rs
@@ -55,7 +55,7 @@
     fn from(error: AcquireError) -> Self {
         match error {
             AcquireError::AtLimit => Self::AtConnectionLimit,
-            AcquireError::ConnectFailed => Self::Unreachable,
+            AcquireError::ConnectionRefused | AcquireError::ConnectFailed => Self::Unreachable,
         }
     }
 }
@@ -105,7 +105,7 @@
         });
     }
 
-    fn connect_target(&self, host: &SelectedHost) -> ConnectTarget {
+    pub(super) fn connect_target(&self, host: &SelectedHost) -> ConnectTarget {
         ConnectTarget {
             host: host.id.clone(),
             address: host.address,
--- a/crates/proxy/src/exchange/host_wait.rs
+++ b/crates/proxy/src/exchange/host_wait.rs
@@ -3,7 +3,7 @@
 use super::host_selection::SelectedHost;
 use super::Exchange;
 use crate::state::InFlightAttempt;
-use crate::upstream::{ResponseBody, UpstreamConnection, UpstreamError};
+use crate::upstream::{UpstreamConnection, UpstreamError};
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
@@ -108,11 +108,4 @@
         }
         WaitError::Broken
     }
-
-    /// Counts a body whose end has been read, if nothing but the end of the connection marked it.
-    pub(super) fn record_body_end(&self, body: &ResponseBody) {
-        if body.is_close_delimited() {
-            self.state.counters.add(|c| c.close_delimited_bodies += 1);
-        }
-    }
 }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -5,7 +5,8 @@
 //! 3. [`host_request`]: builds the request for that host and sends it.
 //! 4. [`await_response`], with [`host_wait`]: waits for the head of the response that belongs to the attempt, until the
 //!    deadline or until another host takes over.
-//! 5. [`attempt`]: classifies the response; [`buffered`] or [`streaming`] relays it through [`client_writer`].
+//! 5. [`attempt`]: classifies the response; [`buffered`] or [`streaming`] relays it through [`client_writer`], and
+//!    [`close_confirmation`] checks an end that only the host's connection marks.
 //! 6. [`Exchange::forward`]: makes another attempt if [`crate::retry`] allows it.
 
 mod admission;
@@ -14,6 +15,7 @@
 mod balancing_headers;
 mod buffered;
 mod client_writer;
+mod close_confirmation;
 mod host_request;
 mod host_selection;
 mod host_wait;
--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -12,6 +12,7 @@
 use balancing::Outcome;
 use bytes::{Bytes, BytesMut};
 use configuration::Route;
+use http1::ResponseHead;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
@@ -40,6 +41,18 @@
     has_data: bool,
 }
 
+impl StreamRelay {
+    /// Writes a piece of the body, if there is one. Returns false if the client does not accept it in time.
+    async fn write_unless_empty(
+        &mut self,
+        exchange: &Exchange<'_>,
+        head: &ResponseHead,
+        data: &[u8],
+    ) -> bool {
+        data.is_empty() || self.writer.write_piece(exchange, head, data).await
+    }
+}
+
 impl Exchange<'_> {
     /// Relays a stream: as it arrives, or in complete events if it may be resumed at another host.
     pub(super) async fn relay_stream(
@@ -95,26 +108,21 @@
             let attempt = &response.host.attempt;
             wait.read(self, connection, attempt, read_piece).await?
         };
-        let resumable = self.route.resumable;
-        if piece.is_none() {
-            self.record_body_end(&relay.body);
-        }
         match piece {
-            // The end of the connection may also be a failure, so a resumable stream is resumed at another host.
-            None if resumable && relay.body.is_close_delimited() && relay.writer.marks_end() => {
-                Err(WaitError::Broken)
-            }
-            None => Ok(None),
-            Some(data) if !resumable => Ok(Some(data)),
-            Some(data) => {
+            Some(data) if self.route.resumable => {
                 relay.splitter.push(&data).map_err(|_| WaitError::Broken)?;
                 Ok(Some(self.take_new_events(&mut relay.splitter)))
             }
+            piece => Ok(piece),
         }
     }
 
-    /// Finishes a stream whose end has been read.
-    async fn finish_stream(&self, response: HostResponse, mut relay: StreamRelay) -> AttemptResult {
+    /// Finishes a stream whose end has been read, unless its host turns out to have crashed.
+    async fn finish_stream(
+        &mut self,
+        response: HostResponse,
+        mut relay: StreamRelay,
+    ) -> AttemptResult {
         let HostResponse {
             host,
             connection,
@@ -122,12 +130,25 @@
             after_stray_responses,
             ..
         } = response;
-        if !after_stray_responses {
+        self.record_body_end(&relay.body);
+        if after_stray_responses {
+            drop(connection);
+        } else {
             upstream::release(self.state, &host.id, connection, &head);
         }
+        relay.splitter.end();
+        let last_events = self.take_new_events(&mut relay.splitter);
+        if !relay.write_unless_empty(self, &head, &last_events).await {
+            return AttemptResult::Answered(ConnectionOutcome::Truncated);
+        }
+        if self.route.resumable {
+            if let Err(error) = self.confirm_stream_end(&relay.body, &host).await {
+                return self.on_broken_stream(error, host);
+            }
+        }
         host.attempt.finish(Outcome::Succeeded, None);
         let rest = relay.splitter.take_incomplete();
-        if !rest.is_empty() && !relay.writer.write_piece(self, &head, &rest).await {
+        if !relay.write_unless_empty(self, &head, &rest).await {
             return AttemptResult::Answered(ConnectionOutcome::Truncated);
         }
         AttemptResult::Answered(relay.writer.finish(self, &head).await)
--- a/crates/proxy/src/upstream/acquire.rs
+++ b/crates/proxy/src/upstream/acquire.rs
@@ -5,6 +5,7 @@
 use crate::upstream::UpstreamConnection;
 use http1::ResponseHead;
 use snafu::Snafu;
+use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use tokio::net::TcpStream;
@@ -16,7 +17,10 @@
     /// This process has reached its limit of connections to the host.
     #[snafu(display("the limit of connections to the host is reached"))]
     AtLimit,
-    /// The connection could not be established before its deadline.
+    /// Nothing listens at the host's address.
+    #[snafu(display("the host refuses connections"))]
+    ConnectionRefused,
+    /// The connection could not be established before its deadline, or not for another reason.
     #[snafu(display("can't connect to the host"))]
     ConnectFailed,
 }
@@ -60,12 +64,18 @@
         .ok_or(AcquireError::AtLimit)?;
     state.counters.add(|c| c.host_connects += 1);
     let connecting = TcpStream::connect(SocketAddr::V4(target.address));
-    if let Ok(Ok(stream)) = timeout_at(target.connect_deadline, connecting).await {
-        let _ = stream.set_nodelay(true);
-        return Ok(UpstreamConnection::new(stream, permit, state.clock));
-    }
+    let error = match timeout_at(target.connect_deadline, connecting).await {
+        Ok(Ok(stream)) => {
+            let _ = stream.set_nodelay(true);
+            return Ok(UpstreamConnection::new(stream, permit, state.clock));
+        }
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            AcquireError::ConnectionRefused
+        }
+        Ok(Err(_)) | Err(_) => AcquireError::ConnectFailed,
+    };
     state.counters.add(|c| c.host_connect_failures += 1);
-    Err(AcquireError::ConnectFailed)
+    Err(error)
 }
 
 /// Returns a connection to the pool after a complete response with this head, if the connection may be reused.
--- a/crates/proxy/tests/event_stream.rs
+++ b/crates/proxy/tests/event_stream.rs
@@ -69,6 +69,19 @@
     );
 }
 
+/// Guards against a last event that is neither forwarded as an event nor known to be: it would be asked for again.
+#[test]
+fn last_event_that_ends_with_cr_alone_is_complete_at_the_end_of_the_stream() {
+    let text = "id: 1\rdata: a\r\r";
+    let mut splitter = EventSplitter::new(1024);
+    splitter.push(text.as_bytes()).unwrap();
+    assert!(splitter.next_event().is_none());
+    splitter.end();
+    let expected = [(text.to_owned(), Some("1".to_owned()))];
+    assert_eq!(drain_events(&mut splitter), expected);
+    assert!(splitter.take_incomplete().is_empty());
+}
+
 #[test]
 fn event_over_the_limit_is_an_error() {
     let mut splitter = EventSplitter::new(8);
--- a/crates/proxy/tests/response_ends.rs
+++ b/crates/proxy/tests/response_ends.rs
@@ -29,7 +29,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum CloseKind {
+    /// By the host, which runs on.
     Orderly,
+    /// By the kernel, as the host's process has crashed.
+    Crash,
     Reset,
 }
 
@@ -70,10 +73,18 @@
 }
 
 /// The table of the page.
-fn expected_outcome(exchange: Exchange, framing: HostFraming, position: Position) -> Outcome {
+fn expected_outcome(
+    exchange: Exchange,
+    framing: HostFraming,
+    position: Position,
+    close_kind: CloseKind,
+) -> Outcome {
+    let is_crash_seen = close_kind == CloseKind::Crash && exchange.is_resumable();
     let looks_complete = match framing {
         HostFraming::Length | HostFraming::Chunked => position == Position::Complete,
-        HostFraming::CloseDelimited => !exchange.events || position != Position::Inside,
+        HostFraming::CloseDelimited => {
+            !is_crash_seen && (!exchange.events || position != Position::Inside)
+        }
     };
     let has_started = exchange.is_streamed() && position != Position::BeforeBody;
     if looks_complete {
@@ -206,7 +217,7 @@
         client
             .send(&text.replace("HTTP/1.1", self.client_version))
             .await;
-        let (mut conn, other) = first_connection(&mut host_1, &mut host_2).await;
+        let (mut conn, host, other) = first_connection_by_host(&mut host_1, &mut host_2).await;
         conn.read_message().await.expect("a request");
         let whole = self.whole_body();
         let part = part_of_body(&whole, self.position, self.exchange.events, self.line_end);
@@ -221,6 +232,10 @@
         .await;
         match close_kind {
             CloseKind::Orderly => drop(conn),
+            CloseKind::Crash => {
+                host.stop_listening().await;
+                drop(conn);
+            }
             CloseKind::Reset => conn.reset(),
         }
         let answer_elsewhere = async {
@@ -243,6 +258,7 @@
         let rest = match last_event_id.as_deref() {
             None => self.whole_body(),
             Some("1") => event(2).replace('\n', self.line_end),
+            Some("2") => String::new(),
             Some(id) => panic!("resumed after event {id}"),
         };
         let text = response_text(
@@ -256,9 +272,9 @@
         conn.send(&text).await;
     }
 
-    async fn check_orderly_close(self) {
-        let expected = expected_outcome(self.exchange, self.framing, self.position);
-        let (response, attempts, broken) = self.play(CloseKind::Orderly).await;
+    async fn check_close(self, close_kind: CloseKind) {
+        let expected = expected_outcome(self.exchange, self.framing, self.position, close_kind);
+        let (response, attempts, broken) = self.play(close_kind).await;
         let response = response.expect("a response");
         let outcome = match (response.status, response.complete, attempts) {
             (502, true, 1) => Outcome::Failed,
@@ -328,14 +344,6 @@
     rows
 }
 
-/// Whether a row is open: without a length, the end of a resumable stream is asked for at another host (review/3).
-fn is_open(row: &Row) -> bool {
-    row.exchange.is_resumable()
-        && row.framing == HostFraming::CloseDelimited
-        && row.position != Position::Inside
-        && row.client_version == "HTTP/1.1"
-}
-
 const LIVE_EVENTS: Exchange = Exchange {
     path: "/live/a",
     events: true,
@@ -384,9 +392,8 @@
 ) {
     run_async_test(async {
         for row in rows(exchange, framing) {
-            if !is_open(&row) {
-                row.check_orderly_close().await;
-            }
+            row.check_close(CloseKind::Orderly).await;
+            row.check_close(CloseKind::Crash).await;
             if row.position != Position::Complete {
                 row.check_reset().await;
             }
--- a/crates/proxy/tests/response_matching.rs
+++ b/crates/proxy/tests/response_matching.rs
@@ -284,13 +284,19 @@
         conn.start_stream("first", &[1, 2]).await;
         drop(conn);
         let mut conn = next_connection(&mut [host_1, host_2, host_3]).await;
-        conn.respond(
-            &format!("200 OK\r\n{SEAL_FIELD}\r\nContent-Type: text/event-stream"),
-            &event(3),
-        )
-        .await;
+        let received = conn
+            .respond(
+                &format!("200 OK\r\n{SEAL_FIELD}\r\nContent-Type: text/event-stream"),
+                &event(3),
+            )
+            .await;
+        for host in [&mut *host_1, host_2, host_3] {
+            if received.field("fennelpin-expected-host") == Some(&*host.info.id) {
+                host.stop_listening().await;
+            }
+        }
         drop(conn);
-        // The end of that connection may be a failure, so the stream is resumed at the third host, which marks its end.
+        // That host has crashed, so the stream is resumed at the third host, which marks its end.
         let mut conn = next_connection(&mut [host_1, host_2, host_3]).await;
         let received = conn.start_stream("third", &[]).await;
         assert_eq!(received.field("last-event-id"), Some("3"));
