A response that its host's crash cuts between events no longer ends as complete

On routes that aren't resumable the proxy believed every orderly close of a host's connection at which the body can end; the kernel closes the connections of a crashed process in order as well.

Change: close_confirmation looks at every body that nothing but its connection's end ends, on every route: a host that then refuses a new connection has crashed. Not where the host had announced its end (draining, departed): its process may end right after its last stream as planned; resumable streams ask another host in that case. The counter is bodies_ended_by_crash now.

Tests, failed before: 18 cases of stream_whose_host_crashes_between_events_is_truncated, the buffered stream of a shutdown, 3 of close_delimited_response_whose_host_crashes_is_truncated, 4 rows' groups of response_ends.rs. Passed before and now: stream_whose_host_leaves_as_planned_is_complete.

--- a/crates/balancing/src/load_balancer.rs
+++ b/crates/balancing/src/load_balancer.rs
@@ -39,6 +39,11 @@
         self.state.set_hosts(now, hosts);
     }
 
+    /// Whether the host is listed and not draining: it has not announced that it is about to end.
+    pub fn is_serving(&self, host_id: &str) -> bool {
+        self.state.is_serving(host_id)
+    }
+
     /// Sets the number of proxies that share the retry budget; 0 means that it is unknown.
     pub fn set_proxy_count(&mut self, now: Duration, count: usize) {
         self.state.on_call(now);
--- a/crates/balancing/src/state/discovery.rs
+++ b/crates/balancing/src/state/discovery.rs
@@ -36,6 +36,13 @@
         self.remove_unused_services(now);
     }
 
+    /// Whether the host is listed and not draining.
+    pub(crate) fn is_serving(&self, host_id: &str) -> bool {
+        let host = self.host_keys.get(host_id);
+        host.and_then(|key| self.hosts.get(key.0))
+            .is_some_and(|host| !host.info.draining)
+    }
+
     /// Returns the key of a service, which is added if it is unknown.
     pub(crate) fn find_or_add_service(&mut self, name: &str) -> ServiceKey {
         if let Some(key) = self.service_keys.get(name) {
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -48,10 +48,10 @@
     broken_responses;
     /// Event streams whose host closed its connection inside an event.
     interrupted_events;
-    /// Complete bodies of hosts that nothing but an orderly close of the connection ended.
+    /// Bodies of hosts that nothing but an orderly close of the connection ended, where they can end.
     close_delimited_bodies;
-    /// Streams that such a close ended, and whose host refused a new connection: its process had crashed.
-    streams_ended_by_crash;
+    /// Such bodies whose host refused a new connection after the close: its process had crashed.
+    bodies_ended_by_crash;
     /// Datagrams received that were not valid hints.
     invalid_hints;
     /// Requests that failed over to another host because the first one didn't respond in time.
--- a/crates/proxy/src/exchange/buffered.rs
+++ b/crates/proxy/src/exchange/buffered.rs
@@ -53,8 +53,8 @@
         }
         match read {
             Ok(BodyRead::Complete) => {
-                self.record_body_end(&decoder);
-                self.on_complete_body(response, body.freeze()).await
+                self.on_complete_body(response, &decoder, body.freeze())
+                    .await
             }
             // Once started, the response might be truncated. An error can still be sent in its place.
             Ok(BodyRead::OverLimit) if self.may_be_truncated_by_shutdown() => {
@@ -95,7 +95,12 @@
         memory.try_reserve(MAX_BUFFERED_BYTES_IN_SHUTDOWN)
     }
 
-    async fn on_complete_body(&mut self, response: HostResponse, body: Bytes) -> AttemptResult {
+    async fn on_complete_body(
+        &mut self,
+        response: HostResponse,
+        decoder: &ResponseBody,
+        body: Bytes,
+    ) -> AttemptResult {
         let HostResponse {
             host,
             connection,
@@ -103,9 +108,14 @@
             after_stray_responses,
             load,
         } = response;
-        if !after_stray_responses {
+        if after_stray_responses {
+            drop(connection);
+        } else {
             upstream::release(self.state, &host.id, connection, &head);
         }
+        if let Err(error) = self.confirm_end(decoder, &host).await {
+            return self.on_wait_error(error, host.attempt);
+        }
         host.attempt.finish(outcome_of_status(head.status), load);
         if head.status < 500 {
             return AttemptResult::Answered(self.write_complete_response(&head, &body).await);
@@ -147,10 +157,7 @@
             let piece = response.connection.read_body_piece(&mut decoder);
             let data = match timeout_at(self.response_deadline(), piece).await {
                 Ok(Ok(Some(data))) if !self.is_past_max_overrun() => data,
-                Ok(Ok(None)) => {
-                    self.record_body_end(&decoder);
-                    return self.finish_large(response, writer).await;
-                }
+                Ok(Ok(None)) => return self.finish_large(response, &decoder, writer).await,
                 Ok(Err(error)) => {
                     let error = self.on_read_error(&error);
                     self.on_wait_error(error, response.host.attempt);
@@ -170,6 +177,7 @@
     async fn finish_large(
         &self,
         response: HostResponse,
+        decoder: &ResponseBody,
         mut writer: ClientWriter,
     ) -> AttemptResult {
         let HostResponse {
@@ -179,9 +187,15 @@
             after_stray_responses,
             ..
         } = response;
-        if !after_stray_responses {
+        if after_stray_responses {
+            drop(connection);
+        } else {
             upstream::release(self.state, &host.id, connection, &head);
         }
+        if let Err(error) = self.confirm_end(decoder, &host).await {
+            self.on_wait_error(error, host.attempt);
+            return AttemptResult::Answered(ConnectionOutcome::Truncated);
+        }
         host.attempt.finish(outcome_of_status(head.status), None);
         AttemptResult::Answered(writer.finish(self, &head).await)
     }
--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -130,7 +130,6 @@
             after_stray_responses,
             ..
         } = response;
-        self.record_body_end(&relay.body);
         if after_stray_responses {
             drop(connection);
         } else {
@@ -141,10 +140,8 @@
         if !relay.write_unless_empty(self, &head, &last_events).await {
             return AttemptResult::Answered(ConnectionOutcome::Truncated);
         }
-        if self.route.resumable {
-            if let Err(error) = self.confirm_stream_end(&relay.body, &host).await {
-                return self.on_broken_stream(error, host);
-            }
+        if let Err(error) = self.confirm_end(&relay.body, &host).await {
+            return self.on_broken_stream(error, host);
         }
         host.attempt.finish(Outcome::Succeeded, None);
         let rest = relay.splitter.take_incomplete();
--- a/crates/proxy/tests/close_delimited_responses.rs
+++ b/crates/proxy/tests/close_delimited_responses.rs
@@ -58,6 +58,26 @@
     });
 }
 
+/// Guards against ORDER and MIXED: a response that its host's crash cuts was ended as complete while it was relayed.
+#[rstest]
+#[case::large("/pure/a", STREAMED_BODY_BYTES)]
+#[case::large_to_run_once("/once/a", STREAMED_BODY_BYTES)]
+#[case::stream("/live/a", BUFFERED_BODY_BYTES)]
+fn close_delimited_response_whose_host_crashes_is_truncated(
+    #[case] path: &str,
+    #[case] length: usize,
+) {
+    run_async_test(async {
+        let (mut host, proxy) = Proxy::with_one_host().await;
+        let (mut client, conn) = start_response(&mut host, &proxy, path, length).await;
+        host.stop_listening().await;
+        drop(conn);
+        let response = client.read_message().await.expect("a response");
+        assert_eq!((response.status(), response.complete), (200, false));
+        assert_eq!(proxy.counters.get().bodies_ended_by_crash, 1);
+    });
+}
+
 #[rstest]
 fn close_delimited_response_with_a_reset_is_incomplete(
     #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
--- a/crates/proxy/tests/close_delimited_streams.rs
+++ b/crates/proxy/tests/close_delimited_streams.rs
@@ -1,5 +1,6 @@
 //! Tests of event streams that end with their host's connection. A crash of the host ends it in an orderly way too, so a
-//! stream that stops inside an event is incomplete (incident `docs/incidents/stream-ends.md`).
+//! stream is incomplete that stops inside an event (incident `docs/incidents/stream-ends.md`) or whose host then refuses
+//! connections (`docs/incidents/crash-between-events.md`).
 
 mod common;
 use common::*;
@@ -109,6 +110,91 @@
     });
 }
 
+/// Guards against ORDER: a stream that its host's crash cuts between two events was ended as complete.
+#[rstest]
+fn stream_whose_host_crashes_between_events_is_truncated(
+    #[values("/live/a", "/once/a", "/pure/a")] path: &str,
+    #[values("\n", "\r\n", "\r")] line_end: &str,
+    #[values("HTTP/1.1", "HTTP/1.0")] version: &str,
+) {
+    run_async_test(async {
+        let (mut host, proxy) = Proxy::with_one_host().await;
+        let mut client = proxy.client().await;
+        client
+            .send(&request(path, "one", "").replace("HTTP/1.1", version))
+            .await;
+        let mut conn = host.accept().await;
+        let part = event(1).replace('\n', line_end);
+        let lines = format!("200 OK\r\n{SEAL_FIELD}\r\nContent-Type: {EVENT_STREAM}");
+        conn.respond(&lines, &part).await;
+        client.read_until(&part).await;
+        host.stop_listening().await;
+        drop(conn);
+        if version == "HTTP/1.0" {
+            assert!(!client.ends_without_reset().await);
+        } else {
+            let response = client.read_message().await.expect("a response");
+            assert_eq!((response.complete, response.body), (false, part));
+        }
+        let counters = proxy.counters.get();
+        assert_eq!((counters.responses, counters.truncated_responses), (0, 1));
+        assert_eq!(counters.bodies_ended_by_crash, 1);
+    });
+}
+
+/// What a host's registration says when its process ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Announcement {
+    Draining,
+    Departed,
+}
+
+/// Guards against LOST: a host that leaves as planned may end its process right after its last stream.
+#[rstest]
+fn stream_whose_host_leaves_as_planned_is_complete(
+    #[values("/live/a", "/once/a", "/pure/a")] path: &str,
+    #[values(Announcement::Draining, Announcement::Departed)] announcement: Announcement,
+) {
+    run_async_test(async {
+        let (mut host, proxy) = Proxy::with_one_host().await;
+        let mut client = proxy.send_request(path).await;
+        let mut conn = host.accept().await;
+        let lines = format!("200 OK\r\n{SEAL_FIELD}\r\nContent-Type: {EVENT_STREAM}");
+        conn.respond(&lines, &event(1)).await;
+        let mut hosts = vec![host.info.clone()];
+        match announcement {
+            Announcement::Draining => hosts[0].draining = true,
+            Announcement::Departed => hosts.clear(),
+        }
+        proxy.apply_fleet(configuration(1, ROUTES), hosts).await;
+        host.stop_listening().await;
+        conn.send(&event(2)).await;
+        drop(conn);
+        let response = client.read_message().await.expect("a response");
+        assert_eq!((response.complete, response.body), (true, events([1, 2])));
+        assert_eq!(proxy.counters.get().broken_responses, 0);
+    });
+}
+
+/// Guards against MIXED: a stream that a shutdown buffers was sent with the length of what came before its host crashed.
+#[test]
+fn buffered_stream_whose_host_crashes_between_events_is_not_forwarded() {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let mut proxy = Proxy::with_grace(GRACE_S, &host).await;
+        proxy.signal_stop();
+        while proxy.readiness_status().await == 200 {}
+        let mut client = proxy.send_request("/once/a").await;
+        let mut conn = host.accept().await;
+        let lines = format!("200 OK\r\n{SEAL_FIELD}\r\nContent-Type: {EVENT_STREAM}");
+        conn.respond(&lines, &event(1)).await;
+        host.stop_listening().await;
+        drop(conn);
+        let response = client.read_message().await.expect("a response");
+        assert_eq!((response.status(), response.complete), (502, true));
+    });
+}
+
 /// Guards against MIXED: during a shutdown such a stream is buffered, and was sent with the length of what had arrived.
 #[rstest]
 #[case::complete("id: 1\ndata: a\n\n", 200)]
--- a/crates/proxy/tests/response_ends.rs
+++ b/crates/proxy/tests/response_ends.rs
@@ -79,11 +79,10 @@
     position: Position,
     close_kind: CloseKind,
 ) -> Outcome {
-    let is_crash_seen = close_kind == CloseKind::Crash && exchange.is_resumable();
     let looks_complete = match framing {
         HostFraming::Length | HostFraming::Chunked => position == Position::Complete,
         HostFraming::CloseDelimited => {
-            !is_crash_seen && (!exchange.events || position != Position::Inside)
+            close_kind != CloseKind::Crash && (!exchange.events || position != Position::Inside)
         }
     };
     let has_started = exchange.is_streamed() && position != Position::BeforeBody;
--- a/crates/proxy/tests/resumable_stream_ends.rs
+++ b/crates/proxy/tests/resumable_stream_ends.rs
@@ -166,6 +166,28 @@
     });
 }
 
+/// Guards against ORDER: a host that leaves as planned may end its process in the middle of a stream that lasts too long.
+#[test]
+fn stream_whose_draining_host_ends_is_resumed_at_another_host() {
+    run_async_test(async {
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
+        let mut client = request_stream(&proxy, "HTTP/1.1").await;
+        let (mut conn, host, other) = first_connection_by_host(&mut host_1, &mut host_2).await;
+        conn.respond(HEAD_LINES, &events([1, 2])).await;
+        let mut draining = host.info.clone();
+        draining.draining = true;
+        let hosts = vec![draining, other.info.clone()];
+        proxy.apply_fleet(configuration(1, ROUTES), hosts).await;
+        host.stop_listening().await;
+        drop(conn);
+        let mut next = other.accept().await;
+        let received = next.respond(HEAD_LINES, &event(3)).await;
+        assert_eq!(received.field("last-event-id"), Some("2"));
+        drop(next);
+        check_complete(&mut client, &events([1, 2, 3])).await;
+    });
+}
+
 /// Guards against ORDER where nobody can tell whether the host had more to send.
 #[test]
 fn stream_whose_host_crashed_is_truncated_without_another_host() {
