Replication: an origin's records and a puller's versions in modules of their own

Change: mirror::origin_state (one incarnation's records), mirror::known_versions (what a puller has), log_transitions.

--- a/crates/replication/src/client.rs
+++ b/crates/replication/src/client.rs
@@ -85,17 +85,7 @@
             puller.set_members(control_plane.members.iter().map(|member| member.addr));
         }
         client.perform(puller.tick(shared.now()));
-        // Only agents log their pulls: members log their membership, and proxies the configuration in force.
-        if puller.prefers_one_member() {
-            recorder
-                .observe_pulls(&puller)
-                .iter()
-                .for_each(transitions::log);
-            recorder
-                .observe_configuration(state.visible)
-                .iter()
-                .for_each(transitions::log);
-        }
+        log_transitions(&mut recorder, &puller, state.visible);
         let next_tick = state.next_tick.into_iter().chain(puller.next_tick()).min();
         let wake_at = next_tick.unwrap_or_else(|| shared.now() + Duration::from_secs(60));
         tokio::select! {
@@ -117,6 +107,18 @@
     }
 }
 
+/// Logs what has changed. Only agents log their pulls: members log their membership, and proxies the configuration in
+/// force.
+fn log_transitions(recorder: &mut PullRecorder, puller: &Puller, visible: VisibleVersion) {
+    if !puller.prefers_one_member() {
+        return;
+    }
+    let pulls = recorder.observe_pulls(puller);
+    pulls.iter().for_each(transitions::log);
+    let configurations = recorder.observe_configuration(visible);
+    configurations.iter().for_each(transitions::log);
+}
+
 /// Part of the mirror's state that the client acts on.
 struct MirrorState {
     next_tick: Option<Duration>,
--- a/crates/replication/src/mirror/mod.rs
+++ b/crates/replication/src/mirror/mod.rs
@@ -1,6 +1,8 @@
 //! Mirror: a process's copy of the state that the control plane publishes.
 
 mod hosts;
+mod known_versions;
+mod origin_state;
 mod origins;
 mod replicated_state;
 mod unconfirmed;
