A silent host keeps its stream until another host goes on with it

Cause: read_next_piece closed the silent host's connection as soon as another host was selected. A refusal, reset or silence of that one then left nobody who had the request.

Change: exchange::takeover asks the other host while the silent one keeps its request. Whichever sends first carries the stream on, each event once, and the other request is cancelled. Why it works: a host is let go of only when another one has sent a part of the stream, so that the client is never worse off than by waiting. Attempts and budget are spent as before; an attempt that is cancelled while it may have been written counts as sent.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -51,11 +51,23 @@
 impl Exchange<'_> {
     /// Makes one attempt at the selected host.
     pub(super) async fn attempt(&mut self, host: SelectedHost) -> AttemptResult {
+        match self.request_response(host).await {
+            Ok((response, wait)) => self.relay_response(response, wait).await,
+            Err(result) => result,
+        }
+    }
+
+    /// Sends the request to the selected host and waits for the head of its response. Fails with the result of the
+    /// attempt if there is no response to relay.
+    pub(super) async fn request_response(
+        &mut self,
+        host: SelectedHost,
+    ) -> Result<(HostResponse, HostWait), AttemptResult> {
         let mut connection = match self.send_request(&host).await {
             Ok(connection) => connection,
             Err(error) => {
                 host.attempt.finish(error.host_outcome(), None);
-                return AttemptResult::Failed(error.attempt_outcome());
+                return Err(AttemptResult::Failed(error.attempt_outcome()));
             }
         };
         let mut wait = HostWait::new(self);
@@ -64,7 +76,7 @@
             .await;
         let matched = match matched {
             Ok(matched) => matched,
-            Err(error) => return self.on_wait_error(error, host.attempt),
+            Err(error) => return Err(self.on_wait_error(error, host.attempt)),
         };
         let response = HostResponse {
             host,
@@ -73,27 +85,47 @@
             head: matched.head,
             after_stray_responses: matched.after_stray_responses,
         };
-        self.relay_response(response, wait).await
+        Ok((response, wait))
     }
 
     async fn relay_response(&mut self, response: HostResponse, wait: HostWait) -> AttemptResult {
         match self.classify_response(&response.head) {
-            ResponseKind::Refusal => self.on_refusal(response),
-            ResponseKind::Invalid => {
-                self.state.counters.add(|c| c.broken_responses += 1);
-                let attempt = response.host.attempt;
-                attempt.finish(Outcome::ConnectionLost, response.load);
-                AttemptResult::Failed(AttemptOutcome::Broken)
-            }
             ResponseKind::Stream => self.relay_stream(response, wait).await,
+            ResponseKind::Buffered if !self.progress.started() => {
+                self.relay_buffered(response, wait).await
+            }
+            kind => self.on_unusable_response(kind, response),
+        }
+    }
+
+    /// Keeps a response if it continues a stream that the client has the start of. Fails with the result of the attempt
+    /// otherwise.
+    pub(super) fn require_stream(
+        &self,
+        response: HostResponse,
+    ) -> Result<HostResponse, AttemptResult> {
+        match self.classify_response(&response.head) {
+            ResponseKind::Stream => Ok(response),
+            kind => Err(self.on_unusable_response(kind, response)),
+        }
+    }
+
+    /// Ends an attempt whose response is not forwarded.
+    fn on_unusable_response(&self, kind: ResponseKind, response: HostResponse) -> AttemptResult {
+        let (host_outcome, outcome) = match kind {
+            ResponseKind::Refusal => return self.on_refusal(response),
+            ResponseKind::Invalid => (Outcome::ConnectionLost, AttemptOutcome::Broken),
             // The client already has the start of a stream, which no other kind of response can continue.
-            ResponseKind::Buffered if self.progress.started() => {
-                let attempt = response.host.attempt;
-                attempt.finish(Outcome::Failed, response.load);
-                AttemptResult::Failed(AttemptOutcome::HostFailed)
+            ResponseKind::Stream | ResponseKind::Buffered => {
+                (Outcome::Failed, AttemptOutcome::HostFailed)
             }
-            ResponseKind::Buffered => self.relay_buffered(response, wait).await,
+        };
+        if host_outcome == Outcome::ConnectionLost {
+            self.state.counters.add(|c| c.broken_responses += 1);
         }
+        let attempt = response.host.attempt;
+        attempt.finish(host_outcome, response.load);
+        AttemptResult::Failed(outcome)
     }
 
     fn classify_response(&self, head: &ResponseHead) -> ResponseKind {
--- a/crates/proxy/src/exchange/host_request.rs
+++ b/crates/proxy/src/exchange/host_request.rs
@@ -93,7 +93,8 @@
         }
     }
 
-    fn record_sent(&mut self) {
+    /// Counts an attempt of which bytes were written, or may have been.
+    pub(super) fn record_sent(&mut self) {
         let is_retry = self.retry.was_sent();
         if let Some(quota) = self.quota.as_ref().filter(|_| self.retry.may_have_run()) {
             quota.charge_again();
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -7,6 +7,7 @@
 //!    deadline or until another host takes over.
 //! 5. [`attempt`]: classifies the response; [`buffered`] or [`streaming`] relays it through [`client_writer`], and
 //!    [`close_confirmation`] checks an end that only the host's connection marks.
+//!    [`takeover`] asks another host while a stream's host is silent.
 //! 6. [`Exchange::forward`]: makes another attempt if [`crate::retry`] allows it.
 
 mod admission;
@@ -20,6 +21,7 @@
 mod host_selection;
 mod host_wait;
 mod streaming;
+mod takeover;
 
 use self::admission::{Rejection, MAX_RETRY_AFTER, MIN_RETRY_AFTER};
 use self::attempt::AttemptResult;
--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -4,6 +4,7 @@
 use super::client_writer::ClientWriter;
 use super::host_selection::SelectedHost;
 use super::host_wait::{HostWait, WaitError};
+use super::takeover::{RaceOutcome, Takeover};
 use super::Exchange;
 use crate::deadline::duration_from_ms;
 use crate::event_stream::EventSplitter;
@@ -32,12 +33,22 @@
     duration_from_ms(ms)
 }
 
+/// What follows in a stream.
+enum StreamStep {
+    /// Data to forward; empty while no event is complete.
+    Data(Bytes),
+    /// The end of the stream.
+    End,
+    /// Another host has taken the stream over from its silent host.
+    TakenOver(Box<Takeover>),
+}
+
 /// State of relaying a stream from one host.
 struct StreamRelay {
     body: ResponseBody,
     writer: ClientWriter,
     splitter: EventSplitter,
-    /// Whether data from this host has been sent to the client.
+    /// Whether this host has sent data.
     has_data: bool,
 }
 
@@ -60,24 +71,28 @@
         mut response: HostResponse,
         mut wait: HostWait,
     ) -> AttemptResult {
-        response.host.attempt.record_load(response.load);
-        if self.progress.started() {
-            self.state.counters.add(|c| c.resumed_streams += 1);
-        }
-        let mut relay = StreamRelay {
-            body: ResponseBody::new(&response.head),
-            writer: ClientWriter::new(self, &response.head),
-            splitter: EventSplitter::new(MAX_EVENT_BYTES),
-            has_data: false,
-        };
+        let mut relay = self.start_relay(&response, ResponseBody::new(&response.head));
+        let mut taken_over_piece = None;
         loop {
-            let next = self
-                .next_stream_data(&mut response, &mut wait, &mut relay)
-                .await;
-            let data = match next {
-                Ok(Some(data)) if data.is_empty() => continue,
-                Ok(Some(data)) => data,
-                Ok(None) => return self.finish_stream(response, relay).await,
+            let step = match taken_over_piece.take() {
+                Some(piece) => self.on_piece(&mut relay, piece),
+                None => self.next_step(&mut response, &mut wait, &mut relay).await,
+            };
+            let data = match step {
+                Ok(StreamStep::Data(data)) if data.is_empty() => continue,
+                Ok(StreamStep::Data(data)) => data,
+                Ok(StreamStep::End) => return self.finish_stream(response, relay).await,
+                Ok(StreamStep::TakenOver(takeover)) => {
+                    let silent = std::mem::replace(&mut response, takeover.response);
+                    silent.host.attempt.finish(Outcome::TimedOut, None);
+                    self.state.counters.add(|c| c.failovers += 1);
+                    self.retry.record_failover();
+                    relay = self.start_relay(&response, takeover.body);
+                    relay.has_data = true;
+                    response.host.attempt.record_response_start();
+                    taken_over_piece = Some(takeover.first_piece);
+                    continue;
+                }
                 Err(error) => return self.on_broken_stream(error, response.host),
             };
             let attempt = &response.host.attempt;
@@ -92,28 +107,54 @@
         }
     }
 
-    /// Reads the next data to forward, which is empty while no event is complete; `None` at the end of the stream.
-    async fn next_stream_data(
+    /// Prepares to relay a stream whose head has been read, from its start or to a client that has the start.
+    fn start_relay(&self, response: &HostResponse, body: ResponseBody) -> StreamRelay {
+        response.host.attempt.record_load(response.load);
+        if self.progress.started() {
+            self.state.counters.add(|c| c.resumed_streams += 1);
+        }
+        StreamRelay {
+            body,
+            writer: ClientWriter::new(self, &response.head),
+            splitter: EventSplitter::new(MAX_EVENT_BYTES),
+            has_data: false,
+        }
+    }
+
+    /// Reads what follows in the stream.
+    async fn next_step(
         &mut self,
         response: &mut HostResponse,
         wait: &mut HostWait,
         relay: &mut StreamRelay,
-    ) -> Result<Option<Bytes>, WaitError> {
+    ) -> Result<StreamStep, WaitError> {
         let body = &mut relay.body;
         let connection = &mut response.connection;
-        let piece = if relay.has_data {
-            self.read_next_piece(connection, body).await?
-        } else {
-            let read_piece = async |c: &mut UpstreamConnection| c.read_body_piece(body).await;
-            let attempt = &response.host.attempt;
-            wait.read(self, connection, attempt, read_piece).await?
-        };
+        if relay.has_data {
+            return match self.read_next_piece(connection, body).await? {
+                RaceOutcome::TakenOver(takeover) => Ok(StreamStep::TakenOver(takeover)),
+                RaceOutcome::Continued(piece) => self.on_piece(relay, piece),
+            };
+        }
+        let read_piece = async |c: &mut UpstreamConnection| c.read_body_piece(body).await;
+        let attempt = &response.host.attempt;
+        let piece = wait.read(self, connection, attempt, read_piece).await?;
+        self.on_piece(relay, piece)
+    }
+
+    /// Takes the next piece of the body, or its end (`None`).
+    fn on_piece(
+        &mut self,
+        relay: &mut StreamRelay,
+        piece: Option<Bytes>,
+    ) -> Result<StreamStep, WaitError> {
         match piece {
+            None => Ok(StreamStep::End),
             Some(data) if self.route.resumable => {
                 relay.splitter.push(&data).map_err(|_| WaitError::Broken)?;
-                Ok(Some(self.take_new_events(&mut relay.splitter)))
+                Ok(StreamStep::Data(self.take_new_events(&mut relay.splitter)))
             }
-            piece => Ok(piece),
+            Some(data) => Ok(StreamStep::Data(data)),
         }
     }
 
@@ -162,13 +203,13 @@
         result
     }
 
-    /// Reads the next piece of a stream after its first one. A stalled resumable stream fails over to another host,
-    /// unless this host is active on other connections: then the stream is expected to continue here.
+    /// Reads the next piece of a stream after its first one. If a resumable stream stalls, another host is asked for the
+    /// rest, unless this host is active on other connections: then the stream is expected to continue here.
     async fn read_next_piece(
         &mut self,
         connection: &mut UpstreamConnection,
         body: &mut ResponseBody,
-    ) -> Result<Option<Bytes>, WaitError> {
+    ) -> Result<RaceOutcome, WaitError> {
         if self.is_past_max_overrun() {
             return Err(WaitError::DeadlinePassed);
         }
@@ -182,14 +223,16 @@
                 deadline
             };
             match timeout_at(wake_at, connection.read_body_piece(body)).await {
-                Ok(piece) => return piece.map_err(|error| self.on_read_error(&error)),
+                Ok(Ok(piece)) => return Ok(RaceOutcome::Continued(piece)),
+                Ok(Err(error)) => return Err(self.on_read_error(&error)),
                 Err(_) if wake_at >= deadline => return Err(WaitError::DeadlinePassed),
                 Err(_) if connection.host_active_since(waiting_since) => {}
                 Err(_) => {
                     may_fail_over = self.retry.may_fail_over(self.state.now());
-                    if may_fail_over {
-                        if let Ok(next) = self.select_host() {
-                            return Err(WaitError::FailedOver(next));
+                    if let Some(other) = self.select_other_host(may_fail_over) {
+                        let outcome = self.race(other, connection, body).await?;
+                        if let Some(outcome) = outcome {
+                            return Ok(outcome);
                         }
                     }
                 }
@@ -197,6 +240,13 @@
         }
     }
 
+    fn select_other_host(&mut self, may_fail_over: bool) -> Option<SelectedHost> {
+        if !may_fail_over {
+            return None;
+        }
+        self.select_host().ok()
+    }
+
     /// Takes the complete events that have arrived and that the client does not have yet.
     fn take_new_events(&mut self, splitter: &mut EventSplitter) -> Bytes {
         let mut first = Bytes::new();
--- a/crates/proxy/src/retry.rs
+++ b/crates/proxy/src/retry.rs
@@ -77,6 +77,11 @@
         self.budget_taken = false;
     }
 
+    /// Number of attempts of which at least one byte was written to a host.
+    pub fn sent_attempts(&self) -> u32 {
+        self.sent_attempts
+    }
+
     /// Whether the next attempt has to be taken from the retry budget. A retry taken for a host that turned out to be
     /// unreachable is still available for the next host.
     pub fn needs_retry_budget(&self) -> bool {
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -147,8 +147,9 @@
         let mut next = other.accept().await;
         // Clients tolerate at least two seconds without data.
         assert!((900..2000).contains(&silent_since.elapsed().as_millis()));
-        conn.wait_until_closed().await;
+        // The silent host keeps its request until the other one goes on with the stream.
         next.start_stream("second", &[2]).await;
+        conn.wait_until_closed().await;
         next.send("0\r\n\r\n").await;
         let response = client.read_message().await.unwrap();
         assert_eq!((response.complete, response.body), (true, events([1, 2])));
