A stream asked for at another host while its host is silent is charged again

Found by reading the change again. Change: the failover is recorded before the other host is asked. Measured: stream_that_is_asked_for_at_another_host_is_charged_again failed before (timed out), passes now; all tests of the proxy pass.

--- a/crates/proxy/src/exchange/streaming.rs
+++ b/crates/proxy/src/exchange/streaming.rs
@@ -86,7 +86,6 @@
                     let silent = std::mem::replace(&mut response, takeover.response);
                     silent.host.attempt.finish(Outcome::TimedOut, None);
                     self.state.counters.add(|c| c.failovers += 1);
-                    self.retry.record_failover();
                     relay = self.start_relay(&response, takeover.body);
                     relay.has_data = true;
                     response.host.attempt.record_response_start();
--- a/crates/proxy/src/exchange/takeover.rs
+++ b/crates/proxy/src/exchange/takeover.rs
@@ -45,6 +45,7 @@
         connection: &mut UpstreamConnection,
         body: &mut ResponseBody,
     ) -> Result<Option<RaceOutcome>, WaitError> {
+        self.retry.record_failover();
         loop {
             self.attempted_hosts.push(other.id.clone());
             let failed = match self.race_one_host(other, connection, body).await {
--- a/crates/proxy/src/retry.rs
+++ b/crates/proxy/src/retry.rs
@@ -93,7 +93,7 @@
         self.budget_taken = true;
     }
 
-    /// Records that the request fails over from a silent host, which may have run it.
+    /// Records that another host is asked as the request's host, which may have run it, is silent.
     pub fn record_failover(&mut self) {
         self.may_have_run = true;
     }
--- a/crates/proxy/tests/quotas.rs
+++ b/crates/proxy/tests/quotas.rs
@@ -261,6 +261,27 @@
     });
 }
 
+/// Guards against units that are used and not charged: both hosts have the request while one of them is silent.
+#[test]
+fn stream_that_is_asked_for_at_another_host_is_charged_again() {
+    run_async_test(async {
+        let mut one = FakeHost::new("h1", "s").await;
+        let mut two = FakeHost::new("h2", "s").await;
+        let member = FakeMember::new(7).await;
+        let proxy = start_proxy(&[&member], &[&one, &two]).await;
+        let _client = send_request(&proxy, "/more/a", KEY).await;
+        let quota_request = member.decide_next(true, 0).await;
+        let (mut conn, other) = first_connection(&mut one, &mut two).await;
+        conn.start_stream("silent", &[1]).await;
+        other.accept().await.read_message().await.unwrap();
+        let (charge, _) = member.next_request().await;
+        assert_eq!(
+            (charge.cost, charge.max_wait_ms),
+            (quota_request.cost, u32::MAX)
+        );
+    });
+}
+
 #[test]
 fn invalid_reply_is_counted_and_ignored() {
     run_async_test(async {
