fake-hosts: outbox and open attempts in modules of their own

Change: outbox (ends of parts on their way to a connection) and open_attempts (attempts in flight on one connection) are moved out; the host reaches the outbox by methods in place of its fields. No behaviour changes.

--- a/crates/fake-hosts/src/frames.rs
+++ b/crates/fake-hosts/src/frames.rs
@@ -1,7 +1,9 @@
 //! A modelled host's side of the frame protocol: a length of four bytes, a letter, the rest.
 
 use crate::event_log::{reference, AttemptEnd};
-use crate::host::{reset, AnswerFormat, ArrivingPart, Host, OpenAttempts, Reply};
+use crate::host::{reset, ArrivingPart, Host};
+use crate::open_attempts::{AnswerFormat, OpenAttempts};
+use crate::outbox::Reply;
 use crate::search;
 use crate::wire_value::wire_value;
 use bytes::{Buf, BufMut, BytesMut};
--- a/crates/fake-hosts/src/host.rs
+++ b/crates/fake-hosts/src/host.rs
@@ -3,6 +3,7 @@
 
 use crate::event_log::{AttemptEnd, AttemptRef, Epoch, Event, EventKind, EventLog, NO_COORDINATOR};
 use crate::model::{Admission, HostModel, HostSpec, Job, JobEnd, Micros};
+use crate::outbox::{Outbox, Reply};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -55,44 +56,6 @@
     pub idle: Duration,
 }
 
-/// The end of a part, on its way to the connection.
-#[derive(Debug)]
-pub struct Reply {
-    /// The attempt.
-    pub attempt: u64,
-    /// How it ended: served, broke or skipped.
-    pub end: AttemptEnd,
-}
-
-/// What a connection and the host's ticker share.
-#[derive(Default)]
-pub struct Outbox {
-    replies: RefCell<Vec<Reply>>,
-    wake: Notify,
-    open: Cell<bool>,
-}
-
-impl Outbox {
-    /// An outbox whose connection is open.
-    pub fn new() -> Rc<Self> {
-        let outbox = Self::default();
-        outbox.open.set(true);
-        Rc::new(outbox)
-    }
-
-    /// Waits for replies.
-    pub async fn wait(&self) {
-        while self.replies.borrow().is_empty() {
-            self.wake.notified().await;
-        }
-    }
-
-    /// Takes the replies that are there.
-    pub fn take(&self) -> Vec<Reply> {
-        std::mem::take(&mut self.replies.borrow_mut())
-    }
-}
-
 /// A part of a query that has arrived.
 pub struct ArrivingPart<'a> {
     /// The query's name.
@@ -301,10 +264,9 @@
                 .jobs
                 .borrow_mut()
                 .remove(&attempt)
-                .filter(|o| o.open.get())
+                .filter(|o| o.is_open())
             {
-                outbox.replies.borrow_mut().push(Reply { attempt, end });
-                outbox.wake.notify_one();
+                outbox.push(Reply { attempt, end });
             }
         }
     }
@@ -447,81 +409,3 @@
 pub fn reset(stream: TcpStream) {
     let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
 }
-
-/// The attempts in flight on a connection; those that are left at its end are recorded as cut.
-pub struct OpenAttempts {
-    host: Rc<Host>,
-    coordinator: u16,
-    /// Receives the ends of parts.
-    pub outbox: Rc<Outbox>,
-    attempts: HashMap<u64, (String, AnswerFormat)>,
-}
-
-/// The form of a part's answer.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum AnswerFormat {
-    /// The attempt's number in hex.
-    Plain,
-    /// Hits for a search of this shard: how many at most, and whether it is sorted.
-    Search(u32, u64, bool),
-}
-
-impl OpenAttempts {
-    /// No attempts yet.
-    pub fn new(host: Rc<Host>, coordinator: u16) -> Self {
-        Self {
-            host,
-            coordinator,
-            outbox: Outbox::new(),
-            attempts: HashMap::new(),
-        }
-    }
-
-    /// Number of attempts in flight, withdrawn ones included: their work still occupies this connection.
-    pub fn len(&self) -> usize {
-        self.attempts.len()
-    }
-
-    /// Whether no attempt is in flight.
-    pub fn is_empty(&self) -> bool {
-        self.attempts.is_empty()
-    }
-
-    /// A part arrives under its name on the wire: its attempt number, and its end if it ends at once.
-    pub fn arrive(
-        &mut self,
-        id: &str,
-        form: AnswerFormat,
-        arrival: ArrivingPart,
-    ) -> (u64, Option<AttemptEnd>) {
-        let (attempt, end) = self.host.arrive(self.coordinator, arrival, &self.outbox);
-        if end.is_none() {
-            self.attempts.insert(attempt, (id.to_owned(), form));
-        }
-        (attempt, end)
-    }
-
-    /// The sender withdraws a part.
-    pub fn withdraw(&self, id: &str) {
-        for (attempt, _) in self.attempts.iter().filter(|(_, (i, _))| *i == id) {
-            self.host
-                .ended(self.coordinator, *attempt, AttemptEnd::Withdrawn);
-        }
-    }
-
-    /// An attempt ends: its name on the wire and its answer's form, if it is one of these.
-    pub fn answered(&mut self, reply: &Reply) -> Option<(String, AnswerFormat)> {
-        let known = self.attempts.remove(&reply.attempt)?;
-        self.host.ended(self.coordinator, reply.attempt, reply.end);
-        Some(known)
-    }
-}
-
-impl Drop for OpenAttempts {
-    fn drop(&mut self) {
-        self.outbox.open.set(false);
-        for attempt in self.attempts.keys() {
-            self.host.ended(self.coordinator, *attempt, AttemptEnd::Cut);
-        }
-    }
-}
--- a/crates/fake-hosts/src/lib.rs
+++ b/crates/fake-hosts/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod frames;
 pub mod host;
 pub mod model;
+pub mod open_attempts;
+pub mod outbox;
 pub mod relay;
 pub mod scripted;
 pub mod search;
--- a/crates/fake-hosts/src/search.rs
+++ b/crates/fake-hosts/src/search.rs
@@ -2,7 +2,8 @@
 //! shard, `_msearch` for several, each naming its shard by `preference=_shards:N`.
 
 use crate::event_log::{reference, AttemptEnd};
-use crate::host::{reset, AnswerFormat, ArrivingPart, Host, OpenAttempts};
+use crate::host::{reset, ArrivingPart, Host};
+use crate::open_attempts::{AnswerFormat, OpenAttempts};
 use crate::wire_value::wire_value;
 use bytes::{Buf, BytesMut};
 use serde_json::{json, Value};
