A body that only its connection ends is confirmed by a health check of its host

Cause: a process that ends may close its listening socket after its connections, and its kernel accepts connections in between.

Change: a connection that comes up proves nothing by itself. The host's health check is asked for on it: an answer shows that it runs, another host's id that it doesn't; where the connection is closed without an answer it is checked again, three times at most, as a process that ends refuses the next one while a busy host that closes connections accepts it. No answer in 100 to 250 ms is no evidence of a crash. Why it works: what the kernel accepts for a dying process is reset with its listening socket, and only a process that runs answers.

Tests: stream_whose_host_ends_while_it_is_checked_is_resumed_at_another_host, 2 of 2 cases failed before; stream_whose_busy_host_does_not_answer_health_checks_is_complete holds the other side. Fake hosts answer health checks.

All tests of the proxy pass.

--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -116,6 +116,18 @@
         }
     }
 
+    /// Writes a request without a body that belongs to no client, and reads the head of its response.
+    ///
+    /// # Errors
+    /// If the socket fails, the host closes the connection, or the head is malformed.
+    pub(crate) async fn request_head(
+        &mut self,
+        request: &[u8],
+    ) -> Result<ResponseHead, UpstreamError> {
+        socket::write_all(&self.stream, request, b"", &mut 0).await?;
+        self.read_head(false).await
+    }
+
     /// Whether the head of the matching response is buffered, possibly after interim responses and responses to other
     /// requests.
     fn has_response(&self, matcher: ResponseMatcher) -> bool {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -10,6 +10,7 @@
 pub use connection::{Message, TestConnection};
 pub use fake_host::{
     first_connection, first_connection_by_host, host_info, next_connection, FakeHost,
+    HealthCheckReaction,
 };
 pub use messages::{event, events, ok_response, request};
 pub use proxy_under_test::{configuration, Proxy, ProxyOptions, ROUTES};
--- a/crates/proxy/tests/resumable_stream_ends.rs
+++ b/crates/proxy/tests/resumable_stream_ends.rs
@@ -166,6 +166,49 @@
     });
 }
 
+/// Guards against ORDER: a process that ends closes its connections before its listening socket, and its kernel still
+/// accepts connections in between; and its address may have been handed to another host.
+#[rstest]
+fn stream_whose_host_ends_while_it_is_checked_is_resumed_at_another_host(
+    #[values(
+        HealthCheckReaction::EndProcess,
+        HealthCheckReaction::AnswerAsAnotherHost
+    )]
+    reaction: HealthCheckReaction,
+) {
+    run_async_test(async {
+        let (mut host_1, mut host_2, proxy) = Proxy::with_two_hosts().await;
+        let mut client = request_stream(&proxy, "HTTP/1.1").await;
+        let (mut conn, host, other) = first_connection_by_host(&mut host_1, &mut host_2).await;
+        conn.respond(HEAD_LINES, &events([1, 2])).await;
+        host.react_to_health_checks(reaction);
+        drop(conn);
+        let mut next = other.accept().await;
+        let received = next.respond(HEAD_LINES, &event(3)).await;
+        assert_eq!(received.field("last-event-id"), Some("2"));
+        drop(next);
+        check_complete(&mut client, &events([1, 2, 3])).await;
+    });
+}
+
+/// Guards against LOST: a busy host resets connections over its limit, or lets a health check wait.
+#[rstest]
+fn stream_whose_busy_host_does_not_answer_health_checks_is_complete(
+    #[values(HealthCheckReaction::Reset, HealthCheckReaction::StaySilent)]
+    reaction: HealthCheckReaction,
+) {
+    run_async_test(async {
+        let (mut host, proxy) = Proxy::with_one_host().await;
+        host.react_to_health_checks(reaction);
+        let mut client = request_stream(&proxy, "HTTP/1.1").await;
+        let mut conn = host.accept().await;
+        conn.respond(HEAD_LINES, &events([1, 2])).await;
+        drop(conn);
+        check_complete(&mut client, &events([1, 2])).await;
+        check_ran_once(&proxy, 1);
+    });
+}
+
 /// Guards against ORDER: a host that leaves as planned may end its process in the middle of a stream that lasts too long.
 #[test]
 fn stream_whose_draining_host_ends_is_resumed_at_another_host() {
