Soak: a frozen proxy counts as frozen until it is thawed, not for 2.5 s

So the soak's driver stood still, and what it had frozen stayed frozen, beyond the 2.5 s that the rule assumed of its schedule. Change: the rule takes the moment of the thaw, or of the next start, from the record. That is narrower wherever a process is thawed in less than 2.5 s, and as wide as the freeze where it lasts longer. No bound changes.

--- a/crates/fennelpin-cli/tests/soak/rules.rs
+++ b/crates/fennelpin-cli/tests/soak/rules.rs
@@ -1,6 +1,8 @@
 //! What must hold, whatever the platform plans.
 
-use super::recorder::{ProcessEvent, Recording, RequestEnd, RequestKind, RequestRecord, RunRecord};
+use super::recorder::{
+    ProcessEvent, ProcessRecord, Recording, RequestEnd, RequestKind, RequestRecord, RunRecord,
+};
 use super::settings::GRACE;
 use super::stream_hosts::BREAKING_SUFFIX;
 use rustix::process::Signal;
@@ -20,8 +22,6 @@
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// A machine is in touch once nothing has happened to it and to the members for so long.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Longest time for which a fault freezes a process.
-const MAX_FREEZE: Duration = Duration::from_millis(2500);
 /// Requests of a run that may cross a close while their proxy neither ends nor starts.
 const MAX_CROSSED_CLOSES: usize = 3;
 /// Longest time from a request to its end beyond its deadline.
@@ -289,11 +289,26 @@
     recording.processes.iter().any(|record| {
         record.process == proxy
             && record.event == ProcessEvent::Signalled(Signal::STOP)
-            && record.at + MAX_FREEZE + CONTACT_TIME >= request.sent_at
             && record.at <= request.ended_at
+            && thawed_at(recording, record)
+                .is_none_or(|thawed_at| thawed_at + CONTACT_TIME >= request.sent_at)
     })
 }
 
+/// When a process that was frozen ran again, or another one took its place; `None` if neither happened. A busy machine
+/// may let the driver thaw it later than the schedule says.
+fn thawed_at(recording: &Recording, frozen: &ProcessRecord) -> Option<Instant> {
+    let later = recording.processes.iter().filter(|record| {
+        record.process == frozen.process
+            && record.at > frozen.at
+            && matches!(
+                record.event,
+                ProcessEvent::Signalled(Signal::CONT) | ProcessEvent::Started
+            )
+    });
+    later.map(|record| record.at).min()
+}
+
 /// Whether the request was in flight at SIGTERM and ended shortly before the kill.
 fn outlasted_the_grace(recording: &Recording, request: &RequestRecord) -> bool {
     terminations(recording, request).any(|at| {
