Proxy tests: scenarios that several files play are shared

Cause: the tests of the incident need the large request of response_matching.rs and the two hosts of host_failures.rs.

--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -6,6 +6,7 @@
 mod fake_host;
 mod messages;
 mod proxy_under_test;
+mod scenarios;
 
 pub use connection::{Message, TestConnection};
 pub use fake_host::{
@@ -14,6 +15,10 @@
 };
 pub use messages::{event, events, ok_response, request};
 pub use proxy_under_test::{configuration, Proxy, ProxyOptions, ROUTES};
+pub use scenarios::{
+    configuration_with_wide_limits, large_request, proxy_with_wide_limits, request_with_two_hosts,
+    LARGE_BODY_BYTES,
+};
 
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
--- a/crates/proxy/tests/host_failures.rs
+++ b/crates/proxy/tests/host_failures.rs
@@ -8,30 +8,6 @@
 
 const SEAL_FIELD: &str = "Fennelpin-Host-Seal: seal";
 
-/// Sends a request to a proxy with two hosts, runs `first_host` on the connection that gets it, and lets the other host
-/// respond if `second_host_responds`. Returns the client's response, and checks that the other host got no further
-/// connection.
-async fn request_with_two_hosts(
-    path: &str,
-    first_host: impl AsyncFnOnce(TestConnection),
-    second_host_responds: bool,
-) -> Message {
-    let (mut host_1, mut host_2) = (
-        FakeHost::new("h1", "s").await,
-        FakeHost::new("h2", "s").await,
-    );
-    let proxy = Proxy::new(&[&host_1, &host_2]).await;
-    let mut client = proxy.send_request(path).await;
-    let (first, other) = first_connection(&mut host_1, &mut host_2).await;
-    first_host(first).await;
-    if second_host_responds {
-        other.accept().await.respond_ok("second").await;
-    }
-    let response = client.read_message().await.expect("a response");
-    assert!(other.has_no_connection());
-    response
-}
-
 /// After an invalid response an idempotent request is retried at the next host, and any other request ends with an
 /// error.
 #[rstest]
--- a/crates/proxy/tests/response_matching.rs
+++ b/crates/proxy/tests/response_matching.rs
@@ -6,36 +6,6 @@
 
 const SEAL_FIELD: &str = "Fennelpin-Host-Seal: seal";
 
-fn configuration_with_wide_limits() -> std::sync::Arc<configuration::Configuration> {
-    let text = format!(
-        r#"{{"version":1,"routes":[{ROUTES}],"services":[{{"name":"s"}}],"limits":{{"max_body_bytes":9000000}}}}"#
-    );
-    configuration::Configuration::read(text.as_bytes(), 0)
-        .unwrap()
-        .into()
-}
-
-/// A proxy that accepts large bodies, so that a host can respond before the request is written completely.
-async fn proxy_with_wide_limits(options: ProxyOptions, hosts: &[&FakeHost]) -> Proxy {
-    let proxy = Proxy::with_options(options).await;
-    proxy
-        .apply_fleet(
-            configuration_with_wide_limits(),
-            hosts.iter().map(|h| h.info.clone()).collect(),
-        )
-        .await;
-    proxy
-}
-
-const LARGE_BODY_BYTES: usize = 8_000_000;
-
-fn large_request(path: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: x.example\r\nFennelpin-Attempt-Id: one\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n{}",
-        "a".repeat(LARGE_BODY_BYTES)
-    )
-}
-
 #[rstest]
 fn interim_response_does_not_stop_the_request(
     #[values("", "Fennelpin-Attempt-Id: one\r\n")] id_field: &str,
