--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -6,11 +6,15 @@
 use crate::head::{head_length, lines_end_with_crlf, Parsed};
 use crate::limits::{HeadLimits, MAX_FIELDS};
 use bytes::{Bytes, BytesMut};
+use std::ops::RangeInclusive;
+
+/// Valid status codes (RFC 9110, section 15). The status line alone allows any three digits.
+const VALID_STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// Head of a response: status line and fields.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
-    /// Status code, such as 200.
+    /// Status code, from 100 to 599.
     pub status: u16,
     reason: Span,
     /// HTTP minor version: 0 for HTTP/1.0, 1 for HTTP/1.1.
@@ -38,8 +42,12 @@
     let Some(head_bytes) = head_length(parsed, input.len(), limits, "response")? else {
         return Ok(None);
     };
+    let status = head.code.unwrap_or_default();
+    if !VALID_STATUS_CODES.contains(&status) {
+        return syntax_error("status");
+    }
     let parts = ResponseParts {
-        status: head.code.unwrap_or_default(),
+        status,
         reason: Span::within(input, head.reason.unwrap_or_default().as_bytes()),
         minor_version: head.version.unwrap_or(1),
         spans: field_spans(input, head.headers),
@@ -75,7 +83,8 @@
     /// `to_head_request` states whether the request's method was `HEAD`, so that no body follows.
     ///
     /// # Errors
-    /// If the input isn't a valid response head, has ambiguous framing, or exceeds `limits`.
+    /// If the input isn't a valid response head, has a status code outside 100 to 599 or ambiguous framing, or exceeds
+    /// `limits`.
     pub fn parse(
         input: &[u8],
         limits: HeadLimits,
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -89,8 +89,8 @@
         socket::is_open_and_idle(&self.stream)
     }
 
-    /// Writes a request. Stops early if its response arrives before everything is written: a host may refuse a large
-    /// body and stop reading it. `written` counts the bytes that the kernel has accepted, also if this fails.
+    /// Writes a request. Stops early if its response, or what is none, arrives before everything is written: a host may
+    /// refuse a large body and stop reading it. `written` counts the bytes that the kernel has accepted, also if this fails.
     pub(crate) async fn send_request(
         &mut self,
         head: &[u8],
@@ -108,7 +108,7 @@
                     return result;
                 }
                 read = socket::read(&self.stream, &mut self.buf), if self.buf.len() < HEAD_LIMITS.max_bytes => {
-                    if read? == 0 || self.has_response(matcher) {
+                    if read? == 0 || self.has_decisive_input(matcher) {
                         return Ok(());
                     }
                 }
@@ -128,12 +128,17 @@
         self.read_head(false).await
     }
 
-    /// Whether the head of the matching response is buffered, possibly after interim responses and responses to other
-    /// requests.
-    fn has_response(&self, matcher: ResponseMatcher) -> bool {
+    /// Whether the buffered bytes decide the attempt: the head of the matching response, or bytes that are no response,
+    /// possibly after interim responses and responses to other requests.
+    fn has_decisive_input(&self, matcher: ResponseMatcher) -> bool {
         let mut rest = self.buf.clone();
         let mut first_on_connection = !self.reused;
-        while let Ok(Some(head)) = ResponseHead::decode(&mut rest, HEAD_LIMITS, false) {
+        loop {
+            let head = match ResponseHead::decode(&mut rest, HEAD_LIMITS, false) {
+                Ok(Some(head)) => head,
+                Ok(None) => return false,
+                Err(_) => return true,
+            };
             if is_interim(&head) {
                 continue;
             }
@@ -141,11 +146,12 @@
                 return true;
             }
             first_on_connection = false;
-            if !skip_body(&mut rest, BodyDecoder::new(head.framing)) {
-                return false;
+            match skip_body(&mut rest, BodyDecoder::new(head.framing)) {
+                Ok(true) => {}
+                Ok(false) => return false,
+                Err(_) => return true,
             }
         }
-        false
     }
 
     async fn read_more(&mut self) -> Result<(), UpstreamError> {
@@ -236,13 +242,13 @@
     (100..200).contains(&head.status)
 }
 
-/// Removes a body from the front of a buffer. Returns false if the body is incomplete or malformed.
-fn skip_body(buf: &mut BytesMut, mut body: BodyDecoder) -> bool {
+/// Removes a body from the front of a buffer. Returns false if the body is incomplete.
+fn skip_body(buf: &mut BytesMut, mut body: BodyDecoder) -> Result<bool, ParseError> {
     loop {
-        match body.decode(buf) {
-            Ok(Decoded::Data(_)) => {}
-            Ok(Decoded::End) => return true,
-            Ok(Decoded::Incomplete) | Err(_) => return false,
+        match body.decode(buf)? {
+            Decoded::Data(_) => {}
+            Decoded::End => return Ok(true),
+            Decoded::Incomplete => return Ok(false),
         }
     }
 }
