--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -62,6 +62,9 @@
     reused: bool,
     /// Whether the last request was written only in part.
     request_incomplete: bool,
+    /// Why the connection was aborted, such as by a reset. The kernel reports it to one call; later reads see an orderly
+    /// end.
+    abort_cause: Option<io::ErrorKind>,
     permit: ConnectionPermit,
     clock: Clock,
 }
@@ -74,6 +77,7 @@
             buf: BytesMut::new(),
             reused: false,
             request_incomplete: false,
+            abort_cause: None,
             permit,
             clock,
         }
@@ -105,10 +109,10 @@
                 biased;
                 result = socket::write_all(&self.stream, head, body, written) => {
                     self.request_incomplete = result.is_err();
-                    return result;
+                    return self.record_abort(result);
                 }
                 read = socket::read(&self.stream, &mut self.buf), if self.buf.len() < HEAD_LIMITS.max_bytes => {
-                    if read? == 0 || self.has_decisive_input(matcher) {
+                    if self.record_abort(read)? == 0 || self.has_decisive_input(matcher) {
                         return Ok(());
                     }
                 }
@@ -154,12 +158,32 @@
         }
     }
 
+    /// Records whether a call on the socket has failed as the connection was aborted. A broken pipe is no sign of that:
+    /// the host had ended its side in order before it stopped to read.
+    fn record_abort<T>(&mut self, result: io::Result<T>) -> io::Result<T> {
+        if let Err(error) = &result {
+            if error.kind() != io::ErrorKind::BrokenPipe {
+                self.abort_cause = Some(error.kind());
+            }
+        }
+        result
+    }
+
+    /// Reads more input.
+    ///
+    /// # Errors
+    /// If the connection is aborted, also if a write or an earlier read has met that first, or the host has closed it in
+    /// order.
     async fn read_more(&mut self) -> Result<(), UpstreamError> {
-        if socket::read(&self.stream, &mut self.buf).await? == 0 {
-            return ClosedSnafu.fail();
+        let read = socket::read(&self.stream, &mut self.buf).await;
+        if self.record_abort(read)? > 0 {
+            self.permit.record_activity(self.clock.now());
+            return Ok(());
+        }
+        match self.abort_cause {
+            Some(cause) => Err(io::Error::from(cause).into()),
+            None => ClosedSnafu.fail(),
         }
-        self.permit.record_activity(self.clock.now());
-        Ok(())
     }
 
     /// Reads the head of the next final response, skipping interim ones. Cancel-safe.
