Tests: a malformed field name in a response's head reaches no client (MIXED)

What callers of other systems saw: an answer with a field name that holds a blank or a control byte, with that line passed on or with a body that was not the back end's. Change: tests over sockets, 20 lines by four routes, three framings and three status lines, and heads whose only field about the body, the id or the seal is malformed, interim heads and heads for another request among them.

--- a/crates/proxy/tests/malformed_response_heads.rs
+++ b/crates/proxy/tests/malformed_response_heads.rs
@@ -157,6 +157,58 @@
     });
 }
 
+/// Guards against MIXED: a field whose name holds a blank or a control byte reached the client, or its line was left out
+/// and with it what it said about the body.
+#[rstest]
+fn response_with_a_malformed_field_name_reaches_no_client(
+    #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
+    #[values(
+        "X-Field : 1\r\n",
+        "X-Field\t: 1\r\n",
+        "X Field: 1\r\n",
+        "X\tField: 1\r\n",
+        " X-Field: 1\r\n",
+        "\tX-Field: 1\r\n",
+        "X-\u{0}Field: 1\r\n",
+        "X-Field\u{1}: 1\r\n",
+        "\u{b}X-Field: 1\r\n",
+        "X-Field\u{7f}: 1\r\n",
+        "X-\rField: 1\r\n",
+        "X-F\u{ef}eld: 1\r\n",
+        ": 1\r\n",
+        "X-Field\r\n",
+        "Content-Length : 3\r\n",
+        "Content-Length\u{0}: 3\r\n",
+        "Transfer-Encoding : chunked\r\n",
+        "\u{1f}Transfer-Encoding: chunked\r\n",
+        "Fennelpin-Host-Seal : other\r\n",
+        "Connection : close\r\n"
+    )]
+    line: &str,
+    #[values(LENGTH, CHUNKS, CLOSE_DELIMITED)] framing: (&str, &str),
+    #[values("HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 404 Not Found")] status_line: &str,
+) {
+    run_async_test(async {
+        check_malformed_response(path, &response_with(status_line, line, "one", framing)).await;
+    });
+}
+
+/// What a field says that is the only one about the body, or about whose response it is, isn't guessed.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal: s\r\nContent-Length : 6\r\n\r\nbroken")]
+#[case::first_line("HTTP/1.1 200 OK\r\nContent-Length : 6\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal: s\r\n\r\nbroken")]
+#[case::chunks("HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal: s\r\nTransfer-Encoding\u{0}: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n")]
+#[case::id("HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id : one\r\nFennelpin-Host-Seal: s\r\nContent-Length: 6\r\n\r\nbroken")]
+#[case::seal("HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal : s\r\nContent-Length: 6\r\n\r\nbroken")]
+#[case::interim("HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal: s\r\nContent-Length: 6\r\n\r\nbroken")]
+#[case::response_to_another_request("HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: zero\r\nX\tField: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal: s\r\nContent-Length: 6\r\n\r\nbroken")]
+fn malformed_name_of_a_needed_field_reaches_no_client(
+    #[case] text: &str,
+    #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &str,
+) {
+    run_async_test(check_malformed_response(path, text));
+}
+
 /// Status codes that no page names, but that are valid, are the host's own.
 #[rstest]
 fn unusual_but_valid_status_is_forwarded(
