--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -2,6 +2,7 @@
 
 use crate::chunk::{parse_chunk_size, MAX_CHUNK_LINE_BYTES};
 use crate::error::{syntax_error, ParseError};
+use crate::fields::is_field_line;
 use crate::framing::Framing;
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -152,7 +153,7 @@
             .and_then(|line| line.strip_suffix(b"\r"));
         self.state = match line {
             Some([]) => State::Done,
-            Some(field) if field.contains(&b':') => State::Trailer { bytes_seen },
+            Some(line) if is_field_line(line) => State::Trailer { bytes_seen },
             _ => return syntax_error("trailer"),
         };
         Ok(DecodeStep::Framing(line_end + 1))
--- a/crates/http1/src/fields.rs
+++ b/crates/http1/src/fields.rs
@@ -15,6 +15,24 @@
     "upgrade",
 ];
 
+/// Returns whether a line, without its line ending, is a field (RFC 9110, sections 5.1 and 5.5): a token, a colon, and a
+/// value without control bytes other than tabs.
+pub(crate) fn is_field_line(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    let (name, value) = line.split_at(colon);
+    let has_control = value
+        .iter()
+        .any(|byte| byte.is_ascii_control() && *byte != b'\t');
+    !name.is_empty() && name.iter().all(|byte| is_token_byte(*byte)) && !has_control
+}
+
+/// Returns whether a token may contain this byte (RFC 9110, section 5.6.2).
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
 /// Byte range of a part within a head.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Span {
--- a/crates/http1/tests/parsing.rs
+++ b/crates/http1/tests/parsing.rs
@@ -257,6 +257,17 @@
 #[case("0\r\n \r\n")]
 #[case("0\r\nno field\r\n\r\n")]
 #[case("0\r\nT: 1\n\r\n")]
+#[case("0\r\nT : 1\r\n\r\n")]
+#[case("0\r\nT\t: 1\r\n\r\n")]
+#[case("0\r\n T: 1\r\n\r\n")]
+#[case("0\r\nT U: 1\r\n\r\n")]
+#[case("0\r\n: 1\r\n\r\n")]
+#[case("0\r\nT\u{0}: 1\r\n\r\n")]
+#[case("0\r\n\u{7f}T: 1\r\n\r\n")]
+#[case("0\r\nT: a\rb\r\n\r\n")]
+#[case("0\r\nT: \u{0}\r\n\r\n")]
+#[case("0\r\nT: 1\r\nU V: 2\r\n\r\n")]
+#[case("0\r\nHTTP/1.1 500 Failed: x\r\n\r\n")]
 #[case("-1\r\n")]
 #[case("fffffffffffffffff\r\n")]
 fn malformed_chunks_are_rejected(#[case] text: &str) {
@@ -266,6 +277,17 @@
     ));
 }
 
+#[rstest]
+#[case("T:\r\n")]
+#[case("T:1\r\n")]
+#[case("Server-Timing: a;dur=1, b;desc=\"x y\"\r\n")]
+#[case("!#$%&'*+-.^_`|~09azAZ: \t\u{e9} x\t\r\nU: 2\r\n")]
+fn valid_trailers_are_skipped(#[case] trailer: &str) {
+    let text = format!("2\r\nhi\r\n0\r\n{trailer}\r\nNEXT");
+    let decoded = decode_body(Framing::Chunked, &[text.as_bytes()]).unwrap();
+    assert_eq!(decoded, Some((b"hi".to_vec(), b"NEXT".to_vec())));
+}
+
 #[test]
 fn chunk_lines_and_trailers_over_the_limit_are_rejected() {
     let long = "x".repeat(5000);
--- a/crates/proxy/tests/host_failures.rs
+++ b/crates/proxy/tests/host_failures.rs
@@ -28,6 +28,14 @@
     "200 OK\r\nFennelpin-Host-Seal: s\r\nTransfer-Encoding: chunked",
     "zz\r\n"
 )]
+#[case::bad_trailer(
+    "200 OK\r\nFennelpin-Host-Seal: s\r\nTransfer-Encoding: chunked",
+    "2\r\nok\r\n0\r\nX Field: 1\r\n\r\n"
+)]
+#[case::response_in_place_of_a_trailer(
+    "200 OK\r\nFennelpin-Host-Seal: s\r\nTransfer-Encoding: chunked",
+    "2\r\nok\r\n0\r\nHTTP/1.1 500 Failed: x\r\n\r\n"
+)]
 #[case::two_framings(
     "200 OK\r\nFennelpin-Host-Seal: s\r\nContent-Length: 2\r\nTransfer-Encoding: chunked",
     "ok"
