The operators' client takes no malformed or cut answer of a member for one

What callers would see: fennelpin-cli ended a call with what a member in trouble, or another program at its address, had sent: a status 000, malformed field names, a chunked body cut off, two lengths. Found by looking for the incident's causes wherever answers are read. Cause: a parser of its own that read three characters as the status and searched the lines for a length. Change: it reads answers by http1, as proxy and coordinator do (http_response.rs); another member is called for what is none. The load generator of fennelpin-cli local had a second such parser and uses the same function.

--- a/crates/fennelpin-cli/src/control_client.rs
+++ b/crates/fennelpin-cli/src/control_client.rs
@@ -2,6 +2,7 @@
 //! gives a conclusive answer.
 
 use crate::error::{CliError, MalformedAnswerSnafu, MemberUnreachableSnafu};
+use crate::http_response::HttpResponse;
 use configuration::ResultCode;
 use serde_json::Value;
 use snafu::ResultExt;
@@ -69,7 +70,7 @@
             || self.result().0 == ResultCode::NoConfiguration.number()
     }
 
-    /// Parses an answer; `None` where it is incomplete or no HTTP.
+    /// Parses an answer; `None` where it is incomplete or no valid HTTP.
     ///
     /// ```
     /// use fennelpin_cli::control_client::ControlAnswer;
@@ -78,26 +79,8 @@
     /// assert!(ControlAnswer::read(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}").is_none(), "cut off");
     /// ```
     pub fn read(text: &[u8]) -> Option<ControlAnswer> {
-        let end = text.windows(4).position(|bytes| bytes == b"\r\n\r\n")?;
-        let head = std::str::from_utf8(&text[..end]).ok()?;
-        let mut lines = head.split("\r\n");
-        let status = lines
-            .next()?
-            .strip_prefix("HTTP/1.1 ")?
-            .get(..3)?
-            .parse()
-            .ok()?;
-        let content_length = lines.find_map(|line| {
-            let (name, value) = line.split_once(':')?;
-            name.eq_ignore_ascii_case("content-length")
-                .then(|| value.trim().parse::<usize>().ok())?
-        });
-        let body = &text[end + 4..];
-        let is_complete = content_length.unwrap_or(body.len()) == body.len();
-        is_complete.then(|| ControlAnswer {
-            status,
-            body: body.to_vec(),
-        })
+        let HttpResponse { status, body } = HttpResponse::parse(text)?;
+        Some(ControlAnswer { status, body })
     }
 }
 
--- a/crates/fennelpin-cli/src/lib.rs
+++ b/crates/fennelpin-cli/src/lib.rs
@@ -31,4 +31,5 @@
 // What they share.
 pub mod control_client;
 pub mod error;
+mod http_response;
 pub mod logging;
--- a/crates/fennelpin-cli/src/local/load_generator.rs
+++ b/crates/fennelpin-cli/src/local/load_generator.rs
@@ -1,5 +1,6 @@
 //! Load generator: requests at a steady rate, each on a connection of its own.
 
+use crate::http_response::HttpResponse;
 use std::fmt;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -118,26 +119,7 @@
         stream.write_all(request.as_bytes()).await.ok()?;
         let mut answer = Vec::new();
         stream.read_to_end(&mut answer).await.ok()?;
-        status_if_complete(&answer)
+        HttpResponse::parse(&answer).map(|response| response.status)
     };
     timeout(REQUEST_TIMEOUT, exchange).await.ok()?
 }
-
-/// The status of an answer; `None` where the answer is incomplete.
-fn status_if_complete(answer: &[u8]) -> Option<u16> {
-    let end = answer.windows(4).position(|bytes| bytes == b"\r\n\r\n")?;
-    let head = std::str::from_utf8(&answer[..end])
-        .ok()?
-        .to_ascii_lowercase();
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let body = &answer[end + 4..];
-    let content_length = head.split("\r\n").find_map(|line| {
-        let value = line.strip_prefix("content-length:")?;
-        value.trim().parse::<usize>().ok()
-    });
-    let is_complete = match content_length {
-        Some(length) => body.len() == length,
-        None => body.ends_with(b"0\r\n\r\n"),
-    };
-    is_complete.then_some(status)
-}
