Tests: a malformed answer of an OpenSearch host reaches no client of the coordinator

Cause: the coordinator in service reads its hosts' answers by the same parser, so the incident's first fault was its own too: an answer with the status 000 whose body said 200 was a shard's answer.

--- a/crates/coordinator/tests/opensearch.rs
+++ b/crates/coordinator/tests/opensearch.rs
@@ -6,6 +6,7 @@
 
 mod support;
 
+use rstest::rstest;
 use serde_json::{json, Value};
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -338,6 +339,32 @@
     );
 }
 
+/// Guards against MIXED: what a host in trouble sends in place of an answer is none, whatever its body says.
+#[rstest]
+#[case::status_000("HTTP/1.1 000 OK\r\nContent-Length: LENGTH\r\n\r\n")]
+#[case::status_over_599("HTTP/1.1 999 OK\r\nContent-Length: LENGTH\r\n\r\n")]
+#[case::blank_in_a_name("HTTP/1.1 200 OK\r\nX Field: 1\r\nContent-Length: LENGTH\r\n\r\n")]
+#[case::blank_behind_a_name("HTTP/1.1 200 OK\r\nContent-Length : LENGTH\r\n\r\n")]
+#[case::control_byte_in_a_name("HTTP/1.1 200 OK\r\nX\u{1}: 1\r\nContent-Length: LENGTH\r\n\r\n")]
+fn a_malformed_answer_of_a_host_is_none(#[case] head: &'static str) {
+    let ledger = Ledger::default();
+    let (_hosts, members) = fleet(&ledger, move |seen| {
+        let Act::Serve(value) = taxis(seen) else {
+            unreachable!("taxis are served");
+        };
+        let body = value.replacen('{', "{\"status\":200,", 1);
+        let head = head.replace("LENGTH", &body.len().to_string());
+        Act::Raw((head + &body).into_bytes())
+    });
+    let c = start(&members);
+    let mut client = Client::new(&c.addr);
+    let (status, answer) = ask(&mut client, "POST", "/free-taxis/_search", near(&["anfa"]));
+    assert!(
+        status >= 500 && !ledger.all().is_empty(),
+        "{status} {answer}"
+    );
+}
+
 #[test]
 fn a_host_that_keeps_silent_is_a_timeout() {
     let ledger = Ledger::default();
--- a/crates/fake-hosts/src/scripted.rs
+++ b/crates/fake-hosts/src/scripted.rs
@@ -411,6 +411,10 @@
                 Act::Skip => ledger.over(entry, false),
                 _ => ledger.over(entry, true),
             }
+            if let Act::Raw(bytes) = act {
+                output.write_all(&bytes)?;
+                return output.shutdown(Shutdown::Both);
+            }
             answers.push(search_answer(act));
         }
         if broken {
