A request is written on while its early response is read (LOST)

What callers would see: a host begins its answer to a long upload at once, or sends all of it without a length, reads the rest of the upload and ends the answer in order; the client got 504 at the deadline, or a stream cut there. Cause (H6): the proxy wrote no more of a request once it had the head of its response. Host and proxy waited for one another. Change: the connection owns its request (upstream::OutgoingRequest) and writes what is left of it whenever nothing has arrived while a response is read. A response that is whole, and bytes that are none, still end the attempt at once, and a connection on which a part is left is not used again. Why it works: the wait for the host and the wait of the host can no longer stand against each other; reads come first, so what arrives is taken before more is written.

--- a/crates/proxy/src/exchange/host_request.rs
+++ b/crates/proxy/src/exchange/host_request.rs
@@ -8,7 +8,7 @@
 };
 use crate::response_matching::ResponseMatcher;
 use crate::retry::AttemptOutcome;
-use crate::upstream::{self, AcquireError, ConnectTarget, UpstreamConnection};
+use crate::upstream::{self, AcquireError, ConnectTarget, OutgoingRequest, UpstreamConnection};
 use balancing::Outcome;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
@@ -68,15 +68,14 @@
     ) -> Result<UpstreamConnection, SendError> {
         let target = self.connect_target(host);
         let mut connection = upstream::acquire(self.state, &target).await?;
-        let mut written = 0;
         let sent = loop {
-            let head = self.request_head(host);
+            let request = OutgoingRequest::new(self.request_head(host), self.request.body.clone());
             let matcher = ResponseMatcher::new(self.request.attempt_id().unwrap_or_default());
             // From here on the host may have received bytes, even if this future is dropped before it completes.
             self.progress.set_may_have_run(true);
-            let send = connection.send_request(&head, &self.request.body, &mut written, matcher);
+            let send = connection.send_request(request, matcher);
             let sent = timeout_at(self.response_deadline(), send).await;
-            if written > 0 {
+            if connection.has_sent_request() {
                 break sent;
             }
             self.progress.set_may_have_run(self.retry.may_have_run());
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -9,6 +9,7 @@
 use crate::response_matching::ResponseMatcher;
 use crate::socket;
 use crate::state::Clock;
+use crate::upstream::outgoing_request::OutgoingRequest;
 use crate::upstream::pool::ConnectionPermit;
 use crate::upstream::response_body::ResponseBody;
 use bytes::{Bytes, BytesMut};
@@ -60,8 +61,8 @@
     buf: BytesMut,
     /// Whether an earlier request was sent on it.
     reused: bool,
-    /// Whether the last request was written only in part.
-    request_incomplete: bool,
+    /// The request whose response is awaited or read; `None` between two requests.
+    request: Option<OutgoingRequest>,
     /// Why the connection was aborted, such as by a reset. The kernel reports it to one call; later reads see an orderly
     /// end.
     abort_cause: Option<io::ErrorKind>,
@@ -76,7 +77,7 @@
             stream,
             buf: BytesMut::new(),
             reused: false,
-            request_incomplete: false,
+            request: None,
             abort_cause: None,
             permit,
             clock,
@@ -93,24 +94,21 @@
         socket::is_open_and_idle(&self.stream)
     }
 
-    /// Writes a request. Stops early if its response, or what is none, arrives before everything is written: a host may
-    /// refuse a large body and stop reading it. `written` counts the bytes that the kernel has accepted, also if this fails.
+    /// Writes a request. Returns early if its response, or what is none, arrives before everything is written: a host may
+    /// refuse a large body and stop reading it. What is left is written while the response is read.
+    ///
+    /// # Errors
+    /// If the socket fails.
     pub(crate) async fn send_request(
         &mut self,
-        head: &[u8],
-        body: &[u8],
-        written: &mut usize,
+        request: OutgoingRequest,
         matcher: ResponseMatcher<'_>,
     ) -> io::Result<()> {
-        // The connection can't be reused until the request is written completely.
-        self.request_incomplete = true;
-        loop {
+        self.request = Some(request);
+        while let Some(request) = unfinished(&mut self.request) {
             tokio::select! {
                 biased;
-                result = socket::write_all(&self.stream, head, body, written) => {
-                    self.request_incomplete = result.is_err();
-                    return self.record_abort(result);
-                }
+                written = request.write_rest(&self.stream) => return self.record_abort(written),
                 read = socket::read(&self.stream, &mut self.buf), if self.buf.len() < HEAD_LIMITS.max_bytes => {
                     if self.record_abort(read)? == 0 || self.has_decisive_input(matcher) {
                         return Ok(());
@@ -118,6 +116,14 @@
                 }
             }
         }
+        Ok(())
+    }
+
+    /// Whether the kernel has accepted a part of the current request.
+    pub(crate) fn has_sent_request(&self) -> bool {
+        self.request
+            .as_ref()
+            .is_some_and(OutgoingRequest::is_started)
     }
 
     /// Writes a request without a body that belongs to no client, and reads the head of its response.
@@ -175,7 +181,7 @@
     /// If the connection is aborted, also if a write or an earlier read has met that first, or the host has closed it in
     /// order.
     async fn read_more(&mut self) -> Result<(), UpstreamError> {
-        let read = socket::read(&self.stream, &mut self.buf).await;
+        let read = self.read_while_writing().await;
         if self.record_abort(read)? > 0 {
             self.permit.record_activity(self.clock.now());
             return Ok(());
@@ -186,6 +192,22 @@
         }
     }
 
+    /// Reads once. Until something arrives, it writes what is left of the request: the host may read all of it before it
+    /// goes on with its response.
+    async fn read_while_writing(&mut self) -> io::Result<usize> {
+        while let Some(request) = unfinished(&mut self.request) {
+            tokio::select! {
+                biased;
+                read = socket::read(&self.stream, &mut self.buf) => return read,
+                written = request.write_rest(&self.stream) => {
+                    // What the host has sent before can still be read.
+                    let _ = self.record_abort(written);
+                }
+            }
+        }
+        socket::read(&self.stream, &mut self.buf).await
+    }
+
     /// Reads the head of the next final response, skipping interim ones. Cancel-safe.
     pub(crate) async fn read_head(
         &mut self,
@@ -252,7 +274,9 @@
     pub(crate) fn into_idle(mut self, head: &ResponseHead) -> Option<Self> {
         // Bytes after a complete response belong to no request.
         let has_stray_bytes = !self.buf.is_empty();
-        if !head.is_keep_alive() || self.request_incomplete || has_stray_bytes {
+        // Otherwise the next request would stand where the rest of this one is due.
+        let is_written = self.request.take().is_some_and(|r| r.is_complete());
+        if !head.is_keep_alive() || !is_written || has_stray_bytes {
             return None;
         }
         self.reused = true;
@@ -261,6 +285,11 @@
     }
 }
 
+/// The request if there is a rest of it that can still be written.
+fn unfinished(request: &mut Option<OutgoingRequest>) -> Option<&mut OutgoingRequest> {
+    request.as_mut().filter(|request| request.is_unfinished())
+}
+
 /// Whether this is an interim response, with the final one still to follow.
 fn is_interim(head: &ResponseHead) -> bool {
     (100..200).contains(&head.status)
--- a/crates/proxy/tests/early_responses.rs
+++ b/crates/proxy/tests/early_responses.rs
@@ -279,3 +279,60 @@
         assert_eq!(proxy.counters.get().broken_responses, 1);
     });
 }
+
+/// How far a host goes with its response before it reads the rest of the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum SentFirst {
+    Head,
+    HeadAndPart,
+    /// All but the end that its connection marks, or that no byte marks.
+    Whole,
+}
+
+/// Guards against LOST: a host may begin its response at once, and read the rest of the request before it ends it.
+#[rstest]
+fn host_that_reads_the_rest_before_it_ends_its_response_gets_it(
+    #[values("/pure/a", "/once/a", "/live/a", "/more/a")] path: &'static str,
+    #[values(HostFraming::Length, HostFraming::Chunked, HostFraming::CloseDelimited)]
+    framing: HostFraming,
+    #[values(SentFirst::Head, SentFirst::HeadAndPart, SentFirst::Whole)] sent_first: SentFirst,
+) {
+    run_async_test(async {
+        let mut host = FakeHost::new("h1", "s").await;
+        let proxy = proxy_with_wide_limits(ProxyOptions::default(), &[&host]).await;
+        let mut client = proxy.client().await;
+        client.send(&large_request(path)).await;
+        let response = EarlyResponse {
+            path,
+            framing,
+            event_count: WHOLE,
+            close_kind: CloseKind::EndOfStream,
+            reads_head: true,
+        };
+        let text = response.text();
+        let head_length = text.find("\r\n\r\n").unwrap() + 4;
+        let first_length = match sent_first {
+            SentFirst::Head => head_length,
+            SentFirst::HeadAndPart => head_length.midpoint(text.len()),
+            SentFirst::Whole => text.len(),
+        };
+        let respond = async {
+            let mut conn = host.accept().await;
+            conn.read_head().await.expect("a request");
+            conn.send(&text[..first_length]).await;
+            // With a length or chunks a whole response is complete, and the proxy need not write on.
+            if sent_first != SentFirst::Whole || framing == HostFraming::CloseDelimited {
+                let rest = conn.read_body_bytes(LARGE_BODY_BYTES).await;
+                assert!(rest.bytes().all(|byte| byte == b'a'));
+            }
+            conn.send(&text[first_length..]).await;
+            shutdown(&conn.stream, Shutdown::Write).unwrap();
+            conn
+        };
+        let (response_read, _conn) = tokio::join!(client.read_message(), respond);
+        let read = response_read.expect("a response");
+        assert_eq!((read.status(), read.complete), (200, true));
+        assert_eq!(read.body, response.body());
+        assert_eq!(proxy.counters.get().attempts, 1);
+    });
+}
