What is left of a refused request is not written to its host

Found by reading the change again. Change: a connection on which a part of a refused request is left is closed at once, as it can't be used again.

--- a/crates/proxy/src/exchange/await_response.rs
+++ b/crates/proxy/src/exchange/await_response.rs
@@ -69,7 +69,9 @@
         head: ResponseHead,
         after_stray_responses: bool,
     ) {
-        if after_stray_responses || !head.is_keep_alive() {
+        // What is left of a refused request is not written to its host.
+        let is_reusable = head.is_keep_alive() && !connection.has_unfinished_request();
+        if after_stray_responses || !is_reusable {
             return;
         }
         let state = self.state.clone();
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -126,6 +126,13 @@
             .is_some_and(OutgoingRequest::is_started)
     }
 
+    /// Whether a part of the current request is left to be written.
+    pub(crate) fn has_unfinished_request(&self) -> bool {
+        self.request
+            .as_ref()
+            .is_some_and(OutgoingRequest::is_unfinished)
+    }
+
     /// Writes a request without a body that belongs to no client, and reads the head of its response.
     ///
     /// # Errors
--- a/crates/proxy/tests/early_responses.rs
+++ b/crates/proxy/tests/early_responses.rs
@@ -336,3 +336,26 @@
         assert_eq!(proxy.counters.get().attempts, 1);
     });
 }
+
+/// What is left of a refused request is not written on, although its connection stays open while the refusal is read.
+#[test]
+fn refused_request_is_not_written_on() {
+    run_async_test(async {
+        let mut host_1 = FakeHost::new("h1", "s").await;
+        let mut host_2 = FakeHost::new("h2", "s").await;
+        let proxy = proxy_with_wide_limits(ProxyOptions::default(), &[&host_1, &host_2]).await;
+        let mut client = proxy.client().await;
+        client.send(&large_request("/once/a")).await;
+        let (mut first, other) = first_connection(&mut host_1, &mut host_2).await;
+        first.read_head().await.expect("a request");
+        first
+            .send("HTTP/1.1 503 Full\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Not-Executed: full\r\nContent-Length: 9\r\n\r\npart")
+            .await;
+        let mut second = other.accept().await;
+        second.respond_ok("second").await;
+        assert_eq!(client.read_message().await.unwrap().body, "second");
+        first.wait_until_closed().await;
+        let received = first.take_buffered(usize::MAX).len();
+        assert!(received < LARGE_BODY_BYTES, "{received} bytes");
+    });
+}
