--- a/crates/fake-hosts/src/scripted.rs
+++ b/crates/fake-hosts/src/scripted.rs
@@ -362,6 +362,15 @@
     }
 }
 
+/// Status and body with which a request for one search, or for `many`, is answered.
+fn whole_answer(many: bool, mut answers: Vec<(u16, String)>) -> (u16, String) {
+    if many {
+        (200, combine(answers))
+    } else {
+        answers.remove(0)
+    }
+}
+
 fn write_response(output: &mut TcpStream, status: u16, body: &str) -> std::io::Result<()> {
     let length = body.len();
     write!(
@@ -423,11 +432,7 @@
         if silent {
             continue;
         }
-        let (status, body) = if many {
-            (200, combine(answers))
-        } else {
-            answers.remove(0)
-        };
+        let (status, body) = whole_answer(many, answers);
         write_response(&mut output, status, &body)?;
     }
 }
