Tests: a reset that the write beside the reading meets is told from an end (MIXED, LOST)

Found by reading the change again. Change: a test with the host on a thread of its own, over three routes and 30 lengths each; the counterpart, an end in order before the reset, has to stay complete. No product code.

--- a/crates/proxy/tests/early_responses.rs
+++ b/crates/proxy/tests/early_responses.rs
@@ -5,6 +5,8 @@
 use common::*;
 use rstest::rstest;
 use rustix::net::{shutdown, Shutdown};
+use std::io::{Read, Write};
+use std::time::Duration;
 
 /// Number of events in a whole response, and in the part that a host sends of it.
 const WHOLE: u64 = 20;
@@ -280,6 +282,61 @@
     });
 }
 
+/// Sends a response without a length, reads as many bytes of the request, and resets the connection, after it has ended
+/// its side in order if `ends_in_order`. It runs on a thread of its own, so that the reset may meet a write of the proxy
+/// or a read.
+fn respond_read_and_reset(mut stream: std::net::TcpStream, byte_count: usize, ends_in_order: bool) {
+    let head = "HTTP/1.1 200 OK\r\nFennelpin-Attempt-Id: one\r\nFennelpin-Host-Seal: seal\r\n\r\n";
+    stream
+        .write_all(format!("{head}{}", event(1)).as_bytes())
+        .unwrap();
+    let mut request_part = vec![0; byte_count];
+    stream.read_exact(&mut request_part).unwrap();
+    if ends_in_order {
+        shutdown(&stream, Shutdown::Write).unwrap();
+    }
+    rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+}
+
+/// Guards against MIXED and LOST: what is left of the request is written while the response is read, and that write may
+/// meet the reset as well. Behind an end in order the reset says nothing about the response.
+#[rstest]
+fn reset_while_the_request_is_written_on_is_told_from_an_end(
+    #[values("/pure/a", "/once/a", "/live/a")] path: &'static str,
+    #[values(true, false)] ends_in_order: bool,
+) {
+    run_async_test(async {
+        for number in 1..=30 {
+            let mut host = FakeHost::new("h1", "s").await;
+            let proxy = proxy_with_wide_limits(ProxyOptions::default(), &[&host]).await;
+            let mut client = proxy.client().await;
+            client.send(&large_request(path)).await;
+            let mut conn = host.accept().await;
+            conn.read_head().await.expect("a request");
+            let stream = conn.stream.into_std().unwrap();
+            stream.set_nonblocking(false).unwrap();
+            let byte_count = number * (LARGE_BODY_BYTES / 40);
+            let host_side = std::thread::spawn(move || {
+                respond_read_and_reset(stream, byte_count, ends_in_order);
+            });
+            let response = client.read_message().await.expect("a response");
+            host_side.join().unwrap();
+            let looks_complete = response.status() == 200 && response.complete;
+            assert_eq!(
+                looks_complete, ends_in_order,
+                "after {byte_count} bytes: {response:?}"
+            );
+            if ends_in_order {
+                assert_eq!(response.body, event(1));
+            } else if path == "/once/a" {
+                assert_eq!(response.status(), 502);
+            }
+            let broken = proxy.counters.get().broken_responses;
+            assert_eq!(broken, u64::from(!ends_in_order));
+        }
+    });
+}
+
 /// How far a host goes with its response before it reads the rest of the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum SentFirst {
